--- /dev/null
+++ b/src/crankhinge/adapters/_engine.py
@@ -0,0 +1,86 @@
+"""A model engine, as an agent needs it."""
+
+from __future__ import annotations
+
+import abc
+from dataclasses import dataclass
+
+from crankhinge.errors import CrankhingeError
+
+
+class EngineFailed(CrankhingeError):
+    """The engine refused or broke off. ``ran`` is False when it certainly did no work."""
+
+    code = "engine-failed"
+
+    def __init__(self, detail: str = "", *, ran: bool = True) -> None:
+        super().__init__(detail)
+        self.ran = ran
+
+
+class KvExpired(EngineFailed):
+    """The result of the reading was gone before the decode engine had it."""
+
+    code = "kv-expired"
+
+
+@dataclass(frozen=True)
+class PrefillResult:
+    """A prompt was read.
+
+    Attributes:
+        kv: JSON of the handle under which a decode engine fetches the result.
+        prompt: prompt tokens.
+        cached: of these, found in the prefix cache.
+    """
+
+    kv: bytes
+    prompt: int
+    cached: int
+
+
+@dataclass(frozen=True)
+class EngineLoad:
+    """What the engine reports, late.
+
+    Attributes:
+        running: requests in memory.
+        waiting: requests queued inside the engine.
+    """
+
+    running: int
+    waiting: int
+
+
+class DecodeStream(abc.ABC):
+    """An answer that is being written."""
+
+    finish: str = ""
+
+    @abc.abstractmethod
+    async def next(self) -> list[str]:
+        """Return the next pieces, one per token; empty at the end, with ``finish`` set.
+
+        Raises:
+            EngineFailed: when the engine breaks off.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """End the request; the engine frees its memory."""
+
+
+class Engine(abc.ABC):
+    """A model engine. All methods raise EngineFailed."""
+
+    @abc.abstractmethod
+    async def prefill(self, path: str, body: bytes, *, req: int) -> PrefillResult:
+        """Read the prompt of the completion request *body*."""
+
+    @abc.abstractmethod
+    async def decode(self, path: str, body: bytes, kv: bytes, *, req: int) -> DecodeStream:
+        """Fetch the result *kv* and write the answer to *body*."""
+
+    @abc.abstractmethod
+    async def load(self) -> EngineLoad:
+        """Return the engine's load."""
--- /dev/null
+++ b/src/crankhinge/adapters/_service.py
@@ -0,0 +1,30 @@
+"""A plain service, as an agent needs it."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class ServiceAnswer:
+    """A whole answer."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+class PlainService(abc.ABC):
+    """A service that answers calls."""
+
+    @abc.abstractmethod
+    async def call(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes
+    ) -> ServiceAnswer:
+        """Pass the call on, once.
+
+        Raises:
+            EngineFailed: with ``ran`` False when the call certainly did not arrive.
+        """
--- /dev/null
+++ b/src/crankhinge/adapters/http_service.py
@@ -0,0 +1,45 @@
+"""Adapter for plain services over HTTP/1.1 (RFC 9112)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from crankhinge.adapters._engine import EngineFailed
+from crankhinge.adapters._service import PlainService, ServiceAnswer
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import ConnectFailed, HttpClient
+
+HOP_BY_HOP = frozenset(
+    {"connection", "keep-alive", "te", "trailer", "transfer-encoding", "upgrade", "host"}
+    | {"proxy-authenticate", "proxy-authorization", "content-length"}
+)
+
+
+def end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
+    """Return the headers that are passed on (RFC 9110, section 7.6.1)."""
+    return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
+
+
+class HttpService(PlainService):
+    """The service at one address."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client = HttpClient(host, port)
+
+    async def call(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes
+    ) -> ServiceAnswer:
+        """Pass the call on, once, on a connection of its own.
+
+        A kept connection that the service has just closed would leave it unknown whether a
+        non-repeatable call arrived.
+        """
+        try:
+            resp = await self._client.call(
+                method, target, headers=end_to_end(headers), body=body, fresh=True
+            )
+        except ConnectFailed as exc:
+            raise EngineFailed(exc.detail, ran=False) from exc
+        except (HttpClosed, BadHttp) as exc:
+            raise EngineFailed(exc.detail) from exc
+        return ServiceAnswer(resp.status, end_to_end(resp.headers), resp.body)
--- /dev/null
+++ b/src/crankhinge/adapters/openai_engine.py
@@ -0,0 +1,187 @@
+"""Adapter for engines that speak the OpenAI completions API with vLLM's ``kv_transfer_params``.
+
+Source: the published OpenAI API reference (completions, chat completions, streaming) and vLLM's
+documentation of disaggregated prefilling: a prefill engine is asked for one token with
+``do_remote_decode`` and returns the handle of its KV cache; a decode engine is given that handle
+with ``do_remote_prefill``. ``GET /metrics`` is in the Prometheus text format. Closing the
+connection cancels a request.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+from crankhinge.adapters._engine import (
+    DecodeStream,
+    Engine,
+    EngineFailed,
+    EngineLoad,
+    KvExpired,
+    PrefillResult,
+)
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import ClientStream, ConnectFailed, HttpClient, SseParser
+
+GONE_STATUS = 410
+_JSON = {"content-type": "application/json"}
+_WANT_KV = {"do_remote_decode": True, "do_remote_prefill": False}
+
+
+class _Details(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    prompt_tokens_details: _Details | None = None
+
+
+class _PrefillAnswer(msgspec.Struct):
+    kv_transfer_params: dict[str, Any]
+    usage: _Usage = msgspec.field(default_factory=_Usage)
+
+
+class _Delta(msgspec.Struct):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    text: str = ""
+    delta: _Delta | None = None
+    finish_reason: str | None = None
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+
+
+_chunks = msgspec.json.Decoder(_Chunk)
+_answers = msgspec.json.Decoder(_PrefillAnswer)
+
+
+class OpenAiEngine(Engine):
+    """The engine at one address."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self._client = HttpClient(host, port, pool_size=32)
+
+    async def prefill(self, path: str, body: bytes, *, req: int) -> PrefillResult:
+        """Read a prompt: a completion of one token whose KV cache is kept for another engine."""
+        asked = _with(body, kv_transfer_params=_WANT_KV, max_tokens=1, stream=False)
+        stream = await self._open(path, asked, req)
+        try:
+            data = await stream.read_all()
+            answer = _answers.decode(data)
+        except (HttpClosed, BadHttp, msgspec.DecodeError) as exc:
+            raise EngineFailed(str(exc)) from exc
+        finally:
+            await stream.close()
+        details = answer.usage.prompt_tokens_details or _Details()
+        kv = msgspec.json.encode(answer.kv_transfer_params)
+        return PrefillResult(kv, answer.usage.prompt_tokens, details.cached_tokens)
+
+    async def decode(self, path: str, body: bytes, kv: bytes, *, req: int) -> DecodeStream:
+        """Write an answer, streamed."""
+        params = {**msgspec.json.decode(kv), "do_remote_prefill": True, "do_remote_decode": False}
+        asked = _with(body, kv_transfer_params=params, stream=True)
+        return _Stream(await self._open(path, asked, req))
+
+    async def _open(self, path: str, body: bytes, req: int) -> ClientStream:
+        headers = {**_JSON, "x-request-id": f"{req:016x}"}
+        try:
+            stream = await self._client.open("POST", path, headers=headers, body=body, fresh=True)
+        except ConnectFailed as exc:
+            raise EngineFailed(exc.detail, ran=False) from exc
+        except (HttpClosed, BadHttp) as exc:
+            raise EngineFailed(exc.detail) from exc
+        if stream.status != 200:
+            await _raise_for_status(stream)
+        return stream
+
+    async def load(self) -> EngineLoad:
+        """Read the engine's gauges."""
+        try:
+            resp = await self._client.call("GET", "/metrics")
+        except (HttpClosed, BadHttp) as exc:
+            raise EngineFailed(exc.detail) from exc
+        return EngineLoad(
+            running=_gauge(resp.body, b"vllm:num_requests_running"),
+            waiting=_gauge(resp.body, b"vllm:num_requests_waiting"),
+        )
+
+
+class _Stream(DecodeStream):
+    """A streamed completion."""
+
+    def __init__(self, stream: ClientStream) -> None:
+        self._stream = stream
+        self._parser = SseParser()
+        self._done = False
+
+    async def next(self) -> list[str]:
+        while not self._done:
+            try:
+                chunk = await self._stream.next_chunk()
+            except (HttpClosed, BadHttp) as exc:
+                raise EngineFailed(exc.detail) from exc
+            if not chunk:
+                raise EngineFailed("answer ended before its last event")
+            pieces = self._pieces(chunk)
+            if pieces:
+                return pieces
+        return []
+
+    def _pieces(self, chunk: bytes) -> list[str]:
+        pieces = []
+        for data in self._parser.feed(chunk):
+            if data == b"[DONE]":
+                self._done = True
+                break
+            pieces += self._read_event(data)
+        return pieces
+
+    def _read_event(self, data: bytes) -> list[str]:
+        try:
+            event = _chunks.decode(data)
+        except msgspec.DecodeError as exc:
+            raise EngineFailed(f"unreadable event: {exc}") from exc
+        texts = []
+        for choice in event.choices:
+            text = (choice.delta.content or "") if choice.delta else choice.text
+            if text:
+                texts.append(text)
+            if choice.finish_reason:
+                self.finish = choice.finish_reason
+        return texts
+
+    async def close(self) -> None:
+        await self._stream.close()
+
+
+def _with(body: bytes, **more: object) -> bytes:
+    """Return the JSON object *body* with some members set."""
+    data = msgspec.json.decode(body)
+    data.update(more)
+    return msgspec.json.encode(data)
+
+
+async def _raise_for_status(stream: ClientStream) -> None:
+    status = stream.status
+    try:
+        text = (await stream.read_all())[:200].decode("utf-8", "replace")
+    except (HttpClosed, BadHttp):
+        text = ""
+    finally:
+        await stream.close()
+    if status == GONE_STATUS:
+        raise KvExpired(text)
+    raise EngineFailed(f"status {status}: {text}", ran=status >= 500)
+
+
+def _gauge(text: bytes, name: bytes) -> int:
+    for line in text.split(b"\n"):
+        if line.startswith(name):
+            return int(float(line.rsplit(b" ", 1)[1]))
+    return 0
--- /dev/null
+++ b/src/crankhinge/agent/_agent.py
@@ -0,0 +1,113 @@
+"""The agent: links from entries on one side, a backend server on the other."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.agent._role import Role
+from crankhinge.agent._settings import AgentSettings
+from crankhinge.config import BundleKeeper
+from crankhinge.errors import LinkClosed, WireError
+from crankhinge.peers import Beater, BundleSpread
+from crankhinge.runtime import Supervisor, serve_tcp
+from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Message, accept_link
+
+DRAIN_POLL_S = 0.1
+
+
+class Agent:
+    """Owns the listener, the links and the role.
+
+    Args:
+        settings: its settings.
+        role: what it does for its backend server.
+        spread: keeps its bundle.
+        keeper: holds its bundle.
+        incarnation: larger each time it starts.
+        log: for events.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: AgentSettings,
+        role: Role,
+        spread: BundleSpread,
+        keeper: BundleKeeper,
+        incarnation: int,
+        log: Any,
+    ) -> None:
+        self._settings = settings
+        self._role = role
+        self._spread = spread
+        self._keeper = keeper
+        self._incarnation = incarnation
+        self._log = log
+        self._beater = Beater(settings.beat_s, self._make_beat)
+
+    def _make_beat(self, now: float) -> Beat:
+        return Beat(self._keeper.version, self._role.load(now))
+
+    def _hello(self) -> Hello:
+        settings = self._settings
+        return Hello(
+            WIRE_VERSION,
+            settings.name,
+            settings.role,
+            settings.zone,
+            self._incarnation,
+            settings.pool,
+            self._keeper.version,
+            settings.groups,
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        supervisor = Supervisor(self._log)
+        supervisor.add("listener", self._listen)
+        supervisor.add("beats", self._beater.run)
+        supervisor.add("role", self._role.run)
+        supervisor.add("bundle", self._spread.watch)
+        await supervisor.run()
+
+    async def _listen(self) -> None:
+        await serve_tcp(self._settings.host, self._settings.port, self._accept, log=self._log)
+
+    async def _accept(self, sock: Any, addr: Any) -> None:
+        try:
+            link = await accept_link(sock, self._hello())
+        except (WireError, LinkClosed) as exc:
+            self._log.info("link_refused", peer=str(addr), code=exc.code, why=exc.detail)
+            return
+        self._beater.links.add(link)
+        try:
+            await self._spread.linked(link)
+            await self._beater.beat_soon()
+            await link.run(self._handle)
+        except (WireError, LinkClosed) as exc:
+            self._log.warning("link_broken", peer=link.peer.name, code=exc.code, why=exc.detail)
+        finally:
+            link.closed = True
+            self._beater.links.discard(link)
+            self._spread.unlinked(link)
+            await self._role.forget(link)
+
+    async def _handle(self, link: Link, msg: Message) -> None:
+        if not await self._spread.handle(link, msg):
+            await self._role.handle(link, msg)
+
+    async def drain(self) -> None:
+        """Take no new work and return once nothing is in progress, or after ``drain_s``."""
+        self._log.info("draining")
+        self._role.close()
+        await self._beater.beat_soon()
+        await curio.ignore_after(self._settings.drain_s, self._wait_idle)
+        self._log.info("drained", busy=self._role.busy)
+
+    async def _wait_idle(self) -> None:
+        # One more heartbeat, for requests that were on their way when the first one left.
+        await curio.sleep(2 * self._settings.beat_s)
+        while self._role.busy:
+            await curio.sleep(DRAIN_POLL_S)
--- /dev/null
+++ b/src/crankhinge/agent/_decode.py
@@ -0,0 +1,178 @@
+"""The agent beside a decode engine: leases its memory slots and relays its answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import DecodeStream, Engine, EngineFailed
+from crankhinge.agent._role import Role
+from crankhinge.decisions import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
+from crankhinge.wire import (
+    Cancel,
+    Decode,
+    DecodeDone,
+    Failed,
+    Granted,
+    Link,
+    Load,
+    Message,
+    Reserve,
+    Tokens,
+)
+
+STEP_GAIN = 0.2
+POLL_S = 0.5
+
+
+class DecodeRole(Role):
+    """Grants slots by :class:`SlotTable` and writes answers.
+
+    Args:
+        engine: the decode engine.
+        table: its slots.
+        more: arguments of :class:`Role`.
+    """
+
+    def __init__(self, *, engine: Engine, table: SlotTable, **more: Any) -> None:
+        super().__init__(**more)
+        self._engine = engine
+        self._table = table
+        self._ready: dict[int, Decode] = {}
+        self._wake = curio.Event()
+        self._step_s = 0.0
+
+    @property
+    def busy(self) -> bool:
+        """Whether any slot is held or awaited."""
+        return self._table.busy
+
+    def close(self) -> None:
+        """Refuse new requests; leases already given are honoured."""
+        self._table.closed = True
+
+    def load(self, now: float) -> Load:
+        """Return the load to report."""
+        table = self._table
+        return Load(
+            free=max(0, table.free),
+            queued=table.queued,
+            backlog_s=table.backlog_s(now),
+            step_s=self._step_s,
+            draining=table.closed,
+        )
+
+    async def run(self) -> None:
+        """Let leases and waiting requests expire in time."""
+        while True:
+            now = await curio.clock()
+            until = self._table.next_event()
+            pause = POLL_S if until is None else min(POLL_S, max(0.001, until - now))
+            await curio.ignore_after(pause, self._wake.wait)
+            self._wake.clear()
+            await self._apply(self._table.tick(await curio.clock()))
+            self._drop_expired()
+
+    def _drop_expired(self) -> None:
+        """Forget the owners of leases that were never used."""
+        for req in list(self._owners):
+            if req not in self._tasks and not self._table.holds(req):
+                self._ready.pop(req, None)
+                self.disown(req)
+
+    async def handle(self, link: Link, msg: Message) -> None:
+        """Act on Reserve, Decode and Cancel."""
+        if isinstance(msg, Reserve):
+            await self._reserve(link, msg)
+        elif isinstance(msg, Decode):
+            await self._decode(link, msg)
+        elif isinstance(msg, Cancel):
+            await self.cancel(msg.req)
+
+    async def _reserve(self, link: Link, msg: Reserve) -> None:
+        now = await curio.clock()
+        weights = self.keeper.weights(msg.member)
+        ask = SlotAsk(
+            req=msg.req,
+            partner=weights.partner,
+            member=msg.member,
+            rank=msg.rank,
+            deadline=now + msg.within,
+            lead=msg.lead,
+            max_tokens=msg.max_tokens,
+            weight=weights.member,
+            partner_weight=weights.partner_weight,
+        )
+        self.own(msg.req, link)
+        await self._apply(self._table.ask(ask, now))
+        await self._wake.set()
+
+    async def _apply(self, decisions: list[SlotDecision]) -> None:
+        for decision in decisions:
+            if isinstance(decision, Grant):
+                await self.tell(decision.req, Granted(decision.req, decision.ready, decision.lease))
+            else:
+                await self._apply_refusal(decision)
+
+    async def _apply_refusal(self, decision: Refuse) -> None:
+        link = self.owner(decision.req)
+        if link is not None:
+            await self.refuse(link, decision.req, decision.code, decision.retry_after)
+        self.disown(decision.req)
+
+    async def _decode(self, link: Link, msg: Decode) -> None:
+        if self.owner(msg.req) is not link or not self._table.leased(msg.req):
+            self.metrics.count("lease_expired")
+            await link.send(Failed(msg.req, "lease-expired", False))
+            return
+        self._ready[msg.req] = msg
+        await self._start_ready()
+
+    async def _start_ready(self) -> None:
+        """Start the answers whose slots are free by now."""
+        for req in list(self._ready):
+            if self._table.start(req, await curio.clock()):
+                msg = self._ready.pop(req)
+                await self.start_task(req, self._write, msg)
+
+    async def _write(self, msg: Decode) -> None:
+        req = msg.req
+        try:
+            stream = await self._engine.decode(msg.path, msg.body, msg.kv, req=req)
+            try:
+                await self._relay(req, stream)
+            finally:
+                await stream.close()
+        except EngineFailed as exc:
+            self.log.warning("decode_failed", req=f"{req:016x}", code=exc.code, why=exc.detail)
+            self.metrics.count(f"decode_failed.{exc.code}")
+            await self.tell(req, Failed(req, exc.code, exc.ran))
+        finally:
+            await self.release(req)
+            self.disown(req)
+
+    async def _relay(self, req: int, stream: DecodeStream) -> None:
+        seq = 0
+        last = 0.0
+        while pieces := await stream.next():
+            await self.tell(req, Tokens(req, seq, tuple(pieces)))
+            seq += len(pieces)
+            self._table.progress(req, seq)
+            now = await curio.clock()
+            if last:
+                self._note_step((now - last) / len(pieces))
+            last = now
+        self.metrics.count("tokens", seq)
+        await self.tell(req, DecodeDone(req, seq, stream.finish))
+
+    def _note_step(self, step_s: float) -> None:
+        gain = STEP_GAIN if self._step_s else 1.0
+        self._step_s += gain * (step_s - self._step_s)
+        self._table.step_s = self._step_s
+
+    async def release(self, req: int) -> None:
+        """Free the slot of *req* and give it to the next."""
+        self._ready.pop(req, None)
+        await self._apply(self._table.end(req, await curio.clock()))
+        await self._start_ready()
--- /dev/null
+++ b/src/crankhinge/agent/_prefill.py
@@ -0,0 +1,48 @@
+"""The agent beside a prefill engine: orders what it reads."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Engine, EngineFailed
+from crankhinge.agent._queued import QueuedRole
+from crankhinge.wire import Failed, Link, Message, Prefill, PrefillDone
+
+
+class PrefillRole(QueuedRole):
+    """Reads prompts in the order of its queue.
+
+    Args:
+        engine: the prefill engine.
+        more: arguments of :class:`QueuedRole`.
+    """
+
+    def __init__(self, *, engine: Engine, **more: Any) -> None:
+        super().__init__(**more)
+        self._engine = engine
+
+    async def handle(self, link: Link, msg: Message) -> None:
+        """Act on Prefill and Cancel."""
+        if isinstance(msg, Prefill):
+            await self.enqueue(link, msg.req, msg.member, msg.rank, msg.within, msg.tokens, msg)
+        else:
+            await self.handle_cancel(msg)
+
+    async def work(self, msg: Any) -> int:
+        """Read one prompt; returns the tokens that were computed."""
+        req = msg.req
+        began = await curio.clock()
+        try:
+            result = await self._engine.prefill(msg.path, msg.body, req=req)
+        except EngineFailed as exc:
+            self.log.warning("prefill_failed", req=f"{req:016x}", code=exc.code, why=exc.detail)
+            self.metrics.count(f"prefill_failed.{exc.code}")
+            await self.tell(req, Failed(req, exc.code, exc.ran))
+            return 0
+        took = await curio.clock() - began
+        self.metrics.count("prompt_tokens", result.prompt)
+        self.metrics.count("prompt_tokens_cached", result.cached)
+        await self.tell(req, PrefillDone(req, result.kv, result.cached, result.prompt, took))
+        return result.prompt - result.cached
--- /dev/null
+++ b/src/crankhinge/agent/_queued.py
@@ -0,0 +1,108 @@
+"""What the agents of prefill engines and plain services share: a queue and a width."""
+
+from __future__ import annotations
+
+import abc
+from typing import Any
+
+import curio
+
+from crankhinge.agent._role import Role
+from crankhinge.decisions import Refuse, WorkAsk, WorkQueue
+from crankhinge.wire import Cancel, Link, Load, Message
+
+
+class QueuedRole(Role):
+    """Starts requests in the order of a :class:`WorkQueue`.
+
+    Args:
+        queue: the order of work.
+        more: arguments of :class:`Role`.
+    """
+
+    def __init__(self, *, queue: WorkQueue, **more: Any) -> None:
+        super().__init__(**more)
+        self._queue = queue
+        self._messages: dict[int, Any] = {}
+
+    @abc.abstractmethod
+    async def work(self, msg: Any) -> int:
+        """Do one request and answer it; returns the units of work that were done."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request runs or waits."""
+        return self._queue.busy
+
+    def close(self) -> None:
+        """Refuse new requests; those that wait are still done."""
+        self._queue.closed = True
+
+    def load(self, now: float) -> Load:
+        """Return the load to report."""
+        queue = self._queue
+        return Load(
+            free=queue.free,
+            queued=queue.queued,
+            backlog_s=queue.backlog_s(now),
+            draining=queue.closed,
+            rate=queue.rate,
+        )
+
+    async def enqueue(
+        self, link: Link, req: int, member: str, rank: int, within: float, units: int, msg: Any
+    ) -> None:
+        """Queue a request, or refuse it."""
+        now = await curio.clock()
+        weights = self.keeper.weights(member)
+        ask = WorkAsk(
+            req=req,
+            partner=weights.partner,
+            member=member,
+            rank=rank,
+            deadline=now + within,
+            units=units,
+            weight=weights.member,
+            partner_weight=weights.partner_weight,
+        )
+        refusal = self._queue.ask(ask, now)
+        if refusal is not None:
+            await self.refuse(link, req, refusal.code, refusal.retry_after)
+            return
+        self.own(req, link)
+        self._messages[req] = msg
+        await self._pump()
+
+    async def _pump(self) -> None:
+        starts, late = self._queue.next(await curio.clock())
+        for refusal in late:
+            await self._refuse_late(refusal)
+        for ask in starts:
+            await self.start_task(ask.req, self._work, self._messages.pop(ask.req))
+
+    async def _refuse_late(self, refusal: Refuse) -> None:
+        link = self.owner(refusal.req)
+        self._messages.pop(refusal.req, None)
+        if link is not None:
+            await self.refuse(link, refusal.req, refusal.code, refusal.retry_after)
+        self.disown(refusal.req)
+
+    async def _work(self, msg: Any) -> None:
+        done = 0
+        try:
+            done = await self.work(msg)
+        finally:
+            self._queue.end(msg.req, await curio.clock(), done=done)
+            self.disown(msg.req)
+            await self._pump()
+
+    async def release(self, req: int) -> None:
+        """Take a request that nobody waits for out of the queue."""
+        self._messages.pop(req, None)
+        self._queue.end(req, await curio.clock())
+        await self._pump()
+
+    async def handle_cancel(self, msg: Message) -> None:
+        """Act on Cancel."""
+        if isinstance(msg, Cancel):
+            await self.cancel(msg.req)
--- /dev/null
+++ b/src/crankhinge/agent/_role.py
@@ -0,0 +1,124 @@
+"""What an agent does for one kind of backend server."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from crankhinge.config import BundleKeeper
+from crankhinge.errors import LinkClosed
+from crankhinge.runtime import Metrics
+from crankhinge.wire import Failed, Link, Load, Message, Refused
+
+FIRST_COME_S = 0.001
+
+
+class Role(abc.ABC):
+    """Owns the requests that were sent to this agent.
+
+    Args:
+        keeper: holds the bundle.
+        log: for events.
+        metrics: for counters.
+    """
+
+    def __init__(self, *, keeper: BundleKeeper, log: Any, metrics: Metrics) -> None:
+        self.keeper = keeper
+        self.log = log
+        self.metrics = metrics
+        self._owners: dict[int, Link] = {}
+        self._tasks: dict[int, curio.Task] = {}
+        self._held: dict[Link, set[int]] = {}
+
+    @abc.abstractmethod
+    async def handle(self, link: Link, msg: Message) -> None:
+        """Act on a message of an entry."""
+
+    @abc.abstractmethod
+    async def release(self, req: int) -> None:
+        """Free whatever *req* holds or waits for here."""
+
+    @abc.abstractmethod
+    def load(self, now: float) -> Load:
+        """Return the load to report."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Take no new work from now on."""
+
+    @property
+    @abc.abstractmethod
+    def busy(self) -> bool:
+        """Whether any request is in progress."""
+
+    async def run(self) -> None:
+        """Do what has to be done by time, until cancelled."""
+        await curio.sleep(float("inf"))
+
+    def own(self, req: int, link: Link) -> None:
+        """Note whose request *req* is."""
+        self._owners[req] = link
+        self._held.setdefault(link, set()).add(req)
+
+    def owner(self, req: int) -> Link | None:
+        """Return whose request *req* is."""
+        return self._owners.get(req)
+
+    def disown(self, req: int) -> None:
+        """Forget *req*."""
+        link = self._owners.pop(req, None)
+        if link is not None:
+            self._held[link].discard(req)
+
+    async def start_task(self, req: int, run: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        """Run a request's task; :meth:`cancel` ends it."""
+        self._tasks[req] = await curio.spawn(self._track, req, run, *args, daemon=True)
+
+    async def _track(self, req: int, run: Callable[..., Awaitable[Any]], *args: Any) -> None:
+        try:
+            await run(*args)
+        except Exception as exc:
+            self.log.error("request_crashed", req=req, kind=type(exc).__name__, why=str(exc))
+            await self.tell(req, Failed(req, "internal", True))
+        finally:
+            self._tasks.pop(req, None)
+
+    async def cancel(self, req: int) -> None:
+        """End a request that nobody waits for any more."""
+        task = self._tasks.pop(req, None)
+        if task is not None:
+            await task.cancel()
+        await self.release(req)
+        self.disown(req)
+
+    async def forget(self, link: Link) -> None:
+        """End every request of an entry that is gone."""
+        reqs = list(self._held.get(link, ()))
+        if reqs:
+            self.log.info("entry_gone", entry=link.peer.name, requests=len(reqs))
+            self.metrics.count("requests_orphaned", len(reqs))
+        for req in reqs:
+            await self.cancel(req)
+        self._held.pop(link, None)
+
+    async def tell(self, req: int, msg: Message) -> None:
+        """Send *msg* to the request's entry, if that is still there."""
+        link = self._owners.get(req)
+        if link is None:
+            return
+        try:
+            await link.send(msg)
+        except LinkClosed:
+            return
+
+    async def refuse(self, link: Link, req: int, code: str, retry_after: float = 0.0) -> None:
+        """Tell an entry that *req* was not started."""
+        self.metrics.count(f"refused.{code}")
+        self.log.info("refused", req=f"{req:016x}", code=code, retry_after=round(retry_after, 3))
+        try:
+            await link.send(Refused(req, code, retry_after))
+        except LinkClosed:
+            return
--- /dev/null
+++ b/src/crankhinge/agent/main.py
@@ -0,0 +1,78 @@
+"""``crankhinge-agent``: the process beside a backend server."""
+
+from __future__ import annotations
+
+import random
+import time
+from typing import Any
+
+import curio
+
+from crankhinge.adapters.consul import ConsulKeyValue
+from crankhinge.adapters.http_service import HttpService
+from crankhinge.adapters.openai_engine import OpenAiEngine
+from crankhinge.agent._agent import Agent
+from crankhinge.agent._decode import DecodeRole
+from crankhinge.agent._plain import PlainRole
+from crankhinge.agent._prefill import PrefillRole
+from crankhinge.agent._role import Role
+from crankhinge.agent._settings import AgentSettings
+from crankhinge.config import BundleKeeper
+from crankhinge.decisions import SlotTable, WorkQueue
+from crankhinge.peers import BundleSpread, parse_endpoint
+from crankhinge.runtime import Metrics, run_process
+
+PROGRAM = "crankhinge-agent"
+
+
+def make_role(settings: AgentSettings, **common: Any) -> Role:
+    """Return the role that the settings name."""
+    host, port = parse_endpoint(settings.backend)
+    if settings.role == "decode":
+        table = SlotTable(capacity=settings.slots, step_s=settings.step_s, hold_s=settings.lease_s)
+        return DecodeRole(engine=OpenAiEngine(host, port), table=table, **common)
+    queue = WorkQueue(width=settings.slots, rate=settings.rate)
+    if settings.role == "prefill":
+        return PrefillRole(engine=OpenAiEngine(host, port), queue=queue, **common)
+    return PlainRole(service=HttpService(host, port), queue=queue, **common)
+
+
+async def serve(settings: AgentSettings, log: Any, stopping: curio.Event) -> None:
+    """Run the agent until *stopping*, then drain."""
+    log = log.bind(name=settings.name)
+    keeper = BundleKeeper(settings.keys)
+    metrics = Metrics(prefix=f"crankhinge.agent.{settings.name}", address=settings.statsd)
+    kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
+    rng = random.Random(settings.name)
+    agent = Agent(
+        settings=settings,
+        role=make_role(settings, keeper=keeper, log=log, metrics=metrics),
+        spread=BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng),
+        keeper=keeper,
+        incarnation=time.time_ns(),
+        log=log,
+    )
+    log.info("started", role=settings.role, pool=settings.pool, port=settings.port)
+    async with curio.TaskGroup(wait=any) as group:
+        await group.spawn(agent.run)
+        await group.spawn(_drain_on, stopping, agent)
+
+
+async def _drain_on(stopping: curio.Event, agent: Agent) -> None:
+    await stopping.wait()
+    await agent.drain()
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; returns its exit status."""
+    return run_process(
+        program=PROGRAM,
+        about="the process beside a backend server",
+        model=AgentSettings,
+        serve=serve,
+        argv=argv,
+    )
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/crankhinge/ctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line: bundles and keys, never engines."""
--- /dev/null
+++ b/src/crankhinge/ctl/_bundle.py
@@ -0,0 +1,134 @@
+"""``crankhinge-ctl bundle``: everything but publish."""
+
+from __future__ import annotations
+
+import argparse
+import difflib
+from pathlib import Path
+
+import curio
+import msgspec
+
+from crankhinge.adapters import KeyValue, Value
+from crankhinge.adapters.consul import ConsulKeyValue
+from crankhinge.config import (
+    Envelope,
+    load_private_key,
+    open_envelope,
+    parse_bundle,
+    read_current,
+    read_envelope,
+    read_history,
+    seal,
+    sign,
+)
+from crankhinge.errors import BundleError
+from crankhinge.peers import parse_endpoint
+from crankhinge.peers._settings import HexKey, HostPort
+from crankhinge.runtime import load_settings
+
+
+class CtlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of the command line.
+
+    Attributes:
+        key_value: ``host:port`` of the platform's key-value service.
+        keys: public key of each partner, hex.
+    """
+
+    key_value: HostPort
+    keys: dict[str, HexKey]
+
+
+def read_settings(args: argparse.Namespace) -> CtlSettings:
+    """Return the settings that the command line names."""
+    return load_settings(args.settings, CtlSettings)
+
+
+def connect(settings: CtlSettings) -> KeyValue:
+    """Return the key-value service."""
+    return ConsulKeyValue(*parse_endpoint(settings.key_value))
+
+
+def read_file(path: str) -> Envelope:
+    """Return a bundle file's envelope; plain TOML has no signatures yet.
+
+    Raises:
+        BundleError: naming the file.
+    """
+    try:
+        data = Path(path).read_bytes()
+    except OSError as exc:
+        raise BundleError(f"{path}: cannot be read: {exc.strerror}") from exc
+    try:
+        if data.lstrip().startswith(b"{"):
+            return read_envelope(data)
+        return Envelope(data.decode("utf-8"))
+    except (BundleError, UnicodeDecodeError) as exc:
+        raise BundleError(f"{path}: {exc}") from exc
+
+
+def check_bundle(args: argparse.Namespace) -> str:
+    """Validate a bundle whole."""
+    envelope = read_file(args.file)
+    try:
+        bundle = parse_bundle(envelope.text)
+    except BundleError as exc:
+        raise BundleError(f"{args.file}: {exc.detail}") from exc
+    signed = ", ".join(sorted(envelope.signatures)) or "nobody"
+    return (
+        f"{args.file}: ok: version {bundle.version}, {len(bundle.models)} models, "
+        f"{len(bundle.pools)} pools, {len(bundle.services)} services, "
+        f"{len(bundle.members)} members, signed by {signed}"
+    )
+
+
+def sign_bundle(args: argparse.Namespace) -> str:
+    """Add a partner's signature."""
+    envelope = read_file(args.file)
+    bundle = parse_bundle(envelope.text)
+    if args.partner not in {partner.name for partner in bundle.partners}:
+        raise BundleError(f"{args.file}: no partner {args.partner!r}")
+    signed = sign(envelope, args.partner, load_private_key(Path(args.key)))
+    Path(args.out).write_bytes(seal(signed))
+    names = ", ".join(sorted(signed.signatures))
+    return f"{args.out}: version {bundle.version}, signed by {names}"
+
+
+def text_diff(old: str, new: str, old_name: str, new_name: str) -> str:
+    """Return a unified diff; empty when the texts are the same."""
+    lines = difflib.unified_diff(
+        old.splitlines(), new.splitlines(), old_name, new_name, lineterm=""
+    )
+    return "\n".join(lines)
+
+
+async def _current(kv: KeyValue) -> Value | None:
+    return await read_current(kv)
+
+
+def diff_bundle(args: argparse.Namespace) -> str:
+    """Compare a bundle file with the bundle in force."""
+    envelope = read_file(args.file)
+    current = curio.run(_current, connect(read_settings(args)))
+    old = read_envelope(current.data).text if current else ""
+    diff = text_diff(old, envelope.text, "in force", args.file)
+    return diff or "no difference"
+
+
+def show_status(args: argparse.Namespace) -> str:
+    """Describe the bundle in force."""
+    settings = read_settings(args)
+    current = curio.run(_current, connect(settings))
+    if current is None:
+        return "no bundle was accepted yet"
+    bundle = open_envelope(current.data, settings.keys)
+    return f"version {bundle.version}, signed by {', '.join(sorted(settings.keys))}"
+
+
+def show_history(args: argparse.Namespace) -> str:
+    """List the accepted bundles that are kept, newest last."""
+    settings = read_settings(args)
+    rows = curio.run(read_history, connect(settings))
+    lines = [f"version {row.version}  sha256 {row.sha256[:16]}" for row in rows]
+    return "\n".join(lines) or "no bundle was accepted yet"
--- /dev/null
+++ b/src/crankhinge/decisions/_breaker.py
@@ -0,0 +1,62 @@
+"""A circuit breaker for one backend server."""
+
+from __future__ import annotations
+
+import enum
+
+FAILURES_TO_OPEN = 3
+FIRST_OPEN_S = 1.0
+MAX_OPEN_S = 30.0
+
+
+class BreakerState(enum.Enum):
+    """Whether requests pass."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half-open"
+
+
+class Breaker:
+    """Opens after consecutive failures; lets one trial through when its time is up.
+
+    The open time doubles with each failed trial, up to a bound.
+    """
+
+    def __init__(self) -> None:
+        self._failures = 0
+        self._open_s = FIRST_OPEN_S
+        self._until = 0.0
+        self._trial = False
+
+    def state(self, now: float) -> BreakerState:
+        """Return the state at *now* (seconds)."""
+        if self._failures < FAILURES_TO_OPEN:
+            return BreakerState.CLOSED
+        return BreakerState.OPEN if now < self._until else BreakerState.HALF_OPEN
+
+    def allows(self, now: float) -> bool:
+        """Whether a request may be sent; asking changes nothing."""
+        state = self.state(now)
+        return state is BreakerState.CLOSED or (state is BreakerState.HALF_OPEN and not self._trial)
+
+    def sent(self, now: float) -> None:
+        """Note that a request was sent: in half-open state it is the trial."""
+        if self.state(now) is BreakerState.HALF_OPEN:
+            self._trial = True
+
+    def succeeded(self) -> None:
+        """Note a success."""
+        self._failures = 0
+        self._open_s = FIRST_OPEN_S
+        self._trial = False
+
+    def failed(self, now: float) -> None:
+        """Note a failure."""
+        self._failures += 1
+        if self._failures < FAILURES_TO_OPEN:
+            return
+        if self._trial:
+            self._open_s = min(MAX_OPEN_S, self._open_s * 2)
+        self._trial = False
+        self._until = now + self._open_s
--- /dev/null
+++ b/src/crankhinge/decisions/_budget.py
@@ -0,0 +1,28 @@
+"""A retry budget: retries are a fixed part of successes, so an outage is never amplified."""
+
+from __future__ import annotations
+
+
+class RetryBudget:
+    """A token bucket filled by first attempts.
+
+    Args:
+        ratio: retries allowed per first attempt.
+        burst: most retries saved up.
+    """
+
+    def __init__(self, *, ratio: float = 0.1, burst: float = 10.0) -> None:
+        self._ratio = ratio
+        self._burst = burst
+        self._tokens = burst
+
+    def first_attempt(self) -> None:
+        """Count a request's first attempt."""
+        self._tokens = min(self._burst, self._tokens + self._ratio)
+
+    def try_retry(self) -> bool:
+        """Take leave for one retry; False when the budget is spent."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
--- /dev/null
+++ b/src/crankhinge/decisions/_fair.py
@@ -0,0 +1,163 @@
+"""A weighted fair queue over a tree of flows, earliest deadline first within a flow.
+
+Start-time fair queueing (Goyal, Vin and Cheng, 1996), applied at each level of the tree: priority
+class, then partner, then member. A class or member with little work never waits behind one with
+much; none is starved, since each level's virtual time only moves forward.
+"""
+
+from __future__ import annotations
+
+import heapq
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+Path = tuple[str, ...]
+
+
+@dataclass
+class _Node:
+    """A flow: its children with their start tags, or its waiting items."""
+
+    weight: float = 1.0
+    start: float = 0.0
+    virtual: float = 0.0
+    count: int = 0
+    children: dict[str, _Node] = field(default_factory=dict)
+    heap: list[tuple[float, int]] = field(default_factory=list)
+
+
+@dataclass(frozen=True)
+class _Entry(Generic[T]):
+    item: T
+    path: Path
+    cost: float
+
+
+class FairQueue(Generic[T]):
+    """Holds items by integer key; :meth:`pop` returns the one whose flow is furthest behind.
+
+    Flows without items are forgotten once their start tag is no longer ahead, so memory follows
+    the number of members that wait, not the number that ever came.
+    """
+
+    def __init__(self) -> None:
+        self._root = _Node()
+        self._entries: dict[int, _Entry[T]] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, key: int) -> bool:
+        return key in self._entries
+
+    def push(
+        self,
+        key: int,
+        item: T,
+        *,
+        path: Path,
+        weights: tuple[float, ...],
+        deadline: float,
+        cost: float,
+    ) -> None:
+        """Add an item.
+
+        Args:
+            key: unique among the waiting items.
+            item: what :meth:`pop` returns.
+            path: flow at each level, outermost first.
+            weights: weight of the flow at each level; larger gets more.
+            deadline: orders items of one flow.
+            cost: work the item brings, in any one unit.
+        """
+        node = self._root
+        node.count += 1
+        for name, weight in zip(path, weights, strict=True):
+            child = node.children.get(name)
+            if child is None:
+                child = node.children[name] = _Node(start=node.virtual)
+            if child.count == 0:
+                child.start = max(child.start, node.virtual)
+            child.weight = weight
+            child.count += 1
+            node = child
+        heapq.heappush(node.heap, (deadline, key))
+        self._entries[key] = _Entry(item, path, cost)
+
+    def remove(self, key: int) -> T | None:
+        """Take the item *key* out, whatever its turn."""
+        entry = self._entries.pop(key, None)
+        if entry is None:
+            return None
+        for node in self._nodes(entry.path):
+            node.count -= 1
+        return entry.item
+
+    def _nodes(self, path: Path) -> list[_Node]:
+        nodes = [self._root]
+        for name in path:
+            nodes.append(nodes[-1].children[name])
+        return nodes
+
+    def peek(self) -> T | None:
+        """Return what :meth:`pop` would, without taking it or charging for it."""
+        key = self._next_key()
+        return None if key is None else self._entries[key].item
+
+    def pop(self) -> T | None:
+        """Take the next item and charge its flow for it."""
+        key = self._next_key()
+        if key is None:
+            return None
+        entry = self._entries.pop(key)
+        self._charge(entry)
+        return entry.item
+
+    def _next_key(self) -> int | None:
+        if not self._entries:
+            return None
+        node = self._root
+        while node.children:
+            waiting = [child for child in node.children.values() if child.count]
+            node = min(waiting, key=lambda child: child.start)
+        while node.heap[0][1] not in self._entries:
+            heapq.heappop(node.heap)
+        return node.heap[0][1]
+
+    def _charge(self, entry: _Entry[T]) -> None:
+        node = self._root
+        node.count -= 1
+        for name in entry.path:
+            child = node.children[name]
+            node.virtual = max(node.virtual, child.start)
+            child.start += entry.cost / child.weight
+            child.count -= 1
+            _forget_idle(node)
+            node = child
+
+    def share(self, path: Path, weights: tuple[float, ...]) -> float:
+        """Return the part (0 to 1] of the service that a flow would get, were it to wait now."""
+        part = 1.0
+        node: _Node | None = self._root
+        for name, weight in zip(path, weights, strict=True):
+            children = node.children if node else {}
+            others = sum(c.weight for n, c in children.items() if c.count and n != name)
+            part *= weight / (weight + others)
+            node = children.get(name)
+        return part
+
+    def waiting_cost(self, path: Path) -> float:
+        """Return the summed cost of the items that wait in the flow *path*."""
+        return sum(entry.cost for entry in self._entries.values() if entry.path == path)
+
+    def items(self) -> list[T]:
+        """Return all waiting items, in no order."""
+        return [entry.item for entry in self._entries.values()]
+
+
+def _forget_idle(node: _Node) -> None:
+    idle = [n for n, c in node.children.items() if not c.count and c.start <= node.virtual]
+    for name in idle:
+        del node.children[name]
--- /dev/null
+++ b/src/crankhinge/decisions/_limits.py
@@ -0,0 +1,55 @@
+"""Limits per member at one entry: requests in progress, and a rate.
+
+The shares between members are kept where the queue is, at the agents; these limits only bound
+what one entry does for one member. With *n* entries behind an even balancer, an entry allows
+``limit / n`` and a margin.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass
+class _Use:
+    running: int = 0
+    tokens: float = 0.0
+    at: float = 0.0
+
+
+class MemberLimits:
+    """Counts what each member has in progress here and how fast it asks."""
+
+    def __init__(self) -> None:
+        self._use: dict[str, _Use] = {}
+
+    def enter(self, member: str, now: float, *, concurrent: int, per_s: float) -> float | None:
+        """Admit one request.
+
+        Args:
+            member: who asks.
+            now: seconds.
+            concurrent: most requests in progress; 0 is no limit.
+            per_s: most requests a second, with one second's burst; 0 is no limit.
+
+        Returns:
+            None when admitted, else the seconds after which to come back.
+        """
+        use = self._use.setdefault(member, _Use(tokens=max(1.0, per_s), at=now))
+        if concurrent and use.running >= concurrent:
+            return 1.0
+        if per_s:
+            burst = max(1.0, per_s)
+            use.tokens = min(burst, use.tokens + (now - use.at) * per_s)
+            use.at = now
+            if use.tokens < 1.0:
+                return (1.0 - use.tokens) / per_s
+            use.tokens -= 1.0
+        use.running += 1
+        return None
+
+    def leave(self, member: str) -> None:
+        """Note that one of the member's requests has ended."""
+        use = self._use.get(member)
+        if use is not None:
+            use.running -= 1
--- /dev/null
+++ b/src/crankhinge/decisions/_routing.py
@@ -0,0 +1,269 @@
+"""Which backend servers a request is tried on, and in which order.
+
+An entry sees load that is up to a heartbeat old and shares its backend servers with other
+entries that it never hears of. So it corrects each report by what it has sent since, compares a
+few random candidates rather than all (Mitzenmacher, 2001), and leaves the last word to the agent,
+which owns the queue and can refuse at no cost.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from crankhinge.decisions._breaker import Breaker
+from crankhinge.decisions._rendezvous import rank_by_key
+
+CANDIDATES = 3
+AFFINE = 2
+STALE_BEATS = 3.0
+SLOW_FACTOR = 2.0
+SLOW_PENALTY_S = 1.0
+DEFAULT_RATE = 10_000.0
+QUEUED_S = 0.02
+
+
+@dataclass
+class Backend:
+    """A backend server as one entry knows it, by way of its agent.
+
+    Attributes:
+        name: unique within the fleet.
+        role: ``prefill``, ``decode`` or ``plain``.
+        pool: its pool.
+        zone: its availability zone.
+        groups: further fault domains.
+        incarnation: of its agent.
+        linked: whether there is a connection to its agent.
+        leaving: whether the platform's list says that it leaves.
+        draining: whether its agent says so.
+        free: from the last report.
+        queued: from the last report.
+        backlog_s: from the last report, seconds.
+        step_s: seconds between tokens; 0 when unknown.
+        rate: prompt tokens per second; 0 when unknown.
+        reported: time of the last report.
+        sent: requests sent since then.
+        sent_s: seconds of work sent since then.
+        open: requests that this entry has in progress there.
+    """
+
+    name: str
+    role: str
+    pool: str
+    zone: str
+    groups: tuple[str, ...] = ()
+    incarnation: int = 0
+    linked: bool = False
+    leaving: bool = False
+    draining: bool = False
+    free: int = 0
+    queued: int = 0
+    backlog_s: float = 0.0
+    step_s: float = 0.0
+    rate: float = 0.0
+    reported: float = 0.0
+    sent: int = 0
+    sent_s: float = 0.0
+    open: int = 0
+    breaker: Breaker = field(default_factory=Breaker)
+
+    def usable(self, now: float) -> bool:
+        """Whether it may be given new work."""
+        gone = not self.linked or self.leaving or self.draining
+        return not gone and self.breaker.allows(now)
+
+    @property
+    def seems_free(self) -> bool:
+        """Whether it likely has room, by the report and what was sent since."""
+        return self.free - self.sent > 0
+
+    def wait_s(self) -> float:
+        """Return the seconds a new request would wait, by the report and what was sent since."""
+        if self.seems_free:
+            return 0.0
+        beyond = self.sent - self.free + 1
+        return self.backlog_s + self.sent_s + beyond * QUEUED_S
+
+
+@dataclass(frozen=True)
+class RouteAsk:
+    """What routing needs to know of a request.
+
+    Attributes:
+        tokens: estimated prompt tokens.
+        prefix: hashes of the prompt's leading blocks, outermost first.
+        block_tokens: tokens a block stands for.
+    """
+
+    tokens: int
+    prefix: tuple[int, ...] = ()
+    block_tokens: int = 64
+
+
+@dataclass(frozen=True)
+class RoutingWeights:
+    """What a choice costs, in seconds.
+
+    Attributes:
+        zone: this entry's availability zone.
+        kv_bytes_per_token: size of the KV cache.
+        same_zone_bytes_per_s: rate of the links within a zone; 0 when not limited.
+        cross_zone_bytes_per_s: rate of the links between zones; 0 when not limited.
+        cross_zone_s: one way between zones.
+        beat_s: seconds between reports.
+    """
+
+    zone: str = ""
+    kv_bytes_per_token: int = 0
+    same_zone_bytes_per_s: float = 0.0
+    cross_zone_bytes_per_s: float = 0.0
+    cross_zone_s: float = 0.001
+    beat_s: float = 1.0
+
+
+class PrefixIndex:
+    """What this entry believes each prefill engine has in its prefix cache.
+
+    It learns from the engines' own answers (how much of a prompt was found in the cache), so a
+    late or lost cache event can only cost one wrong guess. Bounded: the oldest blocks go first.
+    """
+
+    def __init__(self, *, limit: int = 20_000) -> None:
+        self._limit = limit
+        self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def learn(self, name: str, prefix: Iterable[int]) -> None:
+        """Note that the backend server *name* has just read these blocks."""
+        for block in prefix:
+            self._blocks[(name, block)] = None
+            self._blocks.move_to_end((name, block))
+        while len(self._blocks) > self._limit:
+            self._blocks.popitem(last=False)
+
+    def forget_from(self, name: str, prefix: tuple[int, ...], found: int) -> None:
+        """Drop the blocks of *prefix* beyond the first *found*, which were not in the cache."""
+        for block in prefix[found:]:
+            self._blocks.pop((name, block), None)
+
+    def matched(self, name: str, prefix: tuple[int, ...]) -> int:
+        """Return how many leading blocks of *prefix* are believed cached."""
+        for place, block in enumerate(prefix):
+            if (name, block) not in self._blocks:
+                return place
+        return len(prefix)
+
+
+class Router:
+    """The backend servers that this entry knows, and the choices among them.
+
+    Args:
+        weights: what a choice costs.
+        rng: source of the random candidates; seeded in tests.
+    """
+
+    def __init__(self, *, weights: RoutingWeights, rng: random.Random) -> None:
+        self.weights = weights
+        self.backends: dict[str, Backend] = {}
+        self.prefixes = PrefixIndex()
+        self._rng = rng
+
+    def usable(self, pools: Iterable[str], now: float) -> list[Backend]:
+        """Return the members of *pools* that may be given new work.
+
+        A backend server whose reports have stopped is used only when no other is left.
+        """
+        wanted = frozenset(pools)
+        alive = [b for b in self.backends.values() if b.pool in wanted and b.usable(now)]
+        limit = now - STALE_BEATS * self.weights.beat_s
+        fresh = [b for b in alive if b.reported >= limit]
+        return fresh or alive
+
+    def _sample(self, items: list[Backend], count: int) -> list[Backend]:
+        return self._rng.sample(items, min(count, len(items)))
+
+    def choose(self, pools: Iterable[str], now: float) -> list[Backend]:
+        """Return decode or plain backend servers to try, best first."""
+        usable = self.usable(pools, now)
+        usual = _median([b.step_s for b in usable if b.step_s > 0])
+        few = self._sample(usable, CANDIDATES)
+        return sorted(few, key=lambda b: self._cost(b, usual))
+
+    def _cost(self, backend: Backend, usual_step_s: float) -> float:
+        cost = backend.wait_s()
+        if backend.zone != self.weights.zone:
+            cost += 2 * self.weights.cross_zone_s
+        if usual_step_s and backend.step_s > SLOW_FACTOR * usual_step_s:
+            cost += SLOW_PENALTY_S
+        spread = backend.sent / max(1, backend.free)
+        return cost + self.weights.cross_zone_s * spread
+
+    def choose_prefill(
+        self, pools: Iterable[str], ask: RouteAsk, decode_zone: str, now: float
+    ) -> list[Backend]:
+        """Return prefill servers to try for a request that is written in *decode_zone*."""
+        usable = self.usable(pools, now)
+        few = {b.name: b for b in self._sample(usable, CANDIDATES)}
+        if ask.prefix:
+            by_name = {b.name: b for b in usable}
+            key = ask.prefix[0].to_bytes(8, "big", signed=False)
+            for name in rank_by_key(key, by_name)[:AFFINE]:
+                few[name] = by_name[name]
+        return sorted(few.values(), key=lambda b: self.prefill_cost_s(b, ask, decode_zone))
+
+    def prefill_cost_s(self, backend: Backend, ask: RouteAsk, decode_zone: str) -> float:
+        """Return the seconds until the prompt is read there and in the decode engine's memory."""
+        return (
+            backend.backlog_s
+            + backend.sent_s
+            + self.uncached(backend, ask) / (backend.rate or DEFAULT_RATE)
+            + self.transfer_s(ask.tokens, backend.zone, decode_zone)
+        )
+
+    def uncached(self, backend: Backend, ask: RouteAsk) -> int:
+        """Return the prompt tokens that would have to be computed there."""
+        found = self.prefixes.matched(backend.name, ask.prefix) * ask.block_tokens
+        return max(1, ask.tokens - found)
+
+    def transfer_s(self, tokens: int, from_zone: str, to_zone: str) -> float:
+        """Return the seconds a transfer of the KV cache takes on an idle link."""
+        weights = self.weights
+        same = from_zone == to_zone
+        rate = weights.same_zone_bytes_per_s if same else weights.cross_zone_bytes_per_s
+        delay = 0.0 if same else weights.cross_zone_s
+        return delay + (tokens * weights.kv_bytes_per_token / rate if rate else 0.0)
+
+    def report(
+        self,
+        name: str,
+        now: float,
+        *,
+        free: int,
+        queued: int,
+        backlog_s: float,
+        step_s: float,
+        rate: float,
+        draining: bool,
+    ) -> None:
+        """Take in a backend server's report of its load."""
+        backend = self.backends.get(name)
+        if backend is None:
+            return
+        backend.free = free
+        backend.queued = queued
+        backend.backlog_s = backlog_s
+        backend.step_s = step_s
+        backend.rate = rate
+        backend.draining = draining
+        backend.reported = now
+        backend.sent = 0
+        backend.sent_s = 0.0
+
+
+def _median(values: list[float]) -> float:
+    return sorted(values)[len(values) // 2] if values else 0.0
--- /dev/null
+++ b/src/crankhinge/decisions/_slots.py
@@ -0,0 +1,268 @@
+"""Who gets the memory slots of a decode engine, and when.
+
+A slot is leased before the prompt is read, so that no prompt is read for which there is no room.
+It is leased *ahead* of time: a request that still has to be read is given the slot of an answer
+that is sure to end by the time the reading does.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from crankhinge.decisions._fair import FairQueue
+
+DEFAULT_HOLD_S = 2.0
+MEAN_GAIN = 0.1
+RANK_WEIGHTS = (16.0, 4.0, 1.0)
+
+
+def rank_weight(rank: int) -> float:
+    """Return the weight of a priority class; unknown classes count as the last."""
+    return RANK_WEIGHTS[min(rank, len(RANK_WEIGHTS) - 1)]
+
+
+@dataclass(frozen=True)
+class SlotAsk:
+    """A request for a slot.
+
+    Attributes:
+        req: identity, unique.
+        partner: partner of the member.
+        member: who asks.
+        rank: priority class, 0 most urgent.
+        deadline: when the slot is of no more use, seconds.
+        lead: seconds from the grant until the slot is used.
+        max_tokens: most tokens the answer may have.
+        weight: of the member within its partner.
+        partner_weight: of the partner.
+    """
+
+    req: int
+    partner: str
+    member: str
+    rank: int
+    deadline: float
+    lead: float
+    max_tokens: int
+    weight: float = 1.0
+    partner_weight: float = 1.0
+
+    @property
+    def path(self) -> tuple[str, ...]:
+        """Its flow."""
+        return (str(self.rank), self.partner, self.member)
+
+    @property
+    def weights(self) -> tuple[float, ...]:
+        """The weight of its flow at each level."""
+        return (rank_weight(self.rank), self.partner_weight, self.weight)
+
+
+@dataclass(frozen=True)
+class Grant:
+    """A slot is leased to ``req``; it is expected to be free in ``ready`` seconds."""
+
+    req: int
+    ready: float
+    lease: float
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """``req`` gets no slot and was not started."""
+
+    req: int
+    code: str
+    retry_after: float
+
+
+SlotDecision = Grant | Refuse
+
+
+@dataclass
+class _Lease:
+    ask: SlotAsk
+    expires: float
+
+
+@dataclass
+class _Running:
+    ask: SlotAsk
+    since: float
+    produced: int = 0
+
+
+class SlotTable:
+    """The slots of one engine: leased, running, and the requests that wait for one.
+
+    Args:
+        capacity: requests the engine holds in memory.
+        step_s: seconds between tokens, before any was measured.
+        hold_s: seconds a lease lasts beyond the time at which its slot was to be used.
+        ahead: whether slots are leased before they are free.
+    """
+
+    def __init__(
+        self, *, capacity: int, step_s: float, hold_s: float = DEFAULT_HOLD_S, ahead: bool = True
+    ) -> None:
+        self.capacity = capacity
+        self.step_s = step_s
+        self.foreign = 0
+        self.closed = False
+        self._hold_s = hold_s
+        self._ahead = ahead
+        self._mean_hold_s = 0.0
+        self._leases: dict[int, _Lease] = {}
+        self._running: dict[int, _Running] = {}
+        self._queue: FairQueue[SlotAsk] = FairQueue()
+
+    @property
+    def free(self) -> int:
+        """Slots neither running, leased nor held by somebody else's request."""
+        return self.capacity - len(self._running) - len(self._leases) - self.foreign
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return len(self._queue)
+
+    @property
+    def busy(self) -> bool:
+        """Whether any request holds or awaits a slot."""
+        return bool(self._leases or self._running or len(self._queue))
+
+    def backlog_s(self, now: float) -> float:
+        """Return the seconds until a slot would come free for one more request."""
+        if self.free > 0 and not self._queue:
+            return 0.0
+        ends = sorted(self._ends(now))
+        ahead = len(self._queue) + max(0, -self.free)
+        if not ends:
+            return self._mean_hold_s
+        rounds, place = divmod(ahead, max(1, len(ends)))
+        return max(0.0, ends[place] - now) + rounds * self._mean_hold_s
+
+    def _end_of(self, run: _Running, now: float) -> float:
+        """Return when the answer ends at the latest."""
+        return now + max(0, run.ask.max_tokens - run.produced) * self.step_s
+
+    def _ends(self, now: float) -> list[float]:
+        """Return when each held slot is free at the latest, in no order."""
+        ends = [self._end_of(run, now) for run in self._running.values()]
+        for lease in self._leases.values():
+            ends.append(now + lease.ask.lead + lease.ask.max_tokens * self.step_s)
+        return ends
+
+    def ask(self, ask: SlotAsk, now: float) -> list[SlotDecision]:
+        """Queue a request; grants, or refuses at once when its time can't be met."""
+        if self.closed:
+            return [Refuse(ask.req, "draining", 0.0)]
+        wait = self._expected_wait(ask, now)
+        if now + wait > ask.deadline:
+            return [Refuse(ask.req, "overloaded", max(0.1, wait))]
+        self._queue.push(
+            ask.req,
+            ask,
+            path=ask.path,
+            weights=ask.weights,
+            deadline=ask.deadline,
+            cost=float(ask.max_tokens),
+        )
+        return self.tick(now)
+
+    def _expected_wait(self, ask: SlotAsk, now: float) -> float:
+        """Return the seconds until this request's flow would be given a slot.
+
+        The flow is served at its share of the engine, so a rival's long queue doesn't count
+        against a member that is within its own share.
+        """
+        if not self._queue and self._room_for(ask, now):
+            return 0.0
+        tokens_per_s = self.capacity / max(self.step_s, 1e-6)
+        share = self._queue.share(ask.path, ask.weights)
+        own = self._queue.waiting_cost(ask.path) / (tokens_per_s * share)
+        return own + self._until_next_end(now, ask.lead)
+
+    def _until_next_end(self, now: float, lead: float) -> float:
+        ends = self._ends(now)
+        return max(0.0, min(ends) - now - lead) if ends else 0.0
+
+    def _room_for(self, ask: SlotAsk, now: float) -> bool:
+        if self.free > 0:
+            return True
+        if not self._ahead:
+            return False
+        by = now + ask.lead
+        ending = sum(1 for run in self._running.values() if self._end_of(run, now) <= by)
+        return self.free + ending > 0
+
+    def tick(self, now: float) -> list[SlotDecision]:
+        """Let leases and waiting requests expire, and grant what there is room for."""
+        self._expire_leases(now)
+        out: list[SlotDecision] = self._expire_queue(now)
+        while (head := self._queue.peek()) is not None and self._room_for(head, now):
+            self._queue.pop()
+            out.append(self._grant(head, now))
+        return out
+
+    def _grant(self, ask: SlotAsk, now: float) -> Grant:
+        lease = ask.lead + self._hold_s
+        ready = 0.0 if self.free > 0 else self._until_next_end(now, 0.0)
+        self._leases[ask.req] = _Lease(ask, now + lease)
+        return Grant(ask.req, ready, lease)
+
+    def _expire_leases(self, now: float) -> None:
+        late = [req for req, lease in self._leases.items() if lease.expires <= now]
+        for req in late:
+            del self._leases[req]
+
+    def _expire_queue(self, now: float) -> list[SlotDecision]:
+        out: list[SlotDecision] = []
+        for ask in self._queue.items():
+            if now > ask.deadline:
+                self._queue.remove(ask.req)
+                out.append(Refuse(ask.req, "overloaded", max(0.1, self._until_next_end(now, 0.0))))
+        return out
+
+    def can_start(self, req: int) -> bool:
+        """Whether the leased slot is free in the engine by now."""
+        return req in self._leases and len(self._running) + self.foreign < self.capacity
+
+    def leased(self, req: int) -> bool:
+        """Whether *req* holds a lease it has not used yet."""
+        return req in self._leases
+
+    def holds(self, req: int) -> bool:
+        """Whether *req* runs, is leased a slot or waits for one."""
+        return req in self._leases or req in self._running or req in self._queue
+
+    def start(self, req: int, now: float) -> bool:
+        """Turn the lease into a running answer; False when there is none or no slot is free."""
+        if not self.can_start(req):
+            return False
+        lease = self._leases.pop(req)
+        self._running[req] = _Running(lease.ask, now)
+        return True
+
+    def progress(self, req: int, produced: int) -> None:
+        """Note how many tokens of the answer there are."""
+        run = self._running.get(req)
+        if run is not None:
+            run.produced = produced
+
+    def end(self, req: int, now: float) -> list[SlotDecision]:
+        """Free whatever *req* holds or waits for; returns the grants that this allows."""
+        self._queue.remove(req)
+        self._leases.pop(req, None)
+        run = self._running.pop(req, None)
+        if run is not None:
+            held = now - run.since
+            gain = MEAN_GAIN if self._mean_hold_s else 1.0
+            self._mean_hold_s += gain * (held - self._mean_hold_s)
+        return self.tick(now)
+
+    def next_event(self) -> float | None:
+        """Return when :meth:`tick` has something to do at the latest."""
+        times = [lease.expires for lease in self._leases.values()]
+        times += [ask.deadline for ask in self._queue.items()]
+        return min(times, default=None)
--- /dev/null
+++ b/src/crankhinge/entry/_answer.py
@@ -0,0 +1,144 @@
+"""How answers and failures are written to a caller."""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from crankhinge.entry._ask import CompletionAsk
+from crankhinge.errors import CrankhingeError, Outcome
+from crankhinge.http import Exchange, sse_event
+
+OUTCOME_HEADER = "x-request-outcome"
+SSE_HEAD = {
+    "content-type": "text/event-stream",
+    "cache-control": "no-cache",
+    "transfer-encoding": "chunked",
+}
+
+
+def error_body(exc: CrankhingeError, outcome: Outcome) -> dict[str, Any]:
+    """Return the machine-readable body of a failure."""
+    return {
+        "error": {
+            "type": exc.code,
+            "code": exc.code,
+            "message": exc.detail,
+            "outcome": outcome.value,
+            "retry_after_s": exc.retry_after_s,
+        }
+    }
+
+
+async def send_error(
+    exchange: Exchange,
+    exc: CrankhingeError,
+    *,
+    outcome: Outcome | None = None,
+    request_id: str = "",
+) -> None:
+    """Answer with a failure, at once; ``Retry-After`` says when to come back."""
+    known = outcome or exc.outcome
+    headers = {OUTCOME_HEADER: known.value}
+    if request_id:
+        headers["x-request-id"] = request_id
+    if exc.retry_after_s is not None:
+        headers["retry-after"] = str(max(1, math.ceil(exc.retry_after_s)))
+    await exchange.respond(exc.status, msgspec.json.encode(error_body(exc, known)), headers)
+
+
+class AnswerWriter:
+    """Writes one completion, streamed or whole. Nothing is sent before the first token.
+
+    Args:
+        exchange: the caller's.
+        ask: the request.
+        ident: its identity, shown to the caller.
+        created: seconds since the epoch.
+    """
+
+    def __init__(self, exchange: Exchange, ask: CompletionAsk, ident: str, created: int) -> None:
+        self._exchange = exchange
+        self._ask = ask
+        self._ident = ident
+        self._created = created
+        self._texts: list[str] = []
+        self._prompt_tokens = 0
+
+    @property
+    def tokens(self) -> int:
+        """Tokens written so far."""
+        return len(self._texts)
+
+    @property
+    def text(self) -> str:
+        """The answer so far."""
+        return "".join(self._texts)
+
+    @property
+    def streaming(self) -> bool:
+        """Whether the head of a streamed answer has been sent."""
+        return self._exchange.started
+
+    def note_prompt(self, tokens: int) -> None:
+        """Note the prompt's length, for the usage."""
+        self._prompt_tokens = self._prompt_tokens or tokens
+
+    async def write(self, texts: tuple[str, ...]) -> None:
+        """Add tokens to the answer."""
+        self._texts.extend(texts)
+        if not self._ask.stream:
+            return
+        if not self._exchange.started:
+            await self._exchange.start(200, {**SSE_HEAD, "x-request-id": self._ident})
+        events = b"".join(sse_event(self._chunk(text, None)) for text in texts)
+        await self._exchange.write(events)
+
+    async def finish(self, reason: str) -> None:
+        """End the answer."""
+        if self._ask.stream:
+            await self._exchange.write(sse_event(self._chunk("", reason)) + sse_event(b"[DONE]"))
+            await self._exchange.finish()
+            return
+        body = msgspec.json.encode(self._whole(reason))
+        await self._exchange.respond(200, body, {"x-request-id": self._ident})
+
+    async def break_off(self, exc: CrankhingeError) -> None:
+        """Tell a streaming caller that its answer is not whole; no ``[DONE]`` follows."""
+        body = msgspec.json.encode(error_body(exc, Outcome.UNKNOWN))
+        await self._exchange.write(sse_event(body))
+        await self._exchange.finish()
+
+    def _chunk(self, text: str, reason: str | None) -> bytes:
+        choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+        if self._ask.chat:
+            choice["delta"] = {"content": text} if text else {}
+        else:
+            choice["text"] = text
+        kind = "chat.completion.chunk" if self._ask.chat else "text_completion"
+        return msgspec.json.encode(self._envelope(kind, choice))
+
+    def _whole(self, reason: str) -> dict[str, Any]:
+        choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
+        if self._ask.chat:
+            choice["message"] = {"role": "assistant", "content": self.text}
+        else:
+            choice["text"] = self.text
+        whole = self._envelope("chat.completion" if self._ask.chat else "text_completion", choice)
+        whole["usage"] = {
+            "prompt_tokens": self._prompt_tokens,
+            "completion_tokens": self.tokens,
+            "total_tokens": self._prompt_tokens + self.tokens,
+        }
+        return whole
+
+    def _envelope(self, kind: str, choice: dict[str, Any]) -> dict[str, Any]:
+        return {
+            "id": self._ident,
+            "object": kind,
+            "created": self._created,
+            "model": self._ask.body["model"],
+            "choices": [choice],
+        }
--- /dev/null
+++ b/src/crankhinge/entry/_ask.py
@@ -0,0 +1,223 @@
+"""A caller's request, checked against the bundle before anything is done for it."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from crankhinge.config import BundleView, Member, Model
+from crankhinge.errors import BadCredentials, PromptTooLong, RequestError, UnknownModel
+from crankhinge.http import HttpRequest
+
+CHAT_PATH = "/v1/chat/completions"
+TEXT_PATH = "/v1/completions"
+BLOCK_CHARS = 512
+MAX_BLOCKS = 64
+HIGHEST_RANK = 2
+DEFAULT_RANK = 1
+MAX_DEADLINE_S = 3600.0
+BEARER = "bearer "
+
+
+class _Message(msgspec.Struct):
+    role: str
+    content: str = ""
+
+
+class _Body(msgspec.Struct):
+    """The members of a completion request that are looked at; the rest is passed on."""
+
+    model: str
+    prompt: str | None = None
+    messages: list[_Message] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    n: int = 1
+
+
+_bodies = msgspec.json.Decoder(_Body)
+
+
+@dataclass(frozen=True)
+class Terms:
+    """What the headers say of a request.
+
+    Attributes:
+        rank: priority class, 0 most urgent.
+        deadline_s: seconds after which the whole answer is of no more use; None for no limit.
+        key: idempotency key; empty for none.
+        repeatable: whether the request may be run again.
+    """
+
+    rank: int
+    deadline_s: float | None
+    key: str
+    repeatable: bool
+
+
+@dataclass(frozen=True)
+class CompletionAsk:
+    """A valid completion request.
+
+    Attributes:
+        member: who asks.
+        model: the model that serves it.
+        terms: what its headers say.
+        path: of the engine's call.
+        body: its JSON.
+        text: the prompt's text.
+        max_tokens: most tokens of the answer.
+        stream: whether the answer is streamed.
+        prefix: hashes of the prompt's leading blocks.
+    """
+
+    member: Member
+    model: Model
+    terms: Terms
+    path: str
+    body: dict[str, Any]
+    text: str
+    max_tokens: int
+    stream: bool
+    prefix: tuple[int, ...]
+
+    @property
+    def chat(self) -> bool:
+        """Whether the request has the chat shape."""
+        return self.path == CHAT_PATH
+
+    def body_after(self, written: str, tokens: int) -> bytes:
+        """Return the JSON that asks for the rest of an answer of which *tokens* are written."""
+        body = dict(self.body)
+        body["max_tokens"] = self.max_tokens - tokens
+        body.pop("max_completion_tokens", None)
+        body.pop("stream_options", None)
+        if not tokens:
+            return msgspec.json.encode(body)
+        if self.chat:
+            body["messages"] = [*body["messages"], {"role": "assistant", "content": written}]
+            body["continue_final_message"] = True
+            body["add_generation_prompt"] = False
+        else:
+            body["prompt"] = self.text + written
+        return msgspec.json.encode(body)
+
+
+def authenticate(view: BundleView, headers: Mapping[str, str]) -> Member:
+    """Return the member whose bearer credential the request carries.
+
+    Raises:
+        BadCredentials: when it carries none that is known.
+    """
+    value = headers.get("authorization", "")
+    if not value.lower().startswith(BEARER):
+        raise BadCredentials("no bearer credential")
+    member = view.member_with(value[len(BEARER) :].strip())
+    if member is None:
+        raise BadCredentials("unknown credential")
+    return member
+
+
+def read_terms(headers: Mapping[str, str], member: Member) -> Terms:
+    """Return what the headers say.
+
+    Raises:
+        RequestError: when one of them is malformed.
+    """
+    rank = _number(headers, "x-priority", DEFAULT_RANK, 0, HIGHEST_RANK)
+    deadline_ms = _number(headers, "x-deadline-ms", None, 1, MAX_DEADLINE_S * 1000)
+    return Terms(
+        rank=max(int(rank or 0), member.max_rank),
+        deadline_s=None if deadline_ms is None else deadline_ms / 1000.0,
+        key=headers.get("idempotency-key", "")[:200],
+        repeatable=headers.get("x-repeatable", "yes").lower() != "no",
+    )
+
+
+def _number(
+    headers: Mapping[str, str], name: str, default: float | None, low: float, high: float
+) -> float | None:
+    text = headers.get(name)
+    if text is None:
+        return default
+    try:
+        value = float(text)
+    except ValueError as exc:
+        raise RequestError(f"{name}: not a number") from exc
+    if not low <= value <= high:
+        raise RequestError(f"{name}: must be from {low:g} to {high:g}")
+    return value
+
+
+def read_completion(view: BundleView, req: HttpRequest, member: Member) -> CompletionAsk:
+    """Return the valid request.
+
+    Raises:
+        RequestError: naming what is wrong.
+    """
+    terms = read_terms(req.headers, member)
+    try:
+        body = _bodies.decode(req.body)
+        whole = msgspec.json.decode(req.body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise RequestError(f"body: {exc}") from exc
+    model = view.bundle.model(body.model)
+    if model is None:
+        raise UnknownModel(f"no model {body.model!r}")
+    if body.n != 1:
+        raise RequestError("n: only 1 is served")
+    text = _text_of(req.path, body)
+    return CompletionAsk(
+        member=member,
+        model=model,
+        terms=terms,
+        path=req.path,
+        body=whole,
+        text=text,
+        max_tokens=_max_tokens(body, model),
+        stream=body.stream,
+        prefix=prefix_blocks(text),
+    )
+
+
+def _text_of(path: str, body: _Body) -> str:
+    if path == CHAT_PATH:
+        if not body.messages:
+            raise RequestError("messages: at least one is needed")
+        return "\n".join(msg.content for msg in body.messages)
+    if not body.prompt:
+        raise RequestError("prompt: a text is needed")
+    return body.prompt
+
+
+def _max_tokens(body: _Body, model: Model) -> int:
+    asked = body.max_completion_tokens or body.max_tokens or model.max_output_tokens
+    if asked < 1:
+        raise RequestError("max_tokens: must be at least 1")
+    return min(asked, model.max_output_tokens)
+
+
+def check_length(ask: CompletionAsk, tokens: int) -> None:
+    """Refuse a prompt that is over its model's limit.
+
+    Raises:
+        PromptTooLong: when the estimate of *tokens* is over the limit.
+    """
+    if tokens > ask.model.max_prompt_tokens:
+        raise PromptTooLong(f"about {tokens} tokens, at most {ask.model.max_prompt_tokens}")
+
+
+def prefix_blocks(text: str) -> tuple[int, ...]:
+    """Return a hash of each leading block of *text*, each depending on all before it."""
+    data = text[: BLOCK_CHARS * MAX_BLOCKS].encode()
+    blocks = []
+    state = 0
+    for start in range(0, len(data) - BLOCK_CHARS + 1, BLOCK_CHARS):
+        state = zlib.crc32(data[start : start + BLOCK_CHARS], state)
+        blocks.append(state)
+    return tuple(blocks)
--- /dev/null
+++ b/src/crankhinge/entry/_entry.py
@@ -0,0 +1,239 @@
+"""The entry's HTTP face: who asks, what for, and what the caller is told."""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.config import BundleKeeper, BundleView, Member
+from crankhinge.decisions import MemberLimits
+from crankhinge.entry._answer import OUTCOME_HEADER, AnswerWriter, send_error
+from crankhinge.entry._ask import (
+    CHAT_PATH,
+    TEXT_PATH,
+    authenticate,
+    check_length,
+    read_completion,
+    read_terms,
+)
+from crankhinge.entry._calls import RequestIds
+from crankhinge.entry._completion import Completions, Progress
+from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._plain import PlainCalls
+from crankhinge.entry._settings import EntrySettings
+from crankhinge.errors import (
+    BadHttp,
+    CrankhingeError,
+    HttpClosed,
+    LimitReached,
+    Overloaded,
+    UnknownRoute,
+)
+from crankhinge.http import Exchange, HttpLimits, serve_http
+from crankhinge.runtime import Metrics
+
+DRAIN_POLL_S = 0.05
+READY_GRACE_S = 2.0
+
+
+class Entry:
+    """Answers callers.
+
+    Args:
+        settings: its settings.
+        keeper: holds the bundle.
+        fleet: the agents.
+        completions: runs completions.
+        plain: runs calls to plain services.
+        ids: source of identities.
+        log: for events.
+        metrics: for counters.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        keeper: BundleKeeper,
+        fleet: Fleet,
+        completions: Completions,
+        plain: PlainCalls,
+        ids: RequestIds,
+        log: Any,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._keeper = keeper
+        self._fleet = fleet
+        self._completions = completions
+        self._plain = plain
+        self._ids = ids
+        self._log = log
+        self._metrics = metrics
+        self._limits = MemberLimits()
+        self._open = 0
+        self._draining = False
+
+    async def listen(self) -> None:
+        """Serve callers until cancelled."""
+        settings = self._settings
+        await serve_http(
+            settings.host,
+            settings.port,
+            self._handle,
+            on_bad=self._on_bad,
+            log=self._log,
+            limits=HttpLimits(body_bytes=settings.body_bytes),
+        )
+
+    async def drain(self) -> None:
+        """Report unready, so that the balancer turns away, then wait for what is in progress."""
+        self._log.info("draining", open=self._open)
+        self._draining = True
+        await curio.sleep(READY_GRACE_S)
+        await curio.ignore_after(self._settings.drain_s, self._wait_idle)
+        self._log.info("drained", open=self._open)
+
+    async def _wait_idle(self) -> None:
+        while self._open:
+            await curio.sleep(DRAIN_POLL_S)
+
+    async def _on_bad(self, exchange: Exchange, exc: BadHttp) -> None:
+        self._metrics.count("bad_http")
+        await send_error(exchange, exc)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path = exchange.req.path
+        if path == "/healthz":
+            await exchange.respond(200, b'{"status":"ok"}')
+        elif path == "/readyz":
+            await self._readyz(exchange)
+        else:
+            await self._serve(exchange)
+
+    async def _readyz(self, exchange: Exchange) -> None:
+        ready = self._keeper.view is not None and not self._draining
+        state = {
+            "ready": ready,
+            "draining": self._draining,
+            "bundle": self._keeper.version,
+            "open": self._open,
+            "linked": self._fleet.linked,
+            "dropped": self._fleet.dropped,
+        }
+        await exchange.respond(200 if ready else 503, msgspec.json.encode(state))
+
+    async def _serve(self, exchange: Exchange) -> None:
+        """Answer one request; a caller that goes ends its work."""
+        ident = f"req-{self._ids.next():016x}"
+        self._open += 1
+        try:
+            async with curio.TaskGroup(wait=any) as group:
+                work = await group.spawn(self._answer, exchange, ident)
+                await group.spawn(exchange.wait_gone)
+            if group.completed is not work:
+                self._metrics.count("callers_gone")
+                self._log.info("caller_gone", request=ident)
+                raise HttpClosed("the caller has gone")
+            if work.exception is not None:
+                raise work.exception
+        finally:
+            self._open -= 1
+
+    async def _answer(self, exchange: Exchange, ident: str) -> None:
+        progress = Progress()
+        try:
+            await self._route(exchange, ident, progress)
+        except HttpClosed:
+            raise
+        except CrankhingeError as exc:
+            self._metrics.count(f"failed.{exc.code}")
+            self._log.info(
+                "request_failed",
+                request=ident,
+                code=exc.code,
+                why=exc.detail,
+                outcome=progress.outcome.value,
+            )
+            if not exchange.started:
+                await send_error(exchange, exc, outcome=progress.outcome, request_id=ident)
+
+    async def _route(self, exchange: Exchange, ident: str, progress: Progress) -> None:
+        view = self._keeper.require()
+        if self._open > self._settings.max_requests:
+            raise Overloaded("this entry is at its limit", retry_after_s=1.0)
+        member = authenticate(view, exchange.req.headers)
+        self._enter(member, await curio.clock())
+        try:
+            if exchange.req.path in (CHAT_PATH, TEXT_PATH) and exchange.req.method == "POST":
+                await self._complete(exchange, ident, view, member, progress)
+            else:
+                await self._call(exchange, ident, view, member, progress)
+        finally:
+            self._limits.leave(member.name)
+
+    def _enter(self, member: Member, now: float) -> None:
+        wait = self._limits.enter(
+            member.name, now, concurrent=member.max_concurrent, per_s=member.max_per_s
+        )
+        if wait is not None:
+            raise LimitReached(f"{member.name} is at its limit", retry_after_s=wait)
+
+    async def _complete(
+        self,
+        exchange: Exchange,
+        ident: str,
+        view: BundleView,
+        member: Member,
+        progress: Progress,
+    ) -> None:
+        began = await curio.clock()
+        ask = read_completion(view, exchange.req, member)
+        check_length(ask, self._completions.estimate_tokens(ask))
+        writer = AnswerWriter(exchange, ask, ident, int(time.time()))
+        try:
+            await self._completions.run(ask, view.bundle.policy, writer, progress)
+        except HttpClosed:
+            raise
+        except CrankhingeError as exc:
+            if writer.streaming:
+                await writer.break_off(exc)
+            raise
+        took = await curio.clock() - began
+        first = progress.first - began
+        self._metrics.count("answered")
+        self._metrics.timing("first_token", first)
+        self._log.info(
+            "answered",
+            request=ident,
+            member=member.name,
+            model=ask.model.name,
+            rank=ask.terms.rank,
+            tokens=writer.tokens,
+            first_ms=round(first * 1000, 1),
+            total_ms=round(took * 1000, 1),
+            attempts=progress.attempts,
+        )
+
+    async def _call(
+        self,
+        exchange: Exchange,
+        ident: str,
+        view: BundleView,
+        member: Member,
+        progress: Progress,
+    ) -> None:
+        req = exchange.req
+        service = view.bundle.service(req.path)
+        if service is None:
+            raise UnknownRoute(f"no service takes {req.path}")
+        terms = read_terms(req.headers, member)
+        done = await self._plain.run(req, member, service, terms, progress)
+        self._metrics.count("calls_answered")
+        headers = {"content-type": "application/octet-stream", **done.headers}
+        headers["x-request-id"] = ident
+        headers.pop(OUTCOME_HEADER, None)
+        await exchange.respond(done.status, done.body, headers)
--- /dev/null
+++ b/src/crankhinge/entry/_fleet.py
@@ -0,0 +1,245 @@
+"""The agents this entry knows: found in the platform's list, judged by what it sees of them."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Instance, InstanceList
+from crankhinge.config import BundleKeeper
+from crankhinge.decisions import Backend, Router, rank_by_key
+from crankhinge.entry._calls import Calls
+from crankhinge.entry._settings import EntrySettings
+from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
+from crankhinge.peers import Beater, BundleSpread
+from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Message, connect_link
+
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 5.0
+GONE_READINGS = 3
+
+
+def subset(instances: list[Instance], *, entry: str, limit: int) -> dict[str, Instance]:
+    """Return the agents this entry links to: at most *limit* of each pool.
+
+    Which ones depends on the entry's name only, so that all entries together spread evenly and
+    a change of the list moves few links.
+    """
+    pools: dict[str, list[Instance]] = {}
+    for instance in instances:
+        pools.setdefault(instance.pool, []).append(instance)
+    chosen: dict[str, Instance] = {}
+    for members in pools.values():
+        by_name = {instance.name: instance for instance in members}
+        for name in rank_by_key(entry.encode(), by_name)[:limit]:
+            chosen[name] = by_name[name]
+    return chosen
+
+
+class Fleet:
+    """Keeps the links to the agents and the router's view of them.
+
+    Args:
+        settings: of this entry.
+        instances: the platform's list.
+        router: told what is seen.
+        calls: told what arrives.
+        spread: told of links and bundles.
+        keeper: holds the bundle.
+        beater: sends heartbeats.
+        incarnation: of this entry.
+        log: for events.
+        rng: for pauses.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        instances: InstanceList,
+        router: Router,
+        calls: Calls,
+        spread: BundleSpread,
+        keeper: BundleKeeper,
+        incarnation: int,
+        log: Any,
+        rng: random.Random,
+    ) -> None:
+        self.router = router
+        self.beater = Beater(settings.beat_s, lambda _now: Beat(keeper.version))
+        self._settings = settings
+        self._instances = instances
+        self._calls = calls
+        self._spread = spread
+        self._keeper = keeper
+        self._incarnation = incarnation
+        self._log = log
+        self._rng = rng
+        self._links: dict[str, Link] = {}
+        self._keepers: dict[str, curio.Task] = {}
+        self._places: dict[str, Instance] = {}
+        self._missing: dict[str, int] = {}
+
+    @property
+    def dropped(self) -> int:
+        """Messages that came for no request: late or crossed."""
+        return self._calls.dropped
+
+    @property
+    def linked(self) -> int:
+        """Agents that this entry has a link to."""
+        return len(self._links)
+
+    def link(self, name: str) -> Link:
+        """Return the link to an agent.
+
+        Raises:
+            LinkClosed: when there is none now.
+        """
+        link = self._links.get(name)
+        if link is None:
+            raise LinkClosed(name)
+        return link
+
+    async def run(self) -> None:
+        """Follow the list until cancelled. While it can't be read, what is known stays."""
+        while True:
+            try:
+                await self._update(await self._instances.agents())
+            except KeyValueUnavailable as exc:
+                self._log.warning("list_unavailable", why=exc.detail)
+            known = bool(self._places)
+            pause = self._settings.list_s if known else min(0.5, self._settings.list_s)
+            await curio.sleep(pause * self._rng.uniform(0.8, 1.2))
+
+    async def _update(self, listed: list[Instance]) -> None:
+        chosen = subset(listed, entry=self._settings.name, limit=self._settings.subset)
+        for name, instance in chosen.items():
+            self._missing.pop(name, None)
+            await self._keep(name, instance)
+        for name in [name for name in self._places if name not in chosen]:
+            await self._miss(name)
+
+    async def _keep(self, name: str, instance: Instance) -> None:
+        moved = name in self._places and _address(self._places[name]) != _address(instance)
+        if moved:
+            await self._drop(name)
+        self._places[name] = instance
+        backend = self.router.backends.get(name)
+        if backend is None:
+            backend = Backend(name, "", instance.pool, instance.zone)
+            self.router.backends[name] = backend
+        backend.leaving = instance.leaving
+        if name not in self._keepers:
+            self._keepers[name] = await curio.spawn(self._stay_linked, name, daemon=True)
+
+    async def _miss(self, name: str) -> None:
+        """Drop an agent that several readings of the list don't show and that isn't linked."""
+        self._missing[name] = self._missing.get(name, 0) + 1
+        if self._missing[name] >= GONE_READINGS and name not in self._links:
+            await self._drop(name)
+
+    async def _drop(self, name: str) -> None:
+        task = self._keepers.pop(name, None)
+        if task is not None:
+            await task.cancel()
+        self._places.pop(name, None)
+        self._missing.pop(name, None)
+        self.router.backends.pop(name, None)
+
+    async def _stay_linked(self, name: str) -> None:
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                began = await curio.clock()
+                await self._link_once(name)
+                if await curio.clock() - began > MAX_PAUSE_S:
+                    pause = FIRST_PAUSE_S
+            except (LinkClosed, WireError) as exc:
+                self._log.info("link_failed", agent=name, code=exc.code, why=exc.detail)
+            await curio.sleep(pause * self._rng.uniform(0.5, 1.5))
+            pause = min(MAX_PAUSE_S, pause * 2)
+
+    def _hello(self) -> Hello:
+        settings = self._settings
+        return Hello(
+            WIRE_VERSION,
+            settings.name,
+            "entry",
+            settings.zone,
+            self._incarnation,
+            bundle=self._keeper.version,
+            groups=settings.groups,
+        )
+
+    async def _link_once(self, name: str) -> None:
+        place = self._places[name]
+        link = await connect_link(place.host, place.port, self._hello())
+        if link.peer.name != name:
+            await link.close()
+            raise WireError(f"{link.peer.name} answers at the address of {name}")
+        self._introduce(name, link)
+        self._links[name] = link
+        self.beater.links.add(link)
+        try:
+            await self._spread.linked(link)
+            await link.run(self._handle)
+        finally:
+            link.closed = True
+            await self._unlink(name, link)
+
+    def _introduce(self, name: str, link: Link) -> None:
+        backend = self.router.backends[name]
+        peer = link.peer
+        if peer.incarnation != backend.incarnation:
+            # A new process knows nothing of what the old one held.
+            backend.sent = 0
+            backend.sent_s = 0.0
+            backend.open = 0
+            backend.draining = False
+        backend.role = peer.role
+        backend.pool = peer.pool
+        backend.zone = peer.zone
+        backend.groups = peer.groups
+        backend.incarnation = peer.incarnation
+        backend.linked = True
+
+    async def _unlink(self, name: str, link: Link) -> None:
+        self.beater.links.discard(link)
+        self._spread.unlinked(link)
+        if self._links.get(name) is link:
+            del self._links[name]
+        backend = self.router.backends.get(name)
+        if backend is not None:
+            backend.linked = False
+        self._log.info("link_ended", agent=name)
+        await self._calls.fail(link)
+
+    async def _handle(self, link: Link, msg: Message) -> None:
+        if await self._spread.handle(link, msg):
+            return
+        if isinstance(msg, Beat):
+            await self._note_load(link, msg)
+            return
+        await self._calls.deliver(link, msg)
+
+    async def _note_load(self, link: Link, msg: Beat) -> None:
+        load = msg.load
+        if load is None:
+            return
+        self.router.report(
+            link.peer.name,
+            await curio.clock(),
+            free=load.free,
+            queued=load.queued,
+            backlog_s=load.backlog_s,
+            step_s=load.step_s,
+            rate=load.rate,
+            draining=load.draining,
+        )
+
+
+def _address(instance: Instance) -> tuple[str, int]:
+    return instance.host, instance.port
--- /dev/null
+++ b/src/crankhinge/entry/_plain.py
@@ -0,0 +1,155 @@
+"""Calls to plain services."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.adapters.http_service import end_to_end
+from crankhinge.config import Member, Service
+from crankhinge.decisions import Backend, RetryBudget
+from crankhinge.entry._ask import Terms
+from crankhinge.entry._calls import Calls, LinkLost
+from crankhinge.entry._completion import Progress
+from crankhinge.entry._fleet import Fleet
+from crankhinge.errors import (
+    BackendFailed,
+    LinkClosed,
+    NoBackend,
+    Overloaded,
+)
+from crankhinge.http import HttpRequest
+from crankhinge.runtime import Metrics
+from crankhinge.wire import Call, CallDone, Cancel, Failed, Refused
+
+MAX_ATTEMPTS = 3
+ANSWER_SLACK_S = 0.5
+PRIVATE_HEADERS = frozenset({"authorization", "x-deadline-ms", "x-priority", "x-repeatable"})
+
+
+class PlainCalls:
+    """Passes calls to plain services on.
+
+    Args:
+        fleet: the agents.
+        calls: the mailboxes.
+        budget: for retries.
+        log: for events.
+        metrics: for counters.
+    """
+
+    def __init__(
+        self, *, fleet: Fleet, calls: Calls, budget: RetryBudget, log: Any, metrics: Metrics
+    ) -> None:
+        self._fleet = fleet
+        self._calls = calls
+        self._budget = budget
+        self._log = log
+        self._metrics = metrics
+
+    async def run(
+        self, req: HttpRequest, member: Member, service: Service, terms: Terms, progress: Progress
+    ) -> CallDone:
+        """Return the service's answer.
+
+        A call that may not be repeated is sent to a second backend server only when the first
+        certainly did not run it.
+
+        Raises:
+            NoBackend: no backend server is known to be alive; nothing was run.
+            Overloaded: every one tried refused it unstarted.
+            BackendFailed: it may have run.
+        """
+        repeatable = terms.repeatable and req.method in service.repeatable
+        until = await curio.clock() + min(service.timeout_s, terms.deadline_s or service.timeout_s)
+        self._budget.first_attempt()
+        retry_after = 1.0
+        tried: set[str] = set()
+        for _ in range(MAX_ATTEMPTS):
+            backend = await self._next(service, tried)
+            if backend is None:
+                break
+            progress.attempts += 1
+            tried.add(backend.name)
+            answer = await self._call(req, member, backend, repeatable, until, progress)
+            if isinstance(answer, CallDone):
+                return answer
+            if isinstance(answer, Refused):
+                retry_after = min(retry_after, answer.retry_after or retry_after)
+            elif progress.touched and not (repeatable and self._budget.try_retry()):
+                raise BackendFailed(f"{backend.name} failed in mid-call")
+        if progress.touched:
+            raise BackendFailed("every attempt failed")
+        if not progress.attempts:
+            raise NoBackend(f"no backend server for {service.name}", retry_after_s=1.0)
+        raise Overloaded("no backend server took the call", retry_after_s=retry_after)
+
+    async def _next(self, service: Service, tried: set[str]) -> Backend | None:
+        """Return the next backend server to try."""
+        choices = self._fleet.router.choose((service.pool,), await curio.clock())
+        return next((backend for backend in choices if backend.name not in tried), None)
+
+    async def _call(
+        self,
+        req: HttpRequest,
+        member: Member,
+        backend: Backend,
+        repeatable: bool,
+        until: float,
+        progress: Progress,
+    ) -> CallDone | Refused | Failed | None:
+        """Send the call to one agent; sets ``progress.touched`` unless it certainly didn't run."""
+        now = await curio.clock()
+        within = max(0.001, until - now)
+        try:
+            link = self._fleet.link(backend.name)
+            box = self._calls.open(link)
+        except LinkClosed:
+            return Refused(0, "link-closed")
+        before = progress.touched
+        progress.touched = True
+        backend.sent += 1
+        backend.breaker.sent(now)
+        headers = _forwarded(req)
+        answer: Any = None
+        try:
+            await link.send(
+                Call(
+                    box.req,
+                    req.method,
+                    req.target,
+                    headers,
+                    req.body,
+                    repeatable,
+                    within,
+                    member.name,
+                )
+            )
+            answer = await curio.ignore_after(within + ANSWER_SLACK_S, box.get)
+        except LinkClosed:
+            # The link was gone before the call was queued on it.
+            progress.touched = before
+            return Refused(box.req, "link-closed")
+        except LinkLost:
+            backend.breaker.failed(now)
+            return None
+        finally:
+            self._calls.close(box)
+            if answer is None and not link.closed:
+                await link.send(Cancel(box.req))
+        if isinstance(answer, CallDone):
+            backend.breaker.succeeded()
+        elif isinstance(answer, Refused) or (isinstance(answer, Failed) and not answer.ran):
+            progress.touched = before
+        else:
+            backend.breaker.failed(now)
+        if isinstance(answer, Failed) and not answer.ran:
+            backend.breaker.failed(now)
+            return Refused(box.req, answer.code)
+        return answer  # type: ignore[no-any-return]
+
+
+def _forwarded(req: HttpRequest) -> dict[str, str]:
+    headers = end_to_end(req.headers)
+    return {name: value for name, value in headers.items() if name not in PRIVATE_HEADERS}
--- /dev/null
+++ b/src/crankhinge/http/__init__.py
@@ -0,0 +1,18 @@
+"""HTTP/1.1 over curio sockets, parsed and written by h11."""
+
+from crankhinge.http._client import ClientStream, ConnectFailed, HttpClient, Response
+from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
+from crankhinge.http._sse import SseParser, sse_event
+
+__all__ = [
+    "ClientStream",
+    "ConnectFailed",
+    "Exchange",
+    "HttpClient",
+    "HttpLimits",
+    "HttpRequest",
+    "Response",
+    "SseParser",
+    "serve_http",
+    "sse_event",
+]
--- /dev/null
+++ b/src/crankhinge/http/_server.py
@@ -0,0 +1,228 @@
+"""The serving side of HTTP/1.1."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import h11
+
+from crankhinge.errors import BadHttp, BodyTooLarge, HttpClosed
+from crankhinge.runtime import serve_tcp
+
+RECV_BYTES = 65536
+
+
+@dataclass(frozen=True)
+class HttpLimits:
+    """Bounds on what a caller may send.
+
+    Attributes:
+        body_bytes: largest body.
+        header_bytes: largest header block.
+        idle_s: seconds a connection may stay without a complete request.
+        send_s: seconds a write may wait for the caller to read.
+    """
+
+    body_bytes: int = 4 * 1024 * 1024
+    header_bytes: int = 16 * 1024
+    idle_s: float = 75.0
+    send_s: float = 15.0
+
+
+@dataclass(frozen=True)
+class HttpRequest:
+    """One whole request. Header names are lower case."""
+
+    method: str
+    target: str
+    headers: Mapping[str, str]
+    body: bytes
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition("?")[0]
+
+
+class Exchange:
+    """One request and the way to answer it."""
+
+    def __init__(self, conn: _ServerConn, req: HttpRequest) -> None:
+        self._conn = conn
+        self.req = req
+        self.started = False
+
+    async def respond(
+        self, status: int, body: bytes, headers: Mapping[str, str] | None = None
+    ) -> None:
+        """Send a whole response."""
+        head = {"content-type": "application/json", **(headers or {})}
+        head["content-length"] = str(len(body))
+        self.started = True
+        out = self._conn.encode_head(status, head)
+        out += self._conn.encode(h11.Data(data=body))
+        out += self._conn.encode(h11.EndOfMessage())
+        await self._conn.send(out)
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Send the head of a streamed response."""
+        self.started = True
+        await self._conn.send(self._conn.encode_head(status, headers))
+
+    async def write(self, chunk: bytes) -> None:
+        """Send one chunk of a streamed response."""
+        await self._conn.send(self._conn.encode(h11.Data(data=chunk)))
+
+    async def finish(self) -> None:
+        """End a streamed response."""
+        await self._conn.send(self._conn.encode(h11.EndOfMessage()))
+
+    async def wait_gone(self) -> None:
+        """Return when the caller has closed its end."""
+        await self._conn.wait_gone()
+
+
+class _ServerConn:
+    """A connection from a caller."""
+
+    def __init__(self, sock: Any, limits: HttpLimits) -> None:
+        self._sock = sock
+        self._limits = limits
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
+
+    def encode_head(self, status: int, headers: Mapping[str, str]) -> bytes:
+        return self.encode(h11.Response(status_code=status, headers=list(headers.items())))
+
+    def encode(self, event: Any) -> bytes:
+        return self._h11.send(event) or b""
+
+    async def send(self, data: bytes) -> None:
+        try:
+            await curio.timeout_after(self._limits.send_s, self._sock.sendall, data)
+        except OSError as exc:
+            raise HttpClosed(str(exc)) from exc
+        except curio.TaskTimeout as exc:
+            raise HttpClosed(f"nothing read for {self._limits.send_s} s") from exc
+
+    async def _event(self) -> Any:
+        while True:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as exc:
+                kind = BodyTooLarge if exc.error_status_hint == 431 else BadHttp
+                raise kind(str(exc)) from exc
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
+    async def _receive(self) -> None:
+        try:
+            data = await self._sock.recv(RECV_BYTES)
+        except OSError as exc:
+            raise HttpClosed(str(exc)) from exc
+        self._h11.receive_data(data)
+
+    async def next_request(self) -> HttpRequest | None:
+        """Return the next request, or None when the caller is done."""
+        head = await self._event()
+        if isinstance(head, h11.ConnectionClosed):
+            return None
+        if not isinstance(head, h11.Request):
+            raise BadHttp("not a request")
+        if self._h11.they_are_waiting_for_100_continue:
+            go_on = h11.InformationalResponse(status_code=100, headers=[])
+            await self.send(self.encode(go_on))
+        body = await self._body()
+        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
+        method = head.method.decode("ascii")
+        return HttpRequest(method, head.target.decode("latin-1"), headers, body)
+
+    async def _body(self) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._event()
+            if isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            if not isinstance(event, h11.Data):
+                raise HttpClosed("closed in mid-body")
+            body += event.data
+            if len(body) > self._limits.body_bytes:
+                raise BodyTooLarge(f"body over {self._limits.body_bytes} bytes")
+
+    async def wait_gone(self) -> None:
+        while True:
+            try:
+                data = await self._sock.recv(RECV_BYTES)
+            except OSError:
+                return
+            if not data:
+                return
+            self._h11.receive_data(data)
+
+    def reusable(self) -> bool:
+        """Whether another request may follow on this connection."""
+        if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
+            return True
+        return False
+
+    def can_answer(self) -> bool:
+        return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+
+
+Handler = Callable[[Exchange], Awaitable[None]]
+OnBadHttp = Callable[[Exchange, BadHttp], Awaitable[None]]
+
+
+async def serve_http(
+    host: str,
+    port: int,
+    handler: Handler,
+    *,
+    on_bad: OnBadHttp,
+    log: Any,
+    limits: HttpLimits | None = None,
+) -> None:
+    """Serve until cancelled.
+
+    Args:
+        host: address to bind.
+        port: TCP port.
+        handler: answers one exchange.
+        on_bad: answers a malformed request.
+        log: where unexpected failures go.
+        limits: bounds on what callers may send.
+    """
+    bounds = limits or HttpLimits()
+
+    async def serve_one(sock: Any, _addr: Any) -> None:
+        await _serve_conn(sock, bounds, handler, on_bad)
+
+    await serve_tcp(host, port, serve_one, log=log)
+
+
+async def _serve_conn(sock: Any, limits: HttpLimits, handler: Handler, on_bad: OnBadHttp) -> None:
+    conn = _ServerConn(sock, limits)
+    try:
+        while True:
+            req = await curio.timeout_after(limits.idle_s, conn.next_request)
+            if req is None:
+                return
+            await handler(Exchange(conn, req))
+            if not conn.reusable():
+                return
+    except BadHttp as exc:
+        if conn.can_answer():
+            await _answer_bad(conn, exc, on_bad)
+    except (HttpClosed, curio.TaskTimeout, h11.LocalProtocolError):
+        return
+
+
+async def _answer_bad(conn: _ServerConn, exc: BadHttp, on_bad: OnBadHttp) -> None:
+    try:
+        await on_bad(Exchange(conn, HttpRequest("", "", {}, b"")), exc)
+    except (HttpClosed, h11.LocalProtocolError):
+        return
--- /dev/null
+++ b/src/crankhinge/peers/_settings.py
@@ -0,0 +1,63 @@
+"""Settings that an entry and an agent share."""
+
+from __future__ import annotations
+
+from typing import Annotated, NamedTuple
+
+import msgspec
+
+from crankhinge.errors import SettingsError
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+HexKey = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.:_-]+:[0-9]{1,5}$")]
+
+
+class Endpoint(NamedTuple):
+    """An address."""
+
+    host: str
+    port: int
+
+
+def parse_endpoint(text: str) -> Endpoint:
+    """Return the address in ``host:port``.
+
+    Raises:
+        SettingsError: when the port is out of range.
+    """
+    host, _, port = text.rpartition(":")
+    if not 0 < int(port) < 65536:
+        raise SettingsError(f"{text}: port out of range")
+    return Endpoint(host, int(port))
+
+
+class PeerSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of every process in the fleet.
+
+    Attributes:
+        name: unique within the fleet.
+        zone: availability zone.
+        host: address to listen on.
+        port: TCP port.
+        key_value: ``host:port`` of the platform's key-value service.
+        keys: public key of each partner, hex; a bundle must be signed by all of them.
+        groups: further fault domains (rack, link).
+        statsd: ``host:port`` of the statsd server; empty for none.
+        beat_s: seconds between heartbeats.
+        watch_s: seconds a watch on the bundle waits.
+        drain_s: seconds a planned stop may take at most.
+    """
+
+    name: str
+    zone: str
+    host: str
+    port: Port
+    key_value: HostPort
+    keys: dict[str, HexKey]
+    groups: tuple[str, ...] = ()
+    statsd: str = ""
+    beat_s: Seconds = 0.5
+    watch_s: Seconds = 60.0
+    drain_s: Seconds = 120.0
--- /dev/null
+++ b/src/crankhinge/peers/_spread.py
@@ -0,0 +1,122 @@
+"""How a bundle reaches every process.
+
+Each process keeps one watch on the key-value service; the first that sees a new bundle passes it
+to its peers at once, and they to theirs, so that a process whose watch fails, or a whole fleet
+during an outage of the service, still gets it. Versions ride on heartbeats: a peer found to be
+behind is sent the newer bundle, one found ahead is asked for it.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import KeyValue
+from crankhinge.config import BUNDLE_KEY, BundleKeeper
+from crankhinge.errors import BundleError, KeyValueUnavailable, LinkClosed
+from crankhinge.wire import Beat, BundleIs, GetBundle, Link, Message
+
+FIRST_PAUSE_S = 0.2
+MAX_PAUSE_S = 30.0
+
+
+class BundleSpread:
+    """Keeps the bundle of one process up to date.
+
+    Args:
+        keeper: holds the bundle.
+        kv: the key-value service.
+        log: for events.
+        watch_s: seconds a watch waits.
+        rng: for the pauses between attempts.
+    """
+
+    def __init__(
+        self, keeper: BundleKeeper, kv: KeyValue, log: Any, *, watch_s: float, rng: random.Random
+    ) -> None:
+        self.keeper = keeper
+        self.links: set[Link] = set()
+        self._kv = kv
+        self._log = log
+        self._watch_s = watch_s
+        self._rng = rng
+
+    async def watch(self) -> None:
+        """Watch the key-value service until cancelled, with growing pauses while it is out."""
+        index = 0
+        pause = FIRST_PAUSE_S
+        while True:
+            try:
+                value = await self._read(index)
+                pause = FIRST_PAUSE_S
+            except KeyValueUnavailable as exc:
+                self._log.warning("key_value_unavailable", why=exc.detail)
+                # Spread out, so that a fleet doesn't come back to a recovering service at once.
+                await curio.sleep(pause * self._rng.uniform(0.5, 1.5))
+                pause = min(MAX_PAUSE_S, pause * 2)
+                continue
+            if value is None:
+                index = 0
+                await curio.sleep(1.0)
+                continue
+            index = value.index
+            await self.offer(value.data, source="key-value")
+
+    async def _read(self, index: int) -> Any:
+        if index == 0:
+            return await self._kv.get(BUNDLE_KEY)
+        return await self._kv.watch(BUNDLE_KEY, index, self._watch_s)
+
+    async def offer(self, envelope: bytes, *, source: str) -> None:
+        """Take a bundle in force if it is newer and signed, and pass it on."""
+        try:
+            newer = await self.keeper.offer(envelope)
+        except BundleError as exc:
+            self._log.error("bundle_refused", source=source, why=exc.detail)
+            return
+        if newer:
+            self._log.info("bundle_in_force", version=self.keeper.version, source=source)
+            for link in list(self.links):
+                await self._tell(link)
+
+    async def _tell(self, link: Link) -> None:
+        if link.bundle >= self.keeper.version:
+            return
+        link.bundle = self.keeper.version
+        try:
+            await link.send(BundleIs(self.keeper.envelope))
+        except LinkClosed:
+            return
+
+    async def linked(self, link: Link) -> None:
+        """Note a new link."""
+        self.links.add(link)
+        await self._compare(link, link.peer.bundle)
+
+    def unlinked(self, link: Link) -> None:
+        """Note the end of a link."""
+        self.links.discard(link)
+
+    async def handle(self, link: Link, msg: Message) -> bool:
+        """Act on a message; returns whether it was one about bundles alone."""
+        if isinstance(msg, Beat):
+            await self._compare(link, msg.bundle)
+            return False
+        if isinstance(msg, BundleIs):
+            await self.offer(msg.envelope, source=link.peer.name)
+            return True
+        if isinstance(msg, GetBundle):
+            link.bundle = 0
+            await self._tell(link)
+            return True
+        return False
+
+    async def _compare(self, link: Link, theirs: int) -> None:
+        mine = self.keeper.version
+        if theirs > mine:
+            link.bundle = theirs
+            await link.send(GetBundle())
+        elif theirs < mine and link.bundle < mine:
+            await self._tell(link)
--- /dev/null
+++ b/src/crankhinge/runtime/__init__.py
@@ -0,0 +1,20 @@
+"""Supervision, logs, metrics and process start-up."""
+
+from crankhinge.runtime._logs import Log, get_log
+from crankhinge.runtime._metrics import Metrics
+from crankhinge.runtime._process import load_settings, run_process
+from crankhinge.runtime._supervisor import Child, RestartLimitReached, Supervisor
+from crankhinge.runtime._tcp import serve_tcp, set_nodelay
+
+__all__ = [
+    "Child",
+    "Log",
+    "Metrics",
+    "RestartLimitReached",
+    "Supervisor",
+    "get_log",
+    "load_settings",
+    "run_process",
+    "serve_tcp",
+    "set_nodelay",
+]
--- /dev/null
+++ b/src/crankhinge/runtime/_supervisor.py
@@ -0,0 +1,82 @@
+"""A supervisor: restarts the tasks it owns, within a limit."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from crankhinge.errors import CrankhingeError
+
+RESTART_PAUSE_S = 0.2
+
+
+class RestartLimitReached(CrankhingeError):
+    """A child failed more often than its supervisor allows."""
+
+    code = "restart-limit"
+
+
+@dataclass(frozen=True)
+class Child:
+    """A supervised task.
+
+    Attributes:
+        name: for logs.
+        start: makes the coroutine; it runs until cancelled.
+        max_restarts: how many failures within ``window_s`` are tolerated.
+        window_s: seconds.
+    """
+
+    name: str
+    start: Callable[[], Awaitable[Any]]
+    max_restarts: int = 10
+    window_s: float = 30.0
+
+
+@dataclass
+class Supervisor:
+    """Runs children side by side, restarting each that fails, until cancelled.
+
+    Raises:
+        RestartLimitReached: when one child fails too often; the others are cancelled first.
+    """
+
+    log: Any
+    children: list[Child] = field(default_factory=list)
+
+    def add(self, name: str, start: Callable[[], Awaitable[Any]]) -> None:
+        """Add a child. Call before :meth:`run`."""
+        self.children.append(Child(name, start))
+
+    async def run(self) -> None:
+        """Run all children until one gives up or the supervisor is cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            for child in self.children:
+                await group.spawn(self._keep, child)
+
+    async def _keep(self, child: Child) -> None:
+        failures: deque[float] = deque()
+        while True:
+            try:
+                await child.start()
+                return
+            except curio.CancelledError:
+                raise
+            except Exception as exc:
+                now = await curio.clock()
+                failures.append(now)
+                self._check_limit(child, failures, now, exc)
+            await curio.sleep(RESTART_PAUSE_S)
+
+    def _check_limit(
+        self, child: Child, failures: deque[float], now: float, exc: Exception
+    ) -> None:
+        while failures and failures[0] < now - child.window_s:
+            failures.popleft()
+        self.log.error("child_failed", child=child.name, kind=type(exc).__name__, why=str(exc))
+        if len(failures) > child.max_restarts:
+            raise RestartLimitReached(child.name) from exc
--- /dev/null
+++ b/src/crankhinge/runtime/_tcp.py
@@ -0,0 +1,57 @@
+"""A TCP accept loop that outlives failing connections and a full descriptor table."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+ACCEPT_PAUSE_S = 0.05
+BACKLOG = 1024
+
+ConnHandler = Callable[[Any, Any], Awaitable[None]]
+
+
+async def serve_tcp(host: str, port: int, handler: ConnHandler, *, log: Any) -> None:
+    """Accept connections until cancelled, each handled by a task of its own.
+
+    Args:
+        host: address to bind.
+        port: TCP port.
+        handler: called with the socket and the peer's address.
+        log: where unexpected failures of a handler go.
+    """
+    listener = curio.tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
+    async with listener, curio.TaskGroup() as group:
+        await group.spawn(_accept, listener, handler, log, group)
+        async for task in group:
+            task.joined = True
+
+
+async def _accept(listener: Any, handler: ConnHandler, log: Any, group: Any) -> None:
+    while True:
+        try:
+            sock, addr = await listener.accept()
+        except OSError as exc:
+            log.error("accept_failed", why=str(exc))
+            await curio.sleep(ACCEPT_PAUSE_S)
+            continue
+        await group.spawn(_handle, sock, addr, handler, log)
+
+
+async def _handle(sock: Any, addr: Any, handler: ConnHandler, log: Any) -> None:
+    async with sock:
+        try:
+            set_nodelay(sock)
+            await handler(sock, addr)
+        except OSError as exc:
+            log.info("connection_failed", peer=str(addr), why=str(exc))
+        except Exception as exc:
+            log.error("connection_crashed", peer=str(addr), kind=type(exc).__name__, why=str(exc))
+
+
+def set_nodelay(sock: Any) -> None:
+    """Send small segments at once: tokens must not wait for an acknowledgement."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- /dev/null
+++ b/src/crankhinge/wire/_link.py
@@ -0,0 +1,187 @@
+"""One connection between two of this project's processes, shared by all their requests."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+
+from crankhinge.errors import LinkClosed, WireError
+from crankhinge.runtime import set_nodelay
+from crankhinge.wire._codec import FrameReader, encode
+from crankhinge.wire._messages import WIRE_VERSION, Hello, Message
+
+RECV_BYTES = 262144
+SEND_BYTES = 262144
+QUEUE_LIMIT = 4096
+HELLO_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+SEND_TIMEOUT_S = 10.0
+
+
+class Link:
+    """A connection that sends and receives messages.
+
+    Frames queued within one pass of the scheduler leave in one system call. The queue is bounded:
+    a peer that doesn't read for ``SEND_TIMEOUT_S`` loses the connection, not our memory.
+
+    Attributes:
+        peer: the other end's Hello.
+        closed: whether the connection is known to be gone.
+        heard: when something last arrived, seconds of the runtime's clock.
+        bundle: newest bundle version that the peer has or was sent.
+    """
+
+    def __init__(self, sock: Any, peer: Hello, reader: FrameReader, early: list[Message]) -> None:
+        self.peer = peer
+        self.closed = False
+        self.bytes_out = 0
+        self.bytes_in = 0
+        self.heard = 0.0
+        self.bundle = peer.bundle
+        self._sock = sock
+        self._reader = reader
+        self._early = early
+        self._queue: curio.Queue = curio.Queue(QUEUE_LIMIT)
+
+    async def send(self, msg: Message) -> None:
+        """Queue *msg*; waits while the queue is full.
+
+        Raises:
+            LinkClosed: when the connection is known to be gone.
+        """
+        await self.send_frame(encode(msg))
+
+    async def send_frame(self, frame: bytes) -> None:
+        """Queue a message that is encoded already. Raises as :meth:`send` does."""
+        if self.closed:
+            raise LinkClosed(self.peer.name)
+        await self._queue.put(frame)
+
+    @property
+    def congested(self) -> bool:
+        """Whether a send would have to wait."""
+        return bool(self._queue.full())
+
+    async def run(self, handle: Callable[[Link, Message], Awaitable[None]]) -> None:
+        """Pass each message to *handle* until the connection ends.
+
+        Raises:
+            WireError: when the peer sent something that is not a message.
+        """
+        self.heard = await curio.clock()
+        writer = await curio.spawn(self._write, daemon=True)
+        try:
+            for msg in self._early:
+                await handle(self, msg)
+            await self._read(handle)
+        finally:
+            self.closed = True
+            await writer.cancel()
+            await self._sock.close()
+            await self._drop_queued()
+
+    async def _drop_queued(self) -> None:
+        """Empty the queue, so that senders that wait for room in it wake up."""
+        while not self._queue.empty():
+            await self._queue.get()
+            await curio.sleep(0)
+
+    async def _read(self, handle: Callable[[Link, Message], Awaitable[None]]) -> None:
+        while True:
+            try:
+                chunk = await self._sock.recv(RECV_BYTES)
+            except OSError:
+                return
+            if not chunk:
+                return
+            self.bytes_in += len(chunk)
+            self.heard = await curio.clock()
+            for msg in self._reader.feed(chunk):
+                await handle(self, msg)
+
+    async def _write(self) -> None:
+        queue = self._queue
+        while True:
+            out = await queue.get()
+            if not queue.empty():
+                parts = [out]
+                size = len(out)
+                while not queue.empty() and size < SEND_BYTES:
+                    part = await queue.get()
+                    parts.append(part)
+                    size += len(part)
+                out = b"".join(parts)
+            self.bytes_out += len(out)
+            try:
+                await curio.timeout_after(SEND_TIMEOUT_S, self._sock.sendall, out)
+            except (OSError, curio.TaskTimeout):
+                self.closed = True
+                await self._shut()
+                return
+
+    async def _shut(self) -> None:
+        """Wake the reader, which then closes the connection."""
+        try:
+            await self._sock.shutdown(2)
+        except OSError:
+            pass
+
+    async def close(self) -> None:
+        """End the connection; :meth:`run` returns."""
+        self.closed = True
+        await self._shut()
+
+
+async def _hello(sock: Any, mine: Hello) -> Link:
+    """Exchange Hellos.
+
+    Raises:
+        WireError: when the peer speaks another version or not our protocol.
+        LinkClosed: when it closes.
+    """
+    await sock.sendall(encode(mine))
+    reader = FrameReader()
+    msgs: list[Message] = []
+    while not msgs:
+        chunk = await sock.recv(RECV_BYTES)
+        if not chunk:
+            raise LinkClosed("closed before hello")
+        msgs = reader.feed(chunk)
+    peer = msgs[0]
+    if not isinstance(peer, Hello):
+        raise WireError("no hello")
+    if peer.version != WIRE_VERSION:
+        raise WireError(f"wire version {peer.version}")
+    return Link(sock, peer, reader, msgs[1:])
+
+
+async def accept_link(sock: Any, mine: Hello) -> Link:
+    """Return the link on an accepted socket. Raises as :func:`connect_link` does."""
+    try:
+        link: Link = await curio.timeout_after(HELLO_TIMEOUT_S, _hello, sock, mine)
+    except curio.TaskTimeout as exc:
+        raise LinkClosed("no hello in time") from exc
+    except OSError as exc:
+        raise LinkClosed(str(exc)) from exc
+    return link
+
+
+async def connect_link(host: str, port: int, mine: Hello) -> Link:
+    """Connect to an agent.
+
+    Raises:
+        LinkClosed: when no connection can be made.
+        WireError: when the other end doesn't speak our protocol.
+    """
+    try:
+        sock = await curio.timeout_after(CONNECT_TIMEOUT_S, curio.open_connection, host, port)
+    except (OSError, curio.TaskTimeout) as exc:
+        raise LinkClosed(f"{host}:{port}: {exc}") from exc
+    set_nodelay(sock)
+    try:
+        return await accept_link(sock, mine)
+    except BaseException:
+        await sock.close()
+        raise
--- /dev/null
+++ b/src/crankhinge_bench/_cluster.py
@@ -0,0 +1,411 @@
+"""Starts the stand-ins and the product's programs on loopback, and ends them again."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from crankhinge.config import (
+    Envelope,
+    hash_credential,
+    load_private_key,
+    new_key_pair,
+    seal,
+    sign,
+)
+
+HOST = "127.0.0.1"
+READY_S = 20.0
+STOP_S = 10.0
+POLL_S = 0.05
+
+
+@dataclass(frozen=True)
+class EngineSpec:
+    """Engines of one pool.
+
+    Attributes:
+        pool: its name.
+        kind: ``prefill`` or ``decode``.
+        count: how many.
+        slots: requests in memory, or prompts read at once.
+        step_s: seconds a decode step takes.
+        prefill_rate: prompt tokens a second.
+        kv_life_s: seconds for which a result is kept.
+        link_bytes_per_s: rate of an engine's outgoing link; 0 for no limit.
+    """
+
+    pool: str
+    kind: str
+    count: int
+    slots: int = 20
+    step_s: float = 0.02
+    prefill_rate: float = 20_000.0
+    kv_life_s: float = 0.8
+    link_bytes_per_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class ServiceSpec:
+    """Replicas of a plain service."""
+
+    pool: str
+    path: str
+    count: int
+    slots: int = 20
+    work_s: float = 0.01
+
+
+@dataclass(frozen=True)
+class ClusterSpec:
+    """What is started.
+
+    Attributes:
+        entries: entry instances.
+        engines: pools of engines, all of one model ``m1``.
+        services: plain services.
+        members: names of members, with weights.
+        zones: availability zones, given out in turn.
+        first_token_s: latency target.
+        between_tokens_s: latency target.
+        policy: the bundle's policy.
+        beat_s: seconds between heartbeats.
+    """
+
+    entries: int = 1
+    engines: tuple[EngineSpec, ...] = (
+        EngineSpec("read", "prefill", 2),
+        EngineSpec("write", "decode", 2),
+    )
+    services: tuple[ServiceSpec, ...] = (ServiceSpec("ledger", "/ledger/", 1),)
+    members: tuple[tuple[str, float], ...] = (("naas-office", 1.0), ("swords-office", 1.0))
+    zones: tuple[str, ...] = ("naas", "swords", "bray")
+    first_token_s: float = 0.43
+    between_tokens_s: float = 0.07
+    policy: dict[str, Any] = field(default_factory=dict)
+    beat_s: float = 0.5
+
+
+@dataclass
+class Place:
+    """A backend server with its agent.
+
+    Attributes:
+        name: of the agent.
+        kind: ``prefill``, ``decode`` or ``plain``.
+        pool: its pool.
+        zone: its availability zone.
+        port: of the agent.
+        backend_port: of the backend server.
+    """
+
+    name: str
+    kind: str
+    pool: str
+    zone: str
+    port: int
+    backend_port: int
+
+
+def free_ports(count: int) -> list[int]:
+    """Return TCP ports that are free now."""
+    with contextlib.ExitStack() as stack:
+        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for sock in socks:
+            sock.bind((HOST, 0))
+        return [sock.getsockname()[1] for sock in socks]
+
+
+def http_json(method: str, port: int, path: str, body: Any = None, timeout_s: float = 5.0) -> Any:
+    """Call a stand-in or an entry and return its JSON."""
+    data = None if body is None else msgspec.json.encode(body)
+    req = urllib.request.Request(f"http://{HOST}:{port}{path}", data=data, method=method)
+    with urllib.request.urlopen(req, timeout=timeout_s) as resp:
+        return json.loads(resp.read() or b"null")
+
+
+class Cluster:
+    """Processes on loopback, in a directory of their own.
+
+    Args:
+        spec: what to start.
+        logs: directory for the programs' logs; a temporary one by default.
+    """
+
+    def __init__(self, spec: ClusterSpec, *, logs: Path | None = None) -> None:
+        self.spec = spec
+        self.places: list[Place] = []
+        self.entry_ports: list[int] = []
+        self.platform_port = 0
+        self.procs: dict[str, subprocess.Popen[bytes]] = {}
+        self.credentials = {name: secrets.token_urlsafe(24) for name, _ in spec.members}
+        self._stack = contextlib.ExitStack()
+        self.dir = Path(self._stack.enter_context(tempfile.TemporaryDirectory(prefix="crank-")))
+        self.logs = logs or self.dir
+        self._keys: dict[str, str] = {}
+        self.version = 0
+
+    def __enter__(self) -> Cluster:
+        try:
+            self.start()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.stop()
+
+    def start(self) -> None:
+        """Start everything and wait until the entries are ready."""
+        self._make_keys()
+        self._plan()
+        self._start_standins()
+        self._wait_for_ports([self.platform_port, *(p.backend_port for p in self.places)])
+        self.publish(self.bundle_text(1))
+        for place in self.places:
+            self.start_agent(place)
+        for number in range(self.spec.entries):
+            self.start_entry(number)
+        self.wait_ready()
+
+    def _make_keys(self) -> None:
+        for partner in ("timbook", "heating-oil"):
+            self._keys[partner] = new_key_pair(self.dir / f"{partner}.key")
+
+    def _plan(self) -> None:
+        spec = self.spec
+        backends = [(e.pool, e.kind, n) for e in spec.engines for n in range(e.count)]
+        backends += [(s.pool, "plain", n) for s in spec.services for n in range(s.count)]
+        ports = free_ports(2 * len(backends) + spec.entries + 1)
+        self.platform_port = ports.pop()
+        self.entry_ports = [ports.pop() for _ in range(spec.entries)]
+        for pool, kind, n in backends:
+            zone = spec.zones[n % len(spec.zones)]
+            place = Place(f"{pool}-{n}", kind, pool, zone, ports.pop(), ports.pop())
+            self.places.append(place)
+
+    def run(self, name: str, module: str, *args: str) -> None:
+        """Start a program; its logs go to a file of its name."""
+        log = (self.logs / f"{name}.log").open("ab")
+        self.procs[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *args],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            start_new_session=True,
+        )
+        log.close()
+
+    def _start_standins(self) -> None:
+        standin = "crankhinge_standins.main"
+        self.run("platform", standin, "platform", "--port", str(self.platform_port),
+                 "--list-lag-s", "0.2")  # fmt: skip
+        for place in self.places:
+            self.start_backend(place)
+
+    def start_backend(self, place: Place) -> None:
+        """Start the backend server of *place*."""
+        args = self._backend_args(place)
+        self.run(f"backend-{place.name}", "crankhinge_standins.main", *args)
+
+    def _backend_args(self, place: Place) -> list[str]:
+        if place.kind == "plain":
+            service = next(s for s in self.spec.services if s.pool == place.pool)
+            work = str(service.work_s)
+            return ["service", "--port", str(place.backend_port), "--work-s", work]
+        engine = self._engine(place)
+        return [
+            "engine",
+            *("--port", str(place.backend_port)),
+            *("--slots", str(engine.slots)),
+            *("--step-s", str(engine.step_s)),
+            *("--prefill-rate", str(engine.prefill_rate)),
+            *("--kv-life-s", str(engine.kv_life_s)),
+            *("--link-bytes-per-s", str(engine.link_bytes_per_s)),
+        ]
+
+    def _engine(self, place: Place) -> EngineSpec:
+        return next(e for e in self.spec.engines if e.pool == place.pool)
+
+    def _peer_settings(self, name: str, zone: str, port: int) -> list[str]:
+        return [
+            f'name = "{name}"',
+            f'zone = "{zone}"',
+            f'host = "{HOST}"',
+            f"port = {port}",
+            f'key_value = "{HOST}:{self.platform_port}"',
+            f"beat_s = {self.spec.beat_s}",
+        ]
+
+    def _write_settings(self, name: str, lines: list[str]) -> str:
+        path = self.dir / f"{name}.toml"
+        keys = [f'{partner} = "{key}"' for partner, key in self._keys.items()]
+        path.write_text("\n".join([*lines, "[keys]", *keys]) + "\n")
+        return str(path)
+
+    def start_agent(self, place: Place) -> None:
+        """Start the agent of *place* and show it in the platform's list."""
+        lines = self._peer_settings(place.name, place.zone, place.port)
+        lines += [
+            f'role = "{place.kind}"',
+            f'pool = "{place.pool}"',
+            f'backend = "{HOST}:{place.backend_port}"',
+            *self._role_settings(place),
+        ]
+        self.run(place.name, "crankhinge.agent.main", self._write_settings(place.name, lines))
+        self.register(place)
+
+    def _role_settings(self, place: Place) -> list[str]:
+        if place.kind == "plain":
+            service = next(s for s in self.spec.services if s.pool == place.pool)
+            rate = service.slots / max(service.work_s, 0.001)
+            return [f"slots = {service.slots}", f"rate = {rate}"]
+        engine = self._engine(place)
+        if place.kind == "prefill":
+            return ["slots = 2", f"rate = {engine.prefill_rate}"]
+        return [f"slots = {engine.slots}", f"step_s = {engine.step_s * 1.5}"]
+
+    def register(self, place: Place, *, state: str = "live") -> None:
+        """Show an instance in the platform's list."""
+        service = {
+            "ID": place.name,
+            "Address": HOST,
+            "Port": place.port,
+            "Meta": {"zone": place.zone, "pool": place.pool, "state": state},
+        }
+        http_json("PUT", self.platform_port, "/v1/agent/service/register", service)
+
+    def start_entry(self, number: int) -> None:
+        """Start an entry."""
+        name = f"entry-{number}"
+        zone = self.spec.zones[number % len(self.spec.zones)]
+        lines = self._peer_settings(name, zone, self.entry_ports[number])
+        lines += [f'instances = "{HOST}:{self.platform_port}"', "list_s = 1.0"]
+        self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
+
+    def bundle_text(self, version: int) -> str:
+        """Return the bundle's TOML."""
+        spec = self.spec
+        out = [f"version = {version}", ""]
+        for partner in self._keys:
+            out += ["[[partners]]", f'name = "{partner}"', ""]
+        for name, weight in spec.members:
+            out += ["[[members]]", f'name = "{name}"', 'partner = "timbook"', f"weight = {weight}"]
+            out += [f'credential_sha256 = "{hash_credential(self.credentials[name])}"', ""]
+        out += self._pool_lines()
+        out += self._model_lines()
+        out += ["[policy]", *(f"{k} = {v}" for k, v in spec.policy.items()), ""]
+        return "\n".join(out)
+
+    def _pool_lines(self) -> list[str]:
+        out = []
+        for engine in self.spec.engines:
+            out += ["[[pools]]", f'name = "{engine.pool}"', f'kind = "{engine.kind}"', ""]
+        for service in self.spec.services:
+            out += ["[[pools]]", f'name = "{service.pool}"', 'kind = "plain"']
+            out += [f"slots = {service.slots}", "", "[[services]]", f'name = "{service.pool}"']
+            out += [f'path = "{service.path}"', f'pool = "{service.pool}"', ""]
+        return out
+
+    def _model_lines(self) -> list[str]:
+        pools = {kind: [e.pool for e in self.spec.engines if e.kind == kind]
+                 for kind in ("prefill", "decode")}  # fmt: skip
+        return [
+            "[[models]]",
+            'name = "m1"',
+            f"prefill = {pools['prefill']}",
+            f"decode = {pools['decode']}",
+            f"first_token_s = {self.spec.first_token_s}",
+            f"between_tokens_s = {self.spec.between_tokens_s}",
+            "",
+        ]
+
+    def envelope(self, text: str) -> bytes:
+        """Return the bundle signed by both partners."""
+        envelope = Envelope(text)
+        for partner in self._keys:
+            envelope = sign(envelope, partner, load_private_key(self.dir / f"{partner}.key"))
+        return seal(envelope)
+
+    def publish(self, text: str) -> None:
+        """Sign and publish a bundle with the operators' command line."""
+        path = self.dir / "bundle.signed"
+        path.write_bytes(self.envelope(text))
+        command = [sys.executable, "-m", "crankhinge.ctl.main", "bundle", "publish", str(path)]
+        command += ["--settings", self.ctl_settings()]
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+        self.version += 1
+
+    def ctl_settings(self) -> str:
+        """Return the path of the command line's settings."""
+        return self._write_settings("ctl", [f'key_value = "{HOST}:{self.platform_port}"'])
+
+    def _wait_for_ports(self, ports: list[int]) -> None:
+        until = time.monotonic() + READY_S
+        for port in ports:
+            while True:
+                with contextlib.suppress(OSError), socket.create_connection((HOST, port), 1.0):
+                    break
+                if time.monotonic() > until:
+                    raise TimeoutError(f"nothing listens on {port}")
+                time.sleep(POLL_S)
+
+    def wait_ready(self) -> None:
+        """Wait until every entry has a bundle and answers a request."""
+        until = time.monotonic() + READY_S
+        self._wait_for_ports([*self.entry_ports, *(place.port for place in self.places)])
+        for port in self.entry_ports:
+            while not self._is_ready(port):
+                if time.monotonic() > until:
+                    raise TimeoutError(f"entry on {port} isn't ready")
+                time.sleep(POLL_S)
+
+    def _is_ready(self, port: int) -> bool:
+        try:
+            state = http_json("GET", port, "/readyz")
+        except OSError:
+            return False
+        return bool(state["linked"] == len(self.places))
+
+    def signal(self, name: str, signum: int) -> None:
+        """Send a signal to a process that this cluster started."""
+        self.procs[name].send_signal(signum)
+
+    def kill(self, name: str) -> None:
+        """End a process at once."""
+        proc = self.procs.pop(name)
+        proc.kill()
+        proc.wait()
+
+    def stop(self) -> None:
+        """End every process."""
+        for proc in self.procs.values():
+            proc.send_signal(signal.SIGCONT)
+            proc.kill()
+        for proc in self.procs.values():
+            proc.wait(STOP_S)
+        self.procs.clear()
+        self._stack.close()
+
+    def engine_stats(self) -> list[dict[str, Any]]:
+        """Return each engine's own counts."""
+        engines = [place for place in self.places if place.kind != "plain"]
+        return [http_json("GET", place.backend_port, "/stats") for place in engines]
+
+    def faults(self, port: int, **faults: Any) -> None:
+        """Switch faults of a stand-in on or off."""
+        http_json("PUT", port, "/faults", faults)
--- /dev/null
+++ b/src/crankhinge_bench/_load.py
@@ -0,0 +1,203 @@
+"""Sends a trace to the entries, as callers would, and checks every answer."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import curio
+import msgspec
+
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import ClientStream, HttpClient, SseParser
+from crankhinge_bench._trace import Arrival
+from crankhinge_standins.engine import answer_to
+
+REQUEST_TIMEOUT_S = 60.0
+NOT_RUN = "not-run"
+
+
+@dataclass
+class Outcome:
+    """What a caller saw.
+
+    Attributes:
+        arrival: what it asked.
+        status: HTTP status; 0 when there was no answer.
+        code: machine-readable cause of a failure.
+        outcome: what the header said of a failure.
+        first_s: seconds until the first token; 0 for none.
+        gap_s: mean seconds between tokens.
+        total_s: seconds until the end.
+        tokens: tokens received.
+        whole: whether the answer was complete and right.
+        wrong: whether what came differs from what the engine's model says.
+        cancelled: whether the caller went of its own accord.
+    """
+
+    arrival: Arrival
+    status: int = 0
+    code: str = ""
+    outcome: str = ""
+    first_s: float = 0.0
+    gap_s: float = 0.0
+    total_s: float = 0.0
+    tokens: int = 0
+    whole: bool = False
+    wrong: bool = False
+    cancelled: bool = False
+    texts: list[str] = field(default_factory=list)
+
+
+class _Event(msgspec.Struct):
+    choices: list[dict[str, object]] = []
+    error: dict[str, object] | None = None
+
+
+_events = msgspec.json.Decoder(_Event)
+
+
+class LoadRun:
+    """Plays a trace.
+
+    Args:
+        ports: of the entries.
+        credentials: bearer credential of each member.
+        host: of the entries.
+    """
+
+    def __init__(
+        self, ports: list[int], credentials: Mapping[str, str], host: str = "127.0.0.1"
+    ) -> None:
+        self._clients = [HttpClient(host, port) for port in ports]
+        self._credentials = credentials
+        self.outcomes: list[Outcome] = []
+
+    async def play(self, trace: list[Arrival]) -> list[Outcome]:
+        """Send each arrival at its time and return what came of all of them."""
+        began = await curio.clock()
+        async with curio.TaskGroup() as group:
+            for number, arrival in enumerate(trace):
+                wait = began + arrival.at - await curio.clock()
+                if wait > 0:
+                    await curio.sleep(wait)
+                client = self._clients[number % len(self._clients)]
+                await group.spawn(self._one, client, arrival)
+        return self.outcomes
+
+    async def _one(self, client: HttpClient, arrival: Arrival) -> None:
+        seen = Outcome(arrival)
+        self.outcomes.append(seen)
+        began = await curio.clock()
+        try:
+            await curio.timeout_after(REQUEST_TIMEOUT_S, self._send, client, arrival, seen, began)
+        except (HttpClosed, BadHttp) as exc:
+            seen.code = seen.code or exc.code
+        except curio.TaskTimeout:
+            seen.code = "caller-timeout"
+        seen.total_s = await curio.clock() - began
+
+    def _headers(self, arrival: Arrival) -> dict[str, str]:
+        headers = {
+            "authorization": f"Bearer {self._credentials[arrival.member]}",
+            "content-type": "application/json",
+            "x-priority": str(arrival.rank),
+        }
+        if not arrival.repeatable:
+            headers["x-repeatable"] = "no"
+        if arrival.key:
+            headers["idempotency-key"] = arrival.key
+        return headers
+
+    async def _send(
+        self, client: HttpClient, arrival: Arrival, seen: Outcome, began: float
+    ) -> None:
+        if arrival.path:
+            await self._call(client, arrival, seen)
+            return
+        body = {
+            "model": "m1",
+            "prompt": arrival.prompt,
+            "max_tokens": arrival.max_tokens,
+            "stream": True,
+        }
+        stream = await client.open(
+            "POST",
+            "/v1/completions",
+            headers=self._headers(arrival),
+            body=msgspec.json.encode(body),
+            fresh=True,
+        )
+        try:
+            seen.status = stream.status
+            if stream.status != 200:
+                _note_failure(seen, stream, await stream.read_all())
+                return
+            await self._read(stream, arrival, seen, began)
+        finally:
+            await stream.close()
+
+    async def _call(self, client: HttpClient, arrival: Arrival, seen: Outcome) -> None:
+        resp = await client.call(
+            "POST",
+            arrival.path,
+            headers=self._headers(arrival),
+            body=arrival.key.encode(),
+            fresh=True,
+        )
+        seen.status = resp.status
+        seen.whole = resp.status == 200
+        seen.outcome = resp.headers.get("x-request-outcome", "")
+        if resp.status == 200:
+            seen.wrong = msgspec.json.decode(resp.body).get("body") != arrival.key
+
+    async def _read(
+        self, stream: ClientStream, arrival: Arrival, seen: Outcome, began: float
+    ) -> None:
+        parser = SseParser()
+        last = 0.0
+        while chunk := await stream.next_chunk():
+            for data in parser.feed(chunk):
+                if data == b"[DONE]":
+                    seen.whole = True
+                    continue
+                text = _text_of(data, seen)
+                if not text:
+                    continue
+                now = await curio.clock()
+                seen.first_s = seen.first_s or now - began
+                seen.texts.append(text)
+                last = now
+            if arrival.cancel_after and len(seen.texts) >= arrival.cancel_after:
+                seen.cancelled = True
+                break
+        seen.tokens = len(seen.texts)
+        if seen.tokens > 1:
+            seen.gap_s = (last - began - seen.first_s) / (seen.tokens - 1)
+        _check_answer(arrival, seen)
+
+
+def _check_answer(arrival: Arrival, seen: Outcome) -> None:
+    """Compare what came with what the engine's model says."""
+    right = answer_to({"prompt": arrival.prompt, "max_tokens": arrival.max_tokens})
+    seen.wrong = seen.texts != right[: len(seen.texts)]
+    if seen.whole and len(seen.texts) != len(right):
+        seen.wrong = True
+    seen.texts = []
+
+
+def _text_of(data: bytes, seen: Outcome) -> str:
+    event = _events.decode(data)
+    if event.error is not None:
+        seen.code = str(event.error.get("code", ""))
+        seen.outcome = str(event.error.get("outcome", ""))
+        return ""
+    return "".join(str(choice.get("text", "")) for choice in event.choices)
+
+
+def _note_failure(seen: Outcome, stream: ClientStream, body: bytes) -> None:
+    seen.outcome = stream.headers.get("x-request-outcome", "")
+    try:
+        seen.code = str(msgspec.json.decode(body)["error"]["code"])
+    except (msgspec.DecodeError, LookupError, TypeError):
+        seen.code = f"status-{stream.status}"
--- /dev/null
+++ b/src/crankhinge_bench/_trace.py
@@ -0,0 +1,115 @@
+"""What is asked of the cluster: a list of arrivals, made from a seed before the run."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+WORDS = 4000
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request of the trace.
+
+    Attributes:
+        at: seconds after the start.
+        member: who asks.
+        prompt: text of the prompt; empty for a call to a plain service.
+        max_tokens: length of the answer.
+        rank: priority class.
+        cancel_after: tokens after which the caller goes; 0 for never.
+        path: of a plain call; empty for a completion.
+        repeatable: whether it may be run again.
+        key: idempotency key of a plain call.
+    """
+
+    at: float
+    member: str
+    prompt: str = ""
+    max_tokens: int = 0
+    rank: int = 1
+    cancel_after: int = 0
+    path: str = ""
+    repeatable: bool = True
+    key: str = ""
+
+
+@dataclass(frozen=True)
+class Load:
+    """How arrivals are drawn.
+
+    Attributes:
+        seconds: length of the trace.
+        per_s: completions a second (Poisson).
+        calls_per_s: calls to the plain service a second.
+        prompt_words: median prompt length; log-normal.
+        prompt_sigma: of its logarithm.
+        output_tokens: median answer length; log-normal.
+        output_sigma: of its logarithm.
+        max_prompt_words: longest prompt.
+        max_output_tokens: longest answer.
+        prefixes: number of shared prefixes.
+        prefix_words: length of a shared prefix.
+        prefix_share: part of the requests that begin with one.
+        cancel_share: part of the requests whose callers go in mid-answer.
+        members: weight of each member's arrivals.
+        ranks: weight of each priority class.
+    """
+
+    seconds: float = 10.0
+    per_s: float = 10.0
+    calls_per_s: float = 0.0
+    prompt_words: float = 300.0
+    prompt_sigma: float = 0.8
+    output_tokens: float = 40.0
+    output_sigma: float = 0.6
+    max_prompt_words: int = 8000
+    max_output_tokens: int = 400
+    prefixes: int = 8
+    prefix_words: int = 256
+    prefix_share: float = 0.5
+    cancel_share: float = 0.0
+    members: dict[str, float] = field(default_factory=lambda: {"naas-office": 1.0})
+    ranks: tuple[float, ...] = (0.1, 0.7, 0.2)
+
+
+def _words(rng: random.Random, count: int) -> str:
+    return " ".join(f"x{rng.randrange(WORDS)}" for _ in range(count))
+
+
+def _length(rng: random.Random, median: float, sigma: float, most: int) -> int:
+    return max(1, min(most, int(median * rng.lognormvariate(0.0, sigma))))
+
+
+def make_trace(load: Load, seed: int) -> list[Arrival]:
+    """Return the arrivals, in order of time."""
+    rng = random.Random(seed)
+    prefixes = [_words(rng, load.prefix_words) for _ in range(load.prefixes)]
+    names = list(load.members)
+    weights = list(load.members.values())
+    trace = []
+    at = 0.0
+    while load.per_s and (at := at + rng.expovariate(load.per_s)) < load.seconds:
+        member = rng.choices(names, weights)[0]
+        trace.append(_completion(rng, load, at, member, prefixes))
+    at = 0.0
+    while load.calls_per_s and (at := at + rng.expovariate(load.calls_per_s)) < load.seconds:
+        member = rng.choices(names, weights)[0]
+        key = f"call-{rng.getrandbits(64):016x}"
+        trace.append(Arrival(at, member, path="/ledger/approve", repeatable=False, key=key))
+    trace.sort(key=lambda arrival: arrival.at)
+    return trace
+
+
+def _completion(
+    rng: random.Random, load: Load, at: float, member: str, prefixes: list[str]
+) -> Arrival:
+    words = _length(rng, load.prompt_words, load.prompt_sigma, load.max_prompt_words)
+    prompt = _words(rng, words)
+    if prefixes and rng.random() < load.prefix_share:
+        prompt = f"{rng.choice(prefixes)} {prompt}"
+    tokens = _length(rng, load.output_tokens, load.output_sigma, load.max_output_tokens)
+    cancel = rng.randint(1, tokens) if rng.random() < load.cancel_share else 0
+    rank = rng.choices(range(len(load.ranks)), load.ranks)[0]
+    return Arrival(at, member, prompt, tokens, rank, cancel)
--- /dev/null
+++ b/src/crankhinge_bench/main.py
@@ -0,0 +1,45 @@
+"""``crankhinge-bench``: the load and experiment tool."""
+
+from __future__ import annotations
+
+import argparse
+import signal
+import sys
+from types import FrameType
+
+from crankhinge import __version__
+from crankhinge_bench._demo import demo
+
+PROGRAM = "crankhinge-bench"
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line's parser."""
+    parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__)
+    parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
+    verbs = parser.add_subparsers(dest="verb", required=True)
+    verbs.add_parser("demo", help="the whole system for some seconds").set_defaults(run=demo)
+    return parser
+
+
+def _interrupt(_signum: int, _frame: FrameType | None) -> None:
+    # Only the first one counts: a second must not break off the ending of the processes.
+    for signum in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(signum, signal.SIG_IGN)
+    raise KeyboardInterrupt
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the program; returns its exit status."""
+    signal.signal(signal.SIGINT, _interrupt)
+    signal.signal(signal.SIGTERM, _interrupt)
+    args = make_parser().parse_args(argv)
+    try:
+        return int(args.run(args))
+    except KeyboardInterrupt:
+        print("interrupted; every process is ended", file=sys.stderr)
+        return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/crankhinge_standins/engine.py
@@ -0,0 +1,352 @@
+"""A model engine: continuous batching, prefix cache, KV transfer, over the OpenAI API.
+
+Its "model" is a checksum: the next token depends on every byte before it, so an answer that is
+taken up again from its own text continues exactly as it would have.
+"""
+
+from __future__ import annotations
+
+import random
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.errors import CrankhingeError, HttpClosed
+from crankhinge.http import Exchange, HttpClient, sse_event
+from crankhinge_standins._web import Faults, reply, serve
+
+VOCABULARY = 5000
+BLOCK_WORDS = 64
+SSE_HEAD = {"content-type": "text/event-stream", "transfer-encoding": "chunked"}
+
+
+@dataclass
+class EngineConfig:
+    """What the engine can do.
+
+    Attributes:
+        host: address.
+        port: TCP port.
+        slots: requests in memory.
+        step_s: seconds a step takes with one request in memory.
+        step_per_request_s: seconds more for each further request.
+        prefill_rate: prompt tokens read per second.
+        kv_life_s: seconds for which a result is kept.
+        kv_bytes_per_token: size of the KV cache.
+        link_bytes_per_s: rate of the engine's outgoing link; 0 for no limit.
+        cache_blocks: size of the prefix cache.
+        load_lag_s: how old its reported load is.
+    """
+
+    host: str = "127.0.0.1"
+    port: int = 0
+    slots: int = 20
+    step_s: float = 0.02
+    step_per_request_s: float = 0.0005
+    prefill_rate: float = 20_000.0
+    kv_life_s: float = 0.8
+    kv_bytes_per_token: int = 100_000
+    link_bytes_per_s: float = 0.0
+    cache_blocks: int = 2000
+    load_lag_s: float = 0.5
+
+
+class Gone(CrankhingeError):
+    """The client closed its connection."""
+
+
+@dataclass
+class _Running:
+    """A request in memory."""
+
+    state: int
+    left: int
+    gone: bool = False
+    tokens: list[str] = field(default_factory=list)
+
+
+@dataclass
+class _Kv:
+    tokens: int
+    computed: int
+    expires: float
+
+
+@dataclass
+class Stats:
+    """The engine's own count of what it did; the truth that the bench's checker reads."""
+
+    prefill_tokens: int = 0
+    cached_tokens: int = 0
+    wasted_tokens: int = 0
+    prefills: int = 0
+    decoded_tokens: int = 0
+    finished: int = 0
+    cancelled: int = 0
+    running: int = 0
+    waiting: int = 0
+    kv_held: int = 0
+
+
+def context_of(body: dict[str, Any]) -> str:
+    """Return the text that the model continues."""
+    if "prompt" in body:
+        return str(body["prompt"])
+    contents = [str(msg.get("content", "")) for msg in body.get("messages", [])]
+    if body.get("continue_final_message"):
+        return "\n".join(contents[:-1]) + contents[-1]
+    return "\n".join(contents)
+
+
+def next_token(state: int) -> tuple[str, int]:
+    """Return the token that follows, and the state after it."""
+    token = f" w{state % VOCABULARY}"
+    return token, zlib.crc32(token.encode(), state)
+
+
+def answer_to(body: dict[str, Any]) -> list[str]:
+    """Return the whole answer: what a test compares with."""
+    state = zlib.crc32(context_of(body).encode())
+    out = []
+    for _ in range(int(body.get("max_tokens", 16))):
+        token, state = next_token(state)
+        out.append(token)
+    return out
+
+
+class StandinEngine:
+    """One engine."""
+
+    def __init__(self, cfg: EngineConfig, log: Any, seed: int = 0) -> None:
+        self.cfg = cfg
+        self.log = log
+        self.faults = Faults()
+        self.stats = Stats()
+        self.runs: list[dict[str, Any]] = []
+        self._rng = random.Random(seed)
+        self._running: list[_Running] = []
+        self._step = curio.Event()
+        self._slots = curio.Semaphore(cfg.slots)
+        self._reader = curio.Lock()
+        self._kv: dict[str, _Kv] = {}
+        self._cache: OrderedDict[int, None] = OrderedDict()
+        self._link_free_at = 0.0
+        self._reported = (0, 0)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with curio.TaskGroup(wait=any) as group:
+            await group.spawn(self._step_loop)
+            await group.spawn(self._report_loop)
+            cfg = self.cfg
+            await group.spawn(serve, cfg.host, cfg.port, self._handle, self.faults, self.log)
+
+    async def _report_loop(self) -> None:
+        while True:
+            self._reported = (len(self._running), self.stats.waiting)
+            await self._expire_kv()
+            await curio.sleep(self.cfg.load_lag_s)
+
+    async def _expire_kv(self) -> None:
+        now = await curio.clock()
+        for handle in [h for h, kv in self._kv.items() if kv.expires <= now]:
+            self.stats.wasted_tokens += self._kv.pop(handle).computed
+
+    async def _step_loop(self) -> None:
+        while True:
+            cfg = self.cfg
+            batch = len(self._running)
+            pause = cfg.step_s + cfg.step_per_request_s * max(0, batch - 1)
+            await curio.sleep(pause * self.faults.slow)
+            for run in self._running:
+                if run.left > 0 and not run.gone:
+                    token, run.state = next_token(run.state)
+                    run.tokens.append(token)
+                    run.left -= 1
+                    self.stats.decoded_tokens += 1
+            event, self._step = self._step, curio.Event()
+            await event.set()
+
+    async def _handle(self, exchange: Exchange) -> None:
+        path = exchange.req.path
+        if self.faults.down:
+            raise HttpClosed("down")
+        if path in ("/v1/completions", "/v1/chat/completions"):
+            await self._complete(exchange)
+        elif path.startswith("/kv/"):
+            await self._export(exchange, path.removeprefix("/kv/"))
+        elif path == "/metrics":
+            running, waiting = self._reported
+            text = f"vllm:num_requests_running {running}\nvllm:num_requests_waiting {waiting}\n"
+            await exchange.respond(200, text.encode(), {"content-type": "text/plain"})
+        elif path == "/stats":
+            self.stats.running = len(self._running)
+            self.stats.kv_held = len(self._kv)
+            await reply(exchange, self.stats)
+        elif path == "/runs":
+            await reply(exchange, self.runs)
+        else:
+            await reply(exchange, {"error": "no such path"}, 404)
+
+    async def _complete(self, exchange: Exchange) -> None:
+        body = msgspec.json.decode(exchange.req.body)
+        if self.faults.refuse:
+            await reply(exchange, {"error": "refused"}, 503)
+            return
+        params = body.get("kv_transfer_params") or {}
+        if params.get("do_remote_decode"):
+            await self._prefill(exchange, body)
+        else:
+            await self._decode(exchange, body, params)
+
+    async def _prefill(self, exchange: Exchange, body: dict[str, Any]) -> None:
+        words = context_of(body).split(" ")
+        async with self._reader:
+            cached = self._cached(words)
+            todo = max(1, len(words) - cached)
+            await curio.sleep(todo / self.cfg.prefill_rate * self.faults.slow)
+            self._remember(words)
+        self.stats.prefills += 1
+        self.stats.prefill_tokens += todo
+        self.stats.cached_tokens += cached
+        handle = f"{self._rng.getrandbits(64):016x}"
+        self._kv[handle] = _Kv(len(words), todo, await curio.clock() + self.cfg.kv_life_s)
+        answer = {
+            "kv_transfer_params": {
+                "remote_block_ids": [handle],
+                "remote_host": self.cfg.host,
+                "remote_port": self.cfg.port,
+            },
+            "usage": {
+                "prompt_tokens": len(words),
+                "prompt_tokens_details": {"cached_tokens": cached},
+            },
+        }
+        try:
+            await reply(exchange, answer)
+        except HttpClosed:
+            self.stats.wasted_tokens += self._kv.pop(handle).computed
+            raise
+
+    def _blocks(self, words: list[str]) -> list[int]:
+        blocks = []
+        state = 0
+        for start in range(0, len(words) - BLOCK_WORDS + 1, BLOCK_WORDS):
+            state = zlib.crc32(" ".join(words[start : start + BLOCK_WORDS]).encode(), state)
+            blocks.append(state)
+        return blocks
+
+    def _cached(self, words: list[str]) -> int:
+        found = 0
+        for block in self._blocks(words):
+            if block not in self._cache:
+                break
+            found += BLOCK_WORDS
+        return found
+
+    def _remember(self, words: list[str]) -> None:
+        for block in self._blocks(words):
+            self._cache[block] = None
+            self._cache.move_to_end(block)
+        while len(self._cache) > self.cfg.cache_blocks:
+            self._cache.popitem(last=False)
+
+    async def _export(self, exchange: Exchange, handle: str) -> None:
+        kv = self._kv.get(handle)
+        now = await curio.clock()
+        if kv is None or kv.expires <= now:
+            await reply(exchange, {"error": "expired"}, 404)
+            return
+        while self.faults.stall:
+            await curio.sleep(0.05)
+        if self.cfg.link_bytes_per_s:
+            took = kv.tokens * self.cfg.kv_bytes_per_token / self.cfg.link_bytes_per_s
+            self._link_free_at = max(now, self._link_free_at) + took
+            await curio.sleep(self._link_free_at - now)
+        if self._kv.pop(handle, None) is None:
+            await reply(exchange, {"error": "expired"}, 404)
+            return
+        await reply(exchange, {"tokens": kv.tokens})
+
+    async def _decode(
+        self, exchange: Exchange, body: dict[str, Any], params: dict[str, Any]
+    ) -> None:
+        self.stats.waiting += 1
+        run = _Running(zlib.crc32(context_of(body).encode()), int(body.get("max_tokens", 16)))
+        watcher = await curio.spawn(self._watch, exchange, run, daemon=True)
+        try:
+            async with self._slots:
+                self.stats.waiting -= 1
+                self._running.append(run)
+                try:
+                    await self._write_answer(exchange, body, params, run)
+                finally:
+                    self._running.remove(run)
+        finally:
+            await watcher.cancel()
+
+    async def _watch(self, exchange: Exchange, run: _Running) -> None:
+        await exchange.wait_gone()
+        run.gone = True
+
+    async def _write_answer(
+        self, exchange: Exchange, body: dict[str, Any], params: dict[str, Any], run: _Running
+    ) -> None:
+        if params.get("do_remote_prefill") and not await self._import(params):
+            await reply(exchange, {"error": "KV cache expired"}, 410)
+            return
+        ident = exchange.req.headers.get("x-request-id", "")
+        record = {"id": ident, "sent": 0, "end": "running"}
+        self.runs.append(record)
+        try:
+            await self._stream(exchange, body, run, record)
+            record["end"] = "finished"
+            self.stats.finished += 1
+        except (HttpClosed, Gone):
+            record["end"] = "cancelled"
+            self.stats.cancelled += 1
+            raise HttpClosed("gone") from None
+
+    async def _import(self, params: dict[str, Any]) -> bool:
+        client = HttpClient(params["remote_host"], int(params["remote_port"]))
+        try:
+            resp = await client.call("GET", f"/kv/{params['remote_block_ids'][0]}", fresh=True)
+        except HttpClosed:
+            return False
+        return resp.status == 200
+
+    async def _stream(
+        self, exchange: Exchange, body: dict[str, Any], run: _Running, record: dict[str, Any]
+    ) -> None:
+        chat = "messages" in body
+        await exchange.start(200, SSE_HEAD)
+        sent = 0
+        while True:
+            await self._step.wait()
+            if run.gone:
+                raise Gone
+            out = b""
+            while sent < len(run.tokens):
+                last = run.left == 0 and sent == len(run.tokens) - 1
+                out += sse_event(_chunk(run.tokens[sent], "length" if last else None, chat))
+                sent += 1
+            if out:
+                record["sent"] = sent
+                done = run.left == 0
+                await exchange.write(out + (sse_event(b"[DONE]") if done else b""))
+                if done:
+                    await exchange.finish()
+                    return
+
+
+def _chunk(text: str, finish: str | None, chat: bool) -> bytes:
+    choice: dict[str, Any] = {"index": 0, "finish_reason": finish}
+    if chat:
+        choice["delta"] = {"content": text}
+    else:
+        choice["text"] = text
+    return msgspec.json.encode({"choices": [choice]})
--- /dev/null
+++ b/src/crankhinge_standins/main.py
@@ -0,0 +1,55 @@
+"""The command that starts one stand-in."""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+from collections.abc import Awaitable, Callable
+
+import curio
+
+from crankhinge.runtime import get_log
+from crankhinge_standins.engine import EngineConfig, StandinEngine
+from crankhinge_standins.platform import StandinPlatform
+from crankhinge_standins.service import StandinService
+
+
+def _parser() -> argparse.ArgumentParser:
+    parser = argparse.ArgumentParser(prog="crankhinge-standin", description=__doc__)
+    kinds = parser.add_subparsers(dest="kind", required=True)
+    engine = kinds.add_parser("engine", help="a model engine")
+    for field in dataclasses.fields(EngineConfig):
+        flag = "--" + field.name.replace("_", "-")
+        engine.add_argument(flag, type=type(field.default), default=field.default)
+    service = kinds.add_parser("service", help="a plain service")
+    service.add_argument("--work-s", type=float, default=0.01)
+    platform = kinds.add_parser("platform", help="key-value service and list of instances")
+    platform.add_argument("--list-lag-s", type=float, default=1.0)
+    for kind in (service, platform):
+        kind.add_argument("--host", default="127.0.0.1")
+        kind.add_argument("--port", type=int, required=True)
+    return parser
+
+
+def _runner(args: argparse.Namespace) -> Callable[[], Awaitable[None]]:
+    log = get_log(program=f"standin-{args.kind}", port=args.port)
+    if args.kind == "engine":
+        names = [field.name for field in dataclasses.fields(EngineConfig)]
+        cfg = EngineConfig(**{name: getattr(args, name) for name in names})
+        return StandinEngine(cfg, log, seed=cfg.port).run
+    if args.kind == "service":
+        return StandinService(args.host, args.port, args.work_s, log).run
+    return StandinPlatform(args.host, args.port, args.list_lag_s, log).run
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one stand-in until it is killed."""
+    try:
+        curio.run(_runner(_parser().parse_args(argv)))
+    except KeyboardInterrupt:
+        pass
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- /dev/null
+++ b/src/crankhinge_standins/service.py
@@ -0,0 +1,56 @@
+"""A plain service that records every run of every call."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.errors import HttpClosed
+from crankhinge.http import Exchange
+from crankhinge_standins._web import Faults, reply, serve
+
+
+class StandinService:
+    """One replica.
+
+    Args:
+        host: address.
+        port: TCP port.
+        work_s: seconds a call takes.
+        log: for unexpected failures.
+    """
+
+    def __init__(self, host: str, port: int, work_s: float, log: Any) -> None:
+        self._host = host
+        self._port = port
+        self._work_s = work_s
+        self._log = log
+        self.faults = Faults()
+        self.runs: list[dict[str, str]] = []
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        await serve(self._host, self._port, self._handle, self.faults, self._log)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        req = exchange.req
+        if req.path == "/runs":
+            await reply(exchange, self.runs)
+            return
+        if self.faults.down:
+            raise HttpClosed("down")
+        if self.faults.refuse:
+            await reply(exchange, {"error": "refused"}, 503)
+            return
+        run = {
+            "method": req.method,
+            "path": req.path,
+            "key": req.headers.get("idempotency-key", ""),
+            "body": req.body.decode("utf-8", "replace"),
+        }
+        self.runs.append(run)
+        await curio.sleep(self._work_s * self.faults.slow)
+        if self.faults.lose_answers:
+            raise HttpClosed("answer lost")
+        await reply(exchange, {"run": len(self.runs), "body": run["body"]})
