Fresh load on every reply; a bench that plays scenarios against an upper bound

The log's breakdown showed the wait before the prefill engines (median 97 ms against 45 ms of reading): entries chose by reports up to 0.5 s old, and never forgot work that had been done since; the bundle's link rates never reached the router. Decode slots were not the bottleneck there (median wait 2 ms).

--- a/src/crankhinge/agent/_decode.py
+++ b/src/crankhinge/agent/_decode.py
@@ -7,7 +7,8 @@
 import curio
 
 from crankhinge.adapters import DecodeStream, Engine, EngineFailed
-from crankhinge.agent._role import Role
+from crankhinge.agent._role import UNBOUNDED, Role
+from crankhinge.config import Pool
 from crankhinge.decisions import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
 from crankhinge.wire import (
     Cancel,
@@ -52,6 +53,11 @@
         """Refuse new requests; leases already given are honoured."""
         self._table.closed = True
 
+    def apply(self, pool: Pool) -> None:
+        """Take over the number of slots."""
+        if self._table.capacity < UNBOUNDED:
+            self._table.capacity = pool.slots
+
     def load(self, now: float) -> Load:
         """Return the load to report."""
         table = self._table
@@ -111,7 +117,9 @@
     async def _apply(self, decisions: list[SlotDecision]) -> None:
         for decision in decisions:
             if isinstance(decision, Grant):
-                await self.tell(decision.req, Granted(decision.req, decision.ready, decision.lease))
+                req = decision.req
+                load = self.load(await curio.clock())
+                await self.tell(req, Granted(req, decision.ready, decision.lease, load))
             else:
                 await self._apply_refusal(decision)
 
--- a/src/crankhinge/agent/_prefill.py
+++ b/src/crankhinge/agent/_prefill.py
@@ -41,8 +41,10 @@
             self.metrics.count(f"prefill_failed.{exc.code}")
             await self.tell(req, Failed(req, exc.code, exc.ran))
             return 0
-        took = await curio.clock() - began
+        now = await curio.clock()
+        took = now - began
         self.metrics.count("prompt_tokens", result.prompt)
         self.metrics.count("prompt_tokens_cached", result.cached)
-        await self.tell(req, PrefillDone(req, result.kv, result.cached, result.prompt, took))
+        load = self.load(now)
+        await self.tell(req, PrefillDone(req, result.kv, result.cached, result.prompt, took, load))
         return result.prompt - result.cached
--- a/src/crankhinge/agent/_queued.py
+++ b/src/crankhinge/agent/_queued.py
@@ -7,7 +7,8 @@
 
 import curio
 
-from crankhinge.agent._role import Role
+from crankhinge.agent._role import UNBOUNDED, Role
+from crankhinge.config import Pool
 from crankhinge.decisions import Refuse, WorkAsk, WorkQueue
 from crankhinge.wire import Cancel, Link, Load, Message
 
@@ -38,6 +39,11 @@
         """Refuse new requests; those that wait are still done."""
         self._queue.closed = True
 
+    def apply(self, pool: Pool) -> None:
+        """Take over the number of requests that are run at once."""
+        if self._queue.width < UNBOUNDED:
+            self._queue.width = pool.slots
+
     def load(self, now: float) -> Load:
         """Return the load to report."""
         queue = self._queue
--- a/src/crankhinge/agent/_role.py
+++ b/src/crankhinge/agent/_role.py
@@ -8,12 +8,12 @@
 
 import curio
 
-from crankhinge.config import BundleKeeper
+from crankhinge.config import BundleKeeper, Pool
 from crankhinge.errors import LinkClosed
 from crankhinge.runtime import Metrics
 from crankhinge.wire import Failed, Link, Load, Message, Refused
 
-FIRST_COME_S = 0.001
+UNBOUNDED = 1_000_000
 
 
 class Role(abc.ABC):
@@ -49,6 +49,10 @@
     def close(self) -> None:
         """Take no new work from now on."""
 
+    @abc.abstractmethod
+    def apply(self, pool: Pool) -> None:
+        """Take over what the bundle says of this agent's pool."""
+
     @property
     @abc.abstractmethod
     def busy(self) -> bool:
@@ -119,6 +123,7 @@
         self.metrics.count(f"refused.{code}")
         self.log.info("refused", req=f"{req:016x}", code=code, retry_after=round(retry_after, 3))
         try:
-            await link.send(Refused(req, code, retry_after))
+            load = self.load(await curio.clock())
+            await link.send(Refused(req, code, retry_after, load))
         except LinkClosed:
             return
--- a/src/crankhinge/config/_keeper.py
+++ b/src/crankhinge/config/_keeper.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
-import curio
-
 from crankhinge.config._bundle import Bundle, Member, hash_credential
 from crankhinge.config._envelope import open_envelope
 from crankhinge.errors import NotReady
@@ -49,20 +47,25 @@
 
     Args:
         keys: public key of each partner, hex.
+
+    Attributes:
+        view: the bundle in force, indexed; None before the first.
+        envelope: as it was signed, for peers.
+        listeners: called with each new bundle.
     """
 
     def __init__(self, keys: TrustedKeys) -> None:
         self._keys = keys
         self.view: BundleView | None = None
         self.envelope = b""
-        self.changed = curio.Event()
+        self.listeners: list[Callable[[Bundle], None]] = []
 
     @property
     def version(self) -> int:
         """Version in force; 0 without one."""
         return self.view.bundle.version if self.view else 0
 
-    async def offer(self, envelope: bytes) -> bool:
+    def offer(self, envelope: bytes) -> bool:
         """Take the bundle in force if it is newer; returns whether it was.
 
         Raises:
@@ -75,8 +78,8 @@
             return False
         self.view = BundleView(bundle)
         self.envelope = envelope
-        await self.changed.set()
-        self.changed = curio.Event()
+        for listener in self.listeners:
+            listener(bundle)
         return True
 
     def weights(self, member: str) -> Weights:
--- a/src/crankhinge/decisions/_budget.py
+++ b/src/crankhinge/decisions/_budget.py
@@ -16,6 +16,10 @@
         self._burst = burst
         self._tokens = burst
 
+    def set_ratio(self, ratio: float) -> None:
+        """Change the retries allowed per first attempt."""
+        self._ratio = ratio
+
     def first_attempt(self) -> None:
         """Count a request's first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
--- a/src/crankhinge/decisions/_fair.py
+++ b/src/crankhinge/decisions/_fair.py
@@ -15,6 +15,9 @@
 
 Path = tuple[str, ...]
 
+ONE_FLOW: Path = ("all",)
+ONE_WEIGHT = (1.0,)
+
 
 @dataclass
 class _Node:
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -8,12 +8,14 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections import OrderedDict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from crankhinge.decisions._breaker import Breaker
+from crankhinge.decisions._mechanisms import FULL, Mechanisms
 from crankhinge.decisions._rendezvous import rank_by_key
 
 CANDIDATES = 3
@@ -165,13 +167,18 @@
     Args:
         weights: what a choice costs.
         rng: source of the random candidates; seeded in tests.
+        mech: which mechanisms are at work.
     """
 
-    def __init__(self, *, weights: RoutingWeights, rng: random.Random) -> None:
+    def __init__(
+        self, *, weights: RoutingWeights, rng: random.Random, mech: Mechanisms = FULL
+    ) -> None:
         self.weights = weights
         self.backends: dict[str, Backend] = {}
         self.prefixes = PrefixIndex()
         self._rng = rng
+        self._mech = mech
+        self._turn = itertools.count()
 
     def usable(self, pools: Iterable[str], now: float) -> list[Backend]:
         """Return the members of *pools* that may be given new work.
@@ -190,10 +197,20 @@
     def choose(self, pools: Iterable[str], now: float) -> list[Backend]:
         """Return decode or plain backend servers to try, best first."""
         usable = self.usable(pools, now)
+        if not self._mech.load_aware:
+            return self._in_turn(usable)
         usual = _median([b.step_s for b in usable if b.step_s > 0])
         few = self._sample(usable, CANDIDATES)
         return sorted(few, key=lambda b: self._cost(b, usual))
 
+    def _in_turn(self, usable: list[Backend]) -> list[Backend]:
+        """Return all, beginning with the next in turn."""
+        if not usable:
+            return []
+        ordered = sorted(usable, key=lambda b: b.name)
+        start = next(self._turn) % len(ordered)
+        return ordered[start:] + ordered[:start]
+
     def _cost(self, backend: Backend, usual_step_s: float) -> float:
         cost = backend.wait_s()
         if backend.zone != self.weights.zone:
@@ -208,8 +225,10 @@
     ) -> list[Backend]:
         """Return prefill servers to try for a request that is written in *decode_zone*."""
         usable = self.usable(pools, now)
+        if not self._mech.load_aware:
+            return self._in_turn(usable)
         few = {b.name: b for b in self._sample(usable, CANDIDATES)}
-        if ask.prefix:
+        if ask.prefix and self._mech.affinity:
             by_name = {b.name: b for b in usable}
             key = ask.prefix[0].to_bytes(8, "big", signed=False)
             for name in rank_by_key(key, by_name)[:AFFINE]:
@@ -227,9 +246,16 @@
 
     def uncached(self, backend: Backend, ask: RouteAsk) -> int:
         """Return the prompt tokens that would have to be computed there."""
+        if not self._mech.affinity:
+            return max(1, ask.tokens)
         found = self.prefixes.matched(backend.name, ask.prefix) * ask.block_tokens
         return max(1, ask.tokens - found)
 
+    def idle_prefill_s(self, pools: Iterable[str], ask: RouteAsk, now: float) -> float:
+        """Return the seconds that the reading takes on the fastest engine, were it idle."""
+        rates = [b.rate for b in self.usable(pools, now) if b.rate > 0]
+        return ask.tokens / max(rates, default=DEFAULT_RATE)
+
     def transfer_s(self, tokens: int, from_zone: str, to_zone: str) -> float:
         """Return the seconds a transfer of the KV cache takes on an idle link."""
         weights = self.weights
--- a/src/crankhinge/decisions/_slots.py
+++ b/src/crankhinge/decisions/_slots.py
@@ -9,7 +9,8 @@
 
 from dataclasses import dataclass
 
-from crankhinge.decisions._fair import FairQueue
+from crankhinge.decisions._fair import ONE_FLOW, ONE_WEIGHT, FairQueue
+from crankhinge.decisions._mechanisms import FULL, Mechanisms
 
 DEFAULT_HOLD_S = 2.0
 MEAN_GAIN = 0.1
@@ -99,18 +100,23 @@
         capacity: requests the engine holds in memory.
         step_s: seconds between tokens, before any was measured.
         hold_s: seconds a lease lasts beyond the time at which its slot was to be used.
-        ahead: whether slots are leased before they are free.
+        mech: which mechanisms are at work.
     """
 
     def __init__(
-        self, *, capacity: int, step_s: float, hold_s: float = DEFAULT_HOLD_S, ahead: bool = True
+        self,
+        *,
+        capacity: int,
+        step_s: float,
+        hold_s: float = DEFAULT_HOLD_S,
+        mech: Mechanisms = FULL,
     ) -> None:
         self.capacity = capacity
         self.step_s = step_s
         self.foreign = 0
         self.closed = False
         self._hold_s = hold_s
-        self._ahead = ahead
+        self._mech = mech
         self._mean_hold_s = 0.0
         self._leases: dict[int, _Lease] = {}
         self._running: dict[int, _Running] = {}
@@ -158,13 +164,14 @@
         if self.closed:
             return [Refuse(ask.req, "draining", 0.0)]
         wait = self._expected_wait(ask, now)
-        if now + wait > ask.deadline:
+        if self._mech.refuse_early and now + wait > ask.deadline:
             return [Refuse(ask.req, "overloaded", max(0.1, wait))]
+        fair = self._mech.fair
         self._queue.push(
             ask.req,
             ask,
-            path=ask.path,
-            weights=ask.weights,
+            path=ask.path if fair else ONE_FLOW,
+            weights=ask.weights if fair else ONE_WEIGHT,
             deadline=ask.deadline,
             cost=float(ask.max_tokens),
         )
@@ -190,7 +197,7 @@
     def _room_for(self, ask: SlotAsk, now: float) -> bool:
         if self.free > 0:
             return True
-        if not self._ahead:
+        if not self._mech.ahead:
             return False
         by = now + ask.lead
         ending = sum(1 for run in self._running.values() if self._end_of(run, now) <= by)
--- a/src/crankhinge/decisions/_work.py
+++ b/src/crankhinge/decisions/_work.py
@@ -7,7 +7,8 @@
 
 from dataclasses import dataclass
 
-from crankhinge.decisions._fair import FairQueue
+from crankhinge.decisions._fair import ONE_FLOW, ONE_WEIGHT, FairQueue
+from crankhinge.decisions._mechanisms import FULL, Mechanisms
 from crankhinge.decisions._slots import Refuse, rank_weight
 
 RATE_GAIN = 0.2
@@ -37,6 +38,16 @@
     weight: float = 1.0
     partner_weight: float = 1.0
 
+    @property
+    def path(self) -> tuple[str, ...]:
+        """Its flow."""
+        return (str(self.rank), self.partner, self.member)
+
+    @property
+    def weights(self) -> tuple[float, ...]:
+        """The weight of its flow at each level."""
+        return (rank_weight(self.rank), self.partner_weight, self.weight)
+
 
 class WorkQueue:
     """The order of work of one backend server.
@@ -44,12 +55,14 @@
     Args:
         width: requests given to it at once.
         rate: units per second, before any was measured.
+        mech: which mechanisms are at work.
     """
 
-    def __init__(self, *, width: int, rate: float) -> None:
+    def __init__(self, *, width: int, rate: float, mech: Mechanisms = FULL) -> None:
         self.width = width
         self.rate = rate
         self.closed = False
+        self._mech = mech
         self._queue: FairQueue[WorkAsk] = FairQueue()
         self._running: dict[int, tuple[WorkAsk, float]] = {}
         self._waiting_units = 0
@@ -81,13 +94,14 @@
         if self.closed:
             return Refuse(ask.req, "draining", 0.0)
         wait = self.backlog_s(now) + ask.units / self.rate
-        if now + wait > ask.deadline:
+        if self._mech.refuse_early and now + wait > ask.deadline:
             return Refuse(ask.req, "overloaded", max(0.1, wait))
+        fair = self._mech.fair
         self._queue.push(
             ask.req,
             ask,
-            path=(str(ask.rank), ask.partner, ask.member),
-            weights=(rank_weight(ask.rank), ask.partner_weight, ask.weight),
+            path=ask.path if fair else ONE_FLOW,
+            weights=ask.weights if fair else ONE_WEIGHT,
             deadline=ask.deadline,
             cost=float(max(1, ask.units)),
         )
@@ -100,7 +114,8 @@
         late: list[Refuse] = []
         while self.free and (ask := self._queue.pop()) is not None:
             self._waiting_units -= ask.units
-            if now + ask.units / self.rate > ask.deadline:
+            late_by = now + ask.units / self.rate - ask.deadline
+            if self._mech.refuse_early and late_by > 0:
                 late.append(Refuse(ask.req, "overloaded", self.backlog_s(now)))
                 continue
             self._running[ask.req] = (ask, now)
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -12,7 +12,7 @@
 import curio
 
 from crankhinge.config import Policy
-from crankhinge.decisions import Backend, RetryBudget, RouteAsk, Router
+from crankhinge.decisions import FULL, Backend, Mechanisms, RetryBudget, RouteAsk, Router
 from crankhinge.entry._answer import AnswerWriter
 from crankhinge.entry._ask import BLOCK_CHARS, CompletionAsk
 from crankhinge.entry._calls import Calls, LinkLost, Mailbox
@@ -47,6 +47,8 @@
 CHARS_GAIN = 0.05
 SILENT_STREAM_S = 5.0
 MAX_RETRY_AFTER_S = 30.0
+PATIENT_S = 60.0
+LONG_PROMPT_FACTOR = 1.5
 
 
 @dataclass
@@ -57,12 +59,16 @@
         touched: whether a backend server may have worked for it.
         attempts: how often it was tried.
         wasted: prompt tokens read for nothing, as far as this entry knows.
+        slot: time of the lease.
+        read: time at which the prompt was read.
         first: time of the first token.
     """
 
     touched: bool = False
     attempts: int = 0
     wasted: int = 0
+    slot: float = 0.0
+    read: float = 0.0
     first: float = 0.0
 
     @property
@@ -95,16 +101,25 @@
         budget: for retries.
         log: for events.
         metrics: for counters.
+        mech: which mechanisms are at work.
     """
 
     def __init__(
-        self, *, fleet: Fleet, calls: Calls, budget: RetryBudget, log: Any, metrics: Metrics
+        self,
+        *,
+        fleet: Fleet,
+        calls: Calls,
+        budget: RetryBudget,
+        log: Any,
+        metrics: Metrics,
+        mech: Mechanisms = FULL,
     ) -> None:
         self._fleet = fleet
         self._calls = calls
         self._budget = budget
         self._log = log
         self._metrics = metrics
+        self._mech = mech
         self._chars_per_token: dict[str, float] = {}
 
     @property
@@ -137,7 +152,7 @@
             DeadlinePassed: the caller's deadline went by.
         """
         began = await curio.clock()
-        until = began + ask.model.first_token_s * policy.patience
+        until = began + self._patience_s(ask, policy, began)
         limit = ask.terms.deadline_s
         self._budget.first_attempt()
         while True:
@@ -158,11 +173,27 @@
                 # An answer that is under way is worth finishing late.
                 until = max(until, await curio.clock() + ask.model.first_token_s)
 
+    def _patience_s(self, ask: CompletionAsk, policy: Policy, now: float) -> float:
+        """Return the seconds until the first token after which the request is given up.
+
+        A prompt so long that even an idle engine reads it later than the target allows is given
+        the time that it needs: it can't be in time, but it can be answered.
+        """
+        if not self._mech.refuse_early:
+            return PATIENT_S
+        target = ask.model.first_token_s * policy.patience
+        tokens = self.estimate_tokens(ask)
+        route = RouteAsk(tokens, ask.prefix, self._block_tokens(ask))
+        idle = self._router.idle_prefill_s(ask.model.prefill, route, now)
+        return max(target, LONG_PROMPT_FACTOR * idle)
+
     async def _consider_retry(
         self, exc: CrankhingeError, progress: Progress, writer: AnswerWriter
     ) -> None:
         self._metrics.count("attempts_failed")
-        spent = progress.attempts >= MAX_ATTEMPTS or not self._budget.try_retry()
+        spent = progress.attempts >= MAX_ATTEMPTS
+        spent = spent or (self._mech.budget and not self._budget.try_retry())
+        spent = spent or (writer.tokens > 0 and not self._mech.resume)
         self._log.warning(
             "attempt_failed",
             code=exc.code,
@@ -180,11 +211,19 @@
         body = ask.body_after(writer.text, writer.tokens)
         tokens = self.estimate_tokens(ask) + writer.tokens
         route = RouteAsk(tokens, ask.prefix, self._block_tokens(ask))
-        slot = await self._reserve(ask, route, until, ask.max_tokens - writer.tokens)
+        left = ask.max_tokens - writer.tokens
+        kv = b""
+        if not self._mech.reserve:
+            kv = await self._prefill(ask, route, "", body, writer, progress, until)
+        slot = await self._reserve(ask, route, until, left)
+        progress.slot = progress.slot or await curio.clock()
         done = False
         try:
-            kv = await self._prefill(ask, route, slot, body, writer, progress, until)
+            if self._mech.reserve:
+                zone = slot.backend.zone
+                kv = await self._prefill(ask, route, zone, body, writer, progress, until)
             progress.touched = True
+            progress.read = progress.read or await curio.clock()
             await slot.link.send(Decode(slot.box.req, ask.path, body, kv))
             await self._relay(slot, writer, progress)
             done = True
@@ -274,14 +313,13 @@
         self,
         ask: CompletionAsk,
         route: RouteAsk,
-        slot: _Slot,
+        zone: str,
         body: bytes,
         writer: AnswerWriter,
         progress: Progress,
         until: float,
     ) -> bytes:
         now = await curio.clock()
-        zone = slot.backend.zone
         retry_after = 1.0
         for backend in self._router.choose_prefill(ask.model.prefill, route, zone, now):
             try:
--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -213,6 +213,8 @@
             model=ask.model.name,
             rank=ask.terms.rank,
             tokens=writer.tokens,
+            slot_ms=round((progress.slot - began) * 1000, 1),
+            read_ms=round((progress.read - began) * 1000, 1),
             first_ms=round(first * 1000, 1),
             total_ms=round(took * 1000, 1),
             attempts=progress.attempts,
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -3,18 +3,19 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 from typing import Any
 
 import curio
 
 from crankhinge.adapters import Instance, InstanceList
-from crankhinge.config import BundleKeeper
+from crankhinge.config import Bundle, BundleKeeper
 from crankhinge.decisions import Backend, Router, rank_by_key
 from crankhinge.entry._calls import Calls
 from crankhinge.entry._settings import EntrySettings
 from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
 from crankhinge.peers import Beater, BundleSpread
-from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Message, connect_link
+from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Load, Message, connect_link
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 5.0
@@ -92,6 +93,17 @@
         """Agents that this entry has a link to."""
         return len(self._links)
 
+    def apply(self, bundle: Bundle) -> None:
+        """Route by the links' rates that the bundle gives."""
+        transfer = bundle.transfer
+        self.router.weights = replace(
+            self.router.weights,
+            kv_bytes_per_token=transfer.kv_bytes_per_token,
+            same_zone_bytes_per_s=transfer.same_zone_bytes_per_s,
+            cross_zone_bytes_per_s=transfer.cross_zone_bytes_per_s,
+            cross_zone_s=transfer.cross_zone_s,
+        )
+
     def link(self, name: str) -> Link:
         """Return the link to an agent.
 
@@ -220,15 +232,14 @@
     async def _handle(self, link: Link, msg: Message) -> None:
         if await self._spread.handle(link, msg):
             return
+        load = getattr(msg, "load", None)
+        if load is not None:
+            await self._note_load(link, load)
         if isinstance(msg, Beat):
-            await self._note_load(link, msg)
             return
         await self._calls.deliver(link, msg)
 
-    async def _note_load(self, link: Link, msg: Beat) -> None:
-        load = msg.load
-        if load is None:
-            return
+    async def _note_load(self, link: Link, load: Load) -> None:
         self.router.report(
             link.peer.name,
             await curio.clock(),
--- a/src/crankhinge/entry/main.py
+++ b/src/crankhinge/entry/main.py
@@ -11,7 +11,7 @@
 
 from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
 from crankhinge.config import BundleKeeper
-from crankhinge.decisions import RetryBudget, Router, RoutingWeights
+from crankhinge.decisions import RetryBudget, Router, RoutingWeights, mechanisms
 from crankhinge.entry._calls import Calls, RequestIds
 from crankhinge.entry._completion import Completions
 from crankhinge.entry._entry import Entry
@@ -28,6 +28,7 @@
     """Run the entry until *stopping*, then drain."""
     log = log.bind(name=settings.name)
     rng = random.Random(secrets.randbits(64))
+    mech = mechanisms(settings.policy)
     keeper = BundleKeeper(settings.keys)
     metrics = Metrics(prefix=f"crankhinge.entry.{settings.name}", address=settings.statsd)
     kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
@@ -38,7 +39,7 @@
     fleet = Fleet(
         settings=settings,
         instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
-        router=Router(weights=weights, rng=rng),
+        router=Router(weights=weights, rng=rng, mech=mech),
         calls=calls,
         spread=spread,
         keeper=keeper,
@@ -46,14 +47,16 @@
         log=log,
         rng=rng,
     )
+    keeper.listeners.append(fleet.apply)
     budget = RetryBudget()
+    keeper.listeners.append(lambda bundle: budget.set_ratio(bundle.policy.retry_ratio))
     common: dict[str, Any] = {"fleet": fleet, "calls": calls, "budget": budget}
     common.update(log=log, metrics=metrics)
     entry = Entry(
         settings=settings,
         keeper=keeper,
         fleet=fleet,
-        completions=Completions(**common),
+        completions=Completions(**common, mech=mech),
         plain=PlainCalls(**common),
         ids=ids,
         log=log,
--- a/src/crankhinge/peers/_settings.py
+++ b/src/crankhinge/peers/_settings.py
@@ -48,6 +48,7 @@
         beat_s: seconds between heartbeats.
         watch_s: seconds a watch on the bundle waits.
         drain_s: seconds a planned stop may take at most.
+        policy: which mechanisms are at work; anything but ``full`` is for experiments.
     """
 
     name: str
@@ -61,3 +62,4 @@
     beat_s: Seconds = 0.5
     watch_s: Seconds = 60.0
     drain_s: Seconds = 120.0
+    policy: str = "full"
--- a/src/crankhinge/peers/_spread.py
+++ b/src/crankhinge/peers/_spread.py
@@ -72,7 +72,7 @@
     async def offer(self, envelope: bytes, *, source: str) -> None:
         """Take a bundle in force if it is newer and signed, and pass it on."""
         try:
-            newer = await self.keeper.offer(envelope)
+            newer = self.keeper.offer(envelope)
         except BundleError as exc:
             self._log.error("bundle_refused", source=source, why=exc.detail)
             return
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -116,19 +116,29 @@
         req: the request.
         ready: seconds until the slot is expected to be free.
         lease: seconds for which the slot is held unused.
+        load: the agent's load just after.
     """
 
     req: int
     ready: float
     lease: float
+    load: Load | None = None
 
 
 class Refused(_Base, tag=7, frozen=True):
-    """The request was not started here. ``code`` is the class of failure."""
+    """The request was not started here.
+
+    Attributes:
+        req: the request.
+        code: class of failure.
+        retry_after: seconds after which it might be taken.
+        load: the agent's load just after.
+    """
 
     req: int
     code: str
     retry_after: float = 0.0
+    load: Load | None = None
 
 
 class Prefill(_Base, tag=8, frozen=True):
@@ -162,6 +172,7 @@
         cached: prompt tokens found in the prefix cache.
         prompt: prompt tokens.
         took: seconds the engine spent.
+        load: the agent's load just after.
     """
 
     req: int
@@ -169,6 +180,7 @@
     cached: int
     prompt: int
     took: float
+    load: Load | None = None
 
 
 class Decode(_Base, tag=10, frozen=True):
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 import urllib.request
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -31,10 +31,10 @@
 READY_S = 20.0
 STOP_S = 10.0
 POLL_S = 0.05
+READ_AT_ONCE = 2
 
 
-@dataclass(frozen=True)
-class EngineSpec:
+class EngineSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Engines of one pool.
 
     Attributes:
@@ -46,6 +46,8 @@
         prefill_rate: prompt tokens a second.
         kv_life_s: seconds for which a result is kept.
         link_bytes_per_s: rate of an engine's outgoing link; 0 for no limit.
+        kv_bytes_per_token: size of the KV cache of a token.
+        step_per_request_s: seconds a step takes longer for each further request in memory.
     """
 
     pool: str
@@ -56,10 +58,11 @@
     prefill_rate: float = 20_000.0
     kv_life_s: float = 0.8
     link_bytes_per_s: float = 0.0
+    kv_bytes_per_token: int = 100_000
+    step_per_request_s: float = 0.0005
 
 
-@dataclass(frozen=True)
-class ServiceSpec:
+class ServiceSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Replicas of a plain service."""
 
     pool: str
@@ -69,8 +72,7 @@
     work_s: float = 0.01
 
 
-@dataclass(frozen=True)
-class ClusterSpec:
+class ClusterSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """What is started.
 
     Attributes:
@@ -82,6 +84,7 @@
         first_token_s: latency target.
         between_tokens_s: latency target.
         policy: the bundle's policy.
+        mechanisms: which mechanisms are at work; see the policies of ``run``.
         beat_s: seconds between heartbeats.
     """
 
@@ -95,7 +98,8 @@
     zones: tuple[str, ...] = ("naas", "swords", "bray")
     first_token_s: float = 0.43
     between_tokens_s: float = 0.07
-    policy: dict[str, Any] = field(default_factory=dict)
+    policy: dict[str, float] = {}
+    mechanisms: str = "full"
     beat_s: float = 0.5
 
 
@@ -236,6 +240,8 @@
             *("--prefill-rate", str(engine.prefill_rate)),
             *("--kv-life-s", str(engine.kv_life_s)),
             *("--link-bytes-per-s", str(engine.link_bytes_per_s)),
+            *("--kv-bytes-per-token", str(engine.kv_bytes_per_token)),
+            *("--step-per-request-s", str(engine.step_per_request_s)),
         ]
 
     def _engine(self, place: Place) -> EngineSpec:
@@ -249,6 +255,7 @@
             f"port = {port}",
             f'key_value = "{HOST}:{self.platform_port}"',
             f"beat_s = {self.spec.beat_s}",
+            f'policy = "{self.spec.mechanisms}"',
         ]
 
     def _write_settings(self, name: str, lines: list[str]) -> str:
@@ -276,7 +283,7 @@
             return [f"slots = {service.slots}", f"rate = {rate}"]
         engine = self._engine(place)
         if place.kind == "prefill":
-            return ["slots = 2", f"rate = {engine.prefill_rate}"]
+            return [f"slots = {READ_AT_ONCE}", f"rate = {engine.prefill_rate}"]
         return [f"slots = {engine.slots}", f"step_s = {engine.step_s * 1.5}"]
 
     def register(self, place: Place, *, state: str = "live") -> None:
@@ -308,13 +315,25 @@
             out += [f'credential_sha256 = "{hash_credential(self.credentials[name])}"', ""]
         out += self._pool_lines()
         out += self._model_lines()
+        out += self._transfer_lines()
         out += ["[policy]", *(f"{k} = {v}" for k, v in spec.policy.items()), ""]
         return "\n".join(out)
 
+    def _transfer_lines(self) -> list[str]:
+        engine = next(e for e in self.spec.engines if e.kind == "prefill")
+        return [
+            "[transfer]",
+            f"kv_bytes_per_token = {engine.kv_bytes_per_token}",
+            f"same_zone_bytes_per_s = {engine.link_bytes_per_s}",
+            f"cross_zone_bytes_per_s = {engine.link_bytes_per_s}",
+            "",
+        ]
+
     def _pool_lines(self) -> list[str]:
         out = []
         for engine in self.spec.engines:
-            out += ["[[pools]]", f'name = "{engine.pool}"', f'kind = "{engine.kind}"', ""]
+            out += ["[[pools]]", f'name = "{engine.pool}"', f'kind = "{engine.kind}"']
+            out += [f"slots = {READ_AT_ONCE if engine.kind == 'prefill' else engine.slots}", ""]
         for service in self.spec.services:
             out += ["[[pools]]", f'name = "{service.pool}"', 'kind = "plain"']
             out += [f"slots = {service.slots}", "", "[[services]]", f'name = "{service.pool}"']
@@ -391,6 +410,24 @@
         proc.kill()
         proc.wait()
 
+    def start_again(self, name: str) -> None:
+        """Start a process that was killed."""
+        if name.startswith("entry-"):
+            self.start_entry(int(name.removeprefix("entry-")))
+            return
+        place = next(p for p in self.places if p.name == name.removeprefix("backend-"))
+        if name.startswith("backend-"):
+            self.start_backend(place)
+        else:
+            self.start_agent(place)
+
+    def standin_port(self, name: str) -> int:
+        """Return the port of the platform or of a backend server."""
+        if name == "platform":
+            return self.platform_port
+        wanted = name.removeprefix("backend-")
+        return next(p.backend_port for p in self.places if p.name == wanted)
+
     def stop(self) -> None:
         """End every process."""
         for proc in self.procs.values():
--- /dev/null
+++ b/src/crankhinge_bench/_faults.py
@@ -0,0 +1,62 @@
+"""Plays the faults of a scenario beside its load."""
+
+from __future__ import annotations
+
+import signal
+import threading
+import time
+from collections.abc import Callable
+
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._scenario import Fault
+
+
+class FaultPlayer:
+    """Plays faults on a thread of its own.
+
+    Args:
+        cluster: what they befall.
+        faults: in any order.
+    """
+
+    def __init__(self, cluster: Cluster, faults: tuple[Fault, ...]) -> None:
+        self._cluster = cluster
+        steps: list[tuple[float, Callable[[], None]]] = []
+        for fault in faults:
+            begin, end = self._steps(fault)
+            steps += [(fault.at, begin), (fault.at + fault.seconds, end)]
+        self._steps_due = sorted(steps, key=lambda step: step[0])
+        self._thread = threading.Thread(target=self._play, daemon=True)
+
+    def start(self) -> None:
+        """Begin; times count from now."""
+        self._thread.start()
+
+    def join(self) -> None:
+        """Wait until the last fault has been taken back."""
+        self._thread.join()
+
+    def _play(self) -> None:
+        began = time.monotonic()
+        for at, step in self._steps_due:
+            time.sleep(max(0.0, began + at - time.monotonic()))
+            step()
+
+    def _steps(self, fault: Fault) -> tuple[Callable[[], None], Callable[[], None]]:
+        cluster = self._cluster
+        name = fault.target
+        if fault.kind == "kill":
+            return (lambda: cluster.kill(name)), (lambda: cluster.start_again(name))
+        if fault.kind == "pause":
+            return (
+                lambda: cluster.signal(name, signal.SIGSTOP),
+                lambda: cluster.signal(name, signal.SIGCONT),
+            )
+        port = cluster.standin_port(name)
+        key = fault.kind.replace("-", "_")
+        on = fault.factor if fault.kind == "slow" else True
+        off = 1.0 if fault.kind == "slow" else False
+        return (
+            lambda: cluster.faults(port, **{key: on}),
+            lambda: cluster.faults(port, **{key: off}),
+        )
--- /dev/null
+++ b/src/crankhinge_bench/_run.py
@@ -0,0 +1,178 @@
+"""``crankhinge-bench run``: policies side by side on one scenario."""
+
+from __future__ import annotations
+
+import argparse
+import statistics
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.decisions import mechanisms
+from crankhinge_bench._bound import at_load, capacity_per_s, goodput_bound
+from crankhinge_bench._cluster import Cluster, ClusterSpec, http_json
+from crankhinge_bench._faults import FaultPlayer
+from crankhinge_bench._load import LoadRun
+from crankhinge_bench._scenario import Scenario, read_scenario
+from crankhinge_bench._summary import Summary, summarise
+from crankhinge_bench._trace import make_trace
+
+SETTLE_S = 1.0
+
+
+class Cell(msgspec.Struct, kw_only=True):
+    """One run of one policy.
+
+    Attributes:
+        scenario: its name.
+        policy: its name.
+        load: multiple of the capacity.
+        repeat: number of the run, from 0.
+        per_s: requests a second.
+        bound: most requests that could be in time.
+        of_bound: those in time, as a part of it.
+        summary: all figures.
+    """
+
+    scenario: str
+    policy: str
+    load: float
+    repeat: int
+    per_s: float
+    bound: int
+    of_bound: float
+    summary: Summary
+
+
+def service_runs(cluster: Cluster) -> list[dict[str, str]]:
+    """Return every run that the plain services recorded."""
+    plain = [place for place in cluster.places if place.kind == "plain"]
+    return [run for p in plain for run in http_json("GET", p.backend_port, "/runs")]
+
+
+def play(cluster: Cluster, scenario: Scenario, per_s: float, seed: int) -> tuple[Summary, int]:
+    """Play a scenario's trace and faults; returns the figures and the bound."""
+    load = at_load(scenario.load, per_s)
+    trace = make_trace(load, seed)
+    faults = FaultPlayer(cluster, scenario.faults)
+    runner = LoadRun(cluster.entry_ports, cluster.credentials)
+    faults.start()
+    outcomes = curio.run(runner.play, trace)
+    faults.join()
+    time.sleep(SETTLE_S)
+    for seen in outcomes:
+        if seen.first_s:
+            seen.first_s += 2 * scenario.client_delay_s
+    spec = cluster.spec
+    summary = summarise(
+        outcomes,
+        seconds=load.seconds,
+        first_token_s=spec.first_token_s,
+        between_tokens_s=spec.between_tokens_s,
+        engines=cluster.engine_stats(),
+        runs=service_runs(cluster),
+    )
+    return summary, goodput_bound(spec, load, trace)
+
+
+def with_policy(spec: ClusterSpec, policy: str) -> ClusterSpec:
+    """Return *spec* under a named policy."""
+    values = {name: getattr(spec, name) for name in spec.__struct_fields__}
+    return ClusterSpec(**{**values, "mechanisms": policy})
+
+
+def run_scenario(
+    scenario: Scenario, policies: list[str], *, seed: int, repeat: int, logs: Path | None = None
+) -> list[Cell]:
+    """Run every policy at every load, alternately, *repeat* times."""
+    capacity = capacity_per_s(scenario.cluster, scenario.load)
+    cells = []
+    for load in scenario.loads:
+        for number in range(repeat):
+            for policy in policies:
+                spec = with_policy(scenario.cluster, policy)
+                with Cluster(spec, logs=logs) as cluster:
+                    summary, bound = play(cluster, scenario, capacity * load, seed + number)
+                cell = Cell(
+                    scenario=scenario.name,
+                    policy=policy,
+                    load=load,
+                    repeat=number,
+                    per_s=capacity * load,
+                    bound=bound,
+                    of_bound=summary.in_time / max(1, bound),
+                    summary=summary,
+                )
+                print(line_of(cell), file=sys.stderr, flush=True)
+                cells.append(cell)
+    return cells
+
+
+def line_of(cell: Cell) -> str:
+    """Return one run's line for the terminal."""
+    summary = cell.summary
+    return (
+        f"{cell.scenario} load {cell.load:g} {cell.policy:<16} offered {summary.offered:4d} "
+        f"in time {summary.in_time:4d} = {cell.of_bound:6.1%} of bound, "
+        f"waste {summary.wasted_share:6.2%}, refused {summary.refused}, failed {summary.failed}, "
+        f"first p95 {summary.first_p95 * 1000:.0f} ms, broken {summary.broken}"
+    )
+
+
+def table_of(cells: list[Cell]) -> str:
+    """Return medians and spread for each scenario, load and policy."""
+    groups: dict[tuple[str, float, str], list[Cell]] = {}
+    for cell in cells:
+        groups.setdefault((cell.scenario, cell.load, cell.policy), []).append(cell)
+    lines = ["| scenario | load | policy | of bound | goodput/s | waste | broken |"]
+    lines.append("|---|---|---|---|---|---|---|")
+    for (scenario, load, policy), group in groups.items():
+        bound = _spread([cell.of_bound * 100 for cell in group], "%")
+        goodput = _spread([cell.summary.goodput for cell in group], "")
+        waste = _spread([cell.summary.wasted_share * 100 for cell in group], "%")
+        broken = sum(cell.summary.broken for cell in group)
+        lines.append(
+            f"| {scenario} | {load:g} | {policy} | {bound} | {goodput} | {waste} | {broken} |"
+        )
+    return "\n".join(lines)
+
+
+def _spread(values: list[float], unit: str) -> str:
+    middle = statistics.median(values)
+    return f"{middle:.1f}{unit} ({min(values):.1f} to {max(values):.1f})"
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the command; returns the exit status."""
+    policies = args.policy.split(",")
+    for policy in policies:
+        mechanisms(policy)
+    scenarios = [read_scenario(path) for path in args.scenario]
+    logs = Path(args.logs) if args.logs else None
+    cells: list[Cell] = []
+    for scenario in scenarios:
+        cells += run_scenario(scenario, policies, seed=args.seed, repeat=args.repeat, logs=logs)
+    if args.json:
+        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(cells), indent=1))
+    print(table_of(cells))
+    return 0 if not any(cell.summary.broken for cell in cells) else 1
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command's arguments."""
+    parser.add_argument("scenario", nargs="+", help="scenario file (TOML)")
+    parser.add_argument("--policy", default="full,naive", help="names, separated by commas")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--repeat", type=int, default=1)
+    parser.add_argument("--json", default="", help="file for the results")
+    parser.add_argument("--logs", default="", help="directory for the programs' logs")
+    parser.set_defaults(run=run)
+
+
+def read_cells(path: str) -> list[Any]:
+    """Read the results of an earlier run."""
+    return msgspec.json.decode(Path(path).read_bytes(), type=list[Cell])
--- a/src/crankhinge_bench/_trace.py
+++ b/src/crankhinge_bench/_trace.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+
+import msgspec
 
 WORDS = 4000
 
@@ -22,6 +24,7 @@
         path: of a plain call; empty for a completion.
         repeatable: whether it may be run again.
         key: idempotency key of a plain call.
+        shared: whether the prompt begins with a shared prefix.
     """
 
     at: float
@@ -33,10 +36,10 @@
     path: str = ""
     repeatable: bool = True
     key: str = ""
+    shared: bool = False
 
 
-@dataclass(frozen=True)
-class Load:
+class Load(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """How arrivals are drawn.
 
     Attributes:
@@ -53,7 +56,7 @@
         prefix_words: length of a shared prefix.
         prefix_share: part of the requests that begin with one.
         cancel_share: part of the requests whose callers go in mid-answer.
-        members: weight of each member's arrivals.
+        members: weight of each member's arrivals; empty for the first member of the cluster.
         ranks: weight of each priority class.
     """
 
@@ -70,7 +73,7 @@
     prefix_words: int = 256
     prefix_share: float = 0.5
     cancel_share: float = 0.0
-    members: dict[str, float] = field(default_factory=lambda: {"naas-office": 1.0})
+    members: dict[str, float] = {}
     ranks: tuple[float, ...] = (0.1, 0.7, 0.2)
 
 
@@ -86,8 +89,9 @@
     """Return the arrivals, in order of time."""
     rng = random.Random(seed)
     prefixes = [_words(rng, load.prefix_words) for _ in range(load.prefixes)]
-    names = list(load.members)
-    weights = list(load.members.values())
+    shares = load.members or {"naas-office": 1.0}
+    names = list(shares)
+    weights = list(shares.values())
     trace = []
     at = 0.0
     while load.per_s and (at := at + rng.expovariate(load.per_s)) < load.seconds:
@@ -107,9 +111,10 @@
 ) -> Arrival:
     words = _length(rng, load.prompt_words, load.prompt_sigma, load.max_prompt_words)
     prompt = _words(rng, words)
-    if prefixes and rng.random() < load.prefix_share:
+    shared = bool(prefixes) and rng.random() < load.prefix_share
+    if shared:
         prompt = f"{rng.choice(prefixes)} {prompt}"
     tokens = _length(rng, load.output_tokens, load.output_sigma, load.max_output_tokens)
     cancel = rng.randint(1, tokens) if rng.random() < load.cancel_share else 0
     rank = rng.choices(range(len(load.ranks)), load.ranks)[0]
-    return Arrival(at, member, prompt, tokens, rank, cancel)
+    return Arrival(at, member, prompt, tokens, rank, cancel, shared=shared)
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -8,9 +8,12 @@
 from types import FrameType
 
 from crankhinge import __version__
+from crankhinge.errors import CrankhingeError
 from crankhinge_bench._demo import demo
+from crankhinge_bench._run import add_arguments as add_run
 
 PROGRAM = "crankhinge-bench"
+EXIT_BAD_INPUT = 2
 
 
 def make_parser() -> argparse.ArgumentParser:
@@ -19,6 +22,7 @@
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     verbs = parser.add_subparsers(dest="verb", required=True)
     verbs.add_parser("demo", help="the whole system for some seconds").set_defaults(run=demo)
+    add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
     return parser
 
 
@@ -36,6 +40,9 @@
     args = make_parser().parse_args(argv)
     try:
         return int(args.run(args))
+    except CrankhingeError as exc:
+        print(f"{PROGRAM}: {exc.detail}", file=sys.stderr)
+        return EXIT_BAD_INPUT
     except KeyboardInterrupt:
         print("interrupted; every process is ended", file=sys.stderr)
         return 0
