Route by work left now, aim a little before the target

Cause: an entry's view of a prefill queue did not shrink between reports, and the lead of a lease left out the first decode step, so that one answer in ten came just after the target at load 2.0. Change: pending work is the report plus what was sent less the time since; the lead includes a step; requests aim at 85 to 95 % of the target by the bundle's waste_weight.

--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -82,12 +82,16 @@
         """Whether it likely has room, by the report and what was sent since."""
         return self.free - self.sent > 0
 
-    def wait_s(self) -> float:
-        """Return the seconds a new request would wait, by the report and what was sent since."""
+    def pending_s(self, now: float) -> float:
+        """Return the work it has left, by the last report and what was sent and done since."""
+        return max(0.0, self.backlog_s + self.sent_s - (now - self.reported))
+
+    def wait_s(self, now: float) -> float:
+        """Return the seconds a new request would wait for room."""
         if self.seems_free:
             return 0.0
         beyond = self.sent - self.free + 1
-        return self.backlog_s + self.sent_s + beyond * QUEUED_S
+        return self.pending_s(now) + beyond * QUEUED_S
 
 
 @dataclass(frozen=True)
@@ -201,7 +205,7 @@
             return self._in_turn(usable)
         usual = _median([b.step_s for b in usable if b.step_s > 0])
         few = self._sample(usable, CANDIDATES)
-        return sorted(few, key=lambda b: self._cost(b, usual))
+        return sorted(few, key=lambda b: self._cost(b, usual, now))
 
     def _in_turn(self, usable: list[Backend]) -> list[Backend]:
         """Return all, beginning with the next in turn."""
@@ -211,8 +215,8 @@
         start = next(self._turn) % len(ordered)
         return ordered[start:] + ordered[:start]
 
-    def _cost(self, backend: Backend, usual_step_s: float) -> float:
-        cost = backend.wait_s()
+    def _cost(self, backend: Backend, usual_step_s: float, now: float) -> float:
+        cost = backend.wait_s(now)
         if backend.zone != self.weights.zone:
             cost += 2 * self.weights.cross_zone_s
         if usual_step_s and backend.step_s > SLOW_FACTOR * usual_step_s:
@@ -233,13 +237,14 @@
             key = ask.prefix[0].to_bytes(8, "big", signed=False)
             for name in rank_by_key(key, by_name)[:AFFINE]:
                 few[name] = by_name[name]
-        return sorted(few.values(), key=lambda b: self.prefill_cost_s(b, ask, decode_zone))
+        return sorted(few.values(), key=lambda b: self.prefill_cost_s(b, ask, decode_zone, now))
 
-    def prefill_cost_s(self, backend: Backend, ask: RouteAsk, decode_zone: str) -> float:
+    def prefill_cost_s(
+        self, backend: Backend, ask: RouteAsk, decode_zone: str, now: float
+    ) -> float:
         """Return the seconds until the prompt is read there and in the decode engine's memory."""
         return (
-            backend.backlog_s
-            + backend.sent_s
+            backend.pending_s(now)
             + self.uncached(backend, ask) / (backend.rate or DEFAULT_RATE)
             + self.transfer_s(ask.tokens, backend.zone, decode_zone)
         )
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -49,6 +49,8 @@
 MAX_RETRY_AFTER_S = 30.0
 PATIENT_S = 60.0
 LONG_PROMPT_FACTOR = 1.5
+MARGIN = 0.05
+MARGIN_BY_WASTE = 0.1
 
 
 @dataclass
@@ -181,7 +183,8 @@
         """
         if not self._mech.refuse_early:
             return PATIENT_S
-        target = ask.model.first_token_s * policy.patience
+        aim = 1.0 - MARGIN - MARGIN_BY_WASTE * policy.waste_weight
+        target = ask.model.first_token_s * policy.patience * aim
         tokens = self.estimate_tokens(ask)
         route = RouteAsk(tokens, ask.prefix, self._block_tokens(ask))
         idle = self._router.idle_prefill_s(ask.model.prefill, route, now)
@@ -303,7 +306,8 @@
         best = self._router.choose_prefill(ask.model.prefill, route, backend.zone, now)
         if not best:
             raise NoBackend(f"no prefill engine for {ask.model.name}", retry_after_s=1.0)
-        return self._router.prefill_cost_s(best[0], route, backend.zone)
+        read = self._router.prefill_cost_s(best[0], route, backend.zone, now)
+        return read + backend.step_s
 
     async def _answer(self, box: Mailbox, seconds: float) -> Any:
         """Return the agent's next message, or None when none comes in time."""
