--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -6,6 +6,8 @@
 
 import curio
 
+from crankhinge.adapters import InstanceList, KeyValue
+from crankhinge.agent._fence_desk import FenceDesk
 from crankhinge.agent._role import Role
 from crankhinge.agent._settings import AgentSettings
 from crankhinge.config import BundleKeeper
@@ -23,6 +25,8 @@
     Args:
         settings: its settings.
         role: what it does for its backend server.
+        kv: the key-value service.
+        instances: the platform's list.
         spread: keeps its bundle.
         keeper: holds its bundle.
         incarnation: larger each time it starts.
@@ -34,6 +38,8 @@
         *,
         settings: AgentSettings,
         role: Role,
+        kv: KeyValue,
+        instances: InstanceList,
         spread: BundleSpread,
         keeper: BundleKeeper,
         incarnation: int,
@@ -46,6 +52,16 @@
         self._incarnation = incarnation
         self._log = log
         self._beater = Beater(settings.beat_s, self._make_beat)
+        self._fence = FenceDesk(
+            me=settings.name,
+            writer=incarnation,
+            kv=kv,
+            instances=instances,
+            make_hello=self._hello,
+            run_link=self._run_link,
+            log=log,
+        )
+        keeper.listeners.append(self._fence.apply)
 
     def _make_beat(self, now: float) -> Beat:
         return Beat(self._keeper.version, self._role.load(now))
@@ -70,6 +86,7 @@
         supervisor.add("beats", self._beater.run)
         supervisor.add("role", self._role.run)
         supervisor.add("bundle", self._spread.watch)
+        supervisor.add("fence", self._fence.run)
         await supervisor.run()
 
     async def _listen(self) -> None:
@@ -81,8 +98,15 @@
         except (WireError, LinkClosed) as exc:
             self._log.info("link_refused", peer=str(addr), code=exc.code, why=exc.detail)
             return
+        await self._run_link(link)
+
+    async def _run_link(self, link: Link) -> None:
+        """Serve a link until it ends, whichever side opened it."""
         self._beater.links.add(link)
+        is_agent = link.peer.role != "entry"
         try:
+            if is_agent:
+                await self._fence.linked(link)
             await self._spread.linked(link)
             await self._beater.beat_soon()
             await link.run(self._handle)
@@ -92,10 +116,14 @@
             link.closed = True
             self._beater.links.discard(link)
             self._spread.unlinked(link)
+            if is_agent:
+                await self._fence.unlinked(link)
             await self._role.forget(link)
 
     async def _handle(self, link: Link, msg: Message) -> None:
-        if not await self._spread.handle(link, msg):
+        if await self._spread.handle(link, msg):
+            return
+        if not await self._fence.handle(link, msg):
             await self._role.handle(link, msg)
 
     async def drain(self) -> None:
--- /dev/null
+++ b/src/crankhinge/agent/_fence_desk.py
@@ -0,0 +1,273 @@
+"""The agent's share in the records of non-repeatable requests: links, clock and key-value calls.
+
+Every decision is made by :class:`crankhinge.decisions.FencePair`.
+"""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.adapters import Instance, InstanceList, KeyValue, Value
+from crankhinge.config import Bundle, fence_range
+from crankhinge.decisions import (
+    FenceAction,
+    FencePair,
+    FenceRecord,
+    ReadRecord,
+    Reply,
+    Send,
+    SwapRecord,
+)
+from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
+from crankhinge.wire import (
+    FenceJoined,
+    FenceState,
+    FenceSync,
+    Link,
+    Message,
+    Permit,
+    Refused,
+    Release,
+    Settle,
+    Take,
+    Taken,
+    connect_link,
+)
+
+TICK_S = 0.5
+DIAL_PAUSE_S = 1.0
+KEY_PREFIX = "crankhinge/fence/"
+RETRY_AFTER_S = 1.0
+
+OnLink = Callable[[Link], Awaitable[None]]
+
+
+class FenceDesk:
+    """Keeps one :class:`FencePair` for each range that names this agent.
+
+    Args:
+        me: this agent's name.
+        writer: identity of this start.
+        kv: the key-value service.
+        instances: the platform's list, to find the other holders.
+        make_hello: makes the Hello of a link to another agent.
+        run_link: runs such a link, as if it had been accepted.
+        log: for events.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        writer: int,
+        kv: KeyValue,
+        instances: InstanceList,
+        make_hello: Callable[[], Any],
+        run_link: OnLink,
+        log: Any,
+    ) -> None:
+        self._me = me
+        self._writer = writer
+        self._kv = kv
+        self._instances = instances
+        self._make_hello = make_hello
+        self._run_link = run_link
+        self._log = log
+        self._pairs: dict[str, FencePair] = {}
+        self._links: dict[str, Link] = {}
+        self._askers: dict[int, Link] = {}
+        self._rng = random.Random(me)
+
+    def apply(self, bundle: Bundle) -> None:
+        """Take over which records this agent holds."""
+        wanted: dict[str, str] = {}
+        for pool in bundle.pools:
+            for number, (first, second) in enumerate(pool.fence):
+                if self._me in (first, second):
+                    other = second if self._me == first else first
+                    wanted[fence_range(pool.name, number, (first, second))] = other
+        for range_id in [known for known in self._pairs if known not in wanted]:
+            del self._pairs[range_id]
+        for range_id, other in wanted.items():
+            if range_id not in self._pairs:
+                self._pairs[range_id] = FencePair(
+                    range_id=range_id, me=self._me, other=other, writer=self._writer
+                )
+
+    async def run(self) -> None:
+        """Tick and keep the links to the other holders until cancelled."""
+        dialers: dict[str, curio.Task] = {}
+        known: set[str] = set()
+        while True:
+            for pair in list(self._pairs.values()):
+                if pair.range_id not in known and pair.other in self._links:
+                    await self._act(pair, pair.on_linked())
+                known.add(pair.range_id)
+                if pair.other not in dialers and self._me < pair.other:
+                    dialers[pair.other] = await curio.spawn(self._dial, pair.other, daemon=True)
+                before = pair.role
+                await self._act(pair, pair.on_tick(await curio.clock()))
+                if pair.role is not before:
+                    self._log_role(pair)
+            await curio.sleep(TICK_S)
+
+    def _log_role(self, pair: FencePair) -> None:
+        self._log.info("fence_role", range=pair.range_id, role=pair.role.value, epoch=pair.epoch)
+
+    async def _dial(self, name: str) -> None:
+        while True:
+            try:
+                place = await self._find(name)
+                if place is not None and name not in self._links:
+                    link = await connect_link(place.host, place.port, self._make_hello())
+                    await self._run_link(link)
+            except (LinkClosed, WireError, KeyValueUnavailable) as exc:
+                self._log.info("fence_link_failed", agent=name, code=exc.code, why=exc.detail)
+            await curio.sleep(DIAL_PAUSE_S * self._rng.uniform(0.5, 1.5))
+
+    async def _find(self, name: str) -> Instance | None:
+        listed = await self._instances.agents()
+        return next((instance for instance in listed if instance.name == name), None)
+
+    async def linked(self, link: Link) -> None:
+        """Note a link to another agent."""
+        name = link.peer.name
+        self._links[name] = link
+        for pair in self._with(name):
+            await self._act(pair, pair.on_linked())
+
+    async def unlinked(self, link: Link) -> None:
+        """Note the end of a link."""
+        name = link.peer.name
+        if self._links.get(name) is not link:
+            return
+        del self._links[name]
+        for pair in self._with(name):
+            await self._act(pair, pair.on_unlinked(await curio.clock()))
+
+    def _with(self, name: str) -> list[FencePair]:
+        return [pair for pair in self._pairs.values() if pair.other == name]
+
+    async def handle(self, link: Link, msg: Message) -> bool:
+        """Act on a message about a record; returns whether it was one."""
+        if isinstance(msg, Permit):
+            await self._permit(link, msg)
+            return True
+        if not isinstance(
+            msg, Take | Taken | Settle | Release | FenceState | FenceSync | FenceJoined
+        ):
+            return False
+        pair = self._pairs.get(msg.range_id)
+        if pair is None:
+            return True
+        before = pair.role
+        await self._act(pair, _decide(pair, msg, await curio.clock()))
+        if pair.role is not before:
+            self._log_role(pair)
+        return True
+
+    async def _permit(self, link: Link, msg: Permit) -> None:
+        pair = self._pairs.get(msg.range_id)
+        self._askers[msg.req] = link
+        if pair is None:
+            await self._reply(Reply(msg.req, None))
+            return
+        now = await curio.clock()
+        await self._act(pair, pair.on_permit(msg, now, _wall_ms()))
+
+    async def _act(self, pair: FencePair, actions: list[FenceAction]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                await self._send(pair.other, action.msg)
+            elif isinstance(action, Reply):
+                await self._reply(action)
+            else:
+                await curio.spawn(self._call, pair, action, daemon=True)
+
+    async def _send(self, name: str, msg: Message) -> None:
+        link = self._links.get(name)
+        if link is None:
+            return
+        try:
+            await link.send(msg)
+        except LinkClosed:
+            return
+
+    async def _reply(self, action: Reply) -> None:
+        link = self._askers.pop(action.req, None)
+        if link is None:
+            return
+        answer = action.msg or Refused(action.req, "fence-unavailable", RETRY_AFTER_S)
+        try:
+            await link.send(answer)
+        except LinkClosed:
+            return
+
+    async def _call(self, pair: FencePair, action: ReadRecord | SwapRecord) -> None:
+        """Make one call to the key-value service and feed its answer back."""
+        before = pair.role
+        try:
+            if isinstance(action, ReadRecord):
+                value = await self._kv.get(_key_of(pair.range_id))
+                record, index = _record_of(value)
+                now = await curio.clock()
+                out = pair.on_record(record, index, now, _wall_ms())
+            else:
+                data = msgspec.json.encode(list(action.new))
+                won = await self._kv.swap(_key_of(pair.range_id), data, action.index)
+                out = pair.on_swapped(won, await curio.clock(), _wall_ms())
+        except KeyValueUnavailable:
+            if isinstance(action, ReadRecord):
+                out = pair.on_no_record()
+            else:
+                out = pair.on_swapped(None, await curio.clock(), _wall_ms())
+        if self._pairs.get(pair.range_id) is not pair:
+            return
+        if pair.role is not before:
+            self._log_role(pair)
+        await self._act(pair, out)
+
+
+def _decide(
+    pair: FencePair,
+    msg: Take | Taken | Settle | Release | FenceState | FenceSync | FenceJoined,
+    now: float,
+) -> list[FenceAction]:
+    if isinstance(msg, Take):
+        return pair.on_take(msg, now)
+    if isinstance(msg, Taken):
+        return pair.on_taken(msg)
+    if isinstance(msg, Settle):
+        return pair.on_settle(msg)
+    if isinstance(msg, Release):
+        return pair.on_release(msg)
+    if isinstance(msg, FenceState):
+        return pair.on_state(msg, now)
+    if isinstance(msg, FenceSync):
+        return pair.on_sync(msg)
+    return pair.on_joined(msg, now)
+
+
+def _key_of(range_id: str) -> str:
+    """Return the key of a record's head: the same when its holders are changed."""
+    return KEY_PREFIX + range_id.rpartition("/")[0]
+
+
+def _record_of(value: Value | None) -> tuple[FenceRecord | None, int]:
+    if value is None:
+        return None, 0
+    try:
+        epoch, holder, writer = msgspec.json.decode(value.data, type=tuple[int, str, int])
+    except msgspec.DecodeError as exc:
+        raise KeyValueUnavailable(f"unreadable fence record: {exc}") from exc
+    return FenceRecord(epoch, holder, writer), value.index
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/src/crankhinge/agent/main.py
+++ b/src/crankhinge/agent/main.py
@@ -9,7 +9,7 @@
 
 import curio
 
-from crankhinge.adapters.consul import ConsulKeyValue
+from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
 from crankhinge.adapters.http_service import HttpService
 from crankhinge.adapters.openai_engine import OpenAiEngine
 from crankhinge.agent._agent import Agent
@@ -61,6 +61,8 @@
     agent = Agent(
         settings=settings,
         role=role,
+        kv=kv,
+        instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
         spread=BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng),
         keeper=keeper,
         incarnation=time.time_ns(),
--- a/src/crankhinge/config/__init__.py
+++ b/src/crankhinge/config/__init__.py
@@ -9,6 +9,7 @@
     Pool,
     Service,
     Transfer,
+    fence_range,
     hash_credential,
     parse_bundle,
 )
@@ -39,6 +40,7 @@
     "Transfer",
     "TrustedKeys",
     "Weights",
+    "fence_range",
     "hash_credential",
     "load_private_key",
     "new_key_pair",
--- a/src/crankhinge/config/_bundle.py
+++ b/src/crankhinge/config/_bundle.py
@@ -96,14 +96,14 @@
         kind: what its backend servers do.
         slots: requests that a decode engine holds in memory, prompts that a prefill engine reads
             at once, or calls that a plain service takes at once.
-        fence: for a plain pool, the two backend servers whose agents keep the record of its
-            non-repeatable requests; of different availability zones.
+        fence: pairs of agents, of different availability zones, that keep the record of the
+            pool's non-repeatable requests; the keys are spread over the pairs.
     """
 
     name: Name
     kind: Literal["prefill", "decode", "plain"]
     slots: Count = 20
-    fence: tuple[Name, ...] = ()
+    fence: tuple[tuple[Name, Name], ...] = ()
 
 
 class Service(_Model, frozen=True):
@@ -180,6 +180,11 @@
         return max(fits, key=lambda service: len(service.path), default=None)
 
 
+def fence_range(pool: str, number: int, holders: tuple[str, str]) -> str:
+    """Return the identity of a record: its pool, place and holders."""
+    return f"{pool}/{number}/{holders[0]}+{holders[1]}"
+
+
 def hash_credential(credential: str) -> str:
     """Return what a bundle keeps of a member's bearer credential."""
     return hashlib.sha256(credential.encode()).hexdigest()
@@ -234,8 +239,8 @@
     for service in bundle.services:
         _check_pools(bundle, f"services: {service.name}", (service.pool,), "plain")
     for pool in bundle.pools:
-        if pool.fence and len(set(pool.fence)) != 2:
-            raise BundleError(f"pools: {pool.name}: fence names two different backend servers")
+        if any(first == second for first, second in pool.fence):
+            raise BundleError(f"pools: {pool.name}: fence pairs name two different agents")
 
 
 def _check_pools(bundle: Bundle, where: str, names: tuple[str, ...], kind: str) -> None:
--- /dev/null
+++ b/src/crankhinge/decisions/_fence.py
@@ -0,0 +1,521 @@
+"""A record of non-repeatable requests, held in the memory of two agents in different zones.
+
+Leave to run is given for a key once. While both holders live, each gives leave only when the
+other has written the key down too, so either may die and no key is forgotten, and one that was
+paused can't give leave behind the other's back. Only a change of who holds the record goes
+through the key-value service, by compare-and-swap on its epoch: a holder that has lost the other
+must win that swap before it may go on alone, and a holder that starts with an empty memory must
+see there that the copy it was sent is the present one. When both memories are lost at once, keys
+born before that moment are answered "unknown", never run: a key is a UUID of version 7 (RFC 9562)
+and carries the time of its birth.
+
+This module only decides: events in, actions out, no I/O.
+"""
+
+from __future__ import annotations
+
+import enum
+import uuid
+from collections import OrderedDict
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from crankhinge.decisions._fence_messages import (
+    Answer,
+    FenceJoined,
+    FenceRow,
+    FenceState,
+    FenceSync,
+    Permit,
+    Permitted,
+    Release,
+    Settle,
+    Take,
+    Taken,
+    TakenBefore,
+)
+
+KEEP_S = 900.0
+SKEW_MS = 5_000
+GRACE_S = 3.0
+LONE_GRACE_S = 15.0
+SYNC_TIMEOUT_S = 5.0
+SYNC_ROWS = 500
+MAX_ANSWER_BYTES = 4096
+UUID7 = 7
+UNAVAILABLE = "fence-unavailable"
+TOO_OLD = "key-too-old"
+BAD_KEY = "bad-key"
+
+
+class FenceRole(enum.Enum):
+    """What a holder may do.
+
+    JOINING has no record it can trust and gives no leave; PAIRED gives leave with the other's
+    consent; SOLO gives leave alone.
+    """
+
+    JOINING = "joining"
+    PAIRED = "paired"
+    SOLO = "solo"
+
+
+class FenceRecord(NamedTuple):
+    """What the key-value service holds of a record: who may give leave.
+
+    Attributes:
+        epoch: grows with each change.
+        holder: the one that is alone; empty while both hold it.
+        writer: identity of the swap, to recognise it when its answer was lost.
+    """
+
+    epoch: int
+    holder: str
+    writer: int
+
+
+@dataclass(frozen=True)
+class Send:
+    """Send *msg* to the other holder."""
+
+    msg: FenceJoined | FenceState | FenceSync | Release | Settle | Take | Taken
+
+
+@dataclass(frozen=True)
+class Reply:
+    """Answer the entry that asked; ``None`` stands for "not now, and nothing was run"."""
+
+    req: int
+    msg: Permitted | TakenBefore | None
+
+
+@dataclass(frozen=True)
+class ReadRecord:
+    """Read the record's head in the key-value service; answer with :meth:`FencePair.on_record`."""
+
+
+@dataclass(frozen=True)
+class SwapRecord:
+    """Swap the head; answer with :meth:`FencePair.on_swapped`.
+
+    Attributes:
+        index: what the swap compares; 0 when there is none yet.
+        new: the head to write.
+    """
+
+    index: int
+    new: FenceRecord
+
+
+FenceAction = Send | Reply | ReadRecord | SwapRecord
+
+
+@dataclass
+class _Key:
+    """A key that is written down.
+
+    Attributes:
+        digest: of the request.
+        nonce: attempt that has leave, or asks for it.
+        at: when, seconds.
+        asking: whether the other holder has yet to consent.
+        answer: how it ended.
+    """
+
+    digest: bytes
+    nonce: int
+    at: float
+    asking: bool = False
+    answer: Answer | None = None
+
+
+@dataclass
+class _Copy:
+    """A copy of the record that arrives."""
+
+    epoch: int
+    since_ms: int
+    sync: int
+    rows: list[FenceRow] = field(default_factory=list)
+    whole: bool = False
+    told: bool = False
+
+
+def born_ms(key: str) -> int | None:
+    """Return the birth of a key in milliseconds since the epoch; None when it is no UUIDv7."""
+    try:
+        value = uuid.UUID(key.rpartition("/")[2])
+    except ValueError:
+        return None
+    return value.int >> 80 if value.version == UUID7 else None
+
+
+class FencePair:
+    """One holder's side of one record.
+
+    Args:
+        range_id: which record.
+        me: this holder.
+        other: the other holder.
+        writer: identity of this start of this process; its swaps are recognised by it.
+    """
+
+    def __init__(self, *, range_id: str, me: str, other: str, writer: int) -> None:
+        self.range_id = range_id
+        self.me = me
+        self.other = other
+        self.role = FenceRole.JOINING
+        self.epoch = 0
+        self.since_ms = 0
+        self._writer = writer
+        self._keys: OrderedDict[str, _Key] = OrderedDict()
+        self._linked = False
+        self._lost_at: float | None = None
+        self._other_state = ""
+        self._copy: _Copy | None = None
+        self._sync = 0
+        self._syncing_until = 0.0
+        self._swap: FenceRecord | None = None
+        self._reading = False
+
+    def __len__(self) -> int:
+        return len(self._keys)
+
+    # -- entries ------------------------------------------------------------------------------
+
+    def on_permit(self, msg: Permit, now: float, wall_ms: int) -> list[FenceAction]:
+        """Decide on leave for one attempt.
+
+        Args:
+            msg: what an entry asks.
+            now: seconds, monotonic.
+            wall_ms: milliseconds since the epoch.
+        """
+        known = self._keys.get(msg.key)
+        if known is not None and self.role is not FenceRole.JOINING:
+            return self._on_known(msg, known)
+        cause = self._birth_problem(msg.key, wall_ms)
+        if cause:
+            return [Reply(msg.req, TakenBefore(msg.req, cause=cause))]
+        if self.role is FenceRole.SOLO and self._may_go_alone(now):
+            self._keys[msg.key] = _Key(msg.digest, msg.req, now)
+            return [Reply(msg.req, Permitted(msg.req))]
+        if self.role is FenceRole.PAIRED and self._linked and self._swap is None:
+            self._keys[msg.key] = _Key(msg.digest, msg.req, now, asking=True)
+            return [Send(Take(self.range_id, self.epoch, msg.key, msg.digest, msg.req))]
+        return [Reply(msg.req, None)]
+
+    def _may_go_alone(self, now: float) -> bool:
+        return self._swap is None and now >= self._syncing_until
+
+    def _on_known(self, msg: Permit, known: _Key) -> list[FenceAction]:
+        if known.nonce == msg.req:
+            return [] if known.asking else [Reply(msg.req, Permitted(msg.req))]
+        same = known.digest == msg.digest
+        return [Reply(msg.req, TakenBefore(msg.req, same, known.answer if same else None))]
+
+    def _birth_problem(self, key: str, wall_ms: int) -> str:
+        """Return why a key that isn't written down can't be taken for new; empty if it can."""
+        born = born_ms(key)
+        if born is None or born > wall_ms + SKEW_MS:
+            return BAD_KEY
+        oldest = max(self.since_ms + 2 * SKEW_MS, wall_ms - int(KEEP_S * 1000) // 2)
+        if self.role is not FenceRole.JOINING and born < oldest:
+            return TOO_OLD
+        return ""
+
+    def on_settle(self, msg: Settle) -> list[FenceAction]:
+        """Write down how an attempt ended, and pass it on once."""
+        known = self._keys.get(msg.key)
+        if known is None or known.nonce != msg.req or known.answer is not None:
+            return []
+        known.answer = msg.answer
+        return [Send(msg)] if self._linked else []
+
+    def on_release(self, msg: Release) -> list[FenceAction]:
+        """Free the key of an attempt that has not run and never will."""
+        known = self._keys.get(msg.key)
+        if known is None or known.nonce != msg.req or known.answer is not None:
+            return []
+        del self._keys[msg.key]
+        return [Send(msg)] if self._linked else []
+
+    # -- the other holder ---------------------------------------------------------------------
+
+    def on_linked(self) -> list[FenceAction]:
+        """The connection to the other holder is up."""
+        self._linked = True
+        self._lost_at = None
+        return [self._tell()]
+
+    def on_unlinked(self, now: float) -> list[FenceAction]:
+        """The connection is gone: what waited for consent is answered "not now"."""
+        self._linked = False
+        self._lost_at = now
+        self._other_state = ""
+        self._copy = None
+        return self._drop_asking()
+
+    def _drop_asking(self) -> list[FenceAction]:
+        asking = [(key, known) for key, known in self._keys.items() if known.asking]
+        for key, _ in asking:
+            del self._keys[key]
+        return [Reply(known.nonce, None) for _, known in asking]
+
+    def _tell(self) -> Send:
+        return Send(FenceState(self.range_id, self.role.value, self.epoch))
+
+    def on_take(self, msg: Take, now: float) -> list[FenceAction]:
+        """Write a key down for the other holder."""
+        valid = self.role is FenceRole.PAIRED and msg.epoch == self.epoch
+        if not valid:
+            return [self._taken(msg, valid=False, fresh=False)]
+        known = self._keys.get(msg.key)
+        out: list[FenceAction] = []
+        if known is not None and known.nonce != msg.nonce:
+            if not known.asking or self.me < self.other:
+                return [self._taken(msg, valid=True, fresh=False)]
+            # Both were asked at once for one key: the holder with the smaller name goes first.
+            out.append(Reply(known.nonce, TakenBefore(known.nonce, known.digest == msg.digest)))
+        self._keys[msg.key] = _Key(msg.digest, msg.nonce, now)
+        out.append(self._taken(msg, valid=True, fresh=True))
+        return out
+
+    def _taken(self, msg: Take, *, valid: bool, fresh: bool) -> Send:
+        return Send(Taken(self.range_id, msg.key, msg.nonce, valid, fresh, self.epoch))
+
+    def on_taken(self, msg: Taken) -> list[FenceAction]:
+        """Act on the other holder's consent or refusal."""
+        known = self._keys.get(msg.key)
+        if known is None or known.nonce != msg.nonce or not known.asking:
+            return []
+        if msg.valid and msg.fresh and self.role is FenceRole.PAIRED:
+            known.asking = False
+            return [Reply(msg.nonce, Permitted(msg.nonce))]
+        del self._keys[msg.key]
+        if msg.valid:
+            return [Reply(msg.nonce, TakenBefore(msg.nonce))]
+        out: list[FenceAction] = [Reply(msg.nonce, None)]
+        if msg.epoch > self.epoch:
+            out += self._step_down()
+        return out
+
+    def on_state(self, msg: FenceState, now: float) -> list[FenceAction]:
+        """Act on what the other holder says of itself."""
+        self._other_state = msg.state
+        if msg.epoch > self.epoch and self.role is not FenceRole.JOINING:
+            return self._step_down()
+        if msg.state == FenceRole.JOINING.value:
+            return self._meet_joining(now)
+        if self.role is not FenceRole.JOINING:
+            return [] if msg.epoch == self.epoch else [self._tell()]
+        copy = self._copy
+        if msg.state == FenceRole.PAIRED.value and copy is not None and copy.whole:
+            # The other, alone until now, has made us its pair.
+            return self._read()
+        return [self._tell()] if copy is None else []
+
+    def _step_down(self) -> list[FenceAction]:
+        """The record has moved on without us: what we know of it can't be trusted."""
+        out = self._drop_asking()
+        self.role = FenceRole.JOINING
+        self._copy = None
+        self._swap = None
+        return [*out, self._tell()] if self._linked else out
+
+    def _meet_joining(self, now: float) -> list[FenceAction]:
+        if self.role is FenceRole.JOINING:
+            # Both memories are empty: one of us begins a new record.
+            return self._read() if self.me < self.other else []
+        self._sync += 1
+        if self.role is FenceRole.SOLO:
+            self._syncing_until = now + SYNC_TIMEOUT_S
+        return [Send(part) for part in self._parts(now)]
+
+    def _parts(self, now: float) -> list[FenceSync]:
+        rows = [
+            FenceRow(key, known.digest, known.nonce, now - known.at, known.answer)
+            for key, known in self._keys.items()
+        ]
+        starts = range(0, max(1, len(rows)), SYNC_ROWS)
+        return [
+            FenceSync(
+                self.range_id,
+                self.epoch,
+                self.since_ms,
+                self._sync,
+                tuple(rows[start : start + SYNC_ROWS]),
+                start + SYNC_ROWS >= len(rows),
+            )
+            for start in starts
+        ]
+
+    def on_sync(self, msg: FenceSync) -> list[FenceAction]:
+        """Take in a part of the other holder's record."""
+        if self.role is not FenceRole.JOINING:
+            return []
+        copy = self._copy
+        if copy is None or copy.sync != msg.sync or copy.epoch != msg.epoch:
+            copy = self._copy = _Copy(msg.epoch, msg.since_ms, msg.sync)
+        copy.rows += msg.rows
+        if not msg.final:
+            return []
+        copy.whole = True
+        return self._read()
+
+    def on_joined(self, msg: FenceJoined, now: float) -> list[FenceAction]:
+        """The other holder has the whole copy: make it our pair."""
+        current = msg.sync == self._sync and msg.epoch == self.epoch
+        if self.role is not FenceRole.SOLO or not current or now >= self._syncing_until:
+            return []
+        return self._read()
+
+    # -- the key-value service ----------------------------------------------------------------
+
+    def _read(self) -> list[FenceAction]:
+        if self._reading:
+            return []
+        self._reading = True
+        return [ReadRecord()]
+
+    def on_record(
+        self, record: FenceRecord | None, index: int, now: float, wall_ms: int
+    ) -> list[FenceAction]:
+        """Act on the record's head; None when there is none yet."""
+        self._reading = False
+        head = record or FenceRecord(0, "", 0)
+        if self._swap is not None:
+            return self._settle_swap(head, index, now, wall_ms)
+        if self.role is FenceRole.JOINING:
+            return self._join(head, index, now)
+        if head.epoch != self.epoch:
+            return self._step_down()
+        if self.role is FenceRole.PAIRED and self._is_lost(now):
+            return self._start_swap(index, self.me)
+        if self.role is FenceRole.SOLO and now < self._syncing_until:
+            return self._start_swap(index, "")
+        return []
+
+    def on_no_record(self) -> list[FenceAction]:
+        """The key-value service gave no answer to a read; :meth:`on_tick` tries again."""
+        self._reading = False
+        return []
+
+    def _join(self, head: FenceRecord, index: int, now: float) -> list[FenceAction]:
+        copy = self._copy
+        if copy is not None and copy.whole:
+            return self._use_copy(copy, head, now)
+        both_empty = self._linked and self._other_state == FenceRole.JOINING.value
+        if both_empty and self.me < self.other:
+            self.epoch = head.epoch
+            return self._start_swap(index, "")
+        if self._is_lost(now, LONE_GRACE_S) and head.holder in ("", self.me):
+            # The other can't give leave without us, nor go on alone without this same swap.
+            self.epoch = head.epoch
+            return self._start_swap(index, self.me)
+        return []
+
+    def _use_copy(self, copy: _Copy, head: FenceRecord, now: float) -> list[FenceAction]:
+        if head.epoch == copy.epoch and head.holder == self.other:
+            copy.told = True
+            return [Send(FenceJoined(self.range_id, copy.epoch, copy.sync))]
+        paired_since = head.epoch == copy.epoch + 1 and self._other_state == "paired"
+        if head.holder or not (head.epoch == copy.epoch or paired_since):
+            # The copy is of an older epoch; its sender learns of the newer one from us.
+            self._copy = None
+            self.epoch = max(self.epoch, head.epoch)
+            return [self._tell()] if self._linked else []
+        self.epoch = head.epoch
+        self.since_ms = copy.since_ms
+        self.role = FenceRole.PAIRED
+        self._copy = None
+        self._keys.clear()
+        for row in copy.rows:
+            self._keys[row.key] = _Key(row.digest, row.nonce, now - row.age_s, answer=row.answer)
+        return [self._tell()]
+
+    def _start_swap(self, index: int, holder: str) -> list[FenceAction]:
+        self._swap = FenceRecord(self.epoch + 1, holder, self._writer)
+        return [SwapRecord(index, self._swap)]
+
+    def on_swapped(self, won: bool | None, now: float, wall_ms: int) -> list[FenceAction]:
+        """Act on the outcome of a swap; None when no answer came, so that it must be read back."""
+        if self._swap is None:
+            return []
+        if won:
+            return self._settle_swap(self._swap, 0, now, wall_ms)
+        return self._read()
+
+    def _settle_swap(
+        self, head: FenceRecord, index: int, now: float, wall_ms: int
+    ) -> list[FenceAction]:
+        """Compare the record's head with the swap that was tried."""
+        swap = self._swap
+        if swap is None:
+            return []
+        if head == swap:
+            self._swap = None
+            return self._swapped(swap, now, wall_ms)
+        if head.epoch < swap.epoch:
+            # It may still take effect: the same swap again, of which only one can.
+            return [SwapRecord(index, swap)]
+        self._swap = None
+        return self._step_down()
+
+    def _swapped(self, swap: FenceRecord, now: float, wall_ms: int) -> list[FenceAction]:
+        self.epoch = swap.epoch
+        if self.role is FenceRole.JOINING:
+            self._keys.clear()
+            # Before the first record of all, nobody can have been given leave.
+            self.since_ms = wall_ms if swap.epoch > 1 else 0
+        self._copy = None
+        if swap.holder:
+            self.role = FenceRole.SOLO
+            self._syncing_until = 0.0
+            return [self._tell()] if self._linked else []
+        was_empty = self.role is FenceRole.JOINING
+        self.role = FenceRole.PAIRED
+        if was_empty:
+            return self._meet_joining(now) if self._linked else []
+        return [self._tell()] if self._linked else []
+
+    # -- time ---------------------------------------------------------------------------------
+
+    def _is_lost(self, now: float, grace_s: float = GRACE_S) -> bool:
+        return self._lost_at is not None and now - self._lost_at >= grace_s
+
+    def on_tick(self, now: float) -> list[FenceAction]:
+        """Do what time calls for: forget old keys, go on alone, try again."""
+        self._forget(now)
+        if not self._linked and self._lost_at is None:
+            self._lost_at = now
+        if self._swap is not None:
+            return self._read()
+        if self.role is FenceRole.PAIRED and self._is_lost(now):
+            return self._read()
+        return self._tick_joining(now) if self.role is FenceRole.JOINING else []
+
+    def _tick_joining(self, now: float) -> list[FenceAction]:
+        if not self._linked:
+            return self._read() if self._is_lost(now, LONE_GRACE_S) else []
+        copy = self._copy
+        if copy is not None and copy.whole and not copy.told:
+            return self._read()
+        if copy is not None and copy.whole:
+            # The sender didn't take us on while the copy was fresh: begin again.
+            self._copy = None
+        return [self._tell()]
+
+    def _forget(self, now: float) -> None:
+        while self._keys:
+            key, known = next(iter(self._keys.items()))
+            if now - known.at < KEEP_S:
+                return
+            del self._keys[key]
+
+
+def keep_answer(status: int, headers: dict[str, str], body: bytes) -> Answer:
+    """Return what is recorded of an answer; a long body is left out."""
+    if len(body) > MAX_ANSWER_BYTES:
+        return Answer(status, headers, b"", cut=True)
+    return Answer(status, headers, body)
--- a/src/crankhinge/entry/_calls.py
+++ b/src/crankhinge/entry/_calls.py
@@ -87,15 +87,23 @@
         self._limit = limit
         self._boxes: dict[int, tuple[Link, Mailbox]] = {}
 
-    def open(self, link: Link) -> Mailbox:
-        """Return a mailbox for a new request to the agent behind *link*.
+    def new_id(self) -> int:
+        """Return the identity of a new request."""
+        return self._ids.next()
+
+    def open(self, link: Link, req: int = 0) -> Mailbox:
+        """Return a mailbox for a request to the agent behind *link*.
+
+        Args:
+            link: to the agent.
+            req: its identity; a new one by default.
 
         Raises:
             LinkClosed: when the link is gone already.
         """
         if link.closed:
             raise LinkClosed(link.peer.name)
-        box = Mailbox(self._ids.next(), self._limit)
+        box = Mailbox(req or self._ids.next(), self._limit)
         self._boxes[box.req] = (link, box)
         return box
 
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -10,14 +10,17 @@
 from typing import Any
 
 import curio
+import msgspec
 
-from crankhinge.config import Policy
-from crankhinge.decisions import FULL, Backend, Mechanisms, RetryBudget, RouteAsk, Router
+from crankhinge.config import BundleView, Policy
+from crankhinge.decisions import FULL, Answer, Backend, Mechanisms, RetryBudget, RouteAsk, Router
 from crankhinge.entry._answer import AnswerWriter
 from crankhinge.entry._ask import BLOCK_CHARS, CompletionAsk
 from crankhinge.entry._calls import Calls, LinkLost, Mailbox
+from crankhinge.entry._fence import Fence, digest_of
 from crankhinge.entry._fleet import Fleet
 from crankhinge.errors import (
+    AlreadyTaken,
     BackendFailed,
     CrankhingeError,
     DeadlinePassed,
@@ -64,9 +67,11 @@
         slot: time of the lease.
         read: time at which the prompt was read.
         first: time of the first token.
+        keyed: whether an earlier attempt with the same key may have run.
     """
 
     touched: bool = False
+    keyed: bool = False
     attempts: int = 0
     wasted: int = 0
     slot: float = 0.0
@@ -76,7 +81,7 @@
     @property
     def outcome(self) -> Outcome:
         """What may be told to the caller when the request fails now."""
-        return Outcome.UNKNOWN if self.touched else Outcome.NOT_RUN
+        return Outcome.UNKNOWN if self.touched or self.keyed else Outcome.NOT_RUN
 
 
 class AttemptFailed(BackendFailed):
@@ -101,6 +106,7 @@
         fleet: the agents.
         calls: the mailboxes.
         budget: for retries.
+        fence: gives leave for non-repeatable requests.
         log: for events.
         metrics: for counters.
         mech: which mechanisms are at work.
@@ -112,6 +118,7 @@
         fleet: Fleet,
         calls: Calls,
         budget: RetryBudget,
+        fence: Fence,
         log: Any,
         metrics: Metrics,
         mech: Mechanisms = FULL,
@@ -119,6 +126,7 @@
         self._fleet = fleet
         self._calls = calls
         self._budget = budget
+        self._fence = fence
         self._log = log
         self._metrics = metrics
         self._mech = mech
@@ -143,6 +151,28 @@
         self._chars_per_token[name] = seen if before is None else before + gain * (seen - before)
 
     async def run(
+        self, ask: CompletionAsk, view: BundleView, writer: AnswerWriter, progress: Progress
+    ) -> None:
+        """Answer *ask*, with leave if it may not be repeated. Raises as :meth:`_serve` does."""
+        policy = view.bundle.policy
+        pool = view.bundle.pool(ask.model.decode[0])
+        if ask.terms.repeatable or not ask.terms.key or pool is None:
+            await self._serve(ask, policy, writer, progress)
+            return
+        body = msgspec.json.encode(ask.body)
+        digest = digest_of("POST", ask.path, body)
+        leave = await self._fence.ask(pool, ask.member.name, ask.terms.key, digest)
+        if isinstance(leave, Answer):
+            raise AlreadyTaken("this request was answered before")
+        progress.keyed = False
+        try:
+            await self._serve(ask, policy, writer, progress)
+            await self._fence.settle(leave, Answer(200, cut=True))
+        finally:
+            if not progress.touched:
+                await self._fence.release(leave)
+
+    async def _serve(
         self, ask: CompletionAsk, policy: Policy, writer: AnswerWriter, progress: Progress
     ) -> None:
         """Answer *ask*; retries within the budget.
@@ -171,7 +201,7 @@
             except curio.TaskTimeout as exc:
                 raise DeadlinePassed(f"{limit} s") from exc
             except (AttemptFailed, LinkLost, LinkClosed) as exc:
-                await self._consider_retry(exc, progress, writer)
+                await self._consider_retry(exc, ask, progress, writer)
                 # An answer that is under way is worth finishing late.
                 until = max(until, await curio.clock() + ask.model.first_token_s)
 
@@ -191,10 +221,15 @@
         return max(target, LONG_PROMPT_FACTOR * idle)
 
     async def _consider_retry(
-        self, exc: CrankhingeError, progress: Progress, writer: AnswerWriter
+        self,
+        exc: CrankhingeError,
+        ask: CompletionAsk,
+        progress: Progress,
+        writer: AnswerWriter,
     ) -> None:
         self._metrics.count("attempts_failed")
         spent = progress.attempts >= MAX_ATTEMPTS
+        spent = spent or (progress.touched and not ask.terms.repeatable)
         spent = spent or (self._mech.budget and not self._budget.try_retry())
         spent = spent or (writer.tokens > 0 and not self._mech.resume)
         self._log.warning(
@@ -336,6 +371,8 @@
                 return answer.kv
             if isinstance(answer, Refused):
                 retry_after = min(retry_after, answer.retry_after or retry_after)
+            if progress.touched and not ask.terms.repeatable:
+                break
         if progress.touched:
             raise AttemptFailed("no prefill engine read the prompt")
         raise Overloaded("no prefill engine in time", retry_after_s=retry_after)
--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -144,7 +144,7 @@
             self._open -= 1
 
     async def _answer(self, exchange: Exchange, ident: str) -> None:
-        progress = Progress()
+        progress = Progress(keyed="idempotency-key" in exchange.req.headers)
         try:
             await self._route(exchange, ident, progress)
         except HttpClosed:
@@ -195,7 +195,7 @@
         check_length(ask, self._completions.estimate_tokens(ask))
         writer = AnswerWriter(exchange, ask, ident, int(time.time()))
         try:
-            await self._completions.run(ask, view.bundle.policy, writer, progress)
+            await self._completions.run(ask, view, writer, progress)
         except HttpClosed:
             raise
         except CrankhingeError as exc:
@@ -233,7 +233,7 @@
         if service is None:
             raise UnknownRoute(f"no service takes {req.path}")
         terms = read_terms(req.headers, member)
-        done = await self._plain.run(req, member, service, terms, progress)
+        done = await self._plain.run(req, member, view, service, terms, progress)
         self._metrics.count("calls_answered")
         headers = {"content-type": "application/octet-stream", **done.headers}
         headers["x-request-id"] = ident
--- /dev/null
+++ b/src/crankhinge/entry/_fence.py
@@ -0,0 +1,157 @@
+"""Leave to run a non-repeatable request, asked of the agents that keep its record."""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import uuid6
+
+from crankhinge.config import Pool, fence_range
+from crankhinge.decisions import Answer, Permit, Permitted, Release, Settle, TakenBefore
+from crankhinge.entry._calls import Calls, LinkLost
+from crankhinge.entry._fleet import Fleet
+from crankhinge.errors import (
+    AlreadyTaken,
+    BadKey,
+    FenceUnavailable,
+    KeyReused,
+    KeyTooOld,
+    LinkClosed,
+)
+from crankhinge.runtime import Metrics
+from crankhinge.wire import Link, Message
+
+ANSWER_S = 1.0
+
+
+def new_key() -> str:
+    """Return an idempotency key: a UUID of version 7."""
+    return str(uuid6.uuid7())
+
+
+def digest_of(method: str, target: str, body: bytes) -> bytes:
+    """Return what tells two requests with one key apart."""
+    return hashlib.blake2b(
+        b"\0".join((method.encode(), target.encode(), body)), digest_size=16
+    ).digest()
+
+
+@dataclass
+class Leave:
+    """Leave for one attempt.
+
+    Attributes:
+        req: identity of the attempt.
+        range_id: the record.
+        key: of the request.
+        holders: names of the agents that keep the record.
+    """
+
+    req: int
+    range_id: str
+    key: str
+    holders: tuple[str, str]
+
+
+class Fence:
+    """Asks for leave and reports how it ended.
+
+    Args:
+        fleet: the agents.
+        calls: the mailboxes.
+        metrics: for counters.
+    """
+
+    def __init__(self, *, fleet: Fleet, calls: Calls, metrics: Metrics) -> None:
+        self._fleet = fleet
+        self._calls = calls
+        self._metrics = metrics
+
+    async def ask(self, pool: Pool, member: str, key: str, digest: bytes) -> Leave | Answer:
+        """Return leave for this attempt, or the recorded answer of an earlier one.
+
+        Raises:
+            AlreadyTaken: another attempt had leave and its outcome isn't known.
+            KeyReused: the key stands for another request.
+            KeyTooOld: the key is so old that nobody remembers whether it was used.
+            BadKey: the key is no UUID of version 7, or from the future.
+            FenceUnavailable: the record can't be consulted now.
+        """
+        if not pool.fence:
+            raise FenceUnavailable(f"pool {pool.name} keeps no record (fence)")
+        number = zlib.crc32(key.encode()) % len(pool.fence)
+        holders = pool.fence[number]
+        leave = Leave(
+            self._calls.new_id(),
+            fence_range(pool.name, number, holders),
+            f"{member}/{key}",
+            holders,
+        )
+        settled = False
+        try:
+            for name in self._order(leave):
+                answer = await self._ask_one(name, leave, digest)
+                if isinstance(answer, Permitted):
+                    settled = True
+                    return leave
+                if isinstance(answer, TakenBefore):
+                    settled = True
+                    return _before(answer)
+        finally:
+            if not settled:
+                await self.release(leave)
+        self._metrics.count("fence_unavailable")
+        raise FenceUnavailable("its record can't be consulted", retry_after_s=1.0)
+
+    def _order(self, leave: Leave) -> tuple[str, ...]:
+        """Return the holders, spread over the keys."""
+        first, second = leave.holders
+        return (first, second) if leave.req % 2 else (second, first)
+
+    async def _ask_one(self, name: str, leave: Leave, digest: bytes) -> Any:
+        """Return one holder's answer; None when it gives none."""
+        try:
+            link = self._fleet.link(name)
+            box = self._calls.open(link, leave.req)
+        except LinkClosed:
+            return None
+        try:
+            await link.send(Permit(leave.req, leave.range_id, leave.key, digest))
+            return await curio.ignore_after(ANSWER_S, box.get)
+        except (LinkClosed, LinkLost):
+            return None
+        finally:
+            self._calls.close(box)
+
+    async def settle(self, leave: Leave, answer: Answer) -> None:
+        """Record how the attempt ended, for callers that repeat it."""
+        await self._tell(leave, Settle(leave.req, leave.range_id, leave.key, answer))
+
+    async def release(self, leave: Leave) -> None:
+        """Give the key back: the attempt has not run and never will."""
+        await self._tell(leave, Release(leave.req, leave.range_id, leave.key))
+
+    async def _tell(self, leave: Leave, msg: Message) -> None:
+        for name in leave.holders:
+            try:
+                link: Link = self._fleet.link(name)
+                await link.send(msg)
+            except LinkClosed:
+                continue
+
+
+def _before(answer: TakenBefore) -> Answer:
+    """Return the recorded answer, or say why there is none."""
+    if answer.cause == "bad-key":
+        raise BadKey("the idempotency key must be a UUID of version 7, born now")
+    if answer.cause == "key-too-old":
+        raise KeyTooOld("whether this key was used before is no longer known")
+    if not answer.same:
+        raise KeyReused("this key was used for another request")
+    if answer.answer is None or answer.answer.cut:
+        raise AlreadyTaken("a request with this key was taken before")
+    return answer.answer
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -22,8 +22,10 @@
 GONE_READINGS = 3
 
 
-def subset(instances: list[Instance], *, entry: str, limit: int) -> dict[str, Instance]:
-    """Return the agents this entry links to: at most *limit* of each pool.
+def subset(
+    instances: list[Instance], *, entry: str, limit: int, always: frozenset[str] = frozenset()
+) -> dict[str, Instance]:
+    """Return the agents this entry links to: at most *limit* of each pool, and all in *always*.
 
     Which ones depends on the entry's name only, so that all entries together spread evenly and
     a change of the list moves few links.
@@ -36,6 +38,7 @@
         by_name = {instance.name: instance for instance in members}
         for name in rank_by_key(entry.encode(), by_name)[:limit]:
             chosen[name] = by_name[name]
+    chosen.update({i.name: i for i in instances if i.name in always})
     return chosen
 
 
@@ -82,6 +85,7 @@
         self._keepers: dict[str, curio.Task] = {}
         self._places: dict[str, Instance] = {}
         self._missing: dict[str, int] = {}
+        self._holders: frozenset[str] = frozenset()
 
     @property
     def dropped(self) -> int:
@@ -94,7 +98,9 @@
         return len(self._links)
 
     def apply(self, bundle: Bundle) -> None:
-        """Route by the links' rates that the bundle gives."""
+        """Take over the links' rates and who keeps records."""
+        pairs = [pair for pool in bundle.pools for pair in pool.fence]
+        self._holders = frozenset(name for pair in pairs for name in pair)
         transfer = bundle.transfer
         self.router.weights = replace(
             self.router.weights,
@@ -127,7 +133,9 @@
             await curio.sleep(pause * self._rng.uniform(0.8, 1.2))
 
     async def _update(self, listed: list[Instance]) -> None:
-        chosen = subset(listed, entry=self._settings.name, limit=self._settings.subset)
+        chosen = subset(
+            listed, entry=self._settings.name, limit=self._settings.subset, always=self._holders
+        )
         for name, instance in chosen.items():
             self._missing.pop(name, None)
             await self._keep(name, instance)
--- a/src/crankhinge/entry/_plain.py
+++ b/src/crankhinge/entry/_plain.py
@@ -7,11 +7,12 @@
 import curio
 
 from crankhinge.adapters.http_service import end_to_end
-from crankhinge.config import Member, Service
-from crankhinge.decisions import Backend, RetryBudget
+from crankhinge.config import BundleView, Member, Service
+from crankhinge.decisions import Answer, Backend, RetryBudget, keep_answer
 from crankhinge.entry._ask import Terms
 from crankhinge.entry._calls import Calls, LinkLost
 from crankhinge.entry._completion import Progress
+from crankhinge.entry._fence import Fence, Leave, digest_of
 from crankhinge.entry._fleet import Fleet
 from crankhinge.errors import (
     BackendFailed,
@@ -24,6 +25,7 @@
 from crankhinge.wire import Call, CallDone, Cancel, Failed, Refused
 
 MAX_ATTEMPTS = 3
+REPLAYED = "x-answer-replayed"
 ANSWER_SLACK_S = 0.5
 PRIVATE_HEADERS = frozenset({"authorization", "x-deadline-ms", "x-priority", "x-repeatable"})
 
@@ -35,21 +37,90 @@
         fleet: the agents.
         calls: the mailboxes.
         budget: for retries.
+        fence: gives leave for calls that may not be repeated.
         log: for events.
         metrics: for counters.
     """
 
     def __init__(
-        self, *, fleet: Fleet, calls: Calls, budget: RetryBudget, log: Any, metrics: Metrics
+        self,
+        *,
+        fleet: Fleet,
+        calls: Calls,
+        budget: RetryBudget,
+        fence: Fence,
+        log: Any,
+        metrics: Metrics,
     ) -> None:
         self._fleet = fleet
         self._calls = calls
         self._budget = budget
+        self._fence = fence
         self._log = log
         self._metrics = metrics
 
     async def run(
-        self, req: HttpRequest, member: Member, service: Service, terms: Terms, progress: Progress
+        self,
+        req: HttpRequest,
+        member: Member,
+        view: BundleView,
+        service: Service,
+        terms: Terms,
+        progress: Progress,
+    ) -> CallDone:
+        """Return the service's answer, with leave if the call may not be repeated.
+
+        A call that has leave goes on when its caller is gone, so that its outcome is recorded for
+        the caller that comes back. Raises as :meth:`_send` and :meth:`Fence.ask` do.
+        """
+        repeatable = terms.repeatable and req.method in service.repeatable
+        if repeatable or not terms.key:
+            progress.keyed = False
+            return await self._send(req, member, service, terms, repeatable, progress)
+        pool = view.bundle.pool(service.pool)
+        if pool is None:
+            raise NoBackend(f"no pool {service.pool}")
+        digest = digest_of(req.method, req.target, req.body)
+        leave = await self._fence.ask(pool, member.name, terms.key, digest)
+        if isinstance(leave, Answer):
+            self._metrics.count("answers_replayed")
+            return CallDone(0, leave.status, {**leave.headers, REPLAYED: "yes"}, leave.body)
+        progress.keyed = False
+        task = await curio.spawn(
+            self._run_with_leave, leave, req, member, service, terms, progress, daemon=True
+        )
+        await task.wait()
+        if task.exception is not None:
+            raise task.exception
+        done: CallDone = task.result
+        return done
+
+    async def _run_with_leave(
+        self,
+        leave: Leave,
+        req: HttpRequest,
+        member: Member,
+        service: Service,
+        terms: Terms,
+        progress: Progress,
+    ) -> CallDone:
+        try:
+            done = await self._send(req, member, service, terms, False, progress)
+            answer = keep_answer(done.status, done.headers, done.body)
+            await self._fence.settle(leave, answer)
+            return done
+        finally:
+            if not progress.touched:
+                await self._fence.release(leave)
+
+    async def _send(
+        self,
+        req: HttpRequest,
+        member: Member,
+        service: Service,
+        terms: Terms,
+        repeatable: bool,
+        progress: Progress,
     ) -> CallDone:
         """Return the service's answer.
 
@@ -61,7 +132,6 @@
             Overloaded: every one tried refused it unstarted.
             BackendFailed: it may have run.
         """
-        repeatable = terms.repeatable and req.method in service.repeatable
         until = await curio.clock() + min(service.timeout_s, terms.deadline_s or service.timeout_s)
         self._budget.first_attempt()
         retry_after = 1.0
--- a/src/crankhinge/entry/_settings.py
+++ b/src/crankhinge/entry/_settings.py
@@ -7,14 +7,13 @@
 import msgspec
 
 from crankhinge.peers import PeerSettings
-from crankhinge.peers._settings import HostPort, Seconds
+from crankhinge.peers._settings import Seconds
 
 
 class EntrySettings(PeerSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry.
 
     Attributes:
-        instances: ``host:port`` of the platform's list of instances.
         list_s: seconds between readings of the list.
         subset: most agents of one pool that this entry keeps a link to.
         body_bytes: largest body of a request.
@@ -22,7 +21,6 @@
         max_requests: requests in progress at one time.
     """
 
-    instances: HostPort
     list_s: Seconds = 10.0
     subset: Annotated[int, msgspec.Meta(ge=1)] = 16
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
--- a/src/crankhinge/entry/main.py
+++ b/src/crankhinge/entry/main.py
@@ -15,6 +15,7 @@
 from crankhinge.entry._calls import Calls, RequestIds
 from crankhinge.entry._completion import Completions
 from crankhinge.entry._entry import Entry
+from crankhinge.entry._fence import Fence
 from crankhinge.entry._fleet import Fleet
 from crankhinge.entry._plain import PlainCalls
 from crankhinge.entry._settings import EntrySettings
@@ -50,7 +51,8 @@
     keeper.listeners.append(fleet.apply)
     budget = RetryBudget()
     keeper.listeners.append(lambda bundle: budget.set_ratio(bundle.policy.retry_ratio))
-    common: dict[str, Any] = {"fleet": fleet, "calls": calls, "budget": budget}
+    fence = Fence(fleet=fleet, calls=calls, metrics=metrics)
+    common: dict[str, Any] = {"fleet": fleet, "calls": calls, "budget": budget, "fence": fence}
     common.update(log=log, metrics=metrics)
     entry = Entry(
         settings=settings,
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -163,13 +163,37 @@
     status = 409
 
 
-class FenceUnavailable(RequestError):
-    """The record that keeps a non-repeatable request from running twice can't be reached."""
+class FenceUnavailable(CrankhingeError):
+    """The record that keeps a non-repeatable request from running twice can't be reached.
+
+    This attempt was not run; whether an earlier one with the same key was, is not known.
+    """
 
     code = "fence-unavailable"
     status = 503
 
 
+class KeyReused(CrankhingeError):
+    """The idempotency key was used before, for another request."""
+
+    code = "key-reused"
+    status = 422
+
+
+class KeyTooOld(CrankhingeError):
+    """Whether this idempotency key was used before is no longer known."""
+
+    code = "key-too-old"
+    status = 409
+
+
+class BadKey(RequestError):
+    """The idempotency key of a non-repeatable request is not a UUID of version 7."""
+
+    code = "bad-key"
+    status = 400
+
+
 class BackendFailed(CrankhingeError):
     """A backend server failed after the request may have reached it."""
 
--- a/src/crankhinge/peers/_settings.py
+++ b/src/crankhinge/peers/_settings.py
@@ -42,6 +42,7 @@
         host: address to listen on.
         port: TCP port.
         key_value: ``host:port`` of the platform's key-value service.
+        instances: ``host:port`` of the platform's list of instances.
         keys: public key of each partner, hex; a bundle must be signed by all of them.
         groups: further fault domains (rack, link).
         statsd: ``host:port`` of the statsd server; empty for none.
@@ -56,6 +57,7 @@
     host: str
     port: Port
     key_value: HostPort
+    instances: HostPort
     keys: dict[str, HexKey]
     groups: tuple[str, ...] = ()
     statsd: str = ""
--- a/src/crankhinge/wire/__init__.py
+++ b/src/crankhinge/wire/__init__.py
@@ -1,5 +1,17 @@
 """The streams between this project's own processes: typed msgpack messages over TCP."""
 
+from crankhinge.decisions._fence_messages import (
+    FenceJoined,
+    FenceState,
+    FenceSync,
+    Permit,
+    Permitted,
+    Release,
+    Settle,
+    Take,
+    Taken,
+    TakenBefore,
+)
 from crankhinge.wire._codec import FrameReader, decode, encode
 from crankhinge.wire._link import Link, accept_link, connect_link
 from crankhinge.wire._messages import (
@@ -17,16 +29,10 @@
     Hello,
     Load,
     Message,
-    Permit,
-    Permitted,
     Prefill,
     PrefillDone,
     Refused,
     Reserve,
-    Settle,
-    Take,
-    Taken,
-    TakenBefore,
     Tokens,
 )
 
@@ -40,6 +46,9 @@
     "Decode",
     "DecodeDone",
     "Failed",
+    "FenceJoined",
+    "FenceState",
+    "FenceSync",
     "FrameReader",
     "GetBundle",
     "Granted",
@@ -52,6 +61,7 @@
     "Prefill",
     "PrefillDone",
     "Refused",
+    "Release",
     "Reserve",
     "Settle",
     "Take",
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -12,6 +12,19 @@
 
 import msgspec
 
+from crankhinge.decisions._fence_messages import (
+    FenceJoined,
+    FenceState,
+    FenceSync,
+    Permit,
+    Permitted,
+    Release,
+    Settle,
+    Take,
+    Taken,
+    TakenBefore,
+)
+
 WIRE_VERSION = 1
 
 
@@ -269,90 +282,6 @@
     body: bytes
 
 
-class Permit(_Base, tag=17, frozen=True):
-    """Asks the record's owner for leave to run a non-repeatable request.
-
-    Attributes:
-        req: this attempt.
-        pool: whose record.
-        key: identity of the request: member and idempotency key.
-        digest: of the request, so that one key can't stand for two requests.
-    """
-
-    req: int
-    pool: str
-    key: str
-    digest: bytes
-
-
-class Permitted(_Base, tag=18, frozen=True):
-    """Leave is given, once ever for its key."""
-
-    req: int
-
-
-class TakenBefore(_Base, tag=19, frozen=True):
-    """Leave was given before.
-
-    Attributes:
-        req: this attempt.
-        settled: whether the outcome is known.
-        status: HTTP status of the recorded answer.
-        headers: its headers.
-        body: its body.
-        same: whether the digest is that of the first request.
-    """
-
-    req: int
-    settled: bool
-    same: bool = True
-    status: int = 0
-    headers: dict[str, str] = {}
-    body: bytes = b""
-
-
-class Settle(_Base, tag=20, frozen=True):
-    """Records how a permitted request ended, for callers that repeat it."""
-
-    pool: str
-    key: str
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
-class Take(_Base, tag=21, frozen=True):
-    """The owner of a record asks its deputy to write a key down before leave is given.
-
-    Attributes:
-        seq: matches the answer.
-        pool: whose record.
-        epoch: of the owner's right.
-        key: the key.
-        digest: of the request.
-    """
-
-    seq: int
-    pool: str
-    epoch: int
-    key: str
-    digest: bytes
-
-
-class Taken(_Base, tag=22, frozen=True):
-    """The deputy's answer.
-
-    Attributes:
-        seq: of the Take.
-        fresh: the key was not there before and is now.
-        epoch: the deputy's epoch; larger than the owner's when the owner has lost its right.
-    """
-
-    seq: int
-    fresh: bool
-    epoch: int
-
-
 Message = (
     Hello
     | Beat
@@ -376,4 +305,8 @@
     | Settle
     | Take
     | Taken
+    | Release
+    | FenceState
+    | FenceSync
+    | FenceJoined
 )
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -93,7 +93,7 @@
         EngineSpec("read", "prefill", 2),
         EngineSpec("write", "decode", 2),
     )
-    services: tuple[ServiceSpec, ...] = (ServiceSpec("ledger", "/ledger/", 1),)
+    services: tuple[ServiceSpec, ...] = (ServiceSpec("ledger", "/ledger/", 2),)
     members: tuple[tuple[str, float], ...] = (("naas-office", 1.0), ("swords-office", 1.0))
     zones: tuple[str, ...] = ("naas", "swords", "bray")
     first_token_s: float = 0.43
@@ -254,6 +254,7 @@
             f'host = "{HOST}"',
             f"port = {port}",
             f'key_value = "{HOST}:{self.platform_port}"',
+            f'instances = "{HOST}:{self.platform_port}"',
             f"beat_s = {self.spec.beat_s}",
             f'policy = "{self.spec.mechanisms}"',
         ]
@@ -301,7 +302,7 @@
         name = f"entry-{number}"
         zone = self.spec.zones[number % len(self.spec.zones)]
         lines = self._peer_settings(name, zone, self.entry_ports[number])
-        lines += [f'instances = "{HOST}:{self.platform_port}"', "list_s = 1.0"]
+        lines += ["list_s = 1.0"]
         self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
 
     def bundle_text(self, version: int) -> str:
@@ -336,7 +337,10 @@
             out += [f"slots = {READ_AT_ONCE if engine.kind == 'prefill' else engine.slots}", ""]
         for service in self.spec.services:
             out += ["[[pools]]", f'name = "{service.pool}"', 'kind = "plain"']
-            out += [f"slots = {service.slots}", "", "[[services]]", f'name = "{service.pool}"']
+            out += [f"slots = {service.slots}"]
+            if service.count > 1:
+                out += [f'fence = [["{service.pool}-0", "{service.pool}-1"]]']
+            out += ["", "[[services]]", f'name = "{service.pool}"']
             out += [f'path = "{service.path}"', f'pool = "{service.pool}"', ""]
         return out
 
--- a/src/crankhinge_bench/_load.py
+++ b/src/crankhinge_bench/_load.py
@@ -8,6 +8,7 @@
 import curio
 import msgspec
 
+from crankhinge.entry._fence import new_key
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import ClientStream, HttpClient, SseParser
 from crankhinge_bench._trace import Arrival
@@ -33,6 +34,7 @@
         whole: whether the answer was complete and right.
         wrong: whether what came differs from what the engine's model says.
         cancelled: whether the caller went of its own accord.
+        key: idempotency key of a plain call.
     """
 
     arrival: Arrival
@@ -46,6 +48,7 @@
     whole: bool = False
     wrong: bool = False
     cancelled: bool = False
+    key: str = ""
     texts: list[str] = field(default_factory=list)
 
 
@@ -105,8 +108,6 @@
         }
         if not arrival.repeatable:
             headers["x-repeatable"] = "no"
-        if arrival.key:
-            headers["idempotency-key"] = arrival.key
         return headers
 
     async def _send(
@@ -138,18 +139,18 @@
             await stream.close()
 
     async def _call(self, client: HttpClient, arrival: Arrival, seen: Outcome) -> None:
+        seen.key = seen.key or new_key()
+        headers = {**self._headers(arrival), "idempotency-key": seen.key}
         resp = await client.call(
-            "POST",
-            arrival.path,
-            headers=self._headers(arrival),
-            body=arrival.key.encode(),
-            fresh=True,
+            "POST", arrival.path, headers=headers, body=seen.key.encode(), fresh=True
         )
         seen.status = resp.status
         seen.whole = resp.status == 200
         seen.outcome = resp.headers.get("x-request-outcome", "")
         if resp.status == 200:
-            seen.wrong = msgspec.json.decode(resp.body).get("body") != arrival.key
+            seen.wrong = msgspec.json.decode(resp.body).get("body") != seen.key
+        else:
+            seen.code = _code_of(resp.body, resp.status)
 
     async def _read(
         self, stream: ClientStream, arrival: Arrival, seen: Outcome, began: float
@@ -197,7 +198,12 @@
 
 def _note_failure(seen: Outcome, stream: ClientStream, body: bytes) -> None:
     seen.outcome = stream.headers.get("x-request-outcome", "")
+    seen.code = _code_of(body, stream.status)
+
+
+def _code_of(body: bytes, status: int) -> str:
+    """Return the machine-readable cause of a failure."""
     try:
-        seen.code = str(msgspec.json.decode(body)["error"]["code"])
+        return str(msgspec.json.decode(body)["error"]["code"])
     except (msgspec.DecodeError, LookupError, TypeError):
-        seen.code = f"status-{stream.status}"
+        return f"status-{status}"
--- a/src/crankhinge_bench/_summary.py
+++ b/src/crankhinge_bench/_summary.py
@@ -141,7 +141,7 @@
 def _refused_but_ran(calls: list[Outcome], runs: list[dict[str, str]]) -> int:
     ran = {run["key"] for run in runs}
     refused = [seen for seen in calls if not seen.whole and seen.outcome == NOT_RUN]
-    return sum(seen.arrival.key in ran for seen in refused)
+    return sum(seen.key in ran for seen in refused)
 
 
 def _causes(outcomes: list[Outcome]) -> dict[str, int]:
--- a/src/crankhinge_bench/_trace.py
+++ b/src/crankhinge_bench/_trace.py
@@ -23,7 +23,6 @@
         cancel_after: tokens after which the caller goes; 0 for never.
         path: of a plain call; empty for a completion.
         repeatable: whether it may be run again.
-        key: idempotency key of a plain call.
         shared: whether the prompt begins with a shared prefix.
     """
 
@@ -35,7 +34,6 @@
     cancel_after: int = 0
     path: str = ""
     repeatable: bool = True
-    key: str = ""
     shared: bool = False
 
 
@@ -100,8 +98,7 @@
     at = 0.0
     while load.calls_per_s and (at := at + rng.expovariate(load.calls_per_s)) < load.seconds:
         member = rng.choices(names, weights)[0]
-        key = f"call-{rng.getrandbits(64):016x}"
-        trace.append(Arrival(at, member, path="/ledger/approve", repeatable=False, key=key))
+        trace.append(Arrival(at, member, path="/ledger/approve", repeatable=False))
     trace.sort(key=lambda arrival: arrival.at)
     return trace
 
