--- a/src/crankhinge/agent/main.py
+++ b/src/crankhinge/agent/main.py
@@ -21,7 +21,7 @@
 from crankhinge.config import Bundle, BundleKeeper
 from crankhinge.decisions import SlotTable, WorkQueue, mechanisms
 from crankhinge.peers import BundleSpread, parse_endpoint
-from crankhinge.runtime import Metrics, run_process
+from crankhinge.runtime import Metrics, run_process, until_first
 
 PROGRAM = "crankhinge-agent"
 
@@ -69,9 +69,7 @@
         log=log,
     )
     log.info("started", role=settings.role, pool=settings.pool, port=settings.port)
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(agent.run)
-        await group.spawn(_drain_on, stopping, agent)
+    await until_first(agent.run, partial(_drain_on, stopping, agent))
 
 
 async def _drain_on(stopping: curio.Event, agent: Agent) -> None:
--- a/src/crankhinge/entry/main.py
+++ b/src/crankhinge/entry/main.py
@@ -5,6 +5,7 @@
 import random
 import secrets
 import time
+from functools import partial
 from typing import Any
 
 import curio
@@ -20,7 +21,7 @@
 from crankhinge.entry._plain import PlainCalls
 from crankhinge.entry._settings import EntrySettings
 from crankhinge.peers import BundleSpread, parse_endpoint
-from crankhinge.runtime import Metrics, Supervisor, run_process
+from crankhinge.runtime import Metrics, Supervisor, run_process, until_first
 
 PROGRAM = "crankhinge-entry"
 
@@ -70,9 +71,7 @@
     supervisor.add("fleet", fleet.run)
     supervisor.add("bundle", spread.watch)
     log.info("started", port=settings.port)
-    async with curio.TaskGroup(wait=any) as group:
-        await group.spawn(supervisor.run)
-        await group.spawn(_drain_on, stopping, entry)
+    await until_first(supervisor.run, partial(_drain_on, stopping, entry))
 
 
 async def _drain_on(stopping: curio.Event, entry: Entry) -> None:
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -13,6 +14,8 @@
 from crankhinge.runtime import serve_tcp
 
 RECV_BYTES = 65536
+LINGER_S = 1.0
+LINGER_BYTES = 16 * 1024 * 1024
 
 
 @dataclass(frozen=True)
@@ -132,6 +135,9 @@
             return None
         if not isinstance(head, h11.Request):
             raise BadHttp("not a request")
+        declared = dict(head.headers).get(b"content-length", b"0")
+        if int(declared) > self._limits.body_bytes:
+            raise BodyTooLarge(f"body over {self._limits.body_bytes} bytes")
         if self._h11.they_are_waiting_for_100_continue:
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(self.encode(go_on))
@@ -162,6 +168,22 @@
                 return
             self._h11.receive_data(data)
 
+    async def linger(self) -> None:
+        """Read on for a while after a refusal, so that the caller gets to see it.
+
+        Closing with bytes unread would reset the connection and take the answer back.
+        """
+        try:
+            await self._sock.shutdown(socket.SHUT_WR)
+            await curio.ignore_after(LINGER_S, self._discard)
+        except OSError:
+            return
+
+    async def _discard(self) -> None:
+        left = LINGER_BYTES
+        while left > 0 and (data := await self._sock.recv(RECV_BYTES)):
+            left -= len(data)
+
     def reusable(self) -> bool:
         """Whether another request may follow on this connection."""
         if self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
@@ -217,6 +239,7 @@
     except BadHttp as exc:
         if conn.can_answer():
             await _answer_bad(conn, exc, on_bad)
+            await conn.linger()
     except (HttpClosed, curio.TaskTimeout, h11.LocalProtocolError):
         return
 
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -3,7 +3,7 @@
 from crankhinge.runtime._logs import Log, get_log
 from crankhinge.runtime._metrics import Metrics
 from crankhinge.runtime._process import load_settings, run_process
-from crankhinge.runtime._supervisor import Child, RestartLimitReached, Supervisor
+from crankhinge.runtime._supervisor import Child, RestartLimitReached, Supervisor, until_first
 from crankhinge.runtime._tcp import serve_tcp, set_nodelay
 
 __all__ = [
@@ -17,4 +17,5 @@
     "run_process",
     "serve_tcp",
     "set_nodelay",
+    "until_first",
 ]
--- a/src/crankhinge/runtime/_supervisor.py
+++ b/src/crankhinge/runtime/_supervisor.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import curio
@@ -20,6 +21,19 @@
     code = "restart-limit"
 
 
+async def until_first(*starts: Callable[[], Awaitable[Any]]) -> None:
+    """Run coroutines side by side until one ends, then cancel the others.
+
+    Raises:
+        Exception: what the first one failed with.
+    """
+    async with curio.TaskGroup(wait=any) as group:
+        for start in starts:
+            await group.spawn(start)
+    if group.exception is not None:
+        raise group.exception
+
+
 @dataclass(frozen=True)
 class Child:
     """A supervised task.
@@ -54,9 +68,7 @@
 
     async def run(self) -> None:
         """Run all children until one gives up or the supervisor is cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            for child in self.children:
-                await group.spawn(self._keep, child)
+        await until_first(*(partial(self._keep, child) for child in self.children))
 
     async def _keep(self, child: Child) -> None:
         failures: deque[float] = deque()
--- /dev/null
+++ b/src/crankhinge_bench/_chaos.py
@@ -0,0 +1,366 @@
+"""``crankhinge-bench faults``: random failures under load, and the checker's verdict."""
+
+from __future__ import annotations
+
+import argparse
+import random
+import re
+import signal
+import sys
+import threading
+import time
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge_bench._check import BundleSeen, Drain, History, Verdict, check
+from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec, ServiceSpec, http_json
+from crankhinge_bench._load import LoadRun
+from crankhinge_bench._summary import Summary, summarise
+from crankhinge_bench._trace import Load, make_trace
+
+SETTLE_S = 12.0
+HELD_S = 15.0
+DRAIN_WAIT_S = 40.0
+PAUSE_S = (0.5, 6.0)
+GAP_S = (0.5, 2.5)
+
+
+class Report(msgspec.Struct, kw_only=True):
+    """The outcome of one seed.
+
+    Attributes:
+        seed: of the schedule and the load.
+        seconds: length of the load.
+        faults: how often each kind was played.
+        verdicts: of the checker.
+        summary: what callers saw.
+    """
+
+    seed: int
+    seconds: float
+    faults: dict[str, int]
+    verdicts: list[Verdict]
+    summary: Summary
+
+
+def chaos_spec() -> ClusterSpec:
+    """Return the cluster that failures befall."""
+    return ClusterSpec(
+        entries=3,
+        engines=(
+            EngineSpec("read", "prefill", 2),
+            EngineSpec("write", "decode", 3),
+        ),
+        services=(ServiceSpec("ledger", "/ledger/", 3, work_s=0.05),),
+        beat_s=0.3,
+    )
+
+
+class Chaos:
+    """Plays random faults on a thread of its own.
+
+    Args:
+        cluster: what they befall.
+        runner: the load; told which entries leave, as a balancer would be.
+        rng: the schedule.
+    """
+
+    def __init__(self, cluster: Cluster, runner: LoadRun, rng: random.Random) -> None:
+        self.counts: dict[str, int] = {}
+        self.drains: list[Drain] = []
+        self.published: list[tuple[float, int]] = []
+        self.ended = 0
+        self._cluster = cluster
+        self._runner = runner
+        self._rng = rng
+        self._stop = threading.Event()
+        self._busy: set[str] = set()
+        self._workers: list[threading.Thread] = []
+        self._thread = threading.Thread(target=self._play, daemon=True)
+        self._lock = threading.Lock()
+
+    def start(self) -> None:
+        """Begin."""
+        self._thread.start()
+
+    def finish(self) -> None:
+        """Play no more, and wait until everything is whole again."""
+        self._stop.set()
+        self._thread.join()
+        for worker in self._workers:
+            worker.join()
+
+    def _play(self) -> None:
+        kinds = [self._kill, self._pause, self._drain, self._platform, self._publish, self._engine]
+        weights = [4, 3, 2, 3, 2, 2]
+        while not self._stop.wait(self._rng.uniform(*GAP_S)):
+            kind = self._rng.choices(kinds, weights)[0]
+            worker = threading.Thread(target=kind, daemon=True)
+            worker.start()
+            self._workers.append(worker)
+
+    def _count(self, kind: str) -> None:
+        with self._lock:
+            self.counts[kind] = self.counts.get(kind, 0) + 1
+
+    def _take(self, names: list[str]) -> str | None:
+        """Return a process that no other fault is at, one of its kind left alone."""
+        with self._lock:
+            free = [name for name in names if name not in self._busy]
+            if len(free) < 2:
+                return None
+            name = self._rng.choice(free)
+            self._busy.add(name)
+            return name
+
+    def _give_back(self, name: str) -> None:
+        with self._lock:
+            self._busy.discard(name)
+
+    def _groups(self) -> list[list[str]]:
+        places = self._cluster.places
+        pools = {place.pool for place in places}
+        groups = [[f"entry-{n}" for n in range(self._cluster.spec.entries)]]
+        for pool in sorted(pools):
+            names = [place.name for place in places if place.pool == pool]
+            groups += [names, [f"backend-{name}" for name in names]]
+        return groups
+
+    def _pick(self, *, backends: bool = True) -> str | None:
+        groups = [g for g in self._groups() if backends or not g[0].startswith("backend-")]
+        with self._lock:
+            group = self._rng.choice(groups)
+        return self._take(group)
+
+    def _kill(self) -> None:
+        name = self._pick()
+        if name is None:
+            return
+        self._count("kill-" + re.sub(r"-\d+$", "", name))
+        self.ended += 1
+        self._cluster.kill(name)
+        time.sleep(self._rng.uniform(0.2, 3.0))
+        self._cluster.start_again(name)
+        time.sleep(1.5)
+        self._give_back(name)
+
+    def _pause(self) -> None:
+        name = self._pick()
+        if name is None:
+            return
+        self._count("pause-" + re.sub(r"-\d+$", "", name))
+        self.ended += 1
+        self._cluster.signal(name, signal.SIGSTOP)
+        time.sleep(self._rng.uniform(*PAUSE_S))
+        self._cluster.signal(name, signal.SIGCONT)
+        self._give_back(name)
+
+    def _drain(self) -> None:
+        name = self._pick(backends=False)
+        if name is None:
+            return
+        self._count("drain-" + re.sub(r"-\d+$", "", name))
+        port = self._entry_port(name)
+        if port:
+            self._runner.shunned.add(port)
+        proc = self._cluster.procs[name]
+        at = time.time()
+        proc.send_signal(signal.SIGTERM)
+        status = proc.wait(DRAIN_WAIT_S)
+        until = time.time()
+        self._cluster.procs.pop(name)
+        cut = last_drained(self._cluster.logs / f"{name}.log")
+        backend = "" if port else name
+        self.drains.append(
+            Drain(name=name, at=at, until=until, status=status, backend=backend, cut=cut)
+        )
+        self._cluster.start_again(name)
+        time.sleep(1.5)
+        if port:
+            self._runner.shunned.discard(port)
+        self._give_back(name)
+
+    def _entry_port(self, name: str) -> int:
+        if not name.startswith("entry-"):
+            return 0
+        return self._cluster.entry_ports[int(name.removeprefix("entry-"))]
+
+    def _platform(self) -> None:
+        with self._lock:
+            if "platform" in self._busy:
+                return
+            self._busy.add("platform")
+        fault: dict[str, Any] = self._rng.choice(
+            [{"down": True}, {"delay_s": 1.5}, {"lose_answers": True}]
+        )
+        self._count("platform-" + next(iter(fault)))
+        port = self._cluster.platform_port
+        self._cluster.faults(port, **fault)
+        time.sleep(self._rng.uniform(1.0, 10.0))
+        self._cluster.faults(port, down=False, delay_s=0.0, lose_answers=False)
+        self._give_back("platform")
+
+    def _engine(self) -> None:
+        places = [place for place in self._cluster.places if place.kind != "plain"]
+        place = self._rng.choice(places)
+        fault: dict[str, Any] = self._rng.choice([{"slow": 4.0}, {"stall": True}, {"refuse": True}])
+        if self._take([f"backend-{p.name}" for p in places if p.pool == place.pool]) is None:
+            return
+        self._count("engine-" + next(iter(fault)))
+        try:
+            self._cluster.faults(place.backend_port, **fault)
+            time.sleep(self._rng.uniform(0.5, 3.0))
+            self._cluster.faults(place.backend_port, slow=1.0, stall=False, refuse=False)
+        except OSError:
+            pass
+        for other in places:
+            self._give_back(f"backend-{other.name}")
+
+    def _publish(self) -> None:
+        """Two operators race with the next version."""
+        with self._lock:
+            if "bundle" in self._busy:
+                return
+            self._busy.add("bundle")
+        try:
+            version = self._cluster.version + 1
+            won = self._cluster.race(version)
+            if won:
+                self._count("publish")
+                self.published.append((time.time(), version))
+        finally:
+            self._give_back("bundle")
+
+
+def last_drained(log: Path) -> int | None:
+    """Return how many requests a program had in progress when it ended, by its log."""
+    found = re.findall(r"event=drained .*?(?:open|busy)=(\w+)", log.read_text())
+    if not found:
+        return None
+    return {"True": 1, "False": 0}.get(found[-1]) if not found[-1].isdigit() else int(found[-1])
+
+
+def bundles_seen(cluster: Cluster) -> list[BundleSeen]:
+    """Return the versions that each start of each process had in force, by the logs."""
+    seen = []
+    names = [f"entry-{n}" for n in range(cluster.spec.entries)]
+    for name in names + [place.name for place in cluster.places]:
+        start: BundleSeen | None = None
+        for line in (cluster.logs / f"{name}.log").read_text().splitlines():
+            if "event=started" in line:
+                start = BundleSeen(process=name, versions=[])
+                seen.append(start)
+            match = re.search(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+)", line)
+            if match and start is not None:
+                when = datetime.fromisoformat(match[1]).timestamp()
+                start.versions.append((when, int(match[2])))
+    return seen
+
+
+def wait_freed(cluster: Cluster) -> dict[str, int]:
+    """Return what each engine holds once it holds nothing, or after a bound."""
+    until = time.monotonic() + HELD_S
+    while True:
+        held = {}
+        for place in cluster.places:
+            if place.kind != "plain":
+                stats = http_json("GET", place.backend_port, "/stats")
+                held[place.name] = stats["running"] + stats["waiting"]
+        if not any(held.values()) or time.monotonic() > until:
+            return held
+        time.sleep(0.2)
+
+
+def run_seed(seed: int, seconds: float, logs: Path | None) -> Report:
+    """Play one schedule and check it."""
+    spec = chaos_spec()
+    load = Load(
+        seconds=seconds,
+        per_s=24.0,
+        calls_per_s=6.0,
+        cancel_share=0.05,
+        output_tokens=60.0,
+        members=dict(spec.members),
+    )
+    with Cluster(spec, logs=logs) as cluster:
+        runner = LoadRun(cluster.entry_ports, cluster.credentials, repeats=6)
+        chaos = Chaos(cluster, runner, random.Random(seed))
+        chaos.start()
+        outcomes = curio.run(runner.play, make_trace(load, seed))
+        chaos.finish()
+        time.sleep(SETTLE_S)
+        history = History(
+            outcomes=outcomes,
+            runs=cluster.records("plain"),
+            work=cluster.records("prefill", "decode"),
+            held=wait_freed(cluster),
+            drains=chaos.drains,
+            bundles=bundles_seen(cluster),
+            published=chaos.published,
+            ended=chaos.ended,
+        )
+        summary = summarise(
+            outcomes,
+            seconds=seconds,
+            first_token_s=spec.first_token_s,
+            between_tokens_s=spec.between_tokens_s,
+            engines=cluster.engine_stats(),
+            runs=history.runs,
+        )
+    return Report(
+        seed=seed,
+        seconds=seconds,
+        faults=dict(sorted(chaos.counts.items())),
+        verdicts=check(history),
+        summary=summary,
+    )
+
+
+def render(report: Report) -> str:
+    """Return one seed's verdict as text."""
+    faults = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
+    lines = [f"seed {report.seed}, {report.seconds:g} s: {faults}"]
+    for verdict in report.verdicts:
+        state = "BROKEN" if verdict.broken else ("held" if verdict.tested else "never tested")
+        line = f"  {verdict.promise:<42} tested {verdict.tested:5d}  {state} {verdict.broken or ''}"
+        lines.append(line.rstrip())
+        lines += [f"      {case}" for case in verdict.detail]
+    summary = report.summary
+    lines.append(
+        f"  completions {summary.offered}: in time {summary.in_time_share:.1%}, "
+        f"refused {summary.refused}, failed {summary.failed}, "
+        f"waste {summary.wasted_share:.2%}; calls {summary.calls}: answered "
+        f"{summary.calls_answered}; causes {summary.causes}"
+    )
+    return "\n".join(lines)
+
+
+def faults(args: argparse.Namespace) -> int:
+    """Run the command; returns 0 when no promise was broken and each was put to the test."""
+    reports = []
+    logs = Path(args.logs) if args.logs else None
+    for number in range(args.repeat):
+        report = run_seed(args.seed + number, args.seconds, logs)
+        print(render(report), flush=True)
+        reports.append(report)
+    if args.json:
+        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(reports), indent=1))
+    verdicts = [verdict for report in reports for verdict in report.verdicts]
+    untested = {v.promise for v in verdicts} - {v.promise for v in verdicts if v.tested}
+    for promise in sorted(untested):
+        print(f"never put to the test: {promise}", file=sys.stderr)
+    return 1 if untested or any(verdict.broken for verdict in verdicts) else 0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command's arguments."""
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=120.0)
+    parser.add_argument("--repeat", type=int, default=1, help="seeds, counted up from --seed")
+    parser.add_argument("--json", default="", help="file for the results")
+    parser.add_argument("--logs", default="", help="directory for the programs' logs")
+    parser.set_defaults(run=faults)
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import urllib.request
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -32,6 +33,8 @@
 STOP_S = 10.0
 POLL_S = 0.05
 READ_AT_ONCE = 2
+PUBLISH_TRIES = 20
+EXIT_UNKNOWN = 4
 
 
 class EngineSpec(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -227,13 +230,16 @@
         self.run(f"backend-{place.name}", "crankhinge_standins.main", *args)
 
     def _backend_args(self, place: Place) -> list[str]:
+        record = str(self.record_of(place))
         if place.kind == "plain":
             service = next(s for s in self.spec.services if s.pool == place.pool)
             work = str(service.work_s)
-            return ["service", "--port", str(place.backend_port), "--work-s", work]
+            port = str(place.backend_port)
+            return ["service", "--port", port, "--work-s", work, "--record", record]
         engine = self._engine(place)
         return [
             "engine",
+            *("--record", record),
             *("--port", str(place.backend_port)),
             *("--slots", str(engine.slots)),
             *("--step-s", str(engine.step_s)),
@@ -244,6 +250,20 @@
             *("--step-per-request-s", str(engine.step_per_request_s)),
         ]
 
+    def record_of(self, place: Place) -> Path:
+        """Return the file in which the backend server of *place* records its runs."""
+        return self.dir / f"{place.name}.runs"
+
+    def records(self, *kinds: str) -> list[dict[str, Any]]:
+        """Return what the backend servers of some kinds recorded, with each row's place."""
+        rows = []
+        for place in self.places:
+            path = self.record_of(place)
+            if place.kind not in kinds or not path.exists():
+                continue
+            rows += [{**json.loads(line), "place": place.name} for line in path.open()]
+        return rows
+
     def _engine(self, place: Place) -> EngineSpec:
         return next(e for e in self.spec.engines if e.pool == place.pool)
 
@@ -373,6 +393,40 @@
         subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
         self.version += 1
 
+    def race(self, version: int) -> bool:
+        """Let two operators publish different bundles of one version; True if one was accepted.
+
+        A publication whose outcome isn't known is repeated, as its operator would.
+        """
+        procs = []
+        for name, patience in (("one", 1.5), ("two", 2.0)):
+            text = self.bundle_text(version) + f"patience = {patience}\n"
+            path = self.dir / f"bundle-{name}.signed"
+            path.write_bytes(self.envelope(text))
+            procs.append(self._publish_until_known(path))
+        statuses = [proc() for proc in procs]
+        won = 0 in statuses
+        if won:
+            self.version = version
+        return won
+
+    def _publish_until_known(self, path: Path) -> Callable[[], int]:
+        command = [sys.executable, "-m", "crankhinge.ctl.main", "bundle", "publish", str(path)]
+        command += ["--settings", self.ctl_settings()]
+        nowhere = subprocess.DEVNULL
+        proc = subprocess.Popen(command, stdout=nowhere, stderr=nowhere)
+
+        def finish() -> int:
+            status = proc.wait()
+            for _ in range(PUBLISH_TRIES):
+                if status != EXIT_UNKNOWN:
+                    break
+                time.sleep(1.0)
+                status = subprocess.call(command, stdout=nowhere, stderr=nowhere)
+            return status
+
+        return finish
+
     def ctl_settings(self) -> str:
         """Return the path of the command line's settings."""
         return self._write_settings("ctl", [f'key_value = "{HOST}:{self.platform_port}"'])
--- a/src/crankhinge_bench/_load.py
+++ b/src/crankhinge_bench/_load.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 
@@ -16,6 +17,8 @@
 
 REQUEST_TIMEOUT_S = 60.0
 NOT_RUN = "not-run"
+REPEAT_PAUSE_S = 0.7
+FINAL_CODES = frozenset({"already-taken", "key-too-old"})
 
 
 @dataclass
@@ -35,6 +38,10 @@
         wrong: whether what came differs from what the engine's model says.
         cancelled: whether the caller went of its own accord.
         key: idempotency key of a plain call.
+        sent: how often it was sent.
+        ident: the entry's identity of it.
+        entry: port of the entry that it was last sent to.
+        began: wall clock.
     """
 
     arrival: Arrival
@@ -49,6 +56,10 @@
     wrong: bool = False
     cancelled: bool = False
     key: str = ""
+    sent: int = 0
+    ident: str = ""
+    entry: int = 0
+    began: float = 0.0
     texts: list[str] = field(default_factory=list)
 
 
@@ -67,12 +78,21 @@
         ports: of the entries.
         credentials: bearer credential of each member.
         host: of the entries.
+        repeats: how often a caller repeats a plain call whose outcome it doesn't know.
     """
 
     def __init__(
-        self, ports: list[int], credentials: Mapping[str, str], host: str = "127.0.0.1"
+        self,
+        ports: list[int],
+        credentials: Mapping[str, str],
+        host: str = "127.0.0.1",
+        *,
+        repeats: int = 0,
     ) -> None:
         self._clients = [HttpClient(host, port) for port in ports]
+        self._turn = 0
+        self._repeats = repeats
+        self.shunned: set[int] = set()
         self._credentials = credentials
         self.outcomes: list[Outcome] = []
 
@@ -80,17 +100,40 @@
         """Send each arrival at its time and return what came of all of them."""
         began = await curio.clock()
         async with curio.TaskGroup() as group:
-            for number, arrival in enumerate(trace):
+            for arrival in trace:
                 wait = began + arrival.at - await curio.clock()
                 if wait > 0:
                     await curio.sleep(wait)
-                client = self._clients[number % len(self._clients)]
-                await group.spawn(self._one, client, arrival)
+                await group.spawn(self._one, arrival)
         return self.outcomes
 
-    async def _one(self, client: HttpClient, arrival: Arrival) -> None:
-        seen = Outcome(arrival)
+    def _next(self) -> HttpClient:
+        """Return the next entry in turn, as a balancer would: not one that it was told to shun."""
+        for _ in self._clients:
+            self._turn += 1
+            client = self._clients[self._turn % len(self._clients)]
+            if client.port not in self.shunned:
+                break
+        return client
+
+    async def _one(self, arrival: Arrival) -> None:
+        seen = Outcome(arrival, began=time.time())
         self.outcomes.append(seen)
+        await self._try(arrival, seen)
+        while self._unknown(seen) and seen.sent <= self._repeats:
+            await curio.sleep(REPEAT_PAUSE_S)
+            seen.status, seen.code, seen.outcome = 0, "", ""
+            await self._try(arrival, seen)
+
+    def _unknown(self, seen: Outcome) -> bool:
+        """Whether the caller of a plain call has yet to learn what became of it."""
+        final = seen.whole or seen.outcome == NOT_RUN or seen.code in FINAL_CODES
+        return bool(seen.arrival.path) and not final
+
+    async def _try(self, arrival: Arrival, seen: Outcome) -> None:
+        client = self._next()
+        seen.entry = client.port
+        seen.sent += 1
         began = await curio.clock()
         try:
             await curio.timeout_after(REQUEST_TIMEOUT_S, self._send, client, arrival, seen, began)
@@ -131,6 +174,7 @@
         )
         try:
             seen.status = stream.status
+            seen.ident = stream.headers.get("x-request-id", "")
             if stream.status != 200:
                 _note_failure(seen, stream, await stream.read_all())
                 return
@@ -147,6 +191,7 @@
         seen.status = resp.status
         seen.whole = resp.status == 200
         seen.outcome = resp.headers.get("x-request-outcome", "")
+        seen.ident = resp.headers.get("x-request-id", "")
         if resp.status == 200:
             seen.wrong = msgspec.json.decode(resp.body).get("body") != seen.key
         else:
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -14,7 +14,7 @@
 
 from crankhinge.decisions import mechanisms
 from crankhinge_bench._bound import at_load, capacity_per_s, goodput_bound
-from crankhinge_bench._cluster import Cluster, ClusterSpec, http_json
+from crankhinge_bench._cluster import Cluster, ClusterSpec
 from crankhinge_bench._faults import FaultPlayer
 from crankhinge_bench._load import LoadRun
 from crankhinge_bench._scenario import Scenario, read_scenario
@@ -48,12 +48,6 @@
     summary: Summary
 
 
-def service_runs(cluster: Cluster) -> list[dict[str, str]]:
-    """Return every run that the plain services recorded."""
-    plain = [place for place in cluster.places if place.kind == "plain"]
-    return [run for p in plain for run in http_json("GET", p.backend_port, "/runs")]
-
-
 def play(cluster: Cluster, scenario: Scenario, per_s: float, seed: int) -> tuple[Summary, int]:
     """Play a scenario's trace and faults; returns the figures and the bound."""
     load = at_load(scenario.load, per_s)
@@ -74,7 +68,7 @@
         first_token_s=spec.first_token_s,
         between_tokens_s=spec.between_tokens_s,
         engines=cluster.engine_stats(),
-        runs=service_runs(cluster),
+        runs=cluster.records("plain"),
     )
     return summary, goodput_bound(spec, load, trace)
 
--- a/src/crankhinge_bench/_summary.py
+++ b/src/crankhinge_bench/_summary.py
@@ -87,7 +87,7 @@
     first_token_s: float,
     between_tokens_s: float,
     engines: list[dict[str, Any]],
-    runs: list[dict[str, str]],
+    runs: list[dict[str, Any]],
 ) -> Summary:
     """Return the figures of a run.
 
@@ -133,12 +133,12 @@
     )
 
 
-def _doubled(runs: list[dict[str, str]]) -> int:
+def _doubled(runs: list[dict[str, Any]]) -> int:
     keys = [run["key"] for run in runs if run["key"]]
     return len(keys) - len(set(keys))
 
 
-def _refused_but_ran(calls: list[Outcome], runs: list[dict[str, str]]) -> int:
+def _refused_but_ran(calls: list[Outcome], runs: list[dict[str, Any]]) -> int:
     ran = {run["key"] for run in runs}
     refused = [seen for seen in calls if not seen.whole and seen.outcome == NOT_RUN]
     return sum(seen.key in ran for seen in refused)
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -9,6 +9,7 @@
 
 from crankhinge import __version__
 from crankhinge.errors import CrankhingeError
+from crankhinge_bench._chaos import add_arguments as add_faults
 from crankhinge_bench._demo import demo
 from crankhinge_bench._run import add_arguments as add_run
 
@@ -22,6 +23,7 @@
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     verbs = parser.add_subparsers(dest="verb", required=True)
     verbs.add_parser("demo", help="the whole system for some seconds").set_defaults(run=demo)
+    add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
     add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
     return parser
 
--- a/src/crankhinge_standins/_web.py
+++ b/src/crankhinge_standins/_web.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -49,8 +51,21 @@
             setattr(self, name, value)
 
 
-class Dropped(BadHttp):
-    """The connection is to be closed without an answer."""
+class Recorder:
+    """Writes what a stand-in did to a file, which outlives it when it is killed.
+
+    Args:
+        path: the file; empty for none.
+    """
+
+    def __init__(self, path: str) -> None:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+        self._fd = os.open(path, flags, 0o644) if path else -1
+
+    def write(self, **row: Any) -> None:
+        """Add a row, with the wall clock's time in ``at``."""
+        if self._fd >= 0:
+            os.write(self._fd, msgspec.json.encode({**row, "at": time.time()}) + b"\n")
 
 
 async def serve(host: str, port: int, handler: Handler, faults: Faults, log: Any) -> None:
--- a/src/crankhinge_standins/engine.py
+++ b/src/crankhinge_standins/engine.py
@@ -10,6 +10,7 @@
 import zlib
 from collections import OrderedDict
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
 import curio
@@ -17,7 +18,8 @@
 
 from crankhinge.errors import CrankhingeError, HttpClosed
 from crankhinge.http import Exchange, HttpClient, sse_event
-from crankhinge_standins._web import Faults, reply, serve
+from crankhinge.runtime import until_first
+from crankhinge_standins._web import Faults, Recorder, reply, serve
 
 VOCABULARY = 5000
 BLOCK_WORDS = 64
@@ -40,6 +42,7 @@
         link_bytes_per_s: rate of the engine's outgoing link; 0 for no limit.
         cache_blocks: size of the prefix cache.
         load_lag_s: how old its reported load is.
+        record: file for its runs; empty for none.
     """
 
     host: str = "127.0.0.1"
@@ -53,6 +56,7 @@
     link_bytes_per_s: float = 0.0
     cache_blocks: int = 2000
     load_lag_s: float = 0.5
+    record: str = ""
 
 
 class Gone(CrankhingeError):
@@ -126,6 +130,7 @@
         self.log = log
         self.faults = Faults()
         self.stats = Stats()
+        self._recorder = Recorder(cfg.record)
         self.runs: list[dict[str, Any]] = []
         self._rng = random.Random(seed)
         self._running: list[_Running] = []
@@ -139,11 +144,9 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._step_loop)
-            await group.spawn(self._report_loop)
-            cfg = self.cfg
-            await group.spawn(serve, cfg.host, cfg.port, self._handle, self.faults, self.log)
+        cfg = self.cfg
+        listen = partial(serve, cfg.host, cfg.port, self._handle, self.faults, self.log)
+        await until_first(self._step_loop, self._report_loop, listen)
 
     async def _report_loop(self) -> None:
         while True:
@@ -205,6 +208,7 @@
 
     async def _prefill(self, exchange: Exchange, body: dict[str, Any]) -> None:
         words = context_of(body).split(" ")
+        self._recorder.write(kind="prefill", prompt=zlib.crc32(context_of(body).encode()))
         async with self._reader:
             cached = self._cached(words)
             todo = max(1, len(words) - cached)
@@ -302,6 +306,7 @@
         ident = exchange.req.headers.get("x-request-id", "")
         record = {"id": ident, "sent": 0, "end": "running"}
         self.runs.append(record)
+        self._recorder.write(kind="decode", prompt=zlib.crc32(context_of(body).encode()))
         try:
             await self._stream(exchange, body, run, record)
             record["end"] = "finished"
--- a/src/crankhinge_standins/main.py
+++ b/src/crankhinge_standins/main.py
@@ -22,6 +22,7 @@
         flag = "--" + field.name.replace("_", "-")
         engine.add_argument(flag, type=type(field.default), default=field.default)
     service = kinds.add_parser("service", help="a plain service")
+    service.add_argument("--record", default="")
     service.add_argument("--work-s", type=float, default=0.01)
     platform = kinds.add_parser("platform", help="key-value service and list of instances")
     platform.add_argument("--list-lag-s", type=float, default=1.0)
@@ -38,7 +39,7 @@
         cfg = EngineConfig(**{name: getattr(args, name) for name in names})
         return StandinEngine(cfg, log, seed=cfg.port).run
     if args.kind == "service":
-        return StandinService(args.host, args.port, args.work_s, log).run
+        return StandinService(args.host, args.port, args.work_s, log, args.record).run
     return StandinPlatform(args.host, args.port, args.list_lag_s, log).run
 
 
--- a/src/crankhinge_standins/platform.py
+++ b/src/crankhinge_standins/platform.py
@@ -7,6 +7,7 @@
 
 import base64
 from dataclasses import dataclass
+from functools import partial
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
@@ -15,6 +16,7 @@
 
 from crankhinge.errors import HttpClosed
 from crankhinge.http import Exchange
+from crankhinge.runtime import until_first
 from crankhinge_standins._web import Faults, reply, serve
 
 SERVICE_PATH = "/v1/health/service/crankhinge-agent"
@@ -75,9 +77,8 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
-        async with curio.TaskGroup(wait=any) as group:
-            await group.spawn(self._lag_loop)
-            await group.spawn(serve, self._host, self._port, self._handle, self.faults, self._log)
+        listen = partial(serve, self._host, self._port, self._handle, self.faults, self._log)
+        await until_first(self._lag_loop, listen)
 
     async def _lag_loop(self) -> None:
         while True:
--- a/src/crankhinge_standins/service.py
+++ b/src/crankhinge_standins/service.py
@@ -8,7 +8,7 @@
 
 from crankhinge.errors import HttpClosed
 from crankhinge.http import Exchange
-from crankhinge_standins._web import Faults, reply, serve
+from crankhinge_standins._web import Faults, Recorder, reply, serve
 
 
 class StandinService:
@@ -19,14 +19,16 @@
         port: TCP port.
         work_s: seconds a call takes.
         log: for unexpected failures.
+        record: file for its runs; empty for none.
     """
 
-    def __init__(self, host: str, port: int, work_s: float, log: Any) -> None:
+    def __init__(self, host: str, port: int, work_s: float, log: Any, record: str = "") -> None:
         self._host = host
         self._port = port
         self._work_s = work_s
         self._log = log
         self.faults = Faults()
+        self._recorder = Recorder(record)
         self.runs: list[dict[str, str]] = []
 
     async def run(self) -> None:
@@ -50,6 +52,7 @@
             "body": req.body.decode("utf-8", "replace"),
         }
         self.runs.append(run)
+        self._recorder.write(**run)
         await curio.sleep(self._work_s * self.faults.slow)
         if self.faults.lose_answers:
             raise HttpClosed("answer lost")
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,174 @@
+"""Bad input to every listening port of running programs: typed errors, nothing lost."""
+
+import json
+import socket
+import time
+import urllib.request
+from pathlib import Path
+
+import pytest
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+from syrupy.assertion import SnapshotAssertion
+
+from crankhinge.agent.main import main as agent_main
+from crankhinge.ctl.main import main as ctl_main
+from crankhinge.entry.main import main as entry_main
+from crankhinge_bench._cluster import HOST, Cluster, http_json
+from crankhinge_bench.main import main as bench_main
+
+
+def talk(port: int, data: bytes, *, half: bool = False) -> bytes:
+    """Send bytes and return what comes back until the other end closes, or for a moment."""
+    with socket.create_connection((HOST, port), 2.0) as sock:
+        sock.settimeout(0.3)
+        sock.sendall(data)
+        if not half:
+            sock.shutdown(socket.SHUT_WR)
+        out = b""
+        try:
+            while chunk := sock.recv(65536):
+                out += chunk
+        except TimeoutError:
+            pass
+        return out
+
+
+def answers(cluster: Cluster) -> bool:
+    """Whether a request still goes through."""
+    body = json.dumps({"model": "m1", "prompt": "still there", "max_tokens": 2}).encode()
+    req = urllib.request.Request(
+        f"http://{HOST}:{cluster.entry_ports[0]}/v1/completions",
+        data=body,
+        headers={"Authorization": f"Bearer {cluster.credentials['naas-office']}"},
+    )
+    with urllib.request.urlopen(req, timeout=5) as resp:
+        return bool(resp.status == 200)
+
+
+class TestHttp:
+    """The callers' port."""
+
+    @pytest.mark.parametrize(
+        ("data", "status"),
+        [
+            (b"\x00\x01\x02 garbage\r\n\r\n", b"400"),
+            (b"GET / HTTP/1.1\r\n\r\n", b"400"),
+            (b"POST /v1/completions HTTP/1.1\r\nhost: x\r\nx: " + b"y" * 40000, b"413"),
+            (
+                b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: 99999999\r\n\r\n"
+                + b"z" * 5_000_000,
+                b"413",
+            ),
+            (b"POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: x\r\n\r\n", b"400"),
+        ],
+    )
+    def test_malformed_requests(self, cluster: Cluster, data: bytes, status: bytes) -> None:
+        """Each is answered with its status and "not run", and the entry lives."""
+        out = talk(cluster.entry_ports[0], data, half=True)
+        assert out.startswith(b"HTTP/1.1 " + status)
+        assert b"x-request-outcome: not-run" in out
+        assert answers(cluster)
+
+    def test_half_open_connections(self, cluster: Cluster) -> None:
+        """Connections that never finish their request don't keep others out."""
+        socks = [socket.create_connection((HOST, cluster.entry_ports[0])) for _ in range(50)]
+        for sock in socks:
+            sock.sendall(b"POST /v1/comp")
+        assert answers(cluster)
+        for sock in socks:
+            sock.close()
+
+
+class TestEveryPort:
+    """Random bytes."""
+
+    @given(st.binary(min_size=1, max_size=400))
+    @settings(
+        max_examples=8,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=[HealthCheck.function_scoped_fixture],
+    )
+    def test_random_bytes(self, cluster: Cluster, data: bytes) -> None:
+        """Whatever is sent to whichever port, every process lives and requests go through."""
+        for port in [*cluster.entry_ports, *(place.port for place in cluster.places)]:
+            talk(port, data)
+        assert all(proc.poll() is None for proc in cluster.procs.values())
+        assert answers(cluster)
+
+
+class TestSettings:
+    """Settings files and command lines."""
+
+    @pytest.mark.parametrize("main", [entry_main, agent_main])
+    @pytest.mark.parametrize("text", ["[[", "surprise = 1", 'name = "a"\nport = 99999'])
+    def test_bad_settings(
+        self,
+        main: object,
+        text: str,
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+        snapshot: SnapshotAssertion,
+    ) -> None:
+        """Exit status 2, and a line with file, key and reason."""
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        assert main(["--check", str(path)]) == 2  # type: ignore[operator]
+        assert capsys.readouterr().err.replace(str(tmp_path), "DIR") == snapshot
+
+    def test_bad_scenario(self, tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+        """An unknown key of a scenario is an error that names it."""
+        path = tmp_path / "scenario.toml"
+        path.write_text('name = "x"\nsurprise = 1\n')
+        assert bench_main(["run", str(path)]) == 2
+        assert "surprise" in capsys.readouterr().err
+
+    @pytest.mark.parametrize(
+        "args",
+        [
+            ["bundle", "check", "DIR/none.toml"],
+            ["bundle", "check", "DIR/bad.toml"],
+            ["bundle", "sign", "DIR/good.toml", "--partner", "x", "--key", "k", "--out", "o"],
+            ["bundle", "check", "DIR/good.toml"],
+        ],
+    )
+    def test_ctl(
+        self,
+        args: list[str],
+        tmp_path: Path,
+        capsys: pytest.CaptureFixture[str],
+        snapshot: SnapshotAssertion,
+    ) -> None:
+        """What the operators' command says and its exit status."""
+        (tmp_path / "bad.toml").write_text("version = 0\n[[partners]]\nname='p'\n")
+        (tmp_path / "good.toml").write_text("version = 1\n[[partners]]\nname='p'\n")
+        status = ctl_main([arg.replace("DIR", str(tmp_path)) for arg in args])
+        seen = capsys.readouterr()
+        text = f"{status}\n{seen.out}{seen.err}"
+        assert text.replace(str(tmp_path), "DIR") == snapshot
+
+
+class TestSlotsFreed:
+    """Nobody's request keeps no memory."""
+
+    def test_a_cancelled_stream_frees_its_slot(self, cluster: Cluster) -> None:
+        """A caller that goes in mid-answer leaves nothing in the engine."""
+        body = json.dumps({"model": "m1", "prompt": "x", "max_tokens": 500, "stream": True})
+        head = (
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\n"
+            f"authorization: Bearer {cluster.credentials['naas-office']}\r\n"
+            f"content-length: {len(body)}\r\n\r\n"
+        )
+        with socket.create_connection((HOST, cluster.entry_ports[0])) as sock:
+            sock.sendall((head + body).encode())
+            assert sock.recv(100)
+        held = 1
+        for _ in range(100):
+            decode = [p for p in cluster.places if p.kind == "decode"]
+            held = sum(http_json("GET", p.backend_port, "/stats")["running"] for p in decode)
+            if not held:
+                break
+            time.sleep(0.05)
+        assert held == 0
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,221 @@
+"""Tests of bundles: validation, signatures, acceptance."""
+
+from pathlib import Path
+
+import curio
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from crankhinge.adapters import KeyValue, Value
+from crankhinge.config import (
+    BUNDLE_KEY,
+    BundleKeeper,
+    Envelope,
+    load_private_key,
+    new_key_pair,
+    open_envelope,
+    parse_bundle,
+    publish,
+    read_history,
+    seal,
+    sign,
+)
+from crankhinge.errors import BundleError, KeyFileError, KeyValueUnavailable, PublishConflict
+
+TEXT = """
+version = {version}
+[[partners]]
+name = "timbook"
+[[partners]]
+name = "heating-oil"
+[[pools]]
+name = "read"
+kind = "prefill"
+[[pools]]
+name = "write"
+kind = "decode"
+[[models]]
+name = "m1"
+prefill = ["read"]
+decode = ["write"]
+"""
+
+
+class Signers:
+    """Both partners' keys."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+        self.keys = {
+            name: new_key_pair(path / f"{name}.key") for name in ("timbook", "heating-oil")
+        }
+
+    def envelope(self, version: int, extra: str = "", *, skip: str = "") -> bytes:
+        """Return a bundle signed by all but *skip*."""
+        envelope = Envelope(TEXT.format(version=version) + extra)
+        for name in self.keys:
+            if name != skip:
+                envelope = sign(envelope, name, load_private_key(self.path / f"{name}.key"))
+        return seal(envelope)
+
+
+@pytest.fixture
+def signers(tmp_path: Path) -> Signers:
+    """Return two new key pairs."""
+    return Signers(tmp_path)
+
+
+class MemoryKeyValue(KeyValue):
+    """A key-value service in memory that can lose answers and be out."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, Value] = {}
+        self.lose_answers = False
+        self.out = False
+        self.before_swap: list[bytes] = []
+
+    async def get(self, key: str) -> Value | None:
+        """Return a value."""
+        if self.out:
+            raise KeyValueUnavailable("out")
+        return self.values.get(key)
+
+    async def watch(self, key: str, index: int, wait_s: float) -> Value | None:
+        """Return a value at once."""
+        return await self.get(key)
+
+    async def swap(self, key: str, data: bytes, index: int) -> bool:
+        """Compare and swap; another's write may come first."""
+        if self.out:
+            raise KeyValueUnavailable("out")
+        if key == BUNDLE_KEY and self.before_swap:
+            self.write(key, self.before_swap.pop())
+        current = self.values.get(key)
+        if (current.index if current else 0) != index:
+            return False
+        self.write(key, data)
+        if self.lose_answers:
+            raise KeyValueUnavailable("answer lost")
+        return True
+
+    def write(self, key: str, data: bytes) -> None:
+        """Write a value."""
+        index = self.values[key].index if key in self.values else 0
+        self.values[key] = Value(data, index + 1)
+
+
+class TestBundle:
+    """A bundle is validated whole."""
+
+    @pytest.mark.parametrize(
+        ("extra", "reason"),
+        [
+            ("\nsurprise = 1\n", "unknown field"),
+            ('\n[[pools]]\nname = "read"\nkind = "plain"\n', "stands twice"),
+            ('\n[[models]]\nname = "m2"\nprefill = ["write"]\ndecode = ["write"]\n', "not prefill"),
+            ('\n[[models]]\nname = "m2"\nprefill = ["x"]\ndecode = ["write"]\n', "no pool 'x'"),
+            ('\n[[services]]\nname = "s"\npath = "/s"\npool = "none"\n', "no pool"),
+            ("\n[policy]\nwaste_weight = 2.0\n", "waste_weight"),
+            ("\n[[", "not TOML"),
+        ],
+    )
+    def test_names_the_key_and_the_reason(self, extra: str, reason: str) -> None:
+        """A faulty bundle is refused with its reason."""
+        with pytest.raises(BundleError, match=reason):
+            parse_bundle(TEXT.format(version=1) + extra)
+
+    @given(st.binary(max_size=200))
+    @settings(max_examples=100, deadline=None, derandomize=True, database=None)
+    def test_garbage_is_a_typed_error(self, data: bytes) -> None:
+        """Whatever stands in the key-value service, the failure has a type."""
+        with pytest.raises(BundleError):
+            open_envelope(data, {"timbook": "0" * 64})
+
+
+class TestSignatures:
+    """All partners must have signed."""
+
+    def test_accepts_both_signatures(self, signers: Signers) -> None:
+        """A bundle signed by both opens."""
+        assert open_envelope(signers.envelope(3), signers.keys).version == 3
+
+    def test_refuses_a_missing_signature(self, signers: Signers) -> None:
+        """A bundle that one partner has not signed is refused."""
+        with pytest.raises(BundleError, match="not signed by timbook"):
+            open_envelope(signers.envelope(3, skip="timbook"), signers.keys)
+
+    def test_refuses_a_changed_text(self, signers: Signers) -> None:
+        """A bundle changed after it was signed is refused."""
+        changed = signers.envelope(3).replace(b"version = 3", b"version = 4")
+        with pytest.raises(BundleError, match="wrong"):
+            open_envelope(changed, signers.keys)
+
+    def test_private_keys_are_private(self, signers: Signers) -> None:
+        """A key file is made with mode 0600, and one that others can read is refused."""
+        path = signers.path / "timbook.key"
+        assert path.stat().st_mode & 0o777 == 0o600
+        path.chmod(0o644)
+        with pytest.raises(KeyFileError, match="must be 0600"):
+            load_private_key(path)
+
+
+class TestKeeper:
+    """The bundle in force in one process."""
+
+    def test_never_goes_back(self, signers: Signers) -> None:
+        """An older or equal version changes nothing."""
+        keeper = BundleKeeper(signers.keys)
+        assert keeper.offer(signers.envelope(5))
+        assert not keeper.offer(signers.envelope(4))
+        assert not keeper.offer(signers.envelope(5, "\n[policy]\npatience = 3.0\n"))
+        assert keeper.version == 5
+
+    def test_an_unsigned_bundle_changes_nothing(self, signers: Signers) -> None:
+        """A newer bundle that isn't signed is refused and the old one stays."""
+        keeper = BundleKeeper(signers.keys)
+        keeper.offer(signers.envelope(5))
+        with pytest.raises(BundleError):
+            keeper.offer(signers.envelope(6, skip="heating-oil"))
+        assert keeper.version == 5
+
+
+class TestPublish:
+    """Acceptance by compare-and-swap."""
+
+    def test_versions_follow_each_other(self, signers: Signers) -> None:
+        """The first version is 1, and none may be left out."""
+        kv = MemoryKeyValue()
+        assert curio.run(publish, kv, signers.envelope(1), signers.keys).version == 1
+        with pytest.raises(BundleError, match="doesn't follow"):
+            curio.run(publish, kv, signers.envelope(3), signers.keys)
+
+    def test_of_two_operators_one_wins(self, signers: Signers) -> None:
+        """The one whose swap comes second is told, and nothing is overwritten."""
+        kv = MemoryKeyValue()
+        theirs = signers.envelope(1, "\n[policy]\npatience = 2.0\n")
+        kv.before_swap = [theirs]
+        with pytest.raises(PublishConflict):
+            curio.run(publish, kv, signers.envelope(1), signers.keys)
+        assert kv.values[BUNDLE_KEY].data == theirs
+
+    def test_a_lost_answer_is_read_back(self, signers: Signers) -> None:
+        """When the swap took effect and its answer was lost, the operator learns that it did."""
+        kv = MemoryKeyValue()
+        kv.lose_answers = True
+        result = curio.run(publish, kv, signers.envelope(1), signers.keys)
+        assert result.resolved
+
+    def test_publishing_again_is_safe(self, signers: Signers) -> None:
+        """The same file a second time is accepted as done."""
+        kv = MemoryKeyValue()
+        curio.run(publish, kv, signers.envelope(1), signers.keys)
+        assert curio.run(publish, kv, signers.envelope(1), signers.keys).resolved
+        assert [row.version for row in curio.run(read_history, kv)] == [1]
+
+    def test_an_outage_is_not_guessed(self, signers: Signers) -> None:
+        """With the service out the outcome is unknown, and said to be."""
+        kv = MemoryKeyValue()
+        kv.out = True
+        with pytest.raises(KeyValueUnavailable):
+            curio.run(publish, kv, signers.envelope(1), signers.keys)
--- /dev/null
+++ b/tests/test_entry.py
@@ -0,0 +1,226 @@
+"""Tests of what an entry makes of a request."""
+
+import curio
+import msgspec
+import pytest
+
+from crankhinge.config import BundleView, hash_credential, parse_bundle
+from crankhinge.decisions import Breaker, MemberLimits, RetryBudget, WorkAsk, WorkQueue
+from crankhinge.entry._ask import authenticate, prefix_blocks, read_completion
+from crankhinge.entry._calls import Calls, LinkLost, RequestIds
+from crankhinge.errors import BadCredentials, LinkClosed, RequestError, SlowCaller
+from crankhinge.http import HttpRequest
+from crankhinge.wire import Tokens
+from test_config import TEXT
+from virtual_time import run_virtual
+
+
+def make_view() -> BundleView:
+    """Return a bundle with one member."""
+    digest = hash_credential("secret")
+    member = f'[[members]]\nname = "m"\npartner = "timbook"\ncredential_sha256 = "{digest}"\n'
+    return BundleView(parse_bundle(TEXT.format(version=1) + member + "max_rank = 1\n"))
+
+
+def make_req(body: object, path: str = "/v1/completions", **headers: str) -> HttpRequest:
+    """Return a request of the member."""
+    data = body if isinstance(body, bytes) else msgspec.json.encode(body)
+    fields = {name.replace("_", "-"): value for name, value in headers.items()}
+    return HttpRequest("POST", path, {"authorization": "Bearer secret", **fields}, data)
+
+
+class TestAsk:
+    """Requests are checked before anything is done for them."""
+
+    @pytest.mark.parametrize(
+        ("body", "headers", "reason"),
+        [
+            (b"{", {}, "body"),
+            ({"prompt": "x"}, {}, "model"),
+            ({"model": "m1", "prompt": ""}, {}, "prompt"),
+            ({"model": "m1", "prompt": "x", "n": 2}, {}, "n: only 1"),
+            ({"model": "m1", "prompt": "x", "max_tokens": -1}, {}, "max_tokens"),
+            ({"model": "m1", "prompt": "x"}, {"x_priority": "high"}, "x-priority"),
+            ({"model": "m1", "prompt": "x"}, {"x_deadline_ms": "0"}, "x-deadline-ms"),
+        ],
+    )
+    def test_bad_requests_name_what_is_wrong(
+        self, body: object, headers: dict[str, str], reason: str
+    ) -> None:
+        """Each fault is a typed error that names the field."""
+        view = make_view()
+        req = make_req(body, **headers)
+        with pytest.raises(RequestError, match=reason):
+            read_completion(view, req, authenticate(view, req.headers))
+
+    def test_priority_is_capped_by_the_member(self) -> None:
+        """A member can't ask for a class above its own."""
+        view = make_view()
+        req = make_req({"model": "m1", "prompt": "x"}, x_priority="0")
+        assert read_completion(view, req, authenticate(view, req.headers)).terms.rank == 1
+
+    def test_credentials(self) -> None:
+        """Only a known bearer credential is taken."""
+        for value in ("", "Bearer wrong", "Basic secret"):
+            with pytest.raises(BadCredentials):
+                authenticate(make_view(), {"authorization": value})
+
+    def test_a_chat_goes_on_from_its_text(self) -> None:
+        """The rest of a cut chat answer is asked for with what is already written."""
+        view = make_view()
+        messages = [{"role": "user", "content": "hi"}]
+        req = make_req({"model": "m1", "messages": messages}, "/v1/chat/completions")
+        ask = read_completion(view, req, authenticate(view, req.headers))
+        body = msgspec.json.decode(ask.body_after(" a b", 2))
+        assert body["messages"][-1] == {"role": "assistant", "content": " a b"}
+        assert body["continue_final_message"] is True
+        assert body["max_tokens"] == ask.max_tokens - 2
+
+    def test_prefix_blocks_depend_on_all_before(self) -> None:
+        """Two prompts share leading blocks exactly as far as they agree."""
+        head = "x" * 1024
+        first, second = prefix_blocks(head + "a" * 512), prefix_blocks(head + "b" * 512)
+        assert first[:2] == second[:2]
+        assert first[2] != second[2]
+
+
+class FakeLink:
+    """A link that is never used."""
+
+    closed = False
+
+
+class TestCalls:
+    """Answers are matched to requests."""
+
+    def test_crossed_answers_are_dropped_and_counted(self) -> None:
+        """A message for a request of another link, or of none, reaches nobody."""
+
+        async def scenario() -> int:
+            calls = Calls(RequestIds(1), 100)
+            mine, other = FakeLink(), FakeLink()
+            box = calls.open(mine)  # type: ignore[arg-type]
+            await calls.deliver(other, Tokens(box.req, 0, ("x",)))  # type: ignore[arg-type]
+            await calls.deliver(mine, Tokens(box.req + 1, 0, ("x",)))  # type: ignore[arg-type]
+            calls.close(box)
+            await calls.deliver(mine, Tokens(box.req, 0, ("x",)))  # type: ignore[arg-type]
+            return calls.dropped
+
+        assert run_virtual(scenario) == 3
+
+    def test_a_lost_link_ends_its_requests(self) -> None:
+        """Whoever waits on a link that ends is told so."""
+
+        async def scenario() -> None:
+            calls = Calls(RequestIds(1), 100)
+            link = FakeLink()
+            box = calls.open(link)  # type: ignore[arg-type]
+            await calls.fail(link)  # type: ignore[arg-type]
+            await curio.timeout_after(1, box.get)
+
+        with pytest.raises(LinkLost):
+            run_virtual(scenario)
+
+    def test_a_slow_caller_is_cut_off(self) -> None:
+        """Tokens beyond the buffer are a typed failure, not memory."""
+
+        async def scenario() -> None:
+            calls = Calls(RequestIds(1), 10)
+            link = FakeLink()
+            box = calls.open(link)  # type: ignore[arg-type]
+            for seq in range(20):
+                await calls.deliver(link, Tokens(box.req, seq, ("x",)))  # type: ignore[arg-type]
+            await box.get()
+
+        with pytest.raises(SlowCaller):
+            run_virtual(scenario)
+
+    def test_a_closed_link_takes_no_request(self) -> None:
+        """A mailbox can't be opened on a link that is gone."""
+        link = FakeLink()
+        link.closed = True
+        link.peer = type("Peer", (), {"name": "x"})  # type: ignore[attr-defined]
+        with pytest.raises(LinkClosed):
+            Calls(RequestIds(1), 10).open(link)  # type: ignore[arg-type]
+
+
+class TestBudget:
+    """Retries can't amplify an outage."""
+
+    def test_retries_are_a_part_of_first_attempts(self) -> None:
+        """When everything fails, a tenth of the requests is retried, beyond the burst."""
+        budget = RetryBudget(ratio=0.1, burst=10.0)
+        retries = 0
+        for _ in range(1000):
+            budget.first_attempt()
+            retries += budget.try_retry()
+        assert 100 <= retries <= 115
+
+
+class TestBreaker:
+    """A failing backend server is left alone."""
+
+    def test_opens_and_lets_one_trial_through(self) -> None:
+        """After three failures nothing passes for a second, then one request does."""
+        breaker = Breaker()
+        for _ in range(3):
+            breaker.failed(0.0)
+        assert not breaker.allows(0.5)
+        assert breaker.allows(1.5)
+        breaker.sent(1.5)
+        assert not breaker.allows(1.5)
+        breaker.failed(1.6)
+        assert not breaker.allows(3.0)
+        assert breaker.allows(3.7)
+        breaker.sent(3.7)
+        breaker.succeeded()
+        assert breaker.allows(3.8)
+
+
+class TestLimits:
+    """A member's limits at one entry."""
+
+    def test_rate_and_concurrency(self) -> None:
+        """Requests over a limit are told when to come back."""
+        limits = MemberLimits()
+        assert limits.enter("m", 0.0, concurrent=1, per_s=0) is None
+        assert limits.enter("m", 0.0, concurrent=1, per_s=0) is not None
+        limits.leave("m")
+        assert limits.enter("m", 0.0, concurrent=1, per_s=0) is None
+        for _ in range(2):
+            assert limits.enter("r", 0.0, concurrent=0, per_s=2.0) is None
+        assert limits.enter("r", 0.0, concurrent=0, per_s=2.0) == 0.5
+        assert limits.enter("r", 0.6, concurrent=0, per_s=2.0) is None
+
+
+class TestWorkQueue:
+    """What a backend server is given."""
+
+    def test_refuses_what_cannot_be_done_in_time(self) -> None:
+        """A prompt behind too much work is refused unread, and one that fits is taken."""
+        queue = WorkQueue(width=1, rate=1000.0)
+        assert queue.ask(WorkAsk(1, "p", "m", 1, 1.0, 800), 0.0) is None
+        starts, late = queue.next(0.0)
+        assert [ask.req for ask in starts] == [1] and late == []
+        refusal = queue.ask(WorkAsk(2, "p", "m", 1, 1.0, 800), 0.0)
+        assert refusal is not None and refusal.retry_after > 1.0
+        assert queue.ask(WorkAsk(3, "p", "m", 1, 1.0, 100), 0.0) is None
+
+    def test_what_has_waited_too_long_is_not_started(self) -> None:
+        """A prompt whose time ran out in the queue is refused, not read."""
+        queue = WorkQueue(width=1, rate=1000.0)
+        queue.ask(WorkAsk(1, "p", "m", 1, 9.0, 100), 0.0)
+        queue.next(0.0)
+        queue.ask(WorkAsk(2, "p", "m", 1, 1.0, 500), 0.0)
+        queue.end(1, 0.9)
+        starts, late = queue.next(0.9)
+        assert starts == [] and [refusal.req for refusal in late] == [2]
+
+    def test_learns_the_rate(self) -> None:
+        """The rate follows what was measured."""
+        queue = WorkQueue(width=1, rate=1000.0)
+        for req in range(1, 30):
+            queue.ask(WorkAsk(req, "p", "m", 1, 1e9, 100), float(req))
+            queue.next(float(req))
+            queue.end(req, req + 0.05, done=100)
+        assert 1900 < queue.rate < 2000
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,133 @@
+"""Tests of routing."""
+
+import random
+from collections import Counter
+
+from crankhinge.adapters import Instance
+from crankhinge.decisions import Backend, PrefixIndex, RouteAsk, Router, RoutingWeights, rank_by_key
+from crankhinge.entry._fleet import subset
+
+
+def make_router(seed: int = 1, **changes: object) -> Router:
+    """Return a router with six idle decode backend servers."""
+    router = Router(weights=RoutingWeights(zone="z0"), rng=random.Random(seed))
+    for number in range(6):
+        backend = Backend(f"b{number}", "decode", "write", "z0", linked=True, free=20)
+        for name, value in changes.items():
+            setattr(backend, name, value)
+        router.backends[backend.name] = backend
+    return router
+
+
+class TestChoice:
+    """Which backend servers are tried."""
+
+    def test_entries_with_one_stale_minimum_do_not_herd(self) -> None:
+        """Twenty entries that all see one server as the least loaded spread all the same."""
+        firsts: Counter[str] = Counter()
+        for entry in range(20):
+            router = make_router(entry)
+            for name, backend in router.backends.items():
+                backend.free, backend.backlog_s = (1, 0.0) if name == "b0" else (0, 0.2)
+            for _ in range(10):
+                best = router.choose(["write"], 0.0)[0]
+                best.sent += 1
+                best.sent_s += 0.1
+                firsts[best.name] += 1
+        assert firsts["b0"] <= 0.35 * sum(firsts.values())
+
+    def test_unusable_servers_are_left_out(self) -> None:
+        """A server that is unlinked, leaving, draining or broken off gets nothing."""
+        router = make_router()
+        router.backends["b0"].linked = False
+        router.backends["b1"].leaving = True
+        router.backends["b2"].draining = True
+        for _ in range(3):
+            router.backends["b3"].breaker.failed(0.0)
+        names = {b.name for _ in range(50) for b in router.choose(["write"], 0.5)}
+        assert names == {"b4", "b5"}
+
+    def test_a_slow_server_is_avoided(self) -> None:
+        """A server whose steps take far longer than usual is the last choice."""
+        router = make_router(step_s=0.03)
+        router.backends["b0"].step_s = 0.2
+        firsts = {router.choose(["write"], 0.0)[0].name for _ in range(100)}
+        assert "b0" not in firsts
+
+    def test_a_silent_server_is_used_only_when_no_other_is_left(self) -> None:
+        """Reports that have stopped rule a server out while others are heard."""
+        router = make_router(reported=100.0)
+        router.backends["b0"].reported = 10.0
+        names = {b.name for _ in range(50) for b in router.choose(["write"], 100.0)}
+        assert "b0" not in names
+        assert len(router.usable(["write"], 500.0)) == 6
+
+
+class TestPrefill:
+    """Where a prompt is read."""
+
+    def test_a_cached_prefix_wins_until_its_server_is_busy(self) -> None:
+        """Affinity is worth the tokens it saves, no more."""
+        router = make_router(rate=10_000.0)
+        ask = RouteAsk(5000, tuple(range(64)), 64)
+        router.prefixes.learn("b3", ask.prefix)
+        found = {router.choose_prefill(["write"], ask, "z0", 0.0)[0].name for _ in range(50)}
+        assert "b3" in found
+        router.backends["b3"].backlog_s = 5.0
+        found = {router.choose_prefill(["write"], ask, "z0", 0.0)[0].name for _ in range(50)}
+        assert "b3" not in found
+
+    def test_a_slow_link_is_avoided(self) -> None:
+        """A prompt is read in the zone where it is written when links between zones are slow."""
+        router = make_router(rate=10_000.0)
+        router.weights = RoutingWeights(
+            kv_bytes_per_token=100_000, same_zone_bytes_per_s=1e10, cross_zone_bytes_per_s=1e8
+        )
+        for name in ("b0", "b1", "b2"):
+            router.backends[name].zone = "z1"
+        firsts = [router.choose_prefill(["write"], RouteAsk(2000), "z1", 0.0)[0] for _ in range(50)]
+        assert sum(b.zone == "z1" for b in firsts) > 40
+
+    def test_work_already_done_is_forgotten(self) -> None:
+        """A reported backlog shrinks as time goes by."""
+        backend = Backend("b", "prefill", "read", "z", backlog_s=0.3, reported=10.0)
+        assert backend.pending_s(10.1) < 0.3
+        assert backend.pending_s(11.0) == 0.0
+
+
+class TestPrefixIndex:
+    """What is believed cached."""
+
+    def test_bounded(self) -> None:
+        """The oldest blocks go first."""
+        index = PrefixIndex(limit=10)
+        index.learn("a", range(20))
+        assert len(index) == 10
+        assert index.matched("a", (10, 11, 12)) == 3
+        assert index.matched("a", (0,)) == 0
+
+
+class TestSubset:
+    """Which agents an entry links to."""
+
+    def test_links_are_spread_evenly(self) -> None:
+        """Over many entries each agent has about the same number of links."""
+        agents = [Instance(f"w{n}", "h", 1, "z", "write") for n in range(36)]
+        links: Counter[str] = Counter()
+        for entry in range(360):
+            links.update(list(subset(agents, entry=f"e{entry}", limit=8)))
+        assert min(links.values()) > 40
+        assert max(links.values()) < 130
+
+    def test_a_change_moves_few_links(self) -> None:
+        """When one agent goes, an entry changes at most one link."""
+        agents = [Instance(f"w{n}", "h", 1, "z", "write") for n in range(36)]
+        before = set(subset(agents, entry="e1", limit=8))
+        after = set(subset(agents[1:], entry="e1", limit=8))
+        assert len(before - after) <= 1
+
+    def test_order_depends_on_the_key(self) -> None:
+        """Rendezvous order is stable for a key and differs between keys."""
+        names = [f"n{n}" for n in range(20)]
+        assert rank_by_key(b"a", names) == rank_by_key(b"a", reversed(names))
+        assert rank_by_key(b"a", names) != rank_by_key(b"b", names)
--- /dev/null
+++ b/tests/test_runtime.py
@@ -0,0 +1,111 @@
+"""Tests of supervision, logs and heartbeats."""
+
+import io
+from typing import Any
+
+import curio
+import pytest
+
+from crankhinge.peers import Beater
+from crankhinge.runtime import RestartLimitReached, Supervisor, get_log
+from crankhinge.wire import Beat
+from virtual_time import run_virtual
+
+
+class TestSupervisor:
+    """Restarts within a limit."""
+
+    def test_restarts_a_failing_child(self) -> None:
+        """A child that fails is started again; the others go on."""
+        starts: list[float] = []
+
+        async def fails_twice() -> None:
+            starts.append(await curio.clock())
+            if len(starts) < 3:
+                raise ValueError("no")
+
+        supervisor = Supervisor(get_log(program="test", stream=io.StringIO()))
+        supervisor.add("child", fails_twice)
+        run_virtual(supervisor.run)
+        assert len(starts) == 3
+
+    def test_gives_up_at_the_limit(self) -> None:
+        """A child that keeps failing ends the supervisor with a typed failure."""
+
+        async def fails() -> None:
+            raise ValueError("no")
+
+        async def watch() -> None:
+            supervisor = Supervisor(get_log(program="test", stream=io.StringIO()))
+            supervisor.add("child", fails)
+            await supervisor.run()
+
+        with pytest.raises(RestartLimitReached):
+            run_virtual(watch)
+
+
+class TestLogs:
+    """One key=value line per event."""
+
+    def test_secrets_are_redacted(self) -> None:
+        """The value of a key that names a secret never reaches the log."""
+        out = io.StringIO()
+        get_log(program="test", stream=out).info("seen", authorization="Bearer abc", size=3)
+        assert "abc" not in out.getvalue()
+        assert "size=3" in out.getvalue()
+
+
+class FakeLink:
+    """A link that records what is sent."""
+
+    def __init__(self) -> None:
+        self.heard = 0.0
+        self.closed = False
+        self.congested = False
+        self.sent: list[bytes] = []
+
+    async def send_frame(self, frame: bytes) -> None:
+        """Record a frame."""
+        self.sent.append(frame)
+
+    async def close(self) -> None:
+        """Record the end."""
+        self.closed = True
+
+
+class TestBeater:
+    """Heartbeats."""
+
+    def test_a_silent_link_is_closed(self) -> None:
+        """A peer that is heard no more for some beats loses its link; a live one keeps it."""
+
+        async def scenario() -> tuple[bool, bool, int]:
+            beater = Beater(1.0, lambda _now: Beat(1))
+            silent: Any = FakeLink()
+            lively: Any = FakeLink()
+            silent.heard = lively.heard = await curio.clock()
+            beater.links |= {silent, lively}
+            task = await curio.spawn(beater.run)
+            for _ in range(10):
+                await curio.sleep(1.0)
+                lively.heard = await curio.clock()
+            await task.cancel()
+            return silent.closed, lively.closed, len(lively.sent)
+
+        silent, lively, beats = run_virtual(scenario)
+        assert silent and not lively
+        assert beats in (9, 10)
+
+    def test_a_pause_of_our_own_is_forgiven(self) -> None:
+        """A process that was itself paused doesn't blame its peers for the silence."""
+
+        async def scenario() -> bool:
+            beater = Beater(1.0, lambda _now: Beat(1))
+            link: Any = FakeLink()
+            link.heard = await curio.clock() - 30.0
+            beater.links.add(link)
+            beater._forgive(await curio.clock())
+            await beater._beat(await curio.clock())
+            return bool(link.closed)
+
+        assert run_virtual(scenario) is False
--- a/tests/test_slots.py
+++ b/tests/test_slots.py
@@ -1,5 +1,10 @@
 """Tests of the slot table."""
 
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
 from crankhinge.decisions import Grant, Refuse, SlotAsk, SlotTable
 
 
@@ -61,3 +66,68 @@
         assert table.tick(1.05) == []
         assert [d.req for d in table.tick(1.2)] == [2]
         assert not table.start(1, 1.2)
+
+
+class TestRandom:
+    """Any order of events, against a naive count of who holds what."""
+
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=200, deadline=None, derandomize=True, database=None)
+    def test_invariants(self, seed: int) -> None:
+        """No slot is held twice, no refused request starts, and every lease ends."""
+        rng = random.Random(seed)
+        table = SlotTable(capacity=rng.randint(1, 4), step_s=0.1)
+        leased: set[int] = set()
+        running: set[int] = set()
+        refused: set[int] = set()
+        now = 0.0
+
+        def note(decisions: list[Grant | Refuse]) -> None:
+            for decision in decisions:
+                (leased if isinstance(decision, Grant) else refused).add(decision.req)
+
+        for req in range(1, 60):
+            now += rng.expovariate(3.0)
+            note(table.tick(now))
+            deadline = now + rng.uniform(0.0, 4.0)
+            ask = make_ask(
+                req,
+                deadline=deadline,
+                max_tokens=rng.randint(1, 30),
+                member=f"m{rng.randrange(3)}",
+                rank=rng.randrange(3),
+            )
+            note(table.ask(ask, now))
+            for other in sorted(leased):
+                if rng.random() < 0.5 and table.start(other, now):
+                    leased.remove(other)
+                    running.add(other)
+            for other in sorted(running):
+                if rng.random() < 0.3:
+                    running.remove(other)
+                    note(table.end(other, now))
+            assert len(running) <= table.capacity
+            assert not refused & (leased | running)
+        for other in sorted(running):
+            note(table.end(other, now))
+        now += 1000.0
+        note(table.tick(now))
+        assert not table.busy or table.queued == 0
+        table.tick(now + 1000.0)
+        assert not table.busy
+        assert table.free == table.capacity
+
+
+class TestFairness:
+    """A rival can't slow another."""
+
+    def test_a_member_within_its_share_is_not_refused_for_a_rival(self) -> None:
+        """The wait that is expected of a member counts its own queue, not its rival's."""
+        table = SlotTable(capacity=2, step_s=0.01)
+        for req in range(1, 40):
+            table.ask(make_ask(req, member="greedy", max_tokens=100), 0.0)
+        for req in (1, 2):
+            table.start(req, 0.0)
+        assert table.ask(make_ask(100, member="modest", max_tokens=100, deadline=2.0), 0.0) == []
+        [grant] = table.end(1, 0.1)
+        assert grant.req == 100
