Smaller processes: unused modules kept out, no name look-ups

Change: the binaries put empty modules in their places before anything is imported; open_tcp connects to IP numbers without a thread; uuid6 (importlib.metadata, email) is only the bench's; routing scans the members of a pool, not all servers.

--- a/src/crankhinge/agent/main.py
+++ b/src/crankhinge/agent/main.py
@@ -2,90 +2,16 @@
 
 from __future__ import annotations
 
-import random
-import time
-from functools import partial
-from typing import Any
-
-import curio
-
-from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
-from crankhinge.adapters.http_service import HttpService
-from crankhinge.adapters.openai_engine import OpenAiEngine
-from crankhinge.agent._agent import Agent
-from crankhinge.agent._decode import DecodeRole
-from crankhinge.agent._plain import PlainRole
-from crankhinge.agent._prefill import PrefillRole
-from crankhinge.agent._role import UNBOUNDED, Role
-from crankhinge.agent._settings import AgentSettings
-from crankhinge.config import Bundle, BundleKeeper
-from crankhinge.decisions import SlotTable, WorkQueue, mechanisms
-from crankhinge.peers import BundleSpread, parse_endpoint
-from crankhinge.runtime import Metrics, run_process, until_first
-
-PROGRAM = "crankhinge-agent"
-
-
-def make_role(settings: AgentSettings, **common: Any) -> Role:
-    """Return the role that the settings name."""
-    host, port = parse_endpoint(settings.backend)
-    mech = mechanisms(settings.policy)
-    slots = settings.slots if settings.policy != "naive" else UNBOUNDED
-    if settings.role == "decode":
-        table = SlotTable(
-            capacity=slots, step_s=settings.step_s, hold_s=settings.lease_s, mech=mech
-        )
-        return DecodeRole(engine=OpenAiEngine(host, port), table=table, **common)
-    queue = WorkQueue(width=slots, rate=settings.rate, mech=mech)
-    if settings.role == "prefill":
-        return PrefillRole(engine=OpenAiEngine(host, port), queue=queue, **common)
-    return PlainRole(service=HttpService(host, port), queue=queue, **common)
-
-
-def apply_bundle(role: Role, pool_name: str, bundle: Bundle) -> None:
-    """Pass what a new bundle says of the agent's pool to its role."""
-    pool = bundle.pool(pool_name)
-    if pool is not None:
-        role.apply(pool)
-
-
-async def serve(settings: AgentSettings, log: Any, stopping: curio.Event) -> None:
-    """Run the agent until *stopping*, then drain."""
-    log = log.bind(name=settings.name)
-    keeper = BundleKeeper(settings.keys)
-    metrics = Metrics(prefix=f"crankhinge.agent.{settings.name}", address=settings.statsd)
-    kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
-    rng = random.Random(settings.name)
-    role = make_role(settings, keeper=keeper, log=log, metrics=metrics)
-    keeper.listeners.append(partial(apply_bundle, role, settings.pool))
-    agent = Agent(
-        settings=settings,
-        role=role,
-        kv=kv,
-        instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
-        spread=BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng),
-        keeper=keeper,
-        incarnation=time.time_ns(),
-        log=log,
-    )
-    log.info("started", role=settings.role, pool=settings.pool, port=settings.port)
-    await until_first(agent.run, partial(_drain_on, stopping, agent))
-
-
-async def _drain_on(stopping: curio.Event, agent: Agent) -> None:
-    await stopping.wait()
-    await agent.drain()
+from crankhinge._slim import keep_out_unused_modules
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program; returns its exit status."""
-    return run_process(
-        program=PROGRAM,
-        about="the process beside a backend server",
-        model=AgentSettings,
-        serve=serve,
-        argv=argv,
-    )
+    keep_out_unused_modules()
+    # Only now: importing the program imports the libraries.
+    from crankhinge.agent._program import run
+
+    return run(argv)
 
 
 if __name__ == "__main__":
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -179,18 +179,30 @@
     ) -> None:
         self.weights = weights
         self.backends: dict[str, Backend] = {}
+        self._pools: dict[str, dict[str, Backend]] = {}
         self.prefixes = PrefixIndex()
         self._rng = rng
         self._mech = mech
         self._turn = itertools.count()
 
+    def add(self, backend: Backend) -> None:
+        """Know a backend server, or know it anew after its pool has changed."""
+        self.drop(backend.name)
+        self.backends[backend.name] = backend
+        self._pools.setdefault(backend.pool, {})[backend.name] = backend
+
+    def drop(self, name: str) -> None:
+        """Forget a backend server."""
+        self.backends.pop(name, None)
+        for members in self._pools.values():
+            members.pop(name, None)
+
     def usable(self, pools: Iterable[str], now: float) -> list[Backend]:
         """Return the members of *pools* that may be given new work.
 
         A backend server whose reports have stopped is used only when no other is left.
         """
-        wanted = frozenset(pools)
-        alive = [b for b in self.backends.values() if b.pool in wanted and b.usable(now)]
+        alive = [b for pool in pools for b in self._pools.get(pool, {}).values() if b.usable(now)]
         limit = now - STALE_BEATS * self.weights.beat_s
         fresh = [b for b in alive if b.reported >= limit]
         return fresh or alive
--- a/src/crankhinge/entry/_fence.py
+++ b/src/crankhinge/entry/_fence.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import curio
-import uuid6
 
 from crankhinge.config import Pool, fence_range
 from crankhinge.decisions import Answer, Permit, Permitted, Release, Settle, TakenBefore
@@ -28,11 +27,6 @@
 ANSWER_S = 1.0
 
 
-def new_key() -> str:
-    """Return an idempotency key: a UUID of version 7."""
-    return str(uuid6.uuid7())
-
-
 def digest_of(method: str, target: str, body: bytes) -> bytes:
     """Return what tells two requests with one key apart."""
     return hashlib.blake2b(
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -150,7 +150,7 @@
         backend = self.router.backends.get(name)
         if backend is None:
             backend = Backend(name, "", instance.pool, instance.zone)
-            self.router.backends[name] = backend
+            self.router.add(backend)
         backend.leaving = instance.leaving
         if name not in self._keepers:
             self._keepers[name] = await curio.spawn(self._stay_linked, name, daemon=True)
@@ -167,7 +167,7 @@
             await task.cancel()
         self._places.pop(name, None)
         self._missing.pop(name, None)
-        self.router.backends.pop(name, None)
+        self.router.drop(name)
 
     async def _stay_linked(self, name: str) -> None:
         pause = FIRST_PAUSE_S
@@ -220,11 +220,13 @@
             backend.open = 0
             backend.draining = False
         backend.role = peer.role
-        backend.pool = peer.pool
         backend.zone = peer.zone
         backend.groups = peer.groups
         backend.incarnation = peer.incarnation
         backend.linked = True
+        if backend.pool != peer.pool:
+            backend.pool = peer.pool
+            self.router.add(backend)
 
     async def _unlink(self, name: str, link: Link) -> None:
         self.beater.links.discard(link)
--- /dev/null
+++ b/src/crankhinge/entry/_program.py
@@ -0,0 +1,90 @@
+"""The parts of ``crankhinge-entry``, put together."""
+
+from __future__ import annotations
+
+import random
+import secrets
+import time
+from functools import partial
+from typing import Any
+
+import curio
+
+from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
+from crankhinge.config import BundleKeeper
+from crankhinge.decisions import RetryBudget, Router, RoutingWeights, mechanisms
+from crankhinge.entry._calls import Calls, RequestIds
+from crankhinge.entry._completion import Completions
+from crankhinge.entry._entry import Entry
+from crankhinge.entry._fence import Fence
+from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._plain import PlainCalls
+from crankhinge.entry._settings import EntrySettings
+from crankhinge.peers import BundleSpread, parse_endpoint
+from crankhinge.runtime import Metrics, Supervisor, run_process, until_first
+
+PROGRAM = "crankhinge-entry"
+
+
+async def serve(settings: EntrySettings, log: Any, stopping: curio.Event) -> None:
+    """Run the entry until *stopping*, then drain."""
+    log = log.bind(name=settings.name)
+    rng = random.Random(secrets.randbits(64))
+    mech = mechanisms(settings.policy)
+    keeper = BundleKeeper(settings.keys)
+    metrics = Metrics(prefix=f"crankhinge.entry.{settings.name}", address=settings.statsd)
+    kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
+    spread = BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng)
+    ids = RequestIds(secrets.randbits(64))
+    calls = Calls(ids, settings.buffer_tokens)
+    weights = RoutingWeights(zone=settings.zone, beat_s=settings.beat_s)
+    fleet = Fleet(
+        settings=settings,
+        instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
+        router=Router(weights=weights, rng=rng, mech=mech),
+        calls=calls,
+        spread=spread,
+        keeper=keeper,
+        incarnation=time.time_ns(),
+        log=log,
+        rng=rng,
+    )
+    keeper.listeners.append(fleet.apply)
+    budget = RetryBudget()
+    keeper.listeners.append(lambda bundle: budget.set_ratio(bundle.policy.retry_ratio))
+    fence = Fence(fleet=fleet, calls=calls, metrics=metrics)
+    common: dict[str, Any] = {"fleet": fleet, "calls": calls, "budget": budget, "fence": fence}
+    common.update(log=log, metrics=metrics)
+    entry = Entry(
+        settings=settings,
+        keeper=keeper,
+        fleet=fleet,
+        completions=Completions(**common, mech=mech),
+        plain=PlainCalls(**common),
+        ids=ids,
+        log=log,
+        metrics=metrics,
+    )
+    supervisor = Supervisor(log)
+    supervisor.add("listener", entry.listen)
+    supervisor.add("beats", fleet.beater.run)
+    supervisor.add("fleet", fleet.run)
+    supervisor.add("bundle", spread.watch)
+    log.info("started", port=settings.port)
+    await until_first(supervisor.run, partial(_drain_on, stopping, entry))
+
+
+async def _drain_on(stopping: curio.Event, entry: Entry) -> None:
+    await stopping.wait()
+    await entry.drain()
+
+
+def run(argv: list[str] | None = None) -> int:
+    """Run the program; returns its exit status."""
+    return run_process(
+        program=PROGRAM,
+        about="a thin entry instance for callers",
+        model=EntrySettings,
+        serve=serve,
+        argv=argv,
+    )
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import curio
 import h11
 
 from crankhinge.errors import BadHttp, HttpClosed
-from crankhinge.runtime import set_nodelay
+from crankhinge.runtime import open_tcp
 
 RECV_BYTES = 65536
 POOL_SIZE = 8
@@ -118,13 +117,9 @@
 
     async def _connect(self) -> Any:
         try:
-            sock = await curio.timeout_after(
-                CONNECT_TIMEOUT_S, curio.open_connection, self.host, self.port
-            )
-        except (OSError, curio.TaskTimeout) as exc:
+            return await open_tcp(self.host, self.port, CONNECT_TIMEOUT_S)
+        except OSError as exc:
             raise ConnectFailed(f"{self.host}:{self.port}: {exc}") from exc
-        set_nodelay(sock)
-        return sock
 
     async def give_back(self, sock: Any, *, reusable: bool) -> None:
         """Keep *sock* for the next call, or close it."""
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -4,7 +4,7 @@
 from crankhinge.runtime._metrics import Metrics
 from crankhinge.runtime._process import load_settings, run_process
 from crankhinge.runtime._supervisor import Child, RestartLimitReached, Supervisor, until_first
-from crankhinge.runtime._tcp import serve_tcp, set_nodelay
+from crankhinge.runtime._tcp import open_tcp, serve_tcp
 
 __all__ = [
     "Child",
@@ -14,8 +14,8 @@
     "Supervisor",
     "get_log",
     "load_settings",
+    "open_tcp",
     "run_process",
     "serve_tcp",
-    "set_nodelay",
     "until_first",
 ]
--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import curio
+import curio.socket
 
 ACCEPT_PAUSE_S = 0.05
 BACKLOG = 1024
@@ -52,6 +53,28 @@
             log.error("connection_crashed", peer=str(addr), kind=type(exc).__name__, why=str(exc))
 
 
+async def open_tcp(host: str, port: int, timeout_s: float) -> Any:
+    """Connect to an IP address.
+
+    curio's own call looks names up on a thread, for each connection; we have IP numbers only.
+
+    Raises:
+        OSError: when no connection is made in time.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await curio.timeout_after(timeout_s, sock.connect, (host, port))
+    except curio.TaskTimeout as exc:
+        await sock.close()
+        raise OSError(f"no connection in {timeout_s} s") from exc
+    except BaseException:
+        await sock.close()
+        raise
+    set_nodelay(sock)
+    return sock
+
+
 def set_nodelay(sock: Any) -> None:
     """Send small segments at once: tokens must not wait for an acknowledgement."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/crankhinge/wire/_link.py
+++ b/src/crankhinge/wire/_link.py
@@ -8,7 +8,7 @@
 import curio
 
 from crankhinge.errors import LinkClosed, WireError
-from crankhinge.runtime import set_nodelay
+from crankhinge.runtime import open_tcp
 from crankhinge.wire._codec import FrameReader, encode
 from crankhinge.wire._messages import WIRE_VERSION, Hello, Message
 
@@ -176,10 +176,9 @@
         WireError: when the other end doesn't speak our protocol.
     """
     try:
-        sock = await curio.timeout_after(CONNECT_TIMEOUT_S, curio.open_connection, host, port)
-    except (OSError, curio.TaskTimeout) as exc:
+        sock = await open_tcp(host, port, CONNECT_TIMEOUT_S)
+    except OSError as exc:
         raise LinkClosed(f"{host}:{port}: {exc}") from exc
-    set_nodelay(sock)
     try:
         return await accept_link(sock, mine)
     except BaseException:
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -317,12 +317,12 @@
         }
         http_json("PUT", self.platform_port, "/v1/agent/service/register", service)
 
-    def start_entry(self, number: int) -> None:
-        """Start an entry."""
+    def start_entry(self, number: int, extra: tuple[str, ...] = ()) -> None:
+        """Start an entry, with further lines of settings."""
         name = f"entry-{number}"
         zone = self.spec.zones[number % len(self.spec.zones)]
         lines = self._peer_settings(name, zone, self.entry_ports[number])
-        lines += ["list_s = 1.0"]
+        lines += ["list_s = 1.0", *extra]
         self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
 
     def bundle_text(self, version: int) -> str:
--- a/src/crankhinge_bench/_load.py
+++ b/src/crankhinge_bench/_load.py
@@ -8,8 +8,8 @@
 
 import curio
 import msgspec
+import uuid6
 
-from crankhinge.entry._fence import new_key
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import ClientStream, HttpClient, SseParser
 from crankhinge_bench._trace import Arrival
@@ -183,7 +183,7 @@
             await stream.close()
 
     async def _call(self, client: HttpClient, arrival: Arrival, seen: Outcome) -> None:
-        seen.key = seen.key or new_key()
+        seen.key = seen.key or str(uuid6.uuid7())
         headers = {**self._headers(arrival), "idempotency-key": seen.key}
         resp = await client.call(
             "POST", arrival.path, headers=headers, body=seen.key.encode(), fresh=True
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -12,6 +12,7 @@
 from crankhinge_bench._chaos import add_arguments as add_faults
 from crankhinge_bench._demo import demo
 from crankhinge_bench._run import add_arguments as add_run
+from crankhinge_bench._slopes import add_arguments as add_slopes
 
 PROGRAM = "crankhinge-bench"
 EXIT_BAD_INPUT = 2
@@ -24,6 +25,7 @@
     verbs = parser.add_subparsers(dest="verb", required=True)
     verbs.add_parser("demo", help="the whole system for some seconds").set_defaults(run=demo)
     add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
+    add_slopes(verbs.add_parser("slopes", help="what each further link, token or server costs"))
     add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
     return parser
 
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -11,9 +11,9 @@
 from hypothesis import strategies as st
 from syrupy.assertion import SnapshotAssertion
 
-from crankhinge.agent.main import main as agent_main
+from crankhinge.agent._program import run as agent_main
 from crankhinge.ctl.main import main as ctl_main
-from crankhinge.entry.main import main as entry_main
+from crankhinge.entry._program import run as entry_main
 from crankhinge_bench._cluster import HOST, Cluster, http_json
 from crankhinge_bench.main import main as bench_main
 
@@ -102,7 +102,7 @@
 class TestSettings:
     """Settings files and command lines."""
 
-    @pytest.mark.parametrize("main", [entry_main, agent_main])
+    @pytest.mark.parametrize("main", [entry_main, agent_main], ids=["entry", "agent"])
     @pytest.mark.parametrize("text", ["[[", "surprise = 1", 'name = "a"\nport = 99999'])
     def test_bad_settings(
         self,
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,7 +15,7 @@
         backend = Backend(f"b{number}", "decode", "write", "z0", linked=True, free=20)
         for name, value in changes.items():
             setattr(backend, name, value)
-        router.backends[backend.name] = backend
+        router.add(backend)
     return router
 
 
