--- a/src/crankhinge/config/_bundle.py
+++ b/src/crankhinge/config/_bundle.py
@@ -73,6 +73,7 @@
         decode: pools that write for it.
         first_token_s: latency target.
         between_tokens_s: latency target.
+        objective: part of the requests that must meet each target.
         max_prompt_tokens: longest prompt.
         max_output_tokens: longest answer, and the default of a request that names none.
         adapters: names of adapters served beside it, each a model name to callers.
@@ -83,6 +84,7 @@
     decode: tuple[Name, ...]
     first_token_s: Positive = 0.43
     between_tokens_s: Positive = 0.07
+    objective: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.95
     max_prompt_tokens: Count = 32_768
     max_output_tokens: Count = 1_024
     adapters: tuple[Name, ...] = ()
--- a/src/crankhinge/decisions/_breaker.py
+++ b/src/crankhinge/decisions/_breaker.py
@@ -7,6 +7,7 @@
 FAILURES_TO_OPEN = 3
 FIRST_OPEN_S = 1.0
 MAX_OPEN_S = 30.0
+TRIAL_S = 1.0
 
 
 class BreakerState(enum.Enum):
@@ -27,7 +28,7 @@
         self._failures = 0
         self._open_s = FIRST_OPEN_S
         self._until = 0.0
-        self._trial = False
+        self._trial_until = 0.0
 
     def state(self, now: float) -> BreakerState:
         """Return the state at *now* (seconds)."""
@@ -38,25 +39,30 @@
     def allows(self, now: float) -> bool:
         """Whether a request may be sent; asking changes nothing."""
         state = self.state(now)
-        return state is BreakerState.CLOSED or (state is BreakerState.HALF_OPEN and not self._trial)
+        if state is BreakerState.HALF_OPEN:
+            return now >= self._trial_until
+        return state is BreakerState.CLOSED
 
     def sent(self, now: float) -> None:
-        """Note that a request was sent: in half-open state it is the trial."""
+        """Note that a request was sent: in half-open state it is the trial.
+
+        A trial that is refused by the agent's queue says nothing of the server; it only ends.
+        """
         if self.state(now) is BreakerState.HALF_OPEN:
-            self._trial = True
+            self._trial_until = now + TRIAL_S
 
     def succeeded(self) -> None:
         """Note a success."""
         self._failures = 0
         self._open_s = FIRST_OPEN_S
-        self._trial = False
+        self._trial_until = 0.0
 
     def failed(self, now: float) -> None:
         """Note a failure."""
         self._failures += 1
         if self._failures < FAILURES_TO_OPEN:
             return
-        if self._trial:
+        if self._trial_until:
             self._open_s = min(MAX_OPEN_S, self._open_s * 2)
-        self._trial = False
+        self._trial_until = 0.0
         self._until = now + self._open_s
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -72,10 +72,10 @@
     open: int = 0
     breaker: Breaker = field(default_factory=Breaker)
 
-    def usable(self, now: float) -> bool:
-        """Whether it may be given new work."""
-        gone = not self.linked or self.leaving or self.draining
-        return not gone and self.breaker.allows(now)
+    @property
+    def present(self) -> bool:
+        """Whether it is there and stays."""
+        return self.linked and not self.leaving and not self.draining
 
     @property
     def seems_free(self) -> bool:
@@ -200,9 +200,12 @@
     def usable(self, pools: Iterable[str], now: float) -> list[Backend]:
         """Return the members of *pools* that may be given new work.
 
-        A backend server whose reports have stopped is used only when no other is left.
+        A backend server whose reports have stopped is used only when no other is left, and one
+        whose breaker is open only when all are: then it can only get better.
         """
-        alive = [b for pool in pools for b in self._pools.get(pool, {}).values() if b.usable(now)]
+        members = [b for pool in pools for b in self._pools.get(pool, {}).values()]
+        present = [b for b in members if b.present]
+        alive = [b for b in present if b.breaker.allows(now)] or present
         limit = now - STALE_BEATS * self.weights.beat_s
         fresh = [b for b in alive if b.reported >= limit]
         return fresh or alive
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -63,20 +63,26 @@
     Attributes:
         touched: whether a backend server may have worked for it.
         attempts: how often it was tried.
-        wasted: prompt tokens read for nothing, as far as this entry knows.
+        computed: prompt tokens that engines computed for it.
+        unused: of these, not yet put to use.
+        wasted: of these, for nothing, as far as this entry knows.
         slot: time of the lease.
         read: time at which the prompt was read.
         first: time of the first token.
+        last: time of the last token so far.
         keyed: whether an earlier attempt with the same key may have run.
     """
 
     touched: bool = False
     keyed: bool = False
     attempts: int = 0
+    computed: int = 0
+    unused: int = 0
     wasted: int = 0
     slot: float = 0.0
     read: float = 0.0
     first: float = 0.0
+    last: float = 0.0
 
     @property
     def outcome(self) -> Outcome:
@@ -266,11 +272,18 @@
             await self._relay(slot, writer, progress)
             done = True
         finally:
+            self._note_waste(progress)
             slot.backend.open -= 1
             self._calls.close(slot.box)
             if not done:
                 await _cancel(slot.link, slot.box)
 
+    def _note_waste(self, progress: Progress) -> None:
+        if progress.unused:
+            self._metrics.count("prompt_tokens_wasted", progress.unused)
+            progress.wasted += progress.unused
+            progress.unused = 0
+
     def _block_tokens(self, ask: CompletionAsk) -> int:
         return int(BLOCK_CHARS / self._chars_per_token.get(ask.model.name, CHARS_PER_TOKEN))
 
@@ -367,6 +380,8 @@
                 continue
             if isinstance(answer, PrefillDone):
                 self._learn(ask, route, backend, answer)
+                progress.computed += answer.prompt - answer.cached
+                progress.unused = answer.prompt - answer.cached
                 writer.note_prompt(answer.prompt)
                 return answer.kv
             if isinstance(answer, Refused):
@@ -432,8 +447,9 @@
                 fresh = msg.texts[max(0, expected - msg.seq) :]
                 if msg.seq > expected:
                     raise AttemptFailed(f"tokens {expected} to {msg.seq} are missing")
-                if not progress.first:
-                    progress.first = await curio.clock()
+                progress.last = await curio.clock()
+                progress.first = progress.first or progress.last
+                progress.unused = 0
                 expected += len(fresh)
                 if fresh:
                     await writer.write(fresh)
--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -145,33 +145,39 @@
 
     async def _answer(self, exchange: Exchange, ident: str) -> None:
         progress = Progress(keyed="idempotency-key" in exchange.req.headers)
+        # Filled in as it becomes known, for whichever line ends the request.
+        about: dict[str, Any] = {"request": ident}
         try:
-            await self._route(exchange, ident, progress)
+            await self._route(exchange, about, progress)
         except HttpClosed:
             raise
         except CrankhingeError as exc:
             self._metrics.count(f"failed.{exc.code}")
             self._log.info(
                 "request_failed",
-                request=ident,
+                **about,
                 code=exc.code,
                 why=exc.detail,
                 outcome=progress.outcome.value,
+                attempts=progress.attempts,
+                read_tokens=progress.computed,
+                wasted_tokens=progress.wasted,
             )
             if not exchange.started:
                 await send_error(exchange, exc, outcome=progress.outcome, request_id=ident)
 
-    async def _route(self, exchange: Exchange, ident: str, progress: Progress) -> None:
+    async def _route(self, exchange: Exchange, about: dict[str, Any], progress: Progress) -> None:
         view = self._keeper.require()
         if self._open > self._settings.max_requests:
             raise Overloaded("this entry is at its limit", retry_after_s=1.0)
         member = authenticate(view, exchange.req.headers)
+        about["member"] = member.name
         self._enter(member, await curio.clock())
         try:
             if exchange.req.path in (CHAT_PATH, TEXT_PATH) and exchange.req.method == "POST":
-                await self._complete(exchange, ident, view, member, progress)
+                await self._complete(exchange, about, view, member, progress)
             else:
-                await self._call(exchange, ident, view, member, progress)
+                await self._call(exchange, about, view, member, progress)
         finally:
             self._limits.leave(member.name)
 
@@ -185,15 +191,16 @@
     async def _complete(
         self,
         exchange: Exchange,
-        ident: str,
+        about: dict[str, Any],
         view: BundleView,
         member: Member,
         progress: Progress,
     ) -> None:
         began = await curio.clock()
         ask = read_completion(view, exchange.req, member)
+        about.update(model=ask.body["model"], rank=ask.terms.rank)
         check_length(ask, self._completions.estimate_tokens(ask))
-        writer = AnswerWriter(exchange, ask, ident, int(time.time()))
+        writer = AnswerWriter(exchange, ask, about["request"], int(time.time()))
         try:
             await self._completions.run(ask, view, writer, progress)
         except HttpClosed:
@@ -204,18 +211,19 @@
             raise
         took = await curio.clock() - began
         first = progress.first - began
+        gaps = max(1, writer.tokens - 1)
         self._metrics.count("answered")
         self._metrics.timing("first_token", first)
         self._log.info(
             "answered",
-            request=ident,
-            member=member.name,
-            model=ask.model.name,
-            rank=ask.terms.rank,
+            **about,
             tokens=writer.tokens,
             slot_ms=round((progress.slot - began) * 1000, 1),
             read_ms=round((progress.read - began) * 1000, 1),
             first_ms=round(first * 1000, 1),
+            gap_ms=round((progress.last - progress.first) / gaps * 1000, 1),
+            read_tokens=progress.computed,
+            wasted_tokens=progress.wasted,
             total_ms=round(took * 1000, 1),
             attempts=progress.attempts,
         )
@@ -223,7 +231,7 @@
     async def _call(
         self,
         exchange: Exchange,
-        ident: str,
+        about: dict[str, Any],
         view: BundleView,
         member: Member,
         progress: Progress,
@@ -236,6 +244,6 @@
         done = await self._plain.run(req, member, view, service, terms, progress)
         self._metrics.count("calls_answered")
         headers = {"content-type": "application/octet-stream", **done.headers}
-        headers["x-request-id"] = ident
+        headers["x-request-id"] = about["request"]
         headers.pop(OUTCOME_HEADER, None)
         await exchange.respond(done.status, done.body, headers)
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -10,7 +10,7 @@
 from crankhinge import __version__
 from crankhinge.errors import CrankhingeError
 from crankhinge_bench._chaos import add_arguments as add_faults
-from crankhinge_bench._demo import demo
+from crankhinge_bench._demo import add_arguments as add_demo
 from crankhinge_bench._run import add_arguments as add_run
 from crankhinge_bench._slopes import add_arguments as add_slopes
 
@@ -23,7 +23,7 @@
     parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__)
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     verbs = parser.add_subparsers(dest="verb", required=True)
-    verbs.add_parser("demo", help="the whole system for some seconds").set_defaults(run=demo)
+    add_demo(verbs.add_parser("demo", help="the whole system for some seconds"))
     add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
     add_slopes(verbs.add_parser("slopes", help="what each further link, token or server costs"))
     add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -176,6 +176,15 @@
         breaker.succeeded()
         assert breaker.allows(3.8)
 
+    def test_a_refused_trial_is_not_the_last(self) -> None:
+        """A trial whose outcome says nothing of the server is followed by another."""
+        breaker = Breaker()
+        for _ in range(3):
+            breaker.failed(0.0)
+        breaker.sent(1.5)
+        assert not breaker.allows(2.0)
+        assert breaker.allows(2.6)
+
 
 class TestLimits:
     """A member's limits at one entry."""
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -47,6 +47,14 @@
         names = {b.name for _ in range(50) for b in router.choose(["write"], 0.5)}
         assert names == {"b4", "b5"}
 
+    def test_all_breakers_open(self) -> None:
+        """When every server has failed, they are tried all the same."""
+        router = make_router()
+        for backend in router.backends.values():
+            for _ in range(3):
+                backend.breaker.failed(0.0)
+        assert len(router.usable(["write"], 0.5)) == 6
+
     def test_a_slow_server_is_avoided(self) -> None:
         """A server whose steps take far longer than usual is the last choice."""
         router = make_router(step_s=0.03)
