--- a/Makefile
+++ b/Makefile
@@ -9,8 +9,10 @@
 	.venv/bin/pip install -q --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+LOGS ?=
+
 demo: .venv/.ready
-	$(PY) -m crankhinge_bench.main demo
+	$(PY) -m crankhinge_bench.main demo --logs "$(LOGS)"
 
 lint: .venv/.ready
 	.venv/bin/ruff format --check src tests
--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -6,15 +6,25 @@
 
 import curio
 
-from crankhinge.adapters import InstanceList, KeyValue
+from crankhinge.adapters import Instance, KeyValue
 from crankhinge.agent._fence_desk import FenceDesk
 from crankhinge.agent._role import Role
 from crankhinge.agent._settings import AgentSettings
 from crankhinge.config import BundleKeeper
 from crankhinge.errors import LinkClosed, WireError
-from crankhinge.peers import Beater, BundleSpread
+from crankhinge.peers import Beater, BundleSpread, Roster
 from crankhinge.runtime import Supervisor, serve_tcp
-from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Message, accept_link
+from crankhinge.wire import (
+    WIRE_VERSION,
+    Beat,
+    GetInstances,
+    Hello,
+    InstanceRow,
+    InstancesAre,
+    Link,
+    Message,
+    accept_link,
+)
 
 DRAIN_POLL_S = 0.1
 
@@ -26,7 +36,7 @@
         settings: its settings.
         role: what it does for its backend server.
         kv: the key-value service.
-        instances: the platform's list.
+        roster: the platform's list.
         spread: keeps its bundle.
         keeper: holds its bundle.
         incarnation: larger each time it starts.
@@ -39,7 +49,7 @@
         settings: AgentSettings,
         role: Role,
         kv: KeyValue,
-        instances: InstanceList,
+        roster: Roster,
         spread: BundleSpread,
         keeper: BundleKeeper,
         incarnation: int,
@@ -49,6 +59,7 @@
         self._role = role
         self._spread = spread
         self._keeper = keeper
+        self._roster = roster
         self._incarnation = incarnation
         self._log = log
         self._beater = Beater(settings.beat_s, self._make_beat)
@@ -56,7 +67,7 @@
             me=settings.name,
             writer=incarnation,
             kv=kv,
-            instances=instances,
+            roster=roster,
             make_hello=self._hello,
             run_link=self._run_link,
             log=log,
@@ -87,6 +98,7 @@
         supervisor.add("role", self._role.run)
         supervisor.add("bundle", self._spread.watch)
         supervisor.add("fence", self._fence.run)
+        supervisor.add("list", self._roster.run)
         await supervisor.run()
 
     async def _listen(self) -> None:
@@ -123,6 +135,9 @@
     async def _handle(self, link: Link, msg: Message) -> None:
         if await self._spread.handle(link, msg):
             return
+        if isinstance(msg, GetInstances):
+            await link.send(InstancesAre(tuple(_row_of(i) for i in self._roster.known)))
+            return
         if not await self._fence.handle(link, msg):
             await self._role.handle(link, msg)
 
@@ -139,3 +154,14 @@
         await curio.sleep(2 * self._settings.beat_s)
         while self._role.busy:
             await curio.sleep(DRAIN_POLL_S)
+
+
+def _row_of(instance: Instance) -> InstanceRow:
+    return InstanceRow(
+        instance.name,
+        instance.host,
+        instance.port,
+        instance.zone,
+        instance.pool,
+        instance.leaving,
+    )
--- a/src/crankhinge/agent/_fence_desk.py
+++ b/src/crankhinge/agent/_fence_desk.py
@@ -13,7 +13,7 @@
 import curio
 import msgspec
 
-from crankhinge.adapters import Instance, InstanceList, KeyValue, Value
+from crankhinge.adapters import KeyValue, Value
 from crankhinge.config import Bundle, fence_range
 from crankhinge.decisions import (
     FenceAction,
@@ -25,6 +25,7 @@
     SwapRecord,
 )
 from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
+from crankhinge.peers import Roster
 from crankhinge.wire import (
     FenceJoined,
     FenceState,
@@ -55,7 +56,7 @@
         me: this agent's name.
         writer: identity of this start.
         kv: the key-value service.
-        instances: the platform's list, to find the other holders.
+        roster: the platform's list, to find the other holders.
         make_hello: makes the Hello of a link to another agent.
         run_link: runs such a link, as if it had been accepted.
         log: for events.
@@ -67,7 +68,7 @@
         me: str,
         writer: int,
         kv: KeyValue,
-        instances: InstanceList,
+        roster: Roster,
         make_hello: Callable[[], Any],
         run_link: OnLink,
         log: Any,
@@ -75,7 +76,7 @@
         self._me = me
         self._writer = writer
         self._kv = kv
-        self._instances = instances
+        self._roster = roster
         self._make_hello = make_hello
         self._run_link = run_link
         self._log = log
@@ -123,18 +124,14 @@
     async def _dial(self, name: str) -> None:
         while True:
             try:
-                place = await self._find(name)
+                place = self._roster.find(name)
                 if place is not None and name not in self._links:
                     link = await connect_link(place.host, place.port, self._make_hello())
                     await self._run_link(link)
-            except (LinkClosed, WireError, KeyValueUnavailable) as exc:
+            except (LinkClosed, WireError) as exc:
                 self._log.info("fence_link_failed", agent=name, code=exc.code, why=exc.detail)
             await curio.sleep(DIAL_PAUSE_S * self._rng.uniform(0.5, 1.5))
 
-    async def _find(self, name: str) -> Instance | None:
-        listed = await self._instances.agents()
-        return next((instance for instance in listed if instance.name == name), None)
-
     async def linked(self, link: Link) -> None:
         """Note a link to another agent."""
         name = link.peer.name
--- a/src/crankhinge/agent/_program.py
+++ b/src/crankhinge/agent/_program.py
@@ -20,7 +20,7 @@
 from crankhinge.agent._settings import AgentSettings
 from crankhinge.config import Bundle, BundleKeeper
 from crankhinge.decisions import SlotTable, WorkQueue, mechanisms
-from crankhinge.peers import BundleSpread, parse_endpoint
+from crankhinge.peers import BundleSpread, Roster, parse_endpoint
 from crankhinge.runtime import Metrics, run_process, until_first
 
 PROGRAM = "crankhinge-agent"
@@ -62,7 +62,12 @@
         settings=settings,
         role=role,
         kv=kv,
-        instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
+        roster=Roster(
+            ConsulInstanceList(*parse_endpoint(settings.instances)),
+            list_s=settings.list_s,
+            log=log,
+            rng=rng,
+        ),
         spread=BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng),
         keeper=keeper,
         incarnation=time.time_ns(),
--- a/src/crankhinge/burn/_render.py
+++ b/src/crankhinge/burn/_render.py
@@ -112,9 +112,15 @@
         seconds = range(len(report.series))
         fine = [ok for ok, _ in report.series]
         missed = [bad for _, bad in report.series]
-        axes.bar(seconds, fine, width=1.0, color="#2a7f62", label="in time")  # type: ignore[attr-defined]
+        axes.bar(seconds, fine, width=1.0, align="edge", color="#2a7f62", label="in time")  # type: ignore[attr-defined]
         axes.bar(  # type: ignore[attr-defined]
-            seconds, missed, width=1.0, bottom=fine, color="#c8553d", label="late, refused, failed"
+            seconds,
+            missed,
+            width=1.0,
+            align="edge",
+            bottom=fine,
+            color="#c8553d",
+            label="late, refused, failed",
         )
         axes.set_xlabel("seconds")  # type: ignore[attr-defined]
         axes.set_ylabel("requests a second")  # type: ignore[attr-defined]
--- /dev/null
+++ b/src/crankhinge/ctl/_reference.py
@@ -0,0 +1,84 @@
+"""``crankhinge-ctl reference``: the settings and the bundle, from the models themselves."""
+
+from __future__ import annotations
+
+import argparse
+import inspect
+import re
+from typing import Any
+
+import msgspec
+
+from crankhinge.agent._settings import AgentSettings
+from crankhinge.config import Bundle, Member, Model, Partner, Policy, Pool, Service, Transfer
+from crankhinge.ctl._bundle import CtlSettings
+from crankhinge.entry._settings import EntrySettings
+from crankhinge.peers import PeerSettings
+
+_FIELD = re.compile(r"^ {4}(\w+): (.*)$")
+
+SETTINGS: dict[str, type[msgspec.Struct]] = {
+    "Every entry and agent": PeerSettings,
+    "Entry": EntrySettings,
+    "Agent": AgentSettings,
+    "ctl": CtlSettings,
+}
+BUNDLE: dict[str, type[msgspec.Struct]] = {
+    "Top level": Bundle,
+    "`[policy]`": Policy,
+    "`[transfer]`": Transfer,
+    "`[[partners]]`": Partner,
+    "`[[members]]`": Member,
+    "`[[models]]`": Model,
+    "`[[pools]]`": Pool,
+    "`[[services]]`": Service,
+}
+
+
+def _described(model: type[msgspec.Struct]) -> dict[str, str]:
+    """Return what a model's docstring says of each attribute."""
+    text = inspect.getdoc(model) or ""
+    found: dict[str, str] = {}
+    name = ""
+    for line in text.partition("Attributes:\n")[2].splitlines():
+        match = _FIELD.match(line)
+        if match:
+            name = match[1]
+            found[name] = match[2]
+        elif name and line.strip():
+            found[name] += " " + line.strip()
+    return found
+
+
+def _default(field: Any) -> str:
+    if field.default is not msgspec.NODEFAULT:
+        return (
+            f"`{field.default!r}`" if not isinstance(field.default, msgspec.Struct) else "as below"
+        )
+    if field.default_factory is not msgspec.NODEFAULT:
+        return "empty"
+    return "needed"
+
+
+def _table(model: type[msgspec.Struct]) -> list[str]:
+    described = _described(model)
+    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    lines = ["| key | default | meaning |", "|---|---|---|"]
+    for name, meaning in described.items():
+        lines.append(f"| `{name}` | {_default(fields[name])} | {meaning} |")
+    return lines
+
+
+def _section(title: str, models: dict[str, type[msgspec.Struct]]) -> list[str]:
+    lines = [f"# {title}", ""]
+    for name, model in models.items():
+        lines += [f"## {name}", "", *_table(model), ""]
+    return lines
+
+
+def reference(_args: argparse.Namespace) -> str:
+    """Return the page docs/operators/reference.md."""
+    head = ["<!-- Made by `crankhinge-ctl reference`; a test keeps it up to date. -->", ""]
+    settings = _section("Settings", SETTINGS)
+    bundle = _section("Bundle", BUNDLE)
+    return "\n".join([*head, *settings, *bundle]).rstrip()
--- a/src/crankhinge/ctl/main.py
+++ b/src/crankhinge/ctl/main.py
@@ -17,6 +17,7 @@
     sign_bundle,
 )
 from crankhinge.ctl._publish import publish_bundle
+from crankhinge.ctl._reference import reference
 from crankhinge.errors import CrankhingeError, KeyValueUnavailable, PublishConflict
 
 PROGRAM = "crankhinge-ctl"
@@ -74,6 +75,7 @@
     new = verbs.add_parser("new", help="make a key pair")
     new.add_argument("file", help="private key file to write")
     new.set_defaults(run=_key_new)
+    nouns.add_parser("reference", help="settings and bundle, as a page").set_defaults(run=reference)
     return parser
 
 
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -137,7 +137,7 @@
     late or lost cache event can only cost one wrong guess. Bounded: the oldest blocks go first.
     """
 
-    def __init__(self, *, limit: int = 20_000) -> None:
+    def __init__(self, *, limit: int = 5_000) -> None:
         self._limit = limit
         self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
 
--- a/src/crankhinge/entry/_answer.py
+++ b/src/crankhinge/entry/_answer.py
@@ -11,6 +11,7 @@
 from crankhinge.errors import CrankhingeError, Outcome
 from crankhinge.http import Exchange, sse_event
 
+TEXT_MARK = "\u2063text\u2063"
 OUTCOME_HEADER = "x-request-outcome"
 SSE_HEAD = {
     "content-type": "text/event-stream",
@@ -65,6 +66,7 @@
         self._ident = ident
         self._created = created
         self._texts: list[str] = []
+        self._head, self._tail = self._frame()
         self._prompt_tokens = 0
 
     @property
@@ -93,8 +95,9 @@
             return
         if not self._exchange.started:
             await self._exchange.start(200, {**SSE_HEAD, "x-request-id": self._ident})
-        events = b"".join(sse_event(self._chunk(text, None)) for text in texts)
-        await self._exchange.write(events)
+        head, tail = self._head, self._tail
+        events = [head + msgspec.json.encode(text) + tail for text in texts]
+        await self._exchange.write(b"".join(events))
 
     async def finish(self, reason: str) -> None:
         """End the answer."""
@@ -111,6 +114,12 @@
         await self._exchange.write(sse_event(body))
         await self._exchange.finish()
 
+    def _frame(self) -> tuple[bytes, bytes]:
+        """Return what stands before and behind the text in the event of each token."""
+        event = sse_event(self._chunk(TEXT_MARK, None))
+        head, _, tail = event.partition(msgspec.json.encode(TEXT_MARK))
+        return head, tail
+
     def _chunk(self, text: str, reason: str | None) -> bytes:
         choice: dict[str, Any] = {"index": 0, "finish_reason": reason}
         if self._ask.chat:
--- a/src/crankhinge/entry/_calls.py
+++ b/src/crankhinge/entry/_calls.py
@@ -2,32 +2,14 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import Any
 
 import curio
 
 from crankhinge.errors import BackendFailed, LinkClosed, SlowCaller
-from crankhinge.wire import Link, Message, Tokens
+from crankhinge.wire import Cancel, Failed, Link, Message, Tokens
 
-ID_BITS = 63
-COUNTER_BITS = 31
-
-
-class RequestIds:
-    """Identities that no other entry and no earlier start of this one uses.
-
-    Args:
-        nonce: random, new at each start.
-    """
-
-    def __init__(self, nonce: int) -> None:
-        self._high = (nonce & ((1 << (ID_BITS - COUNTER_BITS)) - 1)) << COUNTER_BITS
-        self._counter = itertools.count(1)
-
-    def next(self) -> int:
-        """Return a new identity."""
-        return self._high | (next(self._counter) & ((1 << COUNTER_BITS) - 1))
+SILENT_STREAM_S = 3.0
 
 
 class LinkLost(BackendFailed):
@@ -36,22 +18,35 @@
     code = "link-lost"
 
 
+class AttemptFailed(BackendFailed):
+    """One attempt failed; another may be made."""
+
+    code = "attempt-failed"
+
+
 class Mailbox:
     """What arrives for one request from one agent, in order and bounded.
 
     Args:
         req: identity of the request.
         limit: tokens kept for a caller that reads slowly.
+
+    Attributes:
+        arrived: messages so far.
+        streaming: whether messages are expected without a pause.
     """
 
     def __init__(self, req: int, limit: int) -> None:
         self.req = req
         self._limit = limit
+        self.arrived = 0
+        self.streaming = False
         self._queue: curio.Queue = curio.Queue()
         self._tokens = 0
 
     async def put(self, msg: Message | None) -> None:
         """Add a message; None says that the link is gone."""
+        self.arrived += 1
         if isinstance(msg, Tokens):
             self._tokens += len(msg.texts)
         await self._queue.put(msg)
@@ -77,33 +72,23 @@
     """The mailboxes of this entry.
 
     Args:
-        ids: source of identities.
         limit: tokens kept per mailbox.
     """
 
-    def __init__(self, ids: RequestIds, limit: int) -> None:
+    def __init__(self, limit: int) -> None:
         self.dropped = 0
-        self._ids = ids
         self._limit = limit
         self._boxes: dict[int, tuple[Link, Mailbox]] = {}
 
-    def new_id(self) -> int:
-        """Return the identity of a new request."""
-        return self._ids.next()
-
-    def open(self, link: Link, req: int = 0) -> Mailbox:
-        """Return a mailbox for a request to the agent behind *link*.
-
-        Args:
-            link: to the agent.
-            req: its identity; a new one by default.
+    def open(self, link: Link, req: int) -> Mailbox:
+        """Return a mailbox for the step *req* of a request, to the agent behind *link*.
 
         Raises:
             LinkClosed: when the link is gone already.
         """
         if link.closed:
             raise LinkClosed(link.peer.name)
-        box = Mailbox(req or self._ids.next(), self._limit)
+        box = Mailbox(req, self._limit)
         self._boxes[box.req] = (link, box)
         return box
 
@@ -119,8 +104,30 @@
             return
         await entry[1].put(msg)
 
+    async def watch(self) -> None:
+        """End the streams that have fallen silent, until cancelled.
+
+        One look at all streams now and then takes the place of a timer for each token.
+        """
+        before: dict[int, int] = {}
+        while True:
+            await curio.sleep(SILENT_STREAM_S)
+            streams = {req: box for req, (_, box) in self._boxes.items() if box.streaming}
+            for req, box in streams.items():
+                if before.get(req) == box.arrived:
+                    await box.put(Failed(req, "silent", True))
+            before = {req: box.arrived for req, box in streams.items()}
+
     async def fail(self, link: Link) -> None:
         """Tell every request that waits on *link* that it is gone."""
         for owner, box in list(self._boxes.values()):
             if owner is link:
                 await box.put(None)
+
+
+async def cancel_step(link: Link, box: Mailbox) -> None:
+    """Tell an agent that nobody waits for a step any more; a lost link has told it already."""
+    try:
+        await link.send(Cancel(box.req))
+    except LinkClosed:
+        return
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -6,103 +6,33 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import Any
 
 import curio
 import msgspec
 
 from crankhinge.config import BundleView, Policy
-from crankhinge.decisions import FULL, Answer, Backend, Mechanisms, RetryBudget, RouteAsk, Router
+from crankhinge.decisions import FULL, Answer, Mechanisms, RetryBudget
 from crankhinge.entry._answer import AnswerWriter
-from crankhinge.entry._ask import BLOCK_CHARS, CompletionAsk
-from crankhinge.entry._calls import Calls, LinkLost, Mailbox
+from crankhinge.entry._ask import CompletionAsk
+from crankhinge.entry._calls import AttemptFailed, Calls, LinkLost, cancel_step
+from crankhinge.entry._estimates import Estimates
 from crankhinge.entry._fence import Fence, digest_of
 from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._progress import Progress
+from crankhinge.entry._reading import Prompt, PromptReader
+from crankhinge.entry._slots import Slot, SlotFinder, SlotNeed
 from crankhinge.errors import (
     AlreadyTaken,
     BackendFailed,
     CrankhingeError,
     DeadlinePassed,
     LinkClosed,
-    NoBackend,
-    Outcome,
-    Overloaded,
 )
 from crankhinge.runtime import Metrics
-from crankhinge.wire import (
-    Cancel,
-    Decode,
-    DecodeDone,
-    Failed,
-    Granted,
-    Link,
-    Prefill,
-    PrefillDone,
-    Refused,
-    Reserve,
-    Tokens,
-)
+from crankhinge.wire import Decode, DecodeDone, Failed, PrefillDone, Tokens
 
 MAX_ATTEMPTS = 4
-ANSWER_SLACK_S = 0.25
-CHARS_PER_TOKEN = 4.0
-CHARS_GAIN = 0.05
-SILENT_STREAM_S = 5.0
-MAX_RETRY_AFTER_S = 30.0
-PATIENT_S = 60.0
-LONG_PROMPT_FACTOR = 1.5
-MARGIN = 0.05
-MARGIN_BY_WASTE = 0.1
-
-
-@dataclass
-class Progress:
-    """How far a request has come.
-
-    Attributes:
-        touched: whether a backend server may have worked for it.
-        attempts: how often it was tried.
-        computed: prompt tokens that engines computed for it.
-        unused: of these, not yet put to use.
-        wasted: of these, for nothing, as far as this entry knows.
-        slot: time of the lease.
-        read: time at which the prompt was read.
-        first: time of the first token.
-        last: time of the last token so far.
-        keyed: whether an earlier attempt with the same key may have run.
-    """
-
-    touched: bool = False
-    keyed: bool = False
-    attempts: int = 0
-    computed: int = 0
-    unused: int = 0
-    wasted: int = 0
-    slot: float = 0.0
-    read: float = 0.0
-    first: float = 0.0
-    last: float = 0.0
-
-    @property
-    def outcome(self) -> Outcome:
-        """What may be told to the caller when the request fails now."""
-        return Outcome.UNKNOWN if self.touched or self.keyed else Outcome.NOT_RUN
-
-
-class AttemptFailed(BackendFailed):
-    """One attempt failed; another may be made."""
-
-    code = "attempt-failed"
-
-
-@dataclass
-class _Slot:
-    """A leased slot."""
-
-    backend: Backend
-    link: Link
-    box: Mailbox
 
 
 class Completions:
@@ -129,32 +59,15 @@
         metrics: Metrics,
         mech: Mechanisms = FULL,
     ) -> None:
-        self._fleet = fleet
+        self.estimates = Estimates(fleet.router, mech)
+        self._slots = SlotFinder(fleet=fleet, calls=calls)
+        self._reader = PromptReader(fleet=fleet, calls=calls)
         self._calls = calls
         self._budget = budget
         self._fence = fence
         self._log = log
         self._metrics = metrics
         self._mech = mech
-        self._chars_per_token: dict[str, float] = {}
-
-    @property
-    def _router(self) -> Router:
-        return self._fleet.router
-
-    def estimate_tokens(self, ask: CompletionAsk) -> int:
-        """Return the likely number of prompt tokens, by what engines counted before."""
-        ratio = self._chars_per_token.get(ask.model.name, CHARS_PER_TOKEN)
-        return max(1, int(len(ask.text) / ratio))
-
-    def _learn_ratio(self, ask: CompletionAsk, chars: int, tokens: int) -> None:
-        if tokens <= 0:
-            return
-        name = ask.model.name
-        before = self._chars_per_token.get(name)
-        seen = chars / tokens
-        gain = CHARS_GAIN if before else 1.0
-        self._chars_per_token[name] = seen if before is None else before + gain * (seen - before)
 
     async def run(
         self, ask: CompletionAsk, view: BundleView, writer: AnswerWriter, progress: Progress
@@ -163,11 +76,13 @@
         policy = view.bundle.policy
         pool = view.bundle.pool(ask.model.decode[0])
         if ask.terms.repeatable or not ask.terms.key or pool is None:
+            progress.keyed = False
             await self._serve(ask, policy, writer, progress)
             return
-        body = msgspec.json.encode(ask.body)
-        digest = digest_of("POST", ask.path, body)
-        leave = await self._fence.ask(pool, ask.member.name, ask.terms.key, digest)
+        digest = digest_of("POST", ask.path, msgspec.json.encode(ask.body))
+        leave = await self._fence.ask(
+            pool, ask.member.name, ask.terms.key, digest, progress.new_step()
+        )
         if isinstance(leave, Answer):
             raise AlreadyTaken("this request was answered before")
         progress.keyed = False
@@ -190,7 +105,7 @@
             DeadlinePassed: the caller's deadline went by.
         """
         began = await curio.clock()
-        until = began + self._patience_s(ask, policy, began)
+        until = began + self.estimates.patience_s(ask, policy, began)
         limit = ask.terms.deadline_s
         self._budget.first_attempt()
         while True:
@@ -199,40 +114,24 @@
                 if limit is None:
                     await self._attempt(ask, writer, progress, until)
                 else:
-                    left = began + limit - await curio.clock()
-                    await curio.timeout_after(
-                        max(0.001, left), self._attempt, ask, writer, progress, until
-                    )
+                    left = max(0.001, began + limit - await curio.clock())
+                    await curio.timeout_after(left, self._attempt, ask, writer, progress, until)
                 return
             except curio.TaskTimeout as exc:
                 raise DeadlinePassed(f"{limit} s") from exc
             except (AttemptFailed, LinkLost, LinkClosed) as exc:
-                await self._consider_retry(exc, ask, progress, writer)
+                self._consider_retry(exc, ask, progress, writer)
                 # An answer that is under way is worth finishing late.
                 until = max(until, await curio.clock() + ask.model.first_token_s)
 
-    def _patience_s(self, ask: CompletionAsk, policy: Policy, now: float) -> float:
-        """Return the seconds until the first token after which the request is given up.
+    def _consider_retry(
+        self, exc: CrankhingeError, ask: CompletionAsk, progress: Progress, writer: AnswerWriter
+    ) -> None:
+        """Return if another attempt may be made.
 
-        A prompt so long that even an idle engine reads it later than the target allows is given
-        the time that it needs: it can't be in time, but it can be answered.
+        Raises:
+            BackendFailed: when not.
         """
-        if not self._mech.refuse_early:
-            return PATIENT_S
-        aim = 1.0 - MARGIN - MARGIN_BY_WASTE * policy.waste_weight
-        target = ask.model.first_token_s * policy.patience * aim
-        tokens = self.estimate_tokens(ask)
-        route = RouteAsk(tokens, ask.prefix, self._block_tokens(ask))
-        idle = self._router.idle_prefill_s(ask.model.prefill, route, now)
-        return max(target, LONG_PROMPT_FACTOR * idle)
-
-    async def _consider_retry(
-        self,
-        exc: CrankhingeError,
-        ask: CompletionAsk,
-        progress: Progress,
-        writer: AnswerWriter,
-    ) -> None:
         self._metrics.count("attempts_failed")
         spent = progress.attempts >= MAX_ATTEMPTS
         spent = spent or (progress.touched and not ask.terms.repeatable)
@@ -240,6 +139,7 @@
         spent = spent or (writer.tokens > 0 and not self._mech.resume)
         self._log.warning(
             "attempt_failed",
+            request=f"req-{progress.ident:016x}",
             code=exc.code,
             why=exc.detail,
             attempt=progress.attempts,
@@ -253,22 +153,20 @@
         self, ask: CompletionAsk, writer: AnswerWriter, progress: Progress, until: float
     ) -> None:
         body = ask.body_after(writer.text, writer.tokens)
-        tokens = self.estimate_tokens(ask) + writer.tokens
-        route = RouteAsk(tokens, ask.prefix, self._block_tokens(ask))
-        left = ask.max_tokens - writer.tokens
-        kv = b""
+        route = self.estimates.route(ask, writer.tokens)
+        need = SlotNeed(ask, route, until, ask.max_tokens - writer.tokens)
+        early: PrefillDone | None = None
         if not self._mech.reserve:
-            kv = await self._prefill(ask, route, "", body, writer, progress, until)
-        slot = await self._reserve(ask, route, until, left)
+            early = await self._read(Prompt(ask, route, body, "", until), writer, progress)
+        slot = await self._slots.find(need, progress)
         progress.slot = progress.slot or await curio.clock()
         done = False
         try:
-            if self._mech.reserve:
-                zone = slot.backend.zone
-                kv = await self._prefill(ask, route, zone, body, writer, progress, until)
+            prompt = Prompt(ask, route, body, slot.backend.zone, until)
+            read = early or await self._read(prompt, writer, progress)
             progress.touched = True
             progress.read = progress.read or await curio.clock()
-            await slot.link.send(Decode(slot.box.req, ask.path, body, kv))
+            await slot.link.send(Decode(slot.box.req, ask.path, body, read.kv))
             await self._relay(slot, writer, progress)
             done = True
         finally:
@@ -276,7 +174,13 @@
             slot.backend.open -= 1
             self._calls.close(slot.box)
             if not done:
-                await _cancel(slot.link, slot.box)
+                await cancel_step(slot.link, slot.box)
+
+    async def _read(self, prompt: Prompt, writer: AnswerWriter, progress: Progress) -> PrefillDone:
+        done = await self._reader.read(prompt, progress)
+        self.estimates.learn(prompt.ask, writer.text, done.prompt)
+        writer.note_prompt(done.prompt)
+        return done
 
     def _note_waste(self, progress: Progress) -> None:
         if progress.unused:
@@ -284,172 +188,19 @@
             progress.wasted += progress.unused
             progress.unused = 0
 
-    def _block_tokens(self, ask: CompletionAsk) -> int:
-        return int(BLOCK_CHARS / self._chars_per_token.get(ask.model.name, CHARS_PER_TOKEN))
-
-    async def _reserve(
-        self, ask: CompletionAsk, route: RouteAsk, until: float, max_tokens: int
-    ) -> _Slot:
-        candidates = self._router.choose(ask.model.decode, await curio.clock())
-        if not candidates:
-            raise NoBackend(f"no decode engine for {ask.model.name}", retry_after_s=1.0)
-        # First whoever has room now; only when nobody has is it worth waiting somewhere.
-        rounds = [(b, False) for b in candidates if b.seems_free or len(candidates) == 1]
-        rounds += [(b, True) for b in candidates]
-        retry_after = MAX_RETRY_AFTER_S
-        for backend, may_wait in rounds:
-            try:
-                answer = await self._ask_slot(ask, route, backend, until, max_tokens, may_wait)
-            except (LinkClosed, LinkLost):
-                continue
-            if isinstance(answer, _Slot):
-                return answer
-            retry_after = min(retry_after, answer.retry_after or retry_after)
-        raise Overloaded("no slot in time", retry_after_s=retry_after)
-
-    async def _ask_slot(
-        self,
-        ask: CompletionAsk,
-        route: RouteAsk,
-        backend: Backend,
-        until: float,
-        max_tokens: int,
-        may_wait: bool,
-    ) -> _Slot | Refused:
-        now = await curio.clock()
-        lead = self._lead_s(ask, route, backend, now)
-        within = until - now - lead if may_wait else 0.0
-        link = self._fleet.link(backend.name)
-        box = self._calls.open(link)
-        backend.sent += 1
-        kept = False
-        try:
-            await link.send(
-                Reserve(
-                    box.req,
-                    ask.member.name,
-                    ask.model.name,
-                    ask.terms.rank,
-                    within,
-                    lead,
-                    max_tokens,
-                    ask.member.partner,
-                )
-            )
-            answer = await self._answer(box, max(within, 0.0) + ANSWER_SLACK_S)
-            kept = isinstance(answer, Granted)
-            if kept:
-                backend.open += 1
-                return _Slot(backend, link, box)
-            if isinstance(answer, Refused):
-                return answer
-            return Refused(box.req, "no-answer")
-        finally:
-            if not kept:
-                self._calls.close(box)
-                await _cancel(link, box)
-
-    def _lead_s(self, ask: CompletionAsk, route: RouteAsk, backend: Backend, now: float) -> float:
-        """Return the seconds from the grant of a slot until it is used."""
-        best = self._router.choose_prefill(ask.model.prefill, route, backend.zone, now)
-        if not best:
-            raise NoBackend(f"no prefill engine for {ask.model.name}", retry_after_s=1.0)
-        read = self._router.prefill_cost_s(best[0], route, backend.zone, now)
-        return read + backend.step_s
-
-    async def _answer(self, box: Mailbox, seconds: float) -> Any:
-        """Return the agent's next message, or None when none comes in time."""
-        return await curio.ignore_after(seconds, box.get)
-
-    async def _prefill(
-        self,
-        ask: CompletionAsk,
-        route: RouteAsk,
-        zone: str,
-        body: bytes,
-        writer: AnswerWriter,
-        progress: Progress,
-        until: float,
-    ) -> bytes:
-        now = await curio.clock()
-        retry_after = 1.0
-        for backend in self._router.choose_prefill(ask.model.prefill, route, zone, now):
-            try:
-                answer = await self._read(ask, route, backend, body, progress, until)
-            except (LinkClosed, LinkLost):
-                continue
-            if isinstance(answer, PrefillDone):
-                self._learn(ask, route, backend, answer)
-                progress.computed += answer.prompt - answer.cached
-                progress.unused = answer.prompt - answer.cached
-                writer.note_prompt(answer.prompt)
-                return answer.kv
-            if isinstance(answer, Refused):
-                retry_after = min(retry_after, answer.retry_after or retry_after)
-            if progress.touched and not ask.terms.repeatable:
-                break
-        if progress.touched:
-            raise AttemptFailed("no prefill engine read the prompt")
-        raise Overloaded("no prefill engine in time", retry_after_s=retry_after)
-
-    async def _read(
-        self,
-        ask: CompletionAsk,
-        route: RouteAsk,
-        backend: Backend,
-        body: bytes,
-        progress: Progress,
-        until: float,
-    ) -> Any:
-        """Have one engine read the prompt; returns its agent's answer, or None for none."""
-        now = await curio.clock()
-        transfer = self._router.transfer_s(route.tokens, backend.zone, backend.zone)
-        within = until - now - transfer
-        link = self._fleet.link(backend.name)
-        box = self._calls.open(link)
-        todo = self._router.uncached(backend, route)
-        backend.sent += 1
-        backend.sent_s += todo / (backend.rate or 10_000.0)
-        backend.breaker.sent(now)
-        touched = progress.touched
-        progress.touched = True
-        answer: Any = None
-        try:
-            await link.send(
-                Prefill(box.req, ask.path, body, ask.member.name, ask.terms.rank, within, todo)
-            )
-            answer = await self._answer(box, max(within, 0.0) + ANSWER_SLACK_S)
-        finally:
-            self._calls.close(box)
-            if not isinstance(answer, PrefillDone | Refused | Failed):
-                await _cancel(link, box)
-                backend.breaker.failed(now)
-        if isinstance(answer, Refused) or (isinstance(answer, Failed) and not answer.ran):
-            progress.touched = touched
-        if isinstance(answer, Failed):
-            backend.breaker.failed(await curio.clock())
-        elif isinstance(answer, PrefillDone):
-            backend.breaker.succeeded()
-        return answer
-
-    def _learn(
-        self, ask: CompletionAsk, route: RouteAsk, backend: Backend, done: PrefillDone
-    ) -> None:
-        self._learn_ratio(ask, len(ask.text), done.prompt)
-        self._router.prefixes.learn(backend.name, route.prefix)
-
-    async def _relay(self, slot: _Slot, writer: AnswerWriter, progress: Progress) -> None:
+    async def _relay(self, slot: Slot, writer: AnswerWriter, progress: Progress) -> None:
         """Pass tokens on in order until the answer is complete."""
         expected = 0
+        slot.box.streaming = True
         while True:
-            msg = await curio.ignore_after(SILENT_STREAM_S, slot.box.get)
+            msg = await slot.box.get()
             if isinstance(msg, Tokens):
-                fresh = msg.texts[max(0, expected - msg.seq) :]
                 if msg.seq > expected:
                     raise AttemptFailed(f"tokens {expected} to {msg.seq} are missing")
-                progress.last = await curio.clock()
-                progress.first = progress.first or progress.last
-                progress.unused = 0
+                fresh = msg.texts[expected - msg.seq :]
+                if not expected:
+                    progress.first = progress.first or await curio.clock()
+                    progress.unused = 0
                 expected += len(fresh)
                 if fresh:
                     await writer.write(fresh)
@@ -457,16 +208,9 @@
                 if msg.count != expected:
                     raise AttemptFailed(f"{expected} of {msg.count} tokens arrived")
                 slot.backend.breaker.succeeded()
+                progress.last = await curio.clock()
                 await writer.finish(msg.finish or "stop")
                 return
             else:
                 slot.backend.breaker.failed(await curio.clock())
                 raise AttemptFailed(msg.code if isinstance(msg, Failed) else "no answer")
-
-
-async def _cancel(link: Link, box: Mailbox) -> None:
-    """Tell an agent that nobody waits for a request; a lost link has told it already."""
-    try:
-        await link.send(Cancel(box.req))
-    except LinkClosed:
-        return
--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -19,10 +19,10 @@
     read_completion,
     read_terms,
 )
-from crankhinge.entry._calls import RequestIds
-from crankhinge.entry._completion import Completions, Progress
+from crankhinge.entry._completion import Completions
 from crankhinge.entry._fleet import Fleet
 from crankhinge.entry._plain import PlainCalls
+from crankhinge.entry._progress import Progress, RequestIds
 from crankhinge.entry._settings import EntrySettings
 from crankhinge.errors import (
     BadHttp,
@@ -128,11 +128,12 @@
 
     async def _serve(self, exchange: Exchange) -> None:
         """Answer one request; a caller that goes ends its work."""
-        ident = f"req-{self._ids.next():016x}"
+        number = self._ids.next()
+        ident = f"req-{number:016x}"
         self._open += 1
         try:
             async with curio.TaskGroup(wait=any) as group:
-                work = await group.spawn(self._answer, exchange, ident)
+                work = await group.spawn(self._answer, exchange, number, ident)
                 await group.spawn(exchange.wait_gone)
             if group.completed is not work:
                 self._metrics.count("callers_gone")
@@ -143,8 +144,8 @@
         finally:
             self._open -= 1
 
-    async def _answer(self, exchange: Exchange, ident: str) -> None:
-        progress = Progress(keyed="idempotency-key" in exchange.req.headers)
+    async def _answer(self, exchange: Exchange, number: int, ident: str) -> None:
+        progress = Progress(number, keyed="idempotency-key" in exchange.req.headers)
         # Filled in as it becomes known, for whichever line ends the request.
         about: dict[str, Any] = {"request": ident}
         try:
@@ -199,7 +200,7 @@
         began = await curio.clock()
         ask = read_completion(view, exchange.req, member)
         about.update(model=ask.body["model"], rank=ask.terms.rank)
-        check_length(ask, self._completions.estimate_tokens(ask))
+        check_length(ask, self._completions.estimates.tokens(ask))
         writer = AnswerWriter(exchange, ask, about["request"], int(time.time()))
         try:
             await self._completions.run(ask, view, writer, progress)
--- a/src/crankhinge/entry/_fence.py
+++ b/src/crankhinge/entry/_fence.py
@@ -65,8 +65,10 @@
         self._calls = calls
         self._metrics = metrics
 
-    async def ask(self, pool: Pool, member: str, key: str, digest: bytes) -> Leave | Answer:
-        """Return leave for this attempt, or the recorded answer of an earlier one.
+    async def ask(
+        self, pool: Pool, member: str, key: str, digest: bytes, req: int
+    ) -> Leave | Answer:
+        """Return leave for the attempt *req*, or the recorded answer of an earlier one.
 
         Raises:
             AlreadyTaken: another attempt had leave and its outcome isn't known.
@@ -80,7 +82,7 @@
         number = zlib.crc32(key.encode()) % len(pool.fence)
         holders = pool.fence[number]
         leave = Leave(
-            self._calls.new_id(),
+            req,
             fence_range(pool.name, number, holders),
             f"{member}/{key}",
             holders,
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -8,18 +8,29 @@
 
 import curio
 
-from crankhinge.adapters import Instance, InstanceList
+from crankhinge.adapters import Instance
 from crankhinge.config import Bundle, BundleKeeper
 from crankhinge.decisions import Backend, Router, rank_by_key
 from crankhinge.entry._calls import Calls
 from crankhinge.entry._settings import EntrySettings
-from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
-from crankhinge.peers import Beater, BundleSpread
-from crankhinge.wire import WIRE_VERSION, Beat, Hello, Link, Load, Message, connect_link
+from crankhinge.errors import LinkClosed, WireError
+from crankhinge.peers import Beater, BundleSpread, Roster, parse_endpoint
+from crankhinge.wire import (
+    WIRE_VERSION,
+    Beat,
+    GetInstances,
+    Hello,
+    InstancesAre,
+    Link,
+    Load,
+    Message,
+    connect_link,
+)
 
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 5.0
 GONE_READINGS = 3
+SEED_S = 2.0
 
 
 def subset(
@@ -47,7 +58,7 @@
 
     Args:
         settings: of this entry.
-        instances: the platform's list.
+        roster: the platform's list.
         router: told what is seen.
         calls: told what arrives.
         spread: told of links and bundles.
@@ -62,7 +73,7 @@
         self,
         *,
         settings: EntrySettings,
-        instances: InstanceList,
+        roster: Roster,
         router: Router,
         calls: Calls,
         spread: BundleSpread,
@@ -74,7 +85,7 @@
         self.router = router
         self.beater = Beater(settings.beat_s, lambda _now: Beat(keeper.version))
         self._settings = settings
-        self._instances = instances
+        self._roster = roster
         self._calls = calls
         self._spread = spread
         self._keeper = keeper
@@ -124,13 +135,39 @@
     async def run(self) -> None:
         """Follow the list until cancelled. While it can't be read, what is known stays."""
         while True:
+            if not await self._roster.read() and not self._roster.known:
+                await self._ask_seeds()
+            if self._roster.known:
+                await self._update(self._roster.known)
+            await self._roster.pause()
+
+    async def _ask_seeds(self) -> None:
+        """Have the list, and with it the bundle, from an agent that the settings name."""
+        for seed in self._settings.seeds:
             try:
-                await self._update(await self._instances.agents())
-            except KeyValueUnavailable as exc:
-                self._log.warning("list_unavailable", why=exc.detail)
-            known = bool(self._places)
-            pause = self._settings.list_s if known else min(0.5, self._settings.list_s)
-            await curio.sleep(pause * self._rng.uniform(0.8, 1.2))
+                link = await connect_link(*parse_endpoint(seed), self._hello())
+                await self._spread.linked(link)
+                await link.send(GetInstances())
+                await curio.ignore_after(SEED_S, link.run, self._handle_seed)
+            except (LinkClosed, WireError) as exc:
+                self._log.info("seed_failed", seed=seed, code=exc.code, why=exc.detail)
+                continue
+            finally:
+                self._spread.links -= {link for link in self._spread.links if link.closed}
+            if self._roster.known:
+                return
+
+    async def _handle_seed(self, link: Link, msg: Message) -> None:
+        if isinstance(msg, InstancesAre):
+            self._roster.known = [
+                Instance(r.name, r.host, r.port, r.zone, r.pool, r.leaving) for r in msg.rows
+            ]
+            if self._keeper.view is not None:
+                await link.close()
+            return
+        await self._spread.handle(link, msg)
+        if self._roster.known and self._keeper.view is not None:
+            await link.close()
 
     async def _update(self, listed: list[Instance]) -> None:
         chosen = subset(
--- a/src/crankhinge/entry/_plain.py
+++ b/src/crankhinge/entry/_plain.py
@@ -11,9 +11,9 @@
 from crankhinge.decisions import Answer, Backend, RetryBudget, keep_answer
 from crankhinge.entry._ask import Terms
 from crankhinge.entry._calls import Calls, LinkLost
-from crankhinge.entry._completion import Progress
 from crankhinge.entry._fence import Fence, Leave, digest_of
 from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._progress import Progress
 from crankhinge.errors import (
     BackendFailed,
     LinkClosed,
@@ -81,7 +81,7 @@
         if pool is None:
             raise NoBackend(f"no pool {service.pool}")
         digest = digest_of(req.method, req.target, req.body)
-        leave = await self._fence.ask(pool, member.name, terms.key, digest)
+        leave = await self._fence.ask(pool, member.name, terms.key, digest, progress.new_step())
         if isinstance(leave, Answer):
             self._metrics.count("answers_replayed")
             return CallDone(0, leave.status, {**leave.headers, REPLAYED: "yes"}, leave.body)
@@ -174,7 +174,7 @@
         within = max(0.001, until - now)
         try:
             link = self._fleet.link(backend.name)
-            box = self._calls.open(link)
+            box = self._calls.open(link, progress.new_step())
         except LinkClosed:
             return Refused(0, "link-closed")
         before = progress.touched
--- a/src/crankhinge/entry/_program.py
+++ b/src/crankhinge/entry/_program.py
@@ -13,14 +13,15 @@
 from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
 from crankhinge.config import BundleKeeper
 from crankhinge.decisions import RetryBudget, Router, RoutingWeights, mechanisms
-from crankhinge.entry._calls import Calls, RequestIds
+from crankhinge.entry._calls import Calls
 from crankhinge.entry._completion import Completions
 from crankhinge.entry._entry import Entry
 from crankhinge.entry._fence import Fence
 from crankhinge.entry._fleet import Fleet
 from crankhinge.entry._plain import PlainCalls
+from crankhinge.entry._progress import RequestIds
 from crankhinge.entry._settings import EntrySettings
-from crankhinge.peers import BundleSpread, parse_endpoint
+from crankhinge.peers import BundleSpread, Roster, parse_endpoint
 from crankhinge.runtime import Metrics, Supervisor, run_process, until_first
 
 PROGRAM = "crankhinge-entry"
@@ -36,11 +37,16 @@
     kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
     spread = BundleSpread(keeper, kv, log, watch_s=settings.watch_s, rng=rng)
     ids = RequestIds(secrets.randbits(64))
-    calls = Calls(ids, settings.buffer_tokens)
+    calls = Calls(settings.buffer_tokens)
     weights = RoutingWeights(zone=settings.zone, beat_s=settings.beat_s)
     fleet = Fleet(
         settings=settings,
-        instances=ConsulInstanceList(*parse_endpoint(settings.instances)),
+        roster=Roster(
+            ConsulInstanceList(*parse_endpoint(settings.instances)),
+            list_s=settings.list_s,
+            log=log,
+            rng=rng,
+        ),
         router=Router(weights=weights, rng=rng, mech=mech),
         calls=calls,
         spread=spread,
@@ -70,6 +76,7 @@
     supervisor.add("beats", fleet.beater.run)
     supervisor.add("fleet", fleet.run)
     supervisor.add("bundle", spread.watch)
+    supervisor.add("streams", calls.watch)
     log.info("started", port=settings.port)
     await until_first(supervisor.run, partial(_drain_on, stopping, entry))
 
--- a/src/crankhinge/entry/_settings.py
+++ b/src/crankhinge/entry/_settings.py
@@ -7,22 +7,19 @@
 import msgspec
 
 from crankhinge.peers import PeerSettings
-from crankhinge.peers._settings import Seconds
 
 
 class EntrySettings(PeerSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of an entry.
 
     Attributes:
-        list_s: seconds between readings of the list.
         subset: most agents of one pool that this entry keeps a link to.
         body_bytes: largest body of a request.
         buffer_tokens: tokens of one answer kept for a caller that reads slowly.
         max_requests: requests in progress at one time.
     """
 
-    list_s: Seconds = 10.0
-    subset: Annotated[int, msgspec.Meta(ge=1)] = 16
+    subset: Annotated[int, msgspec.Meta(ge=1)] = 8
     body_bytes: Annotated[int, msgspec.Meta(ge=1024)] = 4 * 1024 * 1024
     buffer_tokens: Annotated[int, msgspec.Meta(ge=16)] = 2048
     max_requests: Annotated[int, msgspec.Meta(ge=1)] = 2000
--- /dev/null
+++ b/src/crankhinge/entry/_slots.py
@@ -0,0 +1,137 @@
+"""Leases a slot in a decode engine's memory."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import curio
+
+from crankhinge.decisions import Backend, RouteAsk, Router
+from crankhinge.entry._ask import CompletionAsk
+from crankhinge.entry._calls import Calls, LinkLost, Mailbox, cancel_step
+from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._progress import Progress
+from crankhinge.errors import LinkClosed, NoBackend, Overloaded
+from crankhinge.wire import Granted, Link, Refused, Reserve
+
+MAX_RETRY_AFTER_S = 30.0
+ANSWER_SLACK_S = 0.25
+
+
+@dataclass
+class Slot:
+    """A leased slot.
+
+    Attributes:
+        backend: whose memory.
+        link: to its agent.
+        box: where the answer will arrive.
+    """
+
+    backend: Backend
+    link: Link
+    box: Mailbox
+
+
+@dataclass(frozen=True)
+class SlotNeed:
+    """What a slot is needed for.
+
+    Attributes:
+        ask: the request.
+        route: its length and prefix.
+        until: when the first token is of no more use, seconds of the runtime's clock.
+        max_tokens: most tokens that are still to be written.
+    """
+
+    ask: CompletionAsk
+    route: RouteAsk
+    until: float
+    max_tokens: int
+
+
+class SlotFinder:
+    """Asks decode agents for a slot.
+
+    Args:
+        fleet: the agents.
+        calls: the mailboxes.
+    """
+
+    def __init__(self, *, fleet: Fleet, calls: Calls) -> None:
+        self._fleet = fleet
+        self._calls = calls
+
+    @property
+    def _router(self) -> Router:
+        return self._fleet.router
+
+    async def find(self, need: SlotNeed, progress: Progress) -> Slot:
+        """Lease a slot.
+
+        Raises:
+            NoBackend: no engine is known to be alive.
+            Overloaded: no slot comes free in time.
+        """
+        model = need.ask.model
+        candidates = self._router.choose(model.decode, await curio.clock())
+        if not candidates:
+            raise NoBackend(f"no decode engine for {model.name}", retry_after_s=1.0)
+        # First whoever has room now; only when nobody has is it worth waiting somewhere.
+        rounds = [(b, False) for b in candidates if b.seems_free or len(candidates) == 1]
+        rounds += [(b, True) for b in candidates]
+        retry_after = MAX_RETRY_AFTER_S
+        for backend, may_wait in rounds:
+            try:
+                answer = await self._ask(need, backend, progress, may_wait)
+            except (LinkClosed, LinkLost):
+                continue
+            if isinstance(answer, Slot):
+                return answer
+            retry_after = min(retry_after, answer.retry_after or retry_after)
+        raise Overloaded("no slot in time", retry_after_s=retry_after)
+
+    async def _ask(
+        self, need: SlotNeed, backend: Backend, progress: Progress, may_wait: bool
+    ) -> Slot | Refused:
+        now = await curio.clock()
+        lead = self._lead_s(need, backend, now)
+        within = need.until - now - lead if may_wait else 0.0
+        link = self._fleet.link(backend.name)
+        box = self._calls.open(link, progress.new_step())
+        backend.sent += 1
+        answer = None
+        try:
+            await link.send(_reserve(need, box.req, within, lead))
+            answer = await curio.ignore_after(max(within, 0.0) + ANSWER_SLACK_S, box.get)
+        finally:
+            if not isinstance(answer, Granted):
+                self._calls.close(box)
+                await cancel_step(link, box)
+        if isinstance(answer, Granted):
+            backend.open += 1
+            return Slot(backend, link, box)
+        return answer if isinstance(answer, Refused) else Refused(box.req, "no-answer")
+
+    def _lead_s(self, need: SlotNeed, backend: Backend, now: float) -> float:
+        """Return the seconds from the grant of a slot until its first token."""
+        model = need.ask.model
+        best = self._router.choose_prefill(model.prefill, need.route, backend.zone, now)
+        if not best:
+            raise NoBackend(f"no prefill engine for {model.name}", retry_after_s=1.0)
+        read = self._router.prefill_cost_s(best[0], need.route, backend.zone, now)
+        return read + backend.step_s
+
+
+def _reserve(need: SlotNeed, req: int, within: float, lead: float) -> Reserve:
+    ask = need.ask
+    return Reserve(
+        req,
+        ask.member.name,
+        ask.model.name,
+        ask.terms.rank,
+        within,
+        lead,
+        need.max_tokens,
+        ask.member.partner,
+    )
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
@@ -93,6 +94,7 @@
 
     def __init__(self, sock: Any, limits: HttpLimits) -> None:
         self._sock = sock
+        self._fd = sock.fileno()
         self._limits = limits
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
@@ -103,6 +105,17 @@
         return self._h11.send(event) or b""
 
     async def send(self, data: bytes) -> None:
+        # Nearly always the kernel takes all of it at once: no timer is set for that.
+        try:
+            taken = os.write(self._fd, data)
+        except BlockingIOError:
+            taken = 0
+        except OSError as exc:
+            raise HttpClosed(str(exc)) from exc
+        if taken < len(data):
+            await self._send_rest(memoryview(data)[taken:])
+
+    async def _send_rest(self, data: memoryview) -> None:
         try:
             await curio.timeout_after(self._limits.send_s, self._sock.sendall, data)
         except OSError as exc:
--- a/src/crankhinge/peers/_beats.py
+++ b/src/crankhinge/peers/_beats.py
@@ -9,7 +9,7 @@
 from crankhinge.errors import LinkClosed
 from crankhinge.wire import Beat, Link, encode
 
-SILENT_BEATS = 6.0
+SILENT_BEATS = 4.0
 PAUSE_BEATS = 3.0
 
 
--- a/src/crankhinge/peers/_settings.py
+++ b/src/crankhinge/peers/_settings.py
@@ -43,6 +43,8 @@
         port: TCP port.
         key_value: ``host:port`` of the platform's key-value service.
         instances: ``host:port`` of the platform's list of instances.
+        seeds: ``host:port`` of some agents, asked while the list can't be read at a start.
+        list_s: seconds between readings of the list.
         keys: public key of each partner, hex; a bundle must be signed by all of them.
         groups: further fault domains (rack, link).
         statsd: ``host:port`` of the statsd server; empty for none.
@@ -59,9 +61,11 @@
     key_value: HostPort
     instances: HostPort
     keys: dict[str, HexKey]
+    seeds: tuple[HostPort, ...] = ()
+    list_s: Seconds = 60.0
     groups: tuple[str, ...] = ()
     statsd: str = ""
-    beat_s: Seconds = 0.5
+    beat_s: Seconds = 1.5
     watch_s: Seconds = 60.0
     drain_s: Seconds = 120.0
     policy: str = "full"
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -282,6 +282,27 @@
     body: bytes
 
 
+class InstanceRow(msgspec.Struct, array_like=True, frozen=True):
+    """An agent's instance, as the platform's list showed it."""
+
+    name: str
+    host: str
+    port: int
+    zone: str
+    pool: str
+    leaving: bool = False
+
+
+class GetInstances(_Base, tag=27, frozen=True):
+    """A newcomer that can't read the platform's list asks a peer for it."""
+
+
+class InstancesAre(_Base, tag=28, frozen=True):
+    """The list, as the peer last read it."""
+
+    rows: tuple[InstanceRow, ...]
+
+
 Message = (
     Hello
     | Beat
@@ -309,4 +330,6 @@
     | FenceState
     | FenceSync
     | FenceJoined
+    | GetInstances
+    | InstancesAre
 )
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -33,6 +33,7 @@
 STOP_S = 10.0
 POLL_S = 0.05
 READ_AT_ONCE = 2
+SEEDS = 3
 PUBLISH_TRIES = 20
 EXIT_UNKNOWN = 4
 
@@ -276,6 +277,7 @@
             f'key_value = "{HOST}:{self.platform_port}"',
             f'instances = "{HOST}:{self.platform_port}"',
             f"beat_s = {self.spec.beat_s}",
+            "list_s = 1.0",
             f'policy = "{self.spec.mechanisms}"',
         ]
 
@@ -322,7 +324,8 @@
         name = f"entry-{number}"
         zone = self.spec.zones[number % len(self.spec.zones)]
         lines = self._peer_settings(name, zone, self.entry_ports[number])
-        lines += ["list_s = 1.0", *extra]
+        seeds = [f"{HOST}:{place.port}" for place in self.places[:SEEDS]]
+        lines += [f"seeds = {seeds}", *extra]
         self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
 
     def bundle_text(self, version: int) -> str:
--- /dev/null
+++ b/src/crankhinge_bench/_perf.py
@@ -0,0 +1,240 @@
+"""``crankhinge-bench perf``: what the product adds to calling the engines directly."""
+
+from __future__ import annotations
+
+import argparse
+import json
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import curio
+import msgspec
+
+from crankhinge.adapters.openai_engine import OpenAiEngine
+from crankhinge_bench._cluster import HOST, Cluster, ClusterSpec, EngineSpec, http_json
+from crankhinge_bench._load import LoadRun, Outcome
+from crankhinge_bench._slopes import cpu_s, rss_kb
+from crankhinge_bench._summary import percentile
+from crankhinge_bench._trace import Arrival
+
+PAIRS = 150
+STREAMS = 200
+STREAM_TOKENS = 100
+CANCELS = 20
+STARTS = 5
+POLL_S = 0.002
+PATH = "/v1/completions"
+
+
+class Perf(msgspec.Struct, kw_only=True):
+    """Figures of one run; milliseconds, KiB, core seconds.
+
+    Attributes:
+        direct_ms: first token, p50 and p99, engines called directly.
+        through_ms: first token, p50 and p99, through an entry and agents.
+        added_ms: difference pair by pair, p50 and p99.
+        streams: streams at once through one entry.
+        wrong: of these, answers that differ from the engine's or are cut.
+        tokens_per_s: relayed meanwhile.
+        entry_us_per_token: processor time of the entry, per relayed token.
+        agent_us_per_token: processor time of all decode agents, per relayed token.
+        cancel_ms: from a caller's going until its engine's memory is free, p50 and p99.
+        idle_kb: resident memory of each program, idle.
+        loaded_kb: the same after the streams.
+        start_ms: until a program has imported everything and checked its settings, median.
+    """
+
+    direct_ms: tuple[float, float]
+    through_ms: tuple[float, float]
+    added_ms: tuple[float, float]
+    streams: int
+    wrong: int
+    tokens_per_s: float
+    entry_us_per_token: float
+    agent_us_per_token: float
+    cancel_ms: tuple[float, float]
+    idle_kb: dict[str, int]
+    loaded_kb: dict[str, int]
+    start_ms: dict[str, float]
+
+
+def _spread(values: list[float]) -> tuple[float, float]:
+    return percentile(values, 0.5), percentile(values, 0.99)
+
+
+async def _direct(cluster: Cluster, number: int) -> float:
+    """Return the seconds to the first token when the engines are called directly."""
+    read = next(p for p in cluster.places if p.kind == "prefill")
+    write = next(p for p in cluster.places if p.kind == "decode")
+    body = json.dumps({"model": "m1", "prompt": f"direct {number}", "max_tokens": 3}).encode()
+    began = await curio.clock()
+    result = await OpenAiEngine(HOST, read.backend_port).prefill(PATH, body, req=number)
+    engine = OpenAiEngine(HOST, write.backend_port)
+    stream = await engine.decode(PATH, body, result.kv, req=number)
+    await stream.next()
+    first = await curio.clock() - began
+    while await stream.next():
+        pass
+    await stream.close()
+    return float(first)
+
+
+async def _through(cluster: Cluster, number: int) -> float:
+    runner = LoadRun(cluster.entry_ports, cluster.credentials)
+    [seen] = await runner.play([Arrival(0.0, "naas-office", f"through {number}", 3)])
+    return seen.first_s
+
+
+async def _pairs(cluster: Cluster) -> tuple[list[float], list[float]]:
+    direct, through = [], []
+    for number in range(PAIRS):
+        direct.append(await _direct(cluster, number) * 1000)
+        through.append(await _through(cluster, number) * 1000)
+    return direct, through
+
+
+def _latency() -> tuple[list[float], list[float]]:
+    spec = ClusterSpec(
+        engines=(
+            EngineSpec("read", "prefill", 1),
+            EngineSpec("write", "decode", 1, step_s=0.002, step_per_request_s=0.0),
+        ),
+        services=(),
+    )
+    with Cluster(spec) as cluster:
+        direct, through = curio.run(_pairs, cluster)
+    return direct, through
+
+
+def _stream_spec() -> ClusterSpec:
+    return ClusterSpec(
+        engines=(EngineSpec("read", "prefill", 4), EngineSpec("write", "decode", 12)),
+        services=(),
+        first_token_s=5.0,
+    )
+
+
+def _streams(cluster: Cluster) -> tuple[list[Outcome], float]:
+    trace = [
+        Arrival(n * 0.01, "naas-office", f"stream {n} of many", STREAM_TOKENS)
+        for n in range(STREAMS)
+    ]
+    began = time.monotonic()
+    outcomes = curio.run(LoadRun(cluster.entry_ports, cluster.credentials).play, trace)
+    return outcomes, time.monotonic() - began
+
+
+def _held(cluster: Cluster) -> int:
+    places = [place for place in cluster.places if place.kind == "decode"]
+    return sum(http_json("GET", p.backend_port, "/stats")["running"] for p in places)
+
+
+def _cancel_ms(cluster: Cluster, number: int) -> float:
+    """Return the time from a caller's going until no engine holds its request."""
+    body = json.dumps(
+        {"model": "m1", "prompt": f"cancel {number}", "max_tokens": 400, "stream": True}
+    )
+    head = (
+        f"POST {PATH} HTTP/1.1\r\nhost: x\r\n"
+        f"authorization: Bearer {cluster.credentials['naas-office']}\r\n"
+        f"content-length: {len(body)}\r\n\r\n"
+    )
+    with socket.create_connection((HOST, cluster.entry_ports[0])) as sock:
+        sock.sendall((head + body).encode())
+        sock.recv(1000)
+    began = time.perf_counter()
+    while _held(cluster):
+        time.sleep(POLL_S)
+    return (time.perf_counter() - began) * 1000
+
+
+def _start_ms(cluster: Cluster, module: str, settings: str) -> float:
+    command = [sys.executable, "-m", module, "--check", str(cluster.dir / settings)]
+    times = []
+    for _ in range(STARTS):
+        began = time.perf_counter()
+        subprocess.run(command, check=True, stdout=subprocess.DEVNULL)
+        times.append((time.perf_counter() - began) * 1000)
+    return percentile(times, 0.5)
+
+
+def _memory(cluster: Cluster) -> dict[str, int]:
+    names = {"entry": "entry-0", "decode agent": "write-0", "prefill agent": "read-0"}
+    return {role: rss_kb(cluster.procs[name].pid) for role, name in names.items()}
+
+
+def measure() -> Perf:
+    """Return all figures."""
+    direct, through = _latency()
+    added = [t - d for d, t in zip(direct, through, strict=True)]
+    with Cluster(_stream_spec()) as cluster:
+        agents = [place.name for place in cluster.places if place.kind == "decode"]
+        idle = _memory(cluster)
+        entry_before = cpu_s(cluster.procs["entry-0"].pid)
+        agents_before = sum(cpu_s(cluster.procs[name].pid) for name in agents)
+        outcomes, took = _streams(cluster)
+        tokens = sum(seen.tokens for seen in outcomes)
+        entry_s = cpu_s(cluster.procs["entry-0"].pid) - entry_before
+        agents_s = sum(cpu_s(cluster.procs[name].pid) for name in agents) - agents_before
+        loaded = _memory(cluster)
+        cancels = [_cancel_ms(cluster, number) for number in range(CANCELS)]
+        starts = {
+            "entry": _start_ms(cluster, "crankhinge.entry.main", "entry-0.toml"),
+            "agent": _start_ms(cluster, "crankhinge.agent.main", "write-0.toml"),
+        }
+    return Perf(
+        direct_ms=_spread(direct),
+        through_ms=_spread(through),
+        added_ms=_spread(added),
+        streams=len(outcomes),
+        wrong=sum(seen.wrong or not seen.whole for seen in outcomes),
+        tokens_per_s=tokens / took,
+        entry_us_per_token=entry_s / tokens * 1e6,
+        agent_us_per_token=agents_s / tokens * 1e6,
+        cancel_ms=_spread(cancels),
+        idle_kb=idle,
+        loaded_kb=loaded,
+        start_ms=starts,
+    )
+
+
+def render(perf: Perf) -> str:
+    """Return the figures as a table."""
+    rows = [
+        ("first token, engines called directly", _pair(perf.direct_ms)),
+        ("first token, through the product", _pair(perf.through_ms)),
+        ("added, pair by pair", _pair(perf.added_ms)),
+        ("streams at once through one entry", f"{perf.streams}, {perf.wrong} wrong or cut"),
+        ("tokens relayed meanwhile", f"{perf.tokens_per_s:.0f} a second"),
+        ("entry, processor time per token", f"{perf.entry_us_per_token:.0f} us"),
+        ("agent, processor time per token", f"{perf.agent_us_per_token:.0f} us"),
+        ("caller goes until memory is free", _pair(perf.cancel_ms)),
+    ]
+    for role, value in perf.idle_kb.items():
+        loaded = perf.loaded_kb[role]
+        rows.append((f"{role}, resident memory", f"idle {value} KiB, loaded {loaded} KiB"))
+    rows += [(f"{role}, start until checked", f"{ms:.0f} ms") for role, ms in perf.start_ms.items()]
+    lines = ["| what | figure |", "|---|---|"]
+    return "\n".join(lines + [f"| {name} | {value} |" for name, value in rows])
+
+
+def _pair(values: tuple[float, float]) -> str:
+    return f"p50 {values[0]:.1f} ms, p99 {values[1]:.1f} ms"
+
+
+def perf(args: argparse.Namespace) -> int:
+    """Run the command; returns 0 when every answer was whole and right."""
+    found = measure()
+    if args.json:
+        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1))
+    print(render(found))
+    return 1 if found.wrong else 0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command's arguments."""
+    parser.add_argument("--json", default="", help="file for the results")
+    parser.set_defaults(run=perf)
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -11,6 +11,7 @@
 from crankhinge.errors import CrankhingeError
 from crankhinge_bench._chaos import add_arguments as add_faults
 from crankhinge_bench._demo import add_arguments as add_demo
+from crankhinge_bench._perf import add_arguments as add_perf
 from crankhinge_bench._run import add_arguments as add_run
 from crankhinge_bench._slopes import add_arguments as add_slopes
 
@@ -25,6 +26,7 @@
     verbs = parser.add_subparsers(dest="verb", required=True)
     add_demo(verbs.add_parser("demo", help="the whole system for some seconds"))
     add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
+    add_perf(verbs.add_parser("perf", help="what the product adds to calling the engines"))
     add_slopes(verbs.add_parser("slopes", help="what each further link, token or server costs"))
     add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
     return parser
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,72 @@
+"""Tests of the burn report."""
+
+from pathlib import Path
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from crankhinge.burn._read import parse_line
+from crankhinge.burn.main import main
+from test_config import TEXT
+
+LINE = (
+    "ts=2026-12-02T12:00:{second:02d}.000000Z level=info program=crankhinge-entry event={event} "
+    'member={member} model=m1 {more} read_tokens=100 wasted_tokens={wasted} why="a \\"b\\" c"\n'
+)
+
+
+@pytest.fixture
+def files(tmp_path: Path) -> list[str]:
+    """Return a log of twenty requests and a bundle."""
+    log = tmp_path / "entry.log"
+    with log.open("w") as file:
+        for second in range(20):
+            late = second == 3
+            more = f"first_ms={900 if late else 100} gap_ms=30"
+            event = "answered"
+            if second == 7:
+                event, more = "request_failed", "code=overloaded"
+            if second == 9:
+                event, more = "request_failed", "code=unknown-model"
+            member = "naas" if second % 2 else "swords"
+            wasted = 100 if late else 0
+            file.write(
+                LINE.format(second=second, event=event, member=member, more=more, wasted=wasted)
+            )
+        file.write("not a log line\n")
+    bundle = tmp_path / "bundle.toml"
+    bundle.write_text(TEXT.format(version=4))
+    return [str(log), "--bundle", str(bundle)]
+
+
+class TestReport:
+    """What the report says."""
+
+    def test_text(
+        self, files: list[str], capsys: pytest.CaptureFixture[str], snapshot: SnapshotAssertion
+    ) -> None:
+        """Late and refused requests spend the budget; a caller's own faults don't."""
+        assert main(files) == 0
+        assert capsys.readouterr().out == snapshot
+
+    def test_page_and_json(self, files: list[str], tmp_path: Path) -> None:
+        """The page holds its plots and needs nothing else."""
+        page, data = tmp_path / "r.html", tmp_path / "r.json"
+        assert main([*files, "--html", str(page), "--json", str(data)]) == 0
+        text = page.read_text()
+        assert text.count("data:image/png;base64,") == 2
+        assert "http://" not in text
+        assert '"wasted_tokens": 100' in data.read_text()
+
+    def test_bad_input(self, files: list[str], capsys: pytest.CaptureFixture[str]) -> None:
+        """A missing file is an error with its name and status 2."""
+        assert main(["/nowhere.log", *files[1:]]) == 2
+        assert "/nowhere.log: cannot be read" in capsys.readouterr().err
+
+
+class TestLines:
+    """Key=value lines."""
+
+    def test_quoted_values(self) -> None:
+        """Quotes and escapes are undone."""
+        assert parse_line(r'a=1 b="x \"y\" z" c=') == {"a": "1", "b": 'x "y" z', "c": ""}
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -7,7 +7,8 @@
 from crankhinge.config import BundleView, hash_credential, parse_bundle
 from crankhinge.decisions import Breaker, MemberLimits, RetryBudget, WorkAsk, WorkQueue
 from crankhinge.entry._ask import authenticate, prefix_blocks, read_completion
-from crankhinge.entry._calls import Calls, LinkLost, RequestIds
+from crankhinge.entry._calls import Calls, LinkLost
+from crankhinge.entry._progress import Progress, RequestIds
 from crankhinge.errors import BadCredentials, LinkClosed, RequestError, SlowCaller
 from crankhinge.http import HttpRequest
 from crankhinge.wire import Tokens
@@ -97,9 +98,9 @@
         """A message for a request of another link, or of none, reaches nobody."""
 
         async def scenario() -> int:
-            calls = Calls(RequestIds(1), 100)
+            calls = Calls(100)
             mine, other = FakeLink(), FakeLink()
-            box = calls.open(mine)  # type: ignore[arg-type]
+            box = calls.open(mine, 7)  # type: ignore[arg-type]
             await calls.deliver(other, Tokens(box.req, 0, ("x",)))  # type: ignore[arg-type]
             await calls.deliver(mine, Tokens(box.req + 1, 0, ("x",)))  # type: ignore[arg-type]
             calls.close(box)
@@ -112,9 +113,9 @@
         """Whoever waits on a link that ends is told so."""
 
         async def scenario() -> None:
-            calls = Calls(RequestIds(1), 100)
+            calls = Calls(100)
             link = FakeLink()
-            box = calls.open(link)  # type: ignore[arg-type]
+            box = calls.open(link, 7)  # type: ignore[arg-type]
             await calls.fail(link)  # type: ignore[arg-type]
             await curio.timeout_after(1, box.get)
 
@@ -125,9 +126,9 @@
         """Tokens beyond the buffer are a typed failure, not memory."""
 
         async def scenario() -> None:
-            calls = Calls(RequestIds(1), 10)
+            calls = Calls(10)
             link = FakeLink()
-            box = calls.open(link)  # type: ignore[arg-type]
+            box = calls.open(link, 7)  # type: ignore[arg-type]
             for seq in range(20):
                 await calls.deliver(link, Tokens(box.req, seq, ("x",)))  # type: ignore[arg-type]
             await box.get()
@@ -141,7 +142,20 @@
         link.closed = True
         link.peer = type("Peer", (), {"name": "x"})  # type: ignore[attr-defined]
         with pytest.raises(LinkClosed):
-            Calls(RequestIds(1), 10).open(link)  # type: ignore[arg-type]
+            Calls(10).open(link, 1)  # type: ignore[arg-type]
+
+
+class TestIdentities:
+    """One identity from caller to engine."""
+
+    def test_steps_share_all_but_two_digits(self) -> None:
+        """A request's lines in all logs are found by the head of its identity."""
+        ids = RequestIds(99)
+        progress = Progress(ids.next())
+        steps = [f"{progress.new_step():016x}" for _ in range(3)]
+        assert {step[:14] for step in steps} == {f"{progress.ident:016x}"[:14]}
+        assert len(set(steps)) == 3
+        assert f"{ids.next():016x}"[:14] != steps[0][:14]
 
 
 class TestBudget:
