Stalled transfers, others' slots, and a crash when an entry went during a call

Change: disown tolerates a forgotten link; Decode carries a patience after which the agent gives a transfer up; until an engine was seen with our own requests only, the rest is counted out; publish hands the bundle to the agents in ctl's seeds.

--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -27,6 +27,7 @@
 )
 
 DRAIN_POLL_S = 0.1
+AGENT_ROLES = frozenset({"prefill", "decode", "plain"})
 
 
 class Agent:
@@ -115,7 +116,7 @@
     async def _run_link(self, link: Link) -> None:
         """Serve a link until it ends, whichever side opened it."""
         self._beater.links.add(link)
-        is_agent = link.peer.role != "entry"
+        is_agent = link.peer.role in AGENT_ROLES
         try:
             if is_agent:
                 await self._fence.linked(link)
--- a/src/crankhinge/agent/_decode.py
+++ b/src/crankhinge/agent/_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from typing import Any
 
 import curio
@@ -27,6 +28,12 @@
 POLL_S = 0.5
 
 
+class TransferStalled(EngineFailed):
+    """The result of the reading doesn't arrive in the engine's memory."""
+
+    code = "transfer-stalled"
+
+
 class DecodeRole(Role):
     """Grants slots by :class:`SlotTable` and writes answers.
 
@@ -71,6 +78,7 @@
 
     async def run(self) -> None:
         """Let leases and waiting requests expire in time."""
+        await curio.spawn(self._watch_foreign, daemon=True)
         while True:
             now = await curio.clock()
             until = self._table.next_event()
@@ -80,6 +88,25 @@
             await self._apply(self._table.tick(await curio.clock()))
             self._drop_expired()
 
+    async def _watch_foreign(self) -> None:
+        """Count out the slots that requests of an earlier start still hold in the engine.
+
+        An engine frees what a dead agent asked for when it notices the closed connection. Until
+        it has been seen with no more than our own requests, the difference isn't ours to give.
+        """
+        while True:
+            try:
+                load = await self._engine.load()
+            except EngineFailed as exc:
+                self.log.info("load_unknown", why=exc.detail)
+            else:
+                self._table.foreign = max(0, load.running - self._table.running)
+                if not self._table.foreign:
+                    break
+                self.log.info("foreign_requests", held=self._table.foreign)
+            await curio.sleep(POLL_S)
+        await self._apply(self._table.tick(await curio.clock()))
+
     def _drop_expired(self) -> None:
         """Forget the owners of leases that were never used."""
         for req in list(self._owners):
@@ -147,7 +174,7 @@
     async def _write(self, msg: Decode) -> None:
         req = msg.req
         try:
-            stream = await self._engine.decode(msg.path, msg.body, msg.kv, req=req)
+            stream = await self._open(msg)
             try:
                 await self._relay(req, stream)
             finally:
@@ -160,6 +187,20 @@
             await self.release(req)
             self.disown(req)
 
+    async def _open(self, msg: Decode) -> DecodeStream:
+        """Return the answer's stream once the engine has the result of the reading.
+
+        Raises:
+            TransferStalled: when it doesn't have it in time.
+        """
+        try:
+            stream: DecodeStream = await curio.timeout_after(
+                msg.patience, partial(self._engine.decode, msg.path, msg.body, msg.kv, req=msg.req)
+            )
+        except curio.TaskTimeout as exc:
+            raise TransferStalled(f"nothing in {msg.patience:.2f} s") from exc
+        return stream
+
     async def _relay(self, req: int, stream: DecodeStream) -> None:
         seq = 0
         last = 0.0
--- a/src/crankhinge/agent/_role.py
+++ b/src/crankhinge/agent/_role.py
@@ -74,7 +74,7 @@
     def disown(self, req: int) -> None:
         """Forget *req*."""
         link = self._owners.pop(req, None)
-        if link is not None:
+        if link in self._held:
             self._held[link].discard(req)
 
     async def start_task(self, req: int, run: Callable[..., Awaitable[Any]], *args: Any) -> None:
--- a/src/crankhinge/ctl/_bundle.py
+++ b/src/crankhinge/ctl/_bundle.py
@@ -34,10 +34,13 @@
     Attributes:
         key_value: ``host:port`` of the platform's key-value service.
         keys: public key of each partner, hex.
+        seeds: ``host:port`` of some agents that are handed an accepted bundle at once, so that it
+            spreads even if the key-value service is out right after it was accepted.
     """
 
     key_value: HostPort
     keys: dict[str, HexKey]
+    seeds: tuple[HostPort, ...] = ()
 
 
 def read_settings(args: argparse.Namespace) -> CtlSettings:
--- a/src/crankhinge/ctl/_publish.py
+++ b/src/crankhinge/ctl/_publish.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import argparse
+from collections.abc import Awaitable, Callable
 
 import curio
 
 from crankhinge.config import publish, read_current, read_envelope, seal
 from crankhinge.ctl._bundle import connect, read_file, read_settings, text_diff
-from crankhinge.errors import PublishConflict
+from crankhinge.errors import LinkClosed, PublishConflict, WireError
+from crankhinge.peers import parse_endpoint
+from crankhinge.wire import WIRE_VERSION, Beat, BundleIs, Hello, Link, Message, connect_link
+
+HAND_S = 3.0
 
 
 def publish_bundle(args: argparse.Namespace) -> str:
@@ -20,8 +25,35 @@
         result = curio.run(publish, kv, seal(envelope), settings.keys)
     except PublishConflict as exc:
         raise PublishConflict(_explain(exc, envelope.text, connect(settings))) from exc
+    told = curio.run(_hand_to, settings.seeds, seal(envelope), result.version)
     note = " (the answer was lost; read back)" if result.resolved else ""
-    return f"version {result.version} is accepted{note}"
+    line = f"version {result.version} is accepted{note}"
+    return f"{line}, handed to {told} agents" if settings.seeds else line
+
+
+async def _hand_to(seeds: tuple[str, ...], envelope: bytes, version: int) -> int:
+    """Send an accepted bundle to agents; returns how many took it."""
+    told = 0
+    for seed in seeds:
+        hello = Hello(WIRE_VERSION, "ctl", "ctl", "", 0, bundle=version)
+        try:
+            link = await connect_link(*parse_endpoint(seed), hello)
+            await link.send(BundleIs(envelope))
+            await curio.ignore_after(HAND_S, link.run, _until_it_has(version))
+            told += 1
+        except (LinkClosed, WireError):
+            continue
+    return told
+
+
+def _until_it_has(version: int) -> Callable[[Link, Message], Awaitable[None]]:
+    """Return a handler that ends the link once the agent says that it has the bundle."""
+
+    async def handle(link: Link, msg: Message) -> None:
+        if isinstance(msg, Beat) and msg.bundle >= version:
+            await link.close()
+
+    return handle
 
 
 def _explain(exc: PublishConflict, text: str, kv: object) -> str:
--- a/src/crankhinge/decisions/_slots.py
+++ b/src/crankhinge/decisions/_slots.py
@@ -127,6 +127,11 @@
         """Slots neither running, leased nor held by somebody else's request."""
         return self.capacity - len(self._running) - len(self._leases) - self.foreign
 
+    @property
+    def running(self) -> int:
+        """Answers that are being written."""
+        return len(self._running)
+
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -33,6 +33,8 @@
 from crankhinge.wire import Decode, DecodeDone, Failed, PrefillDone, Tokens
 
 MAX_ATTEMPTS = 4
+LEAST_PATIENCE_S = 0.4
+PATIENCE_FACTOR = 5.0
 
 
 class Completions:
@@ -60,6 +62,7 @@
         mech: Mechanisms = FULL,
     ) -> None:
         self.estimates = Estimates(fleet.router, mech)
+        self._router = fleet.router
         self._slots = SlotFinder(fleet=fleet, calls=calls)
         self._reader = PromptReader(fleet=fleet, calls=calls)
         self._calls = calls
@@ -166,7 +169,8 @@
             read = early or await self._read(prompt, writer, progress)
             progress.touched = True
             progress.read = progress.read or await curio.clock()
-            await slot.link.send(Decode(slot.box.req, ask.path, body, read.kv))
+            patience = self._transfer_patience_s(route.tokens, slot)
+            await slot.link.send(Decode(slot.box.req, ask.path, body, read.kv, patience))
             await self._relay(slot, writer, progress)
             done = True
         finally:
@@ -182,6 +186,12 @@
         writer.note_prompt(done.prompt)
         return done
 
+    def _transfer_patience_s(self, tokens: int, slot: Slot) -> float:
+        """Return the seconds after which a transfer that has brought nothing is given up."""
+        zone = slot.backend.zone
+        usual = self._router.transfer_s(tokens, zone, zone) + slot.backend.step_s
+        return max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual)
+
     def _note_waste(self, progress: Progress) -> None:
         if progress.unused:
             self._metrics.count("prompt_tokens_wasted", progress.unused)
--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -135,15 +135,22 @@
             async with curio.TaskGroup(wait=any) as group:
                 work = await group.spawn(self._answer, exchange, number, ident)
                 await group.spawn(exchange.wait_gone)
-            if group.completed is not work:
-                self._metrics.count("callers_gone")
-                self._log.info("caller_gone", request=ident)
-                raise HttpClosed("the caller has gone")
-            if work.exception is not None:
-                raise work.exception
+            if group.completed is not work or work.exception is not None:
+                self._note_unanswered(ident, work.exception)
+                raise HttpClosed("not answered")
         finally:
             self._open -= 1
 
+    def _note_unanswered(self, ident: str, failure: BaseException | None) -> None:
+        """Log why a request had no answer: its caller went, or this program has a fault."""
+        if failure is None or isinstance(failure, HttpClosed | curio.CancelledError):
+            self._metrics.count("callers_gone")
+            self._log.info("caller_gone", request=ident)
+            return
+        self._metrics.count("crashed")
+        kind = type(failure).__name__
+        self._log.error("request_crashed", request=ident, kind=kind, why=str(failure))
+
     async def _answer(self, exchange: Exchange, number: int, ident: str) -> None:
         progress = Progress(number, keyed="idempotency-key" in exchange.req.headers)
         # Filled in as it becomes known, for whichever line ends the request.
--- a/src/crankhinge/entry/_plain.py
+++ b/src/crankhinge/entry/_plain.py
@@ -16,6 +16,7 @@
 from crankhinge.entry._progress import Progress
 from crankhinge.errors import (
     BackendFailed,
+    CrankhingeError,
     LinkClosed,
     NoBackend,
     Overloaded,
@@ -90,10 +91,10 @@
             self._run_with_leave, leave, req, member, service, terms, progress, daemon=True
         )
         await task.wait()
-        if task.exception is not None:
-            raise task.exception
-        done: CallDone = task.result
-        return done
+        outcome: CallDone | CrankhingeError = task.result
+        if isinstance(outcome, CrankhingeError):
+            raise outcome
+        return outcome
 
     async def _run_with_leave(
         self,
@@ -103,15 +104,17 @@
         service: Service,
         terms: Terms,
         progress: Progress,
-    ) -> CallDone:
+    ) -> CallDone | CrankhingeError:
+        """Return the answer, or the failure: nobody may be left to raise it to."""
         try:
             done = await self._send(req, member, service, terms, False, progress)
-            answer = keep_answer(done.status, done.headers, done.body)
-            await self._fence.settle(leave, answer)
-            return done
-        finally:
+        except CrankhingeError as exc:
             if not progress.touched:
                 await self._fence.release(leave)
+            return exc
+        answer = keep_answer(done.status, done.headers, done.body)
+        await self._fence.settle(leave, answer)
+        return done
 
     async def _send(
         self,
--- a/src/crankhinge/peers/_spread.py
+++ b/src/crankhinge/peers/_spread.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import hashlib
 import random
 from typing import Any
 
@@ -77,7 +78,9 @@
             self._log.error("bundle_refused", source=source, why=exc.detail)
             return
         if newer:
-            self._log.info("bundle_in_force", version=self.keeper.version, source=source)
+            digest = hashlib.sha256(envelope).hexdigest()[:16]
+            version = self.keeper.version
+            self._log.info("bundle_in_force", version=version, digest=digest, source=source)
             for link in list(self.links):
                 await self._tell(link)
 
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -204,12 +204,14 @@
         path: path of the engine's completion call.
         body: the caller's JSON body.
         kv: from PrefillDone.
+        patience: seconds without a first piece after which the transfer counts as stalled.
     """
 
     req: int
     path: str
     body: bytes
     kv: bytes
+    patience: float = 2.0
 
 
 class Tokens(_Base, tag=11, frozen=True):
--- a/src/crankhinge_bench/_chaos.py
+++ b/src/crankhinge_bench/_chaos.py
@@ -27,6 +27,7 @@
 DRAIN_WAIT_S = 40.0
 PAUSE_S = (0.5, 6.0)
 GAP_S = (0.5, 2.5)
+IN_FORCE = re.compile(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+) digest=(\w+)")
 
 
 class Report(msgspec.Struct, kw_only=True):
@@ -254,10 +255,11 @@
             if "event=started" in line:
                 start = BundleSeen(process=name, versions=[])
                 seen.append(start)
-            match = re.search(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+)", line)
+            match = IN_FORCE.search(line)
             if match and start is not None:
                 when = datetime.fromisoformat(match[1]).timestamp()
                 start.versions.append((when, int(match[2])))
+                start.digests[int(match[2])] = match[3]
     return seen
 
 
@@ -283,6 +285,7 @@
         per_s=24.0,
         calls_per_s=6.0,
         cancel_share=0.05,
+        cancel_tokens=700,
         output_tokens=60.0,
         members=dict(spec.members),
     )
--- a/src/crankhinge_bench/_check.py
+++ b/src/crankhinge_bench/_check.py
@@ -52,10 +52,17 @@
 
 
 class BundleSeen(msgspec.Struct, kw_only=True):
-    """The versions one start of a process had in force, in order, with wall clock times."""
+    """What one start of a process had in force.
+
+    Attributes:
+        process: its name.
+        versions: wall clock and version, in order.
+        digests: of each version's text.
+    """
 
     process: str
     versions: list[tuple[float, int]]
+    digests: dict[int, str] = {}
 
 
 class History(msgspec.Struct, kw_only=True):
@@ -83,6 +90,7 @@
 
 
 LEAVING_S = 3.0
+FREED_S = 8.0
 IN_FORCE_S = 5.0
 
 
@@ -107,6 +115,11 @@
 def _memory_freed(history: History) -> Verdict:
     gone = sum(seen.cancelled or not seen.whole for seen in history.outcomes)
     cases = [f"{name}: {held} held" for name, held in history.held.items() if held]
+    ends = {row["prompt"]: row["at"] for row in history.work if row["kind"] == "end"}
+    for seen in history.outcomes:
+        end = ends.get(zlib.crc32(seen.arrival.prompt.encode()), 0.0)
+        if seen.gone and end - seen.gone > FREED_S:
+            cases.append(f"{seen.ident}: held {end - seen.gone:.1f} s after its caller went")
     return _verdict("no engine memory stays tied", gone + history.ended, cases)
 
 
@@ -127,7 +140,7 @@
 def _not_run_is_true(history: History) -> Verdict:
     told = [s for s in history.outcomes if not s.whole and s.outcome == NOT_RUN]
     keys = {run["key"] for run in history.runs}
-    prompts = {row["prompt"] for row in history.work}
+    prompts = {row["prompt"] for row in history.work if row["kind"] != "end"}
     cases = []
     for seen in told:
         if seen.arrival.path:
@@ -146,7 +159,7 @@
 
 
 def _leaving_gets_nothing(history: History) -> Verdict:
-    rows = history.work + history.runs
+    rows = [row for row in history.work + history.runs if row.get("kind") != "end"]
     drains = [drain for drain in history.drains if drain.backend]
     cases = []
     for drain in drains:
@@ -175,6 +188,10 @@
         versions = [version for _, version in seen.versions]
         if versions != sorted(set(versions)):
             cases.append(f"{seen.process}: went back: {versions}")
+    for version in sorted({v for seen in history.bundles for v in seen.digests}):
+        digests = {s.digests[version] for s in history.bundles if version in s.digests}
+        if len(digests) > 1:
+            cases.append(f"version {version} has {len(digests)} texts")
     cases += [f"{p}: version {v} after {s:.1f} s" for p, v, s in late_bundles(history)]
     return _verdict("a bundle is in force and never reverts", len(history.published), cases)
 
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -90,6 +90,7 @@
         policy: the bundle's policy.
         mechanisms: which mechanisms are at work; see the policies of ``run``.
         beat_s: seconds between heartbeats.
+        subset: most agents of a pool that an entry links to.
     """
 
     entries: int = 1
@@ -105,6 +106,7 @@
     policy: dict[str, float] = {}
     mechanisms: str = "full"
     beat_s: float = 0.5
+    subset: int = 1000
 
 
 @dataclass
@@ -151,10 +153,14 @@
     Args:
         spec: what to start.
         logs: directory for the programs' logs; a temporary one by default.
+        backends: whether backend servers are started.
     """
 
-    def __init__(self, spec: ClusterSpec, *, logs: Path | None = None) -> None:
+    def __init__(
+        self, spec: ClusterSpec, *, logs: Path | None = None, backends: bool = True
+    ) -> None:
         self.spec = spec
+        self._backends = backends
         self.places: list[Place] = []
         self.entry_ports: list[int] = []
         self.platform_port = 0
@@ -182,7 +188,8 @@
         self._make_keys()
         self._plan()
         self._start_standins()
-        self._wait_for_ports([self.platform_port, *(p.backend_port for p in self.places)])
+        backends = [place.backend_port for place in self.places if self._backends]
+        self._wait_for_ports([self.platform_port, *backends])
         self.publish(self.bundle_text(1))
         for place in self.places:
             self.start_agent(place)
@@ -222,7 +229,7 @@
         standin = "crankhinge_standins.main"
         self.run("platform", standin, "platform", "--port", str(self.platform_port),
                  "--list-lag-s", "0.2")  # fmt: skip
-        for place in self.places:
+        for place in self.places if self._backends else ():
             self.start_backend(place)
 
     def start_backend(self, place: Place) -> None:
@@ -325,7 +332,7 @@
         zone = self.spec.zones[number % len(self.spec.zones)]
         lines = self._peer_settings(name, zone, self.entry_ports[number])
         seeds = [f"{HOST}:{place.port}" for place in self.places[:SEEDS]]
-        lines += [f"seeds = {seeds}", *extra]
+        lines += [f"seeds = {seeds}", f"subset = {self.spec.subset}", *extra]
         self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
 
     def bundle_text(self, version: int) -> str:
@@ -432,7 +439,10 @@
 
     def ctl_settings(self) -> str:
         """Return the path of the command line's settings."""
-        return self._write_settings("ctl", [f'key_value = "{HOST}:{self.platform_port}"'])
+        seeds = [f"{HOST}:{place.port}" for place in self.places[:SEEDS]]
+        return self._write_settings(
+            "ctl", [f'key_value = "{HOST}:{self.platform_port}"', f"seeds = {seeds}"]
+        )
 
     def _wait_for_ports(self, ports: list[int]) -> None:
         until = time.monotonic() + READY_S
@@ -459,7 +469,7 @@
             state = http_json("GET", port, "/readyz")
         except OSError:
             return False
-        return bool(state["linked"] == len(self.places))
+        return bool(state["linked"] >= min(len(self.places), self.spec.subset))
 
     def signal(self, name: str, signum: int) -> None:
         """Send a signal to a process that this cluster started."""
--- a/src/crankhinge_bench/_load.py
+++ b/src/crankhinge_bench/_load.py
@@ -42,6 +42,7 @@
         ident: the entry's identity of it.
         entry: port of the entry that it was last sent to.
         began: wall clock.
+        gone: wall clock at which the caller went of its own accord; 0 for never.
     """
 
     arrival: Arrival
@@ -60,6 +61,7 @@
     ident: str = ""
     entry: int = 0
     began: float = 0.0
+    gone: float = 0.0
     texts: list[str] = field(default_factory=list)
 
 
@@ -216,6 +218,7 @@
                 last = now
             if arrival.cancel_after and len(seen.texts) >= arrival.cancel_after:
                 seen.cancelled = True
+                seen.gone = time.time()
                 break
         seen.tokens = len(seen.texts)
         if seen.tokens > 1:
--- a/src/crankhinge_bench/_slopes.py
+++ b/src/crankhinge_bench/_slopes.py
@@ -134,7 +134,7 @@
         for number, port in enumerate(ports):
             place = Place(agents.name(number), "decode", "write", "naas", port, 0)
             cluster.register(place)
-        cluster.start_entry(0, extra=("subset = 1000",))
+        cluster.start_entry(0)
         _wait(lambda: _linked(cluster) >= count)
         time.sleep(SETTLE_S)
         return _Rest(cluster.procs["entry-0"].pid, agents)
--- /dev/null
+++ b/src/crankhinge_bench/_spread.py
@@ -0,0 +1,116 @@
+"""``crankhinge-bench spread``: how soon a bundle is in force everywhere."""
+
+from __future__ import annotations
+
+import argparse
+import re
+import time
+from datetime import datetime
+from pathlib import Path
+
+import msgspec
+
+from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec
+
+COUNTS = (10, 50, 150)
+ENTRIES = 2
+WAIT_S = 30.0
+POLL_S = 0.2
+
+
+class Spread(msgspec.Struct, kw_only=True):
+    """One measurement.
+
+    Attributes:
+        processes: entries and agents.
+        outage: whether the key-value service went out right after the swap.
+        first_s: from the publication's start until the first process had it.
+        half_s: until half had it.
+        all_s: until all had it; 0 when some never did.
+        missing: processes that never had it.
+    """
+
+    processes: int
+    outage: bool
+    first_s: float
+    half_s: float
+    all_s: float
+    missing: int
+
+
+def _names(cluster: Cluster) -> list[str]:
+    entries = [f"entry-{number}" for number in range(cluster.spec.entries)]
+    return entries + [place.name for place in cluster.places]
+
+
+def _times(cluster: Cluster, version: int) -> list[float]:
+    """Return when each process that has *version* took it in force."""
+    pattern = re.compile(rf"ts=(\S+) .*event=bundle_in_force .*version={version}\b")
+    times = []
+    for name in _names(cluster):
+        match = pattern.search((cluster.logs / f"{name}.log").read_text())
+        if match:
+            times.append(datetime.fromisoformat(match[1]).timestamp())
+    return times
+
+
+def _publish(cluster: Cluster, outage: bool) -> Spread:
+    version = cluster.version + 1
+    if outage:
+        cluster.faults(cluster.platform_port, down_after_write=True)
+    began = time.time()
+    cluster.publish(cluster.bundle_text(version))
+    count = len(_names(cluster))
+    until = time.monotonic() + WAIT_S
+    while len(times := _times(cluster, version)) < count and time.monotonic() < until:
+        time.sleep(POLL_S)
+    if outage:
+        cluster.faults(cluster.platform_port, down=False)
+    delays = sorted(at - began for at in times) or [0.0]
+    missing = count - len(times)
+    return Spread(
+        processes=count,
+        outage=outage,
+        first_s=delays[0],
+        half_s=delays[len(delays) // 2],
+        all_s=0.0 if missing else delays[-1],
+        missing=missing,
+    )
+
+
+def measure(count: int, repeat: int) -> list[Spread]:
+    """Measure with *count* processes, calm and with an outage, *repeat* times each."""
+    agents = count - ENTRIES - 1
+    spec = ClusterSpec(
+        entries=ENTRIES,
+        engines=(EngineSpec("read", "prefill", 1), EngineSpec("write", "decode", agents)),
+        services=(),
+    )
+    with Cluster(spec, backends=False) as cluster:
+        return [_publish(cluster, outage) for _ in range(repeat) for outage in (False, True)]
+
+
+def spread(args: argparse.Namespace) -> int:
+    """Run the command; returns 0 when every process had every bundle."""
+    found: list[Spread] = []
+    for count in args.counts.split(","):
+        found += measure(int(count), args.repeat)
+    if args.json:
+        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1))
+    print("| processes | service out after the swap | first | half | all | missing |")
+    print("|---|---|---|---|---|---|")
+    for row in found:
+        out = "yes" if row.outage else "no"
+        print(
+            f"| {row.processes} | {out} | {row.first_s:.2f} s | {row.half_s:.2f} s "
+            f"| {row.all_s:.2f} s | {row.missing} |"
+        )
+    return 1 if any(row.missing for row in found) else 0
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command's arguments."""
+    parser.add_argument("--counts", default=",".join(str(count) for count in COUNTS))
+    parser.add_argument("--repeat", type=int, default=3)
+    parser.add_argument("--json", default="", help="file for the results")
+    parser.set_defaults(run=spread)
--- a/src/crankhinge_bench/_trace.py
+++ b/src/crankhinge_bench/_trace.py
@@ -8,6 +8,7 @@
 import msgspec
 
 WORDS = 4000
+FEW_TOKENS = 20
 
 
 @dataclass(frozen=True)
@@ -54,6 +55,7 @@
         prefix_words: length of a shared prefix.
         prefix_share: part of the requests that begin with one.
         cancel_share: part of the requests whose callers go in mid-answer.
+        cancel_tokens: length of the answers of which callers go after a few tokens; 0 for as drawn.
         members: weight of each member's arrivals; empty for the first member of the cluster.
         ranks: weight of each priority class.
     """
@@ -71,6 +73,7 @@
     prefix_words: int = 256
     prefix_share: float = 0.5
     cancel_share: float = 0.0
+    cancel_tokens: int = 0
     members: dict[str, float] = {}
     ranks: tuple[float, ...] = (0.1, 0.7, 0.2)
 
@@ -113,5 +116,7 @@
         prompt = f"{rng.choice(prefixes)} {prompt}"
     tokens = _length(rng, load.output_tokens, load.output_sigma, load.max_output_tokens)
     cancel = rng.randint(1, tokens) if rng.random() < load.cancel_share else 0
+    if cancel and load.cancel_tokens:
+        tokens, cancel = load.cancel_tokens, min(cancel, FEW_TOKENS)
     rank = rng.choices(range(len(load.ranks)), load.ranks)[0]
     return Arrival(at, member, prompt, tokens, rank, cancel, shared=shared)
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -14,6 +14,7 @@
 from crankhinge_bench._perf import add_arguments as add_perf
 from crankhinge_bench._run import add_arguments as add_run
 from crankhinge_bench._slopes import add_arguments as add_slopes
+from crankhinge_bench._spread import add_arguments as add_spread
 
 PROGRAM = "crankhinge-bench"
 EXIT_BAD_INPUT = 2
@@ -27,6 +28,7 @@
     add_demo(verbs.add_parser("demo", help="the whole system for some seconds"))
     add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
     add_perf(verbs.add_parser("perf", help="what the product adds to calling the engines"))
+    add_spread(verbs.add_parser("spread", help="how soon a bundle is in force everywhere"))
     add_slopes(verbs.add_parser("slopes", help="what each further link, token or server costs"))
     add_run(verbs.add_parser("run", help="policies side by side on scenarios"))
     return parser
--- a/src/crankhinge_standins/_web.py
+++ b/src/crankhinge_standins/_web.py
@@ -34,6 +34,7 @@
         slow: factor on every duration of an engine.
         stall: transfers of KV caches never end.
         refuse: calls are answered with status 503 before they run.
+        down_after_write: the next write takes effect, is answered, and an outage begins.
     """
 
     down: bool = False
@@ -42,6 +43,7 @@
     slow: float = 1.0
     stall: bool = False
     refuse: bool = False
+    down_after_write: bool = False
 
     def change(self, body: bytes) -> None:
         """Set the faults that the JSON object *body* names."""
--- a/src/crankhinge_standins/engine.py
+++ b/src/crankhinge_standins/engine.py
@@ -315,6 +315,9 @@
             record["end"] = "cancelled"
             self.stats.cancelled += 1
             raise HttpClosed("gone") from None
+        finally:
+            prompt = zlib.crc32(context_of(body).encode())
+            self._recorder.write(kind="end", prompt=prompt, end=record["end"])
 
     async def _import(self, params: dict[str, Any]) -> bool:
         client = HttpClient(params["remote_host"], int(params["remote_port"]))
--- a/src/crankhinge_standins/platform.py
+++ b/src/crankhinge_standins/platform.py
@@ -153,6 +153,9 @@
             return
         self._index += 1
         self._values[key] = _Stored(exchange.req.body, self._index)
+        if self.faults.down_after_write:
+            self.faults.down_after_write = False
+            self.faults.down = True
         event, self._changed = self._changed, curio.Event()
         await event.set()
         if self.faults.lose_answers:
