Rolls of adapters; dead engines grant nothing; peers carry a bundle (tests)

A service that answers a watch at once was asked in a tight loop (found as a test that never ended). Change: agents probe their backend server twice a second and refuse while it can't be reached; stalled and expired transfers count against the prefill engine's breaker; an early watch is paced. Adapters are loaded a few engines of a pool at a time under a lease with a fencing token.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	.venv/bin/mypy
 
 test: lint
-	$(PY) -m pytest
+	timeout 900 $(PY) -m pytest
 
 fmt: .venv/.ready
 	.venv/bin/ruff format src tests
--- a/src/crankhinge/adapters/_engine.py
+++ b/src/crankhinge/adapters/_engine.py
@@ -81,6 +81,17 @@
     async def decode(self, path: str, body: bytes, kv: bytes, *, req: int) -> DecodeStream:
         """Fetch the result *kv* and write the answer to *body*."""
 
+    @abc.abstractmethod
+    async def load_adapter(self, name: str, path: str, version: int, *, token: int) -> None:
+        """Load an adapter's weights, in the place of an older version.
+
+        Args:
+            name: of the adapter.
+            path: of its weights.
+            version: of its weights.
+            token: fencing token; an engine that checks refuses a smaller one than it has seen.
+        """
+
     @abc.abstractmethod
     async def load(self) -> EngineLoad:
         """Return the engine's load."""
--- a/src/crankhinge/adapters/_service.py
+++ b/src/crankhinge/adapters/_service.py
@@ -19,6 +19,10 @@
 class PlainService(abc.ABC):
     """A service that answers calls."""
 
+    @abc.abstractmethod
+    async def alive(self) -> bool:
+        """Whether the service can be reached."""
+
     @abc.abstractmethod
     async def call(
         self, method: str, target: str, headers: Mapping[str, str], body: bytes
--- a/src/crankhinge/adapters/http_service.py
+++ b/src/crankhinge/adapters/http_service.py
@@ -26,6 +26,10 @@
     def __init__(self, host: str, port: int) -> None:
         self._client = HttpClient(host, port)
 
+    async def alive(self) -> bool:
+        """Whether the service takes connections."""
+        return await self._client.reachable()
+
     async def call(
         self, method: str, target: str, headers: Mapping[str, str], body: bytes
     ) -> ServiceAnswer:
--- a/src/crankhinge/adapters/openai_engine.py
+++ b/src/crankhinge/adapters/openai_engine.py
@@ -25,6 +25,7 @@
 from crankhinge.http import ClientStream, ConnectFailed, HttpClient, SseParser
 
 GONE_STATUS = 410
+FENCING_HEADER = "x-fencing-token"
 _JSON = {"content-type": "application/json"}
 _WANT_KV = {"do_remote_decode": True, "do_remote_prefill": False}
 
@@ -100,6 +101,23 @@
             await _raise_for_status(stream)
         return stream
 
+    async def load_adapter(self, name: str, path: str, version: int, *, token: int) -> None:
+        """Load an adapter by vLLM's ``/v1/load_lora_adapter``, in place."""
+        order = {"lora_name": name, "lora_path": path, "load_inplace": True}
+        headers = {**_JSON, FENCING_HEADER: str(token), "x-adapter-version": str(version)}
+        try:
+            resp = await self._client.call(
+                "POST",
+                "/v1/load_lora_adapter",
+                headers=headers,
+                body=msgspec.json.encode(order),
+                fresh=True,
+            )
+        except (HttpClosed, BadHttp) as exc:
+            raise EngineFailed(exc.detail) from exc
+        if resp.status != 200:
+            raise EngineFailed(f"status {resp.status}")
+
     async def load(self) -> EngineLoad:
         """Read the engine's gauges."""
         try:
--- /dev/null
+++ b/src/crankhinge/agent/_adapters.py
@@ -0,0 +1,155 @@
+"""Keeps an engine's adapters as the bundle wants them, a few engines of a pool at a time."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.adapters import Engine, EngineFailed, KeyValue
+from crankhinge.config import Adapter, Bundle
+from crankhinge.decisions import RollLease, RollRecord, to_load, try_acquire, without
+from crankhinge.errors import KeyValueUnavailable
+
+KEY_PREFIX = "crankhinge/roll/"
+CHECK_S = 0.5
+BUSY_PAUSE_S = 1.0
+MAX_PAUSE_S = 20.0
+
+
+class AdapterKeeper:
+    """Loads what the bundle wants into one engine.
+
+    Args:
+        me: this agent's name.
+        pool: of its engine.
+        engine: the engine.
+        kv: the key-value service, which paces the loading of a pool.
+        changed: told the names that the engine serves, after each change.
+        log: for events.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: str,
+        pool: str,
+        engine: Engine,
+        kv: KeyValue,
+        changed: Callable[[tuple[str, ...]], Awaitable[None]],
+        log: Any,
+    ) -> None:
+        self._me = me
+        self._pool = pool
+        self._engine = engine
+        self._kv = kv
+        self._changed = changed
+        self._log = log
+        self._wanted: dict[str, Adapter] = {}
+        self._width = 1
+        self._loaded: dict[str, int] = {}
+        self._token = 0
+        self._rng = random.Random(me)
+
+    @property
+    def served(self) -> tuple[str, ...]:
+        """Names of the adapters that are loaded in some version that was wanted."""
+        return tuple(sorted(self._loaded))
+
+    def apply(self, bundle: Bundle) -> None:
+        """Take over what the bundle wants of this engine."""
+        models = [m for m in bundle.models if self._pool in (*m.prefill, *m.decode)]
+        self._wanted = {adapter.name: adapter for model in models for adapter in model.adapters}
+        pool = bundle.pool(self._pool)
+        self._width = pool.rolling if pool else 1
+
+    async def run(self) -> None:
+        """Load what is missing until cancelled."""
+        pause = BUSY_PAUSE_S
+        while True:
+            await self._drop_unwanted()
+            versions = {name: adapter.version for name, adapter in self._wanted.items()}
+            missing = to_load(versions, self._loaded)
+            if not missing:
+                await curio.sleep(CHECK_S)
+                continue
+            try:
+                done = await self._roll(missing)
+            except KeyValueUnavailable as exc:
+                self._log.warning("roll_waits", why=exc.detail)
+                done = False
+            pause = BUSY_PAUSE_S if done else min(MAX_PAUSE_S, pause * 1.5)
+            if not done:
+                await curio.sleep(pause * self._rng.uniform(0.5, 1.0))
+
+    async def _drop_unwanted(self) -> None:
+        gone = [name for name in self._loaded if name not in self._wanted]
+        for name in gone:
+            del self._loaded[name]
+        if gone:
+            await self._changed(self.served)
+
+    async def _roll(self, missing: list[str]) -> bool:
+        """Take a place, load, and give the place back; False when no place was free."""
+        lease = await self._acquire()
+        if lease is None:
+            return False
+        self._token = lease.token
+        try:
+            for name in missing:
+                await self._load(name, lease.token)
+        finally:
+            await self._give_back()
+        return True
+
+    async def _load(self, name: str, token: int) -> None:
+        adapter = self._wanted.get(name)
+        if adapter is None:
+            return
+        try:
+            await self._engine.load_adapter(name, adapter.path, adapter.version, token=token)
+        except EngineFailed as exc:
+            self._log.warning("adapter_failed", adapter=name, code=exc.code, why=exc.detail)
+            await curio.sleep(BUSY_PAUSE_S)
+            return
+        self._loaded[name] = adapter.version
+        self._log.info("adapter_loaded", adapter=name, version=adapter.version, token=token)
+        await self._changed(self.served)
+
+    async def _read(self) -> tuple[RollRecord, int]:
+        value = await self._kv.get(KEY_PREFIX + self._pool)
+        if value is None:
+            return RollRecord(), 0
+        try:
+            return msgspec.json.decode(value.data, type=RollRecord), value.index
+        except msgspec.DecodeError as exc:
+            raise KeyValueUnavailable(f"unreadable roll record: {exc}") from exc
+
+    async def _acquire(self) -> RollLease | None:
+        record, index = await self._read()
+        lease = try_acquire(record, self._me, self._width, time.time_ns() // 1_000_000)
+        if lease is None:
+            return None
+        data = msgspec.json.encode(lease.record)
+        try:
+            won = await self._kv.swap(KEY_PREFIX + self._pool, data, index)
+        except KeyValueUnavailable:
+            # The answer is lost: the record itself says whether the place is ours.
+            won = (await self._read())[0] == lease.record
+        return lease if won else None
+
+    async def _give_back(self) -> None:
+        """Free the place; if that fails, its end will."""
+        for _ in range(5):
+            try:
+                record, index = await self._read()
+                rest = without(record, self._me)
+                data = msgspec.json.encode(rest)
+                if rest == record or await self._kv.swap(KEY_PREFIX + self._pool, data, index):
+                    return
+            except KeyValueUnavailable:
+                await curio.sleep(BUSY_PAUSE_S)
--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -6,7 +6,8 @@
 
 import curio
 
-from crankhinge.adapters import Instance, KeyValue
+from crankhinge.adapters import Engine, Instance, KeyValue
+from crankhinge.agent._adapters import AdapterKeeper
 from crankhinge.agent._fence_desk import FenceDesk
 from crankhinge.agent._role import Role
 from crankhinge.agent._settings import AgentSettings
@@ -23,6 +24,7 @@
     InstancesAre,
     Link,
     Message,
+    Serves,
     accept_link,
 )
 
@@ -42,6 +44,7 @@
         keeper: holds its bundle.
         incarnation: larger each time it starts.
         log: for events.
+        engine: its engine, for the adapters; None beside a plain service.
     """
 
     def __init__(
@@ -55,6 +58,7 @@
         keeper: BundleKeeper,
         incarnation: int,
         log: Any,
+        engine: Engine | None = None,
     ) -> None:
         self._settings = settings
         self._role = role
@@ -64,6 +68,7 @@
         self._incarnation = incarnation
         self._log = log
         self._beater = Beater(settings.beat_s, self._make_beat)
+        role.on_health = self._beater.beat_soon
         self._fence = FenceDesk(
             me=settings.name,
             writer=incarnation,
@@ -74,6 +79,17 @@
             log=log,
         )
         keeper.listeners.append(self._fence.apply)
+        self._adapters: AdapterKeeper | None = None
+        if engine is not None:
+            self._adapters = AdapterKeeper(
+                me=settings.name,
+                pool=settings.pool,
+                engine=engine,
+                kv=kv,
+                changed=self._tell_served,
+                log=log,
+            )
+            keeper.listeners.append(self._adapters.apply)
 
     def _make_beat(self, now: float) -> Beat:
         return Beat(self._keeper.version, self._role.load(now))
@@ -97,11 +113,22 @@
         supervisor.add("listener", self._listen)
         supervisor.add("beats", self._beater.run)
         supervisor.add("role", self._role.run)
+        supervisor.add("backend", self._role.watch_backend)
         supervisor.add("bundle", self._spread.watch)
         supervisor.add("fence", self._fence.run)
         supervisor.add("list", self._roster.run)
+        if self._adapters is not None:
+            supervisor.add("adapters", self._adapters.run)
         await supervisor.run()
 
+    async def _tell_served(self, names: tuple[str, ...]) -> None:
+        """Tell all entries which adapters the engine has."""
+        for link in list(self._beater.links):
+            try:
+                await link.send(Serves(names))
+            except LinkClosed:
+                continue
+
     async def _listen(self) -> None:
         await serve_tcp(self._settings.host, self._settings.port, self._accept, log=self._log)
 
@@ -121,6 +148,8 @@
             if is_agent:
                 await self._fence.linked(link)
             await self._spread.linked(link)
+            if self._adapters is not None and not is_agent:
+                await link.send(Serves(self._adapters.served))
             await self._beater.beat_soon()
             await link.run(self._handle)
         except (WireError, LinkClosed) as exc:
--- a/src/crankhinge/agent/_decode.py
+++ b/src/crankhinge/agent/_decode.py
@@ -8,7 +8,7 @@
 import curio
 
 from crankhinge.adapters import DecodeStream, Engine, EngineFailed
-from crankhinge.agent._role import UNBOUNDED, Role
+from crankhinge.agent._role import BACKEND_DOWN, UNBOUNDED, Role
 from crankhinge.config import Pool
 from crankhinge.decisions import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
 from crankhinge.wire import (
@@ -26,6 +26,7 @@
 
 STEP_GAIN = 0.2
 POLL_S = 0.5
+PROBE_TIMEOUT_S = 2.0
 
 
 class TransferStalled(EngineFailed):
@@ -50,6 +51,7 @@
         self._ready: dict[int, Decode] = {}
         self._wake = curio.Event()
         self._step_s = 0.0
+        self._settled = False
 
     @property
     def busy(self) -> bool:
@@ -73,12 +75,11 @@
             queued=table.queued,
             backlog_s=table.backlog_s(now),
             step_s=self._step_s,
-            draining=table.closed,
+            draining=table.closed or self.sick,
         )
 
     async def run(self) -> None:
         """Let leases and waiting requests expire in time."""
-        await curio.spawn(self._watch_foreign, daemon=True)
         while True:
             now = await curio.clock()
             until = self._table.next_event()
@@ -88,24 +89,22 @@
             await self._apply(self._table.tick(await curio.clock()))
             self._drop_expired()
 
-    async def _watch_foreign(self) -> None:
-        """Count out the slots that requests of an earlier start still hold in the engine.
+    async def probe(self) -> bool:
+        """Ask the engine for its load, and count out the slots that an earlier start still holds.
 
         An engine frees what a dead agent asked for when it notices the closed connection. Until
         it has been seen with no more than our own requests, the difference isn't ours to give.
         """
-        while True:
-            try:
-                load = await self._engine.load()
-            except EngineFailed as exc:
-                self.log.info("load_unknown", why=exc.detail)
-            else:
-                self._table.foreign = max(0, load.running - self._table.running)
-                if not self._table.foreign:
-                    break
-                self.log.info("foreign_requests", held=self._table.foreign)
-            await curio.sleep(POLL_S)
-        await self._apply(self._table.tick(await curio.clock()))
+        try:
+            load = await curio.timeout_after(PROBE_TIMEOUT_S, self._engine.load)
+        except (EngineFailed, curio.TaskTimeout):
+            self._settled = False
+            return False
+        if not self._settled:
+            self._table.foreign = max(0, load.running - self._table.running)
+            self._settled = not self._table.foreign
+            await self._apply(self._table.tick(await curio.clock()))
+        return True
 
     def _drop_expired(self) -> None:
         """Forget the owners of leases that were never used."""
@@ -124,6 +123,9 @@
             await self.cancel(msg.req)
 
     async def _reserve(self, link: Link, msg: Reserve) -> None:
+        if self.sick:
+            await self.refuse(link, msg.req, BACKEND_DOWN)
+            return
         now = await curio.clock()
         weights = self.keeper.weights(msg.member)
         ask = SlotAsk(
@@ -181,6 +183,8 @@
                 await stream.close()
         except EngineFailed as exc:
             self.log.warning("decode_failed", req=f"{req:016x}", code=exc.code, why=exc.detail)
+            if not exc.ran:
+                await self.note_health(await self.probe())
             self.metrics.count(f"decode_failed.{exc.code}")
             await self.tell(req, Failed(req, exc.code, exc.ran))
         finally:
--- a/src/crankhinge/agent/_plain.py
+++ b/src/crankhinge/agent/_plain.py
@@ -42,6 +42,10 @@
         if req not in self._tasks:
             await super().cancel(req)
 
+    async def probe(self) -> bool:
+        """Whether the service takes connections."""
+        return await self._service.alive()
+
     async def work(self, msg: Any) -> int:
         """Pass one call on."""
         req = msg.req
@@ -50,6 +54,8 @@
                 msg.within, self._service.call, msg.method, msg.target, msg.headers, msg.body
             )
         except EngineFailed as exc:
+            if not exc.ran:
+                await self.note_health(await self.probe())
             await self._failed(req, exc.code, ran=exc.ran)
             return 0
         except curio.TaskTimeout:
--- a/src/crankhinge/agent/_prefill.py
+++ b/src/crankhinge/agent/_prefill.py
@@ -10,6 +10,8 @@
 from crankhinge.agent._queued import QueuedRole
 from crankhinge.wire import Failed, Link, Message, Prefill, PrefillDone
 
+PROBE_TIMEOUT_S = 2.0
+
 
 class PrefillRole(QueuedRole):
     """Reads prompts in the order of its queue.
@@ -30,6 +32,14 @@
         else:
             await self.handle_cancel(msg)
 
+    async def probe(self) -> bool:
+        """Whether the engine answers."""
+        try:
+            await curio.timeout_after(PROBE_TIMEOUT_S, self._engine.load)
+        except (EngineFailed, curio.TaskTimeout):
+            return False
+        return True
+
     async def work(self, msg: Any) -> int:
         """Read one prompt; returns the tokens that were computed."""
         req = msg.req
@@ -39,6 +49,8 @@
         except EngineFailed as exc:
             self.log.warning("prefill_failed", req=f"{req:016x}", code=exc.code, why=exc.detail)
             self.metrics.count(f"prefill_failed.{exc.code}")
+            if not exc.ran:
+                await self.note_health(await self.probe())
             await self.tell(req, Failed(req, exc.code, exc.ran))
             return 0
         now = await curio.clock()
--- a/src/crankhinge/agent/_program.py
+++ b/src/crankhinge/agent/_program.py
@@ -9,6 +9,7 @@
 
 import curio
 
+from crankhinge.adapters import Engine
 from crankhinge.adapters.consul import ConsulInstanceList, ConsulKeyValue
 from crankhinge.adapters.http_service import HttpService
 from crankhinge.adapters.openai_engine import OpenAiEngine
@@ -26,20 +27,20 @@
 PROGRAM = "crankhinge-agent"
 
 
-def make_role(settings: AgentSettings, **common: Any) -> Role:
-    """Return the role that the settings name."""
-    host, port = parse_endpoint(settings.backend)
+def make_role(settings: AgentSettings, engine: Engine | None, **common: Any) -> Role:
+    """Return the role that the settings name, beside *engine* or else a plain service."""
     mech = mechanisms(settings.policy)
     slots = settings.slots if settings.policy != "naive" else UNBOUNDED
-    if settings.role == "decode":
+    if engine is not None and settings.role == "decode":
         table = SlotTable(
             capacity=slots, step_s=settings.step_s, hold_s=settings.lease_s, mech=mech
         )
-        return DecodeRole(engine=OpenAiEngine(host, port), table=table, **common)
+        return DecodeRole(engine=engine, table=table, **common)
     queue = WorkQueue(width=slots, rate=settings.rate, mech=mech)
-    if settings.role == "prefill":
-        return PrefillRole(engine=OpenAiEngine(host, port), queue=queue, **common)
-    return PlainRole(service=HttpService(host, port), queue=queue, **common)
+    if engine is not None:
+        return PrefillRole(engine=engine, queue=queue, **common)
+    service = HttpService(*parse_endpoint(settings.backend))
+    return PlainRole(service=service, queue=queue, **common)
 
 
 def apply_bundle(role: Role, pool_name: str, bundle: Bundle) -> None:
@@ -56,11 +57,15 @@
     metrics = Metrics(prefix=f"crankhinge.agent.{settings.name}", address=settings.statsd)
     kv = ConsulKeyValue(*parse_endpoint(settings.key_value))
     rng = random.Random(settings.name)
-    role = make_role(settings, keeper=keeper, log=log, metrics=metrics)
+    engine = None
+    if settings.role != "plain":
+        engine = OpenAiEngine(*parse_endpoint(settings.backend))
+    role = make_role(settings, engine, keeper=keeper, log=log, metrics=metrics)
     keeper.listeners.append(partial(apply_bundle, role, settings.pool))
     agent = Agent(
         settings=settings,
         role=role,
+        engine=engine,
         kv=kv,
         roster=Roster(
             ConsulInstanceList(*parse_endpoint(settings.instances)),
--- a/src/crankhinge/agent/_queued.py
+++ b/src/crankhinge/agent/_queued.py
@@ -7,7 +7,7 @@
 
 import curio
 
-from crankhinge.agent._role import UNBOUNDED, Role
+from crankhinge.agent._role import BACKEND_DOWN, UNBOUNDED, Role
 from crankhinge.config import Pool
 from crankhinge.decisions import Refuse, WorkAsk, WorkQueue
 from crankhinge.wire import Cancel, Link, Load, Message
@@ -51,7 +51,7 @@
             free=queue.free,
             queued=queue.queued,
             backlog_s=queue.backlog_s(now),
-            draining=queue.closed,
+            draining=queue.closed or self.sick,
             rate=queue.rate,
         )
 
@@ -59,6 +59,9 @@
         self, link: Link, req: int, member: str, rank: int, within: float, units: int, msg: Any
     ) -> None:
         """Queue a request, or refuse it."""
+        if self.sick:
+            await self.refuse(link, req, BACKEND_DOWN)
+            return
         now = await curio.clock()
         weights = self.keeper.weights(member)
         ask = WorkAsk(
--- a/src/crankhinge/agent/_role.py
+++ b/src/crankhinge/agent/_role.py
@@ -14,6 +14,8 @@
 from crankhinge.wire import Failed, Link, Load, Message, Refused
 
 UNBOUNDED = 1_000_000
+PROBE_S = 0.5
+BACKEND_DOWN = "backend-down"
 
 
 class Role(abc.ABC):
@@ -32,6 +34,32 @@
         self._owners: dict[int, Link] = {}
         self._tasks: dict[int, curio.Task] = {}
         self._held: dict[Link, set[int]] = {}
+        self.sick = False
+        self.on_health: Callable[[], Awaitable[None]] | None = None
+
+    @abc.abstractmethod
+    async def probe(self) -> bool:
+        """Whether the backend server can be reached."""
+
+    async def watch_backend(self) -> None:
+        """Probe the backend server until cancelled.
+
+        While it can't be reached nothing is granted or queued: a slot of a dead engine looks free,
+        and every prompt read for it would be wasted.
+        """
+        while True:
+            await self.note_health(await self.probe())
+            await curio.sleep(PROBE_S)
+
+    async def note_health(self, well: bool) -> None:
+        """Note what was seen of the backend server, and tell the entries when it changes."""
+        if self.sick is not well:
+            return
+        self.sick = not well
+        self.log.warning("backend_health", reachable=well)
+        self.metrics.count("backend_up" if well else "backend_down")
+        if self.on_health is not None:
+            await self.on_health()
 
     @abc.abstractmethod
     async def handle(self, link: Link, msg: Message) -> None:
--- a/src/crankhinge/config/__init__.py
+++ b/src/crankhinge/config/__init__.py
@@ -1,6 +1,7 @@
 """The configuration bundle: its model, its signatures, and how it is accepted and spread."""
 
 from crankhinge.config._bundle import (
+    Adapter,
     Bundle,
     Member,
     Model,
@@ -26,6 +27,7 @@
 
 __all__ = [
     "BUNDLE_KEY",
+    "Adapter",
     "Bundle",
     "BundleKeeper",
     "BundleView",
--- a/src/crankhinge/config/_bundle.py
+++ b/src/crankhinge/config/_bundle.py
@@ -64,6 +64,20 @@
     max_rank: Annotated[int, msgspec.Meta(ge=0, le=2)] = 0
 
 
+class Adapter(_Model, frozen=True):
+    """A variant of a model that is loaded into its engines.
+
+    Attributes:
+        name: what callers ask for.
+        path: of its weights, as the engine understands it.
+        version: one more when the weights change.
+    """
+
+    name: Name
+    path: str
+    version: Count = 1
+
+
 class Model(_Model, frozen=True):
     """A model that callers name.
 
@@ -76,7 +90,7 @@
         objective: part of the requests that must meet each target.
         max_prompt_tokens: longest prompt.
         max_output_tokens: longest answer, and the default of a request that names none.
-        adapters: names of adapters served beside it, each a model name to callers.
+        adapters: variants that are loaded beside it, each a model name to callers.
     """
 
     name: Name
@@ -87,7 +101,7 @@
     objective: Annotated[float, msgspec.Meta(gt=0, lt=1)] = 0.95
     max_prompt_tokens: Count = 32_768
     max_output_tokens: Count = 1_024
-    adapters: tuple[Name, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
 
 
 class Pool(_Model, frozen=True):
@@ -98,6 +112,7 @@
         kind: what its backend servers do.
         slots: requests that a decode engine holds in memory, prompts that a prefill engine reads
             at once, or calls that a plain service takes at once.
+        rolling: how many of the pool's engines may load weights at once.
         fence: pairs of agents, of different availability zones, that keep the record of the
             pool's non-repeatable requests; the keys are spread over the pairs.
     """
@@ -105,6 +120,7 @@
     name: Name
     kind: Literal["prefill", "decode", "plain"]
     slots: Count = 20
+    rolling: Count = 1
     fence: tuple[tuple[Name, Name], ...] = ()
 
 
@@ -168,7 +184,7 @@
     def model(self, name: str) -> Model | None:
         """Return the model that serves *name*, itself or as an adapter."""
         for model in self.models:
-            if name == model.name or name in model.adapters:
+            if name == model.name or any(name == adapter.name for adapter in model.adapters):
                 return model
         return None
 
@@ -216,7 +232,7 @@
     _unique("pools", (pool.name for pool in bundle.pools))
     _unique("services", (service.name for service in bundle.services))
     names = [model.name for model in bundle.models]
-    names += [adapter for model in bundle.models for adapter in model.adapters]
+    names += [adapter.name for model in bundle.models for adapter in model.adapters]
     _unique("models and adapters", names)
     if not bundle.partners:
         raise BundleError("partners: at least one is needed")
--- a/src/crankhinge/ctl/_reference.py
+++ b/src/crankhinge/ctl/_reference.py
@@ -10,7 +10,17 @@
 import msgspec
 
 from crankhinge.agent._settings import AgentSettings
-from crankhinge.config import Bundle, Member, Model, Partner, Policy, Pool, Service, Transfer
+from crankhinge.config import (
+    Adapter,
+    Bundle,
+    Member,
+    Model,
+    Partner,
+    Policy,
+    Pool,
+    Service,
+    Transfer,
+)
 from crankhinge.ctl._bundle import CtlSettings
 from crankhinge.entry._settings import EntrySettings
 from crankhinge.peers import PeerSettings
@@ -30,6 +40,7 @@
     "`[[partners]]`": Partner,
     "`[[members]]`": Member,
     "`[[models]]`": Model,
+    "`[[models.adapters]]`": Adapter,
     "`[[pools]]`": Pool,
     "`[[services]]`": Service,
 }
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -30,6 +30,14 @@
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
 from crankhinge.decisions._rendezvous import rank_by_key
+from crankhinge.decisions._roll import (
+    RollLease,
+    RollPlace,
+    RollRecord,
+    to_load,
+    try_acquire,
+    without,
+)
 from crankhinge.decisions._routing import Backend, PrefixIndex, RouteAsk, Router, RoutingWeights
 from crankhinge.decisions._slots import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
 from crankhinge.decisions._work import WorkAsk, WorkQueue
@@ -61,6 +69,9 @@
     "Release",
     "Reply",
     "RetryBudget",
+    "RollLease",
+    "RollPlace",
+    "RollRecord",
     "RouteAsk",
     "Router",
     "RoutingWeights",
@@ -78,4 +89,7 @@
     "keep_answer",
     "mechanisms",
     "rank_by_key",
+    "to_load",
+    "try_acquire",
+    "without",
 ]
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -50,6 +50,7 @@
         sent: requests sent since then.
         sent_s: seconds of work sent since then.
         open: requests that this entry has in progress there.
+        serves: adapters that its engine has loaded.
     """
 
     name: str
@@ -70,6 +71,7 @@
     sent: int = 0
     sent_s: float = 0.0
     open: int = 0
+    serves: frozenset[str] = frozenset()
     breaker: Breaker = field(default_factory=Breaker)
 
     @property
@@ -102,11 +104,13 @@
         tokens: estimated prompt tokens.
         prefix: hashes of the prompt's leading blocks, outermost first.
         block_tokens: tokens a block stands for.
+        adapter: that must be loaded; empty for none.
     """
 
     tokens: int
     prefix: tuple[int, ...] = ()
     block_tokens: int = 64
+    adapter: str = ""
 
 
 @dataclass(frozen=True)
@@ -197,14 +201,14 @@
         for members in self._pools.values():
             members.pop(name, None)
 
-    def usable(self, pools: Iterable[str], now: float) -> list[Backend]:
-        """Return the members of *pools* that may be given new work.
+    def usable(self, pools: Iterable[str], now: float, adapter: str = "") -> list[Backend]:
+        """Return the members of *pools* that may be given new work, and have *adapter* loaded.
 
         A backend server whose reports have stopped is used only when no other is left, and one
         whose breaker is open only when all are: then it can only get better.
         """
         members = [b for pool in pools for b in self._pools.get(pool, {}).values()]
-        present = [b for b in members if b.present]
+        present = [b for b in members if b.present and (not adapter or adapter in b.serves)]
         alive = [b for b in present if b.breaker.allows(now)] or present
         limit = now - STALE_BEATS * self.weights.beat_s
         fresh = [b for b in alive if b.reported >= limit]
@@ -213,9 +217,9 @@
     def _sample(self, items: list[Backend], count: int) -> list[Backend]:
         return self._rng.sample(items, min(count, len(items)))
 
-    def choose(self, pools: Iterable[str], now: float) -> list[Backend]:
+    def choose(self, pools: Iterable[str], now: float, adapter: str = "") -> list[Backend]:
         """Return decode or plain backend servers to try, best first."""
-        usable = self.usable(pools, now)
+        usable = self.usable(pools, now, adapter)
         if not self._mech.load_aware:
             return self._in_turn(usable)
         usual = _median([b.step_s for b in usable if b.step_s > 0])
@@ -243,7 +247,7 @@
         self, pools: Iterable[str], ask: RouteAsk, decode_zone: str, now: float
     ) -> list[Backend]:
         """Return prefill servers to try for a request that is written in *decode_zone*."""
-        usable = self.usable(pools, now)
+        usable = self.usable(pools, now, ask.adapter)
         if not self._mech.load_aware:
             return self._in_turn(usable)
         few = {b.name: b for b in self._sample(usable, CANDIDATES)}
--- a/src/crankhinge/entry/_completion.py
+++ b/src/crankhinge/entry/_completion.py
@@ -35,6 +35,7 @@
 MAX_ATTEMPTS = 4
 LEAST_PATIENCE_S = 0.4
 PATIENCE_FACTOR = 5.0
+TRANSFER_FAULTS = frozenset({"transfer-stalled", "kv-expired"})
 
 
 class Completions:
@@ -222,5 +223,14 @@
                 await writer.finish(msg.finish or "stop")
                 return
             else:
-                slot.backend.breaker.failed(await curio.clock())
-                raise AttemptFailed(msg.code if isinstance(msg, Failed) else "no answer")
+                code = msg.code if isinstance(msg, Failed) else "no answer"
+                await self._blame(code, slot, progress)
+                raise AttemptFailed(code)
+
+    async def _blame(self, code: str, slot: Slot, progress: Progress) -> None:
+        """Count a failure against the engine that is likely at fault."""
+        now = await curio.clock()
+        if code in TRANSFER_FAULTS and progress.reader is not None:
+            progress.reader.breaker.failed(now)
+        elif code != "lease-expired":
+            slot.backend.breaker.failed(now)
--- a/src/crankhinge/entry/_estimates.py
+++ b/src/crankhinge/entry/_estimates.py
@@ -46,7 +46,9 @@
     def route(self, ask: CompletionAsk, written: int) -> RouteAsk:
         """Return what routing needs to know, with *written* tokens of the answer there."""
         block_tokens = int(BLOCK_CHARS / self._ratio(ask))
-        return RouteAsk(self.tokens(ask) + written, ask.prefix, block_tokens)
+        name = ask.body["model"]
+        adapter = "" if name == ask.model.name else name
+        return RouteAsk(self.tokens(ask) + written, ask.prefix, block_tokens, adapter)
 
     def patience_s(self, ask: CompletionAsk, policy: Policy, now: float) -> float:
         """Return the seconds until the first token after which the request is given up.
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -24,6 +24,7 @@
     Link,
     Load,
     Message,
+    Serves,
     connect_link,
 )
 
@@ -256,6 +257,7 @@
             backend.sent_s = 0.0
             backend.open = 0
             backend.draining = False
+            backend.serves = frozenset()
         backend.role = peer.role
         backend.zone = peer.zone
         backend.groups = peer.groups
@@ -279,6 +281,9 @@
     async def _handle(self, link: Link, msg: Message) -> None:
         if await self._spread.handle(link, msg):
             return
+        if isinstance(msg, Serves):
+            self.router.backends[link.peer.name].serves = frozenset(msg.names)
+            return
         load = getattr(msg, "load", None)
         if load is not None:
             await self._note_load(link, load)
--- a/src/crankhinge/entry/_progress.py
+++ b/src/crankhinge/entry/_progress.py
@@ -5,6 +5,7 @@
 import itertools
 from dataclasses import dataclass, field
 
+from crankhinge.decisions import Backend
 from crankhinge.errors import Outcome
 
 ID_BITS = 63
@@ -45,6 +46,7 @@
         computed: prompt tokens that engines computed for it.
         unused: of these, not yet put to use.
         wasted: of these, for nothing, as far as this entry knows.
+        reader: the backend server that read the prompt; None before.
         slot: time of the lease.
         read: time at which the prompt was read.
         first: time of the first token.
@@ -59,6 +61,7 @@
     computed: int = 0
     unused: int = 0
     wasted: int = 0
+    reader: Backend | None = None
     slot: float = 0.0
     read: float = 0.0
     first: float = 0.0
--- a/src/crankhinge/entry/_reading.py
+++ b/src/crankhinge/entry/_reading.py
@@ -73,6 +73,7 @@
                 self._router.prefixes.learn(backend.name, prompt.route.prefix)
                 progress.computed += answer.prompt - answer.cached
                 progress.unused = answer.prompt - answer.cached
+                progress.reader = backend
                 return answer
             if isinstance(answer, Refused):
                 retry_after = min(retry_after, answer.retry_after or retry_after)
--- a/src/crankhinge/entry/_slots.py
+++ b/src/crankhinge/entry/_slots.py
@@ -74,7 +74,7 @@
             Overloaded: no slot comes free in time.
         """
         model = need.ask.model
-        candidates = self._router.choose(model.decode, await curio.clock())
+        candidates = self._router.choose(model.decode, await curio.clock(), need.route.adapter)
         if not candidates:
             raise NoBackend(f"no decode engine for {model.name}", retry_after_s=1.0)
         # First whoever has room now; only when nobody has is it worth waiting somewhere.
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -121,6 +121,15 @@
         except OSError as exc:
             raise ConnectFailed(f"{self.host}:{self.port}: {exc}") from exc
 
+    async def reachable(self) -> bool:
+        """Whether the server takes connections."""
+        try:
+            sock = await self._connect()
+        except ConnectFailed:
+            return False
+        await sock.close()
+        return True
+
     async def give_back(self, sock: Any, *, reusable: bool) -> None:
         """Keep *sock* for the next call, or close it."""
         if reusable and len(self._idle) < self._pool_size:
--- a/src/crankhinge/peers/_spread.py
+++ b/src/crankhinge/peers/_spread.py
@@ -21,6 +21,7 @@
 
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 30.0
+EARLY_PAUSE_S = 0.5
 
 
 class BundleSpread:
@@ -62,6 +63,9 @@
                 index = 0
                 await curio.sleep(1.0)
                 continue
+            if value.index == index:
+                # A service that answers a watch too early must not be asked in a tight loop.
+                await curio.sleep(EARLY_PAUSE_S)
             index = value.index
             await self.offer(value.data, source="key-value")
 
--- a/src/crankhinge/wire/__init__.py
+++ b/src/crankhinge/wire/__init__.py
@@ -36,6 +36,7 @@
     PrefillDone,
     Refused,
     Reserve,
+    Serves,
     Tokens,
 )
 
@@ -69,6 +70,7 @@
     "Refused",
     "Release",
     "Reserve",
+    "Serves",
     "Settle",
     "Take",
     "Taken",
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -305,6 +305,12 @@
     rows: tuple[InstanceRow, ...]
 
 
+class Serves(_Base, tag=29, frozen=True):
+    """An agent's engine has these adapters loaded; replaces what was said before."""
+
+    names: tuple[str, ...]
+
+
 Message = (
     Hello
     | Beat
@@ -334,4 +340,5 @@
     | FenceJoined
     | GetInstances
     | InstancesAre
+    | Serves
 )
--- a/src/crankhinge_bench/_chaos.py
+++ b/src/crankhinge_bench/_chaos.py
@@ -299,7 +299,7 @@
         history = History(
             outcomes=outcomes,
             runs=cluster.records("plain"),
-            work=cluster.records("prefill", "decode"),
+            work=[row for row in cluster.records("prefill", "decode") if "prompt" in row],
             held=wait_freed(cluster),
             drains=chaos.drains,
             bundles=bundles_seen(cluster),
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -12,7 +12,7 @@
 import tempfile
 import time
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -248,6 +248,7 @@
         return [
             "engine",
             *("--record", record),
+            *("--weights", f"{HOST}:{self.platform_port}"),
             *("--port", str(place.backend_port)),
             *("--slots", str(engine.slots)),
             *("--step-s", str(engine.step_s)),
@@ -335,8 +336,8 @@
         lines += [f"seeds = {seeds}", f"subset = {self.spec.subset}", *extra]
         self.run(name, "crankhinge.entry.main", self._write_settings(name, lines))
 
-    def bundle_text(self, version: int) -> str:
-        """Return the bundle's TOML."""
+    def bundle_text(self, version: int, adapters: Mapping[str, int] | None = None) -> str:
+        """Return the bundle's TOML, with adapters by name and version."""
         spec = self.spec
         out = [f"version = {version}", ""]
         for partner in self._keys:
@@ -346,6 +347,9 @@
             out += [f'credential_sha256 = "{hash_credential(self.credentials[name])}"', ""]
         out += self._pool_lines()
         out += self._model_lines()
+        for name, number in (adapters or {}).items():
+            out += ["[[models.adapters]]", f'name = "{name}"', f'path = "store/{name}"']
+            out += [f"version = {number}", ""]
         out += self._transfer_lines()
         out += ["[policy]", *(f"{k} = {v}" for k, v in spec.policy.items()), ""]
         return "\n".join(out)
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -17,6 +17,7 @@
 from crankhinge_bench._cluster import Cluster, ClusterSpec
 from crankhinge_bench._faults import FaultPlayer
 from crankhinge_bench._load import LoadRun
+from crankhinge_bench._plot import plot
 from crankhinge_bench._scenario import Scenario, read_scenario
 from crankhinge_bench._summary import Summary, summarise
 from crankhinge_bench._trace import make_trace
@@ -152,6 +153,8 @@
         cells += run_scenario(scenario, policies, seed=args.seed, repeat=args.repeat, logs=logs)
     if args.json:
         Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(cells), indent=1))
+    if args.plot:
+        plot(cells, Path(args.plot))
     print(table_of(cells))
     return 0 if not any(cell.summary.broken for cell in cells) else 1
 
@@ -163,6 +166,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--repeat", type=int, default=1)
     parser.add_argument("--json", default="", help="file for the results")
+    parser.add_argument("--plot", default="", help="PNG file: goodput and waste against load")
     parser.add_argument("--logs", default="", help="directory for the programs' logs")
     parser.set_defaults(run=run)
 
--- a/src/crankhinge_standins/engine.py
+++ b/src/crankhinge_standins/engine.py
@@ -33,6 +33,7 @@
     Attributes:
         host: address.
         port: TCP port.
+        model: name of its model.
         slots: requests in memory.
         step_s: seconds a step takes with one request in memory.
         step_per_request_s: seconds more for each further request.
@@ -43,10 +44,12 @@
         cache_blocks: size of the prefix cache.
         load_lag_s: how old its reported load is.
         record: file for its runs; empty for none.
+        weights: ``host:port`` of the weight store; empty for adapters that load at once.
     """
 
     host: str = "127.0.0.1"
     port: int = 0
+    model: str = "m1"
     slots: int = 20
     step_s: float = 0.02
     step_per_request_s: float = 0.0005
@@ -57,6 +60,7 @@
     cache_blocks: int = 2000
     load_lag_s: float = 0.5
     record: str = ""
+    weights: str = ""
 
 
 class Gone(CrankhingeError):
@@ -132,6 +136,8 @@
         self.stats = Stats()
         self._recorder = Recorder(cfg.record)
         self.runs: list[dict[str, Any]] = []
+        self.adapters: set[str] = set()
+        self._token = 0
         self._rng = random.Random(seed)
         self._running: list[_Running] = []
         self._step = curio.Event()
@@ -180,6 +186,8 @@
             raise HttpClosed("down")
         if path in ("/v1/completions", "/v1/chat/completions"):
             await self._complete(exchange)
+        elif path == "/v1/load_lora_adapter":
+            await self._load_adapter(exchange)
         elif path.startswith("/kv/"):
             await self._export(exchange, path.removeprefix("/kv/"))
         elif path == "/metrics":
@@ -197,6 +205,9 @@
 
     async def _complete(self, exchange: Exchange) -> None:
         body = msgspec.json.decode(exchange.req.body)
+        if body["model"] != self.cfg.model and body["model"] not in self.adapters:
+            await reply(exchange, {"error": "no such model"}, 404)
+            return
         if self.faults.refuse:
             await reply(exchange, {"error": "refused"}, 503)
             return
@@ -206,6 +217,24 @@
         else:
             await self._decode(exchange, body, params)
 
+    async def _load_adapter(self, exchange: Exchange) -> None:
+        """Take a fenced order to load an adapter from the weight store."""
+        order = msgspec.json.decode(exchange.req.body)
+        token = int(exchange.req.headers.get("x-fencing-token", "0"))
+        if token < self._token:
+            await reply(exchange, {"error": "outdated token"}, 409)
+            return
+        self._token = token
+        name = order["lora_name"]
+        version = exchange.req.headers.get("x-adapter-version", "")
+        self._recorder.write(kind="load", name=name, version=version, token=token)
+        if self.cfg.weights:
+            host, _, port = self.cfg.weights.rpartition(":")
+            await HttpClient(host, int(port)).call("GET", f"/weights/{name}", fresh=True)
+        self.adapters.add(name)
+        self._recorder.write(kind="loaded", name=name, version=version, token=token)
+        await reply(exchange, {"ok": True})
+
     async def _prefill(self, exchange: Exchange, body: dict[str, Any]) -> None:
         words = context_of(body).split(" ")
         self._recorder.write(kind="prefill", prompt=zlib.crc32(context_of(body).encode()))
--- a/src/crankhinge_standins/platform.py
+++ b/src/crankhinge_standins/platform.py
@@ -1,4 +1,4 @@
-"""The platform: a key-value store and a lagging list of instances, over the Consul HTTP API.
+"""The platform: key-value store and lagging list (Consul HTTP API), and a weight store.
 
 It counts calls, a waiting watch as one, and refuses those over its budget.
 """
@@ -22,6 +22,7 @@
 SERVICE_PATH = "/v1/health/service/crankhinge-agent"
 READS_PER_S = 2000
 WRITES_PER_S = 300
+WEIGHTS_S = 0.2
 
 
 @dataclass
@@ -72,6 +73,7 @@
         self._changed = curio.Event()
         self._services: dict[str, dict[str, Any]] = {}
         self._seen: dict[str, dict[str, Any]] = {}
+        self._weights = curio.Lock()
         self._reads = _Budget(READS_PER_S)
         self._writes = _Budget(WRITES_PER_S)
 
@@ -89,7 +91,12 @@
     async def _handle(self, exchange: Exchange) -> None:
         req = exchange.req
         path = req.path
-        if path == "/stats":
+        if path.startswith("/weights/"):
+            # The store is rate-limited: one set of weights after the other.
+            async with self._weights:
+                await curio.sleep(WEIGHTS_S)
+            await reply(exchange, {"weights": path})
+        elif path == "/stats":
             await reply(exchange, {"reads": self._reads, "writes": self._writes})
         elif path.startswith("/v1/agent/service/"):
             await self._register(exchange, path)
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -9,6 +9,7 @@
 from crankhinge.adapters import (
     DecodeStream,
     Engine,
+    EngineFailed,
     EngineLoad,
     PlainService,
     PrefillResult,
@@ -63,6 +64,7 @@
         self.most = 0
         self.foreign = 0
         self.stalled = False
+        self.dead = False
 
     async def prefill(self, path: str, body: bytes, *, req: int) -> PrefillResult:
         """Not used here."""
@@ -76,8 +78,14 @@
         self.most = max(self.most, self.running)
         return FakeStream(self, 5)
 
+    async def load_adapter(self, name: str, path: str, version: int, *, token: int) -> None:
+        """Not used here."""
+        raise NotImplementedError
+
     async def load(self) -> EngineLoad:
         """Return what is in memory."""
+        if self.dead:
+            raise EngineFailed("dead", ran=False)
         return EngineLoad(self.running + self.foreign, 0)
 
 
@@ -189,7 +197,7 @@
             engine, link = FakeEngine(), FakeLink()
             engine.foreign = 2
             role = make_role(engine)
-            runner = await curio.spawn(role.run, daemon=True)
+            runner = await curio.spawn(role.watch_backend, daemon=True)
             await curio.sleep(0.1)
             await role.handle(link, reserve(1))  # type: ignore[arg-type]
             await curio.sleep(2)
@@ -201,6 +209,26 @@
 
         assert run_virtual(scenario) == (0, 1)
 
+    def test_a_dead_engine_grants_nothing(self) -> None:
+        """While the engine can't be reached its slots aren't given out, and the load says so."""
+
+        async def scenario() -> tuple[list[str], bool, int]:
+            engine, link = FakeEngine(), FakeLink()
+            role = make_role(engine)
+            runner = await curio.spawn(role.watch_backend, daemon=True)
+            await curio.sleep(0.1)
+            engine.dead = True
+            await curio.sleep(1)
+            await role.handle(link, reserve(1))  # type: ignore[arg-type]
+            down = role.load(await curio.clock()).draining
+            engine.dead = False
+            await curio.sleep(1)
+            await role.handle(link, reserve(2))  # type: ignore[arg-type]
+            await runner.cancel()
+            return [msg.code for msg in link.of(Refused)], down, len(link.of(Granted))
+
+        assert run_virtual(scenario) == (["backend-down"], True, 1)
+
     def test_an_expired_lease_is_not_run(self) -> None:
         """A Decode that comes after its lease ended is told that nothing ran."""
 
@@ -237,6 +265,10 @@
     def __init__(self) -> None:
         self.runs = 0
 
+    async def alive(self) -> bool:
+        """Say yes."""
+        return True
+
     async def call(
         self, method: str, target: str, headers: Mapping[str, str], body: bytes
     ) -> ServiceAnswer:
--- /dev/null
+++ b/tests/test_roll.py
@@ -0,0 +1,75 @@
+"""Tests of rolls: adapters reach the engines a few at a time."""
+
+import time
+
+from crankhinge.decisions import RollPlace, RollRecord, to_load, try_acquire, without
+from crankhinge.decisions._roll import LEASE_S
+from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec
+from test_end_to_end import make_client
+
+
+class TestLease:
+    """Places in a roll."""
+
+    def test_no_more_than_the_width_at_once(self) -> None:
+        """The third of three waits until a place is given back."""
+        record = RollRecord()
+        for name in ("a", "b"):
+            lease = try_acquire(record, name, 2, 1000)
+            assert lease is not None
+            record = lease.record
+        assert try_acquire(record, "c", 2, 1000) is None
+        assert try_acquire(without(record, "a"), "c", 2, 1000) is not None
+
+    def test_a_dead_holder_loses_its_place(self) -> None:
+        """After the lease's end another goes on, with a larger token."""
+        lease = try_acquire(RollRecord(), "a", 1, 0)
+        assert lease is not None
+        late = int(LEASE_S * 1000)
+        assert try_acquire(lease.record, "b", 1, late - 1) is None
+        after = try_acquire(lease.record, "b", 1, late)
+        assert after is not None and after.token > lease.token
+
+    def test_a_restarted_holder_takes_over_its_own_place(self) -> None:
+        """An agent that died while loading needn't wait for itself."""
+        record = RollRecord(4, (RollPlace("a", 10**15),))
+        lease = try_acquire(record, "a", 1, 0)
+        assert lease is not None
+        assert [place.name for place in lease.record.places] == ["a"]
+
+    def test_what_is_to_load(self) -> None:
+        """New adapters and new versions, nothing else."""
+        assert to_load({"a": 1, "b": 2, "c": 1}, {"a": 1, "b": 1}) == ["b", "c"]
+
+
+class TestRoll:
+    """A roll through running engines."""
+
+    def test_an_adapter_is_loaded_and_served(self) -> None:
+        """A bundle with a new adapter brings it to every engine, one of a pool at a time."""
+        engines = (EngineSpec("read", "prefill", 2), EngineSpec("write", "decode", 3))
+        with Cluster(ClusterSpec(engines=engines, services=(), beat_s=0.2)) as cluster:
+            cluster.publish(cluster.bundle_text(2, {"m1-fr": 1}))
+            client = make_client(cluster)
+            until = time.monotonic() + 30.0
+            while time.monotonic() < until:
+                rows = cluster.records("prefill", "decode")
+                if sum(row["kind"] == "loaded" for row in rows) == 5:
+                    break
+                time.sleep(0.1)
+            answer = client.completions.create(model="m1-fr", prompt="bonjour", max_tokens=2)
+            assert answer.choices[0].text
+            loads = [row for row in rows if row["kind"] in ("load", "loaded")]
+        assert most_at_once(loads, "write-") == 1
+        tokens = [row["token"] for row in loads if row["place"].startswith("write-")]
+        assert len(set(tokens)) == 3
+
+
+def most_at_once(rows: list[dict[str, object]], prefix: str) -> int:
+    """Return how many engines of a pool were loading at one time."""
+    now = most = 0
+    mine = [row for row in rows if str(row["place"]).startswith(prefix)]
+    for row in sorted(mine, key=lambda row: float(str(row["at"]))):
+        now += 1 if row["kind"] == "load" else -1
+        most = max(most, now)
+    return most
