Smaller modules: asks, backend, fence actions and keys, subset, specs, evidence

Change: moved, not rewritten: FairAsk is the base of SlotAsk and WorkAsk; the fence's actions, keys and state machine are apart; the stand-in's model, the bench's specs, fits and evidence have their own files.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -1,19 +1,21 @@
 """Decisions: state, event and time in; decision out. No I/O, no clock, no hidden randomness."""
 
+from crankhinge.decisions._asks import FairAsk, Refuse, SlotAsk, WorkAsk
+from crankhinge.decisions._backend import Backend
 from crankhinge.decisions._breaker import Breaker, BreakerState
 from crankhinge.decisions._budget import RetryBudget
 from crankhinge.decisions._fair import FairQueue
-from crankhinge.decisions._fence import (
+from crankhinge.decisions._fence import FencePair
+from crankhinge.decisions._fence_actions import (
     FenceAction,
-    FencePair,
     FenceRecord,
     FenceRole,
     ReadRecord,
     Reply,
     Send,
     SwapRecord,
-    keep_answer,
 )
+from crankhinge.decisions._fence_keys import keep_answer
 from crankhinge.decisions._fence_messages import (
     Answer,
     FenceJoined,
@@ -29,6 +31,7 @@
 )
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
+from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._rendezvous import rank_by_key
 from crankhinge.decisions._roll import (
     RollLease,
@@ -38,9 +41,9 @@
     try_acquire,
     without,
 )
-from crankhinge.decisions._routing import Backend, PrefixIndex, RouteAsk, Router, RoutingWeights
-from crankhinge.decisions._slots import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
-from crankhinge.decisions._work import WorkAsk, WorkQueue
+from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
+from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
+from crankhinge.decisions._work import WorkQueue
 
 __all__ = [
     "FULL",
@@ -50,6 +53,7 @@
     "Backend",
     "Breaker",
     "BreakerState",
+    "FairAsk",
     "FairQueue",
     "FenceAction",
     "FenceJoined",
--- a/src/crankhinge/decisions/_fence.py
+++ b/src/crankhinge/decisions/_fence.py
@@ -14,14 +14,20 @@
 
 from __future__ import annotations
 
-import enum
-import uuid
 from collections import OrderedDict
 from dataclasses import dataclass, field
-from typing import NamedTuple
 
+from crankhinge.decisions._fence_actions import (
+    FenceAction,
+    FenceRecord,
+    FenceRole,
+    ReadRecord,
+    Reply,
+    Send,
+    SwapRecord,
+)
+from crankhinge.decisions._fence_keys import BAD_KEY, KeyState, birth_problem, forget_old
 from crankhinge.decisions._fence_messages import (
-    Answer,
     FenceJoined,
     FenceRow,
     FenceState,
@@ -35,98 +41,10 @@
     TakenBefore,
 )
 
-KEEP_S = 900.0
-SKEW_MS = 5_000
 GRACE_S = 3.0
 LONE_GRACE_S = 15.0
 SYNC_TIMEOUT_S = 5.0
 SYNC_ROWS = 500
-MAX_ANSWER_BYTES = 4096
-UUID7 = 7
-UNAVAILABLE = "fence-unavailable"
-TOO_OLD = "key-too-old"
-BAD_KEY = "bad-key"
-
-
-class FenceRole(enum.Enum):
-    """What a holder may do.
-
-    JOINING has no record it can trust and gives no leave; PAIRED gives leave with the other's
-    consent; SOLO gives leave alone.
-    """
-
-    JOINING = "joining"
-    PAIRED = "paired"
-    SOLO = "solo"
-
-
-class FenceRecord(NamedTuple):
-    """What the key-value service holds of a record: who may give leave.
-
-    Attributes:
-        epoch: grows with each change.
-        holder: the one that is alone; empty while both hold it.
-        writer: identity of the swap, to recognise it when its answer was lost.
-    """
-
-    epoch: int
-    holder: str
-    writer: int
-
-
-@dataclass(frozen=True)
-class Send:
-    """Send *msg* to the other holder."""
-
-    msg: FenceJoined | FenceState | FenceSync | Release | Settle | Take | Taken
-
-
-@dataclass(frozen=True)
-class Reply:
-    """Answer the entry that asked; ``None`` stands for "not now, and nothing was run"."""
-
-    req: int
-    msg: Permitted | TakenBefore | None
-
-
-@dataclass(frozen=True)
-class ReadRecord:
-    """Read the record's head in the key-value service; answer with :meth:`FencePair.on_record`."""
-
-
-@dataclass(frozen=True)
-class SwapRecord:
-    """Swap the head; answer with :meth:`FencePair.on_swapped`.
-
-    Attributes:
-        index: what the swap compares; 0 when there is none yet.
-        new: the head to write.
-    """
-
-    index: int
-    new: FenceRecord
-
-
-FenceAction = Send | Reply | ReadRecord | SwapRecord
-
-
-@dataclass
-class _Key:
-    """A key that is written down.
-
-    Attributes:
-        digest: of the request.
-        nonce: attempt that has leave, or asks for it.
-        at: when, seconds.
-        asking: whether the other holder has yet to consent.
-        answer: how it ended.
-    """
-
-    digest: bytes
-    nonce: int
-    at: float
-    asking: bool = False
-    answer: Answer | None = None
 
 
 @dataclass
@@ -141,15 +59,6 @@
     told: bool = False
 
 
-def born_ms(key: str) -> int | None:
-    """Return the birth of a key in milliseconds since the epoch; None when it is no UUIDv7."""
-    try:
-        value = uuid.UUID(key.rpartition("/")[2])
-    except ValueError:
-        return None
-    return value.int >> 80 if value.version == UUID7 else None
-
-
 class FencePair:
     """One holder's side of one record.
 
@@ -168,7 +77,7 @@
         self.epoch = 0
         self.since_ms = 0
         self._writer = writer
-        self._keys: OrderedDict[str, _Key] = OrderedDict()
+        self._keys: OrderedDict[str, KeyState] = OrderedDict()
         self._linked = False
         self._lost_at: float | None = None
         self._other_state = ""
@@ -194,36 +103,26 @@
         known = self._keys.get(msg.key)
         if known is not None and self.role is not FenceRole.JOINING:
             return self._on_known(msg, known)
-        cause = self._birth_problem(msg.key, wall_ms)
-        if cause:
+        cause = birth_problem(msg.key, self.since_ms, wall_ms)
+        if cause == BAD_KEY or (cause and self.role is not FenceRole.JOINING):
             return [Reply(msg.req, TakenBefore(msg.req, cause=cause))]
         if self.role is FenceRole.SOLO and self._may_go_alone(now):
-            self._keys[msg.key] = _Key(msg.digest, msg.req, now)
+            self._keys[msg.key] = KeyState(msg.digest, msg.req, now)
             return [Reply(msg.req, Permitted(msg.req))]
         if self.role is FenceRole.PAIRED and self._linked and self._swap is None:
-            self._keys[msg.key] = _Key(msg.digest, msg.req, now, asking=True)
+            self._keys[msg.key] = KeyState(msg.digest, msg.req, now, asking=True)
             return [Send(Take(self.range_id, self.epoch, msg.key, msg.digest, msg.req))]
         return [Reply(msg.req, None)]
 
     def _may_go_alone(self, now: float) -> bool:
         return self._swap is None and now >= self._syncing_until
 
-    def _on_known(self, msg: Permit, known: _Key) -> list[FenceAction]:
+    def _on_known(self, msg: Permit, known: KeyState) -> list[FenceAction]:
         if known.nonce == msg.req:
             return [] if known.asking else [Reply(msg.req, Permitted(msg.req))]
         same = known.digest == msg.digest
         return [Reply(msg.req, TakenBefore(msg.req, same, known.answer if same else None))]
 
-    def _birth_problem(self, key: str, wall_ms: int) -> str:
-        """Return why a key that isn't written down can't be taken for new; empty if it can."""
-        born = born_ms(key)
-        if born is None or born > wall_ms + SKEW_MS:
-            return BAD_KEY
-        oldest = max(self.since_ms + 2 * SKEW_MS, wall_ms - int(KEEP_S * 1000) // 2)
-        if self.role is not FenceRole.JOINING and born < oldest:
-            return TOO_OLD
-        return ""
-
     def on_settle(self, msg: Settle) -> list[FenceAction]:
         """Write down how an attempt ended, and pass it on once."""
         known = self._keys.get(msg.key)
@@ -277,7 +176,7 @@
                 return [self._taken(msg, valid=True, fresh=False)]
             # Both were asked at once for one key: the holder with the smaller name goes first.
             out.append(Reply(known.nonce, TakenBefore(known.nonce, known.digest == msg.digest)))
-        self._keys[msg.key] = _Key(msg.digest, msg.nonce, now)
+        self._keys[msg.key] = KeyState(msg.digest, msg.nonce, now)
         out.append(self._taken(msg, valid=True, fresh=True))
         return out
 
@@ -431,7 +330,9 @@
         self._copy = None
         self._keys.clear()
         for row in copy.rows:
-            self._keys[row.key] = _Key(row.digest, row.nonce, now - row.age_s, answer=row.answer)
+            self._keys[row.key] = KeyState(
+                row.digest, row.nonce, now - row.age_s, answer=row.answer
+            )
         return [self._tell()]
 
     def _start_swap(self, index: int, holder: str) -> list[FenceAction]:
@@ -486,7 +387,7 @@
 
     def on_tick(self, now: float) -> list[FenceAction]:
         """Do what time calls for: forget old keys, go on alone, try again."""
-        self._forget(now)
+        forget_old(self._keys, now)
         if not self._linked and self._lost_at is None:
             self._lost_at = now
         if self._swap is not None:
@@ -505,17 +406,3 @@
             # The sender didn't take us on while the copy was fresh: begin again.
             self._copy = None
         return [self._tell()]
-
-    def _forget(self, now: float) -> None:
-        while self._keys:
-            key, known = next(iter(self._keys.items()))
-            if now - known.at < KEEP_S:
-                return
-            del self._keys[key]
-
-
-def keep_answer(status: int, headers: dict[str, str], body: bytes) -> Answer:
-    """Return what is recorded of an answer; a long body is left out."""
-    if len(body) > MAX_ANSWER_BYTES:
-        return Answer(status, headers, b"", cut=True)
-    return Answer(status, headers, body)
--- /dev/null
+++ b/src/crankhinge/decisions/_fence_keys.py
@@ -0,0 +1,75 @@
+"""The keys of a fence record: their birth, and what is kept of each."""
+
+from __future__ import annotations
+
+import uuid
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from crankhinge.decisions._fence_messages import Answer
+
+KEEP_S = 900.0
+SKEW_MS = 5_000
+MAX_ANSWER_BYTES = 4096
+UUID7 = 7
+TOO_OLD = "key-too-old"
+BAD_KEY = "bad-key"
+
+
+@dataclass
+class KeyState:
+    """A key that is written down.
+
+    Attributes:
+        digest: of the request.
+        nonce: attempt that has leave, or asks for it.
+        at: when, seconds.
+        asking: whether the other holder has yet to consent.
+        answer: how it ended.
+    """
+
+    digest: bytes
+    nonce: int
+    at: float
+    asking: bool = False
+    answer: Answer | None = None
+
+
+def born_ms(key: str) -> int | None:
+    """Return the birth of a key in milliseconds since the epoch; None when it is no UUIDv7."""
+    try:
+        value = uuid.UUID(key.rpartition("/")[2])
+    except ValueError:
+        return None
+    return value.int >> 80 if value.version == UUID7 else None
+
+
+def birth_problem(key: str, since_ms: int, wall_ms: int) -> str:
+    """Return why a key that isn't written down can't be taken for new; empty if it can.
+
+    Args:
+        key: of the request.
+        since_ms: keys born before may be missing from the record.
+        wall_ms: milliseconds since the epoch.
+    """
+    born = born_ms(key)
+    if born is None or born > wall_ms + SKEW_MS:
+        return BAD_KEY
+    oldest = max(since_ms + 2 * SKEW_MS, wall_ms - int(KEEP_S * 1000) // 2)
+    return TOO_OLD if born < oldest else ""
+
+
+def forget_old(keys: OrderedDict[str, KeyState], now: float) -> None:
+    """Drop the keys that were written down longer ago than they are kept."""
+    while keys:
+        key, known = next(iter(keys.items()))
+        if now - known.at < KEEP_S:
+            return
+        del keys[key]
+
+
+def keep_answer(status: int, headers: dict[str, str], body: bytes) -> Answer:
+    """Return what is recorded of an answer; a long body is left out."""
+    if len(body) > MAX_ANSWER_BYTES:
+        return Answer(status, headers, b"", cut=True)
+    return Answer(status, headers, body)
--- /dev/null
+++ b/src/crankhinge/decisions/_prefix.py
@@ -0,0 +1,41 @@
+"""What an entry believes to be in the prefix caches of the prefill engines."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+
+class PrefixIndex:
+    """What this entry believes each prefill engine has in its prefix cache.
+
+    It learns from the engines' own answers (how much of a prompt was found in the cache), so a
+    late or lost cache event can only cost one wrong guess. Bounded: the oldest blocks go first.
+    """
+
+    def __init__(self, *, limit: int = 5_000) -> None:
+        self._limit = limit
+        self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def learn(self, name: str, prefix: Iterable[int]) -> None:
+        """Note that the backend server *name* has just read these blocks."""
+        for block in prefix:
+            self._blocks[(name, block)] = None
+            self._blocks.move_to_end((name, block))
+        while len(self._blocks) > self._limit:
+            self._blocks.popitem(last=False)
+
+    def forget_from(self, name: str, prefix: tuple[int, ...], found: int) -> None:
+        """Drop the blocks of *prefix* beyond the first *found*, which were not in the cache."""
+        for block in prefix[found:]:
+            self._blocks.pop((name, block), None)
+
+    def matched(self, name: str, prefix: tuple[int, ...]) -> int:
+        """Return how many leading blocks of *prefix* are believed cached."""
+        for place, block in enumerate(prefix):
+            if (name, block) not in self._blocks:
+                return place
+        return len(prefix)
--- a/src/crankhinge/decisions/_routing.py
+++ b/src/crankhinge/decisions/_routing.py
@@ -10,12 +10,12 @@
 
 import itertools
 import random
-from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from crankhinge.decisions._breaker import Breaker
+from crankhinge.decisions._backend import Backend
 from crankhinge.decisions._mechanisms import FULL, Mechanisms
+from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._rendezvous import rank_by_key
 
 CANDIDATES = 3
@@ -24,76 +24,6 @@
 SLOW_FACTOR = 2.0
 SLOW_PENALTY_S = 1.0
 DEFAULT_RATE = 10_000.0
-QUEUED_S = 0.02
-
-
-@dataclass
-class Backend:
-    """A backend server as one entry knows it, by way of its agent.
-
-    Attributes:
-        name: unique within the fleet.
-        role: ``prefill``, ``decode`` or ``plain``.
-        pool: its pool.
-        zone: its availability zone.
-        groups: further fault domains.
-        incarnation: of its agent.
-        linked: whether there is a connection to its agent.
-        leaving: whether the platform's list says that it leaves.
-        draining: whether its agent says so.
-        free: from the last report.
-        queued: from the last report.
-        backlog_s: from the last report, seconds.
-        step_s: seconds between tokens; 0 when unknown.
-        rate: prompt tokens per second; 0 when unknown.
-        reported: time of the last report.
-        sent: requests sent since then.
-        sent_s: seconds of work sent since then.
-        open: requests that this entry has in progress there.
-        serves: adapters that its engine has loaded.
-    """
-
-    name: str
-    role: str
-    pool: str
-    zone: str
-    groups: tuple[str, ...] = ()
-    incarnation: int = 0
-    linked: bool = False
-    leaving: bool = False
-    draining: bool = False
-    free: int = 0
-    queued: int = 0
-    backlog_s: float = 0.0
-    step_s: float = 0.0
-    rate: float = 0.0
-    reported: float = 0.0
-    sent: int = 0
-    sent_s: float = 0.0
-    open: int = 0
-    serves: frozenset[str] = frozenset()
-    breaker: Breaker = field(default_factory=Breaker)
-
-    @property
-    def present(self) -> bool:
-        """Whether it is there and stays."""
-        return self.linked and not self.leaving and not self.draining
-
-    @property
-    def seems_free(self) -> bool:
-        """Whether it likely has room, by the report and what was sent since."""
-        return self.free - self.sent > 0
-
-    def pending_s(self, now: float) -> float:
-        """Return the work it has left, by the last report and what was sent and done since."""
-        return max(0.0, self.backlog_s + self.sent_s - (now - self.reported))
-
-    def wait_s(self, now: float) -> float:
-        """Return the seconds a new request would wait for room."""
-        if self.seems_free:
-            return 0.0
-        beyond = self.sent - self.free + 1
-        return self.pending_s(now) + beyond * QUEUED_S
 
 
 @dataclass(frozen=True)
@@ -134,41 +64,6 @@
     beat_s: float = 1.0
 
 
-class PrefixIndex:
-    """What this entry believes each prefill engine has in its prefix cache.
-
-    It learns from the engines' own answers (how much of a prompt was found in the cache), so a
-    late or lost cache event can only cost one wrong guess. Bounded: the oldest blocks go first.
-    """
-
-    def __init__(self, *, limit: int = 5_000) -> None:
-        self._limit = limit
-        self._blocks: OrderedDict[tuple[str, int], None] = OrderedDict()
-
-    def __len__(self) -> int:
-        return len(self._blocks)
-
-    def learn(self, name: str, prefix: Iterable[int]) -> None:
-        """Note that the backend server *name* has just read these blocks."""
-        for block in prefix:
-            self._blocks[(name, block)] = None
-            self._blocks.move_to_end((name, block))
-        while len(self._blocks) > self._limit:
-            self._blocks.popitem(last=False)
-
-    def forget_from(self, name: str, prefix: tuple[int, ...], found: int) -> None:
-        """Drop the blocks of *prefix* beyond the first *found*, which were not in the cache."""
-        for block in prefix[found:]:
-            self._blocks.pop((name, block), None)
-
-    def matched(self, name: str, prefix: tuple[int, ...]) -> int:
-        """Return how many leading blocks of *prefix* are believed cached."""
-        for place, block in enumerate(prefix):
-            if (name, block) not in self._blocks:
-                return place
-        return len(prefix)
-
-
 class Router:
     """The backend servers that this entry knows, and the choices among them.
 
--- a/src/crankhinge/decisions/_slots.py
+++ b/src/crankhinge/decisions/_slots.py
@@ -9,54 +9,12 @@
 
 from dataclasses import dataclass
 
+from crankhinge.decisions._asks import Refuse, SlotAsk
 from crankhinge.decisions._fair import ONE_FLOW, ONE_WEIGHT, FairQueue
 from crankhinge.decisions._mechanisms import FULL, Mechanisms
 
 DEFAULT_HOLD_S = 2.0
 MEAN_GAIN = 0.1
-RANK_WEIGHTS = (16.0, 4.0, 1.0)
-
-
-def rank_weight(rank: int) -> float:
-    """Return the weight of a priority class; unknown classes count as the last."""
-    return RANK_WEIGHTS[min(rank, len(RANK_WEIGHTS) - 1)]
-
-
-@dataclass(frozen=True)
-class SlotAsk:
-    """A request for a slot.
-
-    Attributes:
-        req: identity, unique.
-        partner: partner of the member.
-        member: who asks.
-        rank: priority class, 0 most urgent.
-        deadline: when the slot is of no more use, seconds.
-        lead: seconds from the grant until the slot is used.
-        max_tokens: most tokens the answer may have.
-        weight: of the member within its partner.
-        partner_weight: of the partner.
-    """
-
-    req: int
-    partner: str
-    member: str
-    rank: int
-    deadline: float
-    lead: float
-    max_tokens: int
-    weight: float = 1.0
-    partner_weight: float = 1.0
-
-    @property
-    def path(self) -> tuple[str, ...]:
-        """Its flow."""
-        return (str(self.rank), self.partner, self.member)
-
-    @property
-    def weights(self) -> tuple[float, ...]:
-        """The weight of its flow at each level."""
-        return (rank_weight(self.rank), self.partner_weight, self.weight)
 
 
 @dataclass(frozen=True)
@@ -68,15 +26,6 @@
     lease: float
 
 
-@dataclass(frozen=True)
-class Refuse:
-    """``req`` gets no slot and was not started."""
-
-    req: int
-    code: str
-    retry_after: float
-
-
 SlotDecision = Grant | Refuse
 
 
--- a/src/crankhinge/decisions/_work.py
+++ b/src/crankhinge/decisions/_work.py
@@ -5,50 +5,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
+from crankhinge.decisions._asks import Refuse, WorkAsk
 from crankhinge.decisions._fair import ONE_FLOW, ONE_WEIGHT, FairQueue
 from crankhinge.decisions._mechanisms import FULL, Mechanisms
-from crankhinge.decisions._slots import Refuse, rank_weight
 
 RATE_GAIN = 0.2
 
 
-@dataclass(frozen=True)
-class WorkAsk:
-    """A prompt to read or a call to make.
-
-    Attributes:
-        req: identity, unique.
-        partner: partner of the member.
-        member: who asks.
-        rank: priority class, 0 most urgent.
-        deadline: when the result is of no more use, seconds.
-        units: estimated work.
-        weight: of the member within its partner.
-        partner_weight: of the partner.
-    """
-
-    req: int
-    partner: str
-    member: str
-    rank: int
-    deadline: float
-    units: int
-    weight: float = 1.0
-    partner_weight: float = 1.0
-
-    @property
-    def path(self) -> tuple[str, ...]:
-        """Its flow."""
-        return (str(self.rank), self.partner, self.member)
-
-    @property
-    def weights(self) -> tuple[float, ...]:
-        """The weight of its flow at each level."""
-        return (rank_weight(self.rank), self.partner_weight, self.weight)
-
-
 class WorkQueue:
     """The order of work of one backend server.
 
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -10,9 +10,10 @@
 
 from crankhinge.adapters import Instance
 from crankhinge.config import Bundle, BundleKeeper
-from crankhinge.decisions import Backend, Router, rank_by_key
+from crankhinge.decisions import Backend, Router
 from crankhinge.entry._calls import Calls
 from crankhinge.entry._settings import EntrySettings
+from crankhinge.entry._subset import subset
 from crankhinge.errors import LinkClosed, WireError
 from crankhinge.peers import Beater, BundleSpread, Roster, parse_endpoint
 from crankhinge.wire import (
@@ -34,26 +35,6 @@
 SEED_S = 2.0
 
 
-def subset(
-    instances: list[Instance], *, entry: str, limit: int, always: frozenset[str] = frozenset()
-) -> dict[str, Instance]:
-    """Return the agents this entry links to: at most *limit* of each pool, and all in *always*.
-
-    Which ones depends on the entry's name only, so that all entries together spread evenly and
-    a change of the list moves few links.
-    """
-    pools: dict[str, list[Instance]] = {}
-    for instance in instances:
-        pools.setdefault(instance.pool, []).append(instance)
-    chosen: dict[str, Instance] = {}
-    for members in pools.values():
-        by_name = {instance.name: instance for instance in members}
-        for name in rank_by_key(entry.encode(), by_name)[:limit]:
-            chosen[name] = by_name[name]
-    chosen.update({i.name: i for i in instances if i.name in always})
-    return chosen
-
-
 class Fleet:
     """Keeps the links to the agents and the router's view of them.
 
--- a/src/crankhinge_bench/_bound.py
+++ b/src/crankhinge_bench/_bound.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Iterable
 
-from crankhinge_bench._cluster import ClusterSpec, EngineSpec
+from crankhinge_bench._spec import ClusterSpec, EngineSpec
 from crankhinge_bench._trace import Arrival, Load, make_trace
 
 SAMPLE_SECONDS = 400.0
--- a/src/crankhinge_bench/_chaos.py
+++ b/src/crankhinge_bench/_chaos.py
@@ -9,25 +9,24 @@
 import sys
 import threading
 import time
-from datetime import datetime
 from pathlib import Path
 from typing import Any
 
 import curio
 import msgspec
 
-from crankhinge_bench._check import BundleSeen, Drain, History, Verdict, check
-from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec, ServiceSpec, http_json
+from crankhinge_bench._check import Drain, History, Verdict, check
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._evidence import bundles_seen, last_drained, wait_freed
 from crankhinge_bench._load import LoadRun
+from crankhinge_bench._spec import ClusterSpec, EngineSpec, ServiceSpec
 from crankhinge_bench._summary import Summary, summarise
 from crankhinge_bench._trace import Load, make_trace
 
 SETTLE_S = 12.0
-HELD_S = 15.0
 DRAIN_WAIT_S = 40.0
 PAUSE_S = (0.5, 6.0)
 GAP_S = (0.5, 2.5)
-IN_FORCE = re.compile(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+) digest=(\w+)")
 
 
 class Report(msgspec.Struct, kw_only=True):
@@ -237,46 +236,6 @@
             self._give_back("bundle")
 
 
-def last_drained(log: Path) -> int | None:
-    """Return how many requests a program had in progress when it ended, by its log."""
-    found = re.findall(r"event=drained .*?(?:open|busy)=(\w+)", log.read_text())
-    if not found:
-        return None
-    return {"True": 1, "False": 0}.get(found[-1]) if not found[-1].isdigit() else int(found[-1])
-
-
-def bundles_seen(cluster: Cluster) -> list[BundleSeen]:
-    """Return the versions that each start of each process had in force, by the logs."""
-    seen = []
-    names = [f"entry-{n}" for n in range(cluster.spec.entries)]
-    for name in names + [place.name for place in cluster.places]:
-        start: BundleSeen | None = None
-        for line in (cluster.logs / f"{name}.log").read_text().splitlines():
-            if "event=started" in line:
-                start = BundleSeen(process=name, versions=[])
-                seen.append(start)
-            match = IN_FORCE.search(line)
-            if match and start is not None:
-                when = datetime.fromisoformat(match[1]).timestamp()
-                start.versions.append((when, int(match[2])))
-                start.digests[int(match[2])] = match[3]
-    return seen
-
-
-def wait_freed(cluster: Cluster) -> dict[str, int]:
-    """Return what each engine holds once it holds nothing, or after a bound."""
-    until = time.monotonic() + HELD_S
-    while True:
-        held = {}
-        for place in cluster.places:
-            if place.kind != "plain":
-                stats = http_json("GET", place.backend_port, "/stats")
-                held[place.name] = stats["running"] + stats["waiting"]
-        if not any(held.values()) or time.monotonic() > until:
-            return held
-        time.sleep(0.2)
-
-
 def run_seed(seed: int, seconds: float, logs: Path | None) -> Report:
     """Play one schedule and check it."""
     spec = chaos_spec()
--- a/src/crankhinge_bench/_demo.py
+++ b/src/crankhinge_bench/_demo.py
@@ -5,9 +5,10 @@
 import argparse
 from pathlib import Path
 
-from crankhinge_bench._cluster import Cluster, ClusterSpec
+from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._run import play
 from crankhinge_bench._scenario import Scenario
+from crankhinge_bench._spec import ClusterSpec
 from crankhinge_bench._summary import render
 from crankhinge_bench._trace import Load
 
--- /dev/null
+++ b/src/crankhinge_bench/_fit.py
@@ -0,0 +1,55 @@
+"""Lines fitted to measured points, and readings of a process."""
+
+from __future__ import annotations
+
+import os
+import statistics
+from pathlib import Path
+
+import msgspec
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Slope(msgspec.Struct, kw_only=True):
+    """A line fitted to measured points.
+
+    Attributes:
+        name: what grows with what.
+        unit: of the slope.
+        points: x and y of each measurement.
+        slope: per unit of x.
+        base: at x = 0.
+        error: largest distance of a point from the line, as a part of the largest y.
+    """
+
+    name: str
+    unit: str
+    points: list[tuple[float, float]]
+    slope: float
+    base: float
+    error: float
+
+
+def fit(name: str, unit: str, points: list[tuple[float, float]]) -> Slope:
+    """Fit a line by least squares."""
+    xs = [x for x, _ in points]
+    ys = [y for _, y in points]
+    slope, base = statistics.linear_regression(xs, ys)
+    off = max(abs(y - (slope * x + base)) for x, y in points)
+    error = off / max(abs(y) for y in ys)
+    return Slope(name=name, unit=unit, points=points, slope=slope, base=base, error=error)
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def rss_kb(pid: int) -> int:
+    """Return a process's resident memory in KiB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1])
+    return 0
--- a/src/crankhinge_bench/_load.py
+++ b/src/crankhinge_bench/_load.py
@@ -13,7 +13,7 @@
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import ClientStream, HttpClient, SseParser
 from crankhinge_bench._trace import Arrival
-from crankhinge_standins.engine import answer_to
+from crankhinge_standins._model import answer_to
 
 REQUEST_TIMEOUT_S = 60.0
 NOT_RUN = "not-run"
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -14,11 +14,12 @@
 
 from crankhinge.decisions import mechanisms
 from crankhinge_bench._bound import at_load, capacity_per_s, goodput_bound
-from crankhinge_bench._cluster import Cluster, ClusterSpec
+from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._faults import FaultPlayer
 from crankhinge_bench._load import LoadRun
 from crankhinge_bench._plot import plot
 from crankhinge_bench._scenario import Scenario, read_scenario
+from crankhinge_bench._spec import ClusterSpec
 from crankhinge_bench._summary import Summary, summarise
 from crankhinge_bench._trace import make_trace
 
--- a/src/crankhinge_bench/_scenario.py
+++ b/src/crankhinge_bench/_scenario.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from crankhinge.runtime import load_settings
-from crankhinge_bench._cluster import ClusterSpec
+from crankhinge_bench._spec import ClusterSpec
 from crankhinge_bench._trace import Load
 
 
--- a/src/crankhinge_bench/_slopes.py
+++ b/src/crankhinge_bench/_slopes.py
@@ -4,9 +4,7 @@
 
 import argparse
 import gc
-import os
 import random
-import statistics
 import sys
 import time
 import tracemalloc
@@ -26,21 +24,13 @@
     SlotAsk,
     SlotTable,
 )
-from crankhinge_bench._cluster import (
-    HOST,
-    Cluster,
-    ClusterSpec,
-    EngineSpec,
-    Place,
-    ServiceSpec,
-    free_ports,
-    http_json,
-)
+from crankhinge_bench._cluster import HOST, Cluster, Place, free_ports, http_json
 from crankhinge_bench._fakes import FakeAgents, FakeEntries, FakePeers
+from crankhinge_bench._fit import Slope, cpu_s, fit, rss_kb
 from crankhinge_bench._load import LoadRun
+from crankhinge_bench._spec import ClusterSpec, EngineSpec, ServiceSpec
 from crankhinge_bench._trace import Arrival
 
-TICKS = os.sysconf("SC_CLK_TCK")
 REST_S = 8.0
 SETTLE_S = 3.0
 LINKS = (10, 50, 100, 200)
@@ -50,50 +40,6 @@
 BEAT_S = 1.0
 
 
-class Slope(msgspec.Struct, kw_only=True):
-    """A line fitted to measured points.
-
-    Attributes:
-        name: what grows with what.
-        unit: of the slope.
-        points: x and y of each measurement.
-        slope: per unit of x.
-        base: at x = 0.
-        error: largest distance of a point from the line, as a part of the largest y.
-    """
-
-    name: str
-    unit: str
-    points: list[tuple[float, float]]
-    slope: float
-    base: float
-    error: float
-
-
-def fit(name: str, unit: str, points: list[tuple[float, float]]) -> Slope:
-    """Fit a line by least squares."""
-    xs = [x for x, _ in points]
-    ys = [y for _, y in points]
-    slope, base = statistics.linear_regression(xs, ys)
-    off = max(abs(y - (slope * x + base)) for x, y in points)
-    error = off / max(abs(y) for y in ys)
-    return Slope(name=name, unit=unit, points=points, slope=slope, base=base, error=error)
-
-
-def cpu_s(pid: int) -> float:
-    """Return the processor seconds that a process has used."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def rss_kb(pid: int) -> int:
-    """Return a process's resident memory in KiB."""
-    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS"):
-            return int(line.split()[1])
-    return 0
-
-
 class _Rest:
     """What one process uses while nothing is asked of it."""
 
@@ -263,16 +209,28 @@
     ]
 
 
+def _slot_ask(req: int) -> SlotAsk:
+    return SlotAsk(
+        req=req,
+        partner="p",
+        member=f"m{req % 40}",
+        rank=1,
+        deadline=1e9,
+        lead=0.1,
+        max_tokens=5000,
+    )
+
+
 def _ask_cost_us(waiting: int) -> float:
     table = SlotTable(capacity=20, step_s=0.03)
     for req in range(20 + waiting):
-        table.ask(SlotAsk(req, "p", f"m{req % 40}", 1, 1e9, 0.1, 5000), 0.0)
+        table.ask(_slot_ask(req), 0.0)
         table.start(req, 0.0)
     asks = iter(range(10**6, 10**9))
 
     def one() -> None:
         req = next(asks)
-        table.ask(SlotAsk(req, "p", f"m{req % 40}", 1, 1e9, 0.1, 5000), 0.0)
+        table.ask(_slot_ask(req), 0.0)
         table.end(req, 0.0)
 
     return _per_call_us(one)
--- a/src/crankhinge_bench/_spread.py
+++ b/src/crankhinge_bench/_spread.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._spec import ClusterSpec, EngineSpec
 
 COUNTS = (10, 50, 150)
 ENTRIES = 2
--- /dev/null
+++ b/src/crankhinge_standins/_model.py
@@ -0,0 +1,34 @@
+"""The stand-in engine's "model": a checksum of everything before the next token."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any
+
+VOCABULARY = 5000
+
+
+def context_of(body: dict[str, Any]) -> str:
+    """Return the text that the model continues."""
+    if "prompt" in body:
+        return str(body["prompt"])
+    contents = [str(msg.get("content", "")) for msg in body.get("messages", [])]
+    if body.get("continue_final_message"):
+        return "\n".join(contents[:-1]) + contents[-1]
+    return "\n".join(contents)
+
+
+def next_token(state: int) -> tuple[str, int]:
+    """Return the token that follows, and the state after it."""
+    token = f" w{state % VOCABULARY}"
+    return token, zlib.crc32(token.encode(), state)
+
+
+def answer_to(body: dict[str, Any]) -> list[str]:
+    """Return the whole answer: what a test compares with."""
+    state = zlib.crc32(context_of(body).encode())
+    out = []
+    for _ in range(int(body.get("max_tokens", 16))):
+        token, state = next_token(state)
+        out.append(token)
+    return out
--- a/src/crankhinge_standins/engine.py
+++ b/src/crankhinge_standins/engine.py
@@ -19,9 +19,9 @@
 from crankhinge.errors import CrankhingeError, HttpClosed
 from crankhinge.http import Exchange, HttpClient, sse_event
 from crankhinge.runtime import until_first
+from crankhinge_standins._model import context_of, next_token
 from crankhinge_standins._web import Faults, Recorder, reply, serve
 
-VOCABULARY = 5000
 BLOCK_WORDS = 64
 SSE_HEAD = {"content-type": "text/event-stream", "transfer-encoding": "chunked"}
 
@@ -100,32 +100,6 @@
     kv_held: int = 0
 
 
-def context_of(body: dict[str, Any]) -> str:
-    """Return the text that the model continues."""
-    if "prompt" in body:
-        return str(body["prompt"])
-    contents = [str(msg.get("content", "")) for msg in body.get("messages", [])]
-    if body.get("continue_final_message"):
-        return "\n".join(contents[:-1]) + contents[-1]
-    return "\n".join(contents)
-
-
-def next_token(state: int) -> tuple[str, int]:
-    """Return the token that follows, and the state after it."""
-    token = f" w{state % VOCABULARY}"
-    return token, zlib.crc32(token.encode(), state)
-
-
-def answer_to(body: dict[str, Any]) -> list[str]:
-    """Return the whole answer: what a test compares with."""
-    state = zlib.crc32(context_of(body).encode())
-    out = []
-    for _ in range(int(body.get("max_tokens", 16))):
-        token, state = next_token(state)
-        out.append(token)
-    return out
-
-
 class StandinEngine:
     """One engine."""
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from crankhinge_bench._cluster import Cluster, ClusterSpec
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._spec import ClusterSpec
 
 
 @pytest.fixture(scope="session")
--- a/tests/test_end_to_end.py
+++ b/tests/test_end_to_end.py
@@ -7,7 +7,7 @@
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._load import LoadRun
 from crankhinge_bench._trace import Arrival
-from crankhinge_standins.engine import answer_to
+from crankhinge_standins._model import answer_to
 
 
 def make_client(cluster: Cluster, credential: str | None = None) -> openai.OpenAI:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -216,25 +216,30 @@
         assert limits.enter("r", 0.6, concurrent=0, per_s=2.0) is None
 
 
+def work(req: int, deadline: float, units: int) -> WorkAsk:
+    """Return a request for work."""
+    return WorkAsk(req=req, partner="p", member="m", rank=1, deadline=deadline, units=units)
+
+
 class TestWorkQueue:
     """What a backend server is given."""
 
     def test_refuses_what_cannot_be_done_in_time(self) -> None:
         """A prompt behind too much work is refused unread, and one that fits is taken."""
         queue = WorkQueue(width=1, rate=1000.0)
-        assert queue.ask(WorkAsk(1, "p", "m", 1, 1.0, 800), 0.0) is None
+        assert queue.ask(work(1, 1.0, 800), 0.0) is None
         starts, late = queue.next(0.0)
         assert [ask.req for ask in starts] == [1] and late == []
-        refusal = queue.ask(WorkAsk(2, "p", "m", 1, 1.0, 800), 0.0)
+        refusal = queue.ask(work(2, 1.0, 800), 0.0)
         assert refusal is not None and refusal.retry_after > 1.0
-        assert queue.ask(WorkAsk(3, "p", "m", 1, 1.0, 100), 0.0) is None
+        assert queue.ask(work(3, 1.0, 100), 0.0) is None
 
     def test_what_has_waited_too_long_is_not_started(self) -> None:
         """A prompt whose time ran out in the queue is refused, not read."""
         queue = WorkQueue(width=1, rate=1000.0)
-        queue.ask(WorkAsk(1, "p", "m", 1, 9.0, 100), 0.0)
+        queue.ask(work(1, 9.0, 100), 0.0)
         queue.next(0.0)
-        queue.ask(WorkAsk(2, "p", "m", 1, 1.0, 500), 0.0)
+        queue.ask(work(2, 1.0, 500), 0.0)
         queue.end(1, 0.9)
         starts, late = queue.next(0.9)
         assert starts == [] and [refusal.req for refusal in late] == [2]
@@ -243,7 +248,7 @@
         """The rate follows what was measured."""
         queue = WorkQueue(width=1, rate=1000.0)
         for req in range(1, 30):
-            queue.ask(WorkAsk(req, "p", "m", 1, 1e9, 100), float(req))
+            queue.ask(work(req, 1e9, 100), float(req))
             queue.next(float(req))
             queue.end(req, req + 0.05, done=100)
         assert 1900 < queue.rate < 2000
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -11,15 +11,8 @@
 from hypothesis import strategies as st
 
 from crankhinge.decisions import FencePair, FenceRecord, FenceRole
-from crankhinge.decisions._fence import (
-    BAD_KEY,
-    TOO_OLD,
-    ReadRecord,
-    Reply,
-    Send,
-    SwapRecord,
-    keep_answer,
-)
+from crankhinge.decisions._fence_actions import ReadRecord, Reply, Send, SwapRecord
+from crankhinge.decisions._fence_keys import BAD_KEY, TOO_OLD, keep_answer
 from crankhinge.decisions._fence_messages import (
     FenceJoined,
     FenceState,
--- a/tests/test_roll.py
+++ b/tests/test_roll.py
@@ -4,7 +4,8 @@
 
 from crankhinge.decisions import RollPlace, RollRecord, to_load, try_acquire, without
 from crankhinge.decisions._roll import LEASE_S
-from crankhinge_bench._cluster import Cluster, ClusterSpec, EngineSpec
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._spec import ClusterSpec, EngineSpec
 from test_end_to_end import make_client
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -5,7 +5,7 @@
 
 from crankhinge.adapters import Instance
 from crankhinge.decisions import Backend, PrefixIndex, RouteAsk, Router, RoutingWeights, rank_by_key
-from crankhinge.entry._fleet import subset
+from crankhinge.entry._subset import subset
 
 
 def make_router(seed: int = 1, **changes: object) -> Router:
