Steps share a base; control messages stand apart from requests

Cause: two senders of steps repeated one constructor; the message module mixed two concerns and said that no message carries wall-clock time, which the fence's since_ms does. Change: StepSender; wire/_base, _control and _messages.

--- a/src/crankhinge/entry/_reading.py
+++ b/src/crankhinge/entry/_reading.py
@@ -6,11 +6,11 @@
 
 import curio
 
-from crankhinge.decisions import Backend, RouteAsk, Router
+from crankhinge.decisions import Backend, RouteAsk
 from crankhinge.entry._ask import CompletionAsk
-from crankhinge.entry._calls import AttemptFailed, Calls, LinkLost, cancel_step
-from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._calls import AttemptFailed, LinkLost, cancel_step
 from crankhinge.entry._progress import Progress
+from crankhinge.entry._steps import StepSender
 from crankhinge.errors import LinkClosed, Overloaded
 from crankhinge.wire import Failed, Prefill, PrefillDone, Refused
 
@@ -37,21 +37,8 @@
     until: float
 
 
-class PromptReader:
-    """Sends prompts to prefill agents.
-
-    Args:
-        fleet: the agents.
-        calls: the mailboxes.
-    """
-
-    def __init__(self, *, fleet: Fleet, calls: Calls) -> None:
-        self._fleet = fleet
-        self._calls = calls
-
-    @property
-    def _router(self) -> Router:
-        return self._fleet.router
+class PromptReader(StepSender):
+    """Sends prompts to prefill agents."""
 
     async def read(self, prompt: Prompt, progress: Progress) -> PrefillDone:
         """Return the handle on the result.
--- a/src/crankhinge/entry/_slots.py
+++ b/src/crankhinge/entry/_slots.py
@@ -6,11 +6,11 @@
 
 import curio
 
-from crankhinge.decisions import Backend, RouteAsk, Router
+from crankhinge.decisions import Backend, RouteAsk
 from crankhinge.entry._ask import CompletionAsk
-from crankhinge.entry._calls import Calls, LinkLost, Mailbox, cancel_step
-from crankhinge.entry._fleet import Fleet
+from crankhinge.entry._calls import LinkLost, Mailbox, cancel_step
 from crankhinge.entry._progress import Progress
+from crankhinge.entry._steps import StepSender
 from crankhinge.errors import LinkClosed, NoBackend, Overloaded
 from crankhinge.wire import Granted, Link, Refused, Reserve
 
@@ -50,21 +50,8 @@
     max_tokens: int
 
 
-class SlotFinder:
-    """Asks decode agents for a slot.
-
-    Args:
-        fleet: the agents.
-        calls: the mailboxes.
-    """
-
-    def __init__(self, *, fleet: Fleet, calls: Calls) -> None:
-        self._fleet = fleet
-        self._calls = calls
-
-    @property
-    def _router(self) -> Router:
-        return self._fleet.router
+class SlotFinder(StepSender):
+    """Asks decode agents for a slot."""
 
     async def find(self, need: SlotNeed, progress: Progress) -> Slot:
         """Lease a slot.
--- a/src/crankhinge/wire/__init__.py
+++ b/src/crankhinge/wire/__init__.py
@@ -12,31 +12,32 @@
     Taken,
     TakenBefore,
 )
+from crankhinge.wire._base import WIRE_VERSION, Load
 from crankhinge.wire._codec import FrameReader, decode, encode
-from crankhinge.wire._link import Link, accept_link, connect_link
-from crankhinge.wire._messages import (
-    WIRE_VERSION,
+from crankhinge.wire._control import (
     Beat,
     BundleIs,
+    GetBundle,
+    GetInstances,
+    Hello,
+    InstanceRow,
+    InstancesAre,
+    Serves,
+)
+from crankhinge.wire._link import Link, accept_link, connect_link
+from crankhinge.wire._messages import (
     Call,
     CallDone,
     Cancel,
     Decode,
     DecodeDone,
     Failed,
-    GetBundle,
-    GetInstances,
     Granted,
-    Hello,
-    InstanceRow,
-    InstancesAre,
-    Load,
     Message,
     Prefill,
     PrefillDone,
     Refused,
     Reserve,
-    Serves,
     Tokens,
 )
 
--- a/src/crankhinge/wire/_link.py
+++ b/src/crankhinge/wire/_link.py
@@ -9,8 +9,10 @@
 
 from crankhinge.errors import LinkClosed, WireError
 from crankhinge.runtime import open_tcp
+from crankhinge.wire._base import WIRE_VERSION
 from crankhinge.wire._codec import FrameReader, encode
-from crankhinge.wire._messages import WIRE_VERSION, Hello, Message
+from crankhinge.wire._control import Hello
+from crankhinge.wire._messages import Message
 
 RECV_BYTES = 262144
 SEND_BYTES = 262144
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -5,13 +5,12 @@
 new processes run side by side during a roll. A change that this does not cover raises
 ``WIRE_VERSION``.
 
-Durations are seconds. No message carries a wall-clock time: clocks of two instances differ.
+Durations are seconds. No message carries a wall-clock time, since clocks of two instances differ,
+but the fence's ``since_ms``, which allows for a skew.
 """
 
 from __future__ import annotations
 
-import msgspec
-
 from crankhinge.decisions._fence_messages import (
     FenceJoined,
     FenceState,
@@ -24,81 +23,19 @@
     Taken,
     TakenBefore,
 )
-
-WIRE_VERSION = 1
-
-
-class Load(msgspec.Struct, array_like=True, frozen=True):
-    """What an agent says of its backend server.
-
-    Attributes:
-        free: memory slots (or call places) not taken now.
-        queued: requests that wait here.
-        backlog_s: seconds of work queued before a new request would start.
-        step_s: seconds between tokens at the present batch; 0 when unknown.
-        draining: takes no new work.
-        rate: prompt tokens read per second; 0 when unknown.
-    """
-
-    free: int
-    queued: int
-    backlog_s: float = 0.0
-    step_s: float = 0.0
-    draining: bool = False
-    rate: float = 0.0
-
-
-class _Base(msgspec.Struct, array_like=True, frozen=True):
-    """Common options of all messages."""
-
-
-class Hello(_Base, tag=1, frozen=True):
-    """First message of both ends.
-
-    Attributes:
-        version: wire version.
-        name: the process's name, unique within the fleet.
-        role: ``entry``, ``prefill``, ``decode`` or ``plain``.
-        zone: availability zone.
-        incarnation: differs each time the process starts; larger is newer.
-        pool: pool of the backend server; empty for an entry.
-        bundle: version of the bundle in force; 0 without one.
-        groups: further fault domains (rack, link), from the settings.
-    """
-
-    version: int
-    name: str
-    role: str
-    zone: str
-    incarnation: int
-    pool: str = ""
-    bundle: int = 0
-    groups: tuple[str, ...] = ()
-
-
-class Beat(_Base, tag=2, frozen=True):
-    """Heartbeat of both ends; an agent's carries its load.
-
-    Attributes:
-        bundle: version of the bundle in force.
-        load: None from an entry.
-    """
-
-    bundle: int
-    load: Load | None = None
-
-
-class GetBundle(_Base, tag=3, frozen=True):
-    """Asks the peer for its bundle."""
-
-
-class BundleIs(_Base, tag=4, frozen=True):
-    """Carries a signed bundle. Sent when asked, and unasked to a peer that has an older one."""
-
-    envelope: bytes
+from crankhinge.wire._base import Load, MessageBase
+from crankhinge.wire._control import (
+    Beat,
+    BundleIs,
+    GetBundle,
+    GetInstances,
+    Hello,
+    InstancesAre,
+    Serves,
+)
 
 
-class Reserve(_Base, tag=5, frozen=True):
+class Reserve(MessageBase, tag=5, frozen=True):
     """Asks a decode agent for a memory slot.
 
     Attributes:
@@ -122,7 +59,7 @@
     partner: str = ""
 
 
-class Granted(_Base, tag=6, frozen=True):
+class Granted(MessageBase, tag=6, frozen=True):
     """A slot is leased.
 
     Attributes:
@@ -138,7 +75,7 @@
     load: Load | None = None
 
 
-class Refused(_Base, tag=7, frozen=True):
+class Refused(MessageBase, tag=7, frozen=True):
     """The request was not started here.
 
     Attributes:
@@ -154,7 +91,7 @@
     load: Load | None = None
 
 
-class Prefill(_Base, tag=8, frozen=True):
+class Prefill(MessageBase, tag=8, frozen=True):
     """Asks a prefill agent to read a prompt.
 
     Attributes:
@@ -176,7 +113,7 @@
     tokens: int
 
 
-class PrefillDone(_Base, tag=9, frozen=True):
+class PrefillDone(MessageBase, tag=9, frozen=True):
     """The prompt is read; ``kv`` is the engine's opaque handle on the result.
 
     Attributes:
@@ -196,7 +133,7 @@
     load: Load | None = None
 
 
-class Decode(_Base, tag=10, frozen=True):
+class Decode(MessageBase, tag=10, frozen=True):
     """Asks a decode agent to write the answer in the slot leased to ``req``.
 
     Attributes:
@@ -214,7 +151,7 @@
     patience: float = 2.0
 
 
-class Tokens(_Base, tag=11, frozen=True):
+class Tokens(MessageBase, tag=11, frozen=True):
     """Pieces of an answer, one per token.
 
     Attributes:
@@ -228,7 +165,7 @@
     texts: tuple[str, ...]
 
 
-class DecodeDone(_Base, tag=12, frozen=True):
+class DecodeDone(MessageBase, tag=12, frozen=True):
     """The answer is complete.
 
     Attributes:
@@ -242,7 +179,7 @@
     finish: str
 
 
-class Failed(_Base, tag=13, frozen=True):
+class Failed(MessageBase, tag=13, frozen=True):
     """The backend server failed the request.
 
     Attributes:
@@ -256,13 +193,13 @@
     ran: bool
 
 
-class Cancel(_Base, tag=14, frozen=True):
+class Cancel(MessageBase, tag=14, frozen=True):
     """Nobody waits for this request any more; whatever it holds is to be freed."""
 
     req: int
 
 
-class Call(_Base, tag=15, frozen=True):
+class Call(MessageBase, tag=15, frozen=True):
     """A call to a plain service."""
 
     req: int
@@ -275,7 +212,7 @@
     member: str = ""
 
 
-class CallDone(_Base, tag=16, frozen=True):
+class CallDone(MessageBase, tag=16, frozen=True):
     """A plain service's answer."""
 
     req: int
@@ -284,33 +221,6 @@
     body: bytes
 
 
-class InstanceRow(msgspec.Struct, array_like=True, frozen=True):
-    """An agent's instance, as the platform's list showed it."""
-
-    name: str
-    host: str
-    port: int
-    zone: str
-    pool: str
-    leaving: bool = False
-
-
-class GetInstances(_Base, tag=27, frozen=True):
-    """A newcomer that can't read the platform's list asks a peer for it."""
-
-
-class InstancesAre(_Base, tag=28, frozen=True):
-    """The list, as the peer last read it."""
-
-    rows: tuple[InstanceRow, ...]
-
-
-class Serves(_Base, tag=29, frozen=True):
-    """An agent's engine has these adapters loaded; replaces what was said before."""
-
-    names: tuple[str, ...]
-
-
 Message = (
     Hello
     | Beat
