--- a/src/crankhinge/agent/_fence_desk.py
+++ b/src/crankhinge/agent/_fence_desk.py
@@ -43,6 +43,7 @@
 
 TICK_S = 0.5
 DIAL_PAUSE_S = 1.0
+FIRST_PAUSE_S = 0.1
 KEY_PREFIX = "crankhinge/fence/"
 RETRY_AFTER_S = 1.0
 
@@ -130,7 +131,8 @@
                     await self._run_link(link)
             except (LinkClosed, WireError) as exc:
                 self._log.info("fence_link_failed", agent=name, code=exc.code, why=exc.detail)
-            await curio.sleep(DIAL_PAUSE_S * self._rng.uniform(0.5, 1.5))
+            pause = DIAL_PAUSE_S if self._roster.known else FIRST_PAUSE_S
+            await curio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
     async def linked(self, link: Link) -> None:
         """Note a link to another agent."""
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -397,6 +397,15 @@
                 if time.monotonic() > until:
                     raise TimeoutError(f"entry on {port} isn't ready")
                 time.sleep(POLL_S)
+        holders = [f"{s.pool}-{n}" for s in self.spec.services if s.count > 1 for n in (0, 1)]
+        while not all(self._is_paired(name) for name in holders):
+            if time.monotonic() > until:
+                raise TimeoutError("the fence records have no holders")
+            time.sleep(POLL_S)
+
+    def _is_paired(self, name: str) -> bool:
+        """Whether a fence holder has its record, by its log."""
+        return "role=paired" in (self.logs / f"{name}.log").read_text()
 
     def _is_ready(self, port: int) -> bool:
         try:
