--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -104,7 +104,6 @@
             self._incarnation,
             settings.pool,
             self._keeper.version,
-            settings.groups,
         )
 
     async def run(self) -> None:
--- a/src/crankhinge/agent/_settings.py
+++ b/src/crankhinge/agent/_settings.py
@@ -21,7 +21,6 @@
         step_s: seconds between tokens, before any was measured.
         rate: prompt tokens (or calls) per second, before any was measured.
         lease_s: seconds a slot is held beyond the time at which it was to be used.
-        poll_s: seconds between readings of the engine's load.
     """
 
     role: Literal["prefill", "decode", "plain"]
@@ -31,4 +30,3 @@
     step_s: Seconds = 0.03
     rate: Seconds = 10_000.0
     lease_s: Seconds = 1.0
-    poll_s: Seconds = 1.0
--- a/src/crankhinge/burn/_read.py
+++ b/src/crankhinge/burn/_read.py
@@ -12,7 +12,6 @@
 
 _PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
 _EVENTS = frozenset({"answered", "request_failed", "caller_gone"})
-LLM_MODEL = ""
 
 
 @dataclass(frozen=True)
--- a/src/crankhinge/decisions/_backend.py
+++ b/src/crankhinge/decisions/_backend.py
@@ -18,7 +18,6 @@
         role: ``prefill``, ``decode`` or ``plain``.
         pool: its pool.
         zone: its availability zone.
-        groups: further fault domains.
         incarnation: of its agent.
         linked: whether there is a connection to its agent.
         leaving: whether the platform's list says that it leaves.
@@ -39,7 +38,6 @@
     role: str
     pool: str
     zone: str
-    groups: tuple[str, ...] = ()
     incarnation: int = 0
     linked: bool = False
     leaving: bool = False
--- a/src/crankhinge/decisions/_prefix.py
+++ b/src/crankhinge/decisions/_prefix.py
@@ -9,8 +9,8 @@
 class PrefixIndex:
     """What this entry believes each prefill engine has in its prefix cache.
 
-    It learns from the engines' own answers (how much of a prompt was found in the cache), so a
-    late or lost cache event can only cost one wrong guess. Bounded: the oldest blocks go first.
+    It learns from the prompts that were read there at its own request, and follows no cache events:
+    what an engine has evicted since costs one wrong guess. Bounded: the oldest blocks go first.
     """
 
     def __init__(self, *, limit: int = 5_000) -> None:
@@ -28,11 +28,6 @@
         while len(self._blocks) > self._limit:
             self._blocks.popitem(last=False)
 
-    def forget_from(self, name: str, prefix: tuple[int, ...], found: int) -> None:
-        """Drop the blocks of *prefix* beyond the first *found*, which were not in the cache."""
-        for block in prefix[found:]:
-            self._blocks.pop((name, block), None)
-
     def matched(self, name: str, prefix: tuple[int, ...]) -> int:
         """Return how many leading blocks of *prefix* are believed cached."""
         for place, block in enumerate(prefix):
--- a/src/crankhinge/entry/_fleet.py
+++ b/src/crankhinge/entry/_fleet.py
@@ -210,7 +210,6 @@
             settings.zone,
             self._incarnation,
             bundle=self._keeper.version,
-            groups=settings.groups,
         )
 
     async def _link_once(self, name: str) -> None:
@@ -241,7 +240,6 @@
             backend.serves = frozenset()
         backend.role = peer.role
         backend.zone = peer.zone
-        backend.groups = peer.groups
         backend.incarnation = peer.incarnation
         backend.linked = True
         if backend.pool != peer.pool:
--- a/src/crankhinge/entry/_plain.py
+++ b/src/crankhinge/entry/_plain.py
@@ -10,7 +10,7 @@
 from crankhinge.config import BundleView, Member, Service
 from crankhinge.decisions import Answer, Backend, RetryBudget, keep_answer
 from crankhinge.entry._ask import Terms
-from crankhinge.entry._calls import Calls, LinkLost
+from crankhinge.entry._calls import Calls, LinkLost, cancel_step
 from crankhinge.entry._fence import Fence, Leave, digest_of
 from crankhinge.entry._fleet import Fleet
 from crankhinge.entry._progress import Progress
@@ -23,7 +23,7 @@
 )
 from crankhinge.http import HttpRequest
 from crankhinge.runtime import Metrics
-from crankhinge.wire import Call, CallDone, Cancel, Failed, Refused
+from crankhinge.wire import Call, CallDone, Failed, Refused
 
 MAX_ATTEMPTS = 3
 REPLAYED = "x-answer-replayed"
@@ -145,7 +145,7 @@
                 break
             progress.attempts += 1
             tried.add(backend.name)
-            answer = await self._call(req, member, backend, repeatable, until, progress)
+            answer = await self._call(req, member, backend, until, progress)
             if isinstance(answer, CallDone):
                 return answer
             if isinstance(answer, Refused):
@@ -164,63 +164,66 @@
         return next((backend for backend in choices if backend.name not in tried), None)
 
     async def _call(
-        self,
-        req: HttpRequest,
-        member: Member,
-        backend: Backend,
-        repeatable: bool,
-        until: float,
-        progress: Progress,
+        self, req: HttpRequest, member: Member, backend: Backend, until: float, progress: Progress
     ) -> CallDone | Refused | Failed | None:
         """Send the call to one agent; sets ``progress.touched`` unless it certainly didn't run."""
         now = await curio.clock()
         within = max(0.001, until - now)
-        try:
-            link = self._fleet.link(backend.name)
-            box = self._calls.open(link, progress.new_step())
-        except LinkClosed:
-            return Refused(0, "link-closed")
+        step = progress.new_step()
+        call = Call(step, req.method, req.target, _forwarded(req), req.body, within, member.name)
         before = progress.touched
         progress.touched = True
         backend.sent += 1
         backend.breaker.sent(now)
-        headers = _forwarded(req)
-        answer: Any = None
+        answer: CallDone | Refused | Failed | None = None
         try:
-            await link.send(
-                Call(
-                    box.req,
-                    req.method,
-                    req.target,
-                    headers,
-                    req.body,
-                    repeatable,
-                    within,
-                    member.name,
-                )
-            )
-            answer = await curio.ignore_after(within + ANSWER_SLACK_S, box.get)
+            answer = await self._exchange(backend, call)
         except LinkClosed:
             # The link was gone before the call was queued on it.
-            progress.touched = before
-            return Refused(box.req, "link-closed")
+            answer = Refused(step, "link-closed")
         except LinkLost:
-            backend.breaker.failed(now)
-            return None
+            pass
+        return self._judge(answer, backend, before, progress, now)
+
+    async def _exchange(self, backend: Backend, call: Call) -> CallDone | Refused | Failed | None:
+        """Return the agent's answer, or None when none came in time.
+
+        Raises:
+            LinkClosed: nothing was sent.
+            LinkLost: the call may have arrived.
+        """
+        link = self._fleet.link(backend.name)
+        box = self._calls.open(link, call.req)
+        answer: CallDone | Refused | Failed | None = None
+        try:
+            await link.send(call)
+            answer = await curio.ignore_after(call.within + ANSWER_SLACK_S, box.get)
         finally:
             self._calls.close(box)
-            if answer is None and not link.closed:
-                await link.send(Cancel(box.req))
+            if answer is None:
+                await cancel_step(link, box)
+        return answer
+
+    def _judge(
+        self,
+        answer: CallDone | Refused | Failed | None,
+        backend: Backend,
+        before: bool,
+        progress: Progress,
+        now: float,
+    ) -> CallDone | Refused | Failed | None:
+        """Note what an answer says of the backend server and of whether the call ran."""
         if isinstance(answer, CallDone):
             backend.breaker.succeeded()
-        elif isinstance(answer, Refused) or (isinstance(answer, Failed) and not answer.ran):
+            return answer
+        if isinstance(answer, Refused):
+            progress.touched = before
+            return answer
+        backend.breaker.failed(now)
+        if answer is not None and not answer.ran:
             progress.touched = before
-        else:
-            backend.breaker.failed(now)
-        if isinstance(answer, Failed) and not answer.ran:
-            backend.breaker.failed(now)
-            return Refused(box.req, answer.code)
-        return answer  # type: ignore[no-any-return]
+            return Refused(answer.req, answer.code)
+        return answer
 
 
 def _forwarded(req: HttpRequest) -> dict[str, str]:
--- a/src/crankhinge/peers/_settings.py
+++ b/src/crankhinge/peers/_settings.py
@@ -46,7 +46,6 @@
         seeds: ``host:port`` of some agents, asked while the list can't be read at a start.
         list_s: seconds between readings of the list.
         keys: public key of each partner, hex; a bundle must be signed by all of them.
-        groups: further fault domains (rack, link).
         statsd: ``host:port`` of the statsd server; empty for none.
         beat_s: seconds between heartbeats.
         watch_s: seconds a watch on the bundle waits.
@@ -63,7 +62,6 @@
     keys: dict[str, HexKey]
     seeds: tuple[HostPort, ...] = ()
     list_s: Seconds = 60.0
-    groups: tuple[str, ...] = ()
     statsd: str = ""
     beat_s: Seconds = 1.5
     watch_s: Seconds = 60.0
--- a/src/crankhinge/wire/_control.py
+++ b/src/crankhinge/wire/_control.py
@@ -18,7 +18,6 @@
         incarnation: differs each time the process starts; larger is newer.
         pool: pool of the backend server; empty for an entry.
         bundle: version of the bundle in force; 0 without one.
-        groups: further fault domains (rack, link), from the settings.
     """
 
     version: int
@@ -28,7 +27,6 @@
     incarnation: int
     pool: str = ""
     bundle: int = 0
-    groups: tuple[str, ...] = ()
 
 
 class Beat(MessageBase, tag=2, frozen=True):
--- a/src/crankhinge/wire/_messages.py
+++ b/src/crankhinge/wire/_messages.py
@@ -207,7 +207,6 @@
     target: str
     headers: dict[str, str]
     body: bytes
-    repeatable: bool
     within: float
     member: str = ""
 
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from pathlib import Path
-from typing import Any
 
 import curio
 import msgspec
@@ -170,8 +169,3 @@
     parser.add_argument("--plot", default="", help="PNG file: goodput and waste against load")
     parser.add_argument("--logs", default="", help="directory for the programs' logs")
     parser.set_defaults(run=run)
-
-
-def read_cells(path: str) -> list[Any]:
-    """Read the results of an earlier run."""
-    return msgspec.json.decode(Path(path).read_bytes(), type=list[Cell])
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -294,7 +294,7 @@
                 metrics=Metrics(prefix="test"),
             )
             for req, owner in ((1, link), (2, link), (3, other)):
-                call = Call(req, "POST", "/x", {}, b"", False, 20.0)
+                call = Call(req, "POST", "/x", {}, b"", 20.0)
                 await role.handle(owner, call)  # type: ignore[arg-type]
             await curio.sleep(0.1)
             await role.forget(link)  # type: ignore[arg-type]
