--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import signal
 import sys
 from types import FrameType
@@ -38,6 +39,8 @@
     # Only the first one counts: a second must not break off the ending of the processes.
     for signum in (signal.SIGINT, signal.SIGTERM):
         signal.signal(signum, signal.SIG_IGN)
+    # The kernel would log the interrupted task with its whole stack.
+    logging.disable(logging.CRITICAL)
     raise KeyboardInterrupt
 
 
