The checker could not see a request cut by a planned stop

Cause: a fault seeded on purpose (an agent that doesn't wait when drained) was not caught. The log wrote a true flag as a bare word (busy) and the checker looked for busy=True. Change: drained carries the number of open requests, as the entries' did; a stop without a last word counts as a break; flags are written as true and false. Test for what is read from the log. Ruled out: nothing in progress at the drains (the log showed 12 requests cut).

--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -176,7 +176,7 @@
         self._role.close()
         await self._beater.beat_soon()
         await curio.ignore_after(self._settings.drain_s, self._wait_idle)
-        self._log.info("drained", busy=self._role.busy)
+        self._log.info("drained", open=self._role.open)
 
     async def _wait_idle(self) -> None:
         # One more heartbeat, for requests that were on their way when the first one left.
--- a/src/crankhinge/agent/_role.py
+++ b/src/crankhinge/agent/_role.py
@@ -86,6 +86,11 @@
     def busy(self) -> bool:
         """Whether any request is in progress."""
 
+    @property
+    def open(self) -> int:
+        """Requests that hold or await something here."""
+        return len(self._owners)
+
     async def run(self) -> None:
         """Do what has to be done by time, until cancelled."""
         await curio.sleep(float("inf"))
--- a/src/crankhinge/runtime/_logs.py
+++ b/src/crankhinge/runtime/_logs.py
@@ -34,7 +34,9 @@
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="ts"),
             _redact,
             structlog.processors.LogfmtRenderer(
-                key_order=["ts", "level", "program", "event"], drop_missing=True
+                key_order=["ts", "level", "program", "event"],
+                drop_missing=True,
+                bool_as_flag=False,
             ),
         ],
     ).bind(program=program, **fields)
--- a/src/crankhinge_bench/_check.py
+++ b/src/crankhinge_bench/_check.py
@@ -40,7 +40,8 @@
         until: wall clock of its end.
         status: exit status.
         backend: name of the place whose backend server it stands beside; empty for an entry.
-        cut: requests in progress when it ended, by its own last word; None when it had none.
+        cut: requests in progress when it ended, by its own last word; None, which counts as a
+            break, when it left no word.
     """
 
     name: str
@@ -176,7 +177,7 @@
     cases = [
         f"{drain.name}: status {drain.status}, cut {drain.cut}"
         for drain in history.drains
-        if drain.status or drain.cut
+        if drain.status or drain.cut != 0
     ]
     return _verdict("a planned stop cuts nothing", len(history.drains), cases)
 
--- a/src/crankhinge_bench/_evidence.py
+++ b/src/crankhinge_bench/_evidence.py
@@ -16,10 +16,8 @@
 
 def last_drained(log: Path) -> int | None:
     """Return how many requests a program had in progress when it ended, by its log."""
-    found = re.findall(r"event=drained .*?(?:open|busy)=(\w+)", log.read_text())
-    if not found:
-        return None
-    return {"True": 1, "False": 0}.get(found[-1]) if not found[-1].isdigit() else int(found[-1])
+    found = re.findall(r"event=drained .*open=(\d+)", log.read_text())
+    return int(found[-1]) if found else None
 
 
 def bundles_seen(cluster: Cluster) -> list[BundleSeen]:
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -1,11 +1,14 @@
 """Tests of the checker: each promise broken on purpose in a made-up history."""
 
 import zlib
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from crankhinge.runtime import get_log
 from crankhinge_bench._check import BundleSeen, Drain, History, check
+from crankhinge_bench._evidence import last_drained
 from crankhinge_bench._load import Outcome
 from crankhinge_bench._summary import percentile
 from crankhinge_bench._trace import Arrival, Load, make_trace
@@ -87,6 +90,10 @@
                 {"drains": [Drain(name="a", at=1, until=2, status=0, backend="a", cut=1)]},
                 "a planned stop cuts nothing",
             ),
+            (
+                {"drains": [Drain(name="a", at=1, until=2, status=0, backend="a", cut=None)]},
+                "a planned stop cuts nothing",
+            ),
             (
                 {"bundles": [BundleSeen(process="a", versions=[(1.0, 2), (2.0, 1)])]},
                 "a bundle is in force and never reverts",
@@ -111,6 +118,25 @@
         assert promise in broken(history(**changes))
 
 
+class TestEvidence:
+    """What is read from logs."""
+
+    def test_the_last_word_of_a_drain(self, tmp_path: Path) -> None:
+        """The number of requests that were cut is read as the programs write it."""
+        path = tmp_path / "a.log"
+        assert last_drained(_log(path, 3)) == 3
+        assert last_drained(_log(path, 0)) == 0
+        path.write_text("")
+        assert last_drained(path) is None
+
+
+def _log(path: Path, count: int) -> Path:
+    """Write a log as an agent does."""
+    with path.open("a") as stream:
+        get_log(program="test", stream=stream).bind(name="a").info("drained", open=count)
+    return path
+
+
 class TestTrace:
     """Traces and figures."""
 
