The stand-in counts a reading that was fetched for nobody as wasted

Change: a request that went while it waited fetches nothing, so its reading expires as waste; one that ends before its first token counts what it fetched as waste.

--- a/src/crankhinge_standins/engine.py
+++ b/src/crankhinge_standins/engine.py
@@ -277,7 +277,7 @@
         if self._kv.pop(handle, None) is None:
             await reply(exchange, {"error": "expired"}, 404)
             return
-        await reply(exchange, {"tokens": kv.tokens})
+        await reply(exchange, {"tokens": kv.tokens, "computed": kv.computed})
 
     async def _decode(
         self, exchange: Exchange, body: dict[str, Any], params: dict[str, Any]
@@ -288,6 +288,8 @@
         try:
             async with self._slots:
                 self.stats.waiting -= 1
+                if run.gone:
+                    raise HttpClosed("gone while it waited")
                 self._running.append(run)
                 try:
                     await self._write_answer(exchange, body, params, run)
@@ -303,9 +305,13 @@
     async def _write_answer(
         self, exchange: Exchange, body: dict[str, Any], params: dict[str, Any], run: _Running
     ) -> None:
-        if params.get("do_remote_prefill") and not await self._import(params):
-            await reply(exchange, {"error": "KV cache expired"}, 410)
-            return
+        computed = 0
+        if params.get("do_remote_prefill"):
+            found = await self._import(params)
+            if found is None:
+                await reply(exchange, {"error": "KV cache expired"}, 410)
+                return
+            computed = found
         ident = exchange.req.headers.get("x-request-id", "")
         record = {"id": ident, "sent": 0, "end": "running"}
         self.runs.append(record)
@@ -319,16 +325,22 @@
             self.stats.cancelled += 1
             raise HttpClosed("gone") from None
         finally:
+            if not record["sent"]:
+                # The reading was fetched and nothing came of it.
+                self.stats.wasted_tokens += computed
             prompt = zlib.crc32(context_of(body).encode())
             self._recorder.write(kind="end", prompt=prompt, end=record["end"])
 
-    async def _import(self, params: dict[str, Any]) -> bool:
+    async def _import(self, params: dict[str, Any]) -> int | None:
+        """Fetch a reading; returns the tokens that were computed for it, None when it is gone."""
         client = HttpClient(params["remote_host"], int(params["remote_port"]))
         try:
             resp = await client.call("GET", f"/kv/{params['remote_block_ids'][0]}", fresh=True)
         except HttpClosed:
-            return False
-        return resp.status == 200
+            return None
+        if resp.status != 200:
+            return None
+        return int(msgspec.json.decode(resp.body)["computed"])
 
     async def _stream(
         self, exchange: Exchange, body: dict[str, Any], run: _Running, record: dict[str, Any]
