--- a/src/crankhinge/agent/_adapters.py
+++ b/src/crankhinge/agent/_adapters.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -14,6 +13,7 @@
 from crankhinge.config import Adapter, Bundle
 from crankhinge.decisions import RollLease, RollRecord, to_load, try_acquire, without
 from crankhinge.errors import KeyValueUnavailable
+from crankhinge.runtime import wall_ms
 
 KEY_PREFIX = "crankhinge/roll/"
 CHECK_S = 0.5
@@ -52,7 +52,6 @@
         self._wanted: dict[str, Adapter] = {}
         self._width = 1
         self._loaded: dict[str, int] = {}
-        self._token = 0
         self._rng = random.Random(me)
 
     @property
@@ -98,7 +97,6 @@
         lease = await self._acquire()
         if lease is None:
             return False
-        self._token = lease.token
         try:
             for name in missing:
                 await self._load(name, lease.token)
@@ -131,7 +129,7 @@
 
     async def _acquire(self) -> RollLease | None:
         record, index = await self._read()
-        lease = try_acquire(record, self._me, self._width, time.time_ns() // 1_000_000)
+        lease = try_acquire(record, self._me, self._width, wall_ms())
         if lease is None:
             return None
         data = msgspec.json.encode(lease.record)
--- a/src/crankhinge/agent/_agent.py
+++ b/src/crankhinge/agent/_agent.py
@@ -26,6 +26,7 @@
     Message,
     Serves,
     accept_link,
+    send_if_open,
 )
 
 DRAIN_POLL_S = 0.1
@@ -123,10 +124,7 @@
     async def _tell_served(self, names: tuple[str, ...]) -> None:
         """Tell all entries which adapters the engine has."""
         for link in list(self._beater.links):
-            try:
-                await link.send(Serves(names))
-            except LinkClosed:
-                continue
+            await send_if_open(link, Serves(names))
 
     async def _listen(self) -> None:
         await serve_tcp(self._settings.host, self._settings.port, self._accept, log=self._log)
--- a/src/crankhinge/agent/_decode.py
+++ b/src/crankhinge/agent/_decode.py
@@ -8,6 +8,7 @@
 import curio
 
 from crankhinge.adapters import DecodeStream, Engine, EngineFailed
+from crankhinge.agent._probe import engine_load
 from crankhinge.agent._role import BACKEND_DOWN, UNBOUNDED, Role
 from crankhinge.config import Pool
 from crankhinge.decisions import Grant, Refuse, SlotAsk, SlotDecision, SlotTable
@@ -26,7 +27,6 @@
 
 STEP_GAIN = 0.2
 POLL_S = 0.5
-PROBE_TIMEOUT_S = 2.0
 
 
 class TransferStalled(EngineFailed):
@@ -95,9 +95,8 @@
         An engine frees what a dead agent asked for when it notices the closed connection. Until
         it has been seen with no more than our own requests, the difference isn't ours to give.
         """
-        try:
-            load = await curio.timeout_after(PROBE_TIMEOUT_S, self._engine.load)
-        except (EngineFailed, curio.TaskTimeout):
+        load = await engine_load(self._engine)
+        if load is None:
             self._settled = False
             return False
         if not self._settled:
--- a/src/crankhinge/agent/_fence_desk.py
+++ b/src/crankhinge/agent/_fence_desk.py
@@ -6,7 +6,6 @@
 from __future__ import annotations
 
 import random
-import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -26,6 +25,7 @@
 )
 from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
 from crankhinge.peers import Roster
+from crankhinge.runtime import wall_ms
 from crankhinge.wire import (
     FenceJoined,
     FenceState,
@@ -39,6 +39,7 @@
     Take,
     Taken,
     connect_link,
+    send_if_open,
 )
 
 TICK_S = 0.5
@@ -178,7 +179,7 @@
             await self._reply(Reply(msg.req, None))
             return
         now = await curio.clock()
-        await self._act(pair, pair.on_permit(msg, now, _wall_ms()))
+        await self._act(pair, pair.on_permit(msg, now, wall_ms()))
 
     async def _act(self, pair: FencePair, actions: list[FenceAction]) -> None:
         for action in actions:
@@ -191,22 +192,15 @@
 
     async def _send(self, name: str, msg: Message) -> None:
         link = self._links.get(name)
-        if link is None:
-            return
-        try:
-            await link.send(msg)
-        except LinkClosed:
-            return
+        if link is not None:
+            await send_if_open(link, msg)
 
     async def _reply(self, action: Reply) -> None:
         link = self._askers.pop(action.req, None)
         if link is None:
             return
         answer = action.msg or Refused(action.req, "fence-unavailable", RETRY_AFTER_S)
-        try:
-            await link.send(answer)
-        except LinkClosed:
-            return
+        await send_if_open(link, answer)
 
     async def _call(self, pair: FencePair, action: ReadRecord | SwapRecord) -> None:
         """Make one call to the key-value service and feed its answer back."""
@@ -216,16 +210,16 @@
                 value = await self._kv.get(_key_of(pair.range_id))
                 record, index = _record_of(value)
                 now = await curio.clock()
-                out = pair.on_record(record, index, now, _wall_ms())
+                out = pair.on_record(record, index, now, wall_ms())
             else:
                 data = msgspec.json.encode(list(action.new))
                 won = await self._kv.swap(_key_of(pair.range_id), data, action.index)
-                out = pair.on_swapped(won, await curio.clock(), _wall_ms())
+                out = pair.on_swapped(won, await curio.clock(), wall_ms())
         except KeyValueUnavailable:
             if isinstance(action, ReadRecord):
                 out = pair.on_no_record()
             else:
-                out = pair.on_swapped(None, await curio.clock(), _wall_ms())
+                out = pair.on_swapped(None, await curio.clock(), wall_ms())
         if self._pairs.get(pair.range_id) is not pair:
             return
         if pair.role is not before:
@@ -266,7 +260,3 @@
     except msgspec.DecodeError as exc:
         raise KeyValueUnavailable(f"unreadable fence record: {exc}") from exc
     return FenceRecord(epoch, holder, writer), value.index
-
-
-def _wall_ms() -> int:
-    return time.time_ns() // 1_000_000
--- a/src/crankhinge/agent/_prefill.py
+++ b/src/crankhinge/agent/_prefill.py
@@ -7,11 +7,10 @@
 import curio
 
 from crankhinge.adapters import Engine, EngineFailed
+from crankhinge.agent._probe import engine_load
 from crankhinge.agent._queued import QueuedRole
 from crankhinge.wire import Failed, Link, Message, Prefill, PrefillDone
 
-PROBE_TIMEOUT_S = 2.0
-
 
 class PrefillRole(QueuedRole):
     """Reads prompts in the order of its queue.
@@ -34,11 +33,7 @@
 
     async def probe(self) -> bool:
         """Whether the engine answers."""
-        try:
-            await curio.timeout_after(PROBE_TIMEOUT_S, self._engine.load)
-        except (EngineFailed, curio.TaskTimeout):
-            return False
-        return True
+        return await engine_load(self._engine) is not None
 
     async def work(self, msg: Any) -> int:
         """Read one prompt; returns the tokens that were computed."""
--- a/src/crankhinge/agent/_role.py
+++ b/src/crankhinge/agent/_role.py
@@ -9,9 +9,8 @@
 import curio
 
 from crankhinge.config import BundleKeeper, Pool
-from crankhinge.errors import LinkClosed
 from crankhinge.runtime import Metrics
-from crankhinge.wire import Failed, Link, Load, Message, Refused
+from crankhinge.wire import Failed, Link, Load, Message, Refused, send_if_open
 
 UNBOUNDED = 1_000_000
 PROBE_S = 0.5
@@ -144,19 +143,12 @@
     async def tell(self, req: int, msg: Message) -> None:
         """Send *msg* to the request's entry, if that is still there."""
         link = self._owners.get(req)
-        if link is None:
-            return
-        try:
-            await link.send(msg)
-        except LinkClosed:
-            return
+        if link is not None:
+            await send_if_open(link, msg)
 
     async def refuse(self, link: Link, req: int, code: str, retry_after: float = 0.0) -> None:
         """Tell an entry that *req* was not started."""
         self.metrics.count(f"refused.{code}")
         self.log.info("refused", req=f"{req:016x}", code=code, retry_after=round(retry_after, 3))
-        try:
-            load = self.load(await curio.clock())
-            await link.send(Refused(req, code, retry_after, load))
-        except LinkClosed:
-            return
+        load = self.load(await curio.clock())
+        await send_if_open(link, Refused(req, code, retry_after, load))
--- a/src/crankhinge/burn/main.py
+++ b/src/crankhinge/burn/main.py
@@ -6,14 +6,13 @@
 import sys
 from pathlib import Path
 
-import msgspec
-
 from crankhinge import __version__
 from crankhinge.burn._budget import make_report
 from crankhinge.burn._read import read_events
 from crankhinge.burn._render import render_html, render_text
 from crankhinge.config import parse_bundle, read_envelope
 from crankhinge.errors import BundleError, CrankhingeError
+from crankhinge.runtime import write_json
 
 PROGRAM = "crankhinge-burn"
 EXIT_BAD_INPUT = 2
@@ -47,8 +46,7 @@
     except (CrankhingeError, UnicodeDecodeError) as exc:
         print(f"{PROGRAM}: {exc}", file=sys.stderr)
         return EXIT_BAD_INPUT
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(report), indent=1))
+    write_json(args.json, report)
     if args.html:
         Path(args.html).write_text(render_html(report), encoding="utf-8")
     print(render_text(report))
--- a/src/crankhinge/entry/_ask.py
+++ b/src/crankhinge/entry/_ask.py
@@ -40,9 +40,6 @@
     n: int = 1
 
 
-_bodies = msgspec.json.Decoder(_Body)
-
-
 @dataclass(frozen=True)
 class Terms:
     """What the headers say of a request.
@@ -162,8 +159,8 @@
     """
     terms = read_terms(req.headers, member)
     try:
-        body = _bodies.decode(req.body)
         whole = msgspec.json.decode(req.body)
+        body = msgspec.convert(whole, _Body)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise RequestError(f"body: {exc}") from exc
     model = view.bundle.model(body.model)
--- a/src/crankhinge/entry/_calls.py
+++ b/src/crankhinge/entry/_calls.py
@@ -7,7 +7,7 @@
 import curio
 
 from crankhinge.errors import BackendFailed, LinkClosed, SlowCaller
-from crankhinge.wire import Cancel, Failed, Link, Message, Tokens
+from crankhinge.wire import Cancel, Failed, Link, Message, Tokens, send_if_open
 
 SILENT_STREAM_S = 3.0
 
@@ -127,7 +127,4 @@
 
 async def cancel_step(link: Link, box: Mailbox) -> None:
     """Tell an agent that nobody waits for a step any more; a lost link has told it already."""
-    try:
-        await link.send(Cancel(box.req))
-    except LinkClosed:
-        return
+    await send_if_open(link, Cancel(box.req))
--- a/src/crankhinge/peers/_spread.py
+++ b/src/crankhinge/peers/_spread.py
@@ -16,8 +16,8 @@
 
 from crankhinge.adapters import KeyValue
 from crankhinge.config import BUNDLE_KEY, BundleKeeper
-from crankhinge.errors import BundleError, KeyValueUnavailable, LinkClosed
-from crankhinge.wire import Beat, BundleIs, GetBundle, Link, Message
+from crankhinge.errors import BundleError, KeyValueUnavailable
+from crankhinge.wire import Beat, BundleIs, GetBundle, Link, Message, send_if_open
 
 FIRST_PAUSE_S = 0.2
 MAX_PAUSE_S = 30.0
@@ -92,10 +92,7 @@
         if link.bundle >= self.keeper.version:
             return
         link.bundle = self.keeper.version
-        try:
-            await link.send(BundleIs(self.keeper.envelope))
-        except LinkClosed:
-            return
+        await send_if_open(link, BundleIs(self.keeper.envelope))
 
     async def linked(self, link: Link) -> None:
         """Note a new link."""
--- a/src/crankhinge/wire/__init__.py
+++ b/src/crankhinge/wire/__init__.py
@@ -24,7 +24,7 @@
     InstancesAre,
     Serves,
 )
-from crankhinge.wire._link import Link, accept_link, connect_link
+from crankhinge.wire._link import Link, accept_link, connect_link, send_if_open
 from crankhinge.wire._messages import (
     Call,
     CallDone,
@@ -81,4 +81,5 @@
     "connect_link",
     "decode",
     "encode",
+    "send_if_open",
 ]
--- a/src/crankhinge/wire/_link.py
+++ b/src/crankhinge/wire/_link.py
@@ -136,6 +136,14 @@
         await self._shut()
 
 
+async def send_if_open(link: Link, msg: Message) -> None:
+    """Send *msg*, for which nobody is to be told when the peer has gone meanwhile."""
+    try:
+        await link.send(msg)
+    except LinkClosed:
+        return
+
+
 async def _hello(sock: Any, mine: Hello) -> Link:
     """Exchange Hellos.
 
--- a/src/crankhinge_bench/_chaos.py
+++ b/src/crankhinge_bench/_chaos.py
@@ -15,6 +15,7 @@
 import curio
 import msgspec
 
+from crankhinge.runtime import write_json
 from crankhinge_bench._check import Drain, History, Verdict, check
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._evidence import bundles_seen, last_drained, wait_freed
@@ -309,8 +310,7 @@
         report = run_seed(args.seed + number, args.seconds, logs)
         print(render(report), flush=True)
         reports.append(report)
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(reports), indent=1))
+    write_json(args.json, reports)
     verdicts = [verdict for report in reports for verdict in report.verdicts]
     untested = {v.promise for v in verdicts} - {v.promise for v in verdicts if v.tested}
     for promise in sorted(untested):
--- a/src/crankhinge_bench/_perf.py
+++ b/src/crankhinge_bench/_perf.py
@@ -8,12 +8,12 @@
 import subprocess
 import sys
 import time
-from pathlib import Path
 
 import curio
 import msgspec
 
 from crankhinge.adapters.openai_engine import OpenAiEngine
+from crankhinge.runtime import write_json
 from crankhinge_bench._cluster import HOST, Cluster, http_json
 from crankhinge_bench._fit import cpu_s, rss_kb
 from crankhinge_bench._load import LoadRun, Outcome
@@ -229,8 +229,7 @@
 def perf(args: argparse.Namespace) -> int:
     """Run the command; returns 0 when every answer was whole and right."""
     found = measure()
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1))
+    write_json(args.json, found)
     print(render(found))
     return 1 if found.wrong else 0
 
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from crankhinge.decisions import mechanisms
+from crankhinge.runtime import write_json
 from crankhinge_bench._bound import at_load, capacity_per_s, goodput_bound
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._faults import FaultPlayer
@@ -151,8 +152,7 @@
     cells: list[Cell] = []
     for scenario in scenarios:
         cells += run_scenario(scenario, policies, seed=args.seed, repeat=args.repeat, logs=logs)
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(cells), indent=1))
+    write_json(args.json, cells)
     if args.plot:
         plot(cells, Path(args.plot))
     print(table_of(cells))
--- a/src/crankhinge_bench/_slopes.py
+++ b/src/crankhinge_bench/_slopes.py
@@ -9,10 +9,8 @@
 import time
 import tracemalloc
 from collections.abc import Callable
-from pathlib import Path
 
 import curio
-import msgspec
 
 from crankhinge.decisions import (
     Backend,
@@ -24,6 +22,7 @@
     SlotAsk,
     SlotTable,
 )
+from crankhinge.runtime import write_json
 from crankhinge_bench._cluster import HOST, Cluster, Place, free_ports, http_json
 from crankhinge_bench._fakes import FakeAgents, FakeEntries, FakePeers
 from crankhinge_bench._fit import Slope, cpu_s, fit, rss_kb
@@ -319,8 +318,7 @@
     for name in args.parts.split(","):
         print(f"measuring {name} on {HOST}", file=sys.stderr, flush=True)
         found += PARTS[name]()
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1))
+    write_json(args.json, found)
     print(table_of(found))
     return 0
 
--- a/src/crankhinge_bench/_spread.py
+++ b/src/crankhinge_bench/_spread.py
@@ -6,10 +6,10 @@
 import re
 import time
 from datetime import datetime
-from pathlib import Path
 
 import msgspec
 
+from crankhinge.runtime import write_json
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._spec import ClusterSpec, EngineSpec
 
@@ -96,8 +96,7 @@
     found: list[Spread] = []
     for count in args.counts.split(","):
         found += measure(int(count), args.repeat)
-    if args.json:
-        Path(args.json).write_bytes(msgspec.json.format(msgspec.json.encode(found), indent=1))
+    write_json(args.json, found)
     print("| processes | service out after the swap | first | half | all | missing |")
     print("|---|---|---|---|---|---|")
     for row in found:
