--- a/src/crankhinge/adapters/__init__.py
+++ b/src/crankhinge/adapters/__init__.py
@@ -1,5 +1,6 @@
 """The outside systems: an abstract base class for each, and one adapter."""
 
+from crankhinge.adapters._dialect import Dialect, Leg, RelayAsk, ServerWord, SideCall
 from crankhinge.adapters._engine import (
     DecodeStream,
     Engine,
@@ -11,18 +12,28 @@
 from crankhinge.adapters._instances import Instance, InstanceList
 from crankhinge.adapters._keyvalue import KeyValue, Value
 from crankhinge.adapters._service import PlainService, ServiceAnswer
+from crankhinge.adapters._source import ConfigSeen, FleetSource, HistoryLost, ServersSeen
 
 __all__ = [
+    "ConfigSeen",
     "DecodeStream",
+    "Dialect",
     "Engine",
     "EngineFailed",
     "EngineLoad",
+    "FleetSource",
+    "HistoryLost",
     "Instance",
     "InstanceList",
     "KeyValue",
     "KvExpired",
+    "Leg",
     "PlainService",
     "PrefillResult",
+    "RelayAsk",
+    "ServerWord",
+    "ServersSeen",
     "ServiceAnswer",
+    "SideCall",
     "Value",
 ]
--- /dev/null
+++ b/src/crankhinge/adapters/_dialect.py
@@ -0,0 +1,129 @@
+"""How requests, answers and orders are written for a platform's callers and backend servers."""
+
+from __future__ import annotations
+
+import abc
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from crankhinge.http import HttpRequest
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAsk:
+    """What a caller's request says of itself.
+
+    Attributes:
+        ident: the caller's identity of this attempt; empty where it gave none.
+        within_s: seconds that the caller waits, or None where it does not say.
+        prompt_tokens: length of the prompt.
+        answer_tokens: most tokens of the answer.
+        likely_tokens: the caller's own estimate of the answer; 0 where it gives none.
+        after_event: the last event of a stream that the caller has; empty for none.
+    """
+
+    ident: str
+    within_s: float | None
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    likely_tokens: int = 0
+    after_event: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Leg:
+    """What a backend server is told beside the caller's request.
+
+    Attributes:
+        server: identity of the server that is meant; another one at its address refuses.
+        within_s: seconds that are left.
+        read_only: read the prompt, don't answer.
+        memory_from: where the memory of the prompt lies; empty to read it there.
+        hold: reservation made ahead.
+        after_event: continue a stream after this event.
+        urgency: 0 is the most urgent; None leaves it to the server.
+    """
+
+    server: str
+    within_s: float
+    read_only: bool = False
+    memory_from: str = ""
+    hold: str = ""
+    after_event: str = ""
+    urgency: int | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerWord:
+    """What the head of an answer says.
+
+    Attributes:
+        not_run: the server states that it did not run the request.
+        other_server: the server at this address is not the one that was meant.
+        retry_after_s: when it expects to have room.
+    """
+
+    not_run: bool
+    other_server: bool
+    retry_after_s: float | None
+
+
+@dataclass(frozen=True, slots=True)
+class SideCall:
+    """A call of the router's own to a backend server."""
+
+    method: str
+    target: str
+    body: bytes = b""
+
+
+class Dialect(abc.ABC):
+    """Translates; decides nothing."""
+
+    @abc.abstractmethod
+    def read_ask(self, req: HttpRequest) -> RelayAsk:
+        """Decode what a request says of itself. Raises BadHttp for figures that are none."""
+
+    @abc.abstractmethod
+    def leg_fields(self, req: HttpRequest, leg: Leg) -> list[tuple[str, str]]:
+        """Return the header fields of the request as it goes to a server."""
+
+    @abc.abstractmethod
+    def answer_fields(self, fields: list[tuple[str, str]]) -> list[tuple[str, str]]:
+        """Return the header fields of an answer that the caller gets."""
+
+    @abc.abstractmethod
+    def own_fields(self, ask: RelayAsk) -> list[tuple[str, str]]:
+        """Return the header fields of an answer of the router's own."""
+
+    @abc.abstractmethod
+    def word(self, status: int, headers: Mapping[str, str]) -> ServerWord:
+        """Decode what the head of an answer says."""
+
+    @abc.abstractmethod
+    def owner(self, headers: Mapping[str, str]) -> str:
+        """Return the identity of the request that an answer belongs to; empty for none given."""
+
+    @abc.abstractmethod
+    def memory_of(self, body: bytes) -> str:
+        """Return the handle of a prompt's memory. Raises BadHttp."""
+
+    @abc.abstractmethod
+    def memory_at(self, host: str, port: int, handle: str) -> str:
+        """Return where a prompt's memory lies, for :class:`Leg`."""
+
+    @abc.abstractmethod
+    def free_memory(self, handle: str) -> SideCall:
+        """Return the call that frees a prompt's memory."""
+
+    @abc.abstractmethod
+    def take_hold(self, tokens: int, for_s: float) -> SideCall:
+        """Return the call that reserves a slot and memory."""
+
+    @abc.abstractmethod
+    def hold_of(self, body: bytes) -> str:
+        """Return the identity of a reservation. Raises BadHttp."""
+
+    @abc.abstractmethod
+    def drop_hold(self, hold: str) -> SideCall:
+        """Return the call that gives a reservation back."""
--- /dev/null
+++ b/src/crankhinge/adapters/_source.py
@@ -0,0 +1,63 @@
+"""Where the operators' configuration and the list of backend servers come from."""
+
+from __future__ import annotations
+
+import abc
+from dataclasses import dataclass
+
+from crankhinge.decisions import RouteTable, Server
+from crankhinge.errors import CrankhingeError
+
+
+class HistoryLost(CrankhingeError):
+    """Changes since the given mark are no longer known; everything must be read anew."""
+
+    code = "history-lost"
+
+
+@dataclass(frozen=True)
+class ConfigSeen:
+    """A configuration, or None where none was written, and the mark to watch from."""
+
+    table: RouteTable | None
+    mark: int
+
+
+@dataclass(frozen=True)
+class ServersSeen:
+    """Entries of servers, identities without an entry any more, and the mark to watch from."""
+
+    servers: tuple[Server, ...]
+    gone: tuple[str, ...]
+    mark: int
+
+
+class FleetSource(abc.ABC):
+    """Reads and watches what the platform knows.
+
+    Every method raises :class:`crankhinge.errors.KeyValueUnavailable` when no answer comes.
+    """
+
+    @abc.abstractmethod
+    async def read_config(self) -> ConfigSeen:
+        """Return the newest configuration."""
+
+    @abc.abstractmethod
+    async def watch_config(self, mark: int, wait_s: float) -> ConfigSeen:
+        """Return the next configuration after *mark*, or None after *wait_s*.
+
+        Raises:
+            HistoryLost: read anew.
+        """
+
+    @abc.abstractmethod
+    async def read_servers(self) -> ServersSeen:
+        """Return every entry."""
+
+    @abc.abstractmethod
+    async def watch_servers(self, mark: int, wait_s: float) -> ServersSeen:
+        """Return what changed after *mark*, within *wait_s*.
+
+        Raises:
+            HistoryLost: read anew.
+        """
--- a/src/crankhinge/agent/_settings.py
+++ b/src/crankhinge/agent/_settings.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from crankhinge.peers import PeerSettings
-from crankhinge.peers._settings import HostPort, Seconds
+from crankhinge.runtime import HostPort, Seconds
 
 
 class AgentSettings(PeerSettings, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/crankhinge/ctl/_bundle.py
+++ b/src/crankhinge/ctl/_bundle.py
@@ -24,8 +24,8 @@
 )
 from crankhinge.errors import BundleError
 from crankhinge.peers import parse_endpoint
-from crankhinge.peers._settings import HexKey, HostPort
-from crankhinge.runtime import load_settings
+from crankhinge.peers._settings import HexKey
+from crankhinge.runtime import HostPort, load_settings
 
 
 class CtlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -41,8 +41,19 @@
     try_acquire,
     without,
 )
+from crankhinge.decisions._routes import (
+    CallerLimits,
+    EngineLimits,
+    Route,
+    RouteKind,
+    RouteTable,
+    Service,
+    Share,
+)
 from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
+from crankhinge.decisions._servers import Phase, Server, ServerList
 from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
+from crankhinge.decisions._standing import Standing, pick_server
 from crankhinge.decisions._work import WorkQueue
 
 __all__ = [
@@ -53,6 +64,8 @@
     "Backend",
     "Breaker",
     "BreakerState",
+    "CallerLimits",
+    "EngineLimits",
     "FairAsk",
     "FairQueue",
     "FenceAction",
@@ -67,6 +80,7 @@
     "MemberLimits",
     "Permit",
     "Permitted",
+    "Phase",
     "PrefixIndex",
     "ReadRecord",
     "Refuse",
@@ -76,14 +90,22 @@
     "RollLease",
     "RollPlace",
     "RollRecord",
+    "Route",
     "RouteAsk",
+    "RouteKind",
+    "RouteTable",
     "Router",
     "RoutingWeights",
     "Send",
+    "Server",
+    "ServerList",
+    "Service",
     "Settle",
+    "Share",
     "SlotAsk",
     "SlotDecision",
     "SlotTable",
+    "Standing",
     "SwapRecord",
     "Take",
     "Taken",
@@ -92,6 +114,7 @@
     "WorkQueue",
     "keep_answer",
     "mechanisms",
+    "pick_server",
     "rank_by_key",
     "to_load",
     "try_acquire",
--- /dev/null
+++ b/src/crankhinge/decisions/_routes.py
@@ -0,0 +1,133 @@
+"""Which service answers a request: routes by host and path prefix, with weighted splits."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+
+class RouteKind(enum.Enum):
+    """What may be done again for a request of a route."""
+
+    REPEATABLE = "repeatable"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclass(frozen=True, slots=True)
+class Share:
+    """A service and its weight in a split."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host under one path prefix.
+
+    Attributes:
+        name: for logs.
+        host: lower case, without a port.
+        prefix: begins and ends with a slash.
+        kind: what may be repeated.
+        timeout_s: longest time that a request may be held.
+        target_s: time within which an answer is worth most (streams: its first event).
+        rank: 0 is the most urgent.
+        max_servers: most backend servers that one request may be sent to.
+        resumable: whether another server may take up a broken stream.
+        split: the services and their weights; one with weight 1 as a rule.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    target_s: float
+    rank: int
+    max_servers: int
+    resumable: bool
+    split: tuple[Share, ...]
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is RouteKind.REPEATABLE or self.resumable
+
+    def service_at(self, draw: float) -> str:
+        """Return the service for a *draw* from 0 (included) to 1 (excluded)."""
+        left = draw * sum(share.weight for share in self.split)
+        for share in self.split:
+            left -= share.weight
+            if left < 0:
+                return share.service
+        return self.split[-1].service
+
+
+@dataclass(frozen=True, slots=True)
+class EngineLimits:
+    """What the engines of a service hold.
+
+    Attributes:
+        slots: requests at once.
+        kv_tokens: tokens of memory.
+        handle_s: seconds that a prompt's memory waits for a decode engine to fetch it.
+        hold_s: longest time that memory may be reserved ahead.
+        stride: tokens in one event of a stream.
+    """
+
+    slots: int
+    kv_tokens: int
+    handle_s: float
+    hold_s: float
+    stride: int
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Backend servers that answer the same requests.
+
+    Attributes:
+        name: what routes call it.
+        max_connections: connections that one server takes from all callers together.
+        engine: set when its servers are language-model engines.
+    """
+
+    name: str
+    max_connections: int
+    engine: EngineLimits | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle (seconds)."""
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
+@dataclass(frozen=True)
+class RouteTable:
+    """One version of the operators' configuration."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: Mapping[str, Service]
+    limits: CallerLimits
+    _by_host: dict[str, list[Route]] = field(default_factory=dict, init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        for route in sorted(self.routes, key=lambda route: -len(route.prefix)):
+            self._by_host.setdefault(route.host, []).append(route)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route of *host* with the longest prefix that begins *path*."""
+        name = host.rsplit(":", 1)[0] if host.rpartition(":")[2].isdigit() else host
+        for route in self._by_host.get(name.lower(), ()):
+            if path.startswith(route.prefix):
+                return route
+        return None
--- /dev/null
+++ b/src/crankhinge/decisions/_standing.py
@@ -0,0 +1,81 @@
+"""What one instance has seen of a backend server: load, speed, failures."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from crankhinge.decisions._breaker import Breaker
+from crankhinge.decisions._servers import Server
+
+# Weight of the newest sample in the averages: some ten requests shape them.
+EWMA = 0.15
+# How much a failure share of one makes a server look slower.
+FAILURE_FACTOR = 8.0
+# Before anything was seen a server counts as this fast, in seconds.
+FIRST_TOOK_S = 0.05
+# A server in another availability zone looks this much slower; a few percent is what the way costs.
+FAR_FACTOR = 1.1
+
+
+@dataclass
+class Standing:
+    """Beliefs about one server; ages are those of the requests that shaped them.
+
+    Attributes:
+        open: requests of this instance in progress there.
+        tokens: memory in tokens that those requests take.
+        took_s: average time of an answer.
+        failing: average share of failures.
+        full_until: when to ask again after it refused for want of room.
+    """
+
+    open: int = 0
+    tokens: int = 0
+    took_s: float = FIRST_TOOK_S
+    failing: float = 0.0
+    full_until: float = 0.0
+    breaker: Breaker = field(default_factory=Breaker)
+
+    def succeeded(self, took_s: float) -> None:
+        """Note an answer."""
+        self.took_s += EWMA * (took_s - self.took_s)
+        self.failing *= 1 - EWMA
+        self.breaker.succeeded()
+
+    def failed(self, now: float) -> None:
+        """Note a failure of the server itself."""
+        self.failing += EWMA * (1 - self.failing)
+        self.breaker.failed(now)
+
+    def cost(self, *, far: bool) -> float:
+        """Return the expected wait there, in arbitrary units."""
+        base = (self.open + 1) * max(self.took_s, 0.001) * (1 + FAILURE_FACTOR * self.failing)
+        return base * (FAR_FACTOR if far else 1.0)
+
+
+def pick_server(
+    servers: Iterable[Server],
+    standing_of: Callable[[str], Standing],
+    *,
+    zone: str,
+    now: float,
+    rng: random.Random,
+    avoid: frozenset[str] = frozenset(),
+) -> Server | None:
+    """Return the server with the least expected wait, or None when there is none.
+
+    Servers whose breaker is open are taken only when there is no other.
+    """
+    able = [server for server in servers if server.ident not in avoid]
+    sound = [server for server in able if standing_of(server.ident).breaker.allows(now)]
+    choice = sound or able
+    if not choice:
+        return None
+    costs = {
+        server.ident: standing_of(server.ident).cost(far=server.zone != zone)
+        * rng.uniform(1.0, 1.2)
+        for server in choice
+    }
+    return min(choice, key=lambda server: costs[server.ident])
--- /dev/null
+++ b/src/crankhinge/gateway/__init__.py
@@ -0,0 +1,9 @@
+"""The gateway: relays requests as they are to the backend servers that run them.
+
+It serves callers that speak the backend servers' own protocol; ``crankhinge.entry`` serves those
+that speak the completions API.
+"""
+
+from crankhinge.gateway._program import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/src/crankhinge/gateway/_backends.py
@@ -0,0 +1,120 @@
+"""The backend servers as this instance uses them: connections, load, side calls."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Dialect, SideCall
+from crankhinge.decisions import Phase, Server, ServerList, Standing, pick_server
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import HttpClient, Response
+from crankhinge.runtime import Metrics
+
+# A connection in one availability zone comes up in a millisecond; a lost first packet is sent
+# again after one second, which is too late for most requests: then another server is asked.
+CONNECT_S = 0.35
+# Kept connections to one server; an instance has some ten requests in progress there at its peak.
+POOL_SIZE = 16
+# A side call is answered in milliseconds; its server is given up on after this, in seconds.
+SIDE_CALL_S = 0.6
+
+
+class Backends:
+    """Connections to servers and what was seen of them.
+
+    Args:
+        servers: which servers there are.
+        dialect: how side calls are written.
+        zone: of this instance.
+        log: for events.
+        metrics: for counters.
+        rng: for choices between equals.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: ServerList,
+        dialect: Dialect,
+        zone: str,
+        log: Any,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.dialect = dialect
+        self.rng = rng
+        self._servers = servers
+        self._zone = zone
+        self._log = log
+        self._metrics = metrics
+        self._clients: dict[str, HttpClient] = {}
+        self._standing: dict[str, Standing] = {}
+
+    def standing(self, ident: str) -> Standing:
+        """Return what was seen of a server."""
+        return self._standing.setdefault(ident, Standing())
+
+    def client(self, server: Server) -> HttpClient:
+        """Return the connections to a server."""
+        if server.ident not in self._clients:
+            self._clients[server.ident] = HttpClient(
+                server.host, server.port, pool_size=POOL_SIZE, connect_s=CONNECT_S
+            )
+        return self._clients[server.ident]
+
+    async def forget(self, ident: str) -> None:
+        """Close the idle connections to a server that is gone."""
+        self._standing.pop(ident, None)
+        client = self._clients.pop(ident, None)
+        if client is not None:
+            await client.close()
+
+    def able(self, service: str, phase: Phase | None = None) -> list[Server]:
+        """Return the servers of a service that take new work."""
+        return [
+            server
+            for server in self._servers.all()
+            if server.service == service
+            and not server.leaving
+            and (phase is None or server.phase is phase)
+        ]
+
+    def pick(
+        self, service: str, now: float, *, phase: Phase | None = None, avoid: frozenset[str]
+    ) -> Server | None:
+        """Return the server with the least expected wait, or None."""
+        return pick_server(
+            self.able(service, phase),
+            self.standing,
+            zone=self._zone,
+            now=now,
+            rng=self.rng,
+            avoid=avoid,
+        )
+
+    def near(self, servers: list[Server], zone: str) -> list[Server]:
+        """Return those in *zone* where there are any, else all."""
+        return [server for server in servers if server.zone == zone] or servers
+
+    async def side_call(self, server: Server, call: SideCall) -> Response | None:
+        """Make a call of the router's own; None when it isn't answered."""
+        client = self.client(server)
+        headers = {"content-type": "application/json"}
+        try:
+            resp: Response = await curio.timeout_after(SIDE_CALL_S, _call, client, call, headers)
+        except (HttpClosed, BadHttp, curio.TaskTimeout) as exc:
+            self._metrics.count("side_calls_failed")
+            self._log.info("side_call_failed", server=server.ident, call=call.target, why=repr(exc))
+            return None
+        return resp
+
+    async def later(self, server: Server, call: SideCall) -> None:
+        """Make a call whose answer nobody waits for."""
+        await curio.spawn(self.side_call, server, call, daemon=True)
+
+
+async def _call(client: HttpClient, call: SideCall, headers: dict[str, str]) -> Response:
+    return await client.call(call.method, call.target, headers=headers, body=call.body)
--- /dev/null
+++ b/src/crankhinge/gateway/_gateway.py
@@ -0,0 +1,222 @@
+"""The gateway's HTTP face: which route a request has, and what the caller is told."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.adapters import Dialect, RelayAsk
+from crankhinge.decisions import RouteKind
+from crankhinge.errors import (
+    BadHttp,
+    CrankhingeError,
+    HttpClosed,
+    NotReady,
+    Outcome,
+    UnknownRoute,
+)
+from crankhinge.gateway._directory import Directory
+from crankhinge.gateway._plain import PlainRelay
+from crankhinge.gateway._request import Relay
+from crankhinge.gateway._settings import GatewaySettings
+from crankhinge.gateway._stream import StreamRelay
+from crankhinge.http import Exchange, HttpLimits, HttpRequest, serve_http
+from crankhinge.runtime import Metrics
+
+# A request that is not told otherwise comes back after this many seconds.
+RETRY_AFTER_S = 0.5
+# The balancer looks once a second and turns away after two misses; whoever stops before sends
+# callers to a closed door.
+UNREADY_S = 2.5
+DRAIN_POLL_S = 0.05
+# What is left of the time for a planned stop when the last requests are given up on, in seconds.
+LAST_CALL_S = 0.7
+# Seconds that a request may take where neither caller nor route sets a bound.
+LONGEST_S = 60.0
+
+
+class Gateway:
+    """Answers callers.
+
+    Args:
+        settings: its settings.
+        directory: routes and servers.
+        dialect: how callers and servers are spoken to.
+        plain: runs requests answered in one piece.
+        streams: runs streams.
+        log: for events.
+        metrics: for counters.
+        rng: for splits between services.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: GatewaySettings,
+        directory: Directory,
+        dialect: Dialect,
+        plain: PlainRelay,
+        streams: StreamRelay,
+        log: Any,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._directory = directory
+        self._dialect = dialect
+        self._plain = plain
+        self._streams = streams
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._open = 0
+        self._draining = False
+
+    async def listen(self) -> None:
+        """Serve callers until cancelled."""
+        host, _, port = self._settings.listen.rpartition(":")
+        await serve_http(
+            host,
+            int(port),
+            self._handle,
+            on_bad=self._on_bad,
+            log=self._log,
+            limits=self._limits,
+            closing=lambda: self._draining,
+        )
+
+    async def listen_ready(self) -> None:
+        """Tell the balancer whether to send new connections, until cancelled."""
+        host, _, port = self._settings.ready.rpartition(":")
+        await serve_http(host, int(port), self._ready, on_bad=self._on_bad, log=self._log)
+
+    def _limits(self) -> HttpLimits:
+        table = self._directory.table
+        if table is None:
+            return HttpLimits()
+        limits = table.limits
+        return HttpLimits(
+            body_bytes=limits.body_bytes,
+            header_bytes=limits.header_bytes,
+            idle_s=limits.idle_s,
+            read_s=limits.header_s + limits.idle_s,
+        )
+
+    async def _ready(self, exchange: Exchange) -> None:
+        ready = self._directory.known and not self._draining
+        if exchange.req.path != self._settings.ready_path:
+            await exchange.respond(404, b"{}")
+            return
+        table = self._directory.table
+        state = {"ready": ready, "config": table.version if table else None, "open": self._open}
+        await exchange.respond(200 if ready else 503, msgspec.json.encode(state))
+
+    async def drain(self) -> None:
+        """Turn new callers away, then wait for what is in progress."""
+        began = await curio.clock()
+        self._draining = True
+        self._log.info("draining", open=self._open)
+        await curio.sleep(UNREADY_S)
+        left = self._settings.drain_s - LAST_CALL_S - (await curio.clock() - began)
+        await curio.ignore_after(max(0.0, left), self._wait_idle)
+        self._log.info("drained", open=self._open)
+
+    async def _wait_idle(self) -> None:
+        while self._open:
+            await curio.sleep(DRAIN_POLL_S)
+
+    async def _on_bad(self, exchange: Exchange, exc: BadHttp) -> None:
+        self._metrics.count("bad_http")
+        self._log.warning("request_malformed", why=exc.detail, status=exc.status)
+        await exchange.respond(exc.status, _body(exc, Outcome.NOT_RUN))
+
+    async def _handle(self, exchange: Exchange) -> None:
+        """Answer one request; a caller that goes ends its work."""
+        self._open += 1
+        try:
+            ask = self._dialect.read_ask(exchange.req)
+            async with curio.TaskGroup(wait=any) as group:
+                work = await group.spawn(self._answer, exchange, ask)
+                await group.spawn(exchange.wait_gone)
+            if group.completed is not work or work.exception is not None:
+                self._note_unanswered(ask, work.exception)
+                raise HttpClosed("not answered")
+        finally:
+            self._open -= 1
+
+    def _note_unanswered(self, ask: RelayAsk, failure: BaseException | None) -> None:
+        if failure is None or isinstance(failure, curio.CancelledError):
+            self._metrics.count("callers_gone")
+            self._log.info("caller_gone", request=ask.ident)
+            return
+        self._metrics.count("broken_off")
+        self._log.warning(
+            "broken_off", request=ask.ident, kind=type(failure).__name__, why=str(failure)
+        )
+
+    async def _answer(self, exchange: Exchange, ask: RelayAsk) -> None:
+        relay: Relay | None = None
+        try:
+            relay = await self._admit(exchange, ask)
+            if relay.route.kind is RouteKind.STREAM:
+                await self._streams.run(relay)
+            else:
+                await self._plain.run(relay)
+        except HttpClosed:
+            raise
+        except CrankhingeError as exc:
+            await self._refuse(exchange, ask, relay, exc)
+        else:
+            self._note_end(relay)
+
+    async def _admit(self, exchange: Exchange, ask: RelayAsk) -> Relay:
+        table = self._directory.table
+        if table is None or not self._directory.listed:
+            raise NotReady("no configuration or no list of servers yet", retry_after_s=0.5)
+        req: HttpRequest = exchange.req
+        route = table.match(req.headers.get("host", ""), req.path)
+        if route is None:
+            raise UnknownRoute(f"no route for {req.headers.get('host')}{req.path}")
+        service = table.services.get(route.service_at(self._rng.random()))
+        if service is None:
+            raise NotReady(f"route {route.name} names a service that is not there")
+        began = await curio.clock()
+        within = min(route.timeout_s, LONGEST_S if ask.within_s is None else ask.within_s)
+        relay = Relay(exchange, ask, route, service, table.version, began, began + within)
+        relay.facts["service"] = service.name
+        return relay
+
+    def _note_end(self, relay: Relay) -> None:
+        self._metrics.count("answered")
+        self._log.info("answered", request=relay.ask.ident, route=relay.route.name, **relay.facts)
+
+    async def _refuse(
+        self, exchange: Exchange, ask: RelayAsk, relay: Relay | None, exc: CrankhingeError
+    ) -> None:
+        """Give the final answer of a request that failed, with what is known of its run."""
+        ran = relay is not None and relay.may_have_run
+        outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+        status = exc.status
+        if ran and status in (503, 429):
+            status = 502
+        elif not ran and status in (500, 502, 504):
+            status = 503
+        facts = {} if relay is None else dict(relay.facts)
+        if relay is not None:
+            facts.update(route=relay.route.name, config=relay.version, sent=len(relay.sent))
+            facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
+        facts.update(code=exc.code, why=exc.detail, outcome=outcome.value, status=status)
+        self._metrics.count(f"failed.{exc.code}")
+        self._log.warning("request_failed", request=ask.ident, **facts)
+        fields = [*self._dialect.own_fields(ask), ("content-type", "application/json")]
+        if status == 503:
+            after = exc.retry_after_s or RETRY_AFTER_S
+            fields.append(("retry-after", f"{after:.2f}"))
+        await exchange.respond_as_is(status, fields, _body(exc, outcome))
+
+
+def _body(exc: CrankhingeError, outcome: Outcome) -> bytes:
+    return msgspec.json.encode({"error": exc.code, "detail": exc.detail, "outcome": outcome.value})
--- /dev/null
+++ b/src/crankhinge/gateway/_legs.py
@@ -0,0 +1,67 @@
+"""Sends requests to backend servers and tells what became of them."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Leg
+from crankhinge.decisions import Server
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._request import Relay
+from crankhinge.http import ClientStream, ConnectFailed
+
+
+class Legs:
+    """Opens requests at servers; used by every kind of request.
+
+    Args:
+        backends: the servers.
+    """
+
+    def __init__(self, backends: Backends) -> None:
+        self._backends = backends
+
+    @asynccontextmanager
+    async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
+        """Send the request and give its answer, head read; the connection is closed or kept.
+
+        Raises:
+            ConnectFailed: nothing was sent.
+            HttpClosed: it may have run.
+            BadHttp: it may have run; what came back is no answer.
+        """
+        dialect = self._backends.dialect
+        standing = self._backends.standing(server.ident)
+        req = relay.exchange.req
+        began = await curio.clock()
+        standing.breaker.sent(began)
+        standing.open += 1
+        stream: ClientStream | None = None
+        whole = False
+        try:
+            stream = await self._backends.client(server).open_as_is(
+                req.method,
+                req.target,
+                fields=dialect.leg_fields(req, leg),
+                body=req.body,
+                owns=_owner_is(dialect, relay.ask.ident),
+            )
+            yield stream
+            whole = True
+        except (ConnectFailed, HttpClosed, BadHttp):
+            standing.failed(await curio.clock())
+            raise
+        finally:
+            standing.open -= 1
+            if stream is not None:
+                await (stream.close() if whole else stream.abort())
+
+
+def _owner_is(dialect: Any, ident: str) -> Any:
+    """Return the check whether an answer belongs to the request *ident*."""
+    return lambda headers: dialect.owner(headers) in ("", ident)
--- /dev/null
+++ b/src/crankhinge/gateway/_plain.py
@@ -0,0 +1,165 @@
+"""Requests whose answers are short: the whole answer is read before the caller gets any of it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Leg
+from crankhinge.decisions import Phase, RetryBudget, Server
+from crankhinge.errors import (
+    BackendFailed,
+    BadHttp,
+    DeadlinePassed,
+    HttpClosed,
+    NoBackend,
+    Overloaded,
+)
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._request import Relay
+from crankhinge.http import ConnectFailed
+
+# Connections that may fail to come up for one request; nothing was sent on any of them.
+MAX_UNREACHED = 3
+# When to come back after a refusal, in seconds: the queue of a busy service moves on in this time.
+RETRY_AFTER_S = 0.25
+# A request that may run again is taken from a silent server after this part of its time.
+PATIENCE = 0.45
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A whole answer of a server."""
+
+    status: int
+    fields: list[tuple[str, str]]
+    body: bytes
+
+
+class PlainRelay:
+    """Runs requests that are answered in one piece.
+
+    Args:
+        backends: the servers.
+        legs: sends requests to them.
+        budget_of: the retry budget of a service.
+        log: for events.
+    """
+
+    def __init__(self, *, backends: Backends, legs: Legs, budget_of: Any, log: Any) -> None:
+        self._backends = backends
+        self._legs = legs
+        self._budget_of = budget_of
+        self._log = log
+
+    async def run(self, relay: Relay) -> None:
+        """Get an answer and hand it to the caller. Raises a failure with its outcome."""
+        answer = await self._answer(relay)
+        relay.facts["status"] = answer.status
+        fields = self._backends.dialect.answer_fields(answer.fields)
+        await relay.exchange.respond_as_is(answer.status, fields, answer.body)
+
+    async def _answer(self, relay: Relay) -> Answer:
+        budget: RetryBudget = self._budget_of(relay.service.name)
+        budget.first_attempt()
+        unreached = 0
+        failed: Answer | None = None
+        while True:
+            server = await self._choose(relay)
+            if server is None:
+                if failed is not None:
+                    return failed
+                raise self._no_server(relay)
+            result = await self._try(relay, server)
+            if isinstance(result, ConnectFailed):
+                unreached += 1
+                relay.sent.pop()
+                if unreached < MAX_UNREACHED:
+                    continue
+            if isinstance(result, Answer):
+                if not self._worth_repeating(relay, result) or not budget.try_retry():
+                    return result
+                failed = result
+                continue
+            if relay.may_be_sent and relay.may_repeat and budget.try_retry():
+                continue
+            if failed is not None:
+                return failed
+            raise result
+
+    async def _choose(self, relay: Relay) -> Server | None:
+        phase = Phase.WRITE if relay.service.engine else None
+        if await relay.left() <= 0:
+            raise DeadlinePassed("no time is left") if relay.may_have_run else Overloaded("late")
+        return self._backends.pick(
+            relay.service.name,
+            await curio.clock(),
+            phase=phase,
+            avoid=frozenset(relay.sent) | frozenset(relay.facts.get("unreached", ())),
+        )
+
+    def _no_server(self, relay: Relay) -> Exception:
+        if relay.may_have_run:
+            return BackendFailed("no other server is there")
+        return NoBackend(f"{relay.service.name}: no server", retry_after_s=RETRY_AFTER_S)
+
+    def _worth_repeating(self, relay: Relay, answer: Answer) -> bool:
+        """Whether an answer that reports a failure may be replaced by another server's."""
+        return answer.status >= 500 and relay.route.repeatable and relay.may_be_sent
+
+    async def _try(self, relay: Relay, server: Server) -> Any:
+        """Return an answer, or the failure to report if this was the last try."""
+        left = await relay.left()
+        patience = left
+        if relay.route.repeatable and len(relay.sent) + 1 < relay.route.max_servers:
+            patience = left * PATIENCE
+        relay.sent.append(server.ident)
+        relay.facts["server"] = server.ident
+        standing = self._backends.standing(server.ident)
+        began = await curio.clock()
+        try:
+            result = await curio.timeout_after(patience, self._leg, relay, server, left)
+        except ConnectFailed as exc:
+            relay.facts.setdefault("unreached", []).append(server.ident)
+            self._note(relay, server, "unreached", exc.detail)
+            return exc
+        except (HttpClosed, BadHttp) as exc:
+            relay.may_have_run = True
+            self._note(relay, server, "broken", exc.detail)
+            return BackendFailed(exc.detail)
+        except curio.TaskTimeout:
+            relay.may_have_run = True
+            standing.failed(await curio.clock())
+            self._note(relay, server, "silent", f"nothing in {patience:.3f} s")
+            return DeadlinePassed(f"no answer in {patience:.3f} s")
+        if isinstance(result, Answer):
+            relay.may_have_run = True
+            took = await curio.clock() - began
+            standing.succeeded(took)
+            if result.status >= 500:
+                standing.failed(began + took)
+        return result
+
+    def _note(self, relay: Relay, server: Server, outcome: str, why: str) -> None:
+        self._log.info(
+            "leg_failed",
+            request=relay.ask.ident,
+            server=server.ident,
+            outcome=outcome,
+            why=why,
+            tried=len(relay.sent),
+        )
+
+    async def _leg(self, relay: Relay, server: Server, within_s: float) -> Any:
+        leg = Leg(server.ident, within_s)
+        async with self._legs.open(relay, server, leg) as stream:
+            body = await stream.read_all()
+            word = self._backends.dialect.word(stream.status, stream.headers)
+            if not word.not_run:
+                return Answer(stream.status, stream.fields, body)
+            after = word.retry_after_s or RETRY_AFTER_S
+            self._note(relay, server, "refused", f"status {stream.status}")
+            return Overloaded(f"{server.ident} refused", retry_after_s=after)
--- /dev/null
+++ b/src/crankhinge/gateway/_request.py
@@ -0,0 +1,56 @@
+"""One request on its way through the gateway."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import RelayAsk
+from crankhinge.decisions import Route, Service
+from crankhinge.http import Exchange
+
+
+@dataclass
+class Relay:
+    """A request, what binds it, and what has been done for it.
+
+    Attributes:
+        exchange: the caller's request and the way to answer it.
+        ask: what it says of itself.
+        route: the route that it matched.
+        service: the service that answers it.
+        version: of the configuration that decided so.
+        began: when it was read, on the runtime's clock.
+        until: when it has to be answered, on the runtime's clock.
+        sent: identities of the servers that it was sent to.
+        may_have_run: whether a server may have run it.
+        facts: what the line about its end tells.
+    """
+
+    exchange: Exchange
+    ask: RelayAsk
+    route: Route
+    service: Service
+    version: int
+    began: float
+    until: float
+    sent: list[str] = field(default_factory=list)
+    may_have_run: bool = False
+    facts: dict[str, Any] = field(default_factory=dict)
+
+    async def left(self) -> float:
+        """Return the seconds that are left."""
+        now: float = await curio.clock()
+        return self.until - now
+
+    @property
+    def may_be_sent(self) -> bool:
+        """Whether the route allows one more server."""
+        return len(self.sent) < self.route.max_servers
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether it may be sent again without running twice against the operator's will."""
+        return self.route.repeatable or not self.may_have_run
--- /dev/null
+++ b/src/crankhinge/gateway/_settings.py
@@ -0,0 +1,35 @@
+"""Settings of a gateway."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+from crankhinge.runtime import HostPort, Seconds
+
+
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Settings of a gateway.
+
+    Attributes:
+        name: of this instance.
+        zone: its availability zone.
+        listen: ``host:port`` for callers.
+        ready: ``host:port`` where the balancer asks whether to send new connections.
+        ready_path: the path it asks.
+        metrics: ``host:port`` where counters and histograms are read; empty for none.
+        source: ``host:port`` of the service with configuration and list of servers.
+        drain_s: seconds a planned stop may take at most.
+        statsd: ``host:port`` of the statsd server; empty for none.
+    """
+
+    name: str
+    zone: str
+    listen: HostPort
+    ready: HostPort
+    source: HostPort
+    ready_path: str = "/readyz"
+    metrics: str = ""
+    drain_s: Annotated[Seconds, msgspec.Meta(le=3600)] = 30.0
+    statsd: str = ""
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -4,7 +4,7 @@
 
 import os
 import socket
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,6 +17,10 @@
 RECV_BYTES = 65536
 LINGER_S = 1.0
 LINGER_BYTES = 16 * 1024 * 1024
+# Most bytes of later requests that are taken in while one is answered.
+EARLY_BYTES = 256 * 1024
+
+Fields = Iterable[tuple[str, str]]
 
 
 @dataclass(frozen=True)
@@ -26,24 +30,32 @@
     Attributes:
         body_bytes: largest body.
         header_bytes: largest header block.
-        idle_s: seconds a connection may stay without a complete request.
+        idle_s: seconds a connection may stay without the first byte of a request.
+        read_s: seconds from that byte to the end of the request.
         send_s: seconds a write may wait for the caller to read.
     """
 
     body_bytes: int = 4 * 1024 * 1024
     header_bytes: int = 16 * 1024
     idle_s: float = 75.0
+    read_s: float = 75.0
     send_s: float = 15.0
 
 
 @dataclass(frozen=True)
 class HttpRequest:
-    """One whole request. Header names are lower case."""
+    """One whole request. Header names are lower case.
+
+    Attributes:
+        headers: by name; of a repeated name the last value.
+        fields: every header field in order.
+    """
 
     method: str
     target: str
     headers: Mapping[str, str]
     body: bytes
+    fields: tuple[tuple[str, str], ...] = ()
 
     @property
     def path(self) -> str:
@@ -71,10 +83,24 @@
         out += self._conn.encode(h11.EndOfMessage())
         await self._conn.send(out)
 
+    async def respond_as_is(self, status: int, fields: Fields, body: bytes) -> None:
+        """Send a whole response with the given header fields; only its length is added."""
+        self.started = True
+        out = self._conn.encode_fields(status, [*fields, ("content-length", str(len(body)))])
+        # Nothing follows the head of an answer to HEAD, or of one without content.
+        if self.req.method != "HEAD" and status not in (204, 304):
+            out += self._conn.encode(h11.Data(data=body))
+        out += self._conn.encode(h11.EndOfMessage())
+        await self._conn.send(out)
+
     async def start(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the head of a streamed response."""
+        await self.start_as_is(status, headers.items())
+
+    async def start_as_is(self, status: int, fields: Fields) -> None:
+        """Send the head of a streamed response with the given header fields."""
         self.started = True
-        await self._conn.send(self._conn.encode_head(status, headers))
+        await self._conn.send(self._conn.encode_fields(status, fields))
 
     async def write(self, chunk: bytes) -> None:
         """Send one chunk of a streamed response."""
@@ -92,14 +118,21 @@
 class _ServerConn:
     """A connection from a caller."""
 
-    def __init__(self, sock: Any, limits: HttpLimits) -> None:
+    def __init__(self, sock: Any, limits: HttpLimits, closing: Callable[[], bool]) -> None:
         self._sock = sock
         self._fd = sock.fileno()
         self._limits = limits
+        self._closing = closing
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.header_bytes)
 
     def encode_head(self, status: int, headers: Mapping[str, str]) -> bytes:
-        return self.encode(h11.Response(status_code=status, headers=list(headers.items())))
+        return self.encode_fields(status, headers.items())
+
+    def encode_fields(self, status: int, fields: Fields) -> bytes:
+        head = list(fields)
+        if self._closing():
+            head.append(("connection", "close"))
+        return self.encode(h11.Response(status_code=status, headers=head))
 
     def encode(self, event: Any) -> bytes:
         return self._h11.send(event) or b""
@@ -141,6 +174,11 @@
             raise HttpClosed(str(exc)) from exc
         self._h11.receive_data(data)
 
+    async def wait_first_byte(self) -> None:
+        """Return when something of the next request is here, or the caller has closed."""
+        if not self._h11.trailing_data[0]:
+            await self._receive()
+
     async def next_request(self) -> HttpRequest | None:
         """Return the next request, or None when the caller is done."""
         head = await self._event()
@@ -155,9 +193,9 @@
             go_on = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(self.encode(go_on))
         body = await self._body()
-        headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in head.headers}
+        fields = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
         method = head.method.decode("ascii")
-        return HttpRequest(method, head.target.decode("latin-1"), headers, body)
+        return HttpRequest(method, head.target.decode("latin-1"), dict(fields), body, fields)
 
     async def _body(self) -> bytes:
         body = bytearray()
@@ -172,14 +210,18 @@
                 raise BodyTooLarge(f"body over {self._limits.body_bytes} bytes")
 
     async def wait_gone(self) -> None:
-        while True:
+        early = 0
+        while early < EARLY_BYTES:
             try:
                 data = await self._sock.recv(RECV_BYTES)
             except OSError:
                 return
             if not data:
                 return
+            early += len(data)
             self._h11.receive_data(data)
+        # Whoever sends this much before its answer is heard again once the answer is out.
+        await curio.Event().wait()
 
     async def linger(self) -> None:
         """Read on for a while after a refusal, so that the caller gets to see it.
@@ -219,7 +261,8 @@
     *,
     on_bad: OnBadHttp,
     log: Any,
-    limits: HttpLimits | None = None,
+    limits: HttpLimits | Callable[[], HttpLimits] | None = None,
+    closing: Callable[[], bool] = lambda: False,
 ) -> None:
     """Serve until cancelled.
 
@@ -229,21 +272,24 @@
         handler: answers one exchange.
         on_bad: answers a malformed request.
         log: where unexpected failures go.
-        limits: bounds on what callers may send.
+        limits: bounds on what callers may send; a callable is asked for each connection.
+        closing: whether connections end with the answer that is due on them.
     """
-    bounds = limits or HttpLimits()
 
     async def serve_one(sock: Any, _addr: Any) -> None:
-        await _serve_conn(sock, bounds, handler, on_bad)
+        bounds = limits() if callable(limits) else limits or HttpLimits()
+        await _serve_conn(_ServerConn(sock, bounds, closing), bounds, handler, on_bad)
 
     await serve_tcp(host, port, serve_one, log=log)
 
 
-async def _serve_conn(sock: Any, limits: HttpLimits, handler: Handler, on_bad: OnBadHttp) -> None:
-    conn = _ServerConn(sock, limits)
+async def _serve_conn(
+    conn: _ServerConn, limits: HttpLimits, handler: Handler, on_bad: OnBadHttp
+) -> None:
     try:
         while True:
-            req = await curio.timeout_after(limits.idle_s, conn.next_request)
+            await curio.timeout_after(limits.idle_s, conn.wait_first_byte)
+            req = await curio.timeout_after(limits.read_s, conn.next_request)
             if req is None:
                 return
             await handler(Exchange(conn, req))
--- a/src/crankhinge/peers/_settings.py
+++ b/src/crankhinge/peers/_settings.py
@@ -7,11 +7,9 @@
 import msgspec
 
 from crankhinge.errors import SettingsError
+from crankhinge.runtime import HostPort, Port, Seconds
 
-Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
-Seconds = Annotated[float, msgspec.Meta(gt=0)]
 HexKey = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]{64}$")]
-HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.:_-]+:[0-9]{1,5}$")]
 
 
 class Endpoint(NamedTuple):
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -1,18 +1,24 @@
 """Supervision, logs, metrics and process start-up."""
 
+from crankhinge.runtime._fields import HostPort, Port, Seconds
 from crankhinge.runtime._files import write_json
 from crankhinge.runtime._logs import Log, get_log
 from crankhinge.runtime._metrics import Metrics
 from crankhinge.runtime._process import load_settings, run_process
+from crankhinge.runtime._sink import LineSink
 from crankhinge.runtime._supervisor import Child, RestartLimitReached, Supervisor, until_first
 from crankhinge.runtime._tcp import open_tcp, serve_tcp
 from crankhinge.runtime._wall import wall_ms
 
 __all__ = [
     "Child",
+    "HostPort",
+    "LineSink",
     "Log",
     "Metrics",
+    "Port",
     "RestartLimitReached",
+    "Seconds",
     "Supervisor",
     "get_log",
     "load_settings",
--- /dev/null
+++ b/src/crankhinge/runtime/_fields.py
@@ -0,0 +1,11 @@
+"""Types of settings that several programs share."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65535)]
+Seconds = Annotated[float, msgspec.Meta(gt=0)]
+HostPort = Annotated[str, msgspec.Meta(pattern=r"^[0-9A-Za-z.:_-]+:[0-9]{1,5}$")]
--- a/src/crankhinge/runtime/_logs.py
+++ b/src/crankhinge/runtime/_logs.py
@@ -3,10 +3,21 @@
 from __future__ import annotations
 
 import sys
-from typing import Any, TextIO
+from typing import Any, Protocol, TextIO, cast
 
 import structlog
 
+
+class LineStream(Protocol):
+    """Where lines go: a text file, or a sink that never waits."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+
+    def flush(self) -> None:
+        """Pass on what was taken."""
+
+
 Log = structlog.stdlib.BoundLogger
 
 _SECRET_KEYS = frozenset({"authorization", "credential", "private_key", "secret", "token"})
@@ -19,7 +30,7 @@
     return event
 
 
-def get_log(*, program: str, stream: TextIO | None = None, **fields: object) -> Any:
+def get_log(*, program: str, stream: LineStream | None = None, **fields: object) -> Any:
     """Return a logger that writes logfmt lines.
 
     Args:
@@ -28,7 +39,7 @@
         fields: key=value pairs in each line.
     """
     return structlog.wrap_logger(
-        structlog.WriteLogger(stream or sys.stderr),
+        structlog.WriteLogger(cast(TextIO, stream or sys.stderr)),
         processors=[
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt="iso", utc=True, key="ts"),
--- a/src/crankhinge/runtime/_process.py
+++ b/src/crankhinge/runtime/_process.py
@@ -20,6 +20,10 @@
 from crankhinge.runtime._logs import get_log
 
 EXIT_BAD_INPUT = 2
+# Seconds between looks at the settings file, for changes that come without a signal.
+POLL_S = 1.0
+# Signals taken from the wake-up descriptor at once.
+SIGNAL_BYTES = 64
 
 S = TypeVar("S", bound=msgspec.Struct)
 
@@ -49,6 +53,8 @@
     model: type[S],
     serve: Callable[[S, Any, curio.Event], Awaitable[None]],
     argv: list[str] | None = None,
+    log: Any = None,
+    reload: Callable[[S], None] | None = None,
 ) -> int:
     """Parse the command line, read the settings and run *serve* until a signal.
 
@@ -57,6 +63,9 @@
         about: one line for ``--help``.
         model: the settings model.
         serve: the program; it returns once drained after SIGTERM.
+        argv: arguments; those of the process by default.
+        log: for events; lines on standard error by default.
+        reload: given the new settings after SIGHUP, and when the file changed without one.
 
     Returns:
         The exit status: 0, or 2 for bad input.
@@ -74,37 +83,88 @@
     if args.check:
         print(f"{args.settings}: ok")
         return 0
-    log = get_log(program=program)
+    log = log or get_log(program=program)
+    reader = _Reader(args.settings, model, log, reload) if reload else None
     try:
-        curio.run(_until_signal, serve, settings, log)
+        curio.run(_until_signal, serve, settings, log, reader)
     except CrankhingeError as exc:
         log.error("stopped", kind=type(exc).__name__, why=exc.detail)
         return 1
     return 0
 
 
+class _Reader:
+    """Reads a settings file again when it has changed.
+
+    Settings that can't be read change nothing: the process goes on with those it has.
+    """
+
+    def __init__(self, path: str, model: type[S], log: Any, reload: Callable[[S], None]) -> None:
+        self._path = path
+        self._model = model
+        self._log = log
+        self._reload = reload
+        self._seen = self._stamp()
+
+    def _stamp(self) -> tuple[int, int]:
+        try:
+            stat = Path(self._path).stat()
+        except OSError as exc:
+            self._log.warning("settings_unreadable", path=self._path, why=str(exc))
+            return (0, 0)
+        return stat.st_mtime_ns, stat.st_size
+
+    def read(self, *, cause: str) -> None:
+        """Read the file and hand the settings on."""
+        self._seen = self._stamp()
+        try:
+            settings = load_settings(self._path, self._model)
+        except SettingsError as exc:
+            self._log.error("reload_failed", cause=cause, why=exc.detail)
+            return
+        self._log.info("reloaded", cause=cause, path=self._path)
+        self._reload(settings)
+
+    async def poll(self) -> None:
+        """Look for a change that no signal told of, until cancelled."""
+        while True:
+            await curio.sleep(POLL_S)
+            if self._stamp() != self._seen:
+                self.read(cause="file")
+
+
 async def _until_signal(
-    serve: Callable[[S, Any, curio.Event], Awaitable[None]], settings: S, log: Any
+    serve: Callable[[S, Any, curio.Event], Awaitable[None]],
+    settings: S,
+    log: Any,
+    reader: _Reader | None = None,
 ) -> None:
     """Run *serve*; the event it is given is set on SIGTERM or SIGINT."""
     stopping = curio.Event()
-    watcher = await curio.spawn(_watch_signals, stopping, daemon=True)
+    watchers = [await curio.spawn(_watch_signals, stopping, reader, daemon=True)]
+    if reader is not None:
+        watchers.append(await curio.spawn(reader.poll, daemon=True))
     await serve(settings, log, stopping)
-    await watcher.cancel()
+    for watcher in watchers:
+        await watcher.cancel()
 
 
-async def _watch_signals(stopping: curio.Event) -> None:
-    """Set *stopping* when a signal arrives, by way of the interpreter's wake-up descriptor."""
+async def _watch_signals(stopping: curio.Event, reader: _Reader | None) -> None:
+    """Act on signals as they come by the interpreter's wake-up descriptor."""
     receiver, sender = socket.socketpair()
     receiver.setblocking(False)
     sender.setblocking(False)
-    for signum in (signal.SIGTERM, signal.SIGINT):
+    for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(signum, lambda *_: None)
     signal.set_wakeup_fd(sender.fileno())
     conn = curio.io.Socket(receiver)
     try:
-        await conn.recv(1)
-        await stopping.set()
+        while True:
+            for signum in await conn.recv(SIGNAL_BYTES):
+                if signum != signal.SIGHUP:
+                    await stopping.set()
+                elif reader is not None:
+                    reader.read(cause="sighup")
     finally:
         signal.set_wakeup_fd(-1)
         sender.close()
--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -11,6 +11,13 @@
 
 ACCEPT_PAUSE_S = 0.05
 BACKLOG = 1024
+# A peer behind a silent cut is noticed after IDLE + COUNT x INTERVAL seconds while nothing is
+# under way, and after UNACKNOWLEDGED_MS while something is: within the three seconds after which
+# an instance counts as out of touch.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_COUNT = 2
+UNACKNOWLEDGED_MS = 3000
 
 ConnHandler = Callable[[Any, Any], Awaitable[None]]
 
@@ -72,9 +79,19 @@
         await sock.close()
         raise
     set_nodelay(sock)
+    set_liveness(sock)
     return sock
 
 
 def set_nodelay(sock: Any) -> None:
     """Send small segments at once: tokens must not wait for an acknowledgement."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def set_liveness(sock: Any) -> None:
+    """Have the kernel report a peer that fell silent; without it a cut hangs a read for hours."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_COUNT)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS)
