--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -31,6 +31,7 @@
 )
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
+from crankhinge.decisions._places import PlaceAsk, back_after, memory_needed, places_to_ask
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._rendezvous import rank_by_key
 from crankhinge.decisions._roll import (
@@ -81,6 +82,7 @@
     "Permit",
     "Permitted",
     "Phase",
+    "PlaceAsk",
     "PrefixIndex",
     "ReadRecord",
     "Refuse",
@@ -112,9 +114,12 @@
     "TakenBefore",
     "WorkAsk",
     "WorkQueue",
+    "back_after",
     "keep_answer",
     "mechanisms",
+    "memory_needed",
     "pick_server",
+    "places_to_ask",
     "rank_by_key",
     "to_load",
     "try_acquire",
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -83,22 +83,32 @@
         ]
 
     def pick(
-        self, service: str, now: float, *, phase: Phase | None = None, avoid: frozenset[str]
+        self,
+        service: str,
+        now: float,
+        *,
+        phase: Phase | None = None,
+        avoid: frozenset[str],
+        zone: str = "",
     ) -> Server | None:
-        """Return the server with the least expected wait, or None."""
+        """Return the server with the least expected wait, or None.
+
+        Args:
+            service: its service.
+            now: on the runtime's clock.
+            phase: the part that it plays; any by default.
+            avoid: identities that are out of the question.
+            zone: availability zone to stay in where it costs little; this instance's by default.
+        """
         return pick_server(
             self.able(service, phase),
             self.standing,
-            zone=self._zone,
+            zone=zone or self._zone,
             now=now,
             rng=self.rng,
             avoid=avoid,
         )
 
-    def near(self, servers: list[Server], zone: str) -> list[Server]:
-        """Return those in *zone* where there are any, else all."""
-        return [server for server in servers if server.zone == zone] or servers
-
     async def side_call(self, server: Server, call: SideCall) -> Response | None:
         """Make a call of the router's own; None when it isn't answered."""
         client = self.client(server)
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -28,6 +28,8 @@
 
 # A request that is not told otherwise comes back after this many seconds.
 RETRY_AFTER_S = 0.5
+# A request that meets a stopping instance finds another one at once, in seconds.
+STOPPING_RETRY_S = 0.05
 # The balancer looks once a second and turns away after two misses; whoever stops before sends
 # callers to a closed door.
 UNREADY_S = 2.5
@@ -74,6 +76,7 @@
         self._rng = rng
         self._open = 0
         self._draining = False
+        self._closed = curio.Event()
 
     async def listen(self) -> None:
         """Serve callers until cancelled."""
@@ -86,6 +89,7 @@
             log=self._log,
             limits=self._limits,
             closing=lambda: self._draining,
+            closed=self._closed,
         )
 
     async def listen_ready(self) -> None:
@@ -120,6 +124,8 @@
         self._draining = True
         self._log.info("draining", open=self._open)
         await curio.sleep(UNREADY_S)
+        # What comes now could not be served to its end; it is told so, or finds the door closed.
+        await self._closed.set()
         left = self._settings.drain_s - LAST_CALL_S - (await curio.clock() - began)
         await curio.ignore_after(max(0.0, left), self._wait_idle)
         self._log.info("drained", open=self._open)
@@ -173,6 +179,8 @@
             self._note_end(relay)
 
     async def _admit(self, exchange: Exchange, ask: RelayAsk) -> Relay:
+        if self._closed.is_set():
+            raise NotReady("stopping", retry_after_s=STOPPING_RETRY_S)
         table = self._directory.table
         if table is None or not self._directory.listed:
             raise NotReady("no configuration or no list of servers yet", retry_after_s=0.5)
--- /dev/null
+++ b/src/crankhinge/gateway/_reading.py
@@ -0,0 +1,110 @@
+"""Has prompts read by the engines that only read."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Leg
+from crankhinge.decisions import Phase, RetryBudget, Server
+from crankhinge.errors import BackendFailed, BadHttp, HttpClosed
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._request import Relay
+
+# Readings tried for one request: the first, and one more where a server failed.
+MAX_READINGS = 2
+# Seconds that a reading may take; a full queue of long prompts is read in less.
+READING_S = 1.6
+
+
+@dataclass(frozen=True)
+class Memory:
+    """A prompt's memory at the server that read it."""
+
+    server: Server
+    handle: str
+
+
+class Reading:
+    """Has prompts read.
+
+    Args:
+        backends: the servers.
+        legs: sends requests to them.
+        log: for events.
+    """
+
+    def __init__(self, *, backends: Backends, legs: Legs, log: Any) -> None:
+        self._backends = backends
+        self._legs = legs
+        self._log = log
+
+    async def read(self, relay: Relay, zone: str, budget: RetryBudget) -> Memory | None:
+        """Return the memory of the request's prompt; None when nobody could read it.
+
+        The engine that writes then reads the prompt itself, which takes it longer.
+
+        Args:
+            relay: the request.
+            zone: availability zone of the engine that will fetch the memory.
+            budget: of the service.
+        """
+        tried: frozenset[str] = frozenset()
+        while len(tried) < MAX_READINGS and (not tried or budget.try_retry()):
+            server = self._choose(relay, zone, tried, await curio.clock())
+            if server is None:
+                break
+            tried |= {server.ident}
+            memory = await self._try(relay, server)
+            if memory is not None:
+                return memory
+        self._log.info("not_read_apart", request=relay.ask.ident, tried=len(tried))
+        return None
+
+    def _choose(self, relay: Relay, zone: str, tried: frozenset[str], now: float) -> Server | None:
+        return self._backends.pick(
+            relay.service.name, now, phase=Phase.READ, avoid=tried, zone=zone
+        )
+
+    async def _try(self, relay: Relay, server: Server) -> Memory | None:
+        began = await curio.clock()
+        within = min(READING_S, relay.until - began)
+        leg = Leg(server.ident, max(0.001, within), read_only=True)
+        standing = self._backends.standing(server.ident)
+        try:
+            handle: str = await curio.timeout_after(within, self._leg, relay, server, leg)
+        except (HttpClosed, BadHttp, BackendFailed) as exc:
+            self._failed(relay, server, exc.code, exc.detail)
+            return None
+        except curio.TaskTimeout:
+            standing.failed(await curio.clock())
+            self._failed(relay, server, "silent", f"nothing in {within:.2f} s")
+            return None
+        took = await curio.clock() - began
+        standing.succeeded(took)
+        relay.facts.update(reader=server.ident, read_ms=round(took * 1000))
+        return Memory(server, handle)
+
+    async def _leg(self, relay: Relay, server: Server, leg: Leg) -> str:
+        async with self._legs.open(relay, server, leg) as stream:
+            body = await stream.read_all()
+            if stream.status != 200:
+                raise BackendFailed(f"status {stream.status}")
+            return self._backends.dialect.memory_of(body)
+
+    def _failed(self, relay: Relay, server: Server, outcome: str, why: str) -> None:
+        self._log.info(
+            "reading_failed",
+            request=relay.ask.ident,
+            server=server.ident,
+            outcome=outcome,
+            why=why,
+        )
+
+    async def free(self, memory: Memory) -> None:
+        """Free a memory that nobody will fetch."""
+        call = self._backends.dialect.free_memory(memory.handle)
+        await self._backends.later(memory.server, call)
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+import enum
 from typing import Any
 
 import curio
 
 from crankhinge.adapters import Leg
-from crankhinge.decisions import Phase, RetryBudget, Server
+from crankhinge.decisions import RetryBudget, Server, back_after
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
@@ -20,18 +20,25 @@
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._places import Place, Places
+from crankhinge.gateway._reading import Memory, Reading
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ClientStream, ConnectFailed
 
-RETRY_AFTER_S = 1.0
+# Seconds without an event after which a stream that may be resumed is taken up elsewhere; the
+# longest pause that still counts as in time is a third of it.
+SILENT_S = 1.0
+# Tries to have an answer written before the first event of it.
+MAX_WRITES = 2
 
 
-@dataclass(frozen=True)
-class _Memory:
-    """A prompt's memory at the server that read it."""
+class _End(enum.Enum):
+    """How a try to write ended."""
 
-    server: Server
-    handle: str
+    WHOLE = "whole"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+    BROKEN = "broken"
 
 
 class StreamRelay:
@@ -49,95 +56,193 @@
         self._legs = legs
         self._budget_of = budget_of
         self._log = log
+        self._places = Places(backends, log)
+        self._reading = Reading(backends=backends, legs=legs, log=log)
 
     async def run(self, relay: Relay) -> None:
         """Find servers, pass the answer on. Raises a failure with its outcome."""
         budget: RetryBudget = self._budget_of(relay.service.name)
         budget.first_attempt()
-        writer = self._backends.pick(
-            relay.service.name,
-            await curio.clock(),
-            phase=Phase.WRITE if relay.service.engine else None,
-            avoid=frozenset(),
+        relay.facts.update(
+            prompt=relay.ask.prompt_tokens,
+            most=relay.ask.answer_tokens,
+            likely=relay.ask.likely_tokens,
         )
-        if writer is None:
-            raise NoBackend("no server writes", retry_after_s=RETRY_AFTER_S)
-        memory = await self._read(relay, writer) if relay.service.engine else None
         try:
-            await curio.timeout_after(
-                max(0.001, await relay.left()), self._write, relay, writer, memory
-            )
+            await curio.timeout_after(max(0.001, await relay.left()), self._run, relay, budget)
         except curio.TaskTimeout as exc:
+            if relay.exchange.started:
+                raise HttpClosed("the route's time is over in mid-stream") from exc
             raise DeadlinePassed("not answered in time") from exc
 
-    async def _read(self, relay: Relay, writer: Server) -> _Memory | None:
-        reader = self._backends.pick(
-            relay.service.name, await curio.clock(), phase=Phase.READ, avoid=frozenset()
+    async def _run(self, relay: Relay, budget: RetryBudget) -> None:
+        events = EventSplitter(relay.ask.after_event)
+        while True:
+            if relay.service.engine is None:
+                end, why = await self._at_plain_server(relay, events)
+            else:
+                end, why = await self._at_engines(relay, events, budget)
+            if end is _End.WHOLE:
+                self._note_times(relay, events)
+                return
+            again = relay.may_be_sent and relay.may_repeat
+            if end is _End.UNREACHED:
+                relay.sent.pop()
+                again = True
+            if not again or await relay.left() <= 0 or not budget.try_retry():
+                raise self._failure(relay, end, why)
+            events.drop_rest()
+            self._log.info(
+                "stream_again",
+                request=relay.ask.ident,
+                after=events.last,
+                events=events.events,
+                cause=end.value,
+                why=why,
+            )
+
+    def _failure(self, relay: Relay, end: _End, why: str) -> Exception:
+        if relay.exchange.started:
+            return HttpClosed(f"broken off: {why}")
+        if relay.may_have_run:
+            return BackendFailed(why)
+        after = back_after(self._backends.rng)
+        if end is _End.UNREACHED:
+            return NoBackend(why, retry_after_s=after)
+        return Overloaded(why, retry_after_s=after)
+
+    def _note_times(self, relay: Relay, events: EventSplitter) -> None:
+        relay.facts.update(status=200, events=events.events)
+
+    async def _at_plain_server(self, relay: Relay, events: EventSplitter) -> tuple[_End, str]:
+        server = self._backends.pick(
+            relay.service.name, await curio.clock(), avoid=frozenset(relay.sent)
         )
-        if reader is None:
-            return None
-        leg = Leg(reader.ident, await relay.left(), read_only=True)
-        began = await curio.clock()
+        if server is None:
+            raise self._failure(relay, _End.UNREACHED, "no server")
+        return await self._write(relay, server, Leg(server.ident, await relay.left()), events)
+
+    async def _at_engines(
+        self, relay: Relay, events: EventSplitter, budget: RetryBudget
+    ) -> tuple[_End, str]:
+        avoid = frozenset(relay.sent)
+        engine = relay.service.engine
+        assert engine is not None
+        made = events.events * engine.stride
+        async with self._places.take(relay, extra=made, avoid=avoid) as place:
+            memory = await self._reading.read(relay, place.server.zone, budget)
+            return await self._with_place(relay, place, memory, events, budget)
+
+    async def _with_place(
+        self,
+        relay: Relay,
+        place: Place,
+        memory: Memory | None,
+        events: EventSplitter,
+        budget: RetryBudget,
+    ) -> tuple[_End, str]:
+        server = place.server
         try:
-            async with self._legs.open(relay, reader, leg) as stream:
-                body = await stream.read_all()
-                if stream.status != 200:
-                    self._log.info("read_refused", request=relay.ask.ident, status=stream.status)
-                    raise Overloaded("not read", retry_after_s=RETRY_AFTER_S)
-                handle = self._backends.dialect.memory_of(body)
-        except (HttpClosed, BadHttp) as exc:
-            raise Overloaded(f"not read: {exc}", retry_after_s=RETRY_AFTER_S) from exc
-        took = await curio.clock() - began
-        self._backends.standing(reader.ident).succeeded(took)
-        relay.facts["read_ms"] = round(took * 1000)
-        return _Memory(reader, handle)
-
-    async def _write(self, relay: Relay, writer: Server, memory: _Memory | None) -> None:
-        dialect = self._backends.dialect
+            end, why = await self._write(
+                relay, server, await self._leg(relay, place, memory, events), events
+            )
+        except BaseException:
+            # Nobody can tell whether the memory was fetched; freeing it twice does no harm.
+            if memory is not None and not relay.exchange.started:
+                await self._reading.free(memory)
+            raise
+        if memory is None or end is not _End.REFUSED:
+            return end, why
+        # The memory or the reservation lapsed; the same server may still read it itself.
+        await self._reading.free(memory)
+        if not budget.try_retry():
+            return end, why
+        relay.sent.pop()
+        self._log.info("writer_reads", request=relay.ask.ident, server=server.ident, why=why)
+        return await self._write(relay, server, await self._leg(relay, place, None, events), events)
+
+    async def _leg(
+        self, relay: Relay, place: Place, memory: Memory | None, events: EventSplitter
+    ) -> Leg:
         at = ""
         if memory is not None:
-            at = dialect.memory_at(memory.server.host, memory.server.port, memory.handle)
-        leg = Leg(
-            writer.ident, await relay.left(), memory_from=at, after_event=relay.ask.after_event
-        )
-        relay.sent.append(writer.ident)
-        relay.facts.update(
-            server=writer.ident,
-            prompt=relay.ask.prompt_tokens,
-            most=relay.ask.answer_tokens,
-            likely=relay.ask.likely_tokens,
+            at = self._backends.dialect.memory_at(
+                memory.server.host, memory.server.port, memory.handle
+            )
+        hold, place.hold = place.hold, ""
+        return Leg(
+            place.server.ident,
+            await relay.left(),
+            memory_from=at,
+            hold=hold,
+            after_event=events.last,
         )
+
+    async def _write(
+        self, relay: Relay, server: Server, leg: Leg, events: EventSplitter
+    ) -> tuple[_End, str]:
+        relay.sent.append(server.ident)
+        relay.facts["server"] = server.ident
         try:
-            async with self._legs.open(relay, writer, leg) as stream:
-                word = dialect.word(stream.status, stream.headers)
+            async with self._legs.open(relay, server, leg) as stream:
+                word = self._backends.dialect.word(stream.status, stream.headers)
                 if word.not_run:
-                    await stream.read_all()
-                    raise Overloaded(f"status {stream.status}", retry_after_s=RETRY_AFTER_S)
+                    body = await stream.read_all()
+                    return _End.REFUSED, f"status {stream.status} {body[:80]!r}"
                 relay.may_have_run = True
-                await self._pass_on(relay, stream)
+                await self._pass_on(relay, stream, events)
+                self._backends.standing(server.ident).breaker.succeeded()
+                return _End.WHOLE, ""
         except ConnectFailed as exc:
-            raise NoBackend(exc.detail, retry_after_s=RETRY_AFTER_S) from exc
+            return _End.UNREACHED, exc.detail
+        except _CallerClosed as exc:
+            raise HttpClosed(exc.detail) from exc
         except (HttpClosed, BadHttp) as exc:
             relay.may_have_run = True
-            if relay.exchange.started:
-                raise HttpClosed(f"broken off: {exc.detail}") from exc
-            raise BackendFailed(exc.detail) from exc
+            return _End.BROKEN, exc.detail
 
-    async def _pass_on(self, relay: Relay, stream: ClientStream) -> None:
+    async def _pass_on(self, relay: Relay, stream: ClientStream, events: EventSplitter) -> None:
         exchange = relay.exchange
-        fields = self._backends.dialect.answer_fields(stream.fields)
-        await exchange.start_as_is(stream.status, fields)
-        splitter = EventSplitter()
-        first = 0.0
-        while chunk := await stream.next_chunk():
-            first = first or await curio.clock()
-            splitter.feed(chunk)
-            await exchange.write(chunk)
-        await exchange.finish()
-        now = await curio.clock()
-        relay.facts.update(
-            status=stream.status,
-            first_ms=round((first - relay.began) * 1000),
-            total_ms=round((now - relay.began) * 1000),
-            events=splitter.events,
-        )
+        if stream.status != 200:
+            # A failure that the server reports has no events.
+            body = await stream.read_all()
+            fields = self._backends.dialect.answer_fields(stream.fields)
+            if exchange.started:
+                raise HttpClosed(f"status {stream.status} to a resumed stream")
+            await _to_caller(exchange.respond_as_is(stream.status, fields, body))
+            relay.facts["status"] = stream.status
+            return
+        if not exchange.started:
+            fields = self._backends.dialect.answer_fields(stream.fields)
+            await _to_caller(exchange.start_as_is(stream.status, fields))
+        while chunk := await self._next(relay, stream):
+            whole = events.feed(chunk)
+            if whole:
+                if "first_ms" not in relay.facts:
+                    took = await curio.clock() - relay.began
+                    relay.facts["first_ms"] = round(took * 1000)
+                await _to_caller(exchange.write(whole))
+        if events.rest:
+            await _to_caller(exchange.write(events.rest))
+        await _to_caller(exchange.finish())
+
+    async def _next(self, relay: Relay, stream: ClientStream) -> bytes:
+        if not relay.route.resumable:
+            return await stream.next_chunk()
+        try:
+            chunk: bytes = await curio.timeout_after(SILENT_S, stream.next_chunk)
+        except curio.TaskTimeout as exc:
+            raise HttpClosed(f"silent for {SILENT_S} s") from exc
+        return chunk
+
+
+class _CallerClosed(HttpClosed):
+    """The caller's connection ended, not the server's."""
+
+
+async def _to_caller(sending: Any) -> None:
+    """Await something that is sent to the caller; its failure is told apart from the server's."""
+    try:
+        await sending
+    except HttpClosed as exc:
+        raise _CallerClosed(exc.detail) from exc
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -263,6 +263,7 @@
     log: Any,
     limits: HttpLimits | Callable[[], HttpLimits] | None = None,
     closing: Callable[[], bool] = lambda: False,
+    closed: curio.Event | None = None,
 ) -> None:
     """Serve until cancelled.
 
@@ -274,13 +275,14 @@
         log: where unexpected failures go.
         limits: bounds on what callers may send; a callable is asked for each connection.
         closing: whether connections end with the answer that is due on them.
+        closed: when set, no more connections are accepted.
     """
 
     async def serve_one(sock: Any, _addr: Any) -> None:
         bounds = limits() if callable(limits) else limits or HttpLimits()
         await _serve_conn(_ServerConn(sock, bounds, closing), bounds, handler, on_bad)
 
-    await serve_tcp(host, port, serve_one, log=log)
+    await serve_tcp(host, port, serve_one, log=log, closed=closed)
 
 
 async def _serve_conn(
--- a/src/crankhinge/runtime/_process.py
+++ b/src/crankhinge/runtime/_process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import argparse
+import logging
 import signal
 import socket
 import sys
@@ -84,6 +85,8 @@
         print(f"{args.settings}: ok")
         return 0
     log = log or get_log(program=program)
+    # curio warns of each operation that ends just after its time-out; nothing is wrong with that.
+    logging.getLogger("curio").setLevel(logging.ERROR)
     reader = _Reader(args.settings, model, log, reload) if reload else None
     try:
         curio.run(_until_signal, serve, settings, log, reader)
--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -22,7 +22,9 @@
 ConnHandler = Callable[[Any, Any], Awaitable[None]]
 
 
-async def serve_tcp(host: str, port: int, handler: ConnHandler, *, log: Any) -> None:
+async def serve_tcp(
+    host: str, port: int, handler: ConnHandler, *, log: Any, closed: curio.Event | None = None
+) -> None:
     """Accept connections until cancelled, each handled by a task of its own.
 
     Args:
@@ -30,14 +32,25 @@
         port: TCP port.
         handler: called with the socket and the peer's address.
         log: where unexpected failures of a handler go.
+        closed: when set, no more connections are accepted; those that are open go on.
     """
     listener = curio.tcp_server_socket(host, port, backlog=BACKLOG, reuse_address=True)
     async with listener, curio.TaskGroup() as group:
-        await group.spawn(_accept, listener, handler, log, group)
+        accepting = await group.spawn(_accept, listener, handler, log, group)
+        if closed is not None:
+            await group.spawn(_close_on, closed, accepting, listener)
         async for task in group:
             task.joined = True
 
 
+async def _close_on(closed: curio.Event, accepting: Any, listener: Any) -> None:
+    await closed.wait()
+    await accepting.cancel()
+    await listener.close()
+    # The group ends with its last task; this one keeps it until the group is cancelled.
+    await curio.Event().wait()
+
+
 async def _accept(listener: Any, handler: ConnHandler, log: Any, group: Any) -> None:
     while True:
         try:
