--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -17,17 +17,25 @@
 # An engine that had no room is asked again after this long, in seconds: some three steps of a
 # full batch end one request in this time.
 FULL_S = 0.06
+# A newcomer leaves an engine alone for this long after its refusal, in seconds: who came back
+# asks first, since a second refusal costs more than a first.
+YIELD_S = 0.12
 # Part of the time for the first event that a newcomer may wait for a place. A refusal within a
 # quarter of that time is worth half an answer when the request is served on its return.
 NEWCOMER_PART = 0.21
+# The same for a request that was refused before; reading and the first event take the rest.
+RETURNED_WAIT_PART = 0.6
 # A request with less than this part of its route's time left has been refused before.
 RETURNED_PART = 0.985
 # What a returned request keeps for reading and writing, in seconds.
 SERVE_S = 3.0
 # When to come back: writing an answer takes two to three seconds, so half of the places change
 # hands in this time. The spread keeps those that were refused together from returning together.
-BACK_S = 1.0
-BACK_SPREAD_S = 1.5
+BACK_S = 2.5
+BACK_SPREAD_S = 2.0
+# Part of the likely answer that is reserved: an answer takes its memory as it grows, and those
+# that run beside it are at other points of theirs.
+ANSWER_PART = 0.75
 # Memory is given out in blocks of this many tokens.
 BLOCK = 16
 
@@ -57,7 +65,7 @@
     def patience_s(self) -> float:
         """Seconds that it may wait for a place."""
         if self.returned:
-            return max(0.0, self.left_s - SERVE_S)
+            return min(self.first_by_s * RETURNED_WAIT_PART, max(0.0, self.left_s - SERVE_S))
         return min(self.first_by_s * NEWCOMER_PART, max(0.0, self.left_s - SERVE_S))
 
 
@@ -70,7 +78,7 @@
         most: most tokens of the answer.
         longest: tokens of memory of an engine.
     """
-    answer = min(likely or most, most)
+    answer = int(min(likely or most, most) * ANSWER_PART)
     blocks = -(-(prompt + answer) // BLOCK)
     return min(blocks * BLOCK, longest)
 
@@ -83,13 +91,25 @@
     kv_tokens: int,
     now: float,
     rng: random.Random,
+    yielding: bool = False,
 ) -> list[Server]:
-    """Return the engines that may have room, the emptiest first as this instance sees it."""
+    """Return the engines that may have room, the emptiest first as this instance sees it.
+
+    Args:
+        servers: engines that write.
+        standing_of: what was seen of them.
+        tokens: memory that is needed.
+        kv_tokens: memory of an engine.
+        now: on the runtime's clock.
+        rng: for choices between equals.
+        yielding: leave an engine that refused lately to requests that have come back.
+    """
+    since = YIELD_S if yielding else 0.0
     able = [
         (standing_of(server.ident).tokens * rng.uniform(1.0, 1.1), rng.random(), server)
         for server in servers
         if standing_of(server.ident).breaker.allows(now)
-        and standing_of(server.ident).full_until <= now
+        and standing_of(server.ident).full_until + since <= now
         and standing_of(server.ident).tokens + tokens <= kv_tokens
     ]
     return [server for _, _, server in sorted(able, key=lambda row: row[:2])]
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -147,23 +147,17 @@
             async with curio.TaskGroup(wait=any) as group:
                 work = await group.spawn(self._answer, exchange, ask)
                 await group.spawn(exchange.wait_gone)
-            if group.completed is not work or work.exception is not None:
-                self._note_unanswered(ask, work.exception)
-                raise HttpClosed("not answered")
+            if group.completed is not work:
+                self._metrics.count("callers_gone")
+                self._log.info("caller_gone", request=ask.ident)
+                raise HttpClosed("the caller has gone")
+            if not work.result:
+                raise HttpClosed("broken off")
         finally:
             self._open -= 1
 
-    def _note_unanswered(self, ask: RelayAsk, failure: BaseException | None) -> None:
-        if failure is None or isinstance(failure, curio.CancelledError):
-            self._metrics.count("callers_gone")
-            self._log.info("caller_gone", request=ask.ident)
-            return
-        self._metrics.count("broken_off")
-        self._log.warning(
-            "broken_off", request=ask.ident, kind=type(failure).__name__, why=str(failure)
-        )
-
-    async def _answer(self, exchange: Exchange, ask: RelayAsk) -> None:
+    async def _answer(self, exchange: Exchange, ask: RelayAsk) -> bool:
+        """Answer one request; returns whether the caller has a whole answer."""
         relay: Relay | None = None
         try:
             relay = await self._admit(exchange, ask)
@@ -171,12 +165,10 @@
                 await self._streams.run(relay)
             else:
                 await self._plain.run(relay)
-        except HttpClosed:
-            raise
         except CrankhingeError as exc:
-            await self._refuse(exchange, ask, relay, exc)
-        else:
-            self._note_end(relay)
+            return await self._refuse(exchange, ask, relay, exc)
+        self._note_end(relay)
+        return True
 
     async def _admit(self, exchange: Exchange, ask: RelayAsk) -> Relay:
         if self._closed.is_set():
@@ -203,8 +195,11 @@
 
     async def _refuse(
         self, exchange: Exchange, ask: RelayAsk, relay: Relay | None, exc: CrankhingeError
-    ) -> None:
-        """Give the final answer of a request that failed, with what is known of its run."""
+    ) -> bool:
+        """Give the final answer of a request that failed, with what is known of its run.
+
+        An answer that has begun is broken off instead; returns whether the caller has a whole one.
+        """
         ran = relay is not None and relay.may_have_run
         outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
         status = exc.status
@@ -218,12 +213,21 @@
             facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
         facts.update(code=exc.code, why=exc.detail, outcome=outcome.value, status=status)
         self._metrics.count(f"failed.{exc.code}")
+        if exchange.started or isinstance(exc, HttpClosed):
+            facts.pop("status")
+            self._log.warning("broken_off", request=ask.ident, **facts)
+            return False
         self._log.warning("request_failed", request=ask.ident, **facts)
         fields = [*self._dialect.own_fields(ask), ("content-type", "application/json")]
         if status == 503:
             after = exc.retry_after_s or RETRY_AFTER_S
             fields.append(("retry-after", f"{after:.2f}"))
-        await exchange.respond_as_is(status, fields, _body(exc, outcome))
+        try:
+            await exchange.respond_as_is(status, fields, _body(exc, outcome))
+        except HttpClosed as closed:
+            self._log.info("caller_gone", request=ask.ident, why=closed.detail)
+            return False
+        return True
 
 
 def _body(exc: CrankhingeError, outcome: Outcome) -> bytes:
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -109,6 +109,7 @@
                 kv_tokens=engine.kv_tokens,
                 now=now,
                 rng=self._backends.rng,
+                yielding=not need.returned,
             )
             for server in order[:ASKED_AT_ONCE]:
                 asked += 1
