One instance may order engines to change parts; the split follows the load

Change: a meter of work, the split that lowers the larger load, a right to order under a lease whose fence is the store's revision; refusing readers are left alone; history that is lost again is not pressed.

--- a/src/crankhinge/adapters/__init__.py
+++ b/src/crankhinge/adapters/__init__.py
@@ -1,6 +1,14 @@
 """The outside systems: an abstract base class for each, and one adapter."""
 
-from crankhinge.adapters._dialect import Dialect, Leg, RelayAsk, ServerWord, SideCall
+from crankhinge.adapters._dialect import (
+    Dialect,
+    EngineState,
+    Leg,
+    OrderEnd,
+    RelayAsk,
+    ServerWord,
+    SideCall,
+)
 from crankhinge.adapters._engine import (
     DecodeStream,
     Engine,
@@ -13,6 +21,7 @@
 from crankhinge.adapters._keyvalue import KeyValue, Value
 from crankhinge.adapters._service import PlainService, ServiceAnswer
 from crankhinge.adapters._source import ConfigSeen, FleetSource, HistoryLost, ServersSeen
+from crankhinge.adapters._tenure import Tenure, TenureOffice
 
 __all__ = [
     "ConfigSeen",
@@ -21,6 +30,7 @@
     "Engine",
     "EngineFailed",
     "EngineLoad",
+    "EngineState",
     "FleetSource",
     "HistoryLost",
     "Instance",
@@ -28,6 +38,7 @@
     "KeyValue",
     "KvExpired",
     "Leg",
+    "OrderEnd",
     "PlainService",
     "PrefillResult",
     "RelayAsk",
@@ -35,5 +46,7 @@
     "ServersSeen",
     "ServiceAnswer",
     "SideCall",
+    "Tenure",
+    "TenureOffice",
     "Value",
 ]
--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 import abc
+import enum
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from crankhinge.adapters._tenure import Tenure
+from crankhinge.decisions import Phase
 from crankhinge.http import HttpRequest
 
 
@@ -77,6 +80,31 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine says of itself.
+
+    Attributes:
+        phase: the part that it plays.
+        orders: orders that it has taken since its start.
+        busy: whether one is under way.
+    """
+
+    phase: Phase
+    orders: int
+    busy: bool
+
+
+class OrderEnd(enum.Enum):
+    """What an engine says to an order."""
+
+    TAKEN = "taken"
+    IN_THE_WAY = "in-the-way"
+    FENCED = "fenced"
+    NOT_THERE = "not-there"
+    REFUSED = "refused"
+
+
 class Dialect(abc.ABC):
     """Translates; decides nothing."""
 
@@ -127,3 +155,23 @@
     @abc.abstractmethod
     def drop_hold(self, hold: str) -> SideCall:
         """Return the call that gives a reservation back."""
+
+    @abc.abstractmethod
+    def side_fields(self, server: str) -> dict[str, str]:
+        """Return the header fields of a side call that is meant for *server* alone."""
+
+    @abc.abstractmethod
+    def ask_state(self) -> SideCall:
+        """Return the call that asks an engine for its state."""
+
+    @abc.abstractmethod
+    def state_of(self, body: bytes) -> EngineState:
+        """Return an engine's state. Raises BadHttp."""
+
+    @abc.abstractmethod
+    def order_phase(self, phase: Phase, tenure: Tenure, orders: int) -> SideCall:
+        """Return the order to play another part, void unless *orders* were taken before it."""
+
+    @abc.abstractmethod
+    def order_end(self, status: int) -> OrderEnd:
+        """Return what the status of an answer to an order means."""
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -54,6 +54,7 @@
 from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
 from crankhinge.decisions._servers import Phase, Server, ServerList
 from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
+from crankhinge.decisions._split import Loads, WorkMeter, wanted_readers
 from crankhinge.decisions._standing import Standing, pick_server
 from crankhinge.decisions._work import WorkQueue
 
@@ -77,6 +78,7 @@
     "FenceState",
     "FenceSync",
     "Grant",
+    "Loads",
     "Mechanisms",
     "MemberLimits",
     "Permit",
@@ -113,6 +115,7 @@
     "Taken",
     "TakenBefore",
     "WorkAsk",
+    "WorkMeter",
     "WorkQueue",
     "back_after",
     "keep_answer",
@@ -123,5 +126,6 @@
     "rank_by_key",
     "to_load",
     "try_acquire",
+    "wanted_readers",
     "without",
 ]
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -24,7 +24,7 @@
 # quarter of that time is worth half an answer when the request is served on its return.
 NEWCOMER_PART = 0.18
 # The same for a request that was refused before; reading and the first event take the rest.
-RETURNED_WAIT_PART = 0.6
+RETURNED_WAIT_PART = 0.55
 # A request with less than this part of its route's time left has been refused before.
 RETURNED_PART = 0.985
 # What a returned request keeps for reading and writing, in seconds.
--- /dev/null
+++ b/src/crankhinge/decisions/_split.py
@@ -0,0 +1,122 @@
+"""How many engines should read and how many should write, from the work that requests bring.
+
+Both pools serve the same requests, so the pool with the larger load per engine bounds them all;
+the best split makes the larger of the two loads as small as it can be.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Weight of the newest sample: some fifty requests shape an average, a few seconds of traffic.
+WEIGHT = 0.02
+# Answers before more engines are asked to write, and before more are asked to read. The answers
+# that end first are the short ones, so early averages hold writing for cheaper than it is.
+FEW_SAMPLES = 10
+MANY_SAMPLES = 60
+# Readings are compared by length in classes of this many tokens, each with some readings.
+CLASS_TOKENS = 1000
+CLASS_SAMPLES = 3
+# A change costs an engine's work for seconds; it has to lower the larger load by this part.
+GAIN = 0.12
+
+
+@dataclass(frozen=True, slots=True)
+class Loads:
+    """Work of the mean request.
+
+    Attributes:
+        read_s: seconds of an engine that reads.
+        write_s: seconds of the whole memory of an engine that writes.
+    """
+
+    read_s: float
+    write_s: float
+
+    def larger(self, readers: int, writers: int) -> float:
+        """Return the load per engine of the pool that is loaded more."""
+        if readers < 1 or writers < 1:
+            return float("inf")
+        return max(self.read_s / readers, self.write_s / writers)
+
+
+@dataclass(slots=True)
+class _Length:
+    """Readings of about one length: how many, and the fastest of them."""
+
+    count: int = 0
+    tokens: int = 0
+    took_s: float = float("inf")
+
+
+class WorkMeter:
+    """Measures what requests take.
+
+    The time of a reading is the sum of a wait, a fixed part that does not keep the engine busy,
+    and a part for each token. The fastest readings waited for nobody, so what the fastest long
+    one took beyond the fastest short one is the part for its tokens.
+    """
+
+    def __init__(self) -> None:
+        self._readings = 0
+        self._writings = 0
+        self._tokens = 0.0
+        self._write_s = 0.0
+        self._lengths: dict[int, _Length] = {}
+
+    @property
+    def answers(self) -> int:
+        """How many answers were seen."""
+        return self._writings
+
+    def was_read(self, tokens: int, took_s: float) -> None:
+        """Note a reading of *tokens* that took *took_s* seconds."""
+        self._readings += 1
+        self._tokens += max(WEIGHT, 1.0 / self._readings) * (tokens - self._tokens)
+        length = self._lengths.setdefault(tokens // CLASS_TOKENS, _Length())
+        length.count += 1
+        if took_s < length.took_s:
+            length.tokens, length.took_s = tokens, took_s
+
+    def was_written(self, part: float, took_s: float) -> None:
+        """Note an answer that held *part* of an engine's memory for *took_s* seconds."""
+        self._writings += 1
+        step = max(WEIGHT, 1.0 / self._writings)
+        self._write_s += step * (part * took_s - self._write_s)
+
+    def loads(self) -> Loads | None:
+        """Return the loads, or None while too little was seen."""
+        if min(self._readings, self._writings) < FEW_SAMPLES:
+            return None
+        return Loads(self._per_token() * self._tokens, self._write_s)
+
+    def _per_token(self) -> float:
+        """Return the seconds that a token keeps an engine busy, rather too many than too few."""
+        seen = [length for length in self._lengths.values() if length.count >= CLASS_SAMPLES]
+        seen = seen or list(self._lengths.values())
+        shortest = min(seen, key=lambda length: length.tokens)
+        longest = max(seen, key=lambda length: length.tokens)
+        alone = longest.took_s / max(1, longest.tokens)
+        if longest.tokens - shortest.tokens < CLASS_TOKENS:
+            return alone
+        slope = (longest.took_s - shortest.took_s) / (longest.tokens - shortest.tokens)
+        return slope if slope > 0 else alone
+
+
+def wanted_readers(loads: Loads, readers: int, writers: int, answers: int) -> int:
+    """Return how many of the engines should read; the present number unless a change pays.
+
+    Args:
+        loads: work of the mean request.
+        readers: engines that read now.
+        writers: engines that write now.
+        answers: how many answers shaped the loads.
+    """
+    total = readers + writers
+    if total < 2:
+        return readers
+    best = min(range(1, total), key=lambda count: loads.larger(count, total - count))
+    now = loads.larger(readers, writers)
+    if best > readers >= 1 and answers < MANY_SAMPLES:
+        return readers
+    return best if loads.larger(best, total - best) <= now * (1 - GAIN) else readers
--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -66,10 +66,16 @@
 ) -> Server | None:
     """Return the server with the least expected wait, or None when there is none.
 
-    Servers whose breaker is open are taken only when there is no other.
+    Servers whose breaker is open, or that refused a moment ago, are taken only when there is no
+    other.
     """
     able = [server for server in servers if server.ident not in avoid]
-    sound = [server for server in able if standing_of(server.ident).breaker.allows(now)]
+    sound = [
+        server
+        for server in able
+        if standing_of(server.ident).breaker.allows(now)
+        and standing_of(server.ident).full_until <= now
+    ]
     choice = sound or able
     if not choice:
         return None
--- a/src/crankhinge/gateway/__init__.py
+++ b/src/crankhinge/gateway/__init__.py
@@ -4,6 +4,6 @@
 that speak the completions API.
 """
 
-from crankhinge.gateway._program import run
+from crankhinge.gateway._program import Platform, run
 
-__all__ = ["run"]
+__all__ = ["Platform", "run"]
--- a/src/crankhinge/gateway/_directory.py
+++ b/src/crankhinge/gateway/_directory.py
@@ -68,13 +68,18 @@
     ) -> None:
         away_since: float | None = None
         pause = FIRST_PAUSE_S
+        lost_pause = 0.0
         mark: int | None = None
         while True:
             try:
+                followed = mark is not None
                 mark = await (read() if mark is None else follow(mark))
             except HistoryLost as exc:
                 self._log.info("history_lost", what=what, why=exc.detail)
                 mark = None
+                # What is read next is current; history that is lost again at once is not pressed.
+                await curio.sleep(lost_pause)
+                lost_pause = min(MAX_PAUSE_S, lost_pause * 2 or FIRST_PAUSE_S)
                 continue
             except KeyValueUnavailable as exc:
                 now = await curio.clock()
@@ -90,6 +95,8 @@
                 away_s = round(self.heard[what] - away_since, 3)
                 self._log.info("source_regained", what=what, away_s=away_s)
             away_since, pause = None, FIRST_PAUSE_S
+            if followed:
+                lost_pause = 0.0
 
     async def _read_config(self) -> int:
         seen = await self._source.read_config()
--- /dev/null
+++ b/src/crankhinge/gateway/_orderer.py
@@ -0,0 +1,198 @@
+"""Changes the parts that engines play, one order at a time, by the one instance that may.
+
+An instance asks for the right only when it wants to give an order, and lets it run out afterwards;
+an order that is left unanswered is settled by asking the engine, and no other is given meanwhile.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import EngineState, OrderEnd, Tenure, TenureOffice
+from crankhinge.decisions import Phase, Server, Service, WorkMeter, wanted_readers
+from crankhinge.errors import BadHttp, KeyValueUnavailable
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._directory import Directory
+
+# Seconds between looks at the split.
+LOOK_S = 1.0
+# Looks in a row that want the same change before it is made: a crashed server is back by then or
+# its entry has gone.
+LOOKS = 2
+# Seconds without another change after one: an engine needs six to play its new part, and the
+# averages some more to show it.
+QUIET_S = 12.0
+# Part of the right's time after which it isn't used any more: the way to the engine takes time.
+MARGIN_S = 0.5
+# Seconds between questions about an order under way, and until an unanswered one counts as lost;
+# one may be carried out up to twelve seconds late.
+SETTLE_S = 1.0
+LOST_S = 13.0
+
+
+class Orderer:
+    """Keeps the split between reading and writing engines where the load wants it.
+
+    Args:
+        name: of this instance.
+        directory: routes and servers.
+        backends: the servers.
+        office: gives the right to order.
+        meters: the work of each service's requests, by its name.
+        log: for events.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        directory: Directory,
+        backends: Backends,
+        office: TenureOffice,
+        meters: Mapping[str, WorkMeter],
+        log: Any,
+    ) -> None:
+        self._name = name
+        self._directory = directory
+        self._backends = backends
+        self._office = office
+        self._meters = meters
+        self._log = log
+        self._tenure: Tenure | None = None
+        self._quiet_until = 0.0
+        self._looks = 0
+        self._split: dict[str, tuple[int, int]] = {}
+
+    async def run(self) -> None:
+        """Look at the split until cancelled."""
+        while True:
+            await curio.sleep(LOOK_S * self._backends.rng.uniform(0.8, 1.2))
+            table = self._directory.table
+            if table is None:
+                continue
+            for service in table.services.values():
+                if service.engine is not None:
+                    await self._look(service)
+
+    async def _look(self, service: Service) -> None:
+        readers = self._backends.able(service.name, Phase.READ)
+        writers = self._backends.able(service.name, Phase.WRITE)
+        split = (len(readers), len(writers))
+        now = await curio.clock()
+        if self._split.get(service.name) != split:
+            # Somebody's order, a crash or a return: what was measured held for another split.
+            self._split[service.name] = split
+            self._looks = 0
+        meter = self._meters[service.name]
+        loads = meter.loads()
+        if loads is None or now < self._quiet_until:
+            return
+        wanted = wanted_readers(loads, *split, meter.answers)
+        if wanted == split[0]:
+            self._looks = 0
+            return
+        self._looks += 1
+        if self._looks < LOOKS:
+            return
+        self._looks = 0
+        self._quiet_until = now + QUIET_S
+        phase = Phase.WRITE if wanted < split[0] else Phase.READ
+        self._log.info(
+            "split_wanted",
+            service=service.name,
+            readers=split[0],
+            writers=split[1],
+            wanted=wanted,
+            read_s=round(loads.read_s, 4),
+            write_s=round(loads.write_s, 4),
+        )
+        servers = readers if phase is Phase.WRITE else writers
+        # Those that have least to finish can change soonest.
+        servers.sort(key=lambda server: self._backends.standing(server.ident).open)
+        await self._change(servers[: abs(wanted - split[0])], phase)
+
+    async def _change(self, targets: list[Server], phase: Phase) -> None:
+        try:
+            self._tenure = await self._office.acquire(self._name)
+        except KeyValueUnavailable as exc:
+            self._log.info("tenure_unknown", why=exc.detail)
+            return
+        if self._tenure is None:
+            self._log.info("tenure_held_elsewhere")
+            return
+        self._log.info("tenure_gained", fence=self._tenure.fence)
+        under_way = []
+        for target in targets:
+            end = await self._order(target, phase)
+            if end in (OrderEnd.TAKEN, None):
+                under_way.append(target)
+            if end is not OrderEnd.TAKEN:
+                # Refused or unanswered: what holds for this engine may hold for the next.
+                break
+        await self._settle(under_way, phase)
+        self._tenure = None
+
+    async def _state(self, server: Server) -> EngineState | None:
+        resp = await self._backends.side_call(server, self._backends.dialect.ask_state())
+        if resp is None or resp.status != 200:
+            return None
+        try:
+            return self._backends.dialect.state_of(resp.body)
+        except BadHttp as exc:
+            self._log.warning("state_unreadable", server=server.ident, why=exc.detail)
+            return None
+
+    async def _order(self, target: Server, phase: Phase) -> OrderEnd | None:
+        """Give an order; returns None when it was left unanswered and may yet be carried out."""
+        tenure = self._tenure
+        assert tenure is not None
+        state = await self._state(target)
+        if state is None or state.busy or state.phase is phase:
+            self._log.info("order_left_out", server=target.ident, state=str(state))
+            return OrderEnd.IN_THE_WAY
+        if await curio.clock() > tenure.until - MARGIN_S:
+            self._log.info("tenure_over", fence=tenure.fence)
+            return OrderEnd.FENCED
+        call = self._backends.dialect.order_phase(phase, tenure, state.orders)
+        resp = await self._backends.side_call(target, call)
+        end = None if resp is None else self._backends.dialect.order_end(resp.status)
+        self._log.info(
+            "order_given",
+            server=target.ident,
+            phase=phase.value,
+            fence=tenure.fence,
+            orders=state.orders,
+            end=end.value if end else "unanswered",
+        )
+        return end
+
+    async def _settle(self, targets: list[Server], phase: Phase) -> None:
+        """Keep the right until the outcome of all orders is known."""
+        until = await curio.clock() + LOST_S
+        while targets and await curio.clock() < until and await self._renewed():
+            await curio.sleep(SETTLE_S)
+            for target in list(targets):
+                entry = self._directory.servers.get(target.ident)
+                if entry is None or entry.phase is phase:
+                    targets.remove(target)
+                    self._log.info("order_settled", server=target.ident, gone=entry is None)
+        for target in targets:
+            self._log.info("order_unsettled", server=target.ident)
+
+    async def _renewed(self) -> bool:
+        assert self._tenure is not None
+        try:
+            tenure = await self._office.renew(self._tenure)
+        except KeyValueUnavailable as exc:
+            self._log.info("tenure_unknown", why=exc.detail)
+            # It lasts until its end; the next renewal tells.
+            now: float = await curio.clock()
+            return now < self._tenure.until
+        if tenure is None:
+            self._log.info("tenure_lost", fence=self._tenure.fence)
+            return False
+        self._tenure = tenure
+        return True
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -6,17 +6,19 @@
 import secrets
 from collections import defaultdict
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 import curio
 
-from crankhinge.adapters import Dialect, FleetSource
-from crankhinge.decisions import RetryBudget
+from crankhinge.adapters import Dialect, FleetSource, TenureOffice
+from crankhinge.decisions import RetryBudget, WorkMeter
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._gateway import Gateway
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._orderer import Orderer
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
@@ -29,7 +31,23 @@
 RETRY_RATIO = 0.15
 RETRY_BURST = 3.0
 
-MakeSource = Callable[[str, int, Any], FleetSource]
+
+@dataclass(frozen=True)
+class Platform:
+    """What a platform brings.
+
+    Attributes:
+        dialect: how callers and servers are spoken to.
+        source: configuration and list of servers.
+        office: gives the right to order servers.
+    """
+
+    dialect: Dialect
+    source: FleetSource
+    office: TenureOffice
+
+
+MakePlatform = Callable[[str, int, Any], Platform]
 
 
 async def serve(
@@ -37,14 +55,15 @@
     log: Any,
     stopping: curio.Event,
     *,
-    make_source: MakeSource,
-    dialect: Dialect,
+    make_platform: MakePlatform,
 ) -> None:
     """Run the gateway until *stopping*, then drain."""
     rng = random.Random(secrets.randbits(64))
     metrics = Metrics(prefix=f"crankhinge.gateway.{settings.name}", address=settings.statsd)
     host, _, port = settings.source.rpartition(":")
-    directory = Directory(make_source(host, int(port), log), log, rng)
+    platform = make_platform(host, int(port), log)
+    dialect = platform.dialect
+    directory = Directory(platform.source, log, rng)
     backends = Backends(
         servers=directory.servers,
         dialect=dialect,
@@ -57,6 +76,7 @@
     budgets: defaultdict[str, RetryBudget] = defaultdict(
         partial(RetryBudget, ratio=RETRY_RATIO, burst=RETRY_BURST)
     )
+    meters: defaultdict[str, WorkMeter] = defaultdict(WorkMeter)
     common: dict[str, Any] = {
         "backends": backends,
         "legs": Legs(backends),
@@ -68,17 +88,26 @@
         directory=directory,
         dialect=dialect,
         plain=PlainRelay(**common),
-        streams=StreamRelay(**common),
+        streams=StreamRelay(**common, meters=meters),
         log=log,
         metrics=metrics,
         rng=rng,
     )
+    orderer = Orderer(
+        name=settings.name,
+        directory=directory,
+        backends=backends,
+        office=platform.office,
+        meters=meters,
+        log=log,
+    )
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
     supervisor.add("ready", gateway.listen_ready)
     supervisor.add("config", directory.watch_config)
     supervisor.add("servers", directory.watch_servers)
     supervisor.add("expiry", directory.expire)
+    supervisor.add("orders", orderer.run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await until_first(supervisor.run, partial(_drain_on, stopping, gateway))
     log.info("stopped")
@@ -89,14 +118,14 @@
     await gateway.drain()
 
 
-def run(argv: list[str] | None, *, make_source: MakeSource, dialect: Dialect) -> int:
+def run(argv: list[str] | None, *, make_platform: MakePlatform) -> int:
     """Run the program; returns its exit status."""
     log = get_log(program=PROGRAM, stream=LineSink(STDOUT))
     return run_process(
         program=PROGRAM,
         about="relays requests to backend servers",
         model=GatewaySettings,
-        serve=partial(serve, make_source=make_source, dialect=dialect),
+        serve=partial(serve, make_platform=make_platform),
         argv=argv,
         log=log,
         reload=lambda settings: None,
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -18,14 +18,18 @@
 MAX_READINGS = 2
 # Seconds that a reading may take; a full queue of long prompts is read in less.
 READING_S = 1.6
+# An engine that refused to read is left alone for this long, in seconds: one that changes its part
+# takes six, one with a full queue a fraction of a second.
+REFUSED_S = 0.7
 
 
 @dataclass(frozen=True)
 class Memory:
-    """A prompt's memory at the server that read it."""
+    """A prompt's memory at the server that read it, and how long that took, in seconds."""
 
     server: Server
     handle: str
+    took_s: float
 
 
 class Reading:
@@ -86,12 +90,14 @@
         took = await curio.clock() - began
         standing.succeeded(took)
         relay.facts.update(reader=server.ident, read_ms=round(took * 1000))
-        return Memory(server, handle)
+        return Memory(server, handle, took)
 
     async def _leg(self, relay: Relay, server: Server, leg: Leg) -> str:
         async with self._legs.open(relay, server, leg) as stream:
             body = await stream.read_all()
             if stream.status != 200:
+                now = await curio.clock()
+                self._backends.standing(server.ident).full_until = now + REFUSED_S
                 raise BackendFailed(f"status {stream.status}")
             return self._backends.dialect.memory_of(body)
 
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import enum
+from collections.abc import Mapping
 from typing import Any
 
 import curio
 
 from crankhinge.adapters import Leg
-from crankhinge.decisions import RetryBudget, Server, back_after
+from crankhinge.decisions import RetryBudget, Server, WorkMeter, back_after
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
@@ -49,13 +50,23 @@
         legs: sends requests to them.
         budget_of: the retry budget of a service.
         log: for events.
+        meters: measures the work of each service's requests, by its name.
     """
 
-    def __init__(self, *, backends: Backends, legs: Legs, budget_of: Any, log: Any) -> None:
+    def __init__(
+        self,
+        *,
+        backends: Backends,
+        legs: Legs,
+        budget_of: Any,
+        log: Any,
+        meters: Mapping[str, WorkMeter],
+    ) -> None:
         self._backends = backends
         self._legs = legs
         self._budget_of = budget_of
         self._log = log
+        self._meters = meters
         self._places = Places(backends, log)
         self._reading = Reading(backends=backends, legs=legs, log=log)
 
@@ -129,9 +140,16 @@
         engine = relay.service.engine
         assert engine is not None
         made = events.events * engine.stride
+        meter = self._meters[relay.service.name]
         async with self._places.take(relay, extra=made, avoid=avoid) as place:
+            taken = await curio.clock()
             memory = await self._reading.read(relay, place.server.zone, budget)
-            return await self._with_place(relay, place, memory, events, budget)
+            if memory is not None:
+                meter.was_read(relay.ask.prompt_tokens, memory.took_s)
+            end = await self._with_place(relay, place, memory, events, budget)
+            if end[0] is _End.WHOLE:
+                meter.was_written(place.tokens / engine.kv_tokens, await curio.clock() - taken)
+            return end
 
     async def _with_place(
         self,
