A writer that began to leave is not sent to; two engines stay in each pool

The slope behind the order was measured against a short reading that had waited (0.05 s instead of 0.11 s). Ruled out: a late list of servers (the leave was known 2.6 s before the request was sent). Change: readings take 1 s at most together; the writer is looked at again before it is sent to; at least two engines stay in each pool; at least 0.6 of the fastest reading counts as work.

--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -17,6 +17,11 @@
 # Readings are compared by length in classes of this many tokens, each with some readings.
 CLASS_TOKENS = 1000
 CLASS_SAMPLES = 3
+# Least part of the fastest reading that is counted as work, whatever the slope says: a short
+# reading that had to wait makes the slope look flat.
+LEAST_PART = 0.6
+# Engines left in each pool as long as there are others: one that crashes must not be the last.
+LEAST_POOL = 2
 # A change costs an engine's work for seconds; it has to lower the larger load by this part.
 GAIN = 0.12
 
@@ -100,7 +105,7 @@
         if longest.tokens - shortest.tokens < CLASS_TOKENS:
             return alone
         slope = (longest.took_s - shortest.took_s) / (longest.tokens - shortest.tokens)
-        return slope if slope > 0 else alone
+        return min(alone, max(slope, alone * LEAST_PART))
 
 
 def wanted_readers(loads: Loads, readers: int, writers: int, answers: int) -> int:
@@ -115,7 +120,9 @@
     total = readers + writers
     if total < 2:
         return readers
-    best = min(range(1, total), key=lambda count: loads.larger(count, total - count))
+    least = LEAST_POOL if total >= 2 * LEAST_POOL else 1
+    choices = range(least, total - least + 1)
+    best = min(choices, key=lambda count: loads.larger(count, total - count))
     now = loads.larger(readers, writers)
     if best > readers >= 1 and answers < MANY_SAMPLES:
         return readers
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -82,6 +82,11 @@
             and (phase is None or server.phase is phase)
         ]
 
+    def takes_work(self, ident: str) -> bool:
+        """Whether a server is still there and does not leave."""
+        server = self._servers.get(ident)
+        return server is not None and not server.leaving
+
     def pick(
         self,
         service: str,
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -16,8 +16,9 @@
 
 # Readings tried for one request: the first, and one more where a server failed.
 MAX_READINGS = 2
-# Seconds that a reading may take; a full queue of long prompts is read in less.
-READING_S = 1.6
+# Seconds that all readings of a request may take: then its first event is late anyway, its place
+# is about to lapse, and the engine that writes may as well read the prompt itself.
+READING_S = 1.0
 # An engine that refused to read is left alone for this long, in seconds: one that changes its part
 # takes six, one with a full queue a fraction of a second.
 REFUSED_S = 0.7
@@ -57,12 +58,13 @@
             budget: of the service.
         """
         tried: frozenset[str] = frozenset()
+        until = min(await curio.clock() + READING_S, relay.until)
         while len(tried) < MAX_READINGS and (not tried or budget.try_retry()):
             server = self._choose(relay, zone, tried, await curio.clock())
             if server is None:
                 break
             tried |= {server.ident}
-            memory = await self._try(relay, server)
+            memory = await self._try(relay, server, until)
             if memory is not None:
                 return memory
         self._log.info("not_read_apart", request=relay.ask.ident, tried=len(tried))
@@ -73,10 +75,10 @@
             relay.service.name, now, phase=Phase.READ, avoid=tried, zone=zone
         )
 
-    async def _try(self, relay: Relay, server: Server) -> Memory | None:
+    async def _try(self, relay: Relay, server: Server, until: float) -> Memory | None:
         began = await curio.clock()
-        within = min(READING_S, relay.until - began)
-        leg = Leg(server.ident, max(0.001, within), read_only=True)
+        within = max(0.001, until - began)
+        leg = Leg(server.ident, within, read_only=True)
         standing = self._backends.standing(server.ident)
         try:
             handle: str = await curio.timeout_after(within, self._leg, relay, server, leg)
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -146,6 +146,10 @@
             memory = await self._reading.read(relay, place.server.zone, budget)
             if memory is not None:
                 meter.was_read(relay.ask.prompt_tokens, memory.took_s)
+            if not self._backends.takes_work(place.server.ident):
+                # It began to leave while the prompt was read.
+                async with self._places.take(relay, extra=made, avoid=avoid) as other:
+                    return await self._with_place(relay, other, memory, events, budget)
             end = await self._with_place(relay, place, memory, events, budget)
             if end[0] is _End.WHOLE:
                 meter.was_written(place.tokens / engine.kv_tokens, await curio.clock() - taken)
