Tests of the gateway against a store and replicas with faults

Change: a fake store and fake replicas that speak the platform's messages under the jumping clock; tests of routes, servers, places, split, directory, orders, one-piece answers, streams and the platform's folder. The clock's selector may give loopback some real time. Conclusion: behaviour is held down.

--- a/src/crankhinge/gateway/__init__.py
+++ b/src/crankhinge/gateway/__init__.py
@@ -4,6 +4,7 @@
 that speak the completions API.
 """
 
-from crankhinge.gateway._program import Platform, run
+from crankhinge.gateway._program import Platform, run, serve
+from crankhinge.gateway._settings import GatewaySettings
 
-__all__ = ["Platform", "run"]
+__all__ = ["GatewaySettings", "Platform", "run", "serve"]
--- /dev/null
+++ b/tests/test_directory.py
@@ -0,0 +1,136 @@
+"""Tests of what a gateway knows while the store is away, forgets or lies behind."""
+
+from __future__ import annotations
+
+import curio
+
+from platform_fakes import World, config, route
+from virtual_time import run_virtual
+
+ONCE = route("r-once", "/once/", "unsafe", "plain")
+
+
+def play(world: World, story: object) -> None:
+    """Run *story* under a clock that jumps."""
+    run_virtual(world.play, story, ONCE, settle_s=0.003)
+
+
+class TestConfig:
+    """The configuration in force."""
+
+    def test_an_older_version_never_comes_back(self) -> None:
+        """Versions rise in uneven steps; a lower one is not taken."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            moved = {**ONCE, "path_prefix": "/moved/"}
+            await world.store.put("op/config", config(7, moved))
+            await curio.sleep(0.2)
+            assert (await world.call("q1", "/moved/a"))[0] == 200
+            await world.store.put("op/config", config(5, ONCE))
+            await curio.sleep(0.2)
+            assert (await world.call("q2", "/moved/a"))[0] == 200
+            assert (await world.call("q3", "/once/a"))[0] == 404
+
+        play(world, story)
+
+    def test_requests_are_served_while_the_store_is_away(self) -> None:
+        """What is known stays in force; the return is noticed within a second."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.down = True
+            world.store.forget_history()
+            await world.store.put("op/config", config(3, {**ONCE, "path_prefix": "/late/"}))
+            await curio.sleep(20.0)
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            assert world.lines.having("event=source_lost", "what=config")
+            world.store.down = False
+            await curio.sleep(1.0)
+            assert (await world.call("q2", "/late/a"))[0] == 200
+            assert world.lines.having("event=source_regained", "what=config")
+
+        play(world, story)
+
+    def test_watches_from_what_was_read_not_from_the_last_change(self) -> None:
+        """A store that forgot its history before the first read is not asked without end."""
+        world = World()
+        world.add("i-1", "plain")
+        world.store.revision = 1000
+
+        async def story() -> None:
+            await curio.sleep(1.0)
+            world.store.forget_history()
+            before = len(world.store.calls)
+            await world.store.put("other/key", "x")
+            await curio.sleep(60.0)
+            # Two watches of 25 s: a handful of calls a minute, not thousands.
+            assert len(world.store.calls) - before < 15
+
+        play(world, story)
+
+    def test_lost_history_is_not_pressed(self) -> None:
+        """A store that says 'history gone' to every watch is asked with growing pauses."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.oldest = 10**9
+            await world.store.put("op/config", config(2, ONCE))
+            before = len(world.store.calls)
+            await curio.sleep(10.0)
+            assert len(world.store.calls) - before < 120
+
+        play(world, story)
+
+
+class TestServers:
+    """The list of servers."""
+
+    def test_a_leaving_server_gets_no_new_request(self) -> None:
+        """From the moment its entry says so."""
+        world = World()
+        leaving = world.add("i-1", "plain")
+        world.add("i-2", "plain")
+
+        async def story() -> None:
+            await leaving.enter("draining")
+            await curio.sleep(0.1)
+            for number in range(10):
+                assert (await world.call(f"q{number}", "/once/a"))[2] == b"whole:i-2"
+
+        play(world, story)
+
+    def test_entries_that_lapsed_during_an_outage_are_kept_for_a_while(self) -> None:
+        """An empty list right after the store's return is not believed; a lasting one is."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.down = True
+            await world.store.remove("servers/i-1")
+            world.store.forget_history()
+            await curio.sleep(6.0)
+            world.store.down = False
+            await curio.sleep(1.5)
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            await curio.sleep(3.0)
+            assert (await world.call("q2", "/once/a"))[0] == 503
+            assert world.lines.having("event=server_gone", "why=not_back")
+
+        play(world, story)
+
+    def test_an_unreadable_entry_costs_only_its_own_server(self) -> None:
+        """The others are used, and the line names the key."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            await world.store.put("servers/i-bad", {"service": 5})
+            await curio.sleep(0.1)
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            assert world.lines.having("event=entry_unreadable", "i-bad")
+
+        play(world, story)
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,436 @@
+"""Tests of the gateway between callers, a store and replicas."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import Exchange
+from platform_fakes import (
+    FakeReplica,
+    World,
+    config,
+    events,
+    route,
+    sealed,
+    stream,
+)
+from virtual_time import run_virtual
+
+ONCE = route("r-once", "/once/", "unsafe", "plain")
+SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
+STREAM = route("r-stream", "/stream/", "streaming", "llm")
+RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
+ALL = (ONCE, SAFE, STREAM, RESUMED)
+# What a client sees of an answer that ends early.
+BROKEN = (BadHttp, HttpClosed)
+TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
+
+
+def play(world: World, story: object, *routes: dict[str, object]) -> None:
+    """Run *story* under a clock that jumps."""
+    run_virtual(world.play, story, *(routes or ALL), settle_s=0.003)
+
+
+async def reset(_: FakeReplica, exchange: Exchange) -> None:
+    """Take the request and close without an answer."""
+    raise HttpClosed("reset")
+
+
+async def full(_: FakeReplica, exchange: Exchange) -> None:
+    """Say that the request was not run."""
+    ident = exchange.req.headers["x-request-id"]
+    await exchange.respond_as_is(503, [("x-request-id", ident), ("x-not-executed", "1")], b"")
+
+
+async def failing(replica: FakeReplica, exchange: Exchange) -> None:
+    """Run the request and report a failure."""
+    await exchange.respond_as_is(500, replica.head(exchange), b"failed")
+
+
+async def broken(replica: FakeReplica, exchange: Exchange) -> None:
+    """Send two events and a part of the third, then close."""
+    await exchange.start_as_is(200, replica.head(exchange))
+    await exchange.write(events(1, 2) + b"id: 3\nda")
+    raise HttpClosed("crash")
+
+
+async def mute(_: FakeReplica, exchange: Exchange) -> None:
+    """Never answer; end when the connection does."""
+    await exchange.wait_gone()
+    raise HttpClosed("gone")
+
+
+class TestPlain:
+    """Requests that are answered in one piece."""
+
+    def test_passes_request_and_answer_on_unchanged(self) -> None:
+        """Method, path, query and body arrive; status, body and signature come back."""
+        world = World()
+        replica = world.add("i-1", "plain")
+
+        async def story() -> None:
+            status, headers, body = await world.call("q1", "/once/a?b=c", body=b"payload")
+            assert (status, body) == (200, b"whole:i-1")
+            assert headers["x-server-seal"] == "seal-i-1"
+            [arrival] = replica.arrivals
+            assert (arrival.method, arrival.target) == ("POST", "/once/a?b=c")
+            assert arrival.body == b"payload"
+            assert arrival.headers["host"] == "h.example"
+            assert arrival.headers["x-expect-instance"] == "i-1"
+            assert 3000 < int(arrival.headers["x-deadline-ms"]) <= 4000
+
+        play(world, story)
+
+    def test_does_not_send_a_request_twice_that_may_run_once(self) -> None:
+        """After a reset nobody knows whether it ran: the caller is told 502, never 503."""
+        world = World()
+        replicas = [world.add(f"i-{n}", "plain", behave=reset) for n in range(3)]
+
+        async def story() -> None:
+            status, headers, _ = await world.call("q1", "/once/a")
+            assert status == 502
+            assert "retry-after" not in headers
+            assert sum(len(replica.arrivals) for replica in replicas) == 1
+
+        play(world, story)
+
+    def test_tells_that_a_refused_request_was_not_run(self) -> None:
+        """A server's word that it didn't run a request becomes 503 with a time to come back."""
+        world = World()
+        world.add("i-1", "plain", behave=full)
+
+        async def story() -> None:
+            status, headers, _ = await world.call("q1", "/once/a")
+            assert status == 503
+            assert float(headers["retry-after"]) > 0
+            assert "x-server-seal" not in headers
+
+        play(world, story)
+
+    def test_repeats_what_may_be_repeated_elsewhere(self) -> None:
+        """A repeatable request that fails at one server is answered by the other."""
+        world = World()
+        world.add("i-1", "plain", behave=failing)
+        world.add("i-2", "plain")
+
+        async def story() -> None:
+            for number in range(4):
+                status, _, body = await world.call(f"q{number}", "/safe/a", method="GET", body=b"")
+                assert (status, body) == (200, b"whole:i-2")
+
+        play(world, story)
+
+    def test_never_sends_to_more_servers_than_the_route_allows(self) -> None:
+        """Two servers may see a request of this route, whatever happens."""
+        world = World()
+        replicas = [world.add(f"i-{n}", "plain", behave=reset) for n in range(4)]
+
+        async def story() -> None:
+            assert (await world.call("q1", "/safe/a"))[0] == 502
+            assert sum(len(replica.arrivals) for replica in replicas) == 2
+
+        play(world, story)
+
+    def test_takes_a_repeatable_request_from_a_silent_server(self) -> None:
+        """A server that never answers costs a part of the time, not all of it."""
+        world = World()
+        seen: list[str] = []
+
+        async def first_is_silent(replica: FakeReplica, exchange: Exchange) -> None:
+            seen.append(replica.ident)
+            await (mute if len(seen) == 1 else sealed)(replica, exchange)
+
+        for number in range(2):
+            world.add(f"i-{number}", "plain", behave=first_is_silent)
+
+        async def story() -> None:
+            began = await curio.clock()
+            assert (await world.call("q1", "/safe/a"))[0] == 200
+            assert len(set(seen)) == 2
+            assert 1.0 < await curio.clock() - began < 2.5
+
+        play(world, story)
+
+    def test_answers_at_the_end_of_the_routes_time(self) -> None:
+        """A request that may have run is told 504 when its time is over."""
+        world = World()
+        world.add("i-1", "plain", behave=mute)
+
+        async def story() -> None:
+            began = await curio.clock()
+            status, headers, _ = await world.call("q1", "/once/a", x_deadline_ms="9000")
+            assert status == 504
+            assert "retry-after" not in headers
+            assert 3.9 < await curio.clock() - began < 4.3
+
+        play(world, story)
+
+    def test_a_replaced_server_at_the_address_runs_nothing(self) -> None:
+        """421 means that another server has the address; the caller hears 503."""
+        world = World()
+        replica = world.add("i-new", "plain")
+        replica.ident = "i-old"
+
+        async def story() -> None:
+            replica.ident = "i-new"
+            status, _, _ = await world.call("q1", "/once/a")
+            assert status == 503
+
+        play(world, story)
+
+    def test_headers_that_only_the_system_sets_are_dropped(self) -> None:
+        """A caller can't choose stage, memory, reservation, server or urgency."""
+        world = World()
+        replica = world.add("i-1", "plain")
+
+        async def story() -> None:
+            forged = {
+                "x_stage": "prefill",
+                "kv_from": "1.2.3.4:5/x",
+                "hold": "h",
+                "priority": "0",
+                "x_expect_instance": "i-9",
+                "x_custom": "kept",
+            }
+            assert (await world.call("q1", "/once/a", **forged))[0] == 200
+            headers = replica.arrivals[0].headers
+            assert {"x-stage", "kv-from", "hold", "priority"}.isdisjoint(headers)
+            assert headers["x-expect-instance"] == "i-1"
+            assert headers["x-custom"] == "kept"
+
+        play(world, story)
+
+
+class TestRoutes:
+    """Which requests are let in."""
+
+    def test_unknown_route_is_404_only_with_a_configuration(self) -> None:
+        """Before the first configuration every request is told 503."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            await curio.sleep(1.0)
+            assert await world.readiness() == 503
+            assert (await world.call("q1", "/nowhere/a"))[0] == 503
+            await world.store.put("op/config", config(1, *ALL))
+            await curio.sleep(1.0)
+            assert await world.readiness() == 200
+            assert (await world.call("q2", "/nowhere/a"))[0] == 404
+            assert (await world.call("q3", "/once/a"))[0] == 200
+
+        run_virtual(world.play, story, settle_s=0.003)
+
+    def test_a_new_configuration_is_in_force_at_once(self) -> None:
+        """A route that moved to another service is served there."""
+        world = World()
+        world.add("i-1", "plain")
+        world.add("i-2", "llm", behave=sealed)
+
+        async def story() -> None:
+            assert (await world.call("q1", "/once/a"))[2] == b"whole:i-1"
+            await world.store.put("op/config", config(9, {**ONCE, "service": "llm"}))
+            await curio.sleep(0.1)
+            # A plain request goes to an engine that writes.
+            assert (await world.call("q2", "/once/a"))[0] == 503
+            assert (await world.call("q3", "/safe/a"))[0] == 404
+
+        play(world, story)
+
+
+class TestCallers:
+    """Callers that go, and planned stops."""
+
+    def test_work_ends_when_the_caller_goes(self) -> None:
+        """The server's connection is closed as soon as the caller's is."""
+        world = World()
+        ended = curio.Event()
+
+        async def waiting(_: FakeReplica, exchange: Exchange) -> None:
+            await exchange.wait_gone()
+            await ended.set()
+
+        world.add("i-1", "plain", behave=waiting)
+
+        async def story() -> None:
+            task = await curio.spawn(world.open, "q1", "/once/a")
+            await curio.sleep(0.5)
+            await task.cancel()
+            await curio.timeout_after(0.5, ended.wait)
+            assert world.lines.having("event=caller_gone", "request=q1")
+
+        play(world, story)
+
+    def test_a_planned_stop_finishes_what_is_in_progress(self) -> None:
+        """After the signal: unready at once, old requests whole, connections told to close."""
+        world = World()
+
+        async def slow(replica: FakeReplica, exchange: Exchange) -> None:
+            await curio.sleep(3.0)
+            await sealed(replica, exchange)
+
+        world.add("i-1", "plain", behave=slow)
+
+        async def story() -> None:
+            task = await curio.spawn(world.call, "q1", "/once/a")
+            await curio.sleep(0.5)
+            await world.stopping.set()
+            await curio.sleep(0.1)
+            assert await world.readiness() == 503
+            status, headers, body = await task.join()
+            assert (status, body) == (200, b"whole:i-1")
+            assert headers["connection"] == "close"
+
+        play(world, story)
+
+    def test_a_stopping_instance_takes_nothing_it_could_not_finish(self) -> None:
+        """Once the balancer has turned away, a request is refused as not run, or not accepted."""
+        world = World()
+        replica = world.add("i-1", "plain")
+
+        async def story() -> None:
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            holding = await world.open("q2", "/once/a")
+            await world.stopping.set()
+            await curio.sleep(2.6)
+            with pytest.raises(HttpClosed):
+                await world.open("q3", "/once/a")
+            assert len(replica.arrivals) == 2
+            await holding.abort()
+
+        play(world, story)
+
+
+class TestStreams:
+    """Prompts are read at one engine and answered at another."""
+
+    def test_reserves_reads_and_writes(self) -> None:
+        """The reservation comes first; the memory is fetched from where the prompt was read."""
+        world = World()
+        reader = world.add("i-r", "llm", "prefill")
+        writer = world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            status, headers, body = await world.call("q1", "/stream/a", **TOKENS)
+            assert (status, body) == (200, events(1, 5))
+            assert headers["x-server-seal"] == "seal-i-w"
+            assert writer.side_calls == ["POST /v1/hold-take"]
+            assert [a.headers["x-stage"] for a in reader.arrivals] == ["prefill"]
+            [arrival] = writer.arrivals
+            assert arrival.headers["kv-from"] == f"127.0.0.1:{reader.port}/h1"
+            assert arrival.headers["hold"] == "hold99"
+
+        play(world, story)
+
+    def test_nothing_is_read_without_a_place_to_write(self) -> None:
+        """With no room the caller is told at once to come back, well within its objective."""
+        world = World()
+        reader = world.add("i-r", "llm", "prefill")
+        world.add("i-w", "llm", "decode", behave=stream, room=0)
+
+        async def story() -> None:
+            began = await curio.clock()
+            status, headers, _ = await world.call("q1", "/stream/a", **TOKENS)
+            assert status == 503
+            assert 1.0 < float(headers["retry-after"]) < 5.0
+            assert await curio.clock() - began < 0.225
+            assert not reader.arrivals
+
+        play(world, story)
+
+    def test_a_reservation_is_given_back_when_the_caller_goes(self) -> None:
+        """Nothing stays reserved for a request that is gone."""
+        world = World()
+        world.add("i-r", "llm", "prefill", read_s=0.8)
+        writer = world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            task = await curio.spawn(world.open, "q1", "/stream/a")
+            await curio.sleep(0.3)
+            await task.cancel()
+            await curio.sleep(0.3)
+            assert "DELETE /v1/hold-drop/hold99" in writer.side_calls
+
+        play(world, story)
+
+    def test_a_broken_stream_is_not_written_twice(self) -> None:
+        """Without leave to resume, the answer is broken off and does not look complete."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+        writers = [world.add(f"i-{n}", "llm", "decode", behave=broken) for n in range(2)]
+
+        async def story() -> None:
+            answer = await world.open("q1", "/stream/a", **TOKENS)
+            with pytest.raises(BROKEN):
+                await answer.read_all()
+            assert sum(len(writer.arrivals) for writer in writers) == 1
+            assert world.lines.having("event=broken_off", "request=q1")
+
+        play(world, story)
+
+    def test_a_broken_stream_is_resumed_where_the_route_allows(self) -> None:
+        """The second server continues after the last whole event; the caller sees one stream."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+        seen: list[str] = []
+
+        async def first_breaks(replica: FakeReplica, exchange: Exchange) -> None:
+            seen.append(exchange.req.headers.get("last-event-id", ""))
+            await (broken if len(seen) == 1 else stream)(replica, exchange)
+
+        for number in range(2):
+            world.add(f"i-{number}", "llm", "decode", behave=first_breaks)
+
+        async def story() -> None:
+            status, _, body = await world.call("q1", "/resumed/a", **TOKENS)
+            assert (status, body) == (200, events(1, 5))
+            assert seen == ["", "2"]
+
+        play(world, story)
+
+    def test_a_stream_that_cannot_be_resumed_for_want_of_room_is_broken_off(self) -> None:
+        """A refusal after the head was sent must not become a second answer."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+        writer = world.add("i-w", "llm", "decode", behave=broken)
+
+        async def story() -> None:
+            answer = await world.open("q1", "/resumed/a", **TOKENS)
+            with pytest.raises(BROKEN):
+                await answer.read_all()
+            assert len(writer.arrivals) == 1
+            assert world.lines.having("event=broken_off", "request=q1")
+
+        play(world, story)
+
+    def test_a_writer_that_leaves_while_the_prompt_is_read_gets_no_request(self) -> None:
+        """The place is changed for one that stays (found on a day with a slow reader)."""
+        world = World()
+        world.add("i-r", "llm", "prefill", read_s=0.5)
+        leaving = world.add("i-1", "llm", "decode", behave=stream)
+        staying = world.add("i-2", "llm", "decode", behave=stream, room=0)
+
+        async def story() -> None:
+            task = await curio.spawn(world.call, "q1", "/stream/a")
+            await curio.sleep(0.2)
+            assert leaving.side_calls == ["POST /v1/hold-take"]
+            staying.room = 5
+            await leaving.enter("draining")
+            status, headers, _ = await task.join()
+            assert (status, headers["x-server-seal"]) == (200, "seal-i-2")
+            assert not leaving.arrivals
+
+        play(world, story)
+
+    def test_a_writer_reads_itself_when_no_reader_can(self) -> None:
+        """Readers that fail cost time, not the answer."""
+        world = World()
+        writer = world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            assert (await world.call("q1", "/stream/a", **TOKENS))[0] == 200
+            assert "kv-from" not in writer.arrivals[0].headers
+
+        play(world, story)
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,113 @@
+"""Tests of the folder that speaks the users' platform's language."""
+
+from __future__ import annotations
+
+import importlib
+import platform
+from pathlib import Path
+
+from crankhinge.errors import BadHttp
+from crankhinge.http import HttpRequest
+from crankhinge_platform import dialect
+from crankhinge_platform.dialect import PlatformDialect
+
+ROOT = Path(__file__).resolve().parent.parent
+FOLDER = ROOT / "platform"
+PRODUCT = ROOT / "src" / "crankhinge"
+NAMES = (
+    "x-request-id",
+    "x-deadline-ms",
+    "x-server-seal",
+    "x-expect-instance",
+    "x-not-executed",
+    "x-stage",
+    "kv-from",
+    "kv_handle",
+    "fencing_token",
+    "private_key=",
+    "op/config",
+    "servers/",
+    "path_prefix",
+    "prefill",
+)
+
+
+def lines_of(folder: Path) -> int:
+    """Return how many lines the modules of a folder have."""
+    return sum(len(path.read_text().splitlines()) for path in folder.rglob("*.py"))
+
+
+def request(*fields: tuple[str, str]) -> HttpRequest:
+    """Return a request with these fields."""
+    return HttpRequest("POST", "/a", dict(fields), b"", fields)
+
+
+class TestFolder:
+    """Where the platform's names are."""
+
+    def test_the_standard_module_of_that_name_is_still_found(self) -> None:
+        """The folder holds a package of another name, so nothing is hidden."""
+        assert Path(str(importlib.import_module("platform").__file__)).name == "platform.py"
+        assert platform.system()
+
+    def test_the_gateway_knows_no_name_of_the_platform(self) -> None:
+        """Headers, keys and paths stand in the folder alone."""
+        for path in (PRODUCT / "gateway").glob("*.py"):
+            text = path.read_text()
+            assert [name for name in NAMES if name in text] == [], path.name
+
+    def test_it_is_small(self) -> None:
+        """Under an eighth of the product."""
+        assert lines_of(FOLDER) * 8 < lines_of(PRODUCT)
+
+    def test_it_keeps_no_state_of_requests(self) -> None:
+        """The dialect translates; two of them can't differ."""
+        assert vars(PlatformDialect()) == {}
+
+
+class TestReadAsk:
+    """What a request says of itself."""
+
+    def test_figures_are_decoded(self) -> None:
+        """Milliseconds become seconds."""
+        ask = PlatformDialect().read_ask(
+            request(
+                ("x-request-id", "q"),
+                ("x-deadline-ms", "1500"),
+                ("x-token-count", "1460,80"),
+                ("length-hint", "33"),
+            )
+        )
+        assert (ask.ident, ask.within_s) == ("q", 1.5)
+        assert (ask.prompt_tokens, ask.answer_tokens, ask.likely_tokens) == (1460, 80, 33)
+
+    def test_what_is_no_number_is_a_bad_request(self) -> None:
+        """A typed failure, not a crash."""
+        for name, value in (("x-deadline-ms", "soon"), ("x-token-count", "many")):
+            try:
+                PlatformDialect().read_ask(request((name, value)))
+            except BadHttp as exc:
+                assert name in exc.detail
+            else:
+                raise AssertionError(name)
+
+
+class TestFields:
+    """Which header fields travel."""
+
+    def test_fields_of_one_connection_stay_there(self) -> None:
+        """Also those that the connection field names."""
+        fields = PlatformDialect().leg_fields(
+            request(("connection", "close, x-hop"), ("x-hop", "1"), ("x-kept", "1")),
+            dialect.Leg("i-1", 1.0),
+        )
+        names = {name for name, _ in fields}
+        assert {"connection", "x-hop"}.isdisjoint(names)
+        assert "x-kept" in names
+
+    def test_an_answers_framing_is_not_copied(self) -> None:
+        """The gateway frames anew; the signature goes through."""
+        fields = PlatformDialect().answer_fields(
+            [("transfer-encoding", "chunked"), ("keep-alive", "timeout=5"), ("x-server-seal", "s")]
+        )
+        assert fields == [("x-server-seal", "s")]
--- /dev/null
+++ b/tests/test_routes.py
@@ -0,0 +1,71 @@
+"""Tests of routes."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankhinge.decisions import CallerLimits, Route, RouteKind, RouteTable, Share
+
+LIMITS = CallerLimits(16384, 65536, 3.0, 15.0)
+
+
+def make_route(name: str, host: str, prefix: str, *split: Share) -> Route:
+    """Return a route."""
+    shares = split or (Share("s", 1.0),)
+    return Route(name, host, prefix, RouteKind.ONCE, 1.0, 0.1, 1, 1, False, shares)
+
+
+def table(*routes: Route) -> RouteTable:
+    """Return a configuration."""
+    return RouteTable(1, routes, {}, LIMITS)
+
+
+class TestMatch:
+    """Which route a request has."""
+
+    def test_longest_prefix_of_the_host_wins(self) -> None:
+        """Host first, then the longest prefix."""
+        routes = table(
+            make_route("short", "h", "/a/"),
+            make_route("long", "h", "/a/b/"),
+            make_route("other", "g", "/a/b/c/"),
+        )
+        for path, name in (("/a/x", "short"), ("/a/b/x", "long"), ("/a/b/c/x", "long")):
+            found = routes.match("h", path)
+            assert found is not None
+            assert found.name == name
+
+    def test_host_is_compared_without_port_and_case(self) -> None:
+        """A Host field may carry a port and capitals."""
+        routes = table(make_route("r", "h.example", "/a/"))
+        assert routes.match("H.Example:8080", "/a/") is not None
+        assert routes.match("h.example.org", "/a/") is None
+
+    def test_no_prefix_no_route(self) -> None:
+        """A path beside every prefix has none."""
+        routes = table(make_route("r", "h", "/a/"))
+        assert routes.match("h", "/ab") is None
+        assert routes.match("h", "/a") is None
+
+    @given(st.lists(st.text("ab/", max_size=4), max_size=6), st.text("ab/", max_size=8))
+    def test_agrees_with_a_naive_search(self, prefixes: list[str], path: str) -> None:
+        """Compared with the longest of all prefixes that fit."""
+        routes = table(*(make_route(p, "h", p) for p in prefixes))
+        fitting = [prefix for prefix in prefixes if path.startswith(prefix)]
+        found = routes.match("h", path)
+        assert (found.prefix if found else None) == max(fitting, key=len, default=None)
+
+
+class TestSplit:
+    """Which service answers."""
+
+    def test_weights_are_kept(self) -> None:
+        """Draws fall into the services by their weights."""
+        route = make_route("r", "h", "/", Share("a", 90), Share("b", 10))
+        assert [route.service_at(draw) for draw in (0.0, 0.89, 0.91, 0.999)] == ["a", "a", "b", "b"]
+
+    def test_a_service_without_weight_gets_nothing(self) -> None:
+        """Weight 0 takes a service out."""
+        route = make_route("r", "h", "/", Share("a", 0), Share("b", 1))
+        assert {route.service_at(n / 10) for n in range(10)} == {"b"}
--- /dev/null
+++ b/tests/test_split.py
@@ -0,0 +1,90 @@
+"""Tests of the split between reading and writing engines."""
+
+from __future__ import annotations
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankhinge.decisions import Loads, WorkMeter, wanted_readers
+
+MANY = 1000
+
+
+class TestWanted:
+    """How many engines should read."""
+
+    def test_moves_an_engine_to_where_the_load_is(self) -> None:
+        """Four reading engines out of nine are too many for long answers."""
+        assert wanted_readers(Loads(0.1, 0.4), 4, 5, MANY) == 2
+
+    def test_a_small_gain_is_not_worth_an_order(self) -> None:
+        """The present split stays unless a change pays."""
+        assert wanted_readers(Loads(0.1, 0.2), 2, 4, MANY) == 2
+
+    def test_two_engines_stay_in_each_pool(self) -> None:
+        """One that crashes must not be the last (found on a day with one reader left)."""
+        assert wanted_readers(Loads(0.001, 1.0), 3, 3, MANY) == 2
+        assert wanted_readers(Loads(1.0, 0.001), 3, 3, MANY) == 4
+
+    def test_few_answers_turn_no_engine_back_to_reading(self) -> None:
+        """The first answers to end are short ones, which makes writing look cheap."""
+        assert wanted_readers(Loads(0.4, 0.1), 2, 7, 20) == 2
+        assert wanted_readers(Loads(0.4, 0.1), 2, 7, MANY) == 7
+
+    def test_an_empty_pool_is_filled(self) -> None:
+        """Without a reader, one is made."""
+        assert wanted_readers(Loads(0.1, 0.4), 0, 6, MANY) == 2
+
+    @given(st.floats(0.01, 1.0), st.floats(0.01, 1.0), st.integers(0, 12), st.integers(0, 12))
+    def test_never_worse_than_now(
+        self, read_s: float, write_s: float, readers: int, writers: int
+    ) -> None:
+        """Compared with every other split, and with the present one."""
+        loads = Loads(read_s, write_s)
+        wanted = wanted_readers(loads, readers, writers, MANY)
+        total = readers + writers
+        assert 0 <= wanted <= total
+        if wanted != readers:
+            chosen = loads.larger(wanted, total - wanted)
+            least = 2 if total >= 4 else 1
+            naive = min(loads.larger(n, total - n) for n in range(least, total - least + 1))
+            assert chosen == naive
+            assert chosen < loads.larger(readers, writers)
+
+
+class TestMeter:
+    """What requests take."""
+
+    def test_waiting_readings_do_not_count_as_work(self) -> None:
+        """0.06 s fixed and 33 us a token, with waits before many: the work is near 33 us."""
+        rng = random.Random(5)
+        meter = WorkMeter()
+        for _ in range(200):
+            tokens = rng.randrange(1200, 6600)
+            wait = rng.choice((0.0, 0.05, 0.2))
+            meter.was_read(tokens, 0.06 + tokens * 33e-6 + wait)
+            meter.was_written(0.1, 3.0)
+        loads = meter.loads()
+        assert loads is not None
+        assert 0.09 < loads.read_s < 0.17
+        assert abs(loads.write_s - 0.3) < 0.01
+
+    def test_a_short_reading_that_waited_does_not_hide_the_work(self) -> None:
+        """The slope from it is flat; a part of the fastest reading counts all the same."""
+        meter = WorkMeter()
+        for _ in range(20):
+            meter.was_read(1500, 0.19)
+            meter.was_read(3500, 0.20)
+            meter.was_written(0.1, 3.0)
+        loads = meter.loads()
+        assert loads is not None
+        assert loads.read_s > 0.08
+
+    def test_says_nothing_of_little(self) -> None:
+        """A few samples say nothing."""
+        meter = WorkMeter()
+        meter.was_read(3000, 0.2)
+        meter.was_written(0.1, 3.0)
+        assert meter.loads() is None
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -24,13 +24,14 @@
 class JumpingSelector(selectors.DefaultSelector):  # type: ignore[misc,valid-type]
     """Advances the clock by the time that it was asked to wait."""
 
-    def __init__(self, clock: VirtualClock) -> None:
+    def __init__(self, clock: VirtualClock, settle_s: float = 0.0) -> None:
         super().__init__()
         self._clock = clock
+        self._settle_s = settle_s
 
     def select(self, timeout: float | None = None) -> Any:
         """Return what is ready; else let the time pass at once."""
-        events = super().select(0)
+        events = super().select(0) or super().select(min(self._settle_s, timeout or 0.0))
         if events:
             return events
         if timeout is None:
@@ -39,9 +40,16 @@
         return []
 
 
-def run_virtual(main: Callable[..., Any], *args: Any) -> Any:
-    """Return what ``main(*args)`` returns, its sleeps taking no time."""
+def run_virtual(main: Callable[..., Any], *args: Any, settle_s: float = 0.0) -> Any:
+    """Return what ``main(*args)`` returns, its sleeps taking no time.
+
+    Args:
+        main: a coroutine function.
+        args: its arguments.
+        settle_s: real seconds that the kernel gets to deliver what was sent over loopback, before
+            the time jumps; needed where sockets are used.
+    """
     clock = VirtualClock()
     fake = types.SimpleNamespace(monotonic=clock.monotonic)
     with mock.patch.object(curio.kernel, "time", fake):
-        return curio.run(main, *args, selector=JumpingSelector(clock))
+        return curio.run(main, *args, selector=JumpingSelector(clock, settle_s))
