Ports of the tests lie outside the kernel's range for outgoing connections

Cause: one run of make test in two failed with 'Address already in use': a port that was free when it was chosen had gone to an outgoing connection. Change: ports below 32768.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -6,7 +6,9 @@
 from __future__ import annotations
 
 import base64
+import itertools
 import json
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -26,6 +28,8 @@
 
 HOST = "127.0.0.1"
 SEAL = "x-server-seal"
+# Each process of tests begins at another place of the range.
+_PORTS = itertools.chain(range(12000 + os.getpid() % 15000, 30000), range(12000, 30000))
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 65536,
@@ -42,10 +46,19 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that nobody listens on."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return int(sock.getsockname()[1])
+    """Return a TCP port that nobody listens on.
+
+    It lies below the range from which the kernel takes ports for outgoing connections: one from
+    that range can be taken between this call and the time it is listened on.
+    """
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError("no free port")
 
 
 class Lines:
