--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -24,8 +24,10 @@
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
 from crankhinge.http import Exchange, HttpLimits, HttpRequest, serve_http
-from crankhinge.runtime import Metrics
+from crankhinge.runtime._exposed import ExposedMetrics
 
+METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # A request that is not told otherwise comes back after this many seconds.
 RETRY_AFTER_S = 0.5
 # A request that meets a stopping instance finds another one at once, in seconds.
@@ -63,7 +65,7 @@
         plain: PlainRelay,
         streams: StreamRelay,
         log: Any,
-        metrics: Metrics,
+        metrics: ExposedMetrics,
         rng: random.Random,
     ) -> None:
         self._settings = settings
@@ -97,6 +99,19 @@
         host, _, port = self._settings.ready.rpartition(":")
         await serve_http(host, int(port), self._ready, on_bad=self._on_bad, log=self._log)
 
+    async def listen_metrics(self) -> None:
+        """Show the metrics, until cancelled; nothing without an address."""
+        if not self._settings.metrics:
+            await curio.Event().wait()
+        host, _, port = self._settings.metrics.rpartition(":")
+        await serve_http(host, int(port), self._show, on_bad=self._on_bad, log=self._log)
+
+    async def _show(self, exchange: Exchange) -> None:
+        if exchange.req.path != METRICS_PATH:
+            await exchange.respond(404, b"{}")
+            return
+        await exchange.respond(200, self._metrics.page(), {"content-type": METRICS_TYPE})
+
     def _limits(self) -> HttpLimits:
         table = self._directory.table
         if table is None:
@@ -167,6 +182,7 @@
                 await self._plain.run(relay)
         except CrankhingeError as exc:
             return await self._refuse(exchange, ask, relay, exc)
+        relay.facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
         self._note_end(relay)
         return True
 
@@ -190,7 +206,10 @@
         return relay
 
     def _note_end(self, relay: Relay) -> None:
-        self._metrics.count("answered")
+        self._metrics.count(f"answered.{relay.route.kind.value}")
+        self._metrics.timing(f"answered.{relay.route.kind.value}", relay.facts["took_ms"] / 1000)
+        if "first_ms" in relay.facts:
+            self._metrics.timing("first_event", relay.facts["first_ms"] / 1000)
         self._log.info("answered", request=relay.ask.ident, route=relay.route.name, **relay.facts)
 
     async def _refuse(
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -4,6 +4,7 @@
 
 import random
 import secrets
+import time
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -22,7 +23,8 @@
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
-from crankhinge.runtime import LineSink, Metrics, Supervisor, get_log, run_process, until_first
+from crankhinge.runtime import LineSink, Supervisor, get_log, run_process, until_first
+from crankhinge.runtime._exposed import ExposedMetrics
 
 PROGRAM = "crankhinge-gateway"
 STDOUT = 1
@@ -59,7 +61,7 @@
 ) -> None:
     """Run the gateway until *stopping*, then drain."""
     rng = random.Random(secrets.randbits(64))
-    metrics = Metrics(prefix=f"crankhinge.gateway.{settings.name}", address=settings.statsd)
+    metrics = ExposedMetrics(prefix=f"crankhinge.gateway.{settings.name}", address=settings.statsd)
     host, _, port = settings.source.rpartition(":")
     platform = make_platform(host, int(port), log)
     dialect = platform.dialect
@@ -101,9 +103,15 @@
         meters=meters,
         log=log,
     )
+    # The runtime's clock is the steady clock; a page is made outside of any task's trap.
+    for what in directory.heard:
+        metrics.ask(f"{what}_heard_s_ago", partial(_age, directory, what))
+    metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
+    metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
     supervisor.add("ready", gateway.listen_ready)
+    supervisor.add("metrics", gateway.listen_metrics)
     supervisor.add("config", directory.watch_config)
     supervisor.add("servers", directory.watch_servers)
     supervisor.add("expiry", directory.expire)
@@ -113,6 +121,10 @@
     log.info("stopped")
 
 
+def _age(directory: Directory, what: str) -> float:
+    return time.monotonic() - directory.heard[what]
+
+
 async def _drain_on(stopping: curio.Event, gateway: Gateway) -> None:
     await stopping.wait()
     await gateway.drain()
--- /dev/null
+++ b/src/crankhinge/runtime/_exposed.py
@@ -0,0 +1,62 @@
+"""Counters, gauges and histograms that are read over HTTP in the Prometheus text form."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+
+from crankhinge.runtime._metrics import Metrics
+
+# Upper bounds in seconds: around the objectives of plain calls (0.15 to 0.4), of first events
+# (0.9), and of whole streams (some seconds).
+BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.9, 1.5, 3.0, 6.0, 14.0)
+
+
+class ExposedMetrics(Metrics):
+    """Metrics that also go to a registry of their own.
+
+    Args:
+        prefix: first part of each statsd name.
+        address: ``host:port`` of the statsd server; without one nothing is sent.
+    """
+
+    def __init__(self, *, prefix: str, address: str = "") -> None:
+        super().__init__(prefix=prefix, address=address)
+        self._registry = CollectorRegistry()
+        self._events = Counter(
+            "crankhinge_events", "What happened, by name", ["event"], registry=self._registry
+        )
+        self._seconds = Histogram(
+            "crankhinge_seconds",
+            "How long things took",
+            ["what"],
+            registry=self._registry,
+            buckets=BUCKETS_S,
+        )
+        self._values = Gauge(
+            "crankhinge_value", "What is believed now", ["what"], registry=self._registry
+        )
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Add *by* to the counter *name*."""
+        super().count(name, by)
+        self._events.labels(name).inc(by)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set the gauge *name*."""
+        super().gauge(name, value)
+        self._values.labels(name).set(value)
+
+    def timing(self, name: str, seconds: float) -> None:
+        """Record a duration in seconds."""
+        super().timing(name, seconds)
+        self._seconds.labels(name).observe(seconds)
+
+    def ask(self, name: str, value: Callable[[], float]) -> None:
+        """Have the gauge *name* ask *value* whenever it is read."""
+        self._values.labels(name).set_function(value)
+
+    def page(self) -> bytes:
+        """Return everything in the text form."""
+        return generate_latest(self._registry)
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import json
+import os
 import secrets
 import signal
 import socket
@@ -37,6 +39,8 @@
 SEEDS = 3
 PUBLISH_TRIES = 20
 EXIT_UNKNOWN = 4
+# Each process begins at another place of the range.
+_PORTS = itertools.chain(range(12000 + os.getpid() % 15000, 30000), range(12000, 30000))
 
 
 @dataclass
@@ -61,12 +65,22 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now."""
-    with contextlib.ExitStack() as stack:
-        socks = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in socks:
-            sock.bind((HOST, 0))
-        return [sock.getsockname()[1] for sock in socks]
+    """Return TCP ports that are free now.
+
+    They lie below the range from which the kernel takes ports for outgoing connections: one from
+    that range can be taken between this call and the time it is listened on.
+    """
+    found: list[int] = []
+    for port in _PORTS:
+        with socket.socket() as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                continue
+        found.append(port)
+        if len(found) == count:
+            return found
+    raise RuntimeError("no free ports are left")
 
 
 def http_json(method: str, port: int, path: str, body: Any = None, timeout_s: float = 5.0) -> Any:
--- /dev/null
+++ b/src/crankhinge_bench/_days.py
@@ -0,0 +1,199 @@
+"""Writes day files for the users' bench: every kind of trouble alone, then drawn together.
+
+A day file names what goes wrong and when. The kinds and their variants are those that the users'
+bench lists; sites give the names of services and availability zones, nothing else. With a command
+to play a day, the days are played side by side and what broke is listed by rule.
+"""
+
+from __future__ import annotations
+
+import argparse
+import itertools
+import random
+import re
+import shlex
+import subprocess
+import tomllib
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+# When a trouble may begin, in seconds from the start of traffic, and how long a day lasts.
+FIRST_S, LAST_S = 0.5, 28.0
+PLAY_S = 600.0
+BROKEN = re.compile(r"BROKEN: (.*?)(?: \(|$)")
+
+Trouble = dict[str, Any]
+
+# Kinds for servers, with the variants that fit them; {llm} is a service of engines.
+SERVERS: dict[str, tuple[str, ...]] = {
+    "srv_crash": ("", "dark", "gone", "across", "domain"),
+    "srv_grey": ("errors", "shed", "busy", "hang", "reset", "mute", "slow", "errors one_zone"),
+    "release": ("",),
+    "scale_in": ("", "spot", "reclaim"),
+    "scale_out": ("",),
+    "answer_lost": ("", "reset"),
+    "garble": ("", "extra", "unframed", "early", "rot", "extra late"),
+    "srv_slow": ("",),
+    "srv_cut": ("", "fronts", "some", "one_way", "reset"),
+    "replace_with_reuse": ("", "drain", "dark"),
+    "kv_slow": ("",),
+    "handle_short": ("",),
+    "applied_late": ("orders", "cloud", "grants", "all"),
+}
+# Kinds for the system's own instances, the platform, the callers and the operators.
+OTHERS: dict[str, tuple[str, ...]] = {
+    "burst": ("",),
+    "shift": ("",),
+    "retry_abuse": ("",),
+    "give_up": ("",),
+    "node_kill": ("", "power", "leader race drain", "meet drain", "turn hard"),
+    "node_slow": ("",),
+    "node_freeze": ("", "leader"),
+    "node_cut": ("", "all", "meet", "servers", "reset", "refuse"),
+    "roll_term": ("", "busy", "remove"),
+    "replace_core": ("", "planned", "leader"),
+    "after_ack_kill": ("", "kill", "timed", "taken"),
+    "clock_step": ("", "back", "ahead"),
+    "reset_conns": ("",),
+    "core_cut": ("", "giver", "leader race", "reader", "one_way"),
+    "lossy": ("",),
+    "herd_kill": ("", "power"),
+    "hup": ("",),
+    "platform_down": (
+        "silent",
+        "busy",
+        "reset",
+        "silent lapse",
+        "nodes busy",
+        "nodes many",
+        "nodes reset revoke meet",
+        "nodes leader",
+    ),
+    "platform_slow": ("",),
+    "platform_lost": ("", "late"),
+    "platform_compact": ("", "drain"),
+    "config_change": ("route", "weights", "timeout", "idle"),
+    "config_storm": ("",),
+    "big_config": ("",),
+}
+# Fields that a kind wants beside its own defaults.
+FIELDS: dict[str, Trouble] = {
+    "config_storm": {"for_s": 2.0, "gap_s": 0.1},
+    "big_config": {"count": 350},
+    "herd_kill": {"share": 0.6, "for_s": 2.0},
+    "burst": {"x": 2.0, "for_s": 5.0},
+}
+PLANNED = frozenset(
+    {"release", "scale_in", "scale_out", "roll_term", "config_change", "config_storm", "big_config"}
+)
+
+
+@dataclass(frozen=True)
+class Day:
+    """One day: a name and what goes wrong."""
+
+    name: str
+    seed: int
+    troubles: tuple[Trouble, ...]
+
+    def text(self) -> str:
+        """Return the day file."""
+        lines = [f'name = "{self.name}"', f"seed = {self.seed}"]
+        for part, planned in (("plan", True), ("faults", False)):
+            rows = [t for t in self.troubles if (t["kind"] in PLANNED) is planned]
+            lines += [f"{part} = [", *(f"  {_inline(row)}," for row in rows), "]"]
+        return "\n".join(lines) + "\n"
+
+
+def _inline(trouble: Trouble) -> str:
+    pairs = (
+        f'{key} = "{value}"' if isinstance(value, str) else f"{key} = {value}"
+        for key, value in trouble.items()
+    )
+    return "{ " + ", ".join(pairs) + " }"
+
+
+def variants() -> list[tuple[str, str]]:
+    """Return every kind with each of its variants."""
+    both = itertools.chain(SERVERS.items(), OTHERS.items())
+    return [(kind, how) for kind, hows in both for how in hows]
+
+
+def engines_of(site: dict[str, Any]) -> list[str]:
+    """Return the names of the services that are engines."""
+    return [row["name"] for row in site["services"] if "llm" in row]
+
+
+def trouble(kind: str, how: str, site: dict[str, Any], rng: random.Random) -> Trouble:
+    """Return a trouble that begins at a drawn moment."""
+    row: Trouble = {"kind": kind, "at": round(rng.uniform(FIRST_S, LAST_S), 2), "how": how}
+    row.update(FIELDS.get(kind, {}))
+    if kind in SERVERS:
+        names = [service["name"] for service in site["services"]]
+        only_engines = kind in ("kv_slow", "handle_short", "applied_late")
+        row["service"] = rng.choice(engines_of(site) if only_engines else names)
+    return row
+
+
+def days(site: dict[str, Any], *, each: int, pairs: int, seed: int) -> Iterator[Day]:
+    """Return days with one kind each, then with two or three drawn ones, repeated at times."""
+    rng = random.Random(seed)
+    number = 0
+    for kind, how in variants():
+        for _ in range(each):
+            number += 1
+            rows = tuple(trouble(kind, how, site, rng) for _ in range(rng.choice((1, 1, 2))))
+            name = re.sub(r"\W+", "-", f"{kind} {how}".strip())
+            yield Day(f"one-{number}-{name}", rng.randrange(2**31), rows)
+    for index in range(pairs):
+        drawn = rng.sample(variants(), rng.choice((2, 2, 3)))
+        rows = tuple(trouble(kind, how, site, rng) for kind, how in drawn)
+        yield Day(f"drawn-{index}", rng.randrange(2**31), rows)
+
+
+def _play(command: str, path: Path) -> tuple[Path, str, list[str]]:
+    words = [word.replace("{day}", str(path)) for word in shlex.split(command)]
+    done = subprocess.run(words, capture_output=True, text=True, timeout=PLAY_S, check=False)
+    found = BROKEN.findall(done.stdout)
+    if done.returncode != 0 and not found:
+        found = [f"FAULT: exit {done.returncode}: {(done.stdout + done.stderr)[-200:]!r}"]
+    (path.with_suffix(".txt")).write_text(done.stdout)
+    return path, done.stdout, found
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Declare the command line."""
+    parser.add_argument("site", type=Path, help="site file")
+    parser.add_argument("--out", type=Path, required=True, help="folder for the day files")
+    parser.add_argument("--each", type=int, default=3, help="days of each kind and variant")
+    parser.add_argument("--pairs", type=int, default=200, help="days of two or three drawn kinds")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--play", default="", help="command that plays {day}; none: only write")
+    parser.add_argument("--jobs", type=int, default=4, help="days played at once")
+    parser.set_defaults(run=run)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Write the days, play them where asked; 1 if a rule broke."""
+    site = tomllib.loads(args.site.read_text())
+    args.out.mkdir(parents=True, exist_ok=True)
+    paths = []
+    for day in days(site, each=args.each, pairs=args.pairs, seed=args.seed):
+        path = args.out / f"{day.name}.toml"
+        path.write_text(day.text())
+        paths.append(path)
+    print(f"{len(paths)} days written")
+    if not args.play:
+        return 0
+    broken: Counter[str] = Counter()
+    with ThreadPoolExecutor(args.jobs) as pool:
+        for path, _, found in pool.map(lambda path: _play(args.play, path), paths):
+            for rules in found:
+                print(f"{path.stem}: {rules}", flush=True)
+                broken[rules.split()[0]] += 1
+    print(f"{len(paths)} days played; broken: {dict(broken)}")
+    return 1 if broken else 0
--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -11,6 +11,7 @@
 from crankhinge import __version__
 from crankhinge.errors import CrankhingeError
 from crankhinge_bench._chaos import add_arguments as add_faults
+from crankhinge_bench._days import add_arguments as add_days
 from crankhinge_bench._demo import add_arguments as add_demo
 from crankhinge_bench._perf import add_arguments as add_perf
 from crankhinge_bench._run import add_arguments as add_run
@@ -27,6 +28,7 @@
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     verbs = parser.add_subparsers(dest="verb", required=True)
     add_demo(verbs.add_parser("demo", help="the whole system for some seconds"))
+    add_days(verbs.add_parser("days", help="days of trouble for the users' bench"))
     add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
     add_perf(verbs.add_parser("perf", help="what the product adds to calling the engines"))
     add_spread(verbs.add_parser("spread", help="how soon a bundle is in force everywhere"))
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -6,10 +6,7 @@
 from __future__ import annotations
 
 import base64
-import itertools
 import json
-import os
-import socket
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +18,7 @@
 from crankhinge.gateway import GatewaySettings, Platform, serve
 from crankhinge.http import ClientStream, Exchange, HttpClient, HttpLimits, serve_http
 from crankhinge.runtime import get_log, until_first
+from crankhinge_bench._cluster import free_ports
 from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import PlatformSource
 from crankhinge_platform.store import StoreClient
@@ -28,8 +26,6 @@
 
 HOST = "127.0.0.1"
 SEAL = "x-server-seal"
-# Each process of tests begins at another place of the range.
-_PORTS = itertools.chain(range(12000 + os.getpid() % 15000, 30000), range(12000, 30000))
 LIMITS = {
     "max_header_bytes": 16384,
     "max_body_bytes": 65536,
@@ -46,19 +42,8 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that nobody listens on.
-
-    It lies below the range from which the kernel takes ports for outgoing connections: one from
-    that range can be taken between this call and the time it is listened on.
-    """
-    for port in _PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-            return port
-    raise RuntimeError("no free port")
+    """Return a TCP port that nobody listens on."""
+    return free_ports(1)[0]
 
 
 class Lines:
