--- a/src/crankhinge/ctl/_reference.py
+++ b/src/crankhinge/ctl/_reference.py
@@ -23,6 +23,7 @@
 )
 from crankhinge.ctl._bundle import CtlSettings
 from crankhinge.entry._settings import EntrySettings
+from crankhinge.gateway import GatewaySettings
 from crankhinge.peers import PeerSettings
 
 _FIELD = re.compile(r"^ {4}(\w+): (.*)$")
@@ -31,6 +32,7 @@
     "Every entry and agent": PeerSettings,
     "Entry": EntrySettings,
     "Agent": AgentSettings,
+    "Gateway": GatewaySettings,
     "ctl": CtlSettings,
 }
 BUNDLE: dict[str, type[msgspec.Struct]] = {
--- /dev/null
+++ b/tests/test_http_relay.py
@@ -0,0 +1,223 @@
+"""Tests of the HTTP layer where servers and callers misbehave."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import curio
+import curio.socket
+import pytest
+
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import ConnectFailed, Exchange, HttpClient, HttpLimits, serve_http
+from crankhinge.runtime import get_log, serve_tcp, until_first
+from crankhinge_bench._cluster import free_ports
+from platform_fakes import HOST, refuse_bad
+from virtual_time import run_virtual
+
+Server = Callable[[Any], Awaitable[None]]
+
+
+def answer(ident: str, body: bytes, *more: str) -> bytes:
+    """Return an answer with a length."""
+    lines = ["HTTP/1.1 200 OK", f"x-id: {ident}", f"content-length: {len(body)}", *more]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def play(server: Server, story: Callable[[HttpClient], Awaitable[None]]) -> None:
+    """Run *story* against a server that handles raw connections."""
+    [port] = free_ports(1)
+
+    async def handle(sock: Any, _: Any) -> None:
+        await server(sock)
+
+    async def told() -> None:
+        await curio.sleep(0.01)
+        await story(HttpClient(HOST, port))
+
+    async def main() -> None:
+        log = get_log(program="t")
+        await until_first(lambda: serve_tcp(HOST, port, handle, log=log), told)
+
+    run_virtual(main, settle_s=0.003)
+
+
+async def ask(client: HttpClient, ident: str, body: bytes = b"") -> tuple[bytes, bool]:
+    """Send a request; return the answer's body and whether a kept connection was used."""
+    fields = [("host", "h"), ("content-length", str(len(body)))]
+    stream = await client.open_as_is(
+        "POST", "/", fields=fields, body=body, owns=lambda headers: headers["x-id"] == ident
+    )
+    try:
+        return await stream.read_all(), stream.reused
+    finally:
+        await stream.close()
+
+
+class TestAnswers:
+    """Which bytes belong to which request."""
+
+    def test_a_late_second_answer_is_not_taken_for_the_next_request(self) -> None:
+        """The answer that names another request is read past."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(65536)
+            await sock.sendall(answer("q1", b"first"))
+            await sock.recv(65536)
+            await sock.sendall(answer("q1", b"again") + answer("q2", b"second"))
+            await sock.recv(65536)
+
+        async def story(client: HttpClient) -> None:
+            assert await ask(client, "q1") == (b"first", False)
+            assert await ask(client, "q2") == (b"second", True)
+
+        play(server, story)
+
+    def test_bytes_behind_an_answer_end_the_connection(self) -> None:
+        """Nobody knows whose they are; the next request gets a connection of its own."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(65536)
+            await sock.sendall(answer("q1", b"body") + b"more")
+            await sock.recv(65536)
+
+        async def story(client: HttpClient) -> None:
+            assert await ask(client, "q1") == (b"body", False)
+            assert await ask(client, "q1") == (b"body", False)
+            assert client.opened == 2
+
+        play(server, story)
+
+    def test_an_answer_without_length_ends_with_its_connection(self) -> None:
+        """It is whole when the connection ends in order."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(65536)
+            await sock.sendall(b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nbody")
+
+        async def story(client: HttpClient) -> None:
+            assert (await ask(client, "q1"))[0] == b"body"
+
+        play(server, story)
+
+    def test_an_answer_without_length_that_is_reset_is_not_whole(self) -> None:
+        """A reset is a failure, however much has come."""
+
+        async def server(sock: Any) -> None:
+            # Bytes left unread make the close a reset.
+            await sock.recv(10)
+            await sock.sendall(b"HTTP/1.1 200 OK\r\nx-id: q1\r\n\r\nbody")
+            await curio.sleep(0.1)
+
+        async def story(client: HttpClient) -> None:
+            with pytest.raises(HttpClosed):
+                await ask(client, "q1")
+
+        play(server, story)
+
+    def test_what_is_no_answer_is_a_typed_failure(self) -> None:
+        """Bytes that are not HTTP."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(65536)
+            await sock.sendall(b"\x00\x01garbage\r\n\r\n")
+
+        async def story(client: HttpClient) -> None:
+            with pytest.raises(BadHttp):
+                await ask(client, "q1")
+
+        play(server, story)
+
+
+class TestRequests:
+    """How requests are sent."""
+
+    def test_an_early_refusal_of_a_long_body_is_heard(self) -> None:
+        """The server answers and stops reading; the connection is not used again."""
+        connections = []
+
+        async def server(sock: Any) -> None:
+            connections.append(sock)
+            await sock.recv(100)
+            await sock.sendall(answer("q1", b"too long"))
+            await curio.Event().wait()
+
+        async def story(client: HttpClient) -> None:
+            body, _ = await curio.timeout_after(5.0, ask, client, "q1", b"x" * 30_000_000)
+            assert body == b"too long"
+            await ask(client, "q1")
+            assert len(connections) == 2
+
+        play(server, story)
+
+    def test_a_kept_connection_that_was_closed_is_not_used(self) -> None:
+        """It is looked at first, so the request is not lost on it."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(65536)
+            await sock.sendall(answer("q1", b"x"))
+
+        async def story(client: HttpClient) -> None:
+            await ask(client, "q1")
+            await curio.sleep(0.1)
+            assert await ask(client, "q1") == (b"x", False)
+
+        play(server, story)
+
+    def test_a_connection_is_left_alone_before_its_server_closes_it(self) -> None:
+        """Keep-Alive says one second: nothing is kept at all."""
+
+        async def server(sock: Any) -> None:
+            while await sock.recv(65536):
+                await sock.sendall(answer("q1", b"x", "keep-alive: timeout=1"))
+
+        async def story(client: HttpClient) -> None:
+            await ask(client, "q1")
+            assert await ask(client, "q1") == (b"x", False)
+
+        play(server, story)
+
+    def test_a_closed_port_means_that_nothing_was_sent(self) -> None:
+        """Told apart from a request that may have arrived."""
+
+        async def story() -> None:
+            with pytest.raises(ConnectFailed):
+                await HttpClient(HOST, free_ports(1)[0]).call("GET", "/")
+
+        run_virtual(story, settle_s=0.003)
+
+
+class TestServing:
+    """The serving side."""
+
+    def test_an_idle_connection_lives_its_time_and_no_longer(self) -> None:
+        """The limit counts from the last answer."""
+        [port] = free_ports(1)
+
+        async def handle(exchange: Exchange) -> None:
+            await exchange.respond(200, b"{}")
+
+        async def story() -> None:
+            await curio.sleep(0.01)
+            client = HttpClient(HOST, port)
+            stream = await client.open("GET", "/")
+            await stream.read_all()
+            sock = stream._sock
+            await curio.sleep(4.0)
+            sock._socket.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                sock._socket.recv(1)
+            await curio.sleep(1.5)
+            assert sock._socket.recv(1) == b""
+
+        async def main() -> None:
+            limits = HttpLimits(idle_s=5.0)
+            await until_first(
+                lambda: serve_http(
+                    HOST, port, handle, on_bad=refuse_bad, log=get_log(program="t"), limits=limits
+                ),
+                story,
+            )
+
+        run_virtual(main, settle_s=0.003)
--- /dev/null
+++ b/tests/test_sink.py
@@ -0,0 +1,72 @@
+"""Tests of the log sink."""
+
+from __future__ import annotations
+
+import fcntl
+import os
+
+from crankhinge.runtime import LineSink, get_log
+from crankhinge.runtime._sink import LINES_AT_ONCE, PENDING_BYTES
+
+
+def read_all(fd: int) -> str:
+    """Return what a pipe holds."""
+    out = b""
+    while True:
+        try:
+            data = os.read(fd, 1 << 16)
+        except BlockingIOError:
+            return out.decode()
+        if not data:
+            return out.decode()
+        out += data
+
+
+def pipe() -> tuple[int, int]:
+    """Return a small pipe whose reading end does not block."""
+    reader, writer = os.pipe()
+    os.set_blocking(reader, False)
+    fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 4096)
+    return reader, writer
+
+
+class TestSink:
+    """Lines to a reader that may stop."""
+
+    def test_lines_pass_while_they_are_read(self) -> None:
+        """One line an event."""
+        reader, writer = pipe()
+        get_log(program="p", stream=LineSink(writer)).info("started", a=1)
+        assert "event=started a=1" in read_all(reader)
+
+    def test_a_reader_that_stopped_stops_nobody(self) -> None:
+        """Writing returns; memory stays bounded; the count is told when reading goes on."""
+        reader, writer = pipe()
+        sink = LineSink(writer)
+        log = get_log(program="p", stream=sink)
+        for number in range(5000):
+            log.warning("request_failed", request=str(number), why="x" * 100)
+        assert sink.dropped > 0
+        assert len(sink._pending) <= PENDING_BYTES
+        told = sink.dropped
+        text = ""
+        while sink._pending:
+            text += read_all(reader)
+            sink.flush()
+        log.warning("last")
+        text += read_all(reader)
+        assert f"event=lines_dropped level=warning count={told}" in text
+        assert "event=last" in text
+
+    def test_failures_are_kept_when_ordinary_lines_are_too_many(self) -> None:
+        """Only ordinary lines count against the rate."""
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        fcntl.fcntl(writer, fcntl.F_SETPIPE_SZ, 1 << 20)
+        log = get_log(program="p", stream=LineSink(writer))
+        for _ in range(int(LINES_AT_ONCE) + 500):
+            log.info("answered")
+        log.warning("request_failed", request="q")
+        text = read_all(reader)
+        assert text.count("event=answered") < LINES_AT_ONCE + 100
+        assert "event=request_failed request=q" in text
