Readings that engines refuse are counted as repeats and asked for ever more rarely

An engine that changes its part refuses readings for six seconds or more; each instance tried it every 0.7 s, and neither the refused reading nor the second one after a break was taken from the budget. Ruled out: retries of writes (each is asked of the budget). Change: a refusal in a row doubles the wait, up to 6 s; refused, failed and further readings are spent from the budget; an engine that was not reached costs none. Tests fail without the change.

--- a/src/crankhinge/decisions/_budget.py
+++ b/src/crankhinge/decisions/_budget.py
@@ -24,9 +24,20 @@
         """Count a request's first attempt."""
         self._tokens = min(self._burst, self._tokens + self._ratio)
 
+    def allows(self) -> bool:
+        """Whether one more repeat would be allowed; asking changes nothing."""
+        return self._tokens >= 1.0
+
     def try_retry(self) -> bool:
         """Take leave for one retry; False when the budget is spent."""
-        if self._tokens < 1.0:
+        if not self.allows():
             return False
         self._tokens -= 1.0
         return True
+
+    def spend(self) -> None:
+        """Count a repeat that nobody was asked for: a server refused the first arrival.
+
+        It is paid for by the repeats that are asked for next, but never by more than were saved.
+        """
+        self._tokens = max(-self._burst, self._tokens - 1.0)
--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -15,6 +15,11 @@
 FAILURE_FACTOR = 8.0
 # Before anything was seen a server counts as this fast, in seconds.
 FIRST_TOOK_S = 0.05
+# After a refusal a server is left alone for this long, in seconds; twice as long after each further
+# one, up to the most. An engine that changes its part refuses for six seconds or more, and all
+# instances together may repeat a fifth of their requests only.
+REFUSED_S = 0.7
+REFUSED_MOST_S = 6.0
 # A server in another availability zone looks this much slower; a few percent is what the way costs.
 FAR_FACTOR = 1.1
 
@@ -29,6 +34,7 @@
         took_s: average time of an answer.
         failing: average share of failures.
         full_until: when to ask again after it refused for want of room.
+        refusals: in a row.
         replaced: another server has its address.
     """
 
@@ -37,6 +43,7 @@
     took_s: float = FIRST_TOOK_S
     failing: float = 0.0
     full_until: float = 0.0
+    refusals: int = 0
     replaced: bool = False
     breaker: Breaker = field(default_factory=Breaker)
 
@@ -44,6 +51,7 @@
         """Note an answer."""
         self.took_s += EWMA * (took_s - self.took_s)
         self.failing *= 1 - EWMA
+        self.refusals = 0
         self.breaker.succeeded()
 
     def failed(self, now: float) -> None:
@@ -51,6 +59,11 @@
         self.failing += EWMA * (1 - self.failing)
         self.breaker.failed(now)
 
+    def refused(self, now: float) -> None:
+        """Note that the server took a request up without running it."""
+        self.full_until = now + min(REFUSED_MOST_S, REFUSED_S * 2.0**self.refusals)
+        self.refusals = min(10, self.refusals + 1)
+
     def cost(self, *, far: bool) -> float:
         """Return the expected wait there, in arbitrary units."""
         base = (self.open + 1) * max(self.took_s, 0.001) * (1 + FAILURE_FACTOR * self.failing)
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -13,15 +13,13 @@
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
+from crankhinge.http import ConnectFailed
 
 # Readings tried for one request: the first, and one more where a server failed.
 MAX_READINGS = 2
 # Seconds that all readings of a request may take: then its first event is late anyway, its place
 # is about to lapse, and the engine that writes may as well read the prompt itself.
 READING_S = 1.0
-# An engine that refused to read is left alone for this long, in seconds: one that changes its part
-# takes six, one with a full queue a fraction of a second.
-REFUSED_S = 0.7
 
 
 @dataclass(frozen=True)
@@ -59,12 +57,12 @@
         """
         tried: frozenset[str] = frozenset()
         until = min(await curio.clock() + READING_S, relay.until)
-        while len(tried) < MAX_READINGS and (not tried or budget.try_retry()):
+        while len(tried) < MAX_READINGS and (not tried or budget.allows()):
             server = self._choose(relay, zone, tried, await curio.clock())
             if server is None:
                 break
             tried |= {server.ident}
-            memory = await self._try(relay, server, until)
+            memory = await self._try(relay, server, until, budget)
             if memory is not None:
                 return memory
         self._log.info("not_read_apart", request=relay.ask.ident, tried=len(tried))
@@ -75,20 +73,31 @@
             relay.service.name, now, phase=Phase.READ, avoid=tried, zone=zone
         )
 
-    async def _try(self, relay: Relay, server: Server, until: float) -> Memory | None:
+    async def _try(
+        self, relay: Relay, server: Server, until: float, budget: RetryBudget
+    ) -> Memory | None:
         began = await curio.clock()
         within = max(0.001, until - began)
         leg = Leg(server.ident, within, read_only=True)
         standing = self._backends.standing(server.ident)
         try:
             handle: str = await curio.timeout_after(within, self._leg, relay, server, leg)
+        except ConnectFailed as exc:
+            self._failed(relay, server, exc.code, exc.detail)
+            return None
         except (HttpClosed, BadHttp, BackendFailed) as exc:
+            budget.spend()
             self._failed(relay, server, exc.code, exc.detail)
             return None
         except curio.TaskTimeout:
+            budget.spend()
             standing.failed(await curio.clock())
             self._failed(relay, server, "silent", f"nothing in {within:.2f} s")
             return None
+        if relay.was_read:
+            # Only the first reading is no repeat.
+            budget.spend()
+        relay.was_read = True
         took = await curio.clock() - began
         standing.succeeded(took)
         relay.facts.update(reader=server.ident, read_ms=round(took * 1000))
@@ -98,8 +107,7 @@
         async with self._legs.open(relay, server, leg) as stream:
             body = await stream.read_all()
             if stream.status != 200:
-                now = await curio.clock()
-                self._backends.standing(server.ident).full_until = now + REFUSED_S
+                self._backends.standing(server.ident).refused(await curio.clock())
                 raise BackendFailed(f"status {stream.status}")
             return self._backends.dialect.memory_of(body)
 
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -26,6 +26,7 @@
         until: when it has to be answered, on the runtime's clock.
         sent: identities of the servers that it was sent to.
         may_have_run: whether a server may have run it.
+        was_read: whether an engine has read its prompt.
         facts: what the line about its end tells.
     """
 
@@ -38,6 +39,7 @@
     until: float
     sent: list[str] = field(default_factory=list)
     may_have_run: bool = False
+    was_read: bool = False
     facts: dict[str, Any] = field(default_factory=dict)
 
     async def left(self) -> float:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -29,8 +29,8 @@
 # Seconds without an event after which a stream that may be resumed is taken up elsewhere; the
 # longest pause that still counts as in time is a third of it.
 SILENT_S = 1.0
-# Tries to have an answer written before the first event of it.
-MAX_WRITES = 2
+# Servers that may not be reached for one request; nothing was sent to any of them.
+MAX_UNREACHED = 3
 
 
 class _End(enum.Enum):
@@ -88,6 +88,7 @@
 
     async def _run(self, relay: Relay, budget: RetryBudget) -> None:
         events = EventSplitter(relay.ask.after_event)
+        unreached = 0
         while True:
             if relay.service.engine is None:
                 end, why = await self._at_plain_server(relay, events)
@@ -98,9 +99,13 @@
                 return
             again = relay.may_be_sent and relay.may_repeat
             if end is _End.UNREACHED:
+                # Nothing arrived, so nothing is repeated.
                 relay.sent.pop()
-                again = True
-            if not again or await relay.left() <= 0 or not budget.try_retry():
+                unreached += 1
+                again = unreached < MAX_UNREACHED
+            else:
+                again = again and budget.try_retry()
+            if not again or await relay.left() <= 0:
                 raise self._failure(relay, end, why)
             events.drop_rest()
             self._log.info(
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -262,6 +262,7 @@
     orders: list[dict[str, Any]] = field(default_factory=list)
     read_s: float = 0.0
     order_status: int = 202
+    refuses_to_read: bool = False
     beat: int = 1
 
     async def enter(self, state: str = "ready") -> None:
@@ -310,6 +311,9 @@
         )
         if req.headers.get("x-expect-instance") != self.ident:
             await exchange.respond_as_is(421, [("x-instance-id", self.ident)], b"")
+        elif "x-stage" in req.headers and self.refuses_to_read:
+            ident = ("x-request-id", req.headers["x-request-id"])
+            await exchange.respond_as_is(503, [ident, ("x-not-executed", "1")], b"")
         elif "x-stage" in req.headers:
             await curio.sleep(self.read_s)
             handle = f"h{len(self.arrivals)}"
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -452,3 +452,49 @@
             assert "kv-from" not in writer.arrivals[0].headers
 
         play(world, story)
+
+    def test_an_engine_that_refuses_to_read_is_asked_ever_more_rarely(self) -> None:
+        """One that changes its part refuses for seconds; each refusal counts as a repeat."""
+        world = World()
+        changing = world.add("i-r0", "llm", "prefill", refuses_to_read=True)
+        world.add("i-r1", "llm", "prefill")
+        world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            for number in range(100):
+                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
+                await curio.sleep(0.1)
+            assert 1 <= len(changing.arrivals) <= 5
+            changing.refuses_to_read = False
+
+        play(world, story)
+
+    def test_refused_readings_are_repeats_of_the_budget(self) -> None:
+        """With every reader refusing, the budget is spent and writers read themselves."""
+        world = World()
+        readers = [world.add(f"i-r{n}", "llm", "prefill", refuses_to_read=True) for n in range(12)]
+        world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            for number in range(20):
+                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
+            # Each request may arrive once at a reader that refuses; second tries are what the
+            # budget bounds: three saved, and 0.15 for each request.
+            assert sum(len(reader.arrivals) for reader in readers) <= 20 + 3 + 3
+
+        play(world, story)
+
+    def test_an_unreachable_writer_costs_no_repeat(self) -> None:
+        """Nothing arrived there, so the next one is tried at once."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+        world.add("i-1", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            ghost = FakeReplica(world.store, "i-ghost", "llm", "decode")
+            await ghost.enter()
+            await curio.sleep(0.1)
+            for number in range(20):
+                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
+
+        play(world, story)
