The test of callers that go fails without what it tests

Cause: the test passed with the mechanism taken out, since a caller that goes is mostly noticed by its closed connection first. Change: a test of the leg itself, seen to fail with the mechanism taken out.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -484,31 +484,6 @@
 
         play(world, story)
 
-    def test_callers_that_go_in_mid_stream_are_no_failures_of_the_server(self) -> None:
-        """Otherwise impatient callers would have a sound server left out."""
-        world = World()
-        world.add("i-r", "llm", "prefill")
-
-        async def endless(replica: FakeReplica, exchange: Exchange) -> None:
-            await exchange.start_as_is(200, replica.head(exchange))
-            for number in range(40):
-                await exchange.write(events(number, number) * 100)
-                await curio.sleep(0.05)
-            await exchange.finish()
-
-        world.add("i-w", "llm", "decode", behave=endless)
-
-        async def story() -> None:
-            for number in range(6):
-                answer = await world.open(f"q{number}", "/stream/a", **TOKENS)
-                await answer.next_chunk()
-                await answer.abort()
-                await curio.sleep(0.2)
-            assert (await world.call("last", "/stream/a", **TOKENS))[0] == 200
-            assert not world.lines.having("event=broken_off")
-
-        play(world, story)
-
     def test_an_unreachable_writer_costs_no_repeat(self) -> None:
         """Nothing arrived there, so the next one is tried at once."""
         world = World()
--- /dev/null
+++ b/tests/test_legs.py
@@ -0,0 +1,67 @@
+"""Tests of what a request's end says of its server."""
+
+from __future__ import annotations
+
+import random
+from types import SimpleNamespace
+from typing import cast
+
+import pytest
+
+from crankhinge.adapters import Leg
+from crankhinge.decisions import ServerList
+from crankhinge.errors import CallerGone, HttpClosed
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._request import Relay
+from crankhinge.http import HttpRequest
+from crankhinge.runtime import Metrics, get_log
+from crankhinge_platform.dialect import PlatformDialect
+from crankhinge_platform.source import decode_server
+from platform_fakes import HOST, FakeReplica, World, route
+from virtual_time import run_virtual
+
+
+def failing_after(failure: Exception) -> float:
+    """Return the share of failures believed of a server after *failure* while its answer passed."""
+    seen: list[float] = []
+    world = World()
+    replica: FakeReplica = world.add("i-1", "plain")
+    servers = ServerList()
+    backends = Backends(
+        servers=servers,
+        dialect=PlatformDialect(),
+        zone="z1",
+        log=get_log(program="t", stream=world.lines),
+        metrics=Metrics(prefix="t"),
+        rng=random.Random(1),
+    )
+
+    async def story() -> None:
+        entry = f'{{"service": "plain", "address": "{HOST}:{replica.port}"}}'
+        server = decode_server("i-1", entry.encode())
+
+        req = HttpRequest(
+            "GET", "/", {"x-request-id": "q"}, b"", (("host", "h"), ("x-request-id", "q"))
+        )
+        relay = SimpleNamespace(exchange=SimpleNamespace(req=req), ask=SimpleNamespace(ident="q"))
+        leg = Leg("i-1", 1.0)
+        with pytest.raises(type(failure)):
+            async with Legs(backends).open(cast(Relay, relay), server, leg):
+                raise failure
+        seen.append(backends.standing("i-1").failing)
+
+    run_virtual(world.play, story, route("r", "/r/", "safe", "plain"), settle_s=0.003)
+    return seen[0]
+
+
+class TestBlame:
+    """Who failed."""
+
+    def test_a_server_that_breaks_off_is_noted(self) -> None:
+        """Its share of failures rises."""
+        assert failing_after(HttpClosed("in mid-body")) > 0
+
+    def test_a_caller_that_goes_is_not_the_servers_failure(self) -> None:
+        """Otherwise impatient callers would have a sound server left out."""
+        assert failing_after(CallerGone("closed")) == 0
