What can't end in time is not begun; a long answer returns while there is time

Change: the wait for a place keeps what reading and the likely answer take at the measured pace; a refused long answer is told to come back sooner.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -31,7 +31,7 @@
 )
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
-from crankhinge.decisions._places import PlaceAsk, back_after, memory_needed, places_to_ask
+from crankhinge.decisions._places import SERVE_S, PlaceAsk, back_after, memory_needed, places_to_ask
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._rendezvous import rank_by_key
 from crankhinge.decisions._roll import (
@@ -62,6 +62,7 @@
     "FULL",
     "NAIVE",
     "POLICIES",
+    "SERVE_S",
     "Answer",
     "Backend",
     "Breaker",
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -28,8 +28,12 @@
 LATE_WAIT_PART = 3.0
 # A request with less than this part of its route's time left has been refused before.
 RETURNED_PART = 0.985
-# What a returned request keeps for reading and writing, in seconds.
+# Reading and writing are held to take this long, in seconds, until answers have shown the pace.
 SERVE_S = 3.0
+# What is left after coming back and being served, in seconds: the wait for a place, then.
+BACK_SPARE_S = 0.5
+# Nobody is told to come back sooner, in seconds.
+BACK_LEAST_S = 0.3
 # When to come back: writing an answer takes two to three seconds, so half of the places change
 # hands in this time. The spread keeps those that were refused together from returning together.
 BACK_S = 3.0
@@ -50,12 +54,14 @@
         first_by_s: seconds within which its first event is worth most.
         left_s: seconds that its caller still waits.
         route_s: seconds that its route allows from the start.
+        serve_s: seconds that reading it and writing its likely answer take.
     """
 
     tokens: int
     first_by_s: float
     left_s: float
     route_s: float
+    serve_s: float = SERVE_S
 
     @property
     def returned(self) -> bool:
@@ -64,10 +70,12 @@
 
     @property
     def patience_s(self) -> float:
-        """Seconds that it may wait for a place."""
-        if self.returned:
-            return min(self.first_by_s * LATE_WAIT_PART, max(0.0, self.left_s - SERVE_S))
-        return min(self.first_by_s * NEWCOMER_PART, max(0.0, self.left_s - SERVE_S))
+        """Seconds that it may wait for a place; negative when it can't be served in time any more.
+
+        Memory that is given to an answer that can't end in time serves nobody.
+        """
+        part = LATE_WAIT_PART if self.returned else NEWCOMER_PART
+        return min(self.first_by_s * part, self.left_s - self.serve_s)
 
     def yield_s(self, waited_s: float) -> float:
         """Return how long after an engine's refusal it is left to others, in seconds."""
@@ -121,6 +129,16 @@
     return [server for _, _, server in sorted(able, key=lambda row: row[:2])]
 
 
-def back_after(rng: random.Random) -> float:
-    """Return after how many seconds a refused request should come back."""
-    return BACK_S + rng.random() * BACK_SPREAD_S
+def back_after(rng: random.Random, need: PlaceAsk | None = None) -> float:
+    """Return after how many seconds a refused request should come back.
+
+    Args:
+        rng: spreads those that were refused together.
+        need: what the request needs, where that is known; one with a long answer comes back while
+            there is time for it.
+    """
+    back = BACK_S + rng.random() * BACK_SPREAD_S
+    if need is None:
+        return back
+    latest = need.left_s - need.serve_s - BACK_SPARE_S
+    return max(BACK_LEAST_S, min(back, latest)) if latest > 0 else back
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -106,6 +106,12 @@
         step = max(WEIGHT, 1.0 / self._answers)
         self._pace_s += step * (took_s / max(1, tokens) - self._pace_s)
 
+    def serve_s(self, answer_tokens: int) -> float | None:
+        """Return the seconds that reading and an answer take; None while too little was seen."""
+        if self._answers < FEW_ANSWERS:
+            return None
+        return self._read_s + answer_tokens * self._pace_s
+
     def loads(self) -> Loads | None:
         """Return the loads, or None while too little was seen."""
         if self._admitted < FEW_ADMITTED or self._answers < FEW_ANSWERS or not self._lengths:
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -10,9 +10,11 @@
 import curio
 
 from crankhinge.decisions import (
+    SERVE_S,
     Phase,
     PlaceAsk,
     Server,
+    WorkMeter,
     back_after,
     memory_needed,
     places_to_ask,
@@ -50,10 +52,12 @@
     Args:
         backends: the servers.
         log: for events.
+        meters: the work of each service's requests, by its name.
     """
 
-    def __init__(self, backends: Backends, log: Any) -> None:
+    def __init__(self, backends: Backends, log: Any, meters: Mapping[str, WorkMeter]) -> None:
         self._backends = backends
+        self._meters = meters
         self._log = log
 
     @asynccontextmanager
@@ -91,7 +95,17 @@
         )
         began = await curio.clock()
         left = relay.until - began
-        need = PlaceAsk(tokens, relay.route.target_s, left, relay.route.timeout_s)
+        likely = min(ask.likely_tokens or ask.answer_tokens, ask.answer_tokens)
+        need = PlaceAsk(
+            tokens=tokens,
+            first_by_s=relay.route.target_s,
+            left_s=left,
+            route_s=relay.route.timeout_s,
+            serve_s=self._meters[relay.service.name].serve_s(likely) or SERVE_S,
+        )
+        if need.patience_s < 0:
+            self._refused(relay, need, "no_time", 0, 0.0)
+            raise Overloaded("can't end in time", retry_after_s=back_after(self._backends.rng))
         asked = 0
         while True:
             servers = [
@@ -124,7 +138,8 @@
             spare = need.patience_s - (now - began)
             if spare <= MIN_ROUND_S:
                 self._refused(relay, need, "no_room", asked, now - began)
-                raise Overloaded("no room to write", retry_after_s=back_after(self._backends.rng))
+                after = back_after(self._backends.rng, need)
+                raise Overloaded("no room to write", retry_after_s=after)
             await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
     async def _reserve(self, server: Server, tokens: int, hold_s: float) -> str | None:
@@ -168,6 +183,8 @@
             why=why,
             tokens=need.tokens,
             returned=need.returned,
+            serve_s=round(need.serve_s, 1),
+            left_s=round(need.left_s, 1),
             asked=asked,
             waited_ms=round(waited_s * 1000),
         )
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -66,7 +66,7 @@
         self._budget_of = budget_of
         self._log = log
         self._meters = meters
-        self._places = Places(backends, log)
+        self._places = Places(backends, log, meters)
         self._reading = Reading(backends=backends, legs=legs, log=log)
 
     async def run(self, relay: Relay) -> None:
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -105,3 +105,14 @@
         assert loads is not None
         # 730 tokens on the average at 4 ms, and 0.2 s of reading.
         assert abs(loads.write_s - 0.1 * (730 * 0.004 + 0.2)) < 1e-6
+
+    def test_tells_how_long_an_answer_takes(self) -> None:
+        """The reading and its tokens at the pace of the others; nothing before some have ended."""
+        meter = WorkMeter()
+        assert meter.serve_s(1000) is None
+        for _ in range(5):
+            meter.was_read(3000, 0.25)
+            meter.was_written(500, 2.5)
+        serve_s = meter.serve_s(1000)
+        assert serve_s is not None
+        assert abs(serve_s - 5.25) < 1e-9
