Tests of the deploy file and its template

Cause: a key that the settings don't know would have been seen on the platform only. Change: tests that fill the template as the platform does. Conclusion: no product code changed.

--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,67 @@
+"""Tests of the deploy file and the settings template."""
+
+from __future__ import annotations
+
+import json
+import re
+import tomllib
+from pathlib import Path
+
+import msgspec
+
+from crankhinge.gateway import GatewaySettings
+from crankhinge_platform.gateway import SETTINGS_PATH
+
+ROOT = Path(__file__).resolve().parent.parent
+GIVEN = {
+    "node": "frontend-a-1",
+    "zone": "a",
+    "ip": "10.1.0.38",
+    "listen": {"front": "10.1.0.38:8149", "readiness": "10.1.0.38:8141"},
+    "platform": {"address": "10.200.1.7:8142"},
+    "bounds": {"grace_s": 8},
+}
+
+
+def fill(template: str) -> str:
+    """Fill gaps as the platform does: a path of names, as JSON where asked."""
+
+    def value(gap: re.Match[str]) -> str:
+        path, _, form = gap[1].partition("|")
+        found: object = GIVEN
+        for name in path.split("."):
+            found = found[name]  # type: ignore[index]
+        return json.dumps(found) if form == "json" else str(found)
+
+    return re.sub(r"\{\{([^}]+)\}\}", value, template)
+
+
+class TestDeploy:
+    """What the platform is given."""
+
+    def test_the_template_makes_settings_that_are_accepted(self) -> None:
+        """Every gap is filled, every key is known."""
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        text = fill((ROOT / deploy["roles"]["gateway"]["template"]).read_text())
+        settings = msgspec.convert(tomllib.loads(text), GatewaySettings)
+        assert settings.listen == "10.1.0.38:8149"
+        assert settings.ready_path == "/v1/ready"
+        assert settings.drain_s == 8
+
+    def test_metrics_are_where_the_settings_say(self) -> None:
+        """Port and path of the deploy file are those of the template."""
+        deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
+        port, _, path = deploy["roles"]["gateway"]["metrics"].partition("/")
+        text = fill((ROOT / "deploy" / "gateway.toml.template").read_text())
+        assert tomllib.loads(text)["metrics"].endswith(f":{port}")
+        assert path == "metrics"
+
+    def test_requirements_are_the_locked_ones(self) -> None:
+        """What is played is what is tested."""
+        locked = set((ROOT / "requirements.lock").read_text().split())
+        wanted = (ROOT / "deploy" / "requirements.txt").read_text().split()
+        assert set(wanted) <= locked
+
+    def test_the_variable_with_the_settings_path_is_the_products(self) -> None:
+        """The platform derives it from the product's name."""
+        assert SETTINGS_PATH == "CRANKHINGE_CONFIG"
