--- /dev/null
+++ b/tests/test_gateway_process.py
@@ -0,0 +1,121 @@
+"""Tests of the gateway as a process: signals, settings, exit status."""
+
+from __future__ import annotations
+
+import os
+import signal
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from crankhinge_bench._cluster import HOST, free_ports, http_json
+
+PATIENCE_S = 20.0
+
+
+def settings_text(ports: list[int], *, zone: str = "z1") -> str:
+    """Return a settings file; nobody listens at the source."""
+    front, ready, source, metrics = ports
+    return "\n".join(
+        (
+            'name = "g"',
+            f'zone = "{zone}"',
+            f'listen = "{HOST}:{front}"',
+            f'ready = "{HOST}:{ready}"',
+            f'metrics = "{HOST}:{metrics}"',
+            f'source = "{HOST}:{source}"',
+            "drain_s = 8",
+        )
+    )
+
+
+class Program:
+    """A running gateway and what it has printed."""
+
+    def __init__(self, folder: Path) -> None:
+        self.ports = free_ports(4)
+        self.path = folder / "gateway.toml"
+        self.out = folder / "out.log"
+        self.path.write_text(settings_text(self.ports))
+        command = [sys.executable, "-m", "crankhinge_platform.gateway"]
+        with self.out.open("w") as out:
+            self.proc = subprocess.Popen(
+                command,
+                stdout=out,
+                stderr=subprocess.STDOUT,
+                env={**os.environ, "CRANKHINGE_CONFIG": str(self.path)},
+            )
+
+    def wait_for(self, text: str) -> None:
+        """Return when *text* was printed."""
+        until = time.monotonic() + PATIENCE_S
+        while text not in self.out.read_text():
+            assert time.monotonic() < until, self.out.read_text()
+            assert self.proc.poll() is None, self.out.read_text()
+            time.sleep(0.05)
+
+
+@pytest.fixture
+def program(tmp_path: Path) -> Iterator[Program]:
+    """Return a running gateway."""
+    running = Program(tmp_path)
+    running.wait_for("event=started")
+    yield running
+    running.proc.kill()
+    running.proc.wait()
+
+
+class TestProcess:
+    """What operators do to it."""
+
+    def test_reloads_on_a_signal_and_on_a_changed_file(self, program: Program) -> None:
+        """Neither ends the process."""
+        program.proc.send_signal(signal.SIGHUP)
+        program.wait_for("event=reloaded cause=sighup")
+        program.path.write_text(settings_text(program.ports, zone="another"))
+        program.wait_for("event=reloaded cause=file")
+        assert program.proc.poll() is None
+
+    def test_bad_settings_change_nothing(self, program: Program) -> None:
+        """The line names file and reason; the process goes on."""
+        program.path.write_text("name = 5")
+        program.proc.send_signal(signal.SIGHUP)
+        program.wait_for("event=reload_failed")
+        assert program.proc.poll() is None
+
+    def test_shows_its_metrics_and_the_age_of_what_it_knows(self, program: Program) -> None:
+        """Prometheus' text form, also before the source was ever reached."""
+        program.wait_for("event=source_lost")
+        url = f"http://{HOST}:{program.ports[3]}/metrics"
+        with urllib.request.urlopen(url, timeout=PATIENCE_S) as resp:
+            page = resp.read().decode()
+        assert 'crankhinge_value{what="config_version"} 0.0' in page
+        assert 'crankhinge_value{what="servers_heard_s_ago"}' in page
+
+    def test_a_stop_ends_with_status_0(self, program: Program) -> None:
+        """Unready at once, then out."""
+        program.proc.send_signal(signal.SIGTERM)
+        program.wait_for("event=draining")
+        assert program.proc.wait(PATIENCE_S) == 0
+        assert "event=stopped" in program.out.read_text()
+
+    def test_nothing_is_served_before_a_configuration(self, program: Program) -> None:
+        """The balancer is told so."""
+        with pytest.raises(OSError, match="503"):
+            http_json("GET", program.ports[1], "/readyz")
+
+
+def test_settings_are_checked_whole(tmp_path: Path) -> None:
+    """Status 2, with file, key and reason."""
+    path = tmp_path / "bad.toml"
+    path.write_text(settings_text([1, 2, 3, 4]).replace("drain_s = 8", "drain_s = -1"))
+    command = [sys.executable, "-m", "crankhinge_platform.gateway", "--check", str(path)]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    assert done.returncode == 2
+    assert "bad.toml" in done.stderr
+    assert "drain_s" in done.stderr
