Requests go to engines that hold their model

Cause: read again as somebody with another deployment: the list tells which models an engine holds, and nothing looked at it. Change: servers carry the names, requests theirs; both are compared where a server is chosen. Figures: none of speed; a test with two models fails without it.

--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -23,6 +23,7 @@
         answer_tokens: most tokens of the answer.
         likely_tokens: the caller's own estimate of the answer; 0 where it gives none.
         after_event: the last event of a stream that the caller has; empty for none.
+        model: what is asked for; empty for no model in particular.
     """
 
     ident: str
@@ -31,6 +32,7 @@
     answer_tokens: int = 0
     likely_tokens: int = 0
     after_event: str = ""
+    model: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -42,6 +42,7 @@
         slots: requests at once.
         leaving: takes no new work.
         beat: rises with each of its entries.
+        models: names of the models that it holds; empty where it tells of none.
     """
 
     ident: str
@@ -53,6 +54,11 @@
     slots: int
     leaving: bool
     beat: int
+    models: frozenset[str] = frozenset()
+
+    def holds(self, model: str) -> bool:
+        """Whether it answers requests for *model*; empty stands for no model in particular."""
+        return not model or not self.models or model in self.models
 
 
 class ServerList:
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -72,8 +72,8 @@
         if client is not None:
             await client.close()
 
-    def able(self, service: str, phase: Phase | None = None) -> list[Server]:
-        """Return the servers of a service that take new work."""
+    def able(self, service: str, phase: Phase | None = None, model: str = "") -> list[Server]:
+        """Return the servers of a service that take new work for a model."""
         return [
             server
             for server in self._servers.all()
@@ -81,6 +81,7 @@
             and not server.leaving
             and not self.standing(server.ident).replaced
             and (phase is None or server.phase is phase)
+            and server.holds(model)
         ]
 
     def replaced(self, server: Server) -> None:
@@ -105,6 +106,7 @@
         phase: Phase | None = None,
         avoid: frozenset[str],
         zone: str = "",
+        model: str = "",
     ) -> Server | None:
         """Return the server with the least expected wait, or None.
 
@@ -114,9 +116,10 @@
             phase: the part that it plays; any by default.
             avoid: identities that are out of the question.
             zone: availability zone to stay in where it costs little; this instance's by default.
+            model: that it has to hold.
         """
         return pick_server(
-            self.able(service, phase),
+            self.able(service, phase, model),
             self.standing,
             zone=zone or self._zone,
             now=now,
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -110,7 +110,7 @@
         while True:
             servers = [
                 server
-                for server in self._backends.able(relay.service.name, Phase.WRITE)
+                for server in self._backends.able(relay.service.name, Phase.WRITE, relay.ask.model)
                 if server.ident not in avoid
             ]
             now = await curio.clock()
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -90,6 +90,7 @@
             await curio.clock(),
             phase=phase,
             avoid=relay.tried,
+            model=relay.ask.model,
         )
 
     def _no_server(self, relay: Relay) -> CrankhingeError:
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -70,7 +70,12 @@
 
     def _choose(self, relay: Relay, zone: str, tried: frozenset[str], now: float) -> Server | None:
         return self._backends.pick(
-            relay.service.name, now, phase=Phase.READ, avoid=tried, zone=zone
+            relay.service.name,
+            now,
+            phase=Phase.READ,
+            avoid=tried,
+            zone=zone,
+            model=relay.ask.model,
         )
 
     async def _try(
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -264,6 +264,7 @@
     order_status: int = 202
     refuses_to_read: bool = False
     beat: int = 1
+    models: tuple[str, ...] = ()
 
     async def enter(self, state: str = "ready") -> None:
         """Write its entry."""
@@ -278,6 +279,7 @@
         }
         if self.phase:
             entry["phase"] = self.phase
+            entry["models"] = [{"name": name, "version": 1, "adapters": []} for name in self.models]
         await self.store.put(f"servers/{self.ident}", entry)
 
     async def run(self) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -489,6 +489,24 @@
 
         play(world, story)
 
+    def test_a_request_goes_to_engines_that_hold_its_model(self) -> None:
+        """Both the one that reads and the one that writes."""
+        world = World()
+        for model in ("m", "n"):
+            world.add(f"i-r-{model}", "llm", "prefill", models=(model,))
+            world.add(f"i-w-{model}", "llm", "decode", behave=stream, models=(model,))
+
+        async def story() -> None:
+            for number in range(6):
+                status, headers, _ = await world.call(f"q{number}", "/stream/a", x_model="n")
+                assert (status, headers["x-server-seal"]) == (200, "seal-i-w-n")
+            assert not any(
+                replica.arrivals for replica in world.replicas if replica.models == ("m",)
+            )
+            assert (await world.call("none", "/stream/a", x_model="other"))[0] == 503
+
+        play(world, story)
+
     def test_an_unreachable_writer_costs_no_repeat(self) -> None:
         """Nothing arrived there, so the next one is tried at once."""
         world = World()
