Readings that may well fail are made only while the budget allows a repeat

Ruled out: refusals of an engine that changes its part (they are waited out since the last break). Change: a reader that failed lately or takes three quarters of the time is doubted; the engine that writes reads the prompt itself when the budget is spent.

--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -52,11 +52,15 @@
 
     def succeeded(self, took_s: float) -> None:
         """Note an answer."""
-        self.took_s += EWMA * (took_s - self.took_s)
+        self.took(took_s)
         self.failing *= 1 - EWMA
         self.refusals = 0
         self.breaker.succeeded()
 
+    def took(self, seconds: float) -> None:
+        """Note how long a request took, or how long it was waited for in vain."""
+        self.took_s += EWMA * (seconds - self.took_s)
+
     def failed(self, now: float) -> None:
         """Note a failure of the server itself."""
         self.failing += EWMA * (1 - self.failing)
@@ -64,6 +68,7 @@
 
     def refused(self, now: float) -> None:
         """Note that the server took a request up without running it."""
+        self.failing += EWMA * (1 - self.failing)
         self.full_until = now + min(REFUSED_MOST_S, REFUSED_S * 2.0**self.refusals)
         self.refusals = min(10, self.refusals + 1)
 
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -20,6 +20,11 @@
 # Seconds that all readings of a request may take: then its first event is late anyway, its place
 # is about to lapse, and the engine that writes may as well read the prompt itself.
 READING_S = 1.0
+# A reader is doubted above this share of failures, or this usual time in seconds: three quarters
+# of what a reading may take. A reading at a doubted one is made only while the budget allows a
+# repeat; the engine that writes reads the prompt otherwise, which is none.
+DOUBT = 0.1
+SLOW_S = 0.75
 
 
 @dataclass(frozen=True)
@@ -59,7 +64,7 @@
         until = min(await curio.clock() + READING_S, relay.until)
         while len(tried) < MAX_READINGS and (not tried or budget.allows()):
             server = self._choose(relay, zone, tried, await curio.clock())
-            if server is None:
+            if server is None or (self._doubtful(server) and not budget.allows()):
                 break
             tried |= {server.ident}
             memory = await self._try(relay, server, until, budget)
@@ -78,6 +83,11 @@
             model=relay.ask.model,
         )
 
+    def _doubtful(self, server: Server) -> bool:
+        """Whether a reading there may well fail, and so become a repeat."""
+        standing = self._backends.standing(server.ident)
+        return standing.failing > DOUBT or standing.took_s > SLOW_S
+
     async def _try(
         self, relay: Relay, server: Server, until: float, budget: RetryBudget
     ) -> Memory | None:
@@ -97,6 +107,7 @@
         except curio.TaskTimeout:
             budget.spend()
             standing.failed(await curio.clock())
+            standing.took(within)
             self._failed(relay, server, "silent", f"nothing in {within:.2f} s")
             return None
         if relay.was_read:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -510,6 +510,20 @@
 
         play(world, story)
 
+    def test_readings_that_would_fail_are_not_asked_for_without_end(self) -> None:
+        """Overloaded readers: each failed reading is a repeat; writers read themselves instead."""
+        world = World()
+        readers = [world.add(f"i-r{n}", "llm", "prefill", read_s=2.0) for n in range(2)]
+        world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            for number in range(60):
+                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
+            # 0.15 for each of sixty requests, three saved, and one in debt.
+            assert sum(len(reader.arrivals) for reader in readers) <= 9 + 3 + 1
+
+        play(world, story)
+
     def test_a_request_goes_to_engines_that_hold_its_model(self) -> None:
         """Both the one that reads and the one that writes."""
         world = World()
