--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -23,7 +23,7 @@
 # A reader is doubted above this share of failures, or this usual time in seconds: three quarters
 # of what a reading may take. A reading at a doubted one is made only while the budget allows a
 # repeat; the engine that writes reads the prompt otherwise, which is none.
-DOUBT = 0.1
+DOUBT = 0.25
 SLOW_S = 0.75
 
 
