What a stop cuts hears a last word

Ruled out: waiting longer (the platform kills the process). Change: the last requests are told 502 where a server has them and 503 where none has; a caller that goes still ends its work. The test fails without it.

--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -147,6 +147,13 @@
     status = 503
 
 
+class Stopping(CrankhingeError):
+    """This instance ends; whether the request ran depends on how far it had come."""
+
+    code = "stopping"
+    status = 503
+
+
 class Overloaded(RequestError):
     """The targets cannot be met now; nothing was run."""
 
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -16,6 +16,7 @@
     HttpClosed,
     NotReady,
     Outcome,
+    Stopping,
     UnknownRoute,
 )
 from crankhinge.gateway._directory import Directory
@@ -38,6 +39,8 @@
 DRAIN_POLL_S = 0.05
 # What is left of the time for a planned stop when the last requests are given up on, in seconds.
 LAST_CALL_S = 0.7
+# Seconds for the last answers to get out.
+LAST_WORDS_S = 0.3
 # Seconds that a request may take where neither caller nor route sets a bound.
 LONGEST_S = 60.0
 
@@ -79,6 +82,7 @@
         self._open = 0
         self._draining = False
         self._closed = curio.Event()
+        self._ending = curio.Event()
 
     async def listen(self) -> None:
         """Serve callers until cancelled."""
@@ -143,6 +147,11 @@
         await self._closed.set()
         left = self._settings.drain_s - LAST_CALL_S - (await curio.clock() - began)
         await curio.ignore_after(max(0.0, left), self._wait_idle)
+        if self._open:
+            # Whoever is still waiting hears at least what is known.
+            self._log.warning("cut_by_stop", open=self._open)
+            await self._ending.set()
+            await curio.ignore_after(LAST_WORDS_S, self._wait_idle)
         self._log.info("drained", open=self._open)
 
     async def _wait_idle(self) -> None:
@@ -176,16 +185,38 @@
         relay: Relay | None = None
         try:
             relay = await self._admit(exchange, ask)
-            if relay.route.kind is RouteKind.STREAM:
-                await self._streams.run(relay)
-            else:
-                await self._plain.run(relay)
+            await self._run(relay)
         except CrankhingeError as exc:
             return await self._refuse(exchange, ask, relay, exc)
         relay.facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
         self._note_end(relay)
         return True
 
+    async def _run(self, relay: Relay) -> None:
+        """Run a request to its end, or to that of this instance."""
+        async with curio.TaskGroup(wait=any) as group:
+            work = await group.spawn(self._outcome, relay)
+            await group.spawn(self._ending.wait)
+        if group.completed is work:
+            failure: CrankhingeError | None = work.result
+            if failure is not None:
+                raise failure
+            return
+        # A server that has the request may still run it.
+        relay.may_have_run = relay.may_have_run or bool(relay.sent)
+        raise Stopping("this instance ends", retry_after_s=STOPPING_RETRY_S)
+
+    async def _outcome(self, relay: Relay) -> CrankhingeError | None:
+        """Run a request; its failure is returned, since the kernel reports tasks that raise."""
+        try:
+            if relay.route.kind is RouteKind.STREAM:
+                await self._streams.run(relay)
+            else:
+                await self._plain.run(relay)
+        except CrankhingeError as exc:
+            return exc
+        return None
+
     async def _admit(self, exchange: Exchange, ask: RelayAsk) -> Relay:
         if self._closed.is_set():
             raise NotReady("stopping", retry_after_s=STOPPING_RETRY_S)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -277,6 +277,8 @@
             await curio.sleep(0.5)
             await task.cancel()
             await curio.timeout_after(0.5, ended.wait)
+            # The server's end is closed first, the line is written when that is done.
+            await curio.sleep(0.01)
             assert world.lines.having("event=caller_gone", "request=q1")
 
         play(world, story)
@@ -303,6 +305,27 @@
 
         play(world, story)
 
+    def test_what_a_stop_cuts_hears_a_last_word(self) -> None:
+        """A one-shot request that its server still has is told 502 before the process ends."""
+        world = World()
+        world.add("i-1", "plain", behave=mute)
+        patient = {**ONCE, "timeout_ms": 60000}
+
+        async def waiting() -> tuple[int, dict[str, str], bytes]:
+            return await world.call("q1", "/once/a", x_deadline_ms="60000")
+
+        async def story() -> None:
+            task = await curio.spawn(waiting)
+            await curio.sleep(0.5)
+            await world.stopping.set()
+            began = await curio.clock()
+            status, headers, _ = await task.join()
+            assert status == 502
+            assert "retry-after" not in headers
+            assert 6.0 < await curio.clock() - began < 8.0
+
+        play(world, story, patient)
+
     def test_a_stopping_instance_takes_nothing_it_could_not_finish(self) -> None:
         """Once the balancer has turned away, a request is refused as not run, or not accepted."""
         world = World()
