A test of late requests on open connections, seen to fail

Cause: eight mechanisms were taken out one by one; two tests went on passing: the one of a stopping instance (its request met the closed door, not the refusal) and the one of ever rarer questions (covered by the unit test alone). Change: a test of the refusal that fails without it. Conclusion: no product code changed.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -326,6 +326,30 @@
 
         play(world, story, patient)
 
+    def test_a_late_request_on_an_open_connection_is_refused_as_not_run(self) -> None:
+        """A connection kept from before the stop stays open; what comes on it late is told 503."""
+        world = World()
+
+        async def some_hang(replica: FakeReplica, exchange: Exchange) -> None:
+            hangs = exchange.req.headers["x-request-id"] == "hangs"
+            await (mute if hangs else sealed)(replica, exchange)
+
+        replica = world.add("i-1", "plain", behave=some_hang)
+
+        async def story() -> None:
+            hanging = await curio.spawn(world.call, "hangs", "/once/a")
+            await curio.sleep(0.1)
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            await world.stopping.set()
+            await curio.sleep(2.6)
+            status, headers, _ = await world.call("q2", "/once/a")
+            assert status == 503
+            assert "retry-after" in headers
+            assert len(replica.arrivals) == 2
+            await hanging.cancel()
+
+        play(world, story)
+
     def test_a_stopping_instance_takes_nothing_it_could_not_finish(self) -> None:
         """Once the balancer has turned away, a request is refused as not run, or not accepted."""
         world = World()
