Kept prompts are no measure of reading; a change takes a third of a pool

Cause: on the grown Society site one instance of thirty had six readers cut down to three: it held reading for 0.037 s a request where it takes 0.1 s, since of each length it took the fastest reading, and the fastest one was of a prompt that the engine had kept.

Ruled out: a mistake in the sums of the split (with 0.1 s it keeps six).

Change: the fastest quarter of the newest twenty readings of a length is passed over; one change takes a third of a pool, rounded up. A test's expectation follows: two readers of nine become five at once, not seven, and the differential test compares with the splits that one change allows.

--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 # Weight of the newest sample: some fifty requests shape an average, a few seconds of traffic.
@@ -18,13 +19,19 @@
 # Readings are compared by length in classes of this many tokens, each with some readings.
 CLASS_TOKENS = 1000
 CLASS_SAMPLES = 3
-# Least part of the fastest reading that is counted as work, whatever the slope says: a short
+# Newest readings of a class that are remembered, and the part of them, fastest first, that is
+# passed over: a prompt that the engine still kept is read in no time.
+CLASS_KEPT = 20
+PASSED_OVER = 4
+# Least part of a fast reading that is counted as work, whatever the slope says: a short
 # reading that had to wait makes the slope look flat.
 LEAST_PART = 0.6
 # Engines left in each pool as long as there are others: one that crashes must not be the last.
 LEAST_POOL = 2
 # A change costs an engine's work for seconds; it has to lower the larger load by this part.
 GAIN = 0.12
+# One change takes a pool's engines divided by this at most: what was measured may be wrong.
+POOL_DIVISOR = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,21 +53,33 @@
         return max(self.read_s / readers, self.write_s / writers)
 
 
-@dataclass(slots=True)
 class _Length:
-    """Readings of about one length: how many, and the fastest of them."""
+    """The newest readings of about one length."""
 
-    count: int = 0
-    tokens: int = 0
-    took_s: float = float("inf")
+    def __init__(self) -> None:
+        self._readings: deque[tuple[float, int]] = deque(maxlen=CLASS_KEPT)
+
+    def __len__(self) -> int:
+        return len(self._readings)
+
+    def add(self, tokens: int, took_s: float) -> None:
+        """Note a reading."""
+        self._readings.append((took_s, tokens))
+
+    @property
+    def fast(self) -> tuple[float, int]:
+        """Seconds and tokens of a reading that did not wait and was no kept prompt."""
+        ordered = sorted(self._readings)
+        return ordered[len(ordered) // PASSED_OVER]
 
 
 class WorkMeter:
     """Measures what requests take.
 
     The time of a reading is the sum of a wait, a fixed part that does not keep the engine busy,
-    and a part for each token. The fastest readings waited for nobody, so what the fastest long
-    one took beyond the fastest short one is the part for its tokens.
+    and a part for each token. Fast readings waited for nobody, so what a fast long one took beyond
+    a fast short one is the part for its tokens. The very fastest are passed over, since their
+    prompts were kept from before.
 
     Writing is worked out from all requests that were let in, by the pace of the answers that have
     ended: those that end first are the short ones, and would hold writing for cheaper than it is.
@@ -88,10 +107,7 @@
         step = max(WEIGHT, 1.0 / self._readings)
         self._tokens += step * (tokens - self._tokens)
         self._read_s += step * (took_s - self._read_s)
-        length = self._lengths.setdefault(tokens // CLASS_TOKENS, _Length())
-        length.count += 1
-        if took_s < length.took_s:
-            length.tokens, length.took_s = tokens, took_s
+        self._lengths.setdefault(tokens // CLASS_TOKENS, _Length()).add(tokens, took_s)
 
     def was_admitted(self, part: float, answer_tokens: int) -> None:
         """Note a request that got *part* of an engine's memory for an answer of likely length."""
@@ -122,14 +138,14 @@
 
     def _per_token(self) -> float:
         """Return the seconds that a token keeps an engine busy, rather too many than too few."""
-        seen = [length for length in self._lengths.values() if length.count >= CLASS_SAMPLES]
-        seen = seen or list(self._lengths.values())
-        shortest = min(seen, key=lambda length: length.tokens)
-        longest = max(seen, key=lambda length: length.tokens)
-        alone = longest.took_s / max(1, longest.tokens)
-        if longest.tokens - shortest.tokens < CLASS_TOKENS:
+        lengths = list(self._lengths.values())
+        seen = [length for length in lengths if len(length) >= CLASS_SAMPLES] or lengths
+        fast = sorted((length.fast for length in seen), key=lambda reading: reading[1])
+        (short_s, shortest), (long_s, longest) = fast[0], fast[-1]
+        alone = long_s / max(1, longest)
+        if longest - shortest < CLASS_TOKENS:
             return alone
-        slope = (longest.took_s - shortest.took_s) / (longest.tokens - shortest.tokens)
+        slope = (long_s - short_s) / (longest - shortest)
         return min(alone, max(slope, alone * LEAST_PART))
 
 
@@ -147,6 +163,10 @@
         return readers
     least = LEAST_POOL if total >= 2 * LEAST_POOL else 1
     choices = range(least, total - least + 1)
+    if readers and writers:
+        fewest = readers - -(-readers // POOL_DIVISOR)
+        most = readers + -(-writers // POOL_DIVISOR)
+        choices = range(max(least, fewest), min(total - least, most) + 1)
     best = min(choices, key=lambda count: loads.larger(count, total - count))
     now = loads.larger(readers, writers)
     if best > readers >= 1 and answers < MANY_ANSWERS:
