Instances put their measurements together before one orders engines

Cause: the first of thirty instances whose noisy estimate wanted another split ordered it; the most extreme one is the first.

Ruled out: more samples for each instance (later still); reports of the engines (a probe each, 900 ms old).

Change: each instance keeps a note of what its requests take in the store, under a lease (crankhinge/work/NAME). Who wants another split reads all notes and decides by their weighted means; the time of a token is that of the faster quarter of all samples, since waits only add. The fake store of the tests becomes the stand-in crankhinge_standins.store, with leases that run out, and a stand-in replica comes beside it; both are for the soak. The process handling of the bench's cluster moves to a module of its own for the same reason.

--- a/src/crankhinge/adapters/__init__.py
+++ b/src/crankhinge/adapters/__init__.py
@@ -1,5 +1,6 @@
 """The outside systems: an abstract base class for each, and one adapter."""
 
+from crankhinge.adapters._board import WorkBoard
 from crankhinge.adapters._dialect import (
     Dialect,
     EngineState,
@@ -49,4 +50,5 @@
     "Tenure",
     "TenureOffice",
     "Value",
+    "WorkBoard",
 ]
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -54,12 +54,20 @@
 from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
 from crankhinge.decisions._servers import Phase, Server, ServerList
 from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
-from crankhinge.decisions._split import Loads, WorkMeter, wanted_readers
+from crankhinge.decisions._split import (
+    MANY_ANSWERS,
+    Loads,
+    WorkMeter,
+    WorkSheet,
+    loads_of,
+    wanted_readers,
+)
 from crankhinge.decisions._standing import Standing, pick_server
 from crankhinge.decisions._work import WorkQueue
 
 __all__ = [
     "FULL",
+    "MANY_ANSWERS",
     "NAIVE",
     "POLICIES",
     "SERVE_S",
@@ -118,8 +126,10 @@
     "WorkAsk",
     "WorkMeter",
     "WorkQueue",
+    "WorkSheet",
     "back_after",
     "keep_answer",
+    "loads_of",
     "mechanisms",
     "memory_needed",
     "pick_server",
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -7,10 +7,12 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 # Weight of the newest sample: some fifty requests shape an average, a few seconds of traffic.
 WEIGHT = 0.02
+SHAPING = 50
 # Requests let in and answers ended before anything is said, and answers before more engines are
 # asked to read: a calm moment right after a start must not undo a split that a burst needs.
 FEW_ADMITTED = 10
@@ -73,6 +75,39 @@
         return ordered[len(ordered) // PASSED_OVER]
 
 
+@dataclass(frozen=True, slots=True)
+class WorkSheet:
+    """What one instance measured of a service's requests; means over the newest ones.
+
+    Attributes:
+        admitted: requests that were let in.
+        answers: answers that have ended.
+        readings: prompts that were read.
+        tokens: of a prompt.
+        read_s: seconds of a reading, with its wait.
+        token_s: seconds that a token of a prompt keeps a reading engine busy.
+        part: part of an engine's memory that a request gets.
+        part_tokens: that part times the likely tokens of the answer.
+        pace_s: seconds of a token of an answer.
+    """
+
+    admitted: int
+    answers: int
+    readings: int
+    tokens: float
+    read_s: float
+    token_s: float
+    part: float
+    part_tokens: float
+    pace_s: float
+
+    def loads(self) -> Loads:
+        """Return the loads that these figures make."""
+        # A place is held while the prompt is read, too.
+        write_s = self.part * self.read_s + self.part_tokens * self.pace_s
+        return Loads(self.token_s * self.tokens, write_s)
+
+
 class WorkMeter:
     """Measures what requests take.
 
@@ -128,13 +163,26 @@
             return None
         return self._read_s + answer_tokens * self._pace_s
 
-    def loads(self) -> Loads | None:
-        """Return the loads, or None while too little was seen."""
-        if self._admitted < FEW_ADMITTED or self._answers < FEW_ANSWERS or not self._lengths:
+    def sheet(self) -> WorkSheet | None:
+        """Return what was measured, or None while one of the three was never seen."""
+        if not self._admitted or not self._answers or not self._lengths:
             return None
-        # A place is held while the prompt is read, too.
-        write_s = self._part * self._read_s + self._part_tokens * self._pace_s
-        return Loads(self._per_token() * self._tokens, write_s)
+        return WorkSheet(
+            admitted=self._admitted,
+            answers=self._answers,
+            readings=self._readings,
+            tokens=self._tokens,
+            read_s=self._read_s,
+            token_s=self._per_token(),
+            part=self._part,
+            part_tokens=self._part_tokens,
+            pace_s=self._pace_s,
+        )
+
+    def loads(self) -> Loads | None:
+        """Return the loads as this instance alone sees them, or None while that is too little."""
+        sheet = self.sheet()
+        return loads_of([] if sheet is None else [sheet])
 
     def _per_token(self) -> float:
         """Return the seconds that a token keeps an engine busy, rather too many than too few."""
@@ -149,6 +197,49 @@
         return min(alone, max(slope, alone * LEAST_PART))
 
 
+def loads_of(sheets: Sequence[WorkSheet]) -> Loads | None:
+    """Return the loads that several instances' measurements show together, each by its samples.
+
+    Args:
+        sheets: one of each instance.
+
+    Returns:
+        The loads, or None while too little was seen by all of them.
+    """
+    admitted = sum(sheet.admitted for sheet in sheets)
+    if admitted < FEW_ADMITTED or sum(sheet.answers for sheet in sheets) < FEW_ANSWERS:
+        return None
+    mean = WorkSheet(
+        admitted=admitted,
+        answers=sum(sheet.answers for sheet in sheets),
+        readings=sum(sheet.readings for sheet in sheets),
+        tokens=_mean((sheet.tokens, sheet.readings) for sheet in sheets),
+        read_s=_mean((sheet.read_s, sheet.readings) for sheet in sheets),
+        token_s=_low([(sheet.token_s, sheet.readings) for sheet in sheets]),
+        part=_mean((sheet.part, sheet.admitted) for sheet in sheets),
+        part_tokens=_mean((sheet.part_tokens, sheet.admitted) for sheet in sheets),
+        pace_s=_mean((sheet.pace_s, sheet.answers) for sheet in sheets),
+    )
+    return mean.loads()
+
+
+def _mean(rows: Iterable[tuple[float, int]]) -> float:
+    """Return the mean of values, each with the number of its samples; a mean holds the newest."""
+    weighed = [(value, min(samples, SHAPING)) for value, samples in rows]
+    return sum(value * samples for value, samples in weighed) / sum(row[1] for row in weighed)
+
+
+def _low(rows: list[tuple[float, int]]) -> float:
+    """Return the value that a quarter of all samples don't exceed: waits only ever add to it."""
+    ordered = sorted((value, min(samples, SHAPING)) for value, samples in rows)
+    least = sum(samples for _, samples in ordered) / PASSED_OVER
+    for value, samples in ordered:
+        least -= samples
+        if least <= 0:
+            return value
+    return ordered[-1][0]
+
+
 def wanted_readers(loads: Loads, readers: int, writers: int, answers: int) -> int:
     """Return how many of the engines should read; the present number unless a change pays.
 
--- a/src/crankhinge/gateway/_orderer.py
+++ b/src/crankhinge/gateway/_orderer.py
@@ -6,22 +6,24 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
 from typing import Any
 
 import curio
 
 from crankhinge.adapters import EngineState, OrderEnd, Tenure, TenureOffice
-from crankhinge.decisions import Phase, Server, Service, WorkMeter, wanted_readers
+from crankhinge.decisions import MANY_ANSWERS, Phase, Server, Service, wanted_readers
 from crankhinge.errors import BadHttp, KeyValueUnavailable
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._directory import Directory
+from crankhinge.gateway._shared_work import SharedWork
 
 # Seconds between looks at the split.
 LOOK_S = 1.0
 # Looks in a row that want the same change before it is made: a crashed server is back by then or
 # its entry has gone.
 LOOKS = 2
+# Seconds until the others' notes are read again when they did not want the change.
+DISAGREED_S = 2.0
 # Seconds without another change after one: an engine needs six to play its new part, and the
 # averages some more to show it.
 QUIET_S = 12.0
@@ -44,7 +46,7 @@
         directory: routes and servers.
         backends: the servers.
         office: gives the right to order.
-        meters: the work of each service's requests, by its name.
+        work: what all instances measured.
         log: for events.
     """
 
@@ -55,14 +57,14 @@
         directory: Directory,
         backends: Backends,
         office: TenureOffice,
-        meters: Mapping[str, WorkMeter],
+        work: SharedWork,
         log: Any,
     ) -> None:
         self._name = name
         self._directory = directory
         self._backends = backends
         self._office = office
-        self._meters = meters
+        self._work = work
         self._log = log
         self._tenure: Tenure | None = None
         self._quiet_until = 0.0
@@ -89,18 +91,33 @@
             # Somebody's order, a crash or a return: what was measured held for another split.
             self._split[service.name] = split
             self._looks = 0
-        meter = self._meters[service.name]
-        loads = meter.loads()
-        if loads is None or now < self._quiet_until:
+        glimpse = self._work.glimpse(service.name)
+        if glimpse is None or now < self._quiet_until:
             return
-        wanted = wanted_readers(loads, *split, meter.answers)
-        if wanted == split[0]:
+        if wanted_readers(glimpse, *split, MANY_ANSWERS) == split[0]:
             self._looks = 0
             return
         self._looks += 1
         if self._looks < LOOKS:
             return
         self._looks = 0
+        await self._decide(service, readers, writers)
+
+    async def _decide(self, service: Service, readers: list[Server], writers: list[Server]) -> None:
+        """Change the split where the measurements of all instances want it."""
+        now = await curio.clock()
+        self._quiet_until = now + DISAGREED_S
+        try:
+            loads, answers = await self._work.together(service.name)
+        except KeyValueUnavailable as exc:
+            self._log.info("notes_unknown", why=exc.detail)
+            return
+        split = (len(readers), len(writers))
+        if loads is None:
+            return
+        wanted = wanted_readers(loads, *split, answers)
+        if wanted == split[0]:
+            return
         self._quiet_until = now + QUIET_S
         phase = Phase.WRITE if wanted < split[0] else Phase.READ
         self._log.info(
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -13,7 +13,7 @@
 
 import curio
 
-from crankhinge.adapters import Dialect, FleetSource, TenureOffice
+from crankhinge.adapters import Dialect, FleetSource, TenureOffice, WorkBoard
 from crankhinge.decisions import RetryBudget, WorkMeter
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._directory import Directory
@@ -22,6 +22,7 @@
 from crankhinge.gateway._orderer import Orderer
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._settings import GatewaySettings
+from crankhinge.gateway._shared_work import SharedWork
 from crankhinge.gateway._stream import StreamRelay
 from crankhinge.runtime import LineSink, Supervisor, get_log, run_process, until_first
 from crankhinge.runtime._exposed import ExposedMetrics
@@ -43,11 +44,13 @@
         dialect: how callers and servers are spoken to.
         source: configuration and list of servers.
         office: gives the right to order servers.
+        board: where instances tell each other what requests take.
     """
 
     dialect: Dialect
     source: FleetSource
     office: TenureOffice
+    board: WorkBoard
 
 
 MakePlatform = Callable[[str, int, Any], Platform]
@@ -96,12 +99,13 @@
         metrics=metrics,
         rng=rng,
     )
+    work = SharedWork(name=settings.name, board=platform.board, meters=meters, log=log)
     orderer = Orderer(
         name=settings.name,
         directory=directory,
         backends=backends,
         office=platform.office,
-        meters=meters,
+        work=work,
         log=log,
     )
     # The runtime's clock is the steady clock; a page is made outside of any task's trap.
@@ -117,6 +121,7 @@
     supervisor.add("servers", directory.watch_servers)
     supervisor.add("expiry", directory.expire)
     supervisor.add("orders", orderer.run)
+    supervisor.add("work", work.run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await until_first(supervisor.run, partial(_drain_on, stopping, gateway))
     log.info("stopped")
--- /dev/null
+++ b/src/crankhinge/gateway/_shared_work.py
@@ -0,0 +1,108 @@
+"""Puts together what all instances measured, so that no single one's luck decides."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import WorkBoard
+from crankhinge.decisions import Loads, WorkMeter, WorkSheet, loads_of
+from crankhinge.errors import KeyValueUnavailable
+
+# Seconds between looks whether the own note is still true.
+LOOK_S = 1.0
+# A note is written anew when its samples have doubled or its loads have moved by this part, but
+# not sooner than this after the last one, in seconds.
+MOVED_PART = 0.15
+SOONEST_S = 2.5
+# It is written anew at the latest after this time, in seconds, since the store drops it later.
+LATEST_S = 30.0
+# Seconds until a note is tried again that the store did not take.
+AGAIN_S = 5.0
+
+
+class SharedWork:
+    """This instance's measurements and, when they are asked for, those of all instances.
+
+    Args:
+        name: of this instance.
+        board: where instances put their notes.
+        meters: measure this instance's requests, by service.
+        log: for events.
+    """
+
+    def __init__(
+        self, *, name: str, board: WorkBoard, meters: Mapping[str, WorkMeter], log: Any
+    ) -> None:
+        self._name = name
+        self._board = board
+        self._meters = meters
+        self._log = log
+        self._told: dict[str, WorkSheet] = {}
+        self._told_at = float("-inf")
+
+    async def run(self) -> None:
+        """Keep this instance's note true until cancelled."""
+        while True:
+            await curio.sleep(LOOK_S)
+            sheets = self._sheets()
+            now = await curio.clock()
+            if not self._due(sheets, now):
+                continue
+            try:
+                await self._board.publish(self._name, sheets)
+            except KeyValueUnavailable as exc:
+                self._log.info("note_unknown", why=exc.detail)
+                await curio.sleep(AGAIN_S)
+                continue
+            self._told, self._told_at = sheets, now
+
+    def _sheets(self) -> dict[str, WorkSheet]:
+        sheets = {service: meter.sheet() for service, meter in self._meters.items()}
+        return {service: sheet for service, sheet in sheets.items() if sheet is not None}
+
+    def _due(self, sheets: dict[str, WorkSheet], now: float) -> bool:
+        since = now - self._told_at
+        if not sheets or since < SOONEST_S:
+            return False
+        return since > LATEST_S or any(
+            self._moved(sheet, self._told.get(service)) for service, sheet in sheets.items()
+        )
+
+    def _moved(self, sheet: WorkSheet, told: WorkSheet | None) -> bool:
+        if told is None or sheet.admitted >= 2 * told.admitted:
+            return True
+        now, then = sheet.loads(), told.loads()
+        return (
+            abs(now.read_s - then.read_s) > MOVED_PART * then.read_s
+            or abs(now.write_s - then.write_s) > MOVED_PART * then.write_s
+        )
+
+    def glimpse(self, service: str) -> Loads | None:
+        """Return the loads as this instance sees them, from however few requests."""
+        sheet = self._meters[service].sheet()
+        return None if sheet is None else sheet.loads()
+
+    async def together(self, service: str) -> tuple[Loads | None, int]:
+        """Return the loads as all instances see them, and how many answers shaped them.
+
+        Raises:
+            KeyValueUnavailable: the others' notes can't be read.
+        """
+        notes = await self._board.read()
+        notes[self._name] = self._sheets()
+        sheets = [note[service] for note in notes.values() if service in note]
+        loads = loads_of(sheets)
+        answers = sum(sheet.answers for sheet in sheets)
+        self._log.info(
+            "work_together",
+            service=service,
+            instances=len(sheets),
+            admitted=sum(sheet.admitted for sheet in sheets),
+            answers=answers,
+            read_s=None if loads is None else round(loads.read_s, 4),
+            write_s=None if loads is None else round(loads.write_s, 4),
+        )
+        return loads, answers
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -2,25 +2,16 @@
 
 from __future__ import annotations
 
-import contextlib
-import itertools
 import json
-import os
 import secrets
-import signal
-import socket
 import subprocess
 import sys
-import tempfile
 import time
-import urllib.request
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
-import msgspec
-
 from crankhinge.config import (
     Envelope,
     hash_credential,
@@ -29,18 +20,13 @@
     seal,
     sign,
 )
+from crankhinge_bench._procs import HOST, POLL_S, READY_S, Procs, free_ports, http_json
 from crankhinge_bench._spec import ClusterSpec, EngineSpec
 
-HOST = "127.0.0.1"
-READY_S = 60.0
-STOP_S = 10.0
-POLL_S = 0.05
 READ_AT_ONCE = 2
 SEEDS = 3
 PUBLISH_TRIES = 20
 EXIT_UNKNOWN = 4
-# Each process begins at another place of the range.
-_PORTS = itertools.chain(range(12000 + os.getpid() % 15000, 30000), range(12000, 30000))
 
 
 @dataclass
@@ -64,34 +50,7 @@
     backend_port: int
 
 
-def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now.
-
-    They lie below the range from which the kernel takes ports for outgoing connections: one from
-    that range can be taken between this call and the time it is listened on.
-    """
-    found: list[int] = []
-    for port in _PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        found.append(port)
-        if len(found) == count:
-            return found
-    raise RuntimeError("no free ports are left")
-
-
-def http_json(method: str, port: int, path: str, body: Any = None, timeout_s: float = 5.0) -> Any:
-    """Call a stand-in or an entry and return its JSON."""
-    data = None if body is None else msgspec.json.encode(body)
-    req = urllib.request.Request(f"http://{HOST}:{port}{path}", data=data, method=method)
-    with urllib.request.urlopen(req, timeout=timeout_s) as resp:
-        return json.loads(resp.read() or b"null")
-
-
-class Cluster:
+class Cluster(Procs):
     """Processes on loopback, in a directory of their own.
 
     Args:
@@ -103,16 +62,13 @@
     def __init__(
         self, spec: ClusterSpec, *, logs: Path | None = None, backends: bool = True
     ) -> None:
+        super().__init__(logs)
         self.spec = spec
         self._backends = backends
         self.places: list[Place] = []
         self.entry_ports: list[int] = []
         self.platform_port = 0
-        self.procs: dict[str, subprocess.Popen[bytes]] = {}
         self.credentials = {name: secrets.token_urlsafe(24) for name, _ in spec.members}
-        self._stack = contextlib.ExitStack()
-        self.dir = Path(self._stack.enter_context(tempfile.TemporaryDirectory(prefix="crank-")))
-        self.logs = logs or self.dir
         self._keys: dict[str, str] = {}
         self.version = 0
 
@@ -133,7 +89,7 @@
         self._plan()
         self._start_standins()
         backends = [place.backend_port for place in self.places if self._backends]
-        self._wait_for_ports([self.platform_port, *backends])
+        self.wait_for_ports([self.platform_port, *backends])
         self.publish(self.bundle_text(1))
         for place in self.places:
             self.start_agent(place)
@@ -157,18 +113,6 @@
             place = Place(f"{pool}-{n}", kind, pool, zone, ports.pop(), ports.pop())
             self.places.append(place)
 
-    def run(self, name: str, module: str, *args: str) -> None:
-        """Start a program; its logs go to a file of its name."""
-        log = (self.logs / f"{name}.log").open("ab")
-        self.procs[name] = subprocess.Popen(
-            [sys.executable, "-m", module, *args],
-            stdin=subprocess.DEVNULL,
-            stdout=log,
-            stderr=log,
-            start_new_session=True,
-        )
-        log.close()
-
     def _start_standins(self) -> None:
         standin = "crankhinge_standins.main"
         self.run("platform", standin, "platform", "--port", str(self.platform_port),
@@ -392,20 +336,10 @@
             "ctl", [f'key_value = "{HOST}:{self.platform_port}"', f"seeds = {seeds}"]
         )
 
-    def _wait_for_ports(self, ports: list[int]) -> None:
-        until = time.monotonic() + READY_S
-        for port in ports:
-            while True:
-                with contextlib.suppress(OSError), socket.create_connection((HOST, port), 1.0):
-                    break
-                if time.monotonic() > until:
-                    raise TimeoutError(f"nothing listens on {port}")
-                time.sleep(POLL_S)
-
     def wait_ready(self) -> None:
         """Wait until every entry has a bundle and answers a request."""
         until = time.monotonic() + READY_S
-        self._wait_for_ports([*self.entry_ports, *(place.port for place in self.places)])
+        self.wait_for_ports([*self.entry_ports, *(place.port for place in self.places)])
         for port in self.entry_ports:
             while not self._is_ready(port):
                 if time.monotonic() > until:
@@ -428,16 +362,6 @@
             return False
         return bool(state["linked"] >= min(len(self.places), self.spec.subset))
 
-    def signal(self, name: str, signum: int) -> None:
-        """Send a signal to a process that this cluster started."""
-        self.procs[name].send_signal(signum)
-
-    def kill(self, name: str) -> None:
-        """End a process at once."""
-        proc = self.procs.pop(name)
-        proc.kill()
-        proc.wait()
-
     def start_again(self, name: str) -> None:
         """Start a process that was killed."""
         if name.startswith("entry-"):
@@ -456,16 +380,6 @@
         wanted = name.removeprefix("backend-")
         return next(p.backend_port for p in self.places if p.name == wanted)
 
-    def stop(self) -> None:
-        """End every process."""
-        for proc in self.procs.values():
-            proc.send_signal(signal.SIGCONT)
-            proc.kill()
-        for proc in self.procs.values():
-            proc.wait(STOP_S)
-        self.procs.clear()
-        self._stack.close()
-
     def engine_stats(self) -> list[dict[str, Any]]:
         """Return each engine's own counts."""
         engines = [place for place in self.places if place.kind != "plain"]
--- a/src/crankhinge_bench/_evidence.py
+++ b/src/crankhinge_bench/_evidence.py
@@ -8,7 +8,8 @@
 from pathlib import Path
 
 from crankhinge_bench._check import BundleSeen
-from crankhinge_bench._cluster import Cluster, http_json
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._procs import http_json
 
 HELD_S = 15.0
 IN_FORCE = re.compile(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+) digest=(\w+)")
--- a/src/crankhinge_bench/_perf.py
+++ b/src/crankhinge_bench/_perf.py
@@ -14,9 +14,10 @@
 
 from crankhinge.adapters.openai_engine import OpenAiEngine
 from crankhinge.runtime import write_json
-from crankhinge_bench._cluster import HOST, Cluster, http_json
+from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._fit import cpu_s, rss_kb
 from crankhinge_bench._load import LoadRun, Outcome
+from crankhinge_bench._procs import HOST, http_json
 from crankhinge_bench._spec import ClusterSpec, EngineSpec
 from crankhinge_bench._summary import percentile
 from crankhinge_bench._trace import Arrival
--- a/src/crankhinge_bench/_slopes.py
+++ b/src/crankhinge_bench/_slopes.py
@@ -23,10 +23,11 @@
     SlotTable,
 )
 from crankhinge.runtime import write_json
-from crankhinge_bench._cluster import HOST, Cluster, Place, free_ports, http_json
+from crankhinge_bench._cluster import Cluster, Place
 from crankhinge_bench._fakes import FakeAgents, FakeEntries, FakePeers
 from crankhinge_bench._fit import Slope, cpu_s, fit, rss_kb
 from crankhinge_bench._load import LoadRun
+from crankhinge_bench._procs import HOST, free_ports, http_json
 from crankhinge_bench._spec import ClusterSpec, EngineSpec, ServiceSpec
 from crankhinge_bench._trace import Arrival
 
--- a/src/crankhinge_standins/_web.py
+++ b/src/crankhinge_standins/_web.py
@@ -24,8 +24,19 @@
     await reply(exchange, {"error": exc.detail}, exc.status)
 
 
-class Faults(msgspec.Struct):
-    """Faults of a stand-in; ``PUT /faults`` with some of these keys changes them.
+class Switches(msgspec.Struct):
+    """Faults of a stand-in; ``PUT /faults`` with some of their names changes them."""
+
+    def change(self, body: bytes) -> None:
+        """Set the faults that the JSON object *body* names. Raises BadHttp for unknown ones."""
+        for name, value in msgspec.json.decode(body).items():
+            if name not in self.__struct_fields__:
+                raise BadHttp(f"no fault {name!r}")
+            setattr(self, name, value)
+
+
+class Faults(Switches):
+    """Faults of the stand-ins for the product's own interface.
 
     Attributes:
         down: connections are closed without an answer.
@@ -45,13 +56,6 @@
     refuse: bool = False
     down_after_write: bool = False
 
-    def change(self, body: bytes) -> None:
-        """Set the faults that the JSON object *body* names."""
-        for name, value in msgspec.json.decode(body).items():
-            if name not in self.__struct_fields__:
-                raise BadHttp(f"no fault {name!r}")
-            setattr(self, name, value)
-
 
 class Recorder:
     """Writes what a stand-in did to a file, which outlives it when it is killed.
@@ -70,7 +74,7 @@
             os.write(self._fd, msgspec.json.encode({**row, "at": time.time()}) + b"\n")
 
 
-async def serve(host: str, port: int, handler: Handler, faults: Faults, log: Any) -> None:
+async def serve(host: str, port: int, handler: Handler, faults: Switches, log: Any) -> None:
     """Serve *handler*, with ``PUT /faults`` beside it."""
 
     async def handle(exchange: Exchange) -> None:
--- a/src/crankhinge_standins/main.py
+++ b/src/crankhinge_standins/main.py
@@ -11,7 +11,9 @@
 from crankhinge.runtime import get_log
 from crankhinge_standins.engine import EngineConfig, StandinEngine
 from crankhinge_standins.platform import StandinPlatform
+from crankhinge_standins.replica import StandinReplica
 from crankhinge_standins.service import StandinService
+from crankhinge_standins.store import StandinStore
 
 
 def _parser() -> argparse.ArgumentParser:
@@ -26,7 +28,18 @@
     service.add_argument("--work-s", type=float, default=0.01)
     platform = kinds.add_parser("platform", help="key-value service and list of instances")
     platform.add_argument("--list-lag-s", type=float, default=1.0)
-    for kind in (service, platform):
+    store = kinds.add_parser("store", help="the users' platform's metadata store")
+    store.add_argument("--beat-s", type=float, default=0.0)
+    replica = kinds.add_parser("replica", help="a backend server of the users' platform")
+    replica.add_argument("--shown", required=True, help="host:port under which others reach it")
+    replica.add_argument("--service", required=True)
+    replica.add_argument("--phase", default="", help="prefill or decode; empty: a plain service")
+    replica.add_argument("--store", required=True, help="host:port")
+    replica.add_argument("--record", default="")
+    replica.add_argument("--beat-s", type=float, default=1.2)
+    replica.add_argument("--place", default="", help="name of where it runs")
+    replica.add_argument("--silent-leave", action="store_true")
+    for kind in (service, platform, store, replica):
         kind.add_argument("--host", default="127.0.0.1")
         kind.add_argument("--port", type=int, required=True)
     return parser
@@ -40,6 +53,11 @@
         return StandinEngine(cfg, log, seed=cfg.port).run
     if args.kind == "service":
         return StandinService(args.host, args.port, args.work_s, log, args.record).run
+    if args.kind == "store":
+        return StandinStore(args.host, args.port, args.beat_s).run
+    if args.kind == "replica":
+        given = {name: value for name, value in vars(args).items() if name != "kind"}
+        return StandinReplica(**given, log=log).run
     return StandinPlatform(args.host, args.port, args.list_lag_s, log).run
 
 
--- /dev/null
+++ b/src/crankhinge_standins/store.py
@@ -0,0 +1,239 @@
+"""The users' platform's metadata store: items with revisions, watches, leases, transactions.
+
+It speaks the published messages and keeps everything in memory. Tests run it in their own kernel;
+the soak starts it as a process and switches its faults over HTTP.
+"""
+
+from __future__ import annotations
+
+import base64
+import itertools
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import curio
+import msgspec
+
+from crankhinge.errors import HttpClosed
+from crankhinge.http import Exchange
+from crankhinge.runtime import get_log
+from crankhinge_standins._web import Switches, serve
+
+# Keys of backend servers' entries begin so.
+SERVERS = "servers/"
+# An entry goes after this many missed heartbeats.
+BEATS_MISSED = 3.2
+# How often leases and heartbeats are looked at, in seconds.
+SWEEP_S = 0.05
+
+Item = dict[str, Any]
+
+
+class StoreFaults(Switches):
+    """Faults of the store.
+
+    Attributes:
+        down: empty for none; ``silent``, ``busy`` (503) or ``reset``.
+        lapse: whether entries and leases run out while it is down.
+        delay_s: seconds added before each answer.
+        lose_writes: writes are done and the connection falls silent.
+        forget: whether the history of changes is dropped as it grows.
+    """
+
+    down: str = ""
+    lapse: bool = False
+    delay_s: float = 0.0
+    lose_writes: bool = False
+    forget: bool = False
+
+
+class StandinStore:
+    """The store.
+
+    Args:
+        host: address.
+        port: TCP port.
+        beat_s: seconds between heartbeats of servers; 0 where neither entries nor leases run out,
+            as tests with a clock of their own want it.
+    """
+
+    def __init__(self, host: str, port: int, beat_s: float = 0.0) -> None:
+        self.host = host
+        self.port = port
+        self.revision = 10
+        self.items: dict[str, Item] = {}
+        self.changes: list[Item] = []
+        self.calls: list[str] = []
+        self.faults = StoreFaults()
+        self.oldest = 0
+        self.waiting = 0
+        self._beat_s = beat_s
+        self._beats: dict[str, float] = {}
+        self._leases: dict[int, tuple[float, float]] = {}
+        self._lease_ids = itertools.count(7)
+        self._changed = curio.Event()
+
+    async def put(self, key: str, value: Any, lease: int = 0) -> None:
+        """Write an item as the operator or a replica does."""
+        self.revision += 1
+        data = base64.b64encode(msgspec.json.encode(value)).decode()
+        item = {"private_key": key, "value": data, "revision": self.revision, "lease": lease}
+        self.items[key] = item
+        await self._note(item)
+
+    async def remove(self, key: str) -> None:
+        """End an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        await self._note({"private_key": key, "revision": self.revision, "gone": True})
+
+    async def _note(self, change: Item) -> None:
+        self.changes.append(change)
+        await self._changed.set()
+        self._changed = curio.Event()
+
+    def forget_history(self) -> None:
+        """Drop what changed so far."""
+        self.oldest = self.revision
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        log = get_log(program="standin-store")
+        async with curio.TaskGroup(wait=any) as group:
+            if self._beat_s:
+                await group.spawn(self._sweep)
+            await group.spawn(serve, self.host, self.port, self._handle, self.faults, log)
+
+    async def _sweep(self) -> None:
+        """End leases and entries whose time is over."""
+        while True:
+            await curio.sleep(SWEEP_S)
+            if self.faults.forget:
+                self.forget_history()
+            if self.faults.down and not self.faults.lapse:
+                continue
+            now = await curio.clock()
+            for lease in [i for i, (until, _) in self._leases.items() if until < now]:
+                await self._end_lease(lease)
+            latest = now - BEATS_MISSED * self._beat_s
+            for key in [key for key, at in self._beats.items() if at < latest]:
+                del self._beats[key]
+                await self.remove(key)
+
+    async def _end_lease(self, lease: int) -> None:
+        self._leases.pop(lease, None)
+        for key in [key for key, item in self.items.items() if item["lease"] == lease]:
+            await self.remove(key)
+
+    async def _handle(self, exchange: Exchange) -> None:
+        url = urlsplit(exchange.req.target)
+        query = {key: values[0] for key, values in parse_qs(url.query).items()}
+        self.calls.append(url.path)
+        await self._fail_if_down(exchange)
+        if self.faults.delay_s:
+            await curio.sleep(self.faults.delay_s)
+        status, body = await self._answer(exchange.req.method, url.path, query, exchange.req.body)
+        await self._fail_if_down(exchange)
+        if self.faults.lose_writes and exchange.req.method == "POST":
+            await _fall_silent(exchange)
+        await exchange.respond(status, msgspec.json.encode(body))
+
+    async def _fail_if_down(self, exchange: Exchange) -> None:
+        """Raise, or answer nothing, while the store is down."""
+        down = self.faults.down
+        if down == "busy":
+            await exchange.respond(503, b"{}")
+        if down == "silent":
+            await _fall_silent(exchange)
+        if down:
+            raise HttpClosed("down")
+
+    async def _answer(
+        self, method: str, path: str, query: dict[str, str], body: bytes
+    ) -> tuple[int, Any]:
+        if path == "/v1/kv-key" and method == "PUT":
+            # How the operator and the replicas write; their own interface is not published.
+            await self._write(query["private_key"], body)
+            return 200, {"revision": self.revision}
+        if path == "/v1/kv-key":
+            item = self.items.get(query["private_key"])
+            return (200, {**item, "at": self.revision}) if item else (404, {})
+        if path == "/v1/kv-range":
+            prefix = query["path_prefix"]
+            items = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
+            return 200, {"items": items, "more": False, "at": self.revision}
+        if path == "/v1/kv-watch":
+            return await self._watch(query)
+        if path == "/v1/kv-txn":
+            return await self._txn(msgspec.json.decode(body))
+        return await self._lease_call(method, path, body)
+
+    async def _write(self, key: str, body: bytes) -> None:
+        """Take an item from its owner; an empty one ends it, an unchanged one is a heartbeat."""
+        now = await curio.clock()
+        if not body:
+            self._beats.pop(key, None)
+            if key in self.items:
+                await self.remove(key)
+            return
+        if key.startswith(SERVERS):
+            self._beats[key] = now
+        await self.put(key, msgspec.json.decode(body))
+
+    async def _lease_call(self, method: str, path: str, body: bytes) -> tuple[int, Any]:
+        now = await curio.clock()
+        if path == "/v1/kv-lease":
+            ttl_ms = msgspec.json.decode(body)["ttl_ms"]
+            lease = next(self._lease_ids)
+            self._leases[lease] = (now + ttl_ms / 1000, ttl_ms / 1000)
+            return 200, {"lease": lease, "ttl_ms": ttl_ms}
+        name, _, ident = path.rpartition("/")
+        lease = int(ident) if ident.isdigit() else 0
+        if lease not in self._leases:
+            return 404, {}
+        if name == "/v1/kv-keep":
+            ttl_s = self._leases[lease][1]
+            self._leases[lease] = (now + ttl_s, ttl_s)
+            return 200, {"ttl_ms": ttl_s * 1000}
+        if name == "/v1/kv-lease-end" and method == "DELETE":
+            await self._end_lease(lease)
+            return 200, {}
+        return 404, {}
+
+    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
+        after, prefix = int(query["after"]), query["path_prefix"]
+        until = await curio.clock() + int(query["wait_ms"]) / 1000
+        self.waiting += 1
+        try:
+            while True:
+                if after < self.oldest:
+                    return 410, {}
+                seen = [
+                    change
+                    for change in self.changes
+                    if change["revision"] > after and change["private_key"].startswith(prefix)
+                ]
+                left = until - await curio.clock()
+                if seen or left <= 0:
+                    return 200, {"events": seen, "at": self.revision}
+                await curio.ignore_after(left, self._changed.wait)
+        finally:
+            self.waiting -= 1
+
+    async def _txn(self, txn: dict[str, Any]) -> tuple[int, Any]:
+        for row in txn["expected_revision"]:
+            held = self.items.get(row["private_key"], {"revision": 0})
+            if held["revision"] != row["revision"]:
+                return 412, {"items": [held]}
+        if any(row["lease"] and row["lease"] not in self._leases for row in txn["put"]):
+            return 404, {}
+        for row in txn["put"]:
+            value = base64.b64decode(row["value"]).decode()
+            await self.put(row["private_key"], value, row["lease"])
+        return 200, {"revision": self.revision}
+
+
+async def _fall_silent(exchange: Exchange) -> None:
+    """Say nothing more on this connection; it ends when the other side closes it."""
+    await exchange.wait_gone()
+    raise HttpClosed("silent")
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -5,24 +5,24 @@
 
 from __future__ import annotations
 
-import base64
 import json
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
-from urllib.parse import parse_qs, urlsplit
 
 import curio
 
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway import GatewaySettings, Platform, serve
-from crankhinge.http import ClientStream, Exchange, HttpClient, HttpLimits, serve_http
+from crankhinge.http import ClientStream, Exchange, HttpClient, serve_http
 from crankhinge.runtime import get_log, until_first
-from crankhinge_bench._cluster import free_ports
+from crankhinge_bench._procs import free_ports
+from crankhinge_platform.board import PlatformWorkBoard
 from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import PlatformSource
 from crankhinge_platform.store import StoreClient
 from crankhinge_platform.tenure import PlatformTenureOffice
+from crankhinge_standins.store import StandinStore
 
 HOST = "127.0.0.1"
 SEAL = "x-server-seal"
@@ -95,113 +95,27 @@
     return {"version": version, "routes": list(routes), "services": services, "limits": LIMITS}
 
 
-class FakeStore:
-    """The metadata store."""
+class FakeStore(StandinStore):
+    """The metadata store, on a port of its own; entries of servers never lapse by themselves."""
 
     def __init__(self) -> None:
-        self.port = free_port()
-        self.revision = 10
-        self.items: dict[str, dict[str, Any]] = {}
-        self.changes: list[dict[str, Any]] = []
-        self.calls: list[str] = []
-        self.down = False
-        self.oldest = 0
-        self.waiting = 0
-        self._changed = curio.Event()
-
-    async def put(self, key: str, value: Any, lease: int = 0) -> None:
-        """Write an item as the operator or a replica does."""
-        self.revision += 1
-        data = base64.b64encode(json.dumps(value).encode()).decode()
-        item = {"private_key": key, "value": data, "revision": self.revision, "lease": lease}
-        self.items[key] = item
-        await self._note(item)
-
-    async def remove(self, key: str) -> None:
-        """End an item."""
-        self.revision += 1
-        self.items.pop(key, None)
-        await self._note({"private_key": key, "revision": self.revision, "gone": True})
-
-    async def _note(self, change: dict[str, Any]) -> None:
-        self.changes.append(change)
-        await self._changed.set()
-        self._changed = curio.Event()
-
-    def forget_history(self) -> None:
-        """Drop what changed so far."""
-        self.oldest = self.revision
+        super().__init__(HOST, free_port())
+        self.refused = ""
 
-    async def run(self) -> None:
-        """Serve until cancelled."""
-        limits = HttpLimits(idle_s=3600.0)
-        await serve_http(
-            HOST,
-            self.port,
-            self._handle,
-            on_bad=refuse_bad,
-            log=get_log(program="s"),
-            limits=limits,
-        )
+    async def _answer(self, method: str, path: str, query: Any, body: bytes) -> tuple[int, Any]:
+        """Answer a call, unless calls to its path are refused."""
+        if path == self.refused:
+            return 503, {}
+        return await super()._answer(method, path, query, body)
 
-    async def _handle(self, exchange: Exchange) -> None:
-        url = urlsplit(exchange.req.target)
-        query = {key: values[0] for key, values in parse_qs(url.query).items()}
-        self.calls.append(url.path)
-        if self.down:
-            raise HttpClosed("down")
-        status, body = await self._answer(url.path, query, exchange.req.body)
-        if self.down:
-            raise HttpClosed("down")
-        await exchange.respond(status, json.dumps(body).encode())
-
-    async def _answer(self, path: str, query: dict[str, str], body: bytes) -> tuple[int, Any]:
-        if path == "/v1/kv-key":
-            item = self.items.get(query["private_key"])
-            return (200, {**item, "at": self.revision}) if item else (404, {})
-        if path == "/v1/kv-range":
-            prefix = query["path_prefix"]
-            items = [item for key, item in sorted(self.items.items()) if key.startswith(prefix)]
-            return 200, {"items": items, "more": False, "at": self.revision}
-        if path == "/v1/kv-watch":
-            return await self._watch(query)
-        if path == "/v1/kv-lease":
-            return 200, {"lease": 7, "ttl_ms": 3000}
-        if path.startswith("/v1/kv-keep/"):
-            return 200, {"ttl_ms": 3000}
-        if path == "/v1/kv-txn":
-            return await self._txn(json.loads(body))
-        return 404, {}
-
-    async def _watch(self, query: dict[str, str]) -> tuple[int, Any]:
-        after, prefix = int(query["after"]), query["path_prefix"]
-        until = await curio.clock() + int(query["wait_ms"]) / 1000
-        self.waiting += 1
-        try:
-            while True:
-                if after < self.oldest:
-                    return 410, {}
-                seen = [
-                    change
-                    for change in self.changes
-                    if change["revision"] > after and change["private_key"].startswith(prefix)
-                ]
-                left = until - await curio.clock()
-                if seen or left <= 0:
-                    return 200, {"events": seen, "at": self.revision}
-                await curio.ignore_after(left, self._changed.wait)
-        finally:
-            self.waiting -= 1
-
-    async def _txn(self, txn: dict[str, Any]) -> tuple[int, Any]:
-        for row in txn["expected_revision"]:
-            held = self.items.get(row["private_key"], {"revision": 0})
-            if held["revision"] != row["revision"]:
-                return 412, {"items": [held]}
-        for row in txn["put"]:
-            value = base64.b64decode(row["value"]).decode()
-            await self.put(row["private_key"], value, row["lease"])
-        return 200, {"revision": self.revision}
+    @property
+    def down(self) -> bool:
+        """Whether connections are reset without an answer."""
+        return bool(self.faults.down)
+
+    @down.setter
+    def down(self, value: bool) -> None:
+        self.faults.down = "reset" if value else ""
 
 
 @dataclass
@@ -394,7 +308,8 @@
         def make(host: str, port: int, log: Any) -> Platform:
             store = StoreClient(host, port)
             office = PlatformTenureOffice(store, 3.0)
-            return Platform(PlatformDialect(), PlatformSource(store, log), office)
+            board = PlatformWorkBoard(store, 45.0, log)
+            return Platform(PlatformDialect(), PlatformSource(store, log), office, board)
 
         await serve(settings, log, self.stopping, make_platform=make)
         self.ended = True
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,7 +14,8 @@
 from crankhinge.agent._program import run as agent_main
 from crankhinge.ctl.main import main as ctl_main
 from crankhinge.entry._program import run as entry_main
-from crankhinge_bench._cluster import HOST, Cluster, http_json
+from crankhinge_bench._cluster import Cluster
+from crankhinge_bench._procs import HOST, http_json
 from crankhinge_bench.main import main as bench_main
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -11,7 +11,7 @@
 import pytest
 
 from crankhinge.ctl.main import main as ctl_main
-from crankhinge_bench._cluster import HOST, free_ports, http_json
+from crankhinge_bench._procs import HOST, free_ports, http_json
 from test_config import TEXT
 
 ROOT = Path(__file__).parent.parent
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from crankhinge_bench._cluster import HOST, free_ports, http_json
+from crankhinge_bench._procs import HOST, free_ports, http_json
 
 PATIENCE_S = 20.0
 
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -12,7 +12,7 @@
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import ConnectFailed, Exchange, HttpClient, HttpLimits, serve_http
 from crankhinge.runtime import get_log, serve_tcp, until_first
-from crankhinge_bench._cluster import free_ports
+from crankhinge_bench._procs import free_ports
 from platform_fakes import HOST, refuse_bad
 from virtual_time import run_virtual
 
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import curio
+import msgspec
 
-from crankhinge.decisions import WorkMeter
+from crankhinge.decisions import WorkMeter, WorkSheet
 from platform_fakes import World, route, stream
 from virtual_time import run_virtual
 
@@ -33,6 +34,25 @@
         assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
 
 
+async def put_note(
+    world: World, name: str, *, read_s: float, admitted: int, pace_s: float = 0.04
+) -> None:
+    """Put the note of another instance; unless told its answers take as long as here."""
+    sheet = WorkSheet(
+        admitted=admitted,
+        answers=admitted,
+        readings=admitted,
+        tokens=3000.0,
+        read_s=read_s,
+        token_s=read_s / 3000.0,
+        part=0.36,
+        part_tokens=288.0,
+        pace_s=pace_s,
+    )
+    note = msgspec.to_builtins({"llm": sheet})
+    await world.store.put(f"crankhinge/work/{name}", note)
+
+
 def play(world: World, story: object) -> None:
     """Run *story* under a clock that jumps."""
     run_virtual(world.play, story, STREAM, settle_s=0.003)
@@ -89,6 +109,20 @@
 
         async def story() -> None:
             world.store.down = True
+            await traffic(world)
+            await curio.sleep(20.0)
+            assert not any(replica.orders for replica in world.replicas)
+            assert world.lines.having("event=notes_unknown")
+            assert world.lines.having("event=note_unknown")
+
+        play(world, story)
+
+    def test_no_order_without_an_answer_about_the_right(self) -> None:
+        """The others' notes were read, but leases are not given."""
+        world = busy_world(4, 2)
+        world.store.refused = "/v1/kv-lease"
+
+        async def story() -> None:
             await traffic(world)
             await curio.sleep(20.0)
             assert not any(replica.orders for replica in world.replicas)
@@ -96,6 +130,47 @@
 
         play(world, story)
 
+    def test_one_instance_does_not_decide_against_the_others(self) -> None:
+        """It sees readers without work; thirty others, whose answers are short, do not."""
+        world = busy_world(4, 2)
+
+        async def story() -> None:
+            for number in range(30):
+                await put_note(world, f"other-{number}", read_s=0.5, pace_s=0.0002, admitted=50)
+            await traffic(world)
+            await curio.sleep(10.0)
+            assert not any(replica.orders for replica in world.replicas)
+            assert world.lines.having("event=work_together", "instances=31")
+
+        play(world, story)
+
+    def test_a_few_requests_are_enough_where_others_saw_the_same(self) -> None:
+        """Two own answers, and the notes of four more instances, make an order."""
+        world = busy_world(4, 2)
+
+        async def story() -> None:
+            for number in range(4):
+                await put_note(world, f"other-{number}", read_s=0.01, admitted=5)
+            for number in range(2):
+                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
+            await curio.sleep(6.0)
+            assert any(replica.orders for replica in world.replicas)
+
+        play(world, story)
+
+    def test_a_note_that_cannot_be_read_is_left_out(self) -> None:
+        """A line says so; the others count."""
+        world = busy_world(4, 2)
+
+        async def story() -> None:
+            await world.store.put("crankhinge/work/odd", {"llm": "?"})
+            await traffic(world)
+            await curio.sleep(4.0)
+            assert any(replica.orders for replica in world.replicas)
+            assert world.lines.having("event=note_unreadable", "key=crankhinge/work/odd")
+
+        play(world, story)
+
     def test_an_unanswered_order_is_followed_by_no_other(self) -> None:
         """It may be carried out seconds later; the right is kept until that is known."""
         world = busy_world(4, 2)
@@ -107,7 +182,7 @@
             await curio.sleep(10.0)
             assert sum(len(replica.orders) for replica in world.replicas) == 1
             assert world.lines.having("event=order_given", "end=unanswered")
-            assert "/v1/kv-keep/7" in world.store.calls
+            assert any(call.startswith("/v1/kv-keep/") for call in world.store.calls)
 
         play(world, story)
 
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crankhinge.decisions import Loads, WorkMeter, wanted_readers
+from crankhinge.decisions import Loads, WorkMeter, loads_of, wanted_readers
 
 MANY = 1000
 
@@ -109,6 +109,39 @@
         assert loads is not None
         assert loads.read_s > 0.08
 
+    def test_notes_count_by_their_samples(self) -> None:
+        """Forty requests of one instance weigh four times as much as ten of another.
+
+        What a token takes is that of the faster quarter: the other's readings waited.
+        """
+        many, few = WorkMeter(), WorkMeter()
+        for meter, count, read_s, part in ((many, 40, 0.1, 0.1), (few, 10, 0.6, 0.2)):
+            for _ in range(count):
+                meter.was_read(3000, read_s)
+                meter.was_admitted(part, 800)
+                meter.was_written(800, 3.0)
+        sheets = [meter.sheet() for meter in (many, few)]
+        loads = loads_of([sheet for sheet in sheets if sheet is not None])
+        assert loads is not None
+        assert abs(loads.read_s - 0.1) < 1e-6
+        # Parts of 0.1 and 0.2 are 0.12 together, readings with their waits 0.2 s.
+        assert abs(loads.write_s - 0.12 * (0.2 + 3.0)) < 1e-6
+
+    def test_instances_know_enough_together(self) -> None:
+        """None of five has seen enough by itself."""
+        sheets = []
+        for _ in range(5):
+            meter = WorkMeter()
+            for _ in range(2):
+                meter.was_read(3000, 0.1)
+                meter.was_admitted(0.1, 800)
+                meter.was_written(800, 3.0)
+            assert meter.loads() is None
+            sheet = meter.sheet()
+            assert sheet is not None
+            sheets.append(sheet)
+        assert loads_of(sheets) is not None
+
     def test_says_nothing_of_little(self) -> None:
         """A few samples say nothing."""
         meter = WorkMeter()
