A soak: random faults on real processes, checked from outside

Cause: what is shown of the gateway under faults came from the users' bench and from tests in one kernel; nothing of ours played signals, paths, the store and the clock against the real processes at once.

Ruled out: growing the chaos command of the bench (it knows agents and bundles, and reads the programs' own logs).

--- a/src/crankhinge_bench/_procs.py
+++ b/src/crankhinge_bench/_procs.py
@@ -23,8 +23,10 @@
 READY_S = 60.0
 STOP_S = 10.0
 POLL_S = 0.05
-# Each process begins at another place of the range.
-_PORTS = itertools.chain(range(12000 + os.getpid() % 15000, 30000), range(12000, 30000))
+# Each process begins at another place of the range; those with neighbouring ids, which are often
+# started together, begin a hundred ports apart.
+_FIRST_PORT = 12000 + os.getpid() * 101 % 15000
+_PORTS = itertools.chain(range(_FIRST_PORT, 30000), range(12000, 30000))
 
 
 def free_ports(count: int) -> list[int]:
--- /dev/null
+++ b/src/crankhinge_soak/_check.py
@@ -0,0 +1,297 @@
+"""The checker: reads what callers saw and what backend servers recorded, nothing else.
+
+Bounds in time hold for an instance only while nothing befell it or its path to the store for
+``CONTACT_S``; promises without a bound in time hold at every moment.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any
+
+from crankhinge_bench._check import Verdict
+from crankhinge_soak._faults import Trouble
+from crankhinge_soak._fleet import ONCE, ROUTES, SAFE, STREAM
+from crankhinge_soak._load import Probe, Seen
+
+# Seconds without trouble after which bounds in time hold again.
+CONTACT_S = 3.0
+# Seconds: a leaving server gets no new work after; a configuration is in force after.
+LEAVE_S = 2.0
+IN_FORCE_S = 2.0
+# What a busy machine may add to a bound, in seconds.
+SLACK_S = 1.0
+# A request that crosses the close of its connection was sent at most this long before, in seconds.
+CROSSING_S = 0.3
+# Least share of requests that are answered once everything is whole again.
+SERVED = 0.9
+MOST_RUNS = {path: most for path, _, most, _ in ROUTES}
+NOT_RUN_STATUS = (408, 421, 429, 503)
+EXAMPLES = 5
+
+
+@dataclass
+class History:
+    """All that the checker looks at.
+
+    Attributes:
+        seen: what callers saw.
+        probes: which configuration instances had in force.
+        rows: what backend servers recorded.
+        troubles: faults as played.
+        acknowledged: wall clock, version and service of plain calls of each configuration.
+        places: name of the place of each server, by its identity.
+        held: memory tied at each engine after everything had ended.
+        calm_from: wall clock from which everything was whole again.
+        exits: processes under test that ended by themselves.
+    """
+
+    seen: list[Seen]
+    probes: list[Probe]
+    rows: list[dict[str, Any]]
+    troubles: list[Trouble]
+    acknowledged: list[tuple[float, int, str]]
+    places: dict[str, str]
+    held: dict[str, int]
+    calm_from: float
+    exits: list[str]
+
+    def __post_init__(self) -> None:
+        self.by_ident = {seen.ident: seen for seen in self.seen}
+        self.runs = self._by_request("run")
+        self.arrivals = self._by_request("arrival")
+
+    def _by_request(self, kind: str) -> dict[str, list[dict[str, Any]]]:
+        table: dict[str, list[dict[str, Any]]] = {}
+        for row in self.rows:
+            if row["kind"] == kind:
+                table.setdefault(row["request"], []).append(row)
+        return table
+
+    def harmed(self, targets: Iterable[str], begin: float, end: float) -> bool:
+        """Whether unplanned trouble befell one of *targets* between two times."""
+        names = set(targets)
+        return any(
+            trouble.target in names and not trouble.planned and trouble.overlaps(begin, end)
+            for trouble in self.troubles
+        )
+
+    def in_touch(self, gateway: str, begin: float, end: float) -> bool:
+        """Whether an instance's bounds in time hold between two times."""
+        targets = (gateway, f"{gateway}/store", "store")
+        begin -= CONTACT_S
+        stopped = any(
+            trouble.target == gateway and trouble.planned and trouble.overlaps(begin, end)
+            for trouble in self.troubles
+            if trouble.kind == "stop"
+        )
+        return not stopped and not self.harmed(targets, begin, end)
+
+    def server_harmed(self, seen: Seen) -> bool:
+        """Whether a server that a request reached was harmed, or left, in its time."""
+        names = {self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())}
+        return any(
+            trouble.target in names and trouble.overlaps(seen.sent - CONTACT_S, seen.ended)
+            for trouble in self.troubles
+        )
+
+
+def check(history: History) -> list[Verdict]:
+    """Return a verdict for each promise."""
+    checks: dict[str, Callable[[History], tuple[int, list[str]]]] = {
+        "whole answer to its own request": _whole_answers,
+        "no request runs more often than allowed": _runs,
+        "not run is true": _not_run_is_true,
+        "servers run only what callers sent": _asked_for,
+        "a leaving server gets no new work": _leaving,
+        "a planned stop cuts nothing": _planned_stop,
+        "a configuration is in force and never reverts": _configuration,
+        "calls go where the configuration sends them": _routed,
+        "a final answer in time": _in_time,
+        "no engine memory stays tied": _memory,
+        "orders come from one holder of a right": _orders,
+        "served again once all is whole": _recovered,
+        "no process ends by itself": _exits,
+    }
+    verdicts = []
+    for promise, look in checks.items():
+        tested, cases = look(history)
+        verdicts.append(
+            Verdict(promise=promise, tested=tested, broken=len(cases), detail=cases[:EXAMPLES])
+        )
+    return verdicts
+
+
+def _whole_answers(history: History) -> tuple[int, list[str]]:
+    answered = [seen for seen in history.seen if seen.status]
+    cases = [f"{seen.ident} by {seen.gateway}: wrong bytes" for seen in answered if not seen.right]
+    cases += [
+        f"{seen.ident} by {seen.gateway}: 200 without a server's signature"
+        for seen in answered
+        if seen.status == 200 and seen.own
+    ]
+    return len(answered), cases
+
+
+def _runs(history: History) -> tuple[int, list[str]]:
+    cases = []
+    for ident, rows in history.runs.items():
+        seen = history.by_ident.get(ident)
+        if seen is not None and len(rows) > MOST_RUNS[seen.path]:
+            cases.append(f"{ident} on {seen.path}: {len(rows)} runs")
+    return len(history.runs), cases
+
+
+def _not_run_is_true(history: History) -> tuple[int, list[str]]:
+    told = [
+        seen
+        for seen in history.seen
+        if seen.own and seen.status in NOT_RUN_STATUS and seen.path in (ONCE, STREAM)
+    ]
+    cases = [
+        f"{seen.ident}: told {seen.status}, ran" for seen in told if seen.ident in history.runs
+    ]
+    return len(told), cases
+
+
+def _asked_for(history: History) -> tuple[int, list[str]]:
+    known = history.by_ident
+    ran = [ident for ident in history.runs if not ident.startswith("p")]
+    return len(ran), [f"{ident}: nobody sent it" for ident in ran if ident not in known]
+
+
+def _leaving(history: History) -> tuple[int, list[str]]:
+    leaves = {row["server"]: row["at"] for row in history.rows if row["kind"] == "leaves"}
+    cases = []
+    for ident, rows in history.arrivals.items():
+        seen = history.by_ident.get(ident)
+        for row in rows:
+            since = leaves.get(row["server"])
+            if seen is None or since is None or row["at"] < since + LEAVE_S + SLACK_S:
+                continue
+            path_ok = not history.harmed(
+                [history.places[row["server"]]], row["at"] - CONTACT_S, row["at"]
+            )
+            if path_ok and history.in_touch(seen.gateway, since, row["at"]):
+                cases.append(f"{ident} by {seen.gateway}: {row['at'] - since:.1f} s after")
+    return len(leaves), cases
+
+
+def _planned_stop(history: History) -> tuple[int, list[str]]:
+    stops = [t for t in history.troubles if t.kind == "stop" and t.target.startswith("gateway")]
+    cases = []
+    for stop in stops:
+        for seen in history.seen:
+            if seen.gateway == stop.target and stop.overlaps(seen.sent, seen.ended):
+                why = _cut_by_stop(history, seen, stop)
+                if why:
+                    cases.append(f"{seen.ident} by {seen.gateway}: {why}")
+    return len(stops), cases
+
+
+def _cut_by_stop(history: History, seen: Seen, stop: Trouble) -> str:
+    """Return how a planned stop cut a request; empty when it did not."""
+    answered = seen.whole and not (seen.own and seen.status == 502)
+    if answered or seen.left or seen.why.startswith("connect-failed"):
+        return ""
+    crossed = seen.ended - seen.sent < CROSSING_S and seen.ident not in history.arrivals
+    if crossed or history.server_harmed(seen):
+        return ""
+    if history.harmed([seen.gateway], seen.sent - CONTACT_S, seen.ended):
+        return ""
+    at = seen.sent - stop.began
+    return f"sent {at:+.1f} s from the stop, status {seen.status}, {seen.why or 'no whole answer'}"
+
+
+def _configuration(history: History) -> tuple[int, list[str]]:
+    acknowledged = {version: at for at, version, _ in history.acknowledged}
+    highest: dict[tuple[str, int], int] = defaultdict(int)
+    cases = []
+    for probe in sorted(history.probes, key=lambda probe: probe.sent):
+        if probe.known is None:
+            continue
+        life = (probe.gateway, probe.life)
+        if probe.known:
+            highest[life] = max(highest[life], probe.version)
+            continue
+        if probe.version <= highest[life]:
+            cases.append(f"{probe.gateway}: version {probe.version} after {highest[life]}")
+        since = acknowledged[probe.version]
+        late = probe.sent - since - IN_FORCE_S - SLACK_S
+        if late > 0 and history.in_touch(probe.gateway, since, probe.sent):
+            cases.append(f"{probe.gateway}: version {probe.version} {late:.1f} s late")
+    return len(history.acknowledged), cases
+
+
+def _routed(history: History) -> tuple[int, list[str]]:
+    """Plain calls run at a service that a configuration in force sends them to."""
+    cases = []
+    tested = 0
+    for ident, rows in history.runs.items():
+        seen = history.by_ident.get(ident)
+        if seen is None or seen.path not in (ONCE, SAFE):
+            continue
+        begin = seen.sent - IN_FORCE_S - SLACK_S
+        if not history.in_touch(seen.gateway, begin, rows[-1]["at"]):
+            continue
+        tested += 1
+        allowed = _services_between(history, begin, rows[-1]["at"])
+        cases += [
+            f"{ident} by {seen.gateway}: ran at {row['service']}"
+            for row in rows
+            if row["service"] not in allowed
+        ]
+    return tested, cases
+
+
+def _services_between(history: History, begin: float, end: float) -> set[str]:
+    """Return the services that plain calls may go to between two times."""
+    allowed = set()
+    for number, (at, _, service) in enumerate(history.acknowledged):
+        following = history.acknowledged[number + 1 :]
+        over = following[0][0] if following else float("inf")
+        # A change may be in force before its writer has the store's answer.
+        if at - SLACK_S <= end and over >= begin:
+            allowed.add(service)
+    return allowed
+
+
+def _in_time(history: History) -> tuple[int, list[str]]:
+    cases = [
+        f"{seen.ident} by {seen.gateway}: status {seen.status}, no end after "
+        f"{seen.ended - seen.sent:.1f} s"
+        for seen in history.seen
+        if seen.why == "no end in time"
+        and not seen.left
+        and not history.harmed([seen.gateway], seen.sent - CONTACT_S, seen.ended)
+    ]
+    return len(history.seen), cases
+
+
+def _memory(history: History) -> tuple[int, list[str]]:
+    gone = sum(not seen.whole for seen in history.seen)
+    return gone, [f"{name}: {held} tokens" for name, held in history.held.items() if held]
+
+
+def _orders(history: History) -> tuple[int, list[str]]:
+    holders: dict[int, set[str]] = defaultdict(set)
+    orders = [row for row in history.rows if row["kind"] == "order"]
+    for row in orders:
+        holders[row["fencing_token"]].add(row["holder"])
+    cases = [f"fence {fence}: {names}" for fence, names in holders.items() if len(names) > 1]
+    return len(orders), cases
+
+
+def _recovered(history: History) -> tuple[int, list[str]]:
+    calm = [seen for seen in history.seen if seen.sent >= history.calm_from and not seen.left]
+    served = sum(seen.status == 200 and seen.whole for seen in calm)
+    if calm and served >= SERVED * len(calm):
+        return len(calm), []
+    failed = [f"{s.ident}: {s.status} {s.why}" for s in calm if s.status != 200 or not s.whole]
+    return len(calm), [f"{served} of {len(calm)} served", *failed]
+
+
+def _exits(history: History) -> tuple[int, list[str]]:
+    return len(history.troubles), history.exits
--- /dev/null
+++ b/src/crankhinge_soak/_faults.py
@@ -0,0 +1,273 @@
+"""The schedule of a seed: which faults come when, in series and overlapping."""
+
+from __future__ import annotations
+
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+
+from crankhinge_soak._fleet import Fleet, Gateway, Place
+from crankhinge_soak._link import Harm, Link
+
+# Seconds between the beginnings of two episodes, and how often one is repeated at once.
+GAP_S = (0.2, 1.6)
+SERIES = 4
+SERIES_GAP_S = (0.1, 1.0)
+# Seconds that a fault lasts.
+LASTS_S = (0.3, 4.0)
+# Seconds that a process stays down, and that a planned stop may take.
+DOWN_S = (0.1, 1.5)
+STOP_S = 12.0
+STORM = 6
+# Faults of a server: shares of its runs and answers, and a factor on its durations.
+HARMED = {"errors": 0.5, "resets": 0.5, "garbles": 0.4, "refuses": 0.6, "slow": 8.0}
+WHOLE = {"errors": 0.0, "resets": 0.0, "garbles": 0.0, "refuses": 0.0, "slow": 1.0}
+# Seconds by which a clock jumps, at most.
+JUMP_S = 6.0
+
+
+@dataclass
+class Trouble:
+    """A fault as it was played.
+
+    Attributes:
+        kind: what it was.
+        target: name of the process; ``store`` harms every instance's knowledge.
+        began: wall clock.
+        ended: wall clock; infinite while it lasts.
+        planned: whether it is a planned stop.
+    """
+
+    kind: str
+    target: str
+    began: float
+    ended: float = float("inf")
+    planned: bool = False
+
+    def overlaps(self, begin: float, end: float) -> bool:
+        """Whether it lasted at some time from *begin* to *end* (wall clock)."""
+        return self.began <= end and begin <= self.ended
+
+
+class Faults:
+    """Plays a seed's schedule.
+
+    Args:
+        fleet: what it befalls.
+        seed: of the schedule.
+        kinds: keys of ``EPISODES`` to play; all by default.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int, kinds: tuple[str, ...] = ()) -> None:
+        self.played: list[Trouble] = []
+        self.exits: list[str] = []
+        self._fleet = fleet
+        self._rng = random.Random(seed)
+        self._busy: set[str] = set()
+        self._kinds = kinds or tuple(EPISODES)
+
+    async def run(self, seconds: float) -> None:
+        """Play for about *seconds*, then wait until everything is whole again."""
+        until = await curio.clock() + seconds
+        async with curio.TaskGroup() as group:
+            while await curio.clock() < until:
+                name = self._rng.choice(sorted(self._kinds))
+                await group.spawn(self._series, EPISODES[name])
+                await curio.sleep(self._rng.uniform(*GAP_S))
+
+    async def _series(self, episode: Episode) -> None:
+        for _ in range(self._rng.randint(1, SERIES) if self._rng.random() < 0.4 else 1):
+            await episode(self)
+            await curio.sleep(self._rng.uniform(*SERIES_GAP_S))
+
+    def _begin(self, kind: str, target: str, *, planned: bool = False) -> Trouble:
+        trouble = Trouble(kind, target, time.time(), planned=planned)
+        self.played.append(trouble)
+        return trouble
+
+    def _take(self, name: str) -> bool:
+        """Take a process whose life is to be changed; two of these can't be at it at once."""
+        if name in self._busy:
+            return False
+        self._busy.add(name)
+        return True
+
+    async def _lasting(self, trouble: Trouble) -> None:
+        await curio.sleep(self._rng.uniform(*LASTS_S))
+        trouble.ended = time.time()
+
+    def _gateway(self) -> Gateway:
+        return self._rng.choice(self._fleet.gateways)
+
+    def _place(self) -> Place:
+        return self._rng.choice(self._fleet.places)
+
+    async def _kill(self, name: str, start: Callable[[], None]) -> None:
+        if not self._take(name):
+            return
+        self.exits += [ended for ended in self._fleet.ended() if ended == name]
+        trouble = self._begin("kill", name)
+        self._fleet.kill(name)
+        await curio.sleep(self._rng.uniform(*DOWN_S))
+        start()
+        trouble.ended = time.time()
+        self._busy.discard(name)
+
+    async def _kill_gateway(self) -> None:
+        gateway = self._gateway()
+        await self._kill(gateway.name, lambda: self._fleet.start_gateway(gateway))
+
+    async def _kill_server(self) -> None:
+        place = self._place()
+        await self._kill(place.name, lambda: self._fleet.start_server(place))
+
+    async def _stop(self, name: str, start: Callable[[], None]) -> None:
+        if not self._take(name):
+            return
+        self.exits += [ended for ended in self._fleet.ended() if ended == name]
+        trouble = self._begin("stop", name, planned=True)
+        self._fleet.signal(name, signal.SIGTERM)
+        proc = self._fleet.procs[name]
+        until = time.time() + STOP_S
+        while proc.poll() is None and time.time() < until:
+            await curio.sleep(0.05)
+        if proc.poll() is None:
+            self._begin("unstoppable", name).ended = time.time()
+        self._fleet.kill(name)
+        start()
+        trouble.ended = time.time()
+        self._busy.discard(name)
+
+    async def _stop_gateway(self) -> None:
+        gateway = self._gateway()
+        await self._stop(gateway.name, lambda: self._fleet.start_gateway(gateway))
+
+    async def _stop_server(self) -> None:
+        place = self._place()
+        silent = self._rng.random() < 0.3
+        await self._stop(place.name, lambda: self._fleet.start_server(place, silent_leave=silent))
+
+    async def _pause(self, name: str) -> None:
+        if not self._take(name):
+            return
+        trouble = self._begin("pause", name)
+        self._fleet.signal(name, signal.SIGSTOP)
+        await self._lasting(trouble)
+        self._fleet.signal(name, signal.SIGCONT)
+        trouble.ended = time.time()
+        self._busy.discard(name)
+
+    async def _pause_gateway(self) -> None:
+        await self._pause(self._gateway().name)
+
+    async def _pause_server(self) -> None:
+        await self._pause(self._place().name)
+
+    async def _reload_gateway(self) -> None:
+        """Send SIGHUP, now and then over a file that can't be read."""
+        gateway = self._gateway()
+        if not self._take(gateway.name):
+            return
+        self._begin("reload", gateway.name, planned=True).ended = time.time()
+        if self._rng.random() < 0.4:
+            self._fleet.write_settings(gateway, "name = [")
+        self._fleet.signal(gateway.name, signal.SIGHUP)
+        await curio.sleep(self._rng.uniform(*SERIES_GAP_S))
+        self._fleet.write_settings(gateway)
+        self._busy.discard(gateway.name)
+
+    async def _clock_gateway(self) -> None:
+        gateway = self._gateway()
+        trouble = self._begin("clock", gateway.name)
+        clock = self._fleet.clock_of(gateway)
+        clock.write_text(str(self._rng.uniform(-JUMP_S, JUMP_S)))
+        await self._lasting(trouble)
+        clock.write_text("0")
+
+    async def _harm_server(self) -> None:
+        place = self._place()
+        # Two at once: more of them meet in the seconds of a seed.
+        names = self._rng.sample(sorted(HARMED), 2)
+        trouble = self._begin("+".join(names), place.name)
+        await self._fleet.faults(place.port, **{name: HARMED[name] for name in names})
+        await self._lasting(trouble)
+        await self._fleet.faults(place.port, **WHOLE)
+
+    async def _path(self, link: Link, kind: str, target: str) -> None:
+        trouble = self._begin(f"{kind}-reset", target)
+        if self._rng.random() < 0.3:
+            await link.reset()
+            trouble.ended = time.time()
+            return
+        link.harm = self._rng.choice([harm for harm in Harm if harm is not Harm.NONE])
+        trouble.kind = f"{kind}-{link.harm.value}"
+        await self._lasting(trouble)
+        link.harm = Harm.NONE
+
+    async def _path_to_store(self) -> None:
+        gateway = self._gateway()
+        await self._path(gateway.store, "store-path", f"{gateway.name}/store")
+
+    async def _path_of_callers(self) -> None:
+        gateway = self._gateway()
+        await self._path(gateway.front, "callers-path", gateway.name)
+
+    async def _path_to_server(self) -> None:
+        place = self._place()
+        await self._path(place.path, "server-path", place.name)
+
+    async def _harm_store(self) -> None:
+        if not self._take("store"):
+            return
+        lapse = self._rng.random() < 0.3
+        fault: dict[str, Any] = self._rng.choice(
+            [
+                {"down": "silent", "lapse": lapse},
+                {"down": "busy", "lapse": lapse},
+                {"down": "reset", "lapse": lapse},
+                {"delay_s": 0.3},
+                {"lose_writes": True},
+                {"forget": True},
+            ]
+        )
+        trouble = self._begin("store-" + next(iter(fault)), "store")
+        await self._fleet.faults(self._fleet.store_port, **fault)
+        await self._lasting(trouble)
+        whole = {"down": "", "lapse": False, "delay_s": 0.0, "lose_writes": False, "forget": False}
+        await self._fleet.faults(self._fleet.store_port, **whole)
+        trouble.ended = time.time()
+        self._busy.discard("store")
+
+    async def _configure(self) -> None:
+        """Publish a change, or several in quick succession."""
+        if not self._take("config"):
+            return
+        for _ in range(STORM if self._rng.random() < 0.3 else 1):
+            await self._fleet.publish(move=self._rng.random() < 0.5)
+        self._busy.discard("config")
+
+
+Episode = Callable[[Faults], Awaitable[None]]
+
+# What a seed draws from.
+EPISODES: dict[str, Episode] = {
+    "kill-gateway": Faults._kill_gateway,
+    "stop-gateway": Faults._stop_gateway,
+    "pause-gateway": Faults._pause_gateway,
+    "reload-gateway": Faults._reload_gateway,
+    "clock-gateway": Faults._clock_gateway,
+    "kill-server": Faults._kill_server,
+    "stop-server": Faults._stop_server,
+    "pause-server": Faults._pause_server,
+    "harm-server": Faults._harm_server,
+    "path-store": Faults._path_to_store,
+    "path-callers": Faults._path_of_callers,
+    "path-server": Faults._path_to_server,
+    "store": Faults._harm_store,
+    "config": Faults._configure,
+}
--- /dev/null
+++ b/src/crankhinge_soak/_fleet.py
@@ -0,0 +1,247 @@
+"""The programs under test and what surrounds them: store, backend servers, paths, settings."""
+
+from __future__ import annotations
+
+import json
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http import HttpClient
+from crankhinge_bench._procs import HOST, Procs, free_ports
+from crankhinge_soak._link import Link
+from crankhinge_soak._skewed import CLOCK
+
+GATEWAYS = 3
+# Backend servers: service, phase, how many.
+SERVERS = (("plain-a", "", 2), ("plain-b", "", 2), ("llm", "prefill", 2), ("llm", "decode", 3))
+BEAT_S = 0.4
+DRAIN_S = 8
+CALL_S = 2.0
+# The routes that callers use: path, kind, most servers, whether it may be resumed.
+ONCE, SAFE, STREAM, RESUMED = "/once/", "/safe/", "/stream/", "/resumed/"
+ROUTES = (
+    (ONCE, "unsafe", 1, False),
+    (SAFE, "safe", 2, False),
+    (STREAM, "streaming", 1, False),
+    (RESUMED, "streaming", 2, True),
+)
+STREAMS = (STREAM, RESUMED)
+TIMEOUT_S = 6.0
+ENGINE = {
+    "slots": 8,
+    "kv_tokens": 12000,
+    "stride": 10,
+    "handle_ttl_s": 0.5,
+    "hold_ms": 2000.0,
+}
+LIMITS = {
+    "max_header_bytes": 16384,
+    "max_body_bytes": 65536,
+    "header_timeout_ms": 3000,
+    "idle_timeout_ms": 15000,
+}
+
+
+def version_path(version: int) -> str:
+    """Return the path that only configurations from *version* on have a route for."""
+    return f"/from-{version}/"
+
+
+@dataclass
+class Gateway:
+    """One instance under test.
+
+    Attributes:
+        name: of its process.
+        port: where it listens for callers.
+        ready_port: where it tells whether it is ready.
+        front: the callers' path to it.
+        store: its path to the store.
+        life: counts its starts.
+    """
+
+    name: str
+    port: int
+    ready_port: int
+    front: Link
+    store: Link
+    life: int = 0
+
+
+@dataclass
+class Place:
+    """Where a backend server runs, one life after the other.
+
+    Attributes:
+        name: of its process.
+        service: what it serves.
+        phase: the part that it plays at its start.
+        port: where it listens.
+        path: the gateways' and other servers' path to it.
+    """
+
+    name: str
+    service: str
+    phase: str
+    port: int
+    path: Link
+
+
+@dataclass
+class Fleet(Procs):
+    """Everything that runs.
+
+    Args:
+        logs: directory for the programs' logs; a temporary one by default.
+    """
+
+    logs_at: Path | None = None
+    version: int = 0
+    plain: str = "plain-a"
+    acknowledged: list[tuple[float, int, str]] = field(default_factory=list)
+
+    def __post_init__(self) -> None:
+        super().__init__(self.logs_at)
+        ports = iter(free_ports(1 + 4 * GATEWAYS + 2 * sum(row[2] for row in SERVERS)))
+        self.store_port = next(ports)
+        self.gateways = []
+        for number in range(GATEWAYS):
+            port, ready = next(ports), next(ports)
+            front, store = Link(next(ports), port), Link(next(ports), self.store_port)
+            self.gateways.append(Gateway(f"gateway-{number}", port, ready, front, store))
+        self.places = []
+        for service, phase, count in SERVERS:
+            for number in range(count):
+                port = next(ports)
+                name = f"{service}-{phase or 'one'}-{number}"
+                self.places.append(Place(name, service, phase, port, Link(next(ports), port)))
+
+    def links(self) -> list[Link]:
+        """Return every path."""
+        paths = [place.path for place in self.places]
+        return paths + [link for gw in self.gateways for link in (gw.front, gw.store)]
+
+    def start(self) -> None:
+        """Start the store and everything else."""
+        self.run("store", "crankhinge_standins.main", "store", "--port", str(self.store_port),
+                 "--beat-s", str(BEAT_S))  # fmt: skip
+        self.wait_for_ports([self.store_port])
+        for place in self.places:
+            self.start_server(place)
+        for gateway in self.gateways:
+            self.start_gateway(gateway)
+
+    def start_server(self, place: Place, *, silent_leave: bool = False) -> None:
+        """Start a new life of a backend server."""
+        args = ["replica", "--port", str(place.port), "--shown", f"{HOST}:{place.path.port}"]
+        args += ["--service", place.service, "--phase", place.phase, "--beat-s", str(BEAT_S)]
+        args += ["--store", f"{HOST}:{self.store_port}", "--record", str(self.record)]
+        args += ["--place", place.name]
+        args += ["--silent-leave"] if silent_leave else []
+        self.run(place.name, "crankhinge_standins.main", *args)
+
+    def ended(self) -> list[str]:
+        """Return the names of instances that have ended though nobody ended them."""
+        procs = {gw.name: self.procs.get(gw.name) for gw in self.gateways}
+        return [name for name, proc in procs.items() if proc and proc.poll() is not None]
+
+    def start_gateway(self, gateway: Gateway) -> None:
+        """Start a new life of an instance."""
+        gateway.life += 1
+        path = self.write_settings(gateway)
+        env = {"CRANKHINGE_CONFIG": str(path), CLOCK: str(self.clock_of(gateway))}
+        self.run(gateway.name, "crankhinge_soak._skewed", env=env)
+
+    def write_settings(self, gateway: Gateway, text: str = "") -> Path:
+        """Write an instance's settings, or *text* in their place."""
+        lines = (
+            f'name = "{gateway.name}"',
+            'zone = "z1"',
+            f'listen = "{HOST}:{gateway.port}"',
+            f'ready = "{HOST}:{gateway.ready_port}"',
+            f'source = "{HOST}:{gateway.store.port}"',
+            f"drain_s = {DRAIN_S}",
+        )
+        path = self.dir / f"{gateway.name}.toml"
+        path.write_text(text or "\n".join(lines))
+        return path
+
+    def clock_of(self, gateway: Gateway) -> Path:
+        """Return the file with the seconds by which an instance's time of day is off."""
+        return self.dir / f"{gateway.name}.clock"
+
+    @property
+    def record(self) -> Path:
+        """The file in which all backend servers record what they did."""
+        return self.dir / "servers.jsonl"
+
+    def records(self) -> list[dict[str, Any]]:
+        """Return what backend servers recorded, in order."""
+        rows = [json.loads(line) for line in self.record.open()]
+        return sorted(rows, key=lambda row: float(row["at"]))
+
+    async def publish(self, *, move: bool = False) -> None:
+        """Write the next configuration; with *move* plain calls go to the other service."""
+        self.version += 1
+        if move:
+            self.plain = "plain-b" if self.plain == "plain-a" else "plain-a"
+        routes = [_route(path, kind, most, resumed, self._service_of(path))
+                  for path, kind, most, resumed in ROUTES]  # fmt: skip
+        known = range(1, self.version + 1)
+        routes += [_route(version_path(n), "safe", 2, False, self.plain) for n in known]
+        services: list[dict[str, Any]] = [
+            {"name": name, "max_connections": 100} for name in ("plain-a", "plain-b")
+        ]
+        services.append({"name": "llm", "max_connections": 100, "engine": ENGINE})
+        cfg = {
+            "version": self.version,
+            "routes": routes,
+            "services": services,
+            "limits": LIMITS,
+        }
+        body = msgspec.json.encode(cfg)
+        while not await self._put(self.store_port, "/v1/kv-key?private_key=op/config", body):
+            await curio.sleep(0.2)
+        self.acknowledged.append((time.time(), self.version, self.plain))
+
+    def _service_of(self, path: str) -> str:
+        return "llm" if path in STREAMS else self.plain
+
+    async def faults(self, port: int, **faults: Any) -> bool:
+        """Switch faults of a stand-in; returns whether it has heard."""
+        return await self._put(port, "/faults", msgspec.json.encode(faults))
+
+    async def _put(self, port: int, target: str, body: bytes) -> bool:
+        client = HttpClient(HOST, port)
+        try:
+            resp = await curio.timeout_after(
+                CALL_S, lambda: client.call("PUT", target, body=body, fresh=True)
+            )
+        except (HttpClosed, BadHttp, curio.TaskTimeout):
+            # A stand-in that was just killed, or a store that is down; the caller decides.
+            return False
+        finally:
+            await client.close()
+        return bool(resp.status == 200)
+
+
+def _route(path: str, kind: str, most: int, resumed: bool, service: str) -> dict[str, Any]:
+    return {
+        "name": path.strip("/"),
+        "host": "h.example",
+        "path_prefix": path,
+        "kind": kind,
+        "timeout_ms": TIMEOUT_S * 1000,
+        "target_latency_ms": 900,
+        "priority": 1,
+        "service": service,
+        "max_attempts": most,
+        "resumable": resumed,
+        "sticky": kind == "streaming",
+    }
--- /dev/null
+++ b/src/crankhinge_soak/_link.py
@@ -0,0 +1,107 @@
+"""A proxy on loopback that stands for a network path, and harms it on demand."""
+
+from __future__ import annotations
+
+import contextlib
+import enum
+import socket
+import struct
+from typing import Any
+
+import curio
+
+from crankhinge.runtime import get_log, open_tcp, serve_tcp
+from crankhinge_bench._procs import HOST
+
+RECV_BYTES = 65536
+CONNECT_S = 2.0
+# How often a held-up direction looks whether the path is whole again, in seconds.
+POLL_S = 0.02
+# Seconds that a slow path adds to each piece.
+DELAY_S = 0.15
+
+
+class Harm(enum.Enum):
+    """What a path does to the bytes that take it."""
+
+    NONE = "none"
+    SLOW = "slow"
+    SILENT = "silent"
+    CUT_THERE = "cut-there"
+    CUT_BACK = "cut-back"
+
+
+class Link:
+    """The path to one listener.
+
+    Bytes that a cut holds up are delivered when it is over, as over a real partition; a reset
+    drops every connection.
+
+    Args:
+        port: where callers connect.
+        target: port of the listener.
+    """
+
+    def __init__(self, port: int, target: int) -> None:
+        self.port = port
+        self.harm = Harm.NONE
+        self._target = target
+        self._socks: set[Any] = set()
+
+    async def run(self) -> None:
+        """Carry connections until cancelled."""
+        await serve_tcp(HOST, self.port, self._carry, log=get_log(program="soak-link"))
+
+    async def reset(self) -> None:
+        """Reset every connection, in both directions."""
+        for sock in list(self._socks):
+            _reset_on_close(sock)
+            self._socks.discard(sock)
+            with contextlib.suppress(OSError):
+                sock._socket.shutdown(socket.SHUT_RD)
+
+    async def _carry(self, near: Any, _addr: Any) -> None:
+        while self.harm in (Harm.SILENT, Harm.CUT_THERE):
+            await curio.sleep(POLL_S)
+        try:
+            far = await open_tcp(HOST, self._target, CONNECT_S)
+        except OSError:
+            # A process that is down resets whoever connects.
+            _reset_on_close(near)
+            return
+        self._socks |= {near, far}
+        try:
+            async with far, curio.TaskGroup() as group:
+                await group.spawn(self._pump, near, far, Harm.CUT_THERE)
+                await group.spawn(self._pump, far, near, Harm.CUT_BACK)
+        finally:
+            self._socks -= {near, far}
+
+    async def _pump(self, source: Any, sink: Any, cut: Harm) -> None:
+        """Carry one direction until its end; *cut* is the harm that holds it up."""
+        while True:
+            try:
+                data = await source.recv(RECV_BYTES)
+            except OSError:
+                data = b""
+            if self.harm is Harm.SLOW:
+                await curio.sleep(DELAY_S)
+            while self.harm in (Harm.SILENT, cut) and sink in self._socks:
+                await curio.sleep(POLL_S)
+            if sink not in self._socks:
+                # It was reset: a proper end would come before the reset.
+                return
+            try:
+                if not data:
+                    await sink.shutdown(socket.SHUT_WR)
+                    return
+                await sink.sendall(data)
+            except OSError:
+                # The other direction tells its end the same way.
+                return
+
+
+def _reset_on_close(sock: Any) -> None:
+    """Have the close of a connection reset it: a linger of zero seconds does."""
+    linger = struct.pack("ii", 1, 0)
+    sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
--- /dev/null
+++ b/src/crankhinge_soak/_load.py
@@ -0,0 +1,237 @@
+"""Callers, the balancer before them, and probes of which configuration is in force."""
+
+from __future__ import annotations
+
+import itertools
+import random
+import time
+from dataclasses import dataclass
+
+import curio
+
+from crankhinge.errors import BadHttp, CrankhingeError, HttpClosed
+from crankhinge.http import HttpClient
+from crankhinge_bench._procs import HOST
+from crankhinge_soak._fleet import (
+    ONCE,
+    RESUMED,
+    SAFE,
+    STREAM,
+    STREAMS,
+    Fleet,
+    Gateway,
+    version_path,
+)
+from crankhinge_standins.replica import body_of, events_of
+
+CALLERS = 12
+# Share of streams among requests, and of callers that leave before their answer is there.
+STREAM_SHARE = 0.4
+LEAVING_SHARE = 0.06
+# Seconds: a caller's pause between requests, at most; how long it waits for an answer; how long
+# one that leaves early stays.
+PAUSE_S = 0.15
+PATIENCE_S = 5.0
+STAY_S = 0.25
+# What a caller allows beyond its deadline until it calls an answer missing.
+SLACK_S = 1.0
+# Requests that a caller sends on one connection before it takes a new one.
+KEPT_REQUESTS = 8
+PROBE_S = 0.25
+PROBE_PATIENCE_S = 2.0
+# Misses in a row after which the balancer sends no new connections.
+MISSES = 2
+
+
+@dataclass
+class Seen:
+    """What a caller saw of one request.
+
+    Attributes:
+        ident: of the request.
+        path: of its route.
+        gateway: name of the instance that took it.
+        sent: wall clock.
+        ended: wall clock of its end.
+        status: of the answer; 0 for none.
+        whole: whether an answer came to its proper end.
+        right: whether what came of it is what the request asked for.
+        own: whether the instance itself, and no server, gave the answer.
+        left: whether the caller left before the end.
+        why: how the connection ended where no whole answer came.
+    """
+
+    ident: str
+    path: str
+    gateway: str
+    sent: float
+    ended: float = 0.0
+    status: int = 0
+    whole: bool = False
+    right: bool = True
+    own: bool = False
+    left: bool = False
+    why: str = ""
+
+
+@dataclass(frozen=True)
+class Probe:
+    """Whether an instance knew a version's route.
+
+    Attributes:
+        gateway: name of the instance.
+        life: which of its starts.
+        version: whose route was asked for.
+        sent: wall clock.
+        known: False for 404; None where there was no answer, or no configuration yet.
+    """
+
+    gateway: str
+    life: int
+    version: int
+    sent: float
+    known: bool | None
+
+
+class Load:
+    """Callers and probes.
+
+    Args:
+        fleet: what they call.
+        seed: of what they ask for and when.
+    """
+
+    def __init__(self, fleet: Fleet, seed: int) -> None:
+        self.seen: list[Seen] = []
+        self.probes: list[Probe] = []
+        self._fleet = fleet
+        self._seed = seed
+        self._numbers = itertools.count(1)
+        self._misses = dict.fromkeys((gw.name for gw in fleet.gateways), 0)
+        self._stopped = False
+
+    def stop(self) -> None:
+        """Have every caller end with the request that it is at."""
+        self._stopped = True
+
+    async def run(self) -> None:
+        """Call until :meth:`stop`."""
+        async with curio.TaskGroup() as group:
+            for gateway in self._fleet.gateways:
+                await group.spawn(self._balance, gateway)
+                await group.spawn(self._probe, gateway)
+            for number in range(CALLERS):
+                await group.spawn(self._call, random.Random(f"{self._seed}-{number}"))
+
+    async def _balance(self, gateway: Gateway) -> None:
+        client = HttpClient(HOST, gateway.ready_port, pool_size=0)
+        while not self._stopped:
+            status = await _status(client, "/readyz")
+            missed = self._misses[gateway.name] + 1
+            self._misses[gateway.name] = 0 if status == 200 else missed
+            await curio.sleep(PROBE_S)
+
+    def _pick(self, rng: random.Random) -> Gateway:
+        """Return an instance as the balancer would: one that is in, or any when none is."""
+        gateways = self._fleet.gateways
+        ready = [gw for gw in gateways if self._misses[gw.name] < MISSES]
+        return rng.choice(ready or gateways)
+
+    async def _probe(self, gateway: Gateway) -> None:
+        """Ask an instance, on its own address, for the newest version's route and an older one."""
+        client = HttpClient(HOST, gateway.port, pool_size=0)
+        while not self._stopped:
+            newest = self._fleet.acknowledged[-1][1] if self._fleet.acknowledged else 0
+            for version in {newest, max(1, newest - 1)} - {0}:
+                life, sent = gateway.life, time.time()
+                status = await _status(client, version_path(version), ident=self._name("p"))
+                known = None if status in (0, 503) else status != 404
+                self.probes.append(Probe(gateway.name, life, version, sent, known))
+            await curio.sleep(PROBE_S)
+
+    def _name(self, kind: str) -> str:
+        return f"{kind}{self._seed}-{next(self._numbers)}"
+
+    async def _call(self, rng: random.Random) -> None:
+        while not self._stopped:
+            gateway = self._pick(rng)
+            client = HttpClient(HOST, gateway.front.port, pool_size=1)
+            for _ in range(rng.randint(1, KEPT_REQUESTS)):
+                seen = self._request(gateway, rng)
+                self.seen.append(seen)
+                await self._ask(client, seen, rng)
+                await curio.sleep(PAUSE_S * rng.random())
+                if self._stopped or not seen.whole:
+                    break
+            await client.close()
+
+    def _request(self, gateway: Gateway, rng: random.Random) -> Seen:
+        streams = rng.random() < STREAM_SHARE
+        path = rng.choice(STREAMS if streams else (ONCE, SAFE))
+        return Seen(self._name("q"), path, gateway.name, time.time())
+
+    async def _ask(self, client: HttpClient, seen: Seen, rng: random.Random) -> None:
+        """Send a request and note what comes back."""
+        leaves = rng.random() < LEAVING_SHARE
+        patience = STAY_S * rng.random() if leaves else PATIENCE_S + SLACK_S
+        prompt, answer = rng.randint(100, 3000), rng.randint(50, 300)
+        headers = {
+            "host": "h.example",
+            "x-request-id": seen.ident,
+            "x-deadline-ms": str(int(PATIENCE_S * 1000)),
+        }
+        if seen.path in STREAMS:
+            headers.update(
+                {
+                    "x-model": "m",
+                    "x-token-count": f"{prompt},{answer}",
+                    "length-hint": str(answer // 2),
+                }
+            )
+        try:
+            await curio.timeout_after(patience, self._take, client, seen, headers)
+        except curio.TaskTimeout:
+            seen.left, seen.why = leaves, "no end in time"
+        except CrankhingeError as exc:
+            seen.why = f"{exc.code}: {exc.detail}"
+        seen.ended = time.time()
+
+    async def _take(self, client: HttpClient, seen: Seen, headers: dict[str, str]) -> None:
+        method = "GET" if seen.path == SAFE else "POST"
+        body = b"" if method == "GET" else b"b" * 200
+        stream = await client.open(method, seen.path + "x", headers=headers, body=body)
+        done = False
+        try:
+            seen.status = stream.status
+            seen.own = "x-server-seal" not in stream.headers
+            got = bytearray()
+            expected = _expected(seen)
+            while chunk := await stream.next_chunk():
+                got += chunk
+                if seen.status == 200 and not expected.startswith(bytes(got)):
+                    # Also wrong where the answer never comes to its end.
+                    seen.right = False
+            seen.whole = done = True
+            seen.right = seen.right and (seen.status != 200 or bytes(got) == expected)
+        finally:
+            await (stream.close() if done else stream.abort())
+
+
+def _expected(seen: Seen) -> bytes:
+    if seen.path in (STREAM, RESUMED):
+        return b"".join(events_of(seen.ident))
+    return body_of(seen.ident)
+
+
+async def _status(client: HttpClient, target: str, *, ident: str = "") -> int:
+    """Return the status that a short question gets; 0 for none."""
+    headers = {"host": "h.example"}
+    if ident:
+        headers |= {"x-request-id": ident, "x-deadline-ms": str(int(PROBE_PATIENCE_S * 1000))}
+    try:
+        resp = await curio.timeout_after(
+            PROBE_PATIENCE_S, lambda: client.call("GET", target, headers=headers, fresh=True)
+        )
+    except (HttpClosed, BadHttp, curio.TaskTimeout):
+        return 0
+    return int(resp.status)
--- /dev/null
+++ b/src/crankhinge_soak/main.py
@@ -0,0 +1,185 @@
+"""``crankhinge-soak``: random faults on real processes, and the checker's verdict."""
+
+from __future__ import annotations
+
+import argparse
+import logging
+import sys
+import time
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge import __version__
+from crankhinge.runtime import write_json
+from crankhinge_bench._check import Verdict
+from crankhinge_bench._procs import http_json
+from crankhinge_soak._check import History, check
+from crankhinge_soak._faults import EPISODES, Faults
+from crankhinge_soak._fleet import Fleet
+from crankhinge_soak._load import Load
+
+PROGRAM = "crankhinge-soak"
+# Seconds: without faults at the beginning; until everything has found its place after the last
+# fault (a paused instance's lease and the list's doubt of lapsed entries are over by then, and an
+# engine that was ordered plays its part); calm that is judged; until memory is free at the end.
+WARM_S = 1.5
+SETTLE_S = 6.0
+CALM_S = 4.0
+FREED_S = 4.0
+
+
+class Report(msgspec.Struct, kw_only=True):
+    """The outcome of one seed.
+
+    Attributes:
+        seed: of the schedule and the load.
+        seconds: length of the faults.
+        faults: how often each kind was played.
+        requests: how many were sent.
+        answered: how many got status 200, whole.
+        verdicts: of the checker.
+    """
+
+    seed: int
+    seconds: float
+    faults: dict[str, int]
+    requests: int
+    answered: int
+    verdicts: list[Verdict]
+
+    @property
+    def broken(self) -> bool:
+        """Whether a promise was broken."""
+        return any(verdict.broken for verdict in self.verdicts)
+
+
+def run_seed(
+    seed: int, seconds: float, logs: Path | None = None, kinds: tuple[str, ...] = ()
+) -> Report:
+    """Play one seed and check it; every process that was started is ended."""
+    if logs is not None:
+        logs.mkdir(parents=True, exist_ok=True)
+    fleet = Fleet(logs)
+    try:
+        fleet.start()
+        load, faults = Load(fleet, seed), Faults(fleet, seed, kinds)
+        calm_from = curio.run(_play, fleet, load, faults, seconds)
+        history = _history(fleet, load, faults, calm_from)
+    finally:
+        fleet.stop()
+    counts: dict[str, int] = {}
+    for trouble in faults.played:
+        counts[trouble.kind] = counts.get(trouble.kind, 0) + 1
+    return Report(
+        seed=seed,
+        seconds=seconds,
+        faults=dict(sorted(counts.items())),
+        requests=len(load.seen),
+        answered=sum(seen.status == 200 and seen.whole for seen in load.seen),
+        verdicts=check(history),
+    )
+
+
+async def _play(fleet: Fleet, load: Load, faults: Faults, seconds: float) -> float:
+    """Play a seed; returns the wall clock from which all was whole."""
+    async with curio.TaskGroup() as paths:
+        for link in fleet.links():
+            await paths.spawn(link.run)
+        await fleet.publish()
+        async with curio.TaskGroup() as group:
+            await group.spawn(load.run)
+            await curio.sleep(WARM_S)
+            await faults.run(seconds)
+            await curio.sleep(SETTLE_S)
+            calm_from = time.time()
+            await curio.sleep(CALM_S)
+            load.stop()
+        await curio.sleep(FREED_S)
+        await paths.cancel_remaining()
+    return calm_from
+
+
+def _history(fleet: Fleet, load: Load, faults: Faults, calm_from: float) -> History:
+    rows = fleet.records()
+    engines = [place for place in fleet.places if place.phase]
+    return History(
+        seen=load.seen,
+        probes=load.probes,
+        rows=rows,
+        troubles=faults.played,
+        acknowledged=fleet.acknowledged,
+        places={row["server"]: row["place"] for row in rows if row["kind"] == "born"},
+        held={place.name: _held(place.port) for place in engines},
+        calm_from=calm_from,
+        exits=faults.exits + fleet.ended(),
+    )
+
+
+def _held(port: int) -> int:
+    """Return the memory that is tied at an engine, in tokens."""
+    held: dict[str, int] = http_json("GET", port, "/held")
+    return held["held"]
+
+
+def render(report: Report) -> str:
+    """Return one seed's verdict as text."""
+    faults = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
+    lines = [f"seed {report.seed}, {report.seconds:g} s: {faults}"]
+    for verdict in report.verdicts:
+        state = f"BROKEN {verdict.broken}" if verdict.broken else "held"
+        state = state if verdict.tested else "never tested"
+        lines.append(f"  {verdict.promise:<46} tested {verdict.tested:5d}  {state}")
+        lines += [f"      {case}" for case in verdict.detail]
+    lines.append(f"  requests {report.requests}, answered {report.answered}")
+    return "\n".join(lines)
+
+
+def seeds_of(args: argparse.Namespace) -> list[tuple[int, float]]:
+    """Return the seeds to play, each with the seconds of its faults."""
+    if not args.cases:
+        return [(args.seed + number, args.seconds) for number in range(args.repeat)]
+    cases: list[dict[str, Any]] = tomllib.loads(Path(args.cases).read_text()).get("case", [])
+    return [(int(case["seed"]), float(case["seconds"])) for case in cases]
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line's parser."""
+    parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__)
+    parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
+    parser.add_argument("--repeat", type=int, default=1, help="seeds, counted up from --seed")
+    parser.add_argument("--cases", default="", help="file of seeds that once failed, played again")
+    parser.add_argument("--kinds", default="", help="kinds of faults, with commas; all by default")
+    parser.add_argument("--json", default="", help="file for the results")
+    parser.add_argument("--logs", default="", help="directory for the programs' logs")
+    return parser
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run the command; returns 0 when no promise was broken."""
+    parser = make_parser()
+    args = parser.parse_args(argv)
+    kinds = tuple(name for name in args.kinds.split(",") if name)
+    if unknown := set(kinds) - set(EPISODES):
+        parser.error(f"--kinds: {sorted(unknown)} are not among {sorted(EPISODES)}")
+    # curio warns of each operation that ends just after its time-out; nothing is wrong with that.
+    logging.getLogger("curio").setLevel(logging.ERROR)
+    reports = []
+    for seed, seconds in seeds_of(args):
+        logs = Path(args.logs) / str(seed) if args.logs else None
+        reports.append(run_seed(seed, seconds, logs, kinds))
+        print(render(reports[-1]), flush=True)
+    if args.json:
+        write_json(args.json, reports)
+    broken = [report.seed for report in reports if report.broken]
+    print(f"{len(reports)} seeds, broken: {broken or 'none'}", file=sys.stderr)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -12,6 +12,7 @@
 import signal
 import zlib
 from dataclasses import dataclass, field
+from types import FrameType
 from typing import Any
 
 import curio
@@ -37,6 +38,8 @@
 DRAIN_S = 2.0
 LINGER_S = 1.5
 SIDE_CALL_S = 1.0
+# Seconds between looks whether SIGTERM has come.
+LOOK_S = 0.05
 ORDER_FIELDS = ("opcode", "holder", "fencing_token")
 
 
@@ -183,8 +186,9 @@
 
     async def _leave(self) -> None:
         """Wait for SIGTERM, say so in the store, serve on for a while."""
-        await curio.SignalEvent(signal.SIGTERM).wait()
-        self._leaving = True
+        signal.signal(signal.SIGTERM, self._on_term)
+        while not self._leaving:
+            await curio.sleep(LOOK_S)
         taken = self._gone if self._silent_leave else self._enter
         while not await taken():
             await curio.sleep(SIDE_CALL_S / 4)
@@ -193,6 +197,9 @@
         await self._gone()
         self._recorder.write(kind="left", server=self.ident, running=self._running)
 
+    def _on_term(self, _signum: int, _frame: FrameType | None) -> None:
+        self._leaving = True
+
     async def _gone(self) -> bool:
         return await self._write_entry(b"")
 
@@ -302,7 +309,7 @@
             async with curio.TaskGroup(wait=any) as group:
                 writer = await group.spawn(self._stream, exchange, ident)
                 await group.spawn(exchange.wait_gone)
-            if group.completed is not writer or writer.exception is not None:
+            if group.completed is not writer or not writer.result:
                 raise HttpClosed("the caller has gone or the answer was broken off")
         finally:
             del self._memory.runs[run]
@@ -322,7 +329,17 @@
             await client.close()
         return bool(resp.status == 200)
 
-    async def _stream(self, exchange: Exchange, ident: str) -> None:
+    async def _stream(self, exchange: Exchange, ident: str) -> bool:
+        """Send the events that the caller has not; returns whether it has them all.
+
+        The kernel reports tasks that raise, so a caller that has gone is a result, too.
+        """
+        try:
+            return await self._send_events(exchange, ident)
+        except HttpClosed:
+            return False
+
+    async def _send_events(self, exchange: Exchange, ident: str) -> bool:
         events = events_of(ident)
         begin = int(exchange.req.headers.get("last-event-id") or "0")
         await exchange.start_as_is(200, self._head(ident))
@@ -331,9 +348,10 @@
             await curio.sleep(EVENT_S * self.faults.slow)
             if number == broken_at:
                 await exchange.write(event[: len(event) // 2])
-                raise HttpClosed("broken off on purpose")
+                return False
             await exchange.write(event)
         await exchange.finish()
+        return True
 
     async def _side(self, exchange: Exchange) -> None:
         req = exchange.req
