No reading is begun that has no time left

Ruled out: a wrong clock (the first reading's line is one second older).

Change: with less than 0.1 s left no reading is begun; the line says so.

--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -20,6 +20,8 @@
 # Seconds that all readings of a request may take: then its first event is late anyway, its place
 # is about to lapse, and the engine that writes may as well read the prompt itself.
 READING_S = 1.0
+# With less than this left, in seconds, no reading is begun: one of 3,000 tokens takes 0.1 s alone.
+LEAST_READING_S = 0.1
 # A reader is doubted above this share of failures, or this usual time in seconds: three quarters
 # of what a reading may take. A reading at a doubted one is made only while the budget allows a
 # repeat; the engine that writes reads the prompt otherwise, which is none.
@@ -64,7 +66,11 @@
         until = min(await curio.clock() + READING_S, relay.until)
         why = "tried_enough"
         while len(tried) < MAX_READINGS:
-            server = self._choose(relay, zone, tried, await curio.clock())
+            now = await curio.clock()
+            if until - now < LEAST_READING_S:
+                why = "no_time"
+                break
+            server = self._choose(relay, zone, tried, now)
             if server is None:
                 why = "no_reader"
                 break
@@ -107,7 +113,7 @@
         self, relay: Relay, server: Server, until: float, budget: RetryBudget
     ) -> Memory | None:
         began = await curio.clock()
-        within = max(0.001, until - began)
+        within = until - began
         leg = Leg(server.ident, within, read_only=True)
         standing = self._backends.standing(server.ident)
         try:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -571,6 +571,19 @@
 
         play(world, story)
 
+    def test_no_second_reading_is_begun_when_the_time_for_readings_is_over(self) -> None:
+        """It could not end, and its arrival would count as a repeat."""
+        world = World()
+        readers = [world.add(f"i-r{n}", "llm", "prefill", read_s=2.0) for n in range(2)]
+        world.add("i-w", "llm", "decode", behave=stream)
+
+        async def story() -> None:
+            assert (await world.call("q1", "/stream/a", **TOKENS))[0] == 200
+            assert sum(len(reader.arrivals) for reader in readers) == 1
+            assert world.lines.having("event=not_read_apart", "why=no_time")
+
+        play(world, story)
+
     def test_a_request_goes_to_engines_that_hold_its_model(self) -> None:
         """Both the one that reads and the one that writes."""
         world = World()
