The bench's faults command is folded into the soak

Cause: two chaos tools stood side by side, each with a verdict, a report and a way to print it.

Ruled out: one schedule for both worlds (agents, bundles and the stand-ins of the product's own interface have other processes and other faults).

The report names requests and answers; the summary of the entries' load is its note.

--- a/src/crankhinge_bench/main.py
+++ b/src/crankhinge_bench/main.py
@@ -10,7 +10,6 @@
 
 from crankhinge import __version__
 from crankhinge.errors import CrankhingeError
-from crankhinge_bench._chaos import add_arguments as add_faults
 from crankhinge_bench._days import add_arguments as add_days
 from crankhinge_bench._demo import add_arguments as add_demo
 from crankhinge_bench._perf import add_arguments as add_perf
@@ -29,7 +28,6 @@
     verbs = parser.add_subparsers(dest="verb", required=True)
     add_demo(verbs.add_parser("demo", help="the whole system for some seconds"))
     add_days(verbs.add_parser("days", help="days of trouble for the users' bench"))
-    add_faults(verbs.add_parser("faults", help="random failures under load, checked"))
     add_perf(verbs.add_parser("perf", help="what the product adds to calling the engines"))
     add_spread(verbs.add_parser("spread", help="how soon a bundle is in force everywhere"))
     add_slopes(verbs.add_parser("slopes", help="what each further link, token or server costs"))
--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -11,10 +11,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-from crankhinge_bench._check import Verdict
 from crankhinge_soak._faults import Trouble
 from crankhinge_soak._fleet import ONCE, ROUTES, SAFE, STREAM
 from crankhinge_soak._load import Probe, Seen
+from crankhinge_soak._verdict import Verdict, verdict
 
 # Seconds without trouble after which bounds in time hold again.
 CONTACT_S = 3.0
@@ -29,7 +29,6 @@
 SERVED = 0.9
 MOST_RUNS = {path: most for path, _, most, _ in ROUTES}
 NOT_RUN_STATUS = (408, 421, 429, 503)
-EXAMPLES = 5
 
 
 @dataclass
@@ -115,13 +114,7 @@
         "served again once all is whole": _recovered,
         "no process ends by itself": _exits,
     }
-    verdicts = []
-    for promise, look in checks.items():
-        tested, cases = look(history)
-        verdicts.append(
-            Verdict(promise=promise, tested=tested, broken=len(cases), detail=cases[:EXAMPLES])
-        )
-    return verdicts
+    return [verdict(promise, *look(history)) for promise, look in checks.items()]
 
 
 def _whole_answers(history: History) -> tuple[int, list[str]]:
--- a/src/crankhinge_bench/_chaos.py
+++ b/src/crankhinge_soak/_entries.py
@@ -1,28 +1,25 @@
-"""``crankhinge-bench faults``: random failures under load, and the checker's verdict."""
+"""The soak of entries and agents: random faults under load, and the checker's verdict."""
 
 from __future__ import annotations
 
-import argparse
 import random
 import re
 import signal
-import sys
 import threading
 import time
 from pathlib import Path
 from typing import Any
 
 import curio
-import msgspec
 
-from crankhinge.runtime import write_json
-from crankhinge_bench._check import Drain, History, Verdict, check
 from crankhinge_bench._cluster import Cluster
-from crankhinge_bench._evidence import bundles_seen, last_drained, wait_freed
 from crankhinge_bench._load import LoadRun
 from crankhinge_bench._spec import ClusterSpec, EngineSpec, ServiceSpec
-from crankhinge_bench._summary import Summary, summarise
+from crankhinge_bench._summary import summarise
 from crankhinge_bench._trace import Load, make_trace
+from crankhinge_soak._entries_check import Drain, History, check
+from crankhinge_soak._entries_evidence import bundles_seen, last_drained, wait_freed
+from crankhinge_soak._verdict import Report
 
 SETTLE_S = 12.0
 DRAIN_WAIT_S = 40.0
@@ -30,24 +27,6 @@
 GAP_S = (0.5, 2.5)
 
 
-class Report(msgspec.Struct, kw_only=True):
-    """The outcome of one seed.
-
-    Attributes:
-        seed: of the schedule and the load.
-        seconds: length of the load.
-        faults: how often each kind was played.
-        verdicts: of the checker.
-        summary: what callers saw.
-    """
-
-    seed: int
-    seconds: float
-    faults: dict[str, int]
-    verdicts: list[Verdict]
-    summary: Summary
-
-
 def chaos_spec() -> ClusterSpec:
     """Return the cluster that failures befall."""
     return ClusterSpec(
@@ -279,50 +258,12 @@
         seconds=seconds,
         faults=dict(sorted(chaos.counts.items())),
         verdicts=check(history),
-        summary=summary,
-    )
-
-
-def render(report: Report) -> str:
-    """Return one seed's verdict as text."""
-    faults = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
-    lines = [f"seed {report.seed}, {report.seconds:g} s: {faults}"]
-    for verdict in report.verdicts:
-        state = "BROKEN" if verdict.broken else ("held" if verdict.tested else "never tested")
-        line = f"  {verdict.promise:<42} tested {verdict.tested:5d}  {state} {verdict.broken or ''}"
-        lines.append(line.rstrip())
-        lines += [f"      {case}" for case in verdict.detail]
-    summary = report.summary
-    lines.append(
-        f"  completions {summary.offered}: in time {summary.in_time_share:.1%}, "
-        f"refused {summary.refused}, failed {summary.failed}, "
-        f"waste {summary.wasted_share:.2%}; calls {summary.calls}: answered "
-        f"{summary.calls_answered}; causes {summary.causes}"
+        requests=summary.offered + summary.calls,
+        answered=sum(seen.whole for seen in outcomes),
+        note=(
+            f"; completions {summary.offered}: in time {summary.in_time_share:.1%}, "
+            f"refused {summary.refused}, failed {summary.failed}, waste "
+            f"{summary.wasted_share:.2%}; calls {summary.calls}: answered "
+            f"{summary.calls_answered}; causes {summary.causes}"
+        ),
     )
-    return "\n".join(lines)
-
-
-def faults(args: argparse.Namespace) -> int:
-    """Run the command; returns 0 when no promise was broken and each was put to the test."""
-    reports = []
-    logs = Path(args.logs) if args.logs else None
-    for number in range(args.repeat):
-        report = run_seed(args.seed + number, args.seconds, logs)
-        print(render(report), flush=True)
-        reports.append(report)
-    write_json(args.json, reports)
-    verdicts = [verdict for report in reports for verdict in report.verdicts]
-    untested = {v.promise for v in verdicts} - {v.promise for v in verdicts if v.tested}
-    for promise in sorted(untested):
-        print(f"never put to the test: {promise}", file=sys.stderr)
-    return 1 if untested or any(verdict.broken for verdict in verdicts) else 0
-
-
-def add_arguments(parser: argparse.ArgumentParser) -> None:
-    """Declare the command's arguments."""
-    parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=120.0)
-    parser.add_argument("--repeat", type=int, default=1, help="seeds, counted up from --seed")
-    parser.add_argument("--json", default="", help="file for the results")
-    parser.add_argument("--logs", default="", help="directory for the programs' logs")
-    parser.set_defaults(run=faults)
--- a/src/crankhinge_bench/_evidence.py
+++ b/src/crankhinge_soak/_entries_evidence.py
@@ -7,9 +7,9 @@
 from datetime import datetime
 from pathlib import Path
 
-from crankhinge_bench._check import BundleSeen
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._procs import http_json
+from crankhinge_soak._entries_check import BundleSeen
 
 HELD_S = 15.0
 IN_FORCE = re.compile(r"ts=(\S+) .*event=bundle_in_force .*version=(\d+) digest=(\w+)")
--- a/src/crankhinge_soak/main.py
+++ b/src/crankhinge_soak/main.py
@@ -11,16 +11,16 @@
 from typing import Any
 
 import curio
-import msgspec
 
 from crankhinge import __version__
 from crankhinge.runtime import write_json
-from crankhinge_bench._check import Verdict
 from crankhinge_bench._procs import http_json
 from crankhinge_soak._check import History, check
+from crankhinge_soak._entries import run_seed as run_entries
 from crankhinge_soak._faults import EPISODES, Faults
 from crankhinge_soak._fleet import Fleet
 from crankhinge_soak._load import Load
+from crankhinge_soak._verdict import Report, render
 
 PROGRAM = "crankhinge-soak"
 # Seconds: without faults at the beginning; until everything has found its place after the last
@@ -32,31 +32,6 @@
 FREED_S = 4.0
 
 
-class Report(msgspec.Struct, kw_only=True):
-    """The outcome of one seed.
-
-    Attributes:
-        seed: of the schedule and the load.
-        seconds: length of the faults.
-        faults: how often each kind was played.
-        requests: how many were sent.
-        answered: how many got status 200, whole.
-        verdicts: of the checker.
-    """
-
-    seed: int
-    seconds: float
-    faults: dict[str, int]
-    requests: int
-    answered: int
-    verdicts: list[Verdict]
-
-    @property
-    def broken(self) -> bool:
-        """Whether a promise was broken."""
-        return any(verdict.broken for verdict in self.verdicts)
-
-
 def run_seed(
     seed: int, seconds: float, logs: Path | None = None, kinds: tuple[str, ...] = ()
 ) -> Report:
@@ -125,19 +100,6 @@
     return held["held"]
 
 
-def render(report: Report) -> str:
-    """Return one seed's verdict as text."""
-    faults = ", ".join(f"{kind} {count}" for kind, count in report.faults.items())
-    lines = [f"seed {report.seed}, {report.seconds:g} s: {faults}"]
-    for verdict in report.verdicts:
-        state = f"BROKEN {verdict.broken}" if verdict.broken else "held"
-        state = state if verdict.tested else "never tested"
-        lines.append(f"  {verdict.promise:<46} tested {verdict.tested:5d}  {state}")
-        lines += [f"      {case}" for case in verdict.detail]
-    lines.append(f"  requests {report.requests}, answered {report.answered}")
-    return "\n".join(lines)
-
-
 def seeds_of(args: argparse.Namespace) -> list[tuple[int, float]]:
     """Return the seeds to play, each with the seconds of its faults."""
     if not args.cases:
@@ -150,18 +112,24 @@
     """Return the command line's parser."""
     parser = argparse.ArgumentParser(prog=PROGRAM, description=__doc__)
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
+    parser.add_argument(
+        "--of",
+        choices=("gateways", "entries"),
+        default="gateways",
+        help="what is under test: gateways, or entries with their agents",
+    )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="length of the faults")
     parser.add_argument("--repeat", type=int, default=1, help="seeds, counted up from --seed")
     parser.add_argument("--cases", default="", help="file of seeds that once failed, played again")
-    parser.add_argument("--kinds", default="", help="kinds of faults, with commas; all by default")
+    parser.add_argument("--kinds", default="", help="of gateways: kinds of faults, with commas")
     parser.add_argument("--json", default="", help="file for the results")
     parser.add_argument("--logs", default="", help="directory for the programs' logs")
     return parser
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run the command; returns 0 when no promise was broken."""
+    """Run the command; returns 0 when each promise was put to the test and none was broken."""
     parser = make_parser()
     args = parser.parse_args(argv)
     kinds = tuple(name for name in args.kinds.split(",") if name)
@@ -172,13 +140,20 @@
     reports = []
     for seed, seconds in seeds_of(args):
         logs = Path(args.logs) / str(seed) if args.logs else None
-        reports.append(run_seed(seed, seconds, logs, kinds))
+        if args.of == "entries":
+            reports.append(run_entries(seed, seconds, logs))
+        else:
+            reports.append(run_seed(seed, seconds, logs, kinds))
         print(render(reports[-1]), flush=True)
     if args.json:
         write_json(args.json, reports)
     broken = [report.seed for report in reports if report.broken]
     print(f"{len(reports)} seeds, broken: {broken or 'none'}", file=sys.stderr)
-    return 1 if broken else 0
+    verdicts = [found for report in reports for found in report.verdicts]
+    untested = {v.promise for v in verdicts} - {v.promise for v in verdicts if v.tested}
+    for promise in sorted(untested):
+        print(f"never put to the test: {promise}", file=sys.stderr)
+    return 1 if broken or untested else 0
 
 
 if __name__ == "__main__":
--- a/tests/test_checker.py
+++ b/tests/test_checker.py
@@ -7,11 +7,11 @@
 import pytest
 
 from crankhinge.runtime import get_log
-from crankhinge_bench._check import BundleSeen, Drain, History, check
-from crankhinge_bench._evidence import last_drained
 from crankhinge_bench._load import Outcome
 from crankhinge_bench._summary import percentile
 from crankhinge_bench._trace import Arrival, Load, make_trace
+from crankhinge_soak._entries_check import BundleSeen, Drain, History, check
+from crankhinge_soak._entries_evidence import last_drained
 
 CRC = zlib.crc32(b"prompt")
 ASK = Arrival(0.0, "m", prompt="prompt", max_tokens=3)
