The soak's seed fixes its schedule; its shares have names

Shares stood as bare figures.

Ruled out: nothing.

Change: each episode draws from a source of its own, made of the seed and its number; shares are named constants, each with what it is for.

--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import copy
+import itertools
 import random
 import signal
 import time
@@ -23,10 +25,22 @@
 # Seconds that a process stays down, and that a planned stop may take.
 DOWN_S = (0.1, 1.5)
 STOP_S = 12.0
-STORM = 6
 # Faults of a server: shares of its runs and answers, and a factor on its durations.
 HARMED = {"errors": 0.5, "resets": 0.5, "garbles": 0.4, "refuses": 0.6, "slow": 8.0}
 WHOLE = {"errors": 0.0, "resets": 0.0, "garbles": 0.0, "refuses": 0.0, "slow": 1.0}
+# Changes of the configuration in quick succession.
+STORM = 6
+# Shares, so that each variant comes a few times in twenty seeds: of episodes, those in series; of
+# planned stops of servers, those without a word; of reloads, those of settings that can't be read;
+# of harmed paths, those that are reset; of outages of the store, those in which entries lapse; of
+# changes of the configuration, those in quick succession, and those that move calls.
+SERIES_SHARE = 0.4
+SILENT_SHARE = 0.3
+UNREADABLE_SHARE = 0.4
+RESET_SHARE = 0.3
+LAPSE_SHARE = 0.3
+STORM_SHARE = 0.3
+MOVE_SHARE = 0.5
 # Seconds by which a clock jumps, at most.
 JUMP_S = 6.0
 
@@ -67,6 +81,7 @@
         self.played: list[Trouble] = []
         self.exits: list[str] = []
         self._fleet = fleet
+        self._seed = seed
         self._rng = random.Random(seed)
         self._busy: set[str] = set()
         self._kinds = kinds or tuple(EPISODES)
@@ -75,16 +90,30 @@
         """Play for about *seconds*, then wait until everything is whole again."""
         until = await curio.clock() + seconds
         async with curio.TaskGroup() as group:
-            while await curio.clock() < until:
+            for number in itertools.count():
+                if await curio.clock() >= until:
+                    break
                 name = self._rng.choice(sorted(self._kinds))
-                await group.spawn(self._series, EPISODES[name])
+                await group.spawn(self._of_its_own(number)._series, EPISODES[name])
                 await curio.sleep(self._rng.uniform(*GAP_S))
 
+    def _of_its_own(self, number: int) -> Faults:
+        """Return a player of the same faults whose draws no other episode disturbs.
+
+        Episodes overlap, and the order in which they draw would depend on the machine's speed.
+        """
+        player = copy.copy(self)
+        player._rng = random.Random(f"{self._seed}-{number}")
+        return player
+
     async def _series(self, episode: Episode) -> None:
-        for _ in range(self._rng.randint(1, SERIES) if self._rng.random() < 0.4 else 1):
+        for _ in range(self._rng.randint(1, SERIES) if self._by_chance(SERIES_SHARE) else 1):
             await episode(self)
             await curio.sleep(self._rng.uniform(*SERIES_GAP_S))
 
+    def _by_chance(self, share: float) -> bool:
+        return self._rng.random() < share
+
     def _begin(self, kind: str, target: str, *, planned: bool = False) -> Trouble:
         trouble = Trouble(kind, target, time.time(), planned=planned)
         self.played.append(trouble)
@@ -149,7 +178,7 @@
 
     async def _stop_server(self) -> None:
         place = self._place()
-        silent = self._rng.random() < 0.3
+        silent = self._by_chance(SILENT_SHARE)
         await self._stop(place.name, lambda: self._fleet.start_server(place, silent_leave=silent))
 
     async def _pause(self, name: str) -> None:
@@ -174,7 +203,7 @@
         if not self._take(gateway.name):
             return
         self._begin("reload", gateway.name, planned=True).ended = time.time()
-        if self._rng.random() < 0.4:
+        if self._by_chance(UNREADABLE_SHARE):
             self._fleet.write_settings(gateway, "name = [")
         self._fleet.signal(gateway.name, signal.SIGHUP)
         await curio.sleep(self._rng.uniform(*SERIES_GAP_S))
@@ -200,7 +229,7 @@
 
     async def _path(self, link: Link, kind: str, target: str) -> None:
         trouble = self._begin(f"{kind}-reset", target)
-        if self._rng.random() < 0.3:
+        if self._by_chance(RESET_SHARE):
             await link.reset()
             trouble.ended = time.time()
             return
@@ -224,7 +253,7 @@
     async def _harm_store(self) -> None:
         if not self._take("store"):
             return
-        lapse = self._rng.random() < 0.3
+        lapse = self._by_chance(LAPSE_SHARE)
         fault: dict[str, Any] = self._rng.choice(
             [
                 {"down": "silent", "lapse": lapse},
@@ -247,8 +276,8 @@
         """Publish a change, or several in quick succession."""
         if not self._take("config"):
             return
-        for _ in range(STORM if self._rng.random() < 0.3 else 1):
-            await self._fleet.publish(move=self._rng.random() < 0.5)
+        for _ in range(STORM if self._by_chance(STORM_SHARE) else 1):
+            await self._fleet.publish(move=self._by_chance(MOVE_SHARE))
         self._busy.discard("config")
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from pathlib import Path
-from typing import Any
+from typing import Any, cast
 
 import curio
 import pytest
@@ -14,7 +14,8 @@
 from crankhinge.runtime import get_log, until_first
 from crankhinge_bench._procs import HOST, free_ports
 from crankhinge_soak._check import History, check
-from crankhinge_soak._faults import Trouble
+from crankhinge_soak._faults import Faults, Trouble
+from crankhinge_soak._fleet import Fleet
 from crankhinge_soak._link import Harm, Link
 from crankhinge_soak._load import Probe, Seen
 from crankhinge_soak.main import main, make_parser, run_seed, seeds_of
@@ -150,6 +151,16 @@
     assert promise in broken(history(**differs))
 
 
+def test_an_episode_draws_for_itself() -> None:
+    """However many draws others made before: the seed fixes the schedule, not the machine."""
+    faults = Faults(cast(Fleet, None), 5)
+    first = faults._of_its_own(2)._rng.random()
+    faults._of_its_own(1)._rng.random()
+    assert faults._of_its_own(2)._rng.random() == first
+    assert faults._of_its_own(3)._rng.random() != first
+    assert faults._of_its_own(2).played is faults.played
+
+
 class TestExcuses:
     """What does not count against an instance."""
 
