--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -14,7 +14,7 @@
 import curio
 
 from crankhinge_soak._fleet import Fleet, Gateway, Place
-from crankhinge_soak._link import Harm, Link
+from crankhinge_soak._proxy import Harm, Proxy
 
 # Seconds between the beginnings of two episodes, and how often one is repeated at once.
 GAP_S = (0.2, 1.6)
@@ -227,16 +227,16 @@
         await self._lasting(trouble)
         await self._fleet.faults(place.port, **WHOLE)
 
-    async def _path(self, link: Link, kind: str, target: str) -> None:
+    async def _path(self, proxy: Proxy, kind: str, target: str) -> None:
         trouble = self._begin(f"{kind}-reset", target)
         if self._by_chance(RESET_SHARE):
-            await link.reset()
+            await proxy.reset()
             trouble.ended = time.time()
             return
-        link.harm = self._rng.choice([harm for harm in Harm if harm is not Harm.NONE])
-        trouble.kind = f"{kind}-{link.harm.value}"
+        proxy.harm = self._rng.choice([harm for harm in Harm if harm is not Harm.NONE])
+        trouble.kind = f"{kind}-{proxy.harm.value}"
         await self._lasting(trouble)
-        link.harm = Harm.NONE
+        proxy.harm = Harm.NONE
 
     async def _path_to_store(self) -> None:
         gateway = self._gateway()
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -14,7 +14,7 @@
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import HttpClient
 from crankhinge_bench._procs import HOST, Procs, free_ports
-from crankhinge_soak._link import Link
+from crankhinge_soak._proxy import Proxy
 from crankhinge_soak._skewed import CLOCK
 
 GATEWAYS = 3
@@ -69,8 +69,8 @@
     name: str
     port: int
     ready_port: int
-    front: Link
-    store: Link
+    front: Proxy
+    store: Proxy
     life: int = 0
 
 
@@ -90,7 +90,7 @@
     service: str
     phase: str
     port: int
-    path: Link
+    path: Proxy
 
 
 @dataclass
@@ -113,19 +113,19 @@
         self.gateways = []
         for number in range(GATEWAYS):
             port, ready = next(ports), next(ports)
-            front, store = Link(next(ports), port), Link(next(ports), self.store_port)
+            front, store = Proxy(next(ports), port), Proxy(next(ports), self.store_port)
             self.gateways.append(Gateway(f"gateway-{number}", port, ready, front, store))
         self.places = []
         for service, phase, count in SERVERS:
             for number in range(count):
                 port = next(ports)
                 name = f"{service}-{phase or 'one'}-{number}"
-                self.places.append(Place(name, service, phase, port, Link(next(ports), port)))
+                self.places.append(Place(name, service, phase, port, Proxy(next(ports), port)))
 
-    def links(self) -> list[Link]:
-        """Return every path."""
+    def proxies(self) -> list[Proxy]:
+        """Return the proxy of every path."""
         paths = [place.path for place in self.places]
-        return paths + [link for gw in self.gateways for link in (gw.front, gw.store)]
+        return paths + [proxy for gw in self.gateways for proxy in (gw.front, gw.store)]
 
     def start(self) -> None:
         """Start the store and everything else."""
--- a/src/crankhinge_soak/_link.py
+++ b/src/crankhinge_soak/_proxy.py
@@ -31,7 +31,7 @@
     CUT_BACK = "cut-back"
 
 
-class Link:
+class Proxy:
     """The path to one listener.
 
     Bytes that a cut holds up are delivered when it is over, as over a real partition; a reset
@@ -50,7 +50,7 @@
 
     async def run(self) -> None:
         """Carry connections until cancelled."""
-        await serve_tcp(HOST, self.port, self._carry, log=get_log(program="soak-link"))
+        await serve_tcp(HOST, self.port, self._carry, log=get_log(program="soak-proxy"))
 
     async def reset(self) -> None:
         """Reset every connection, in both directions."""
--- a/src/crankhinge_soak/main.py
+++ b/src/crankhinge_soak/main.py
@@ -62,8 +62,8 @@
 async def _play(fleet: Fleet, load: Load, faults: Faults, seconds: float) -> float:
     """Play a seed; returns the wall clock from which all was whole."""
     async with curio.TaskGroup() as paths:
-        for link in fleet.links():
-            await paths.spawn(link.run)
+        for proxy in fleet.proxies():
+            await paths.spawn(proxy.run)
         await fleet.publish()
         async with curio.TaskGroup() as group:
             await group.spawn(load.run)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -16,8 +16,8 @@
 from crankhinge_soak._check import History, check
 from crankhinge_soak._faults import Faults, Trouble
 from crankhinge_soak._fleet import Fleet
-from crankhinge_soak._link import Harm, Link
 from crankhinge_soak._load import Probe, Seen
+from crankhinge_soak._proxy import Harm, Proxy
 from crankhinge_soak.main import main, make_parser, run_seed, seeds_of
 
 # Wall clock at which the histories of these tests begin.
@@ -200,34 +200,34 @@
     await exchange.respond(400, exc.detail.encode())
 
 
-class TestLink:
+class TestProxy:
     """A path and its harm."""
 
     def play(self, story: Any) -> None:
         """Run *story* with a path to a server that echoes."""
         port, target = free_ports(2)
-        link, log = Link(port, target), get_log(program="t")
+        proxy, log = Proxy(port, target), get_log(program="t")
 
         async def server() -> None:
             await serve_http(HOST, target, _echo, on_bad=_on_bad, log=log)
 
         async def told() -> None:
             await curio.sleep(0.1)
-            await story(link, HttpClient(HOST, port, pool_size=1))
+            await story(proxy, HttpClient(HOST, port, pool_size=1))
 
-        curio.run(until_first, server, link.run, told)
+        curio.run(until_first, server, proxy.run, told)
 
     @pytest.mark.parametrize("harm", [Harm.SILENT, Harm.CUT_THERE, Harm.CUT_BACK])
     def test_a_cut_holds_bytes_up_until_it_is_over(self, harm: Harm) -> None:
         """They are delivered then, in order."""
 
-        async def story(link: Link, client: HttpClient) -> None:
+        async def story(proxy: Proxy, client: HttpClient) -> None:
             assert (await client.call("GET", "/a")).body == b"/a"
-            link.harm = harm
+            proxy.harm = harm
             call = await curio.spawn(client.call, "GET", "/b")
             await curio.sleep(0.3)
             assert not call.terminated
-            link.harm = Harm.NONE
+            proxy.harm = Harm.NONE
             assert (await call.join()).body == b"/b"
 
         self.play(story)
@@ -235,15 +235,15 @@
     def test_a_reset_ends_open_connections(self) -> None:
         """And new ones come up."""
 
-        async def story(link: Link, client: HttpClient) -> None:
-            link.harm = Harm.CUT_BACK
+        async def story(proxy: Proxy, client: HttpClient) -> None:
+            proxy.harm = Harm.CUT_BACK
             call = await curio.spawn(client.call, "GET", "/a")
             await curio.sleep(0.2)
-            await link.reset()
+            await proxy.reset()
             with pytest.raises(curio.TaskError) as caught:
                 await call.join()
             assert isinstance(caught.value.__cause__, HttpClosed)
-            link.harm = Harm.NONE
+            proxy.harm = Harm.NONE
             assert (await client.call("GET", "/b")).body == b"/b"
 
         self.play(story)
@@ -257,7 +257,7 @@
             with pytest.raises(HttpClosed):
                 await HttpClient(HOST, port).call("GET", "/a")
 
-        curio.run(until_first, Link(port, target).run, story)
+        curio.run(until_first, Proxy(port, target).run, story)
 
 
 class TestRun:
