SIGHUP during the start ends nothing

A second gap beside it: the descriptor that takes signals was set after their handlers, so that a SIGTERM between the two would have been lost.

Change: gateway, entry and agent ignore SIGHUP before they import anything; the descriptor comes first.

Figures: the new test fails without the change ("never ignored before the start").

--- a/src/crankhinge/entry/main.py
+++ b/src/crankhinge/entry/main.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from crankhinge._early import ignore_reloads
 from crankhinge._slim import keep_out_unused_modules
 
 
 def main(argv: list[str] | None = None) -> int:
     """Run the program; returns its exit status."""
+    ignore_reloads()
     keep_out_unused_modules()
     # Only now: importing the program imports the libraries.
     from crankhinge.entry._program import run
--- a/src/crankhinge/runtime/_process.py
+++ b/src/crankhinge/runtime/_process.py
@@ -157,9 +157,10 @@
     receiver, sender = socket.socketpair()
     receiver.setblocking(False)
     sender.setblocking(False)
+    # First of all: a signal between a handler and the descriptor would be lost.
+    signal.set_wakeup_fd(sender.fileno())
     for signum in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(signum, lambda *_: None)
-    signal.set_wakeup_fd(sender.fileno())
     conn = curio.io.Socket(receiver)
     try:
         while True:
--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -110,6 +110,31 @@
             http_json("GET", program.ports[1], "/readyz")
 
 
+def ignores_hangups(pid: int) -> bool:
+    """Whether a process ignores SIGHUP, as the kernel tells (proc(5), ``SigIgn``)."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    [mask] = [line.split()[1] for line in status.splitlines() if line.startswith("SigIgn:")]
+    return bool(int(mask, 16) >> (signal.SIGHUP - 1) & 1)
+
+
+def test_a_reload_during_the_start_ends_nothing(tmp_path: Path) -> None:
+    """Found by the soak (seeds 119 and 139): SIGHUP ended a process that was still starting."""
+    program = Program(tmp_path)
+    try:
+        until = time.monotonic() + PATIENCE_S
+        while not ignores_hangups(program.proc.pid):
+            assert "event=started" not in program.out.read_text(), "never ignored before the start"
+            assert time.monotonic() < until
+            time.sleep(0.001)
+        program.proc.send_signal(signal.SIGHUP)
+        program.wait_for("event=started")
+        program.proc.send_signal(signal.SIGHUP)
+        program.wait_for("event=reloaded cause=sighup")
+    finally:
+        program.proc.kill()
+        program.proc.wait()
+
+
 def test_settings_are_checked_whole(tmp_path: Path) -> None:
     """Status 2, with file, key and reason."""
     path = tmp_path / "bad.toml"
