Tests of when an instance writes its note

Cause: the cadence of notes was shown by tests of orders only in passing.

Ruled out: nothing.

Change: six tests under the pausing clock, with a board that can be away.

--- /dev/null
+++ b/tests/test_shared_work.py
@@ -0,0 +1,144 @@
+"""Tests of when an instance tells the others what its requests take."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+import curio
+
+from crankhinge.adapters import WorkBoard
+from crankhinge.decisions import WorkMeter, WorkSheet
+from crankhinge.errors import KeyValueUnavailable
+from crankhinge.gateway._shared_work import AGAIN_S, LATEST_S, SharedWork
+from crankhinge.runtime import get_log, until_first
+from platform_fakes import Lines
+from virtual_time import run_virtual
+
+
+class Board(WorkBoard):
+    """Remembers what was published; away when told so."""
+
+    def __init__(self) -> None:
+        self.published: list[dict[str, WorkSheet]] = []
+        self.away = False
+
+    async def publish(self, name: str, sheets: Mapping[str, WorkSheet]) -> None:
+        """Take a note."""
+        if self.away:
+            raise KeyValueUnavailable("away")
+        self.published.append(dict(sheets))
+
+    async def read(self) -> dict[str, dict[str, WorkSheet]]:
+        """Return the last note under another instance's name."""
+        return {"other": self.published[-1]}
+
+
+class Instance:
+    """A meter and the task that tells of it."""
+
+    def __init__(self) -> None:
+        self.board = Board()
+        self.meter = WorkMeter()
+        self.lines = Lines()
+        log = get_log(program="t", stream=self.lines)
+        self.work = SharedWork(name="here", board=self.board, meters={"llm": self.meter}, log=log)
+
+    def serve(self, count: int, *, pace_s: float = 0.004) -> None:
+        """Note *count* requests."""
+        for _ in range(count):
+            self.meter.was_read(3000, 0.1)
+            self.meter.was_admitted(0.1, 800)
+            self.meter.was_written(800, 800 * pace_s)
+
+    def play(self, story: object) -> None:
+        """Run the task under *story*."""
+        run_virtual(until_first, self.work.run, story)
+
+
+class TestNote:
+    """When the note is written."""
+
+    def test_nothing_is_told_before_something_was_measured(self) -> None:
+        """An empty note costs two calls and tells nothing."""
+        here = Instance()
+
+        async def story() -> None:
+            await curio.sleep(60.0)
+            assert here.board.published == []
+
+        here.play(story)
+
+    def test_what_stays_true_is_told_rarely(self) -> None:
+        """At once, then only before the store would drop it."""
+        here = Instance()
+
+        async def story() -> None:
+            here.serve(10)
+            await curio.sleep(2.0)
+            assert len(here.board.published) == 1
+            await curio.sleep(LATEST_S - 5.0)
+            assert len(here.board.published) == 1
+            await curio.sleep(10.0)
+            assert len(here.board.published) == 2
+
+        here.play(story)
+
+    def test_twice_the_samples_are_told(self) -> None:
+        """They weigh more where they are put together."""
+        here = Instance()
+
+        async def story() -> None:
+            here.serve(5)
+            await curio.sleep(4.0)
+            here.serve(5)
+            await curio.sleep(4.0)
+            assert [note["llm"].admitted for note in here.board.published] == [5, 10]
+
+        here.play(story)
+
+    def test_loads_that_moved_are_told(self) -> None:
+        """Answers take three times as long."""
+        here = Instance()
+
+        async def story() -> None:
+            here.serve(100)
+            await curio.sleep(4.0)
+            here.serve(60, pace_s=0.012)
+            await curio.sleep(4.0)
+            first, second = here.board.published
+            assert second["llm"].pace_s > 1.5 * first["llm"].pace_s
+
+        here.play(story)
+
+    def test_a_note_that_was_not_taken_is_tried_again(self) -> None:
+        """After a while, with a line that says why."""
+        here = Instance()
+
+        async def story() -> None:
+            here.board.away = True
+            here.serve(10)
+            await curio.sleep(2.0)
+            assert here.lines.having("event=note_unknown", "why=away")
+            here.board.away = False
+            await curio.sleep(AGAIN_S + 2.0)
+            assert len(here.board.published) == 1
+
+        here.play(story)
+
+
+class TestTogether:
+    """What all instances measured."""
+
+    def test_the_own_note_is_the_newest(self) -> None:
+        """Not what the store holds of it, but what was measured until now."""
+        here = Instance()
+
+        async def story() -> None:
+            here.serve(10)
+            await curio.sleep(2.0)
+            here.serve(5)
+            loads, answers = await here.work.together("llm")
+            assert loads is not None
+            assert answers == 10 + 15
+
+        here.play(story)
