The callers' account: what service was worth from the first try, from gateways' logs

Cause: the users value a request from its first try; nothing of ours measured that, so changes were judged by the bench alone. Change: the line about a request's end tells what decides it (target, the caller's wait, first event, longest pause, kind); crankhinge-ctl callers makes the account by route and by window, with weights as settings. Ruled out: linking a return to its first try by identity (each try has its own); it is told by the caller's shorter wait.

--- a/src/crankhinge/ctl/main.py
+++ b/src/crankhinge/ctl/main.py
@@ -16,6 +16,7 @@
     show_status,
     sign_bundle,
 )
+from crankhinge.ctl._callers import callers_account
 from crankhinge.ctl._explain import explain
 from crankhinge.ctl._publish import publish_bundle
 from crankhinge.ctl._reference import reference
@@ -26,6 +27,9 @@
 EXIT_CONFLICT = 3
 EXIT_UNKNOWN = 4
 
+# Length of a window of the callers' account: a burst of traffic lasts some seconds.
+WINDOW_S = 2.0
+
 EPILOG = (
     "exit status: 0 done, 2 bad input, 3 another bundle was accepted first (nothing was written), "
     "4 the key-value service gave no answer (run the same command again: that is safe)"
@@ -80,6 +84,11 @@
     story.add_argument("request", help="its identity, as the caller sent it")
     story.add_argument("logs", nargs="+", help="logs of the programs")
     story.set_defaults(run=explain)
+    callers = nouns.add_parser("callers", help="what service was worth to callers, from logs")
+    callers.add_argument("logs", nargs="+", help="logs of gateways")
+    callers.add_argument("--weights", help="TOML file of weights; defaults without it")
+    callers.add_argument("--window", type=float, default=WINDOW_S, help="seconds of a window")
+    callers.set_defaults(run=callers_account)
     nouns.add_parser("reference", help="settings and bundle, as a page").set_defaults(run=reference)
     return parser
 
--- a/src/crankhinge/decisions/_routes.py
+++ b/src/crankhinge/decisions/_routes.py
@@ -38,6 +38,7 @@
         max_servers: most backend servers that one request may be sent to.
         resumable: whether another server may take up a broken stream.
         split: the services and their weights; one with weight 1 as a rule.
+        pause_s: longest pause between the events of a stream that is in time; 0 for no bound.
     """
 
     name: str
@@ -50,6 +51,7 @@
     max_servers: int
     resumable: bool
     split: tuple[Share, ...]
+    pause_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -168,27 +168,34 @@
         self._open += 1
         try:
             ask = self._dialect.read_ask(exchange.req)
-            async with curio.TaskGroup(wait=any) as group:
-                work = await group.spawn(self._answer, exchange, ask)
-                await group.spawn(exchange.wait_gone)
-            if group.completed is not work:
-                self._metrics.count("callers_gone")
-                self._log.info("caller_gone", request=ask.ident)
-                raise HttpClosed("the caller has gone")
-            if not work.result:
+            if not await self._answer_or_gone(exchange, ask):
                 raise HttpClosed("broken off")
         finally:
             self._open -= 1
 
-    async def _answer(self, exchange: Exchange, ask: RelayAsk) -> bool:
-        """Answer one request; returns whether the caller has a whole answer."""
-        relay: Relay | None = None
+    async def _answer_or_gone(self, exchange: Exchange, ask: RelayAsk) -> bool:
+        """Answer one request while its caller is there; returns whether it has a whole answer."""
         try:
             relay = await self._admit(exchange, ask)
+        except CrankhingeError as exc:
+            return await self._refuse(exchange, ask, None, exc)
+        async with curio.TaskGroup(wait=any) as group:
+            work = await group.spawn(self._answer, relay)
+            await group.spawn(exchange.wait_gone)
+        if group.completed is work:
+            return bool(work.result)
+        self._metrics.count("callers_gone")
+        await _clock_out(relay)
+        self._log.info("caller_gone", request=ask.ident, route=relay.route.name, **relay.facts)
+        raise HttpClosed("the caller has gone")
+
+    async def _answer(self, relay: Relay) -> bool:
+        """Answer one request; returns whether the caller has a whole answer."""
+        try:
             await self._run(relay)
         except CrankhingeError as exc:
-            return await self._refuse(exchange, ask, relay, exc)
-        relay.facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
+            return await self._refuse(relay.exchange, relay.ask, relay, exc)
+        await _clock_out(relay)
         self._note_end(relay)
         return True
 
@@ -231,9 +238,17 @@
         if service is None:
             raise NotReady(f"route {route.name} names a service that is not there")
         began = await curio.clock()
-        within = min(route.timeout_s, LONGEST_S if ask.within_s is None else ask.within_s)
-        relay = Relay(exchange, ask, route, service, table.version, began, began + within)
-        relay.facts["service"] = service.name
+        caller_s = LONGEST_S if ask.within_s is None else ask.within_s
+        until = began + min(route.timeout_s, caller_s)
+        relay = Relay(exchange, ask, route, service, table.version, began, until)
+        relay.facts.update(
+            service=service.name,
+            kind=route.kind.value,
+            target_ms=round(route.target_s * 1000),
+            within_ms=round(caller_s * 1000),
+        )
+        if route.pause_s:
+            relay.facts["pause_ms"] = round(route.pause_s * 1000)
         # How long ago the list of servers was last heard of, in seconds: what is believed of
         # servers is at least that old, unless the list is watched and did not change.
         relay.facts["list_age_s"] = round(began - self._directory.heard["servers"], 1)
@@ -260,10 +275,11 @@
             status = 502
         elif not ran and status in (500, 502, 504):
             status = 503
-        facts = {} if relay is None else dict(relay.facts)
+        facts: dict[str, Any] = {}
         if relay is not None:
-            facts.update(route=relay.route.name, config=relay.version, sent=len(relay.sent))
-            facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
+            await _clock_out(relay)
+            facts.update(relay.facts, route=relay.route.name, config=relay.version)
+            facts["sent"] = len(relay.sent)
         facts.update(code=exc.code, why=exc.detail, outcome=outcome.value, status=status)
         self._metrics.count(f"failed.{exc.code}")
         if exchange.started or isinstance(exc, HttpClosed):
@@ -283,5 +299,10 @@
         return True
 
 
+async def _clock_out(relay: Relay) -> None:
+    """Note how long a request was in the gateway's hands."""
+    relay.facts["took_ms"] = round((await curio.clock() - relay.began) * 1000)
+
+
 def _body(exc: CrankhingeError, outcome: Outcome) -> bytes:
     return msgspec.json.encode({"error": exc.code, "detail": exc.detail, "outcome": outcome.value})
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -31,6 +31,7 @@
         unreached: identities of servers that could not be reached; nothing arrived there.
         may_have_run: whether a server may have run it.
         was_read: whether an engine has read its prompt.
+        event_at: when the caller was last sent an event; None before the first.
         facts: what the line about its end tells.
     """
 
@@ -45,6 +46,7 @@
     unreached: list[str] = field(default_factory=list)
     may_have_run: bool = False
     was_read: bool = False
+    event_at: float | None = None
     facts: dict[str, Any] = field(default_factory=dict)
 
     async def left(self) -> float:
@@ -52,6 +54,15 @@
         now: float = await curio.clock()
         return self.until - now
 
+    def note_event(self, now: float) -> None:
+        """Note that events go to the caller: when the first did, and the longest pause since."""
+        if self.event_at is None:
+            self.facts["first_ms"] = round((now - self.began) * 1000)
+        else:
+            gap_ms = round((now - self.event_at) * 1000)
+            self.facts["gap_ms"] = max(gap_ms, self.facts.get("gap_ms", 0))
+        self.event_at = now
+
     def not_reached(self) -> bool:
         """Note that the last server was not reached; returns whether another may be tried."""
         self.unreached.append(self.sent.pop())
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -244,9 +244,7 @@
         while chunk := await stream.next_chunk():
             whole = events.feed(chunk)
             if whole:
-                if "first_ms" not in relay.facts:
-                    took = await curio.clock() - relay.began
-                    relay.facts["first_ms"] = round(took * 1000)
+                relay.note_event(await curio.clock())
                 await exchange.write(whole)
         if events.rest:
             await exchange.write(events.rest)
--- /dev/null
+++ b/tests/test_callers.py
@@ -0,0 +1,168 @@
+"""Tests of the callers' account, on logs made here and by a gateway."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from crankhinge.burn import (
+    CallersAccount,
+    CallerWeights,
+    Outcome,
+    callers_account,
+    read_tries,
+)
+from crankhinge.ctl.main import main
+from platform_fakes import World, route
+from virtual_time import run_virtual
+
+STREAM = route("r-stream", "/stream/", "streaming", "llm")
+TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
+
+
+def line(event: str, ident: str, second: int, **more: object) -> str:
+    """Return a line about the end of a stream."""
+    facts: dict[str, object] = {
+        "route": "r",
+        "kind": "stream",
+        "target_ms": 900,
+        "within_ms": 14000,
+        "pause_ms": 300,
+        "prompt": 100,
+        "most": 10,
+        "took_ms": 2000,
+        **more,
+    }
+    pairs = " ".join(f"{key}={value}" for key, value in facts.items())
+    return f"ts=2026-01-01T00:00:{second:02d}Z event={event} request={ident} {pairs}\n"
+
+
+ANSWERED = {"status": 200, "first_ms": 500, "gap_ms": 50}
+REFUSED = {"status": 503}
+BACK = {"within_ms": 11000}
+
+
+def account_of(path: Path, *lines: str, weights: CallerWeights | None = None) -> CallersAccount:
+    """Return the account of a log with *lines*."""
+    path.write_text("".join(lines))
+    return callers_account(read_tries([path]), weights or CallerWeights(), window_s=2.0)
+
+
+class TestCallersAccount:
+    """What counts, and how much."""
+
+    @pytest.mark.parametrize(
+        ("event", "more", "outcome"),
+        [
+            ("answered", ANSWERED, Outcome.IN_TIME),
+            ("answered", {**ANSWERED, "first_ms": 901}, Outcome.LATE),
+            ("answered", {**ANSWERED, "gap_ms": 301}, Outcome.LATE),
+            ("answered", {"status": 500}, Outcome.FAILED),
+            ("request_failed", {**REFUSED, "took_ms": 20}, Outcome.REFUSED_AT_ONCE),
+            ("request_failed", {**REFUSED, "took_ms": 700}, Outcome.REFUSED_LATER),
+            ("request_failed", {"status": 502}, Outcome.FAILED),
+            ("broken_off", {}, Outcome.FAILED),
+            ("caller_gone", {"took_ms": 4000}, Outcome.FAILED),
+            ("caller_gone", {"took_ms": 400}, Outcome.LEFT),
+        ],
+    )
+    def test_tells_how_a_try_ended(
+        self, tmp_path: Path, event: str, more: dict[str, object], outcome: Outcome
+    ) -> None:
+        """By the event, the status and the times on its line."""
+        path = tmp_path / "log"
+        path.write_text(line(event, "a", 1, **more))
+        assert [one.outcome for one in read_tries([path])] == [outcome]
+
+    def test_a_return_that_is_served_earns_nothing(self, tmp_path: Path) -> None:
+        """The refused first try stays a refused one; a failed return costs besides."""
+        refused = line("request_failed", "a", 1, **REFUSED, took_ms=0)
+        served = account_of(tmp_path / "a", refused, line("answered", "b", 5, **ANSWERED, **BACK))
+        again = account_of(
+            tmp_path / "b", refused, line("request_failed", "b", 5, **REFUSED, **BACK, took_ms=0)
+        )
+        assert served.whole.worth == pytest.approx(0.0)
+        assert served.whole.returns[Outcome.IN_TIME] == 1
+        assert again.whole.worth == pytest.approx(-CallerWeights().failed_return)
+
+    def test_seconds_held_in_vain_cost_without_steps(self, tmp_path: Path) -> None:
+        """Twice as long costs twice as much, and what is served costs nothing for its wait."""
+        costs = [
+            account_of(
+                tmp_path / "a", line("request_failed", "a", 9, **REFUSED, took_ms=took)
+            ).whole.costs
+            for took in (0, 1500, 3000)
+        ]
+        assert costs[0] == 0
+        assert costs[2] == pytest.approx(2 * costs[1])
+        late = account_of(
+            tmp_path / "b", line("answered", "a", 9, status=200, first_ms=3000, took_ms=5000)
+        )
+        assert late.whole.worth == pytest.approx(CallerWeights().late)
+
+    def test_a_refusal_without_asking_anybody_is_needless(self, tmp_path: Path) -> None:
+        """Unless others waited before it."""
+        end = line("request_failed", "a", 1, **REFUSED, took_ms=0)
+        for asked, ahead, needless in ((0, 0, 1), (0, 2, 0), (3, 0, 0)):
+            place = f"event=place_refused request=a asked={asked} ahead={ahead}\n"
+            account = account_of(tmp_path / "a", place, end)
+            assert account.whole.costs == pytest.approx(needless * CallerWeights().needless)
+
+    def test_large_requests_and_dear_kinds_weigh_more(self, tmp_path: Path) -> None:
+        """A request of thrice the size of another, and a kind worth thirty of another."""
+        large = line("answered", "a", 1, **ANSWERED, prompt=500)
+        small = line("request_failed", "b", 1, **REFUSED, took_ms=0)
+        plain = line("request_failed", "c", 1, **REFUSED, took_ms=0, kind="once", route="p", most=0)
+        weights = CallerWeights(kinds={"stream": 30.0})
+        account = account_of(tmp_path / "a", large, small, plain, weights=weights)
+        assert account.routes["r"].worth == pytest.approx((0.3 + 0.7 * 1.5) / 2)
+        assert account.whole.owed == pytest.approx(61.0)
+
+    def test_windows_begin_when_requests_do(self, tmp_path: Path) -> None:
+        """One that began in the first window and ended in a later one belongs to the first."""
+        account = account_of(
+            tmp_path / "a",
+            line("answered", "a", 5, **ANSWERED, took_ms=5000),
+            line("request_failed", "b", 4, **REFUSED, took_ms=0),
+        )
+        assert {number: tally.worth for number, tally in account.windows.items()} == {0: 1, 2: 0}
+
+
+class TestCommand:
+    """``crankhinge-ctl callers``."""
+
+    def test_accounts_for_what_a_gateway_logged(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """A stream in time and one for which there is no room, from the gateway's own lines."""
+        world = World()
+        world.add("i-reader", "llm", "prefill")
+        writer = world.add("i-writer", "llm", "decode")
+
+        async def story() -> None:
+            assert (await world.call("served", "/stream/a", **TOKENS))[0] == 200
+            writer.room = 0
+            assert (await world.call("refused", "/stream/a", **TOKENS))[0] == 503
+
+        run_virtual(world.play, story, STREAM, settle_s=0.003)
+        path = tmp_path / "log"
+        path.write_text("".join(world.lines.text))
+        assert main(["callers", str(path)]) == 0
+        rows = [row.split("|")[1:-1] for row in capsys.readouterr().out.splitlines()]
+        whole = {name.strip(): cell.strip() for name, cell in zip(rows[0], rows[2], strict=True)}
+        assert whole["in time"] == "1"
+        assert int(whole["refused at once"]) + int(whole["refused after a wait"]) == 1
+        assert 0.3 < float(whole["worth"]) <= 0.5
+
+    def test_bad_input_is_an_error(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """A log without requests, one that is not there, and weights that are none."""
+        empty = tmp_path / "log"
+        empty.write_text("nothing\nevent=answered took_ms=x within_ms=1\n")
+        weights = tmp_path / "weights.toml"
+        weights.write_text("late = -1\n")
+        for args in ([str(empty)], ["none"], [str(empty), "--weights", str(weights)]):
+            assert main(["callers", *args]) == 2
+            assert capsys.readouterr().err
