Who may be in time on the first try asks for memory before returns and late requests

Change: one order of waiting for each service: first tries that can be in time, then late ones and returns, each by arrival; one behind asks only for less memory than all before it. A first try is in time while its target less the measured time from a place to the first event lasts. A late answer or a return is waited for as long as it is worth more than the seconds held cost, and never longer than a caller of a silent stream stays. Returns are told by their callers' longest wait on the route, not by the route's time.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -31,7 +31,17 @@
 )
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
-from crankhinge.decisions._places import SERVE_S, PlaceAsk, back_after, memory_needed, places_to_ask
+from crankhinge.decisions._places import (
+    FIRST_S,
+    SERVE_S,
+    FirstTries,
+    PlaceAsk,
+    WaitingOrder,
+    back_after,
+    memory_needed,
+    places_to_ask,
+    silent_s,
+)
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._rendezvous import rank_by_key
 from crankhinge.decisions._roll import (
@@ -66,6 +76,7 @@
 from crankhinge.decisions._work import WorkQueue
 
 __all__ = [
+    "FIRST_S",
     "FULL",
     "MANY_ANSWERS",
     "NAIVE",
@@ -86,6 +97,7 @@
     "FenceRole",
     "FenceState",
     "FenceSync",
+    "FirstTries",
     "Grant",
     "Loads",
     "Mechanisms",
@@ -123,6 +135,7 @@
     "Take",
     "Taken",
     "TakenBefore",
+    "WaitingOrder",
     "WorkAsk",
     "WorkMeter",
     "WorkQueue",
@@ -135,6 +148,7 @@
     "pick_server",
     "places_to_ask",
     "rank_by_key",
+    "silent_s",
     "to_load",
     "try_acquire",
     "wanted_readers",
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -8,26 +8,36 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from crankhinge.decisions._servers import Server
 from crankhinge.decisions._standing import Standing
 
-# A newcomer leaves an engine alone for this long after its refusal, in seconds: who came back
-# asks first, since a second refusal costs more than a first. Who is late anyway asks last.
-YIELD_S = 0.12
-LATE_YIELD_S = 0.4
-# Part of the time for the first event that a newcomer may wait for a place. A refusal within a
-# quarter of that time is worth half an answer when the request is served on its return.
-NEWCOMER_PART = 0.18
-# The same for a request that was refused before; reading and the first event take the rest.
-RETURNED_WAIT_PART = 0.55
-# After that it goes on waiting, behind everybody else, until this part: an answer that is late is
-# worth less than one in time and more than none. Callers leave at four times the objective.
-LATE_WAIT_PART = 3.0
-# A request with less than this part of its route's time left has been refused before.
+# What a served request is worth to its caller, and what waiting costs, in parts of the worth of an
+# answer in time: an answer that is late, an answer on a return (late, and no second refusal), and a
+# second held in vain. A caller held for three quarters of 14 s has lost all of it.
+LATE_WORTH = 0.2
+RETURN_WORTH = 0.5
+HELD_PER_S = 0.1
+# An engine that refused is left alone for this long, in seconds, by requests that are late anyway,
+# so that others', which may yet be in time, find the memory that frees first.
+LATE_YIELD_S = 0.3
+# A caller of a stream leaves when no event has come for the longest of these: seconds, the route's
+# target and its longest pause, so many times over, as the operators state it.
+SILENT_S = 2.0
+SILENT_TARGETS = 4.0
+SILENT_PAUSES = 8.0
+# Seconds before that at which its first event has to be on its way.
+SILENT_SPARE_S = 0.2
+# Seconds from a place to the first event, until some were measured.
+FIRST_S = 0.25
+# A request is held to have come back when its caller waits less than this part of the longest wait
+# seen on its route.
 RETURNED_PART = 0.985
+# Waits that are remembered of a route: enough to hold a first try also when most are returns.
+WAITS_KEPT = 64
 # Reading and writing are held to take this long, in seconds, until answers have shown the pace.
 SERVE_S = 3.0
 # What is left after coming back and being served, in seconds: the wait for a place, then.
@@ -51,37 +61,114 @@
 
     Attributes:
         tokens: memory, in tokens.
-        first_by_s: seconds within which its first event is worth most.
+        target_s: seconds within which its first event is in time.
         left_s: seconds that its caller still waits.
-        route_s: seconds that its route allows from the start.
+        silent_s: seconds that its caller waits for a first event.
+        returned: whether it was refused before and has come back.
         serve_s: seconds that reading it and writing its likely answer take.
+        first_s: seconds from a place to its first event.
     """
 
     tokens: int
-    first_by_s: float
+    target_s: float
     left_s: float
-    route_s: float
+    silent_s: float = float("inf")
+    returned: bool = False
     serve_s: float = SERVE_S
+    first_s: float = FIRST_S
 
     @property
-    def returned(self) -> bool:
-        """Whether it was refused before and has come back."""
-        return self.left_s < self.route_s * RETURNED_PART
+    def in_time_s(self) -> float:
+        """Seconds that it may wait and still be in time for its caller's first try."""
+        return 0.0 if self.returned else max(0.0, self.target_s - self.first_s)
 
     @property
     def patience_s(self) -> float:
-        """Seconds that it may wait for a place; negative when it can't be served in time any more.
+        """Seconds that it may wait for a place; negative when its answer could not end in time.
 
-        Memory that is given to an answer that can't end in time serves nobody.
+        A late answer is waited for as long as the wait, if it was in vain, costs less than the
+        answer is worth.
         """
-        part = LATE_WAIT_PART if self.returned else NEWCOMER_PART
-        return min(self.first_by_s * part, self.left_s - self.serve_s)
+        worth = RETURN_WORTH if self.returned else LATE_WORTH
+        return min(
+            self.in_time_s + worth / HELD_PER_S,
+            self.silent_s - self.first_s - SILENT_SPARE_S,
+            self.left_s - self.serve_s,
+        )
+
+    def late(self, waited_s: float) -> bool:
+        """Whether it can't be in time any more."""
+        return waited_s >= self.in_time_s
 
     def yield_s(self, waited_s: float) -> float:
         """Return how long after an engine's refusal it is left to others, in seconds."""
-        if not self.returned:
-            return YIELD_S
-        return 0.0 if waited_s <= self.first_by_s * RETURNED_WAIT_PART else LATE_YIELD_S
+        return LATE_YIELD_S if self.late(waited_s) else 0.0
+
+
+class FirstTries:
+    """Tells returns from first tries by how long their callers still wait."""
+
+    def __init__(self) -> None:
+        self._waits: dict[str, deque[float]] = {}
+
+    def returned(self, route: str, within_s: float) -> bool:
+        """Note a request of *route* whose caller waits *within_s*; returns whether it came back."""
+        waits = self._waits.setdefault(route, deque(maxlen=WAITS_KEPT))
+        waits.append(within_s)
+        return within_s < RETURNED_PART * max(waits)
+
+
+class WaitingOrder:
+    """The order in which requests of one service that found no room ask for it.
+
+    Those that may yet be in time come before those that are late anyway; each in order of arrival.
+    """
+
+    def __init__(self) -> None:
+        self._waiting: dict[str, tuple[PlaceAsk, float]] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def enter(self, ident: str, need: PlaceAsk, now: float) -> None:
+        """Add a request."""
+        self._waiting[ident] = (need, now)
+
+    def leave(self, ident: str) -> None:
+        """Remove a request."""
+        self._waiting.pop(ident, None)
+
+    def ahead(self, ident: str, now: float) -> list[PlaceAsk]:
+        """Return the requests before this one."""
+        mine = self._rank(ident, now)
+        return [
+            need
+            for other, (need, _) in self._waiting.items()
+            if other != ident and self._rank(other, now) < mine
+        ]
+
+    def may_ask(self, ident: str, now: float) -> bool:
+        """Whether it may ask an engine now.
+
+        Where there was no room for less there is none for it, so it asks only for less than all
+        that come before it.
+        """
+        tokens = self._waiting[ident][0].tokens
+        return all(need.tokens > tokens for need in self.ahead(ident, now))
+
+    def _rank(self, ident: str, now: float) -> tuple[bool, float]:
+        need, since = self._waiting[ident]
+        return need.late(now - since), since
+
+
+def silent_s(target_s: float, pause_s: float) -> float:
+    """Return how long a caller of a stream waits for the next event, in seconds.
+
+    Args:
+        target_s: of the route.
+        pause_s: longest pause of the route's streams that are in time; 0 for no bound.
+    """
+    return max(SILENT_S, SILENT_TARGETS * target_s, SILENT_PAUSES * pause_s)
 
 
 def memory_needed(prompt: int, likely: int, most: int, longest: int) -> int:
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -129,6 +129,8 @@
         self._part = 0.0
         self._part_tokens = 0.0
         self._pace_s = 0.0
+        self._firsts = 0
+        self._first_s = 0.0
         self._lengths: dict[int, _Length] = {}
 
     @property
@@ -157,6 +159,17 @@
         step = max(WEIGHT, 1.0 / self._answers)
         self._pace_s += step * (took_s / max(1, tokens) - self._pace_s)
 
+    def was_first(self, took_s: float) -> None:
+        """Note a first event *took_s* seconds after its place was taken."""
+        self._firsts += 1
+        step = max(WEIGHT, 1.0 / self._firsts)
+        self._first_s += step * (took_s - self._first_s)
+
+    @property
+    def first_s(self) -> float | None:
+        """Return the seconds from a place to the first event; None while too little was seen."""
+        return self._first_s if self._firsts >= FEW_ANSWERS else None
+
     def serve_s(self, answer_tokens: int) -> float | None:
         """Return the seconds that reading and an answer take; None while too little was seen."""
         if self._answers < FEW_ANSWERS:
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from crankhinge.adapters import Dialect, RelayAsk
-from crankhinge.decisions import RouteKind
+from crankhinge.decisions import FirstTries, RouteKind
 from crankhinge.errors import (
     BadHttp,
     CrankhingeError,
@@ -79,6 +79,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
+        self._first_tries = FirstTries()
         self._open = 0
         self._draining = False
         self._closed = curio.Event()
@@ -241,11 +242,13 @@
         caller_s = LONGEST_S if ask.within_s is None else ask.within_s
         until = began + min(route.timeout_s, caller_s)
         relay = Relay(exchange, ask, route, service, table.version, began, until)
+        relay.returned = self._first_tries.returned(route.name, caller_s)
         relay.facts.update(
             service=service.name,
             kind=route.kind.value,
             target_ms=round(route.target_s * 1000),
             within_ms=round(caller_s * 1000),
+            returned=relay.returned,
         )
         if route.pause_s:
             relay.facts["pause_ms"] = round(route.pause_s * 1000)
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -10,14 +11,18 @@
 import curio
 
 from crankhinge.decisions import (
+    FIRST_S,
     SERVE_S,
+    EngineLimits,
     Phase,
     PlaceAsk,
     Server,
+    WaitingOrder,
     WorkMeter,
     back_after,
     memory_needed,
     places_to_ask,
+    silent_s,
 )
 from crankhinge.errors import BadHttp, NoBackend, Overloaded
 from crankhinge.gateway._backends import Backends
@@ -31,6 +36,25 @@
 MIN_ROUND_S = 0.005
 
 
+@dataclass
+class _Search:
+    """A request on its way to a place.
+
+    Attributes:
+        relay: the request.
+        need: what it needs.
+        avoid: servers that are out of the question.
+        began: when it began, on the runtime's clock.
+        asked: engines asked.
+    """
+
+    relay: Relay
+    need: PlaceAsk
+    avoid: frozenset[str]
+    began: float
+    asked: int = 0
+
+
 @dataclass
 class Place:
     """A reservation.
@@ -59,6 +83,7 @@
         self._backends = backends
         self._meters = meters
         self._log = log
+        self._orders: defaultdict[str, WaitingOrder] = defaultdict(WaitingOrder)
 
     @asynccontextmanager
     async def take(
@@ -89,58 +114,85 @@
     async def _find(self, relay: Relay, extra: int, avoid: frozenset[str]) -> Place:
         engine = relay.service.engine
         assert engine is not None
+        now = await curio.clock()
+        search = _Search(relay, self._need(relay, engine, extra, now), avoid, now)
+        order = self._orders[relay.service.name]
+        order.enter(relay.ask.ident, search.need, search.began)
+        try:
+            while True:
+                place = await self._look(search, engine, order)
+                if place is not None:
+                    return place
+                await self._wait(search)
+        finally:
+            order.leave(relay.ask.ident)
+
+    def _need(self, relay: Relay, engine: EngineLimits, extra: int, now: float) -> PlaceAsk:
         ask = relay.ask
+        meter = self._meters[relay.service.name]
+        likely = min(ask.likely_tokens or ask.answer_tokens, ask.answer_tokens)
         tokens = memory_needed(
             ask.prompt_tokens + extra, ask.likely_tokens, ask.answer_tokens, engine.kv_tokens
         )
-        began = await curio.clock()
-        left = relay.until - began
-        likely = min(ask.likely_tokens or ask.answer_tokens, ask.answer_tokens)
-        need = PlaceAsk(
+        return PlaceAsk(
             tokens=tokens,
-            first_by_s=relay.route.target_s,
-            left_s=left,
-            route_s=relay.route.timeout_s,
-            serve_s=self._meters[relay.service.name].serve_s(likely) or SERVE_S,
+            # A stream that is taken up elsewhere has had its first event.
+            target_s=relay.began + relay.route.target_s - now,
+            left_s=relay.until - now,
+            silent_s=(relay.event_at or relay.began)
+            + silent_s(relay.route.target_s, relay.route.pause_s)
+            - now,
+            returned=relay.returned,
+            serve_s=meter.serve_s(likely) or SERVE_S,
+            first_s=meter.first_s or FIRST_S,
         )
+
+    async def _look(
+        self, search: _Search, engine: EngineLimits, order: WaitingOrder
+    ) -> Place | None:
+        """Ask the engines that may have room."""
+        relay, need = search.relay, search.need
         if need.patience_s < 0:
-            self._refused(relay, need, "no_time", 0, 0.0)
+            self._refused(search, "no_time", 0.0)
             raise Overloaded("can't end in time", retry_after_s=back_after(self._backends.rng))
-        asked = 0
-        while True:
-            servers = [
-                server
-                for server in self._backends.able(relay.service.name, Phase.WRITE, relay.ask.model)
-                if server.ident not in avoid
-            ]
-            now = await curio.clock()
-            if not servers:
-                self._refused(relay, need, "no_writer", asked, now - began)
-                raise NoBackend("no server writes", retry_after_s=back_after(self._backends.rng))
-            order = places_to_ask(
-                servers,
-                self._backends.standing,
-                tokens=tokens,
-                kv_tokens=engine.kv_tokens,
-                now=now,
-                rng=self._backends.rng,
-                yield_s=need.yield_s(now - began),
-            )
-            for server in order[:ASKED_AT_ONCE]:
-                asked += 1
-                hold = await self._reserve(server, tokens, engine.hold_s)
-                if hold is not None:
-                    waited = await curio.clock() - began
-                    relay.facts.update(waited_ms=round(waited * 1000), asked=asked)
-                    self._taken(relay, need, server)
-                    return Place(server, hold, tokens)
-            now = await curio.clock()
-            spare = need.patience_s - (now - began)
-            if spare <= MIN_ROUND_S:
-                self._refused(relay, need, "no_room", asked, now - began)
-                after = back_after(self._backends.rng, need)
-                raise Overloaded("no room to write", retry_after_s=after)
-            await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
+        writers = self._backends.able(relay.service.name, Phase.WRITE, relay.ask.model)
+        servers = [server for server in writers if server.ident not in search.avoid]
+        now = await curio.clock()
+        if not servers:
+            self._refused(search, "no_writer", now - search.began)
+            raise NoBackend("no server writes", retry_after_s=back_after(self._backends.rng))
+        if not order.may_ask(relay.ask.ident, now):
+            return None
+        able = places_to_ask(
+            servers,
+            self._backends.standing,
+            tokens=need.tokens,
+            kv_tokens=engine.kv_tokens,
+            now=now,
+            rng=self._backends.rng,
+            yield_s=need.yield_s(now - search.began),
+        )
+        for server in able[:ASKED_AT_ONCE]:
+            search.asked += 1
+            hold = await self._reserve(server, need.tokens, engine.hold_s)
+            if hold is not None:
+                relay.placed_at = await curio.clock()
+                waited = relay.placed_at - search.began
+                relay.facts.update(waited_ms=round(waited * 1000), asked=search.asked)
+                self._taken(relay, need, server)
+                return Place(server, hold, need.tokens)
+        return None
+
+    async def _wait(self, search: _Search) -> None:
+        """Wait until the next round; a request that would wait too long is refused."""
+        need = search.need
+        waited = await curio.clock() - search.began
+        spare = need.patience_s - waited
+        if spare <= MIN_ROUND_S:
+            self._refused(search, "no_room", waited)
+            after = back_after(self._backends.rng, need)
+            raise Overloaded("no room to write", retry_after_s=after)
+        await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
     async def _reserve(self, server: Server, tokens: int, hold_s: float) -> str | None:
         """Return a reservation, or None when the server has no room."""
@@ -172,19 +224,23 @@
             "place_taken",
             request=relay.ask.ident,
             tokens=need.tokens,
-            returned=need.returned,
             **about,
         )
 
-    def _refused(self, relay: Relay, need: PlaceAsk, why: str, asked: int, waited_s: float) -> None:
+    def _refused(self, search: _Search, why: str, waited_s: float) -> None:
+        relay, need = search.relay, search.need
+        order = self._orders[relay.service.name]
         self._log.info(
             "place_refused",
             request=relay.ask.ident,
             why=why,
             tokens=need.tokens,
-            returned=need.returned,
             serve_s=round(need.serve_s, 1),
+            returned=need.returned,
+            first_s=round(need.first_s, 2),
             left_s=round(need.left_s, 1),
-            asked=asked,
+            asked=search.asked,
+            ahead=len(order.ahead(relay.ask.ident, search.began + waited_s)),
+            waiting=len(order),
             waited_ms=round(waited_s * 1000),
         )
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -27,10 +27,12 @@
         version: of the configuration that decided so.
         began: when it was read, on the runtime's clock.
         until: when it has to be answered, on the runtime's clock.
+        returned: whether its caller was refused before and has come back.
         sent: identities of the servers that it was sent to.
         unreached: identities of servers that could not be reached; nothing arrived there.
         may_have_run: whether a server may have run it.
         was_read: whether an engine has read its prompt.
+        placed_at: when it got a place to write in; None before that.
         event_at: when the caller was last sent an event; None before the first.
         facts: what the line about its end tells.
     """
@@ -42,10 +44,12 @@
     version: int
     began: float
     until: float
+    returned: bool = False
     sent: list[str] = field(default_factory=list)
     unreached: list[str] = field(default_factory=list)
     may_have_run: bool = False
     was_read: bool = False
+    placed_at: float | None = None
     event_at: float | None = None
     facts: dict[str, Any] = field(default_factory=dict)
 
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -227,6 +227,11 @@
         if engine is not None and events:
             self._meters[relay.service.name].was_written(events * engine.stride, took_s)
 
+    def _note_event(self, relay: Relay, now: float) -> None:
+        if relay.event_at is None and relay.placed_at is not None:
+            self._meters[relay.service.name].was_first(now - relay.placed_at)
+        relay.note_event(now)
+
     async def _pass_on(self, relay: Relay, stream: ClientStream, events: EventSplitter) -> None:
         exchange = relay.exchange
         if stream.status != 200:
@@ -244,7 +249,7 @@
         while chunk := await stream.next_chunk():
             whole = events.feed(chunk)
             if whole:
-                relay.note_event(await curio.clock())
+                self._note_event(relay, await curio.clock())
                 await exchange.write(whole)
         if events.rest:
             await exchange.write(events.rest)
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -4,6 +4,7 @@
 
 import random
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -173,3 +174,13 @@
         serve_s = meter.serve_s(1000)
         assert serve_s is not None
         assert abs(serve_s - 5.25) < 1e-9
+
+
+def test_the_time_to_the_first_event_is_known_after_some() -> None:
+    """A single one may have been lucky; then the mean of the newest counts."""
+    meter = WorkMeter()
+    meter.was_first(0.1)
+    assert meter.first_s is None
+    for _ in range(9):
+        meter.was_first(0.3)
+    assert meter.first_s == pytest.approx(0.28)
