Calls to a plain service wait in the gateway while its answers come late

Change: a window for each service (calls there at once), lowered when the middle one of five answers waited too long or a server refuses, raised by answers in time; what waits goes in the order of who may be in time, late calls only without a bound. Retry-After is as long as the congestion has lasted.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -4,6 +4,7 @@
 from crankhinge.decisions._backend import Backend
 from crankhinge.decisions._breaker import Breaker, BreakerState
 from crankhinge.decisions._budget import RetryBudget
+from crankhinge.decisions._congestion import Congestion
 from crankhinge.decisions._fair import FairQueue
 from crankhinge.decisions._fence import FencePair
 from crankhinge.decisions._fence_actions import (
@@ -87,6 +88,7 @@
     "Breaker",
     "BreakerState",
     "CallerLimits",
+    "Congestion",
     "EngineLimits",
     "FairAsk",
     "FairQueue",
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from dataclasses import dataclass
 from typing import Any
 
 import curio
 
 from crankhinge.adapters import Leg
-from crankhinge.decisions import Phase, RetryBudget, Server
+from crankhinge.decisions import Congestion, Phase, PlaceAsk, RetryBudget, Server, WaitingOrder
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
@@ -27,6 +28,12 @@
 RETRY_AFTER_S = 0.25
 # A request that may run again is taken from a silent server after this part of its time.
 PATIENCE = 0.45
+# Seconds between looks whether a service that answered too late has recovered.
+ROUND_S = 0.02
+# Predictions of when to come back are spread by these factors.
+SPREAD = (0.8, 1.2)
+# A request is sent only with this many times the time of an undisturbed answer left.
+SERVE_TIMES = 3.0
 
 
 @dataclass(frozen=True)
@@ -53,6 +60,8 @@
         self._legs = legs
         self._budget_of = budget_of
         self._log = log
+        self._congestion: defaultdict[str, Congestion] = defaultdict(Congestion)
+        self._orders: defaultdict[str, WaitingOrder] = defaultdict(WaitingOrder)
 
     async def run(self, relay: Relay) -> None:
         """Get an answer and hand it to the caller. Raises a failure with its outcome."""
@@ -62,8 +71,17 @@
         await relay.exchange.respond_as_is(answer.status, fields, answer.body)
 
     async def _answer(self, relay: Relay) -> Answer:
+        self._budget_of(relay.service.name).first_attempt()
+        congestion = self._congestion[relay.service.name]
+        await self._wait_turn(relay, congestion)
+        congestion.sent()
+        try:
+            return await self._answer_at_servers(relay)
+        finally:
+            congestion.ended()
+
+    async def _answer_at_servers(self, relay: Relay) -> Answer:
         budget: RetryBudget = self._budget_of(relay.service.name)
-        budget.first_attempt()
         failed: Answer | None = None
         while True:
             server = await self._choose(relay)
@@ -81,6 +99,51 @@
                 return failed
             raise result
 
+    async def _wait_turn(self, relay: Relay, congestion: Congestion) -> None:
+        """Wait while the service's answers take too long for more to be sent.
+
+        Raises:
+            Overloaded: it did not recover in time.
+        """
+        name, ident, target_s = relay.service.name, relay.ask.ident, relay.route.target_s
+        order = self._orders[name]
+        began = now = await curio.clock()
+        need = PlaceAsk(
+            tokens=1,
+            target_s=target_s,
+            left_s=relay.until - now,
+            returned=relay.returned,
+            serve_s=SERVE_TIMES * congestion.alone_s,
+            first_s=congestion.alone_s,
+        )
+        order.enter(ident, need, now)
+        try:
+            while order.ahead(ident, now) or not congestion.clear(late=need.late(now - began)):
+                if now - began > (need.patience_s if need.returned else need.in_time_s):
+                    self._not_sent(relay, now - began)
+                    raise Overloaded(f"{name} is overloaded", retry_after_s=self._back(name, now))
+                await curio.sleep(ROUND_S)
+                now = await curio.clock()
+        finally:
+            order.leave(ident)
+        if now > began:
+            relay.facts["waited_ms"] = round((now - began) * 1000)
+
+    def _back(self, service: str, now: float) -> float:
+        """Return when to come back, in seconds, spread for those that are refused together."""
+        return self._congestion[service].back_s(now) * self._backends.rng.uniform(*SPREAD)
+
+    def _not_sent(self, relay: Relay, waited_s: float) -> None:
+        self._log.info(
+            "not_sent",
+            request=relay.ask.ident,
+            service=relay.service.name,
+            waited_ms=round(waited_s * 1000),
+            returned=relay.returned,
+            waiting=len(self._orders[relay.service.name]),
+            alone_ms=round(self._congestion[relay.service.name].alone_s * 1000),
+        )
+
     async def _choose(self, relay: Relay) -> Server | None:
         phase = Phase.WRITE if relay.service.engine else None
         if await relay.left() <= 0:
@@ -139,6 +202,7 @@
             relay.may_have_run = True
             took = await curio.clock() - began
             standing.succeeded(took)
+            self._congestion[relay.service.name].answered(took, relay.route.target_s, began + took)
             if result.status >= 500:
                 standing.failed(began + took)
         return result
@@ -160,6 +224,8 @@
             word = self._backends.dialect.word(stream.status, stream.headers)
             if not word.not_run:
                 return Answer(stream.status, stream.fields, body)
-            after = word.retry_after_s or RETRY_AFTER_S
+            now = await curio.clock()
+            self._congestion[relay.service.name].refused(now)
+            after = word.retry_after_s or self._back(relay.service.name, now)
             self._note(relay, server, "refused", f"status {stream.status}")
             return Overloaded(f"{server.ident} refused", retry_after_s=after)
--- /dev/null
+++ b/tests/test_congestion.py
@@ -0,0 +1,91 @@
+"""Tests of how many calls a plain service may have at once."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankhinge.decisions import Congestion
+from crankhinge.decisions._congestion import BACK_LEAST_S, LOWER_EACH_S
+
+TARGET_S = 0.3
+
+
+def seen(*took: float, congestion: Congestion | None = None) -> Congestion:
+    """Return what answers that took so long leave, one each tenth of a second."""
+    congestion = congestion or Congestion()
+    for number, took_s in enumerate(took):
+        congestion.answered(took_s, TARGET_S, number / 10)
+    return congestion
+
+
+def congested(there: int = 4) -> Congestion:
+    """Return a service that answered in 0.06 s and then takes 0.5 s, with calls at it."""
+    congestion = seen(*[0.06] * 30)
+    for _ in range(there):
+        congestion.sent()
+    return seen(*[0.5] * 6, congestion=congestion)
+
+
+class TestCongestion:
+    """When less is sent."""
+
+    def test_nothing_bounds_a_service_that_answers_in_time(self) -> None:
+        """One answer that took long is none that waited."""
+        assert seen(*[0.06] * 20, 0.45, 0.06, 0.06).window is None
+
+    def test_late_answers_bound_what_is_there(self) -> None:
+        """Further calls wait; those that are late anyway take no place at all."""
+        congestion = congested(there=4)
+        assert congestion.window is not None
+        assert congestion.window < 4
+        assert not congestion.clear(late=False)
+        for _ in range(4):
+            congestion.ended()
+        assert congestion.clear(late=False)
+        assert not congestion.clear(late=True)
+
+    def test_a_refusal_bounds_at_once_and_each_round_once(self) -> None:
+        """Refusals of calls that were sent together are one sign, not many."""
+        congestion = seen(*[0.06] * 5)
+        for _ in range(10):
+            congestion.sent()
+        for _ in range(5):
+            congestion.refused(1.0)
+        first = congestion.window
+        assert first is not None
+        assert 5 < first < 10
+        congestion.refused(1.0 + 2 * LOWER_EACH_S)
+        assert congestion.window is not None
+        assert congestion.window < first
+
+    def test_early_answers_free_it_again(self) -> None:
+        """The bound rises with each answer in time, and is given up when it binds nothing."""
+        congestion = congested(there=2)
+        for number in range(200):
+            congestion.answered(0.06, TARGET_S, 10 + number / 10)
+        assert congestion.window is None
+        assert congestion.clear(late=True)
+
+    def test_a_service_slow_by_nature_is_not_held_for_congested(self) -> None:
+        """Its answers are late whatever is sent; a late answer is worth more than none."""
+        assert seen(*[0.5] * 40).window is None
+
+    @given(st.lists(st.tuples(st.floats(0.001, 5), st.booleans()), max_size=80))
+    def test_one_call_may_always_be_there(self, steps: list[tuple[float, bool]]) -> None:
+        """An instance that sent nothing would never learn that all is well again."""
+        congestion = Congestion()
+        now = 0.0
+        for took_s, refused in steps:
+            now += 0.2
+            if refused:
+                congestion.refused(now)
+            else:
+                congestion.answered(took_s, TARGET_S, now)
+            assert congestion.clear(late=False)
+
+    def test_the_way_back_is_as_long_as_it_has_lasted(self) -> None:
+        """A service that has been congested for two seconds may well be for two more."""
+        congestion = congested()
+        assert congestion.back_s(0.3) == BACK_LEAST_S
+        assert congestion.back_s(4.0) > 3.0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -368,6 +368,43 @@
         play(world, story)
 
 
+class TestCongestion:
+    """Plain calls to a service whose answers come late."""
+
+    def test_calls_wait_here_while_answers_come_late(self) -> None:
+        """Ten calls at once to a server that takes them one by one, slowly, then five more."""
+        world = World()
+        lock = curio.Lock()
+
+        async def slowly(replica: FakeReplica, exchange: Exchange) -> None:
+            async with lock:
+                await curio.sleep(0.25)
+                await sealed(replica, exchange)
+
+        server = world.add("i-1", "plain", behave=slowly)
+
+        async def story() -> None:
+            # The route's longest wait and an undisturbed answer are learned first.
+            for number in range(4):
+                assert (await world.call(f"calm{number}", "/once/a"))[0] == 200
+            tasks = [await curio.spawn(world.call, f"q{n}", "/once/a") for n in range(10)]
+            await curio.sleep(2.0)
+            before = len(server.arrivals)
+            more = [await curio.spawn(world.call, f"late{n}", "/once/a") for n in range(5)]
+            await curio.sleep(0.1)
+            assert len(server.arrivals) == before
+            answers = [await task.join() for task in [*tasks, *more]]
+            refused = [headers for status, headers, _ in answers if status == 503]
+            assert refused
+            assert all(float(headers["retry-after"]) > 0.15 for headers in refused)
+            ran = {arrival.ident for arrival in server.arrivals}
+            not_sent = world.lines.having("event=not_sent")
+            assert not_sent
+            assert not any(ident in line for line in not_sent for ident in ran)
+
+        play(world, story)
+
+
 class TestStreams:
     """Prompts are read at one engine and answered at another."""
 
