Retry-After and hopeless waits follow from a prediction of when memory frees

Cause: whoever was refused was told 3.0 to 4.6 s whatever was in progress, and late requests were held for their whole patience although few got a place. Change: each instance predicts from its own answers (tokens, likely end) when memory frees for what waits, what was promised and the request itself; Retry-After is that, a late request is refused once it is longer than its patience.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -30,6 +30,7 @@
     Taken,
     TakenBefore,
 )
+from crankhinge.decisions._forecast import MemoryForecast
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
 from crankhinge.decisions._places import (
@@ -104,6 +105,7 @@
     "Loads",
     "Mechanisms",
     "MemberLimits",
+    "MemoryForecast",
     "Permit",
     "Permitted",
     "Phase",
--- /dev/null
+++ b/src/crankhinge/decisions/_forecast.py
@@ -0,0 +1,87 @@
+"""When memory to write in frees for a request, from the answers that this instance has in progress.
+
+An instance sees only its own answers end. Instances that wait share what frees about as they share
+what is taken, so what its own answers give back tells when its own requests get a place.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# An answer that has taken longer than was expected goes on for this part of that time: its caller's
+# estimate was too short, by nobody knows how much.
+OVERDUE_PART = 0.25
+# Weight of the newest place in the share of places that first tries get: some ten shape it.
+NEWEST = 0.1
+# Returns are held to get this part of what frees at least, however many first tries there are: no
+# load lasts for ever.
+LEAST_SHARE = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    tokens: int
+    since: float
+    expected_s: float
+
+    def left_s(self, now: float) -> float:
+        """Return the seconds until it ends."""
+        return max(self.since + self.expected_s - now, OVERDUE_PART * self.expected_s)
+
+
+class MemoryForecast:
+    """The memory that this instance's answers take at the engines of one service."""
+
+    def __init__(self) -> None:
+        self._answers: dict[str, _Answer] = {}
+        self._promised: list[tuple[float, int]] = []
+        self._share = 0.5
+
+    def took(
+        self, ident: str, tokens: int, expected_s: float, now: float, *, late: bool = False
+    ) -> None:
+        """Note that a request took memory for an answer that is expected to take so long."""
+        self._answers[ident] = _Answer(tokens, now, expected_s)
+        self._share += NEWEST * ((0.0 if late else 1.0) - self._share)
+
+    def gave_back(self, ident: str) -> None:
+        """Note that a request gave its memory back."""
+        self._answers.pop(ident, None)
+
+    def frees_in(self, tokens: int, now: float) -> float | None:
+        """Return the seconds until so much memory has been given back; None without any answer.
+
+        Beyond what its answers hold, memory is held to free as fast as it does until their end.
+        """
+        if not self._answers:
+            return None
+        freed, left_s = 0, 0.0
+        for answer in sorted(self._answers.values(), key=lambda one: one.left_s(now)):
+            freed += answer.tokens
+            left_s = answer.left_s(now)
+            if freed >= tokens:
+                return left_s
+        return left_s * tokens / max(1, freed)
+
+    def back_in(self, tokens: int, ahead: int, now: float) -> float | None:
+        """Return when a request that is refused should come back, in seconds.
+
+        Then what waits now, and what was promised to others, has had its memory; what frees is
+        shared with first tries, which go before it.
+
+        Args:
+            tokens: memory that it needs.
+            ahead: memory that waiting requests need.
+            now: on the runtime's clock.
+
+        Returns:
+            The seconds; None without any answer in progress.
+        """
+        self._promised = [row for row in self._promised if row[0] > now]
+        before = ahead + sum(row[1] for row in self._promised)
+        free_s = self.frees_in(before + tokens, now)
+        return None if free_s is None else free_s / max(LEAST_SHARE, 1.0 - self._share)
+
+    def promise(self, tokens: int, at: float) -> None:
+        """Note that a refused request was told to come back at a time."""
+        self._promised.append((at, tokens))
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -44,10 +44,12 @@
 BACK_SPARE_S = 0.5
 # Nobody is told to come back sooner, in seconds.
 BACK_LEAST_S = 0.3
-# When to come back: writing an answer takes two to three seconds, so half of the places change
-# hands in this time. The spread keeps those that were refused together from returning together.
+# When to come back where nothing is known of memory: writing an answer takes two to three seconds,
+# so half of the places change hands in this time.
 BACK_S = 3.0
-BACK_SPREAD_S = 1.6
+# Predictions are spread by these factors, which keep those that were refused together from
+# returning together.
+BACK_SPREAD = (0.9, 1.3)
 # Part of the likely answer that is reserved: an answer takes its memory as it grows, and those
 # that run beside it are at other points of theirs.
 ANSWER_PART = 0.75
@@ -100,6 +102,18 @@
         """Whether it can't be in time any more."""
         return waited_s >= self.in_time_s
 
+    def worth_waiting(self, waited_s: float, free_s: float | None) -> bool:
+        """Whether it goes on waiting when memory for it is predicted to free in *free_s*.
+
+        A request that is late anyway is refused as soon as memory is predicted to come after its
+        patience: of returns with such a prediction 2 in 10 got a place, after two seconds, and the
+        others were held for three. Who may be in time waits: of these 6 in 10 got a place in time
+        whatever was predicted, since they go before all that is late.
+        """
+        if free_s is None or not self.late(waited_s):
+            return True
+        return free_s <= self.patience_s - waited_s
+
     def yield_s(self, waited_s: float) -> float:
         """Return how long after an engine's refusal it is left to others, in seconds."""
         return LATE_YIELD_S if self.late(waited_s) else 0.0
@@ -147,6 +161,10 @@
             if other != ident and self._rank(other, now) < mine
         ]
 
+    def tokens(self, ident: str) -> int:
+        """Return the memory that all others need that wait, in tokens."""
+        return sum(need.tokens for other, (need, _) in self._waiting.items() if other != ident)
+
     def may_ask(self, ident: str, now: float) -> bool:
         """Whether it may ask an engine now.
 
@@ -216,16 +234,19 @@
     return [server for _, _, server in sorted(able, key=lambda row: row[:2])]
 
 
-def back_after(rng: random.Random, need: PlaceAsk | None = None) -> float:
+def back_after(
+    rng: random.Random, need: PlaceAsk | None = None, free_s: float | None = None
+) -> float:
     """Return after how many seconds a refused request should come back.
 
     Args:
         rng: spreads those that were refused together.
         need: what the request needs, where that is known; one with a long answer comes back while
             there is time for it.
+        free_s: seconds until there is memory for it, where that can be predicted.
     """
-    back = BACK_S + rng.random() * BACK_SPREAD_S
+    back = (BACK_S if free_s is None else free_s) * rng.uniform(*BACK_SPREAD)
     if need is None:
         return back
     latest = need.left_s - need.serve_s - BACK_SPARE_S
-    return max(BACK_LEAST_S, min(back, latest)) if latest > 0 else back
+    return max(BACK_LEAST_S, min(back, latest) if latest > 0 else back)
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -14,6 +14,7 @@
     FIRST_S,
     SERVE_S,
     EngineLimits,
+    MemoryForecast,
     Phase,
     PlaceAsk,
     Server,
@@ -84,6 +85,7 @@
         self._meters = meters
         self._log = log
         self._orders: defaultdict[str, WaitingOrder] = defaultdict(WaitingOrder)
+        self._forecasts: defaultdict[str, MemoryForecast] = defaultdict(MemoryForecast)
 
     @asynccontextmanager
     async def take(
@@ -107,6 +109,7 @@
             yield place
         finally:
             standing.tokens -= place.tokens
+            self._forecasts[relay.service.name].gave_back(relay.ask.ident)
             if place.hold:
                 call = self._backends.dialect.drop_hold(place.hold)
                 await self._backends.later(place.server, call)
@@ -179,6 +182,13 @@
                 relay.placed_at = await curio.clock()
                 waited = relay.placed_at - search.began
                 relay.facts.update(waited_ms=round(waited * 1000), asked=search.asked)
+                self._forecasts[relay.service.name].took(
+                    relay.ask.ident,
+                    need.tokens,
+                    need.serve_s,
+                    relay.placed_at,
+                    late=need.late(waited),
+                )
                 self._taken(relay, need, server)
                 return Place(server, hold, need.tokens)
         return None
@@ -187,13 +197,40 @@
         """Wait until the next round; a request that would wait too long is refused."""
         need = search.need
         waited = await curio.clock() - search.began
+        free_s = self._free_in(search, waited)
+        if "free_ms" not in search.relay.facts and free_s is not None:
+            search.relay.facts["free_ms"] = round(free_s * 1000)
         spare = need.patience_s - waited
-        if spare <= MIN_ROUND_S:
+        if spare <= MIN_ROUND_S or not need.worth_waiting(waited, free_s):
             self._refused(search, "no_room", waited)
-            after = back_after(self._backends.rng, need)
-            raise Overloaded("no room to write", retry_after_s=after)
+            raise Overloaded("no room to write", retry_after_s=self._back(search, waited))
         await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
+    def _free_in(self, search: _Search, waited_s: float) -> float | None:
+        """Return the seconds until there is memory for a request and for those before it."""
+        service, now = search.relay.service.name, search.began + waited_s
+        ahead = self._orders[service].ahead(search.relay.ask.ident, now)
+        tokens = search.need.tokens + sum(need.tokens for need in ahead)
+        return self._forecasts[service].frees_in(tokens, now)
+
+    def _back(self, search: _Search, waited_s: float) -> float:
+        """Return when a request that is refused should come back, in seconds."""
+        service, need = search.relay.service.name, search.need
+        now = search.began + waited_s
+        forecast = self._forecasts[service]
+        ahead = self._orders[service].tokens(search.relay.ask.ident)
+        free_s = forecast.back_in(need.tokens, ahead, now)
+        back_s = back_after(self._backends.rng, need, free_s)
+        forecast.promise(need.tokens, now + back_s)
+        self._log.info(
+            "told_to_return",
+            request=search.relay.ask.ident,
+            back_ms=round(back_s * 1000),
+            free_ms=None if free_s is None else round(free_s * 1000),
+            ahead_tokens=ahead,
+        )
+        return back_s
+
     async def _reserve(self, server: Server, tokens: int, hold_s: float) -> str | None:
         """Return a reservation, or None when the server has no room."""
         dialect = self._backends.dialect
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -471,6 +471,33 @@
 
         play(world, story)
 
+    def test_a_return_without_hope_is_refused_at_once(self) -> None:
+        """The only answer in progress goes on for long; what frees is too late for it."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+
+        async def slow(replica: FakeReplica, exchange: Exchange) -> None:
+            await exchange.start_as_is(200, replica.head(exchange))
+            await exchange.write(events(1, 1))
+            await curio.sleep(20.0)
+
+        writer = world.add("i-w", "llm", "decode", behave=slow, room=1)
+
+        async def story() -> None:
+            first = await world.open("long", "/stream/a", x_deadline_ms="60000", **TOKENS)
+            began = await curio.clock()
+            status, headers, _ = await world.call(
+                "back", "/stream/a", x_deadline_ms="3800", x_token_count="9000,50"
+            )
+            assert status == 503
+            assert await curio.clock() - began < 0.3
+            assert float(headers["retry-after"]) >= 0.3
+            assert world.lines.having("event=told_to_return", "request=back")
+            assert writer.ran == ["long"]
+            await first.close()
+
+        play(world, story)
+
     def test_a_reservation_is_given_back_when_the_caller_goes(self) -> None:
         """Nothing stays reserved for a request that is gone."""
         world = World()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -79,6 +79,27 @@
         assert PlaceAsk(3000, 0.9, 14.0, serve_s=11.0).patience_s > 0
 
 
+class TestPredictions:
+    """What a prediction of memory changes."""
+
+    def test_one_that_is_late_anyway_is_refused_when_memory_comes_too_late(self) -> None:
+        """At once, not when its patience is over; on the way there, when the prediction worsens."""
+        back = ask(returned=True)
+        assert back.worth_waiting(0.0, back.patience_s - 0.1)
+        assert not back.worth_waiting(0.0, back.patience_s + 0.1)
+        assert not back.worth_waiting(1.0, back.patience_s - 0.5)
+
+    def test_one_that_may_be_in_time_waits_whatever_is_predicted(self) -> None:
+        """It goes before those that hold the prediction up; when it is late that ends."""
+        newcomer = ask()
+        assert newcomer.worth_waiting(0.0, 60.0)
+        assert not newcomer.worth_waiting(newcomer.in_time_s, 60.0)
+
+    def test_without_a_prediction_it_waits(self) -> None:
+        """An instance that has just started refuses nobody for what it does not know."""
+        assert ask(returned=True).worth_waiting(1.0, None)
+
+
 class TestFirstTries:
     """Who has come back."""
 
@@ -202,10 +223,18 @@
 
 
 def test_refused_requests_return_at_different_times() -> None:
-    """A burst that was refused must not come back as one."""
-    times = [back_after(RNG) for _ in range(50)]
-    assert max(times) - min(times) > 1.0
-    assert min(times) > 1.0
+    """A burst that was refused must not come back as one, with a prediction or without."""
+    for free_s in (None, 4.0):
+        times = [back_after(RNG, None, free_s) for _ in range(50)]
+        assert max(times) - min(times) > 1.0
+        assert min(times) > 1.0
+
+
+def test_a_refused_request_is_told_what_is_predicted() -> None:
+    """Within the spread; but never after the time at which it could still be served."""
+    need = PlaceAsk(3000, 0.9, 14.0, serve_s=3.0)
+    assert all(1.8 <= back_after(RNG, need, 2.0) <= 2.6 for _ in range(50))
+    assert all(back_after(RNG, need, 30.0) == pytest.approx(10.5) for _ in range(5))
 
 
 def test_a_long_answer_is_told_to_come_back_while_there_is_time() -> None:
