Requests of one identity, or of none, wait apart

Cause: the order of waiting and the forecast of memory were keyed by the caller's identity of a request; two requests with the same one, or with none, that waited together crashed a connection (KeyError) when the first of them left. Change: both give out numbers.

--- a/src/crankhinge/decisions/_forecast.py
+++ b/src/crankhinge/decisions/_forecast.py
@@ -33,20 +33,21 @@
     """The memory that this instance's answers take at the engines of one service."""
 
     def __init__(self) -> None:
-        self._answers: dict[str, _Answer] = {}
+        self._answers: dict[int, _Answer] = {}
+        self._taken = 0
         self._promised: list[tuple[float, int]] = []
         self._share = 0.5
 
-    def took(
-        self, ident: str, tokens: int, expected_s: float, now: float, *, late: bool = False
-    ) -> None:
-        """Note that a request took memory for an answer that is expected to take so long."""
-        self._answers[ident] = _Answer(tokens, now, expected_s)
+    def took(self, tokens: int, expected_s: float, now: float, *, late: bool = False) -> int:
+        """Note memory taken for an answer that is expected to take so long; returns its number."""
+        self._taken += 1
+        self._answers[self._taken] = _Answer(tokens, now, expected_s)
         self._share += NEWEST * ((0.0 if late else 1.0) - self._share)
+        return self._taken
 
-    def gave_back(self, ident: str) -> None:
-        """Note that a request gave its memory back."""
-        self._answers.pop(ident, None)
+    def gave_back(self, number: int) -> None:
+        """Note that memory was given back."""
+        del self._answers[number]
 
     def frees_in(self, tokens: int, now: float) -> float | None:
         """Return the seconds until so much memory has been given back; None without any answer.
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -139,43 +139,46 @@
     """
 
     def __init__(self) -> None:
-        self._waiting: dict[str, tuple[PlaceAsk, float]] = {}
+        self._waiting: dict[int, tuple[PlaceAsk, float]] = {}
+        self._entered = 0
 
     def __len__(self) -> int:
         return len(self._waiting)
 
-    def enter(self, ident: str, need: PlaceAsk, now: float) -> None:
-        """Add a request."""
-        self._waiting[ident] = (need, now)
+    def enter(self, need: PlaceAsk, now: float) -> int:
+        """Add a request; returns its number, since callers may send one identity twice or none."""
+        self._entered += 1
+        self._waiting[self._entered] = (need, now)
+        return self._entered
 
-    def leave(self, ident: str) -> None:
+    def leave(self, number: int) -> None:
         """Remove a request."""
-        self._waiting.pop(ident, None)
+        del self._waiting[number]
 
-    def ahead(self, ident: str, now: float) -> list[PlaceAsk]:
+    def ahead(self, number: int, now: float) -> list[PlaceAsk]:
         """Return the requests before this one."""
-        mine = self._rank(ident, now)
+        mine = self._rank(number, now)
         return [
             need
             for other, (need, _) in self._waiting.items()
-            if other != ident and self._rank(other, now) < mine
+            if other != number and self._rank(other, now) < mine
         ]
 
-    def tokens(self, ident: str) -> int:
+    def tokens(self, number: int) -> int:
         """Return the memory that all others need that wait, in tokens."""
-        return sum(need.tokens for other, (need, _) in self._waiting.items() if other != ident)
+        return sum(need.tokens for other, (need, _) in self._waiting.items() if other != number)
 
-    def may_ask(self, ident: str, now: float) -> bool:
+    def may_ask(self, number: int, now: float) -> bool:
         """Whether it may ask an engine now.
 
         Where there was no room for less there is none for it, so it asks only for less than all
         that come before it.
         """
-        tokens = self._waiting[ident][0].tokens
-        return all(need.tokens > tokens for need in self.ahead(ident, now))
+        tokens = self._waiting[number][0].tokens
+        return all(need.tokens > tokens for need in self.ahead(number, now))
 
-    def _rank(self, ident: str, now: float) -> tuple[bool, float]:
-        need, since = self._waiting[ident]
+    def _rank(self, number: int, now: float) -> tuple[bool, float]:
+        need, since = self._waiting[number]
         return need.late(now - since), since
 
 
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -47,6 +47,7 @@
         avoid: servers that are out of the question.
         began: when it began, on the runtime's clock.
         asked: engines asked.
+        number: in the order of waiting.
     """
 
     relay: Relay
@@ -54,6 +55,7 @@
     avoid: frozenset[str]
     began: float
     asked: int = 0
+    number: int = 0
 
 
 @dataclass
@@ -64,11 +66,13 @@
         server: where.
         hold: its identity; empty where the server takes no reservations or it was used.
         tokens: memory reserved.
+        number: in the forecast of memory.
     """
 
     server: Server
     hold: str
     tokens: int
+    number: int
 
 
 class Places:
@@ -109,7 +113,7 @@
             yield place
         finally:
             standing.tokens -= place.tokens
-            self._forecasts[relay.service.name].gave_back(relay.ask.ident)
+            self._forecasts[relay.service.name].gave_back(place.number)
             if place.hold:
                 call = self._backends.dialect.drop_hold(place.hold)
                 await self._backends.later(place.server, call)
@@ -120,7 +124,7 @@
         now = await curio.clock()
         search = _Search(relay, self._need(relay, engine, extra, now), avoid, now)
         order = self._orders[relay.service.name]
-        order.enter(relay.ask.ident, search.need, search.began)
+        search.number = order.enter(search.need, search.began)
         try:
             while True:
                 place = await self._look(search, engine, order)
@@ -128,7 +132,7 @@
                     return place
                 await self._wait(search)
         finally:
-            order.leave(relay.ask.ident)
+            order.leave(search.number)
 
     def _need(self, relay: Relay, engine: EngineLimits, extra: int, now: float) -> PlaceAsk:
         ask = relay.ask
@@ -164,7 +168,7 @@
         if not servers:
             self._refused(search, "no_writer", now - search.began)
             raise NoBackend("no server writes", retry_after_s=back_after(self._backends.rng))
-        if not order.may_ask(relay.ask.ident, now):
+        if not order.may_ask(search.number, now):
             return None
         able = places_to_ask(
             servers,
@@ -182,15 +186,14 @@
                 relay.placed_at = await curio.clock()
                 waited = relay.placed_at - search.began
                 relay.facts.update(waited_ms=round(waited * 1000), asked=search.asked)
-                self._forecasts[relay.service.name].took(
-                    relay.ask.ident,
+                number = self._forecasts[relay.service.name].took(
                     need.tokens,
                     need.serve_s,
                     relay.placed_at,
                     late=need.late(waited),
                 )
                 self._taken(relay, need, server)
-                return Place(server, hold, need.tokens)
+                return Place(server, hold, need.tokens, number)
         return None
 
     async def _wait(self, search: _Search) -> None:
@@ -209,7 +212,7 @@
     def _free_in(self, search: _Search, waited_s: float) -> float | None:
         """Return the seconds until there is memory for a request and for those before it."""
         service, now = search.relay.service.name, search.began + waited_s
-        ahead = self._orders[service].ahead(search.relay.ask.ident, now)
+        ahead = self._orders[service].ahead(search.number, now)
         tokens = search.need.tokens + sum(need.tokens for need in ahead)
         return self._forecasts[service].frees_in(tokens, now)
 
@@ -218,7 +221,7 @@
         service, need = search.relay.service.name, search.need
         now = search.began + waited_s
         forecast = self._forecasts[service]
-        ahead = self._orders[service].tokens(search.relay.ask.ident)
+        ahead = self._orders[service].tokens(search.number)
         free_s = forecast.back_in(need.tokens, ahead, now)
         back_s = back_after(self._backends.rng, need, free_s)
         forecast.promise(need.tokens, now + back_s)
@@ -277,7 +280,7 @@
             first_s=round(need.first_s, 2),
             left_s=round(need.left_s, 1),
             asked=search.asked,
-            ahead=len(order.ahead(relay.ask.ident, search.began + waited_s)),
+            ahead=len(order.ahead(search.number, search.began + waited_s)),
             waiting=len(order),
             waited_ms=round(waited_s * 1000),
         )
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -105,7 +105,7 @@
         Raises:
             Overloaded: it did not recover in time.
         """
-        name, ident, target_s = relay.service.name, relay.ask.ident, relay.route.target_s
+        name, target_s = relay.service.name, relay.route.target_s
         order = self._orders[name]
         began = now = await curio.clock()
         need = PlaceAsk(
@@ -116,16 +116,16 @@
             serve_s=SERVE_TIMES * congestion.alone_s,
             first_s=congestion.alone_s,
         )
-        order.enter(ident, need, now)
+        number = order.enter(need, now)
         try:
-            while order.ahead(ident, now) or not congestion.clear(late=need.late(now - began)):
+            while order.ahead(number, now) or not congestion.clear(late=need.late(now - began)):
                 if now - began > (need.patience_s if need.returned else need.in_time_s):
                     self._not_sent(relay, now - began)
                     raise Overloaded(f"{name} is overloaded", retry_after_s=self._back(name, now))
                 await curio.sleep(ROUND_S)
                 now = await curio.clock()
         finally:
-            order.leave(ident)
+            order.leave(number)
         if now > began:
             relay.facts["waited_ms"] = round((now - began) * 1000)
 
--- a/tests/test_forecast.py
+++ b/tests/test_forecast.py
@@ -15,8 +15,8 @@
 def holding(*rows: tuple[int, float]) -> MemoryForecast:
     """Return a forecast with answers of so many tokens that end in so many seconds."""
     forecast = MemoryForecast()
-    for number, (tokens, ends) in enumerate(rows):
-        forecast.took(str(number), tokens, ends, 0.0)
+    for tokens, ends in rows:
+        forecast.took(tokens, ends, 0.0)
     return forecast
 
 
@@ -29,7 +29,7 @@
         assert forecast.frees_in(900, 0.0) == 0.5
         assert forecast.frees_in(3500, 0.0) == 1.0
         assert forecast.frees_in(3500, 0.4) == pytest.approx(0.6)
-        forecast.gave_back("2")
+        forecast.gave_back(3)
         assert forecast.frees_in(3500, 0.0) == 3.0
 
     def test_more_than_all_of_it_frees_at_the_same_pace(self) -> None:
@@ -80,9 +80,9 @@
     def test_first_tries_go_before_it(self) -> None:
         """Where they got most places, a return gets few; it is never told that it gets none."""
         calm, busy = holding((1000, 1.0)), holding((1000, 1.0))
-        for number in range(40):
-            calm.took(f"c{number}", 1, 9.0, 0.0, late=True)
-            busy.took(f"b{number}", 1, 9.0, 0.0)
+        for _ in range(40):
+            calm.took(1, 9.0, 0.0, late=True)
+            busy.took(1, 9.0, 0.0)
         assert calm.back_in(900, 0, 0.0) == pytest.approx(1.0, rel=0.05)
         assert busy.back_in(900, 0, 0.0) == pytest.approx(1.0 / LEAST_SHARE, rel=0.05)
 
@@ -98,19 +98,19 @@
     """Eight places, answers of one to five seconds, estimates off by half: the median is right."""
     rng = random.Random(3)
     forecast = MemoryForecast()
-    ends: dict[str, float] = {}
+    ends: dict[int, float] = {}
     errors = []
     now = 0.0
-    for number in range(600):
+    for _ in range(600):
         if len(ends) == 8:
-            ident = min(ends, key=ends.__getitem__)
+            first = min(ends, key=ends.__getitem__)
             predicted = forecast.frees_in(1000, now)
             assert predicted is not None
-            errors.append(predicted - (ends[ident] - now))
-            now = max(now, ends.pop(ident))
-            forecast.gave_back(ident)
+            errors.append(predicted - (ends[first] - now))
+            now = max(now, ends.pop(first))
+            forecast.gave_back(first)
         took = rng.uniform(1.0, 5.0)
-        ends[str(number)] = now + took
-        forecast.took(str(number), 1000, took * rng.lognormvariate(0.0, 0.5), now)
+        number = forecast.took(1000, took * rng.lognormvariate(0.0, 0.5), now)
+        ends[number] = now + took
     errors.sort()
     assert abs(errors[len(errors) // 2]) < 0.3
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import curio
 import pytest
 
@@ -401,6 +403,8 @@
             not_sent = world.lines.having("event=not_sent")
             assert not_sent
             assert not any(ident in line for line in not_sent for ident in ran)
+            # Whatever ended gave its room back.
+            assert (await world.call("after", "/once/a"))[0] == 200
 
         play(world, story)
 
@@ -471,6 +475,25 @@
 
         play(world, story)
 
+    def test_requests_of_one_identity_or_none_wait_apart(self) -> None:
+        """Two of each wait at once for room and for a slow service; each gets an answer."""
+        world = World()
+        world.add("i-r", "llm", "prefill")
+        writer = world.add("i-w", "llm", "decode", behave=stream, room=0)
+
+        async def story() -> None:
+            idents = ("same", "same", "", "")
+            tasks = [
+                await curio.spawn(partial(world.call, ident, "/stream/a", **TOKENS))
+                for ident in idents
+            ]
+            await curio.sleep(0.2)
+            writer.room = 4
+            assert [(await task.join())[0] for task in tasks] == [200] * 4
+            assert not world.lines.having("crashed")
+
+        play(world, story)
+
     def test_a_return_without_hope_is_refused_at_once(self) -> None:
         """The only answer in progress goes on for long; what frees is too late for it."""
         world = World()
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -129,17 +129,17 @@
     def test_late_ones_come_behind_those_that_may_be_in_time(self) -> None:
         """A return is behind a newcomer that came after it; so is who has waited too long."""
         order = WaitingOrder()
-        order.enter("old", ask(), 0.0)
-        order.enter("back", ask(returned=True), 0.1)
-        order.enter("new", ask(), 0.5)
-        assert order.ahead("old", 0.5) == []
-        assert len(order.ahead("new", 0.5)) == 1
-        assert len(order.ahead("back", 0.5)) == 2
+        old = order.enter(ask(), 0.0)
+        back = order.enter(ask(returned=True), 0.1)
+        new = order.enter(ask(), 0.5)
+        assert order.ahead(old, 0.5) == []
+        assert len(order.ahead(new, 0.5)) == 1
+        assert len(order.ahead(back, 0.5)) == 2
         late = 0.9
-        assert order.ahead("new", late) == []
-        assert len(order.ahead("old", late)) == 1
-        order.leave("new")
-        assert len(order.ahead("back", late)) == 1
+        assert order.ahead(new, late) == []
+        assert len(order.ahead(old, late)) == 1
+        order.leave(new)
+        assert len(order.ahead(back, late)) == 1
 
     @given(st.lists(st.tuples(st.integers(1, 9), st.booleans()), min_size=1, max_size=9))
     def test_the_first_may_always_ask_and_others_only_for_less(
@@ -147,15 +147,14 @@
     ) -> None:
         """Where there was no room for less there is none for more."""
         order = WaitingOrder()
-        needs = [ask(returned=back, tokens=tokens) for tokens, back in rows]
-        for number, need in enumerate(needs):
-            order.enter(str(number), need, number / 100)
-        for number, need in enumerate(needs):
-            ahead = order.ahead(str(number), 0.2)
-            assert order.may_ask(str(number), 0.2) == all(
-                other.tokens > need.tokens for other in ahead
-            )
-        assert any(order.may_ask(str(number), 0.2) for number in range(len(needs)))
+        needs = {
+            order.enter(need, at / 100): need
+            for at, need in enumerate(ask(returned=back, tokens=tokens) for tokens, back in rows)
+        }
+        for number, need in needs.items():
+            ahead = order.ahead(number, 0.2)
+            assert order.may_ask(number, 0.2) == all(other.tokens > need.tokens for other in ahead)
+        assert any(order.may_ask(number, 0.2) for number in needs)
 
 
 class TestMemory:
