A service that gets late calls only is not shut for ever

Cause: while the window of a plain service binds, late calls wait; where every call is late (a route without a target, or with one shorter than the service's own time) nothing was sent any more, so nothing raised the window again. Found by reading. Change: without a target that can be met no call is late, and a late call goes when nothing has been sent for half a second. Tests seen to fail on the code before: test_a_route_without_a_target_is_not_shut_for_ever (one answer of five).

--- a/src/crankhinge/decisions/_congestion.py
+++ b/src/crankhinge/decisions/_congestion.py
@@ -33,6 +33,9 @@
 # time: an answer that shows the effect is on its way as long.
 LOWER_PART = 0.7
 LOWER_EACH_S = 0.15
+# A late call is sent all the same when nothing has been for so long, in seconds: where only late
+# ones come nothing would ever tell that the service has recovered.
+LATE_EACH_S = 0.5
 # Nobody is told to come back sooner than this, in seconds: a queue of ten short requests empties in
 # it.
 BACK_LEAST_S = 0.25
@@ -50,6 +53,7 @@
         self._window: float | None = None
         self._lowered_at = float("-inf")
         self._since = 0.0
+        self._sent_at = float("-inf")
 
     @property
     def alone_s(self) -> float:
@@ -61,13 +65,18 @@
         """Requests that may be there at once; None for no bound."""
         return self._window
 
-    def clear(self, *, late: bool) -> bool:
+    def clear(self, now: float, *, late: bool) -> bool:
         """Whether one more request may be sent; one that is late takes no place from others."""
-        return self._window is None or (not late and self._there < max(1, int(self._window)))
+        if self._window is None:
+            return True
+        if late:
+            return now - self._sent_at >= LATE_EACH_S
+        return self._there < max(1, int(self._window))
 
-    def sent(self) -> None:
+    def sent(self, now: float) -> None:
         """Note that a request was sent."""
         self._there += 1
+        self._sent_at = now
 
     def ended(self) -> None:
         """Note that a request that was sent has ended, however it did."""
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -74,7 +74,7 @@
         self._budget_of(relay.service.name).first_attempt()
         congestion = self._congestion[relay.service.name]
         await self._wait_turn(relay, congestion)
-        congestion.sent()
+        congestion.sent(await curio.clock())
         try:
             return await self._answer_at_servers(relay)
         finally:
@@ -106,6 +106,9 @@
             Overloaded: it did not recover in time.
         """
         name, target_s = relay.service.name, relay.route.target_s
+        if target_s <= congestion.alone_s:
+            # No target, or one that nothing can meet: then no call is late.
+            target_s = float("inf")
         order = self._orders[name]
         began = now = await curio.clock()
         need = PlaceAsk(
@@ -116,10 +119,13 @@
             serve_s=SERVE_TIMES * congestion.alone_s,
             first_s=congestion.alone_s,
         )
+        patience_s = need.patience_s if need.returned else min(need.in_time_s, need.patience_s)
         number = order.enter(need, now)
         try:
-            while order.ahead(number, now) or not congestion.clear(late=need.late(now - began)):
-                if now - began > (need.patience_s if need.returned else need.in_time_s):
+            while order.ahead(number, now) or not congestion.clear(
+                now, late=need.late(now - began)
+            ):
+                if now - began > patience_s:
                     self._not_sent(relay, now - began)
                     raise Overloaded(f"{name} is overloaded", retry_after_s=self._back(name, now))
                 await curio.sleep(ROUND_S)
--- a/tests/test_congestion.py
+++ b/tests/test_congestion.py
@@ -23,7 +23,7 @@
     """Return a service that answered in 0.06 s and then takes 0.5 s, with calls at it."""
     congestion = seen(*[0.06] * 30)
     for _ in range(there):
-        congestion.sent()
+        congestion.sent(3.0)
     return seen(*[0.5] * 6, congestion=congestion)
 
 
@@ -39,17 +39,17 @@
         congestion = congested(there=4)
         assert congestion.window is not None
         assert congestion.window < 4
-        assert not congestion.clear(late=False)
+        assert not congestion.clear(3.0, late=False)
         for _ in range(4):
             congestion.ended()
-        assert congestion.clear(late=False)
-        assert not congestion.clear(late=True)
+        assert congestion.clear(3.0, late=False)
+        assert not congestion.clear(3.0, late=True)
 
     def test_a_refusal_bounds_at_once_and_each_round_once(self) -> None:
         """Refusals of calls that were sent together are one sign, not many."""
         congestion = seen(*[0.06] * 5)
         for _ in range(10):
-            congestion.sent()
+            congestion.sent(3.0)
         for _ in range(5):
             congestion.refused(1.0)
         first = congestion.window
@@ -65,7 +65,7 @@
         for number in range(200):
             congestion.answered(0.06, TARGET_S, 10 + number / 10)
         assert congestion.window is None
-        assert congestion.clear(late=True)
+        assert congestion.clear(3.0, late=True)
 
     def test_a_service_slow_by_nature_is_not_held_for_congested(self) -> None:
         """Its answers are late whatever is sent; a late answer is worth more than none."""
@@ -82,7 +82,22 @@
                 congestion.refused(now)
             else:
                 congestion.answered(took_s, TARGET_S, now)
-            assert congestion.clear(late=False)
+            assert congestion.clear(now, late=False)
+
+    def test_a_service_that_gets_late_calls_only_recovers(self) -> None:
+        """A late call now and then shows that answers come early again, and frees the rest."""
+        congestion = congested(there=1)
+        congestion.ended()
+        now, sent = 3.0, 0
+        while congestion.window is not None and now < 60.0:
+            now += 0.1
+            if congestion.clear(now, late=True):
+                congestion.sent(now)
+                congestion.ended()
+                congestion.answered(0.06, TARGET_S, now)
+                sent += 1
+        assert congestion.window is None
+        assert sent < 30
 
     def test_the_way_back_is_as_long_as_it_has_lasted(self) -> None:
         """A service that has been congested for two seconds may well be for two more."""
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -373,6 +373,30 @@
 class TestCongestion:
     """Plain calls to a service whose answers come late."""
 
+    def test_a_route_without_a_target_is_not_shut_for_ever(self) -> None:
+        """Each of its calls is late; one refusal by the server must not keep all others away."""
+        world = World()
+        refused = []
+
+        async def once_full(replica: FakeReplica, exchange: Exchange) -> None:
+            if refused:
+                await sealed(replica, exchange)
+                return
+            refused.append(exchange)
+            ident = ("x-request-id", exchange.req.headers["x-request-id"])
+            await exchange.respond_as_is(503, [ident, ("x-not-executed", "1")], b"")
+
+        world.add("i-1", "plain", behave=once_full)
+        none = route("r-none", "/none/", "unsafe", "plain", target_latency_ms=0)
+
+        async def story() -> None:
+            assert (await world.call("q0", "/none/a"))[0] == 503
+            await curio.sleep(1.0)
+            answers = [(await world.call(f"q{n}", "/none/a"))[0] for n in range(1, 6)]
+            assert answers == [200] * 5
+
+        run_virtual(world.play, story, none, settle_s=0.003)
+
     def test_calls_wait_here_while_answers_come_late(self) -> None:
         """Ten calls at once to a server that takes them one by one, slowly, then five more."""
         world = World()
