The callers' account takes its weights from where the router decides

Cause: the part of a wait below which a request is a return, and the worth of a late answer and of a second held, stood in the account and in the decisions. Change: one copy, in decisions; the account's defaults are those. Behaviour stays as it is.

--- a/src/crankhinge/burn/_callers.py
+++ b/src/crankhinge/burn/_callers.py
@@ -24,11 +24,9 @@
 import msgspec
 
 from crankhinge.burn._read import parse_line
+from crankhinge.decisions import HELD_PER_S, LATE_WORTH, RETURNED_PART
 from crankhinge.errors import SettingsError
 
-# A request is a return when its caller waits less than this part of the longest wait that was seen
-# on the route. A refused caller comes back after 0.3 s at the earliest, of 14 s.
-RETURN_PART = 0.985
 # A refusal within this time, in milliseconds, is one at once: a question to three engines is
 # answered in some ten.
 AT_ONCE_MS = 60.0
@@ -58,8 +56,8 @@
         kinds: worth of a request of mean size by kind of route; 1 where none is given.
     """
 
-    late: Part = 0.2
-    held_per_s: Part = 0.1
+    late: Part = LATE_WORTH
+    held_per_s: Part = HELD_PER_S
     failed_return: Part = 0.3
     needless: Part = 0.5
     kinds: dict[str, float] = {}
@@ -226,7 +224,7 @@
     start = tries[0].at if tries else 0.0
     for one in tries:
         worth = weights.kinds.get(one.kind, 1.0) * _size_part(one, means[one.route])
-        returned = one.within_ms < RETURN_PART * longest[one.route]
+        returned = one.within_ms < RETURNED_PART * longest[one.route]
         window = int((one.at - start) // window_s)
         for tally in (account.whole, account.routes[one.route], account.windows[window]):
             _count(tally, one, worth, weights, returned=returned)
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -35,6 +35,9 @@
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
 from crankhinge.decisions._places import (
     FIRST_S,
+    HELD_PER_S,
+    LATE_WORTH,
+    RETURNED_PART,
     SERVE_S,
     FirstTries,
     PlaceAsk,
@@ -80,9 +83,12 @@
 __all__ = [
     "FIRST_S",
     "FULL",
+    "HELD_PER_S",
+    "LATE_WORTH",
     "MANY_ANSWERS",
     "NAIVE",
     "POLICIES",
+    "RETURNED_PART",
     "SERVE_S",
     "Answer",
     "Backend",
