Sight: failures of the store after the first, bytes received, who is doubted

Only the first failure of a lost store was written, without what had come, so that a silent store, one that turns an instance away and an answer that is given up half-way looked alike; and a server without an entry was kept without a line. Now source_still_lost every five seconds with failures and bytes, servers_listed and server_doubted. No decision is changed. Tests: test_directory TestSight, failing before.

--- a/src/crankhinge/adapters/_source.py
+++ b/src/crankhinge/adapters/_source.py
@@ -38,6 +38,11 @@
     Every method raises :class:`crankhinge.errors.KeyValueUnavailable` when no answer comes.
     """
 
+    @property
+    @abc.abstractmethod
+    def received(self) -> int:
+        """Bytes that came from the source so far, those of answers that were given up too."""
+
     @abc.abstractmethod
     async def read_config(self) -> ConfigSeen:
         """Return the newest configuration."""
--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -22,8 +22,10 @@
     {
         "config_in_force",
         "source_lost",
+        "source_still_lost",
         "source_regained",
         "history_lost",
+        "servers_listed",
         "started",
         "draining",
         "reloaded",
--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -79,9 +79,9 @@
         """Return a server by its identity."""
         return self._known.get(ident)
 
-    def doubts(self, ident: str) -> bool:
-        """Whether the server's entry lapsed while the list was away."""
-        return ident in self._doubted
+    def doubted(self) -> list[str]:
+        """Return the identities whose entries are believed to have lapsed unheard."""
+        return list(self._doubted)
 
     def returned(self, now: float) -> None:
         """Note that the list's keeper is back after it was away."""
--- a/src/crankhinge/gateway/_directory.py
+++ b/src/crankhinge/gateway/_directory.py
@@ -18,6 +18,9 @@
 # within the two seconds in which a configuration has to be in force.
 FIRST_PAUSE_S = 0.1
 MAX_PAUSE_S = 0.6
+# Seconds between lines that tell that the source is still away; each of its calls fails after 1.5 s
+# at most, so that a line stands for a few.
+STILL_LOST_S = 5.0
 # A watch that was cut and served again within this time missed no heartbeat of a server.
 AWAY_S = 1.0
 
@@ -67,6 +70,7 @@
         follow: Callable[[int], Awaitable[int]],
     ) -> None:
         away_since: float | None = None
+        told_at, failures, received = 0.0, 0, 0
         pause = FIRST_PAUSE_S
         lost_pause = 0.0
         mark: int | None = None
@@ -84,8 +88,20 @@
             except KeyValueUnavailable as exc:
                 now = await curio.clock()
                 if away_since is None:
-                    away_since = now
+                    away_since, told_at = now, now
+                    failures, received = 0, self._source.received
                     self._log.warning("source_lost", what=what, why=exc.detail)
+                failures += 1
+                if now - told_at >= STILL_LOST_S:
+                    told_at = now
+                    self._log.warning(
+                        "source_still_lost",
+                        what=what,
+                        why=exc.detail,
+                        away_s=round(now - away_since, 3),
+                        failures=failures,
+                        received=self._source.received - received,
+                    )
                 mark = None
                 await curio.sleep(pause * self._rng.uniform(0.7, 1.3))
                 pause = min(MAX_PAUSE_S, pause * 2)
@@ -93,7 +109,7 @@
             self.heard[what] = await curio.clock()
             if away_since is not None:
                 away_s = round(self.heard[what] - away_since, 3)
-                self._log.info("source_regained", what=what, away_s=away_s)
+                self._log.info("source_regained", what=what, away_s=away_s, failures=failures)
             away_since, pause = None, FIRST_PAUSE_S
             if followed:
                 lost_pause = 0.0
@@ -124,13 +140,22 @@
 
     async def _read_servers(self) -> int:
         now = await curio.clock()
-        if self.listed and now - self.heard["servers"] > AWAY_S:
+        heard_s = now - self.heard["servers"]
+        if self.listed and heard_s > AWAY_S:
             self.servers.returned(now)
         seen = await self._source.read_servers()
         for server in seen.servers:
             self._enter(server)
         dropped = self.servers.replace(seen.servers, await curio.clock())
         self.listed = True
+        self._log.info(
+            "servers_listed",
+            servers=len(seen.servers),
+            heard_s=round(heard_s, 1),
+            doubted=len(self.servers.doubted()),
+        )
+        for ident in self.servers.doubted():
+            self._log.info("server_doubted", server=ident, heard_s=round(heard_s, 1))
         await self._drop(dropped, "not_listed")
         return seen.mark
 
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -187,6 +187,7 @@
                 data = await self._sock.recv(RECV_BYTES)
             except OSError as exc:
                 raise HttpClosed(str(exc)) from exc
+            self._client.received += len(data)
             self._h11.receive_data(data)
 
     async def next_chunk(self) -> bytes:
@@ -229,6 +230,10 @@
         port: its TCP port.
         pool_size: kept idle connections.
         connect_s: seconds that a connection may take to come up.
+
+    Attributes:
+        opened: connections made so far.
+        received: bytes that came on all of them, those of answers that were given up too.
     """
 
     def __init__(
@@ -242,6 +247,7 @@
         self.host = host
         self.port = port
         self.opened = 0
+        self.received = 0
         self._pool_size = pool_size
         self._connect_s = connect_s
         self._idle: list[_Kept] = []
--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -25,6 +25,8 @@
 BEATS_MISSED = 3.2
 # How often leases and heartbeats are looked at, in seconds.
 SWEEP_S = 0.05
+# A paced answer goes out in pieces of this many seconds.
+PIECE_S = 0.02
 
 Item = dict[str, Any]
 
@@ -38,6 +40,8 @@
         delay_s: seconds added before each answer.
         lose_writes: writes are done and the connection falls silent.
         forget: whether the history of changes is dropped as it grows.
+        bytes_per_s: pace of each answer on its connection, as on a thin link; 0 for no bound.
+        break_off: every answer ends in its middle.
     """
 
     down: str = ""
@@ -45,6 +49,8 @@
     delay_s: float = 0.0
     lose_writes: bool = False
     forget: bool = False
+    bytes_per_s: int = 0
+    break_off: bool = False
 
 
 class StandinStore:
@@ -136,7 +142,15 @@
         await self._fail_if_down(exchange)
         if self.faults.lose_writes and exchange.req.method == "POST":
             await _fall_silent(exchange)
-        await exchange.respond(status, msgspec.json.encode(body))
+        data = msgspec.json.encode(body)
+        if self.faults.break_off:
+            await _start(exchange, status, data)
+            await exchange.write(data[: len(data) // 2])
+            raise HttpClosed("broken off")
+        if self.faults.bytes_per_s:
+            await _respond_slowly(exchange, status, data, self.faults.bytes_per_s)
+        else:
+            await exchange.respond(status, data)
 
     async def _fail_if_down(self, exchange: Exchange) -> None:
         """Raise, or answer nothing, while the store is down."""
@@ -233,6 +247,21 @@
         return 200, {"revision": self.revision}
 
 
+async def _start(exchange: Exchange, status: int, data: bytes) -> None:
+    fields = [("content-type", "application/json"), ("content-length", str(len(data)))]
+    await exchange.start_as_is(status, fields)
+
+
+async def _respond_slowly(exchange: Exchange, status: int, data: bytes, per_s: int) -> None:
+    """Send an answer in pieces, each as long as a thin link takes to carry it."""
+    await _start(exchange, status, data)
+    size = max(1, round(per_s * PIECE_S))
+    for begin in range(0, len(data), size):
+        await curio.sleep(PIECE_S)
+        await exchange.write(data[begin : begin + size])
+    await exchange.finish()
+
+
 async def _fall_silent(exchange: Exchange) -> None:
     """Say nothing more on this connection; it ends when the other side closes it."""
     await exchange.wait_gone()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -86,6 +86,53 @@
         play(world, story)
 
 
+class TestSight:
+    """What the logs tell of a source that does not answer."""
+
+    def test_a_silent_store_is_told_apart_from_one_that_breaks_off(self) -> None:
+        """Lines go on while it is away, with how often it failed and how much came meanwhile."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.faults.down = "silent"
+            await curio.sleep(45.0)
+            silent = world.lines.having("event=source_still_lost", "what=config")
+            assert 2 <= len(silent) <= 4
+            assert all(" received=0" in line and " failures=" in line for line in silent)
+            world.store.faults.break_off = True
+            world.store.faults.down = ""
+            await curio.sleep(12.0)
+            broken = world.lines.having("event=source_still_lost", "what=config")[len(silent) :]
+            assert broken
+            assert " received=0" not in broken[-1]
+
+        play(world, story)
+
+    def test_a_list_that_is_read_anew_tells_who_is_doubted(self) -> None:
+        """With how long ago the list was last heard of."""
+        world = World()
+        world.add("i-1", "plain")
+        world.add("i-2", "plain")
+
+        async def story() -> None:
+            assert world.lines.having("event=servers_listed", "servers=2", "doubted=0")
+            world.store.down = True
+            await world.store.remove("servers/i-1")
+            await world.store.remove("servers/i-2")
+            world.store.forget_history()
+            await curio.sleep(6.0)
+            world.store.down = False
+            await curio.sleep(1.0)
+            again = world.lines.having("event=servers_listed", "servers=0")
+            assert " doubted=2" in again[0]
+            assert " heard_s=6." in again[0]
+            for ident in ("i-1", "i-2"):
+                assert world.lines.having("event=server_doubted", f"server={ident}", "heard_s=6.")
+
+        play(world, story)
+
+
 class TestServers:
     """The list of servers."""
 
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -37,9 +37,9 @@
         servers.returned(10.0)
         assert servers.replace([], 10.0) == []
         assert idents(servers) == {"a", "b"}
-        assert servers.doubts("a")
+        assert servers.doubted() == ["a", "b"]
         servers.take(server("a", beat=2))
-        assert not servers.doubts("a")
+        assert servers.doubted() == ["b"]
         assert servers.expire(11.0) == []
         assert servers.expire(12.4) == ["b"]
         assert idents(servers) == {"a"}
