--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import base64
+import bisect
 import itertools
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
@@ -61,9 +62,10 @@
         port: TCP port.
         beat_s: seconds between heartbeats of servers; 0 where neither entries nor leases run out,
             as tests with a clock of their own want it.
+        history_s: seconds for which changes are remembered; 0 for ever.
     """
 
-    def __init__(self, host: str, port: int, beat_s: float = 0.0) -> None:
+    def __init__(self, host: str, port: int, beat_s: float = 0.0, history_s: float = 0.0) -> None:
         self.host = host
         self.port = port
         self.revision = 10
@@ -74,6 +76,9 @@
         self.oldest = 0
         self.waiting = 0
         self._beat_s = beat_s
+        self._history_s = history_s
+        # When each change was made, in step with ``changes``.
+        self._changed_at: list[float] = []
         self._beats: dict[str, float] = {}
         self._leases: dict[int, tuple[float, float]] = {}
         self._lease_ids = itertools.count(7)
@@ -83,7 +88,14 @@
         """Write an item as the operator or a replica does."""
         self.revision += 1
         data = base64.b64encode(msgspec.json.encode(value)).decode()
-        item = {"private_key": key, "value": data, "revision": self.revision, "lease": lease}
+        made = self.items[key]["made"] if key in self.items else self.revision
+        item = {
+            "private_key": key,
+            "value": data,
+            "revision": self.revision,
+            "made": made,
+            "lease": lease,
+        }
         self.items[key] = item
         await self._note(item)
 
@@ -95,6 +107,7 @@
 
     async def _note(self, change: Item) -> None:
         self.changes.append(change)
+        self._changed_at.append(await curio.clock())
         await self._changed.set()
         self._changed = curio.Event()
 
@@ -102,6 +115,12 @@
         """Drop what changed so far."""
         self.oldest = self.revision
 
+    def _forget_before(self, moment: float) -> None:
+        """Drop what changed before *moment*."""
+        kept = bisect.bisect_left(self._changed_at, moment)
+        if kept:
+            self.oldest = max(self.oldest, int(self.changes[kept - 1]["revision"]))
+
     async def run(self) -> None:
         """Serve until cancelled."""
         log = get_log(program="standin-store")
@@ -219,9 +238,9 @@
         until = await curio.clock() + int(query["wait_ms"]) / 1000
         self.waiting += 1
         try:
+            if await self._is_forgotten(after):
+                return 410, {}
             while True:
-                if after < self.oldest:
-                    return 410, {}
                 seen = [
                     change
                     for change in self.changes
@@ -229,11 +248,21 @@
                 ]
                 left = until - await curio.clock()
                 if seen or left <= 0:
-                    return 200, {"events": seen, "at": self.revision}
+                    break
                 await curio.ignore_after(left, self._changed.wait)
+            # A watch that waits is told of lost history only when it would be answered.
+            if await self._is_forgotten(after):
+                return 410, {}
+            return 200, {"events": seen, "at": self.revision}
         finally:
             self.waiting -= 1
 
+    async def _is_forgotten(self, after: int) -> bool:
+        """Whether some of what changed after the revision *after* is no longer remembered."""
+        if self._history_s:
+            self._forget_before(await curio.clock() - self._history_s)
+        return after < self.oldest
+
     async def _txn(self, txn: dict[str, Any]) -> tuple[int, Any]:
         for row in txn["expected_revision"]:
             held = self.items.get(row["private_key"], {"revision": 0})
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -98,8 +98,8 @@
 class FakeStore(StandinStore):
     """The metadata store, on a port of its own; entries of servers never lapse by themselves."""
 
-    def __init__(self) -> None:
-        super().__init__(HOST, free_port())
+    def __init__(self, history_s: float = 0.0) -> None:
+        super().__init__(HOST, free_port(), history_s=history_s)
         self.refused = ""
 
     async def _answer(self, method: str, path: str, query: Any, body: bytes) -> tuple[int, Any]:
@@ -259,10 +259,14 @@
 
 
 class World:
-    """A store, replicas and one gateway, in the test's kernel."""
+    """A store, replicas and one gateway, in the test's kernel.
 
-    def __init__(self) -> None:
-        self.store = FakeStore()
+    Args:
+        history_s: seconds for which the store remembers changes; 0 for ever.
+    """
+
+    def __init__(self, history_s: float = 0.0) -> None:
+        self.store = FakeStore(history_s)
         self.replicas: list[FakeReplica] = []
         self.lines = Lines()
         self.port = free_port()
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -86,6 +86,103 @@
         play(world, story)
 
 
+# What a thin link carries, in bytes a second (5 Mbit/s), and how long the store remembers changes.
+THIN_B_S = 625_000
+HISTORY_S = 20.0
+
+
+class TestLargeConfig:
+    """A configuration that takes a thin link longer than any answer of the store took before.
+
+    Users saw instances on thin links serve by an old configuration for the rest of the day, long
+    after newer ones were confirmed. The operators had added 1,400 routes three times, to a value of
+    1 MB; the store had dropped its history, so that the instances had to read the whole value. A
+    5 Mbit/s link carries it in 1.7 s; a read was given up after 1.5 s, whatever had come, and begun
+    again, for ever. Evidence: `source_still_lost what=config why="no answer in 1.5 s" failures=4
+    received=2630700` on each such instance, its link full all the while, and `config_in_force`
+    0.17 s after the write on every instance with a wide link.
+    """
+
+    def test_is_in_force_soon_after_a_thin_link_has_carried_it(self) -> None:
+        """A read goes on as long as bytes come."""
+        world = World()
+        world.add("i-1", "plain")
+        more = [route(f"r-{n}", f"/more-{n:05}/", "unsafe", "plain") for n in range(4200)]
+
+        async def story() -> None:
+            await world.store.put("other/key", "x")
+            world.store.forget_history()
+            world.store.faults.bytes_per_s = THIN_B_S
+            await world.store.put("op/config", config(2, {**ONCE, "path_prefix": "/new/"}, *more))
+            value = world.store.items["op/config"]["value"]
+            carried_s = len(value) / THIN_B_S
+            assert carried_s > 1.5
+            await curio.sleep(carried_s + 1.5)
+            assert (await world.call("q1", "/new/a"))[0] == 200
+            assert (await world.call("q2", "/once/a"))[0] == 404
+
+        play(world, story)
+
+
+class TestLeftUnheard:
+    """A server that left while its instance had no word of it.
+
+    Users saw requests reach a server 2.1 and 2.3 s after its entry had gone, although an instance
+    learns of that within milliseconds. The list had been quiet for longer than the store remembers
+    changes, so that the watch was answered with lost history instead of the change, and the list
+    was read anew. Because the last word of the list was more than a second old, the store counted
+    as having been away, the missing entry as one that may have lapsed meanwhile, and its server was
+    sent requests for 2.3 to 2.9 s more. Evidence: requests within exactly that span; `history_lost
+    what=servers` without `source_lost` before it; `server_gone why=not_back` 2.4 to 3.0 s after the
+    list was read.
+    """
+
+    def test_a_quiet_list_is_no_absence_of_the_store(self) -> None:
+        """What is missing from a list that was read anew after a quiet time has gone."""
+        world = World(HISTORY_S)
+        leaving = world.add("i-1", "plain")
+        world.add("i-2", "plain")
+
+        async def story() -> None:
+            for number in range(48):
+                # Other items change all the while: the mark of a quiet list grows old.
+                await curio.sleep(0.5)
+                await world.store.put("other/key", number)
+            await world.store.remove("servers/i-1")
+            await curio.sleep(0.5)
+            for number in range(20):
+                assert (await world.call(f"q{number}", "/once/a"))[2] == b"whole:i-2"
+            assert not leaving.arrivals
+
+        play(world, story)
+
+    def test_one_instance_that_was_cut_off_believes_the_list(self) -> None:
+        """Where the other entries stand, the store was not away: a missing server has gone.
+
+        Nine instances were cut off for twelve seconds, a server left three seconds into that, and a
+        request reached it 13 s later: 4 s after the cut, when the list had been read long since.
+        """
+        world = World()
+        leaving = world.add("i-1", "plain")
+        world.add("i-2", "plain")
+        world.add("i-3", "plain")
+
+        async def story() -> None:
+            world.store.faults.down = "silent"
+            await curio.sleep(3.0)
+            await world.store.remove("servers/i-1")
+            await curio.sleep(9.0)
+            listed = len(world.lines.having("event=servers_listed"))
+            world.store.faults.down = ""
+            while len(world.lines.having("event=servers_listed")) == listed:
+                await curio.sleep(0.05)
+            for number in range(20):
+                assert (await world.call(f"q{number}", "/once/a"))[2] != b"whole:i-1"
+            assert not leaving.arrivals
+
+        play(world, story)
+
+
 class TestSight:
     """What the logs tell of a source that does not answer."""
 
