The tests of servers that left look at what is believed, not only at requests

They now also ask for the line that says the server has gone, which does not depend on the machine's pace.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -150,6 +150,7 @@
                 await world.store.put("other/key", number)
             await world.store.remove("servers/i-1")
             await curio.sleep(0.5)
+            assert world.lines.having("event=server_gone", "server=i-1")
             for number in range(20):
                 assert (await world.call(f"q{number}", "/once/a"))[2] == b"whole:i-2"
             assert not leaving.arrivals
@@ -168,14 +169,15 @@
         world.add("i-3", "plain")
 
         async def story() -> None:
-            world.store.faults.down = "silent"
+            world.store.down = True
             await curio.sleep(3.0)
             await world.store.remove("servers/i-1")
             await curio.sleep(9.0)
             listed = len(world.lines.having("event=servers_listed"))
-            world.store.faults.down = ""
+            world.store.down = False
             while len(world.lines.having("event=servers_listed")) == listed:
                 await curio.sleep(0.05)
+            assert world.lines.having("event=server_gone", "server=i-1")
             for number in range(20):
                 assert (await world.call(f"q{number}", "/once/a"))[2] != b"whole:i-1"
             assert not leaving.arrivals
