Answers are bounded by silence, not as a whole

Cause: every read of the store had 1.5 s for its whole answer. The value of the configuration grew to 1 MB, which a link of 5 Mbit/s carries in 1.7 s, so each read was cut and begun again, for ever, with the link full. Ruled out: a store that turns instances away (2.6 MB came in four failed reads), decoding (1 to 3 % of a core).

--- a/src/crankhinge/adapters/consul.py
+++ b/src/crankhinge/adapters/consul.py
@@ -11,16 +11,17 @@
 from typing import Any
 from urllib.parse import quote
 
-import curio
 import msgspec
 
 from crankhinge.adapters._instances import Instance, InstanceList
 from crankhinge.adapters._keyvalue import KeyValue, Value
 from crankhinge.errors import BadHttp, HttpClosed, KeyValueUnavailable
-from crankhinge.http import HttpClient, Response
+from crankhinge.http import HttpClient, Patience, Response
 
-CALL_TIMEOUT_S = 2.0
-WATCH_SLACK_S = 5.0
+# Seconds until the first byte of an answer, and between its pieces.
+CALL_S = 2.0
+# The longest answer, a bundle of 512 KB in base64, gets this far at 12 KB a second.
+ANSWER_S = 60.0
 AGENT_SERVICE = "crankhinge-agent"
 
 
@@ -32,21 +33,18 @@
 
     async def get(self, key: str) -> Value | None:
         """Return the value, or None when there is none."""
-        resp = await _call(
-            self._client, "GET", _path(key) + "?consistent", timeout_s=CALL_TIMEOUT_S
-        )
+        resp = await _call(self._client, "GET", _path(key) + "?consistent")
         return _value_of(resp)
 
     async def watch(self, key: str, index: int, wait_s: float) -> Value | None:
         """Return the value once its index differs from *index*, or after *wait_s* seconds."""
         target = f"{_path(key)}?index={index}&wait={int(wait_s * 1000)}ms"
-        return _value_of(await _call(self._client, "GET", target, timeout_s=wait_s + WATCH_SLACK_S))
+        # The service may add a sixteenth of the wait.
+        return _value_of(await _call(self._client, "GET", target, wait_s=wait_s * 17 / 16))
 
     async def swap(self, key: str, data: bytes, index: int) -> bool:
         """Write *data* if the value's index is *index* (0: if there is none)."""
-        resp = await _call(
-            self._client, "PUT", f"{_path(key)}?cas={index}", data, timeout_s=CALL_TIMEOUT_S
-        )
+        resp = await _call(self._client, "PUT", f"{_path(key)}?cas={index}", data)
         if resp.status != 200:
             raise KeyValueUnavailable(f"status {resp.status}")
         return resp.body.strip() == b"true"
@@ -61,7 +59,7 @@
     async def agents(self) -> list[Instance]:
         """Return the agents, live and leaving."""
         target = f"/v1/health/service/{AGENT_SERVICE}"
-        resp = await _call(self._client, "GET", target, timeout_s=CALL_TIMEOUT_S)
+        resp = await _call(self._client, "GET", target)
         if resp.status != 200:
             raise KeyValueUnavailable(f"status {resp.status}")
         return [_instance_of(row) for row in _json(resp)]
@@ -72,24 +70,16 @@
 
 
 async def _call(
-    client: HttpClient, method: str, target: str, body: bytes = b"", *, timeout_s: float
+    client: HttpClient, method: str, target: str, body: bytes = b"", *, wait_s: float = 0.0
 ) -> Response:
+    """Make a call that the service may hold back for *wait_s* seconds."""
+    patience = Patience(first_s=wait_s + CALL_S, next_s=CALL_S, whole_s=wait_s + ANSWER_S)
+    # A kept connection may be dead; a fresh one leaves less doubt about a write.
+    fresh = method != "GET"
     try:
-        # A kept connection may be dead; a fresh one leaves less doubt about a write.
-        resp: Response = await curio.timeout_after(
-            timeout_s, _call_fresh, client, method, target, body, method != "GET"
-        )
+        return await client.call(method, target, body=body, fresh=fresh, patience=patience)
     except (HttpClosed, BadHttp, OSError) as exc:
         raise KeyValueUnavailable(str(exc)) from exc
-    except curio.TaskTimeout as exc:
-        raise KeyValueUnavailable(f"no answer in {timeout_s} s") from exc
-    return resp
-
-
-async def _call_fresh(
-    client: HttpClient, method: str, target: str, body: bytes, fresh: bool
-) -> Response:
-    return await client.call(method, target, body=body, fresh=fresh)
 
 
 def _json(resp: Response) -> Any:
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -1,6 +1,13 @@
 """HTTP/1.1 over curio sockets, parsed and written by h11."""
 
-from crankhinge.http._client import ClientStream, ConnectFailed, HttpClient, Response
+from crankhinge.http._client import (
+    ClientStream,
+    ConnectFailed,
+    HttpClient,
+    HttpSilent,
+    Patience,
+    Response,
+)
 from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
 from crankhinge.http._sse import SseParser, sse_event
 
@@ -11,6 +18,8 @@
     "HttpClient",
     "HttpLimits",
     "HttpRequest",
+    "HttpSilent",
+    "Patience",
     "Response",
     "SseParser",
     "serve_http",
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -68,6 +68,31 @@
     body: bytes
 
 
+@dataclass(frozen=True)
+class Patience:
+    """How long an answer is waited for, in seconds.
+
+    Silence is bounded, not the whole answer: how long that takes follows from its size and the
+    link, which nobody here knows. A bound on the whole once gave up an answer of 1 MB on a
+    5 Mbit/s link, which takes 1.7 s, after each 1.5 s for ever.
+
+    Attributes:
+        first_s: from the sending of the request to the first byte.
+        next_s: from one piece to the next.
+        whole_s: all of it; ends an answer that only trickles.
+    """
+
+    first_s: float
+    next_s: float
+    whole_s: float
+
+
+class HttpSilent(HttpClosed):
+    """The other end stopped sending; the connection was given up."""
+
+    code = "http-silent"
+
+
 class ConnectFailed(HttpClosed):
     """No connection was made, so nothing was sent."""
 
@@ -83,14 +108,24 @@
         reused: whether it carried an earlier request.
         owns: tells from a head whether an answer is this request's; a server may send an
             answer to an earlier request late, in the place of the one that is due.
+        patience: how long the answer is waited for; without one, until the caller gives up.
     """
 
     def __init__(
-        self, client: HttpClient, sock: Any, *, reused: bool = False, owns: Owns | None = None
+        self,
+        client: HttpClient,
+        sock: Any,
+        *,
+        reused: bool = False,
+        owns: Owns | None = None,
+        patience: Patience | None = None,
     ) -> None:
         self._client = client
         self._sock = sock
         self._owns = owns
+        self._patience = patience
+        self._received = 0
+        self._until: float | None = None
         self._h11 = h11.Connection(h11.CLIENT)
         self._all_sent = False
         self.reused = reused
@@ -183,12 +218,32 @@
                 raise BadHttp(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
-            try:
-                data = await self._sock.recv(RECV_BYTES)
-            except OSError as exc:
-                raise HttpClosed(str(exc)) from exc
-            self._client.received += len(data)
-            self._h11.receive_data(data)
+            self._h11.receive_data(await self._receive())
+
+    async def _receive(self) -> bytes:
+        try:
+            data = await self._recv_in_time()
+        except OSError as exc:
+            raise HttpClosed(str(exc)) from exc
+        self._received += len(data)
+        self._client.received += len(data)
+        return data
+
+    async def _recv_in_time(self) -> bytes:
+        if self._patience is None:
+            data: bytes = await self._sock.recv(RECV_BYTES)
+            return data
+        now = await curio.clock()
+        if self._until is None:
+            self._until = now + self._patience.whole_s
+        wait_s = self._patience.next_s if self._received else self._patience.first_s
+        wait_s = max(0.0, min(wait_s, self._until - now))
+        try:
+            data = await curio.timeout_after(wait_s, self._sock.recv, RECV_BYTES)
+        except curio.TaskTimeout as exc:
+            why = f"nothing for {wait_s:.3f} s after {self._received} bytes"
+            raise HttpSilent(why) from exc
+        return data
 
     async def next_chunk(self) -> bytes:
         """Return the next piece of the body; empty at its end.
@@ -293,6 +348,7 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         fresh: bool = False,
+        patience: Patience | None = None,
     ) -> ClientStream:
         """Send a request and return its response, head read and body unread.
 
@@ -303,6 +359,7 @@
             body: the whole body.
             fresh: use a new connection; a kept one may have been closed by the other end, and
                 then nobody can tell whether the request arrived.
+            patience: how long the answer is waited for.
 
         Raises:
             ConnectFailed: nothing was sent.
@@ -310,7 +367,9 @@
         """
         head = {"host": f"{self.host}:{self.port}", **(headers or {})}
         head["content-length"] = str(len(body))
-        return await self.open_as_is(method, target, fields=head.items(), body=body, fresh=fresh)
+        return await self.open_as_is(
+            method, target, fields=head.items(), body=body, fresh=fresh, patience=patience
+        )
 
     async def open_as_is(
         self,
@@ -321,18 +380,20 @@
         body: bytes = b"",
         fresh: bool = False,
         owns: Owns | None = None,
+        patience: Patience | None = None,
     ) -> ClientStream:
         """Send a request whose header fields are all given; returns and raises as :meth:`open`.
 
         Args:
             fields: every header field, host and framing included, in order.
             owns: whether an answer with these headers is this request's; others are skipped.
+            patience: how long the answer is waited for.
         """
         sock = None if fresh else await self._take_idle()
         reused = sock is not None
         if sock is None:
             sock = await self._connect()
-        stream = ClientStream(self, sock, reused=reused, owns=owns)
+        stream = ClientStream(self, sock, reused=reused, owns=owns, patience=patience)
         try:
             await stream.send(method, target, fields, body)
         except BaseException:
@@ -348,9 +409,12 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         fresh: bool = False,
+        patience: Patience | None = None,
     ) -> Response:
         """Send a request and return the whole response. Raises as :meth:`open` does."""
-        stream = await self.open(method, target, headers=headers, body=body, fresh=fresh)
+        stream = await self.open(
+            method, target, headers=headers, body=body, fresh=fresh, patience=patience
+        )
         try:
             data = await stream.read_all()
         finally:
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -10,7 +10,15 @@
 import pytest
 
 from crankhinge.errors import BadHttp, HttpClosed
-from crankhinge.http import ConnectFailed, Exchange, HttpClient, HttpLimits, serve_http
+from crankhinge.http import (
+    ConnectFailed,
+    Exchange,
+    HttpClient,
+    HttpLimits,
+    HttpSilent,
+    Patience,
+    serve_http,
+)
 from crankhinge.runtime import get_log, serve_tcp, until_first
 from crankhinge_bench._procs import free_ports
 from platform_fakes import HOST, refuse_bad
@@ -55,6 +63,57 @@
         await stream.close()
 
 
+LONG_HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\n"
+PATIENCE = Patience(first_s=2.0, next_s=1.0, whole_s=20.0)
+
+
+def pieces(number: int, pause_s: float) -> Server:
+    """Return a server whose answer comes in *number* pieces after pauses, and then no more."""
+
+    async def serve(sock: Any) -> None:
+        await sock.recv(65536)
+        for piece in [LONG_HEAD, *([b"x"] * number)]:
+            await curio.sleep(pause_s)
+            await sock.sendall(piece)
+        await curio.Event().wait()
+
+    return serve
+
+
+class TestPatience:
+    """How long an answer is waited for."""
+
+    @pytest.mark.parametrize(
+        ("number", "pause_s", "until", "came"),
+        [
+            (100, 0.1, 0.0, 0),
+            (0, 2.5, 2.0, 0),
+            (3, 0.9, 0.9 * 4 + 1.0, 3),
+            (100, 0.9, 20.0, 21),
+        ],
+        ids=["whole", "silent", "silent in its middle", "trickles"],
+    )
+    def test_silence_and_trickles_end_it_a_long_answer_does_not(
+        self, number: int, pause_s: float, until: float, came: int
+    ) -> None:
+        """Only bytes that stop coming, or come for too long, count against an answer."""
+
+        async def story(client: HttpClient) -> None:
+            began = await curio.clock()
+            if not until:
+                body = (await client.call("GET", "/", patience=PATIENCE)).body
+                assert len(body) == 100
+                assert await curio.clock() - began > 10.0
+                return
+            with pytest.raises(HttpSilent) as caught:
+                await client.call("GET", "/", patience=PATIENCE)
+            assert await curio.clock() - began == pytest.approx(until, abs=0.2)
+            head = len(LONG_HEAD) if came else 0
+            assert f"after {head + came} bytes" in caught.value.detail
+
+        play(pieces(number, pause_s), story)
+
+
 class TestAnswers:
     """Which bytes belong to which request."""
 
