Other entries tell whether a missing server has left

Cause: a list that was read anew more than a second after its last word, which on a quiet list is always so, counted as one whose keeper had been away, and each missing entry as lapsed: its server got requests for 2.3 to 2.9 s more, past the two seconds promised. An instance that was cut off alone did the same. And entries that a watch said had all ended in one answer, after an outage that the watch outlived, were believed at once. Change: a missing entry is doubted only where most known entries are missing or were made anew and no others came in their place; doubted servers get requests only while most are doubted; doubts end when due, not at a look every 0.6 s. What follows the source is a module of its own.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -67,7 +67,7 @@
     Share,
 )
 from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
-from crankhinge.decisions._servers import Phase, Server, ServerList
+from crankhinge.decisions._servers import ListChange, Phase, Server, ServerList
 from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
 from crankhinge.decisions._split import (
     MANY_ANSWERS,
@@ -108,6 +108,7 @@
     "FenceSync",
     "FirstTries",
     "Grant",
+    "ListChange",
     "Loads",
     "Mechanisms",
     "MemberLimits",
--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -1,19 +1,23 @@
 """Which backend servers exist, judged from a list that can be away, late or forgetful.
 
-A server keeps its own entry alive. While the list's keeper is away entries may lapse although
-their servers live; they are back shortly after its return. So an entry that is missing then is
-doubted for a while before it counts as gone; at all other times a missing entry is gone at once.
+A server keeps its own entry alive. While the list's keeper is away for all, entries lapse although
+their servers live, and are back shortly after its return. One instance that was cut off sees
+nothing of the kind: the other entries stand as they did. So what became of the other entries tells
+whether a missing one lapsed, and is doubted for a while, or whether its server has gone.
 """
 
 from __future__ import annotations
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
 # Seconds after the list's return within which living servers have entered themselves again (two
 # heartbeats of 1.2 s at most, as the operators of the list state it).
 RETURN_S = 2.3
+# Entries that lapse do so together; fewer than this many missing at once are servers that left,
+# unless the list's keeper is known to have been away.
+LAPSED_LEAST = 2
 
 # Servers that are gone whose last heartbeat is remembered; entries are written late by seconds, in
 # which no fleet loses as many.
@@ -42,6 +46,8 @@
         slots: requests at once.
         leaving: takes no new work.
         beat: rises with each of its entries.
+        entered: when the entry came into being, as the list's keeper counts; it stays as long as
+            the entry does not lapse.
         models: names of the models that it holds; empty where it tells of none.
     """
 
@@ -54,6 +60,7 @@
     slots: int
     leaving: bool
     beat: int
+    entered: int = 0
     models: frozenset[str] = frozenset()
 
     def holds(self, model: str) -> bool:
@@ -61,6 +68,21 @@
         return not model or not self.models or model in self.models
 
 
+@dataclass(frozen=True)
+class ListChange:
+    """What entries changed in the belief about servers.
+
+    Attributes:
+        seen: servers that are new, or that leave or play another part now.
+        dropped: identities of servers that have gone.
+        doubted: identities of servers that are kept without an entry from now on.
+    """
+
+    seen: tuple[Server, ...]
+    dropped: tuple[str, ...]
+    doubted: tuple[str, ...]
+
+
 class ServerList:
     """The servers that are believed in."""
 
@@ -69,7 +91,6 @@
         self._doubted: dict[str, float] = {}
         # Last beat of servers that are gone: an entry of theirs that was written late is no life.
         self._last_beats: dict[str, int] = {}
-        self._back_at = 0.0
 
     def all(self) -> Iterable[Server]:
         """Return every server believed in, leaving ones and doubted ones too."""
@@ -79,14 +100,14 @@
         """Return a server by its identity."""
         return self._known.get(ident)
 
+    def doubts(self, ident: str) -> bool:
+        """Whether the server has no entry and is kept since that may have lapsed."""
+        return ident in self._doubted
+
     def doubted(self) -> list[str]:
-        """Return the identities whose entries are believed to have lapsed unheard."""
+        """Return the identities of servers that are kept without an entry."""
         return list(self._doubted)
 
-    def returned(self, now: float) -> None:
-        """Note that the list's keeper is back after it was away."""
-        self._back_at = now + RETURN_S
-
     def take(self, server: Server) -> bool:
         """Take an entry; returns whether it changed anything."""
         known = self._known.get(server.ident)
@@ -97,24 +118,70 @@
         self._known[server.ident] = server
         return known != server
 
-    def missing(self, ident: str, now: float) -> bool:
-        """Note that a server has no entry; returns whether it is dropped."""
-        if ident not in self._known:
-            return False
-        if now < self._back_at and not self._known[ident].leaving:
-            self._doubted.setdefault(ident, self._back_at)
-            return False
-        self._drop(ident)
-        return True
+    def replace(self, servers: Iterable[Server], now: float, *, was_away: bool) -> ListChange:
+        """Take a whole list.
 
-    def replace(self, servers: Iterable[Server], now: float) -> list[str]:
-        """Take a whole list; returns the identities that were dropped."""
+        Args:
+            servers: every entry.
+            now: on the runtime's clock, in seconds.
+            was_away: whether the list's keeper could not be reached since the last word.
+        """
         listed = {server.ident: server for server in servers}
-        for server in listed.values():
-            self.take(server)
-        return [
-            ident for ident in list(self._known) if ident not in listed and self.missing(ident, now)
-        ]
+        missing = [ident for ident in self._known if ident not in listed]
+        lapsed = self._lapsed(listed, missing, least=1 if was_away else LAPSED_LEAST)
+        return self._take_all(listed.values(), missing, now, lapsed=lapsed)
+
+    def change(self, servers: Iterable[Server], gone: Iterable[str], now: float) -> ListChange:
+        """Take what changed at once.
+
+        Args:
+            servers: entries that were written.
+            gone: identities whose entries have ended.
+            now: on the runtime's clock, in seconds.
+        """
+        written = {server.ident: server for server in servers}
+        missing = [ident for ident in gone if ident in self._known]
+        lapsed = self._lapsed(written, missing, least=LAPSED_LEAST)
+        return self._take_all(written.values(), missing, now, lapsed=lapsed)
+
+    def _lapsed(self, seen: Mapping[str, Server], missing: list[str], *, least: int) -> bool:
+        """Whether entries are missing because the list's keeper was away for all servers.
+
+        Then most of them lapsed, some of those are back already, and none has come in their place.
+        Where most stand as they did, or as many others have come, the missing servers left.
+        """
+        anew = sum(
+            known.entered != seen[ident].entered
+            for ident, known in self._known.items()
+            if ident in seen
+        )
+        others = sum(ident not in self._known for ident in seen)
+        standing = len(self._known) - len(missing) - anew
+        return len(missing) >= least and len(missing) + anew > standing and others < len(missing)
+
+    def _take_all(
+        self, servers: Iterable[Server], missing: list[str], now: float, *, lapsed: bool
+    ) -> ListChange:
+        seen = tuple(server for server in servers if self._take_new(server))
+        dropped = tuple(ident for ident in missing if not lapsed or self._known[ident].leaving)
+        for ident in dropped:
+            self._drop(ident)
+        doubted = tuple(
+            ident for ident in missing if ident in self._known and ident not in self._doubted
+        )
+        self._doubted.update(dict.fromkeys(doubted, now + RETURN_S))
+        return ListChange(seen, dropped, doubted)
+
+    def _take_new(self, server: Server) -> bool:
+        """Take an entry; returns whether it says more than that its server lives."""
+        known = self._known.get(server.ident)
+        return self.take(server) and (
+            known is None or known.leaving != server.leaving or known.phase != server.phase
+        )
+
+    def next_expiry(self) -> float | None:
+        """Return when the next doubted server's time is up; None without one."""
+        return min(self._doubted.values(), default=None)
 
     def expire(self, now: float) -> list[str]:
         """Drop doubted servers whose time is up; returns their identities."""
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -73,8 +73,12 @@
             await client.close()
 
     def able(self, service: str, phase: Phase | None = None, model: str = "") -> list[Server]:
-        """Return the servers of a service that take new work for a model."""
-        return [
+        """Return the servers of a service that take new work for a model.
+
+        Doubted ones are among them only while most are doubted: those few that are back first
+        could not carry the load of all, and once half are back the rest has probably gone.
+        """
+        able = [
             server
             for server in self._servers.all()
             if server.service == service
@@ -83,6 +87,8 @@
             and (phase is None or server.phase is phase)
             and server.holds(model)
         ]
+        sure = [server for server in able if not self._servers.doubts(server.ident)]
+        return sure if len(sure) >= len(able) - len(sure) else able
 
     def replaced(self, server: Server) -> None:
         """Note that another server answers at the address: this one is gone, whatever its entry."""
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -254,7 +254,7 @@
             relay.facts["pause_ms"] = round(route.pause_s * 1000)
         # How long ago the list of servers was last heard of, in seconds: what is believed of
         # servers is at least that old, unless the list is watched and did not change.
-        relay.facts["list_age_s"] = round(began - self._directory.heard["servers"], 1)
+        relay.facts["list_age_s"] = round(began - (self._directory.list.heard or 0.0), 1)
         return relay
 
     def _note_end(self, relay: Relay) -> None:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -17,6 +17,7 @@
 from crankhinge.decisions import RetryBudget, WorkMeter
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._directory import Directory
+from crankhinge.gateway._follower import Follower
 from crankhinge.gateway._gateway import Gateway
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._orderer import Orderer
@@ -109,16 +110,18 @@
         log=log,
     )
     # The runtime's clock is the steady clock; a page is made outside of any task's trap.
-    for what in directory.heard:
-        metrics.ask(f"{what}_heard_s_ago", partial(_age, directory, what))
+    metrics.ask("config_heard_s_ago", partial(_age, directory.config))
+    metrics.ask("servers_heard_s_ago", partial(_age, directory.list))
     metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
     metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
+    metrics.ask("servers_doubted", lambda: len(directory.servers.doubted()))
+    metrics.ask("source_bytes", lambda: platform.source.received)
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
     supervisor.add("ready", gateway.listen_ready)
     supervisor.add("metrics", gateway.listen_metrics)
-    supervisor.add("config", directory.watch_config)
-    supervisor.add("servers", directory.watch_servers)
+    supervisor.add("config", directory.config.run)
+    supervisor.add("servers", directory.list.run)
     supervisor.add("expiry", directory.expire)
     supervisor.add("orders", orderer.run)
     supervisor.add("work", work.run)
@@ -127,8 +130,8 @@
     log.info("stopped")
 
 
-def _age(directory: Directory, what: str) -> float:
-    return time.monotonic() - directory.heard[what]
+def _age(follower: Follower) -> float:
+    return time.monotonic() - (follower.heard or 0.0)
 
 
 async def _drain_on(stopping: curio.Event, gateway: Gateway) -> None:
--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -43,6 +43,7 @@
         forget: whether the history of changes is dropped as it grows.
         bytes_per_s: pace of each answer on its connection, as on a thin link; 0 for no bound.
         break_off: every answer ends in its middle.
+        hold_watches: watches wait, and are answered with all that changed once this is over.
     """
 
     down: str = ""
@@ -52,6 +53,7 @@
     forget: bool = False
     bytes_per_s: int = 0
     break_off: bool = False
+    hold_watches: bool = False
 
 
 class StandinStore:
@@ -247,9 +249,12 @@
                     if change["revision"] > after and change["private_key"].startswith(prefix)
                 ]
                 left = until - await curio.clock()
-                if seen or left <= 0:
+                if self.faults.hold_watches:
+                    await curio.sleep(SWEEP_S)
+                elif seen or left <= 0:
                     break
-                await curio.ignore_after(left, self._changed.wait)
+                else:
+                    await curio.ignore_after(left, self._changed.wait)
             # A watch that waits is told of lost history only when it would be answered.
             if await self._is_forgotten(after):
                 return 410, {}
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -185,6 +185,40 @@
         play(world, story)
 
 
+class TestLapsedTogether:
+    """Entries that lapsed while the store was away, told by a watch that outlived it.
+
+    A store that fell silent for six seconds let all entries lapse and then answered the watches
+    that were still waiting: every instance dropped every server in the same moment, and had none
+    until they had entered themselves again.
+    """
+
+    def test_servers_that_vanish_at_once_are_kept_until_they_had_time_to_return(self) -> None:
+        """They serve; who does not return has gone after that time."""
+        world = World()
+        replicas = [world.add(f"i-{number}", "plain") for number in (1, 2, 3)]
+
+        async def story() -> None:
+            world.store.faults.hold_watches = True
+            for replica in replicas:
+                await world.store.remove(f"servers/{replica.ident}")
+            await curio.sleep(6.0)
+            world.store.faults.hold_watches = False
+            await curio.sleep(0.2)
+            assert len(world.lines.having("event=server_doubted")) == 3
+            assert (await world.call("q1", "/once/a"))[0] == 200
+            await replicas[1].enter()
+            await replicas[2].enter()
+            await curio.sleep(0.2)
+            for number in range(20):
+                assert (await world.call(f"p{number}", "/once/a"))[2] != b"whole:i-1"
+            await curio.sleep(2.3)
+            assert world.lines.having("event=server_gone", "server=i-1", "why=not_back")
+            assert len(world.lines.having("event=server_gone")) == 1
+
+        play(world, story)
+
+
 class TestSight:
     """What the logs tell of a source that does not answer."""
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import base64
 import random
 from types import SimpleNamespace
 from typing import cast
@@ -18,6 +19,7 @@
 from crankhinge.runtime import Metrics, get_log
 from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import decode_server
+from crankhinge_platform.store import Item
 from platform_fakes import HOST, FakeReplica, World, route
 from virtual_time import run_virtual
 
@@ -39,7 +41,8 @@
 
     async def story() -> None:
         entry = f'{{"service": "plain", "address": "{HOST}:{replica.port}"}}'
-        server = decode_server("i-1", entry.encode())
+        value = base64.b64encode(entry.encode()).decode()
+        server = decode_server(Item("servers/i-1", value=value))
 
         req = HttpRequest(
             "GET", "/", {"x-request-id": "q"}, b"", (("host", "h"), ("x-request-id", "q"))
--- a/tests/test_servers.py
+++ b/tests/test_servers.py
@@ -10,9 +10,9 @@
 from crankhinge.decisions import Phase, Server, ServerList
 
 
-def server(ident: str = "a", *, beat: int = 1, leaving: bool = False) -> Server:
+def server(ident: str = "a", *, beat: int = 1, leaving: bool = False, entered: int = 1) -> Server:
     """Return an entry."""
-    return Server(ident, "s", "10.0.0.1", 80, "z", Phase.PLAIN, 4, leaving, beat)
+    return Server(ident, "s", "10.0.0.1", 80, "z", Phase.PLAIN, 4, leaving, beat, entered=entered)
 
 
 def idents(servers: ServerList) -> set[str]:
@@ -20,36 +20,102 @@
     return {known.ident for known in servers.all()}
 
 
+def listed(names: str) -> ServerList:
+    """Return a list with a server for each letter."""
+    servers = ServerList()
+    servers.replace([server(name) for name in names], 0.0, was_away=False)
+    return servers
+
+
 class TestGone:
     """When a missing entry means that the server is gone."""
 
     def test_a_missing_entry_counts_at_once(self) -> None:
         """While the list is there, a server without an entry gets no request."""
-        servers = ServerList()
-        servers.replace([server("a"), server("b")], 0.0)
-        assert servers.replace([server("a")], 1.0) == ["b"]
+        servers = listed("ab")
+        assert servers.replace([server("a")], 1.0, was_away=False).dropped == ("b",)
         assert idents(servers) == {"a"}
 
+    def test_a_last_server_that_leaves_is_gone(self) -> None:
+        """One entry that ends while the list is there lapsed for no outage."""
+        servers = listed("a")
+        assert servers.change([], ["a"], 1.0).dropped == ("a",)
+        assert idents(servers) == set()
+
     def test_an_empty_list_is_not_believed_after_an_outage(self) -> None:
         """Entries that lapsed are doubted until the servers had time to write them again."""
-        servers = ServerList()
-        servers.replace([server("a"), server("b")], 0.0)
-        servers.returned(10.0)
-        assert servers.replace([], 10.0) == []
+        servers = listed("ab")
+        change = servers.replace([], 10.0, was_away=True)
+        assert (change.dropped, change.doubted) == ((), ("a", "b"))
         assert idents(servers) == {"a", "b"}
-        assert servers.doubted() == ["a", "b"]
-        servers.take(server("a", beat=2))
-        assert servers.doubted() == ["b"]
+        assert servers.doubts("a")
+        servers.take(server("a", beat=2, entered=9))
+        assert not servers.doubts("a")
+        assert servers.next_expiry() == 12.3
         assert servers.expire(11.0) == []
         assert servers.expire(12.4) == ["b"]
         assert idents(servers) == {"a"}
+        assert servers.next_expiry() is None
 
     def test_a_leaving_server_is_not_doubted(self) -> None:
         """Whoever said that it leaves and has no entry is gone."""
         servers = ServerList()
-        servers.replace([server("a", leaving=True)], 0.0)
-        servers.returned(10.0)
-        assert servers.replace([], 10.0) == ["a"]
+        servers.replace([server("a", leaving=True)], 0.0, was_away=False)
+        assert servers.replace([], 10.0, was_away=True).dropped == ("a",)
+
+    def test_whoever_is_missing_while_others_stand_is_gone(self) -> None:
+        """After an outage of one instance alone, the other entries are as they were."""
+        servers = listed("abcd")
+        change = servers.replace([server(name) for name in "abc"], 10.0, was_away=True)
+        assert (change.dropped, change.doubted) == (("d",), ())
+
+    def test_replaced_servers_are_gone_however_many(self) -> None:
+        """A release replaced all of them while this instance was cut off."""
+        servers = listed("abc")
+        fresh = [server(name) for name in "xyz"]
+        change = servers.replace(fresh, 10.0, was_away=True)
+        assert set(change.dropped) == {"a", "b", "c"}
+        assert idents(servers) == {"x", "y", "z"}
+
+    def test_entries_made_anew_tell_of_an_outage(self) -> None:
+        """Some servers are back already; the others are waited for."""
+        servers = listed("abcd")
+        back = [server(name, beat=2, entered=9) for name in "ab"]
+        change = servers.replace([*back, server("c")], 10.0, was_away=True)
+        assert (change.dropped, change.doubted) == ((), ("d",))
+
+    def test_entries_that_end_at_once_are_doubted(self) -> None:
+        """A watch that outlives the outage tells of all that lapsed in one answer."""
+        servers = listed("abcde")
+        change = servers.change([], ["a", "b", "c", "d"], 10.0)
+        assert (change.dropped, change.doubted) == ((), ("a", "b", "c", "d"))
+        assert servers.change([], ["e"], 10.1).dropped == ("e",)
+
+    def test_a_doubt_is_not_prolonged(self) -> None:
+        """Two lists in a row, the second a second later."""
+        servers = listed("ab")
+        servers.replace([], 10.0, was_away=True)
+        assert servers.replace([], 11.0, was_away=True).doubted == ()
+        assert servers.expire(12.3) == ["a", "b"]
+
+    @given(
+        st.sets(st.sampled_from("abcdefgh")),
+        st.sets(st.sampled_from("abcdefgh")),
+        st.sets(st.sampled_from("abcdefgh")),
+        st.booleans(),
+    )
+    def test_nobody_is_lost_or_kept_for_ever(
+        self, before: set[str], standing: set[str], anew: set[str], was_away: bool
+    ) -> None:
+        """After any list, who is believed in is listed or doubted, and doubts end."""
+        servers = listed("".join(sorted(before)))
+        now = {name: server(name) for name in standing}
+        now |= {name: server(name, beat=2, entered=9) for name in anew}
+        change = servers.replace(now.values(), 10.0, was_away=was_away)
+        assert idents(servers) == set(now) | set(change.doubted)
+        assert set(change.dropped) | set(change.doubted) == before - set(now)
+        servers.expire(12.3)
+        assert idents(servers) == set(now)
 
 
 class TestBeats:
@@ -66,7 +132,7 @@
         """Only a newer heartbeat shows life."""
         servers = ServerList()
         servers.take(server(beat=5))
-        assert servers.missing("a", 1.0)
+        assert servers.change([], ["a"], 1.0).dropped == ("a",)
         assert not servers.take(server(beat=5))
         assert idents(servers) == set()
         assert servers.take(server(beat=6))
