--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -87,8 +87,11 @@
 
     async def put(self, key: str, value: Any, lease: int = 0) -> None:
         """Write an item as the operator or a replica does."""
+        await self._put_data(key, msgspec.json.encode(value), lease)
+
+    async def _put_data(self, key: str, value: bytes, lease: int) -> None:
         self.revision += 1
-        data = base64.b64encode(msgspec.json.encode(value)).decode()
+        data = base64.b64encode(value).decode()
         made = self.items[key]["made"] if key in self.items else self.revision
         item = {
             "private_key": key,
@@ -112,6 +115,11 @@
         await self._changed.set()
         self._changed = curio.Event()
 
+    async def end_leases(self) -> None:
+        """End every lease with its items."""
+        for lease in list(self._leases):
+            await self._end_lease(lease)
+
     def mute_open_calls(self) -> None:
         """Never answer the calls that wait now; their connections stay open, new ones work."""
         self._muted += 1
@@ -279,8 +287,8 @@
         if any(row["lease"] and row["lease"] not in self._leases for row in txn["put"]):
             return 404, {}
         for row in txn["put"]:
-            value = base64.b64decode(row["value"]).decode()
-            await self.put(row["private_key"], value, row["lease"])
+            value = base64.b64decode(row["value"])
+            await self._put_data(row["private_key"], value, row["lease"])
         return 200, {"revision": self.revision}
 
 
--- /dev/null
+++ b/tests/test_board.py
@@ -0,0 +1,79 @@
+"""Tests of the notes that instances keep in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import curio
+import pytest
+
+from crankhinge.decisions import WorkSheet
+from crankhinge.errors import KeyValueUnavailable
+from crankhinge.runtime import get_log, until_first
+from crankhinge_platform.board import PlatformWorkBoard
+from crankhinge_platform.store import StoreClient
+from platform_fakes import HOST, FakeStore
+from virtual_time import run_virtual
+
+TTL_S = 45.0
+SHEETS: dict[str, WorkSheet] = {}
+
+
+def play(story: Callable[[FakeStore, PlatformWorkBoard], Awaitable[None]]) -> None:
+    """Run *story* with a store and the board of one instance."""
+    store = FakeStore()
+    board = PlatformWorkBoard(StoreClient(HOST, store.port), TTL_S, get_log(program="t"))
+
+    async def told() -> None:
+        await curio.sleep(0.01)
+        await story(store, board)
+
+    async def main() -> None:
+        await until_first(store.run, told)
+
+    run_virtual(main, settle_s=0.003)
+
+
+class TestLease:
+    """What a note costs: a renewal is a tenth of a call."""
+
+    def test_one_lease_carries_all_notes(self) -> None:
+        """It is renewed with each."""
+
+        async def story(store: FakeStore, board: PlatformWorkBoard) -> None:
+            for _ in range(5):
+                await board.publish("here", SHEETS)
+                await curio.sleep(30.0)
+            assert store.calls.count("/v1/kv-lease") == 1
+            assert sum(call.startswith("/v1/kv-keep/") for call in store.calls) == 4
+            assert await board.read() == {"here": SHEETS}
+
+        play(story)
+
+    def test_a_lease_that_is_over_is_made_anew(self) -> None:
+        """The store ended it, or forgot it."""
+
+        async def story(store: FakeStore, board: PlatformWorkBoard) -> None:
+            await board.publish("here", SHEETS)
+            await store.end_leases()
+            assert await board.read() == {}
+            await board.publish("here", SHEETS)
+            assert await board.read() == {"here": SHEETS}
+            assert store.calls.count("/v1/kv-lease") == 2
+
+        play(story)
+
+    def test_after_a_failure_nothing_is_taken_for_granted(self) -> None:
+        """A lease that may have ended between renewal and note is not used again."""
+
+        async def story(store: FakeStore, board: PlatformWorkBoard) -> None:
+            await board.publish("here", SHEETS)
+            store.refused = "/v1/kv-txn"
+            with pytest.raises(KeyValueUnavailable):
+                await board.publish("here", SHEETS)
+            store.refused = ""
+            await board.publish("here", SHEETS)
+            assert store.calls.count("/v1/kv-lease") == 2
+            assert await board.read() == {"here": SHEETS}
+
+        play(story)
