--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -32,15 +32,18 @@
 STORM = 6
 # Shares, so that each variant comes a few times in twenty seeds: of episodes, those in series; of
 # planned stops of servers, those without a word; of reloads, those of settings that can't be read;
-# of harmed paths, those that are reset; of outages of the store, those in which entries lapse; of
-# changes of the configuration, those in quick succession, and those that move calls.
+# of harmed paths, those that are reset and those whose connections fall silent; of outages of the
+# store, those in which entries lapse; of changes of the configuration, those in quick succession,
+# those that move calls, and those that make it large or small.
 SERIES_SHARE = 0.4
 SILENT_SHARE = 0.3
 UNREADABLE_SHARE = 0.4
 RESET_SHARE = 0.3
+MUTE_SHARE = 0.25
 LAPSE_SHARE = 0.3
 STORM_SHARE = 0.3
 MOVE_SHARE = 0.5
+LARGE_SHARE = 0.3
 # Seconds by which a clock jumps, at most.
 JUMP_S = 6.0
 
@@ -231,12 +234,17 @@
         await self._lasting(trouble)
         await self._fleet.faults(place.port, **WHOLE)
 
-    async def _path(self, proxy: Proxy, kind: str, target: str) -> None:
+    async def _path(self, proxy: Proxy, kind: str, target: str, *, mutes: bool = True) -> None:
         trouble = self._begin(f"{kind}-reset", target)
         if self._by_chance(RESET_SHARE):
             await proxy.reset()
             trouble.ended = time.time()
             return
+        if mutes and self._by_chance(MUTE_SHARE):
+            trouble.kind = f"{kind}-mute"
+            proxy.mute()
+            trouble.ended = time.time()
+            return
         proxy.harm = self._rng.choice([harm for harm in Harm if harm is not Harm.NONE])
         trouble.kind = f"{kind}-{proxy.harm.value}"
         await self._lasting(trouble)
@@ -248,7 +256,8 @@
 
     async def _path_of_callers(self) -> None:
         gateway = self._gateway()
-        await self._path(gateway.front, "callers-path", gateway.name)
+        # What a caller sends on a connection that carries nothing reaches nobody.
+        await self._path(gateway.front, "callers-path", gateway.name, mutes=False)
 
     async def _path_to_server(self) -> None:
         place = self._place()
@@ -280,6 +289,8 @@
         """Publish a change, or several in quick succession."""
         if not self._take("config"):
             return
+        if self._by_chance(LARGE_SHARE):
+            self._fleet.resize_config()
         for _ in range(STORM if self._by_chance(STORM_SHARE) else 1):
             await self._fleet.publish(move=self._by_chance(MOVE_SHARE))
         self._busy.discard("config")
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -23,6 +23,12 @@
 SERVERS = (("plain-a", "", 2), ("plain-b", "", 2), ("llm", "prefill", 2), ("llm", "decode", 3))
 BEAT_S = 0.4
 DRAIN_S = 8
+# Seconds for which the store remembers changes; the users' remembers 20.
+HISTORY_S = 6.0
+# What the last instance's path to the store carries, in bytes a second (5 Mbit/s), and the routes
+# that make a configuration large: 0.9 MB as the store gives it, so 1.5 s on that path.
+THIN_B_S = 625_000
+LARGE_ROUTES = 3000
 CALL_S = 2.0
 # The routes that callers use: path, kind, most servers, whether it may be resumed.
 ONCE, SAFE, STREAM, RESUMED = "/once/", "/safe/", "/stream/", "/resumed/"
@@ -104,6 +110,7 @@
 
     logs_at: Path | None = None
     version: int = 0
+    more_routes: int = 0
     plain: str = "plain-a"
     acknowledged: list[tuple[float, int, str]] = field(default_factory=list)
 
@@ -114,7 +121,9 @@
         self.gateways = []
         for number in range(GATEWAYS):
             port, ready = next(ports), next(ports)
-            front, store = Proxy(next(ports), port), Proxy(next(ports), self.store_port)
+            front = Proxy(next(ports), port)
+            thin = THIN_B_S if number == GATEWAYS - 1 else 0
+            store = Proxy(next(ports), self.store_port, thin)
             self.gateways.append(Gateway(f"gateway-{number}", port, ready, front, store))
         self.places = []
         for service, phase, count in SERVERS:
@@ -131,7 +140,7 @@
     def start(self) -> None:
         """Start the store and everything else."""
         self.run("store", "crankhinge_standins.main", "store", "--port", str(self.store_port),
-                 "--beat-s", str(BEAT_S))  # fmt: skip
+                 "--beat-s", str(BEAT_S), "--history-s", str(HISTORY_S))  # fmt: skip
         self.wait_for_ports([self.store_port])
         for place in self.places:
             self.start_server(place)
@@ -195,6 +204,10 @@
         rows = [json.loads(line) for line in self.record.open()]
         return sorted(rows, key=lambda row: float(row["at"]))
 
+    def resize_config(self) -> None:
+        """Make the configurations from now on large, or small again."""
+        self.more_routes = 0 if self.more_routes else LARGE_ROUTES
+
     async def publish(self, *, move: bool = False) -> None:
         """Write the next configuration; with *move* plain calls go to the other service."""
         self.version += 1
@@ -204,6 +217,9 @@
                   for path, kind, most, resumed in ROUTES]  # fmt: skip
         known = range(1, self.version + 1)
         routes += [_route(version_path(n), "safe", 2, False, self.plain) for n in known]
+        routes += [
+            _route(f"/more-{n}/", "safe", 2, False, self.plain) for n in range(self.more_routes)
+        ]
         services: list[dict[str, Any]] = [
             {"name": name, "max_connections": 100} for name in ("plain-a", "plain-b")
         ]
--- a/src/crankhinge_soak/_proxy.py
+++ b/src/crankhinge_soak/_proxy.py
@@ -35,18 +35,25 @@
     """The path to one listener.
 
     Bytes that a cut holds up are delivered when it is over, as over a real partition; a reset
-    drops every connection.
+    drops every connection; muted connections stay open, acknowledge, and carry nothing any more.
 
     Args:
         port: where callers connect.
         target: port of the listener.
+        bytes_per_s: what the path carries back to callers on each connection; 0 for no bound.
     """
 
-    def __init__(self, port: int, target: int) -> None:
+    def __init__(self, port: int, target: int, bytes_per_s: int = 0) -> None:
         self.port = port
         self.harm = Harm.NONE
         self._target = target
+        self._bytes_per_s = bytes_per_s
         self._socks: set[Any] = set()
+        self._muted: set[Any] = set()
+
+    def mute(self) -> None:
+        """Have the connections that are open now carry nothing any more, for good."""
+        self._muted |= self._socks
 
     async def run(self) -> None:
         """Carry connections until cancelled."""
@@ -76,6 +83,7 @@
                 await group.spawn(self._pump, far, near, Harm.CUT_BACK)
         finally:
             self._socks -= {near, far}
+            self._muted -= {near, far}
 
     async def _pump(self, source: Any, sink: Any, cut: Harm) -> None:
         """Carry one direction until its end; *cut* is the harm that holds it up."""
@@ -84,6 +92,13 @@
                 data = await source.recv(RECV_BYTES)
             except OSError:
                 data = b""
+            if sink in self._muted:
+                if not data:
+                    await self._end_muted(sink, cut)
+                    return
+                continue
+            if self._bytes_per_s and cut is Harm.CUT_BACK:
+                await curio.sleep(len(data) / self._bytes_per_s)
             if self.harm is Harm.SLOW:
                 await curio.sleep(DELAY_S)
             while self.harm in (Harm.SILENT, cut) and sink in self._socks:
@@ -100,6 +115,12 @@
                 # The other direction tells its end the same way.
                 return
 
+    async def _end_muted(self, sink: Any, cut: Harm) -> None:
+        """End a muted connection when its caller does; the caller is told nothing."""
+        if cut is Harm.CUT_THERE:
+            with contextlib.suppress(OSError):
+                await sink.shutdown(socket.SHUT_WR)
+
 
 def _reset_on_close(sock: Any) -> None:
     """Have the close of a connection reset it: a linger of zero seconds does."""
--- a/src/crankhinge_standins/main.py
+++ b/src/crankhinge_standins/main.py
@@ -30,6 +30,7 @@
     platform.add_argument("--list-lag-s", type=float, default=1.0)
     store = kinds.add_parser("store", help="the users' platform's metadata store")
     store.add_argument("--beat-s", type=float, default=0.0)
+    store.add_argument("--history-s", type=float, default=0.0)
     replica = kinds.add_parser("replica", help="a backend server of the users' platform")
     replica.add_argument("--shown", required=True, help="host:port under which others reach it")
     replica.add_argument("--service", required=True)
@@ -54,7 +55,7 @@
     if args.kind == "service":
         return StandinService(args.host, args.port, args.work_s, log, args.record).run
     if args.kind == "store":
-        return StandinStore(args.host, args.port, args.beat_s).run
+        return StandinStore(args.host, args.port, args.beat_s, args.history_s).run
     if args.kind == "replica":
         given = {name: value for name, value in vars(args).items() if name != "kind"}
         return StandinReplica(**given, log=log).run
--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -133,6 +133,7 @@
         kept = bisect.bisect_left(self._changed_at, moment)
         if kept:
             self.oldest = max(self.oldest, int(self.changes[kept - 1]["revision"]))
+            del self.changes[:kept], self._changed_at[:kept]
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -218,16 +219,26 @@
         return await self._lease_call(method, path, body)
 
     async def _write(self, key: str, body: bytes) -> None:
-        """Take an item from its owner; an empty one ends it, an unchanged one is a heartbeat."""
+        """Take an item from its owner; an empty one ends it."""
         now = await curio.clock()
         if not body:
             self._beats.pop(key, None)
             if key in self.items:
                 await self.remove(key)
             return
+        value = msgspec.json.decode(body)
         if key.startswith(SERVERS):
             self._beats[key] = now
-        await self.put(key, msgspec.json.decode(body))
+            if self._only_lives(key, value):
+                return
+        await self.put(key, value)
+
+    def _only_lives(self, key: str, entry: dict[str, Any]) -> bool:
+        """Whether a server's entry says no more than that it lives: then it isn't changed."""
+        if key not in self.items:
+            return False
+        held = msgspec.json.decode(base64.b64decode(self.items[key]["value"]))
+        return bool({**held, "sequence": 0} == {**entry, "sequence": 0})
 
     async def _lease_call(self, method: str, path: str, body: bytes) -> tuple[int, Any]:
         now = await curio.clock()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from functools import partial
 from pathlib import Path
 from typing import Any, cast
 
@@ -248,6 +249,38 @@
 
         self.play(story)
 
+    def test_muted_connections_stay_open_and_new_ones_work(self) -> None:
+        """Nothing at the connection shows it: only a time-out does."""
+
+        async def story(proxy: Proxy, client: HttpClient) -> None:
+            assert (await client.call("GET", "/a")).body == b"/a"
+            proxy.mute()
+            call = await curio.spawn(client.call, "GET", "/b")
+            await curio.sleep(0.5)
+            assert not call.terminated
+            assert (await client.call("GET", "/c", fresh=True)).body == b"/c"
+            await call.cancel()
+            assert (await client.call("GET", "/d")).body == b"/d"
+
+        self.play(story)
+
+    def test_a_thin_path_takes_its_time_back_only(self) -> None:
+        """In bytes a second."""
+        port, target = free_ports(2)
+
+        async def serve_long(exchange: Exchange) -> None:
+            await exchange.respond(200, b"x" * 50_000)
+
+        async def story() -> None:
+            await curio.sleep(0.1)
+            began = await curio.clock()
+            assert len((await HttpClient(HOST, port).call("GET", "/a")).body) == 50_000
+            assert 0.4 < await curio.clock() - began < 3.0
+
+        log = get_log(program="t")
+        server = partial(serve_http, HOST, target, serve_long, on_bad=_on_bad, log=log)
+        curio.run(until_first, server, Proxy(port, target, 100_000).run, story)
+
     def test_a_port_that_nobody_listens_on_resets(self) -> None:
         """As it does without a path between."""
         port, target = free_ports(2)
