One silent kept connection has the other idle ones dropped

Open connections may fall silent together while new ones work. Keep-alive probes notice that after 3 s where the other end is gone, and never where something acknowledges; each kept connection (eight a server and instance) then cost one request all of its time. Change: when a request on a kept connection is given up without a byte, and nothing came on any other kept one since it was sent, the idle ones are closed. The test with a server that acknowledges failed before; the one with a server that is only slow fails without the second condition.

--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -93,6 +93,10 @@
     code = "http-silent"
 
 
+# How a call that waits in vain ends: by its own patience, or by a time-out around it.
+SILENCE = (HttpSilent, curio.TaskTimeout, curio.TimeoutCancellationError)
+
+
 class AnswerTooLong(CrankhingeError):
     """The answer is longer than is wanted; its body was not read."""
 
@@ -233,6 +237,8 @@
             raise HttpClosed(str(exc)) from exc
         self._received += len(data)
         self._client.received += len(data)
+        if self.reused:
+            self._client.kept_heard += 1
         return data
 
     async def _recv_in_time(self) -> bytes:
@@ -295,6 +301,7 @@
     Attributes:
         opened: connections made so far.
         received: bytes that came on all of them, those of answers that were given up too.
+        kept_heard: how often something came on a connection that was used before.
     """
 
     def __init__(
@@ -309,6 +316,7 @@
         self.port = port
         self.opened = 0
         self.received = 0
+        self.kept_heard = 0
         self._pool_size = pool_size
         self._connect_s = connect_s
         self._idle: list[_Kept] = []
@@ -400,10 +408,15 @@
         if sock is None:
             sock = await self._connect()
         stream = ClientStream(self, sock, reused=reused, owns=owns, patience=patience)
+        heard = self.kept_heard
         try:
             await stream.send(method, target, fields, body)
-        except BaseException:
+        except BaseException as exc:
             await sock.close()
+            if reused and self.kept_heard == heard and isinstance(exc, SILENCE):
+                # Open connections may fall silent together, with nothing else to show it: without
+                # this each one that was kept costs a request its time.
+                await self.close()
             raise
         return stream
 
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -271,6 +271,60 @@
 
         play(server, story)
 
+    def test_one_silent_kept_connection_has_the_others_dropped(self) -> None:
+        """All may have been cut off together, with nothing to show it but the silence."""
+        mute: list[Any] = []
+
+        async def server(sock: Any) -> None:
+            while await sock.recv(65536):
+                if sock not in mute:
+                    await curio.sleep(0.1)
+                    await sock.sendall(answer("q1", b"x"))
+
+        async def story(client: HttpClient) -> None:
+            async with curio.TaskGroup() as group:
+                for _ in range(4):
+                    await group.spawn(ask, client, "q1")
+            assert len(sockets) == 4
+            mute.extend(sockets)
+            with pytest.raises(curio.TaskTimeout):
+                await curio.timeout_after(1.0, ask, client, "q1")
+            for _ in range(3):
+                body, _ = await curio.timeout_after(1.0, ask, client, "q1")
+                assert body == b"x"
+
+        sockets: list[Any] = []
+
+        async def noted(sock: Any) -> None:
+            sockets.append(sock)
+            await server(sock)
+
+        play(noted, story)
+
+    def test_a_server_that_is_only_slow_keeps_its_connections(self) -> None:
+        """Others of them answer meanwhile, so the silence is this request's alone."""
+        opened: list[Any] = []
+
+        async def server(sock: Any) -> None:
+            opened.append(sock)
+            while request := await sock.recv(65536):
+                await curio.sleep(5.0 if b"slow" in request else 0.1)
+                await sock.sendall(answer("q1", b"x"))
+
+        async def story(client: HttpClient) -> None:
+            async with curio.TaskGroup() as group:
+                for _ in range(3):
+                    await group.spawn(ask, client, "q1")
+            slow = await curio.spawn(curio.ignore_after, 1.0, ask, client, "q1", b"slow")
+            await curio.sleep(0.2)
+            await ask(client, "q1")
+            await slow.join()
+            await ask(client, "q1")
+            await ask(client, "q1")
+            assert len(opened) == 3
+
+        play(server, story)
+
     def test_a_connection_is_left_alone_before_its_server_closes_it(self) -> None:
         """Keep-Alive says one second: nothing is kept at all."""
 
