A watch that is answered at once has as long for its first byte as any call

Found by reading: the first watch after an absence had 0.8 s, a store whose answers take 1.2 s was never heard of again, since the mark is kept and nothing is read. TestSlowStore failed before.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -356,6 +356,24 @@
         play(world, story)
 
 
+class TestSlowStore:
+    """A store whose answers take a second."""
+
+    def test_changes_come_through(self) -> None:
+        """A watch that is answered at once has as long for its first byte as any call."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.faults.delay_s = 1.2
+            await curio.sleep(10.0)
+            await world.store.put("op/config", config(2, {**ONCE, "path_prefix": "/new/"}))
+            await curio.sleep(6.0)
+            assert (await world.call("q1", "/new/a"))[0] == 200
+
+        play(world, story)
+
+
 class TestServers:
     """The list of servers."""
 
