--- a/src/crankhinge_bench/_days.py
+++ b/src/crankhinge_bench/_days.py
@@ -15,12 +15,14 @@
 import subprocess
 import tomllib
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Collection, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
+from crankhinge.errors import SettingsError
+
 # When a trouble may begin, in seconds from the start of traffic, and how long a day lasts.
 FIRST_S, LAST_S = 0.5, 28.0
 PLAY_S = 600.0
@@ -58,7 +60,7 @@
     "replace_core": ("", "planned", "leader"),
     "after_ack_kill": ("", "kill", "timed", "taken"),
     "clock_step": ("", "back", "ahead"),
-    "reset_conns": ("",),
+    "reset_conns": ("", "silent"),
     "core_cut": ("", "giver", "leader race", "reader", "one_way"),
     "lossy": ("",),
     "herd_kill": ("", "power"),
@@ -83,7 +85,7 @@
 # Fields that a kind wants beside its own defaults.
 FIELDS: dict[str, Trouble] = {
     "config_storm": {"for_s": 2.0, "gap_s": 0.1},
-    "big_config": {"count": 350},
+    "big_config": {"count": 1400},
     "herd_kill": {"share": 0.6, "for_s": 2.0},
     "burst": {"x": 2.0, "for_s": 5.0},
 }
@@ -117,10 +119,10 @@
     return "{ " + ", ".join(pairs) + " }"
 
 
-def variants() -> list[tuple[str, str]]:
-    """Return every kind with each of its variants."""
+def variants(kinds: Collection[str] = ()) -> list[tuple[str, str]]:
+    """Return every kind, or those of *kinds*, with each of its variants."""
     both = itertools.chain(SERVERS.items(), OTHERS.items())
-    return [(kind, how) for kind, hows in both for how in hows]
+    return [(kind, how) for kind, hows in both for how in hows if not kinds or kind in kinds]
 
 
 def engines_of(site: dict[str, Any]) -> list[str]:
@@ -139,18 +141,36 @@
     return row
 
 
-def days(site: dict[str, Any], *, each: int, pairs: int, seed: int) -> Iterator[Day]:
-    """Return days with one kind each, then with two or three drawn ones, repeated at times."""
+def days(
+    site: dict[str, Any],
+    *,
+    each: int,
+    pairs: int,
+    seed: int,
+    kinds: Collection[str] = (),
+    most: int = 3,
+) -> Iterator[Day]:
+    """Return days with one kind each, then with several drawn ones, repeated at times.
+
+    Args:
+        site: the site file.
+        each: days of each kind and variant.
+        pairs: days of two or more drawn ones.
+        seed: of everything that is drawn.
+        kinds: what is drawn from; everything by default.
+        most: troubles of a drawn day.
+    """
     rng = random.Random(seed)
     number = 0
-    for kind, how in variants():
+    for kind, how in variants(kinds):
         for _ in range(each):
             number += 1
             rows = tuple(trouble(kind, how, site, rng) for _ in range(rng.choice((1, 1, 2))))
             name = re.sub(r"\W+", "-", f"{kind} {how}".strip())
             yield Day(f"one-{number}-{name}", rng.randrange(2**31), rows)
     for index in range(pairs):
-        drawn = rng.sample(variants(), rng.choice((2, 2, 3)))
+        # Two are the commonest, and a trouble may come twice.
+        drawn = rng.choices(variants(kinds), k=rng.choice((2, *range(2, most + 1))))
         rows = tuple(trouble(kind, how, site, rng) for kind, how in drawn)
         yield Day(f"drawn-{index}", rng.randrange(2**31), rows)
 
@@ -171,6 +191,8 @@
     parser.add_argument("--out", type=Path, required=True, help="folder for the day files")
     parser.add_argument("--each", type=int, default=3, help="days of each kind and variant")
     parser.add_argument("--pairs", type=int, default=200, help="days of two or three drawn kinds")
+    parser.add_argument("--kinds", default="", help="kinds to draw from, with commas")
+    parser.add_argument("--most", type=int, default=3, help="troubles of a drawn day")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--play", default="", help="command that plays {day}; none: only write")
     parser.add_argument("--jobs", type=int, default=4, help="days played at once")
@@ -182,7 +204,13 @@
     site = tomllib.loads(args.site.read_text())
     args.out.mkdir(parents=True, exist_ok=True)
     paths = []
-    for day in days(site, each=args.each, pairs=args.pairs, seed=args.seed):
+    kinds = {name for name in args.kinds.split(",") if name}
+    if unknown := kinds - {*SERVERS, *OTHERS}:
+        raise SettingsError(f"--kinds: no such kind: {sorted(unknown)}")
+    drawn = days(
+        site, each=args.each, pairs=args.pairs, seed=args.seed, kinds=kinds, most=args.most
+    )
+    for day in drawn:
         path = args.out / f"{day.name}.toml"
         path.write_text(day.text())
         paths.append(path)
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -27,6 +27,13 @@
         assert first == again
         assert first != list(days(SITE, each=1, pairs=5, seed=8))
 
+    def test_kinds_may_be_chosen_and_come_in_numbers(self) -> None:
+        """Only these are drawn, up to as many as asked for, at times the same twice."""
+        chosen = {"big_config", "config_change"}
+        drawn = list(days(SITE, each=0, pairs=40, seed=5, kinds=chosen, most=5))
+        assert {row["kind"] for day in drawn for row in day.troubles} == chosen
+        assert {len(day.troubles) for day in drawn} == {2, 3, 4, 5}
+
     def test_files_are_read_back(self) -> None:
         """Planned work and faults stand apart; moments lie within the day."""
         for day in days(SITE, each=1, pairs=20, seed=3):
@@ -50,3 +57,4 @@
         assert main([*words, "--play", "echo day 0.5 BROKEN: LOST 2 (else 0.3)"]) == 1
         assert main([*words, "--play", "echo calm"]) == 0
         assert main([*words, "--play", "false"]) == 1
+        assert main([*words, "--kinds", "meteor"]) != 0
