--- a/src/crankhinge_bench/_plot.py
+++ b/src/crankhinge_bench/_plot.py
@@ -5,10 +5,9 @@
 import statistics
 from collections.abc import Callable
 from pathlib import Path
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from crankhinge_bench._run import Cell
+from crankhinge_bench._cell import Cell
 
 FIGURES: tuple[tuple[str, Callable[[Any], float]], ...] = (
     ("in time, % of the bound", lambda cell: cell.of_bound * 100),
--- a/src/crankhinge_bench/_run.py
+++ b/src/crankhinge_bench/_run.py
@@ -9,11 +9,11 @@
 from pathlib import Path
 
 import curio
-import msgspec
 
 from crankhinge.decisions import mechanisms
 from crankhinge.runtime import write_json
 from crankhinge_bench._bound import at_load, capacity_per_s, goodput_bound
+from crankhinge_bench._cell import Cell
 from crankhinge_bench._cluster import Cluster
 from crankhinge_bench._faults import FaultPlayer
 from crankhinge_bench._load import LoadRun
@@ -26,30 +26,6 @@
 SETTLE_S = 1.0
 
 
-class Cell(msgspec.Struct, kw_only=True):
-    """One run of one policy.
-
-    Attributes:
-        scenario: its name.
-        policy: its name.
-        load: multiple of the capacity.
-        repeat: number of the run, from 0.
-        per_s: requests a second.
-        bound: most requests that could be in time.
-        of_bound: those in time, as a part of it.
-        summary: all figures.
-    """
-
-    scenario: str
-    policy: str
-    load: float
-    repeat: int
-    per_s: float
-    bound: int
-    of_bound: float
-    summary: Summary
-
-
 def play(cluster: Cluster, scenario: Scenario, per_s: float, seed: int) -> tuple[Summary, int]:
     """Play a scenario's trace and faults; returns the figures and the bound."""
     load = at_load(scenario.load, per_s)
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -7,7 +7,8 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Any
 
@@ -139,17 +140,26 @@
     def _place(self) -> Place:
         return self._rng.choice(self._fleet.places)
 
-    async def _kill(self, name: str, start: Callable[[], None]) -> None:
+    @asynccontextmanager
+    async def _taken(self, name: str, kind: str, *, planned: bool = False) -> AsyncIterator[bool]:
+        """Have a process to oneself for a trouble; gives False while another one has it."""
         if not self._take(name):
+            yield False
             return
+        # An exit of its own would be lost with the process.
         self.exits += [ended for ended in self._fleet.ended() if ended == name]
-        trouble = self._begin("kill", name)
-        self._fleet.kill(name)
-        await curio.sleep(self._rng.uniform(*DOWN_S))
-        start()
+        trouble = self._begin(kind, name, planned=planned)
+        yield True
         trouble.ended = time.time()
         self._busy.discard(name)
 
+    async def _kill(self, name: str, start: Callable[[], None]) -> None:
+        async with self._taken(name, "kill") as taken:
+            if taken:
+                self._fleet.kill(name)
+                await curio.sleep(self._rng.uniform(*DOWN_S))
+                start()
+
     async def _kill_gateway(self) -> None:
         gateway = self._gateway()
         await self._kill(gateway.name, lambda: self._fleet.start_gateway(gateway))
@@ -159,10 +169,13 @@
         await self._kill(place.name, lambda: self._fleet.start_server(place))
 
     async def _stop(self, name: str, start: Callable[[], None]) -> None:
-        if not self._take(name):
-            return
-        self.exits += [ended for ended in self._fleet.ended() if ended == name]
-        trouble = self._begin("stop", name, planned=True)
+        async with self._taken(name, "stop", planned=True) as taken:
+            if taken:
+                await self._end_by_signal(name)
+                start()
+
+    async def _end_by_signal(self, name: str) -> None:
+        """Ask a process to end; one that does not is noted and killed."""
         self._fleet.signal(name, signal.SIGTERM)
         proc = self._fleet.procs[name]
         until = time.time() + STOP_S
@@ -171,9 +184,6 @@
         if proc.poll() is None:
             self._begin("unstoppable", name).ended = time.time()
         self._fleet.kill(name)
-        start()
-        trouble.ended = time.time()
-        self._busy.discard(name)
 
     async def _stop_gateway(self) -> None:
         gateway = self._gateway()
@@ -185,14 +195,11 @@
         await self._stop(place.name, lambda: self._fleet.start_server(place, silent_leave=silent))
 
     async def _pause(self, name: str) -> None:
-        if not self._take(name):
-            return
-        trouble = self._begin("pause", name)
-        self._fleet.signal(name, signal.SIGSTOP)
-        await self._lasting(trouble)
-        self._fleet.signal(name, signal.SIGCONT)
-        trouble.ended = time.time()
-        self._busy.discard(name)
+        async with self._taken(name, "pause") as taken:
+            if taken:
+                self._fleet.signal(name, signal.SIGSTOP)
+                await curio.sleep(self._rng.uniform(*LASTS_S))
+                self._fleet.signal(name, signal.SIGCONT)
 
     async def _pause_gateway(self) -> None:
         await self._pause(self._gateway().name)
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -17,6 +17,7 @@
 from crankhinge_bench._procs import HOST, Procs, free_ports
 from crankhinge_soak._proxy import Proxy
 from crankhinge_soak._skewed import CLOCK
+from crankhinge_standins import operator
 
 GATEWAYS = 3
 # Backend servers: service, phase, how many.
@@ -40,19 +41,7 @@
 )
 STREAMS = (STREAM, RESUMED)
 TIMEOUT_S = 6.0
-ENGINE = {
-    "slots": 8,
-    "kv_tokens": 12000,
-    "stride": 10,
-    "handle_ttl_s": 0.5,
-    "hold_ms": 2000.0,
-}
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 65536,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15000,
-}
+ENGINE = operator.engine(slots=8, kv_tokens=12000)
 
 
 def version_path(version: int) -> str:
@@ -220,17 +209,9 @@
         routes += [
             _route(f"/more-{n}/", "safe", 2, False, self.plain) for n in range(self.more_routes)
         ]
-        services: list[dict[str, Any]] = [
-            {"name": name, "max_connections": 100} for name in ("plain-a", "plain-b")
-        ]
-        services.append({"name": "llm", "max_connections": 100, "engine": ENGINE})
-        cfg = {
-            "version": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": LIMITS,
-        }
-        body = msgspec.json.encode(cfg)
+        services = [operator.service(name) for name in ("plain-a", "plain-b")]
+        services.append(operator.service("llm", ENGINE))
+        body = msgspec.json.encode(operator.config(self.version, routes, services))
         while not await self._put(self.store_port, "/v1/kv-key?private_key=op/config", body):
             await curio.sleep(0.2)
         self.acknowledged.append((time.time(), self.version, self.plain))
@@ -257,16 +238,13 @@
 
 
 def _route(path: str, kind: str, most: int, resumed: bool, service: str) -> dict[str, Any]:
-    return {
-        "name": path.strip("/"),
-        "host": "h.example",
-        "path_prefix": path,
-        "kind": kind,
-        "timeout_ms": TIMEOUT_S * 1000,
-        "target_latency_ms": 900,
-        "priority": 1,
-        "service": service,
-        "max_attempts": most,
-        "resumable": resumed,
-        "sticky": kind == "streaming",
-    }
+    return operator.route(
+        path.strip("/"),
+        path,
+        kind,
+        service,
+        timeout_ms=TIMEOUT_S * 1000,
+        max_attempts=most,
+        resumable=resumed,
+        sticky=kind == "streaming",
+    )
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -11,7 +11,6 @@
 import secrets
 import signal
 import zlib
-from dataclasses import dataclass, field
 from types import FrameType
 from typing import Any
 
@@ -20,7 +19,8 @@
 
 from crankhinge.errors import BadHttp, HttpClosed, KeyValueUnavailable
 from crankhinge.http import Exchange, HttpClient, HttpRequest
-from crankhinge_standins._web import Recorder, Switches, reply, serve
+from crankhinge_standins._replica_state import Memory, ReplicaFaults
+from crankhinge_standins._web import Recorder, reply, serve
 
 # Tokens of memory of an engine, and requests at once of any replica.
 KV_TOKENS = 12000
@@ -58,39 +58,6 @@
     return f"{ident}:{seed:08x}:".encode() + b"x" * (seed % 3000)
 
 
-class ReplicaFaults(Switches):
-    """Faults of a replica.
-
-    Attributes:
-        errors: share of runs that end with status 500.
-        resets: share of runs whose answer is lost.
-        garbles: share of answers that break off.
-        refuses: share of arrivals that are refused before they run.
-        slow: factor on every duration.
-    """
-
-    errors: float = 0.0
-    resets: float = 0.0
-    garbles: float = 0.0
-    refuses: float = 0.0
-    slow: float = 1.0
-
-
-@dataclass
-class Memory:
-    """Memory of an engine that is tied, in tokens, by reason."""
-
-    runs: dict[str, int] = field(default_factory=dict)
-    holds: dict[str, int] = field(default_factory=dict)
-    handles: dict[str, int] = field(default_factory=dict)
-
-    @property
-    def used(self) -> int:
-        """Tokens that are tied."""
-        tied = itertools.chain(self.runs.values(), self.holds.values(), self.handles.values())
-        return sum(tied)
-
-
 class StandinReplica:
     """One life of a replica.
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -22,23 +22,16 @@
 from crankhinge_platform.source import PlatformSource
 from crankhinge_platform.store import StoreClient
 from crankhinge_platform.tenure import PlatformTenureOffice
+from crankhinge_standins import operator
 from crankhinge_standins.store import StandinStore
 
 HOST = "127.0.0.1"
 SEAL = "x-server-seal"
-LIMITS = {
-    "max_header_bytes": 16384,
-    "max_body_bytes": 65536,
-    "header_timeout_ms": 3000,
-    "idle_timeout_ms": 15000,
-}
-ENGINE = {
-    "slots": 64,
-    "kv_tokens": 10000,
-    "stride": 10,
-    "handle_ttl_s": 0.5,
-    "hold_ms": 2000.0,
-}
+SERVICES = (
+    operator.service("plain"),
+    operator.service("llm", operator.engine(slots=64, kv_tokens=10000)),
+)
+route = operator.route
 
 
 def free_port() -> int:
@@ -70,29 +63,9 @@
     await exchange.respond(400, exc.detail.encode())
 
 
-def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
-    """Return a route as the operator writes it."""
-    base = {
-        "name": name,
-        "host": "h.example",
-        "path_prefix": prefix,
-        "kind": kind,
-        "timeout_ms": 4000,
-        "target_latency_ms": 900,
-        "priority": 1,
-        "service": service,
-        "max_attempts": 1,
-    }
-    return {**base, **more}
-
-
 def config(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
     """Return a configuration with the services that the tests use."""
-    services = [
-        {"name": "plain", "max_connections": 100},
-        {"name": "llm", "max_connections": 100, "engine": ENGINE},
-    ]
-    return {"version": version, "routes": list(routes), "services": services, "limits": LIMITS}
+    return operator.config(version, routes, SERVICES)
 
 
 class FakeStore(StandinStore):
