Two more tests of absences, for what no test held down

The watch that is answered at once after an absence, and the revision at which an entry came into being, had none; now both do.

--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -54,6 +54,22 @@
 
         play(world, story)
 
+    def test_the_stores_return_is_noticed_though_nothing_changed(self) -> None:
+        """The first watch after an absence is answered at once, not after its wait."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            world.store.down = True
+            await curio.sleep(10.0)
+            assert world.lines.having("event=source_lost", "what=config")
+            world.store.down = False
+            await curio.sleep(1.2)
+            for what in ("config", "servers"):
+                assert world.lines.having("event=source_regained", f"what={what}")
+
+        play(world, story)
+
     def test_watches_from_what_was_read_not_from_the_last_change(self) -> None:
         """A store that forgot its history before the first read is not asked without end."""
         world = World()
@@ -310,6 +326,27 @@
 
         play(world, story)
 
+    def test_entries_that_were_made_anew_tell_of_it(self) -> None:
+        """Two of four are back when the list is read: the others are waited for."""
+        world = World()
+        replicas = [world.add(f"i-{number}", "plain") for number in (1, 2, 3, 4)]
+
+        async def story() -> None:
+            world.store.down = True
+            for replica in replicas[:3]:
+                await world.store.remove(f"servers/{replica.ident}")
+            world.store.forget_history()
+            await curio.sleep(6.0)
+            await replicas[0].enter()
+            await replicas[1].enter()
+            world.store.down = False
+            while not world.lines.having("event=source_regained", "what=servers"):
+                await curio.sleep(0.05)
+            assert world.lines.having("event=server_doubted", "server=i-3")
+            assert not world.lines.having("event=server_gone")
+
+        play(world, story)
+
 
 class TestSight:
     """What the logs tell of a source that does not answer."""
