A server's close before the end of an answer is no malformed answer

Change: where the connection has ended, the failure is HttpClosed. Tests: TestClosedEarly (three cases failed before), and that bytes which are no answer stay malformed.

--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -88,6 +88,7 @@
         self._patience = patience
         self._received = 0
         self._until: float | None = None
+        self._ended = False
         self._h11 = h11.Connection(h11.CLIENT)
         self._all_sent = False
         self.reused = reused
@@ -177,6 +178,9 @@
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
+                if self._ended:
+                    # Nothing that came was wrong: it came to an end too soon.
+                    raise HttpClosed("closed before the end of an answer") from exc
                 raise BadHttp(str(exc)) from exc
             if event is not h11.NEED_DATA:
                 return event
@@ -187,6 +191,7 @@
             data = await self._recv_in_time()
         except OSError as exc:
             raise HttpClosed(str(exc)) from exc
+        self._ended = not data
         self._received += len(data)
         self._owner.heard(len(data), reused=self.reused)
         return data
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -85,6 +85,46 @@
     return serve
 
 
+class TestClosedEarly:
+    """A server that closes its connection before its answer is whole.
+
+    Callers were told of a malformed answer, in the words of the parser, where a server had crashed.
+    """
+
+    @pytest.mark.parametrize(
+        "begun",
+        [b"", b"HTTP/1.1 200 OK\r\ncont", answer("q", b"whole", "x: y")[:-3]],
+        ids=["nothing", "half a head", "half a body"],
+    )
+    def test_is_told_as_closed_not_as_malformed(self, begun: bytes) -> None:
+        """Whatever came before the end."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(1000)
+            await sock.sendall(begun)
+            await sock.close()
+
+        async def story(client: HttpClient) -> None:
+            with pytest.raises(HttpClosed, match="closed before the end of an answer"):
+                await client.call("GET", "/")
+
+        play(server, story)
+
+    def test_bytes_that_are_no_answer_stay_malformed(self) -> None:
+        """Also when the connection ends behind them."""
+
+        async def server(sock: Any) -> None:
+            await sock.recv(1000)
+            await sock.sendall(b"no answer at all\r\n\r\n")
+            await sock.close()
+
+        async def story(client: HttpClient) -> None:
+            with pytest.raises(BadHttp):
+                await client.call("GET", "/")
+
+        play(server, story)
+
+
 class TestPatience:
     """How long an answer is waited for."""
 
