A request whose caller left while its instance stood still is run: failing test

What users saw: a time sheet that lands twice after a replica woke. Cause: request and close are found together, and the request is handed on before the close is looked at.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from functools import partial
 
 import curio
@@ -10,6 +11,7 @@
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import Exchange
 from platform_fakes import (
+    HOST,
     FakeReplica,
     World,
     config,
@@ -260,6 +262,57 @@
         play(world, story)
 
 
+class TestFrozen:
+    """An instance that stood still for seconds and goes on as if nothing had happened.
+
+    Users saw a signed-off time sheet land twice, or could not tell whether it had landed. While an
+    instance stands still, the kernel takes callers' requests for it; callers give up after a
+    second, or at their deadline, and close. When it wakes it finds request and close together, and
+    must not have the request run for nobody.
+    """
+
+    def test_what_a_caller_left_behind_is_not_run(self) -> None:
+        """The request and its caller's close are there at once; no server gets it."""
+        world = World()
+        replica = world.add("i-1", "plain")
+
+        async def story() -> None:
+            for number in range(10):
+                left_behind(world, f"q{number}")
+            await curio.sleep(0.5)
+            assert replica.arrivals == []
+            assert len(world.lines.having("event=caller_gone", "why=left_before")) == 10
+            assert (await world.call("r", "/once/a"))[0] == 200
+
+        play(world, story)
+
+    def test_a_caller_that_waits_is_served(self) -> None:
+        """Its request came before the instance woke, its close did not."""
+        world = World()
+        world.add("i-1", "plain")
+
+        async def story() -> None:
+            sock = socket.create_connection((HOST, world.port))
+            sock.sendall(request("q"))
+            await curio.sleep(0.2)
+            assert sock.recv(1000).startswith(b"HTTP/1.1 200")
+            sock.close()
+
+        play(world, story)
+
+
+def request(ident: str) -> bytes:
+    """Return a request that may run once."""
+    head = f"POST /once/a HTTP/1.1\r\nhost: h.example\r\nx-request-id: {ident}\r\n"
+    return f"{head}x-deadline-ms: 4000\r\ncontent-length: 1\r\n\r\nb".encode()
+
+
+def left_behind(world: World, ident: str) -> None:
+    """Send a request and close, before the gateway is given a chance to look."""
+    with socket.create_connection((HOST, world.port)) as sock:
+        sock.sendall(request(ident))
+
+
 class TestCallers:
     """Callers that go, and planned stops."""
 
