--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -57,6 +57,7 @@
         name: of its process.
         port: where it listens for callers.
         ready_port: where it tells whether it is ready.
+        peer_port: where it takes notices (UDP).
         front: the callers' path to it.
         store: its path to the store.
         life: counts its starts.
@@ -65,6 +66,7 @@
     name: str
     port: int
     ready_port: int
+    peer_port: int
     front: Proxy
     store: Proxy
     life: int = 0
@@ -105,15 +107,15 @@
 
     def __post_init__(self) -> None:
         super().__init__(self.logs_at)
-        ports = iter(free_ports(1 + 4 * GATEWAYS + 2 * sum(row[2] for row in SERVERS)))
+        ports = iter(free_ports(1 + 5 * GATEWAYS + 2 * sum(row[2] for row in SERVERS)))
         self.store_port = next(ports)
         self.gateways = []
         for number in range(GATEWAYS):
-            port, ready = next(ports), next(ports)
+            port, ready, peer = next(ports), next(ports), next(ports)
             front = Proxy(next(ports), port)
             thin = THIN_B_S if number == GATEWAYS - 1 else 0
             store = Proxy(next(ports), self.store_port, thin)
-            self.gateways.append(Gateway(f"gateway-{number}", port, ready, front, store))
+            self.gateways.append(Gateway(f"gateway-{number}", port, ready, peer, front, store))
         self.places = []
         for service, phase, count in SERVERS:
             for number in range(count):
@@ -172,6 +174,7 @@
             'zone = "z1"',
             f'listen = "{HOST}:{gateway.port}"',
             f'ready = "{HOST}:{gateway.ready_port}"',
+            f'peer = "{HOST}:{gateway.peer_port}"',
             f'source = "{HOST}:{gateway.store.port}"',
             f"drain_s = {DRAIN_S}",
         )
