--- a/src/crankhinge/gateway/_notices.py
+++ b/src/crankhinge/gateway/_notices.py
@@ -90,4 +90,6 @@
                 await self._sock.sendto(data, split_host_port(peer))
             except OSError as exc:
                 self._log.info("notice_undelivered", peer=peer, why=str(exc))
-        self._log.info("notice_told", notice=str(notice), peers=len(peers))
+        self._log.info(
+            "notice_told", server=notice.server, phase=notice.phase.value, peers=len(peers)
+        )
