--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -137,6 +137,7 @@
         room: reservations that it grants.
         busy: whether it follows an order.
         dark: whether it answers no side call.
+        report_s: seconds that it takes to report its state.
     """
 
     store: FakeStore
@@ -154,6 +155,7 @@
     refuses_to_read: bool = False
     busy: bool = False
     dark: bool = False
+    report_s: float = 0.0
     beat: int = 1
     models: tuple[str, ...] = ()
 
@@ -226,6 +228,7 @@
             self.room -= 1
             await exchange.respond(200, json.dumps({"hold": f"hold{self.room}"}).encode())
         elif exchange.req.path == "/v1/report":
+            await curio.sleep(self.report_s)
             report = {"phase": self.phase, "sequence": len(self.orders), "busy": self.busy}
             await exchange.respond(200, json.dumps(report).encode())
         elif exchange.req.path == "/v1/order":
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,75 @@
+"""Tests of which backend servers an instance uses."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from crankhinge.decisions import Phase, Server, ServerList
+from crankhinge.gateway._backends import Backends
+from crankhinge.runtime import Metrics, get_log
+from platform_fakes import Lines
+
+
+def engine(ident: str, phase: Phase) -> Server:
+    """Return an engine as its entry tells it."""
+    return Server(ident, "llm", "10.0.0.1", 80, "z", phase, 64, False, 1)
+
+
+def backends_of(*servers: Server) -> Backends:
+    """Return the backend servers of an instance that knows these."""
+    known = ServerList()
+    known.replace(servers, 0.0, was_away=False)
+    dialect: Any = None
+    return Backends(
+        servers=known,
+        dialect=dialect,
+        zone="z",
+        log=get_log(program="t", stream=Lines()),
+        metrics=Metrics(prefix="t"),
+        rng=random.Random(1),
+    )
+
+
+def idents(servers: list[Server]) -> list[str]:
+    """Return identities in order."""
+    return sorted(server.ident for server in servers)
+
+
+class TestOrdered:
+    """Engines that follow an order to play another part."""
+
+    def test_are_left_out_and_counted_as_coming(self) -> None:
+        """Until the order is over at the latest."""
+        backends = backends_of(
+            engine("r0", Phase.READ), engine("r1", Phase.READ), engine("w0", Phase.WRITE)
+        )
+        backends.ordered("r0", Phase.WRITE, 13.0, told=True)
+        assert idents(backends.able("llm", 5.0, Phase.READ)) == ["r1"]
+        assert idents(backends.able("llm", 5.0, Phase.WRITE)) == ["w0"]
+        assert backends.coming("llm", Phase.WRITE, 5.0) == 1
+        assert backends.coming("llm", Phase.READ, 5.0) == 0
+        assert backends.coming("other", Phase.WRITE, 5.0) == 0
+        assert not backends.takes_work("r0", 5.0)
+        assert idents(backends.able("llm", 13.0, Phase.READ)) == ["r0", "r1"]
+        assert backends.coming("llm", Phase.WRITE, 13.0) == 0
+        assert backends.takes_work("r0", 13.0)
+
+    def test_play_their_new_part_as_soon_as_their_entry_tells(self) -> None:
+        """Then nothing is coming any more."""
+        backends = backends_of(engine("r0", Phase.WRITE), engine("r1", Phase.READ))
+        backends.ordered("r0", Phase.WRITE, 13.0, told=True)
+        assert idents(backends.able("llm", 5.0, Phase.WRITE)) == ["r0"]
+        assert backends.coming("llm", Phase.WRITE, 5.0) == 0
+
+    def test_are_used_where_no_other_is(self) -> None:
+        """A pool is never empty for a notice."""
+        backends = backends_of(engine("r0", Phase.READ), engine("w0", Phase.WRITE))
+        backends.ordered("r0", Phase.WRITE, 13.0, told=True)
+        assert idents(backends.able("llm", 5.0, Phase.READ)) == ["r0"]
+
+    def test_unknown_ones_are_nothing(self) -> None:
+        """No state is kept for a server that is not on the list."""
+        backends = backends_of(engine("r0", Phase.READ))
+        backends.ordered("gone", Phase.WRITE, 13.0, told=True)
+        assert backends.coming("llm", Phase.WRITE, 5.0) == 0
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -435,6 +435,29 @@
 
         play(world, story)
 
+    def test_who_is_back_late_is_known_in_time(self) -> None:
+        """Entries return over two seconds; none is dropped because others were gathered first."""
+        world = World()
+        replicas = [world.add(f"i-{number}", "plain") for number in range(5)]
+
+        async def story() -> None:
+            world.store.faults.down = "silent"
+            for replica in replicas:
+                await world.store.remove(f"servers/{replica.ident}")
+            await curio.sleep(6.0)
+            world.store.faults.down = ""
+            while not world.lines.having("event=source_regained", "what=servers"):
+                await curio.sleep(0.01)
+            back = await curio.clock()
+            for replica, after_s in zip(replicas, (0.2, 0.4, 0.6, 1.5, 2.1), strict=True):
+                await curio.sleep(back + after_s - await curio.clock())
+                await replica.enter()
+            await curio.sleep(2.0)
+            assert len(world.lines.having("event=server_doubted")) == 5
+            assert not world.lines.having("event=server_gone")
+
+        play(world, story)
+
     def test_entries_that_were_made_anew_tell_of_it(self) -> None:
         """Two of four are back when the list is read: the others are waited for."""
         world = World()
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -102,7 +102,8 @@
         """It is left out until its entry tells its new part; then it writes."""
         world = World()
         ordered = world.add("i-r0", "llm", "prefill")
-        world.add("i-r1", "llm", "prefill")
+        # Whoever may choose soon prefers the other one.
+        world.add("i-r1", "llm", "prefill", read_s=0.3)
         writer = world.add("i-w", "llm", "decode", behave=stream)
 
         async def story() -> None:
--- a/tests/test_orderer.py
+++ b/tests/test_orderer.py
@@ -2,9 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import curio
 import curio.socket
 import msgspec
+import pytest
 
 from crankhinge.adapters import Note
 from crankhinge.decisions import Phase, WorkMeter, WorkSheet
@@ -221,7 +224,8 @@
 
         play(world, story)
 
-    def test_engines_under_order_are_counted_by_their_new_parts(self) -> None:
+    @pytest.mark.parametrize("told", [True, False])
+    def test_engines_under_order_are_counted_by_their_new_parts(self, told: bool) -> None:
         """Another instance's orders are on their way: the split is as wanted, none is given."""
         world = busy_world(4, 2)
 
@@ -231,11 +235,13 @@
                 for ident in ("i-r0", "i-r1"):
                     notice = EngineOrdered(ident, Phase.WRITE, 13.0)
                     data = msgspec.msgpack.encode(notice)
-                    await sock.sendto(data, (HOST, world.peer_port))
-            for number in range(4):
-                assert (await world.call(f"q{number}", "/stream/a", **TOKENS))[0] == 200
-            await curio.sleep(3.0)
-            assert not any(replica.orders for replica in world.replicas)
+                    if told:
+                        await sock.sendto(data, (HOST, world.peer_port))
+            async with curio.TaskGroup() as group:
+                for number in range(14):
+                    await group.spawn(partial(world.call, f"q{number}", "/stream/a", **TOKENS))
+            await curio.sleep(4.0)
+            assert any(replica.orders for replica in world.replicas) is not told
 
         play(world, story)
 
@@ -277,6 +283,26 @@
 
         play(world, story)
 
+    def test_no_order_when_the_right_may_be_over(self) -> None:
+        """Six engines in the way, each of which takes half a second to say so, use it up.
+
+        So does an instance that stands still on its way: the end of the right is compared with the
+        clock before each order, not counted in steps.
+        """
+        world = busy_world(8, 2)
+        for replica in world.replicas[:6]:
+            replica.busy = True
+        for replica in world.replicas[:8]:
+            replica.report_s = 0.5
+
+        async def story() -> None:
+            await traffic(world)
+            await curio.sleep(5.0)
+            assert world.lines.having("event=tenure_over")
+            assert not any(replica.orders for replica in world.replicas)
+
+        play(world, story)
+
     def test_a_wish_lasts_though_servers_come_and_go(self) -> None:
         """A release changes the number of engines each half second."""
         world = busy_world(4, 2)
