Sight: attempts at one request are told by their lines, a crash from a cut connection

Cause: the logs of the incident could neither say that seven attempts were one request nor that seven servers had ended. Change: fingerprint= on the lines of a request (caller, method, host, path and query, body); after a connection that ends in mid-request its server is looked at: server_crashed where nobody listens, server_lives, server_unreached. No decision changes; the connection that the look makes is kept for the next call.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -31,6 +31,7 @@
     Taken,
     TakenBefore,
 )
+from crankhinge.decisions._fingerprint import fingerprint
 from crankhinge.decisions._forecast import MemoryForecast
 from crankhinge.decisions._freshness import Freshness, Gathering
 from crankhinge.decisions._limits import MemberLimits
@@ -185,6 +186,7 @@
     "WorkQueue",
     "WorkSheet",
     "back_after",
+    "fingerprint",
     "keep_answer",
     "loads_of",
     "mechanisms",
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from crankhinge.adapters import Dialect, RelayAsk
-from crankhinge.decisions import FirstTries, RouteKind
+from crankhinge.decisions import FirstTries, RouteKind, fingerprint
 from crankhinge.errors import (
     BadHttp,
     CrankhingeError,
@@ -276,11 +276,15 @@
         until = began + min(route.timeout_s, caller_s)
         relay = Relay(exchange, ask, route, service, table.version, began, until)
         relay.keyed, relay.account = table.accounts is not None, account
+        relay.fingerprint = fingerprint(
+            relay.account_name or "", req.method, req.headers.get("host", ""), req.target, req.body
+        )
         if account is not None:
             relay.facts["account"] = account.name
             relay.facts["keys_age_s"] = round(self._directory.keys_age_s(began), 2)
         relay.returned = self._first_tries.returned(route.name, caller_s, kept=exchange.kept)
         relay.facts.update(
+            fingerprint=relay.fingerprint,
             service=service.name,
             kind=route.kind.value,
             target_ms=round(route.target_s * 1000),
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -13,6 +13,7 @@
 from crankhinge.errors import BadHttp, CallerGone, HttpClosed
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ClientStream, ConnectFailed
 
@@ -23,11 +24,15 @@
     Args:
         backends: the servers.
         authenticator: looks once more whether a request may run, before anything is sent.
+        crashes: is told of each connection that ends in the middle of a request.
     """
 
-    def __init__(self, backends: Backends, authenticator: Authenticator) -> None:
+    def __init__(
+        self, backends: Backends, authenticator: Authenticator, crashes: CrashDetector
+    ) -> None:
         self._backends = backends
         self._authenticator = authenticator
+        self._crashes = crashes
 
     @asynccontextmanager
     async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
@@ -65,8 +70,10 @@
             whole = True
         except CallerGone:
             raise
-        except (ConnectFailed, HttpClosed, BadHttp):
+        except (HttpClosed, BadHttp) as exc:
             standing.failed(await curio.clock())
+            if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
+                await self._crashes.connection_ended(server, relay.fingerprint)
             raise
         finally:
             standing.open -= 1
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -18,6 +18,7 @@
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._call_log import CallLog
+from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._follower import Follower
 from crankhinge.gateway._gateway import Gateway
@@ -98,7 +99,7 @@
     meters: defaultdict[str, WorkMeter] = defaultdict(WorkMeter)
     common: dict[str, Any] = {
         "backends": backends,
-        "legs": Legs(backends, authenticator),
+        "legs": Legs(backends, authenticator, CrashDetector(backends=backends, log=log)),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -42,6 +42,7 @@
         version: of the configuration that decided so.
         began: when it was read, on the runtime's clock.
         until: when it has to be answered, on the runtime's clock.
+        fingerprint: what is equal for attempts at one request.
         account: who asks; None where that needs no key.
         keyed: whether the configuration has accounts.
         grant: what it has of its account's tokens; None where none are counted.
@@ -62,6 +63,7 @@
     version: int
     began: float
     until: float
+    fingerprint: str = ""
     account: Account | None = None
     keyed: bool = False
     grant: Grant | None = None
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -88,6 +88,12 @@
     code = "connect-failed"
 
 
+class ConnectRefused(ConnectFailed):
+    """Nobody listens at the address."""
+
+    code = "connect-refused"
+
+
 class HttpClient(ConnOwner):
     """Calls one server.
 
@@ -123,6 +129,8 @@
     async def _connect(self) -> Any:
         try:
             sock = await open_tcp(self.host, self.port, self._connect_s)
+        except ConnectionRefusedError as exc:
+            raise ConnectRefused(f"{self.host}:{self.port}: {exc}") from exc
         except OSError as exc:
             raise ConnectFailed(f"{self.host}:{self.port}: {exc}") from exc
         self.opened += 1
@@ -146,6 +154,19 @@
         await sock.close()
         return True
 
+    async def listens(self) -> bool:
+        """Whether anybody listens at the address; the connection is kept for the next call.
+
+        Raises:
+            ConnectFailed: nobody can tell.
+        """
+        try:
+            sock = await self._connect()
+        except ConnectRefused:
+            return False
+        await self.give_back(sock, reusable=True, headers={})
+        return True
+
     def heard(self, size: int, *, reused: bool) -> None:
         """Note that something came on a connection of this client."""
         self.received += size
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import json
+import math
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
@@ -126,6 +127,11 @@
     await exchange.finish()
 
 
+async def crash(replica: FakeReplica, exchange: Exchange) -> None:
+    """End the server's process: its connections close and nobody listens at its address."""
+    await replica.crash()
+
+
 @dataclass
 class FakeReplica:
     """One replica.
@@ -140,6 +146,8 @@
         busy: whether it follows an order.
         dark: whether it answers no side call.
         report_s: seconds that it takes to report its state.
+        back_s: seconds after a crash until it is back, as a new server at the same address;
+            infinite for never.
     """
 
     store: FakeStore
@@ -161,6 +169,9 @@
     beat: int = 1
     models: tuple[str, ...] = ()
     born: int | None = None
+    back_s: float = math.inf
+    lives: int = 1
+    crashed: curio.Event = field(default_factory=curio.Event)
 
     async def enter(self, state: str = "ready", **other: Any) -> None:
         """Write its entry; *other* stands for fields that another writer gives other values."""
@@ -184,9 +195,30 @@
         await self.store.put(f"servers/{self.ident}", entry)
 
     async def run(self) -> None:
-        """Serve until cancelled."""
+        """Serve until cancelled, one life after the other."""
+        while True:
+            await until_first(self._serve, self.crashed.wait)
+            if math.isinf(self.back_s):
+                await curio.Event().wait()
+            await curio.sleep(self.back_s)
+            await self._begin_life()
+
+    async def _serve(self) -> None:
         await serve_http(HOST, self.port, self._handle, on_bad=refuse_bad, log=get_log(program="r"))
 
+    async def _begin_life(self) -> None:
+        """Take a new identity; the entry of the last life has gone with it."""
+        await self.store.remove(f"servers/{self.ident}")
+        self.lives += 1
+        self.ident = f"{self.ident.partition('+')[0]}+{self.lives}"
+        self.crashed = curio.Event()
+        await self.enter()
+
+    async def crash(self) -> None:
+        """End the process."""
+        await self.crashed.set()
+        await curio.Event().wait()
+
     def head(self, exchange: Exchange) -> list[tuple[str, str]]:
         """Return the header fields of an answer to a request that was run."""
         ident = exchange.req.headers["x-request-id"]
--- /dev/null
+++ b/tests/test_crashes.py
@@ -0,0 +1,73 @@
+"""Tests of what is made of a connection that ends in the middle of a request."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from crankhinge.errors import HttpClosed
+from crankhinge.http import Exchange
+from platform_fakes import FakeReplica, World, crash, route
+from virtual_time import run_virtual
+
+ONCE = route("r-once", "/once/", "unsafe", "plain")
+# Longer than a look takes and than the last line of a request is late, in seconds.
+LOOKED_S = 0.2
+
+
+async def reset(_: FakeReplica, exchange: Exchange) -> None:
+    """Close in the middle of a request; the server lives on."""
+    raise HttpClosed("reset")
+
+
+def lines_after(behave: object, event: str) -> list[str]:
+    """Return the lines of an event after a server cut a request."""
+    world = World()
+    world.add("i-1", "plain", behave=behave)
+
+    async def story() -> None:
+        assert (await world.call("a", "/once/a"))[0] == 502
+        await curio.sleep(LOOKED_S)
+
+    run_virtual(world.play, story, ONCE, settle_s=0.003)
+    return world.lines.having(f"event={event}", "server=i-1", "cut=1")
+
+
+class TestCrashDetector:
+    """The line tells a server that crashed from a connection that ended."""
+
+    def test_a_server_at_whose_address_nobody_listens_has_crashed(self) -> None:
+        """Its process is gone, and its sockets with it."""
+        assert lines_after(crash, "server_crashed")
+
+    def test_a_server_that_only_cut_the_connection_lives(self) -> None:
+        """No crash is believed."""
+        assert lines_after(reset, "server_lives")
+        assert not lines_after(reset, "server_crashed")
+
+
+class TestFingerprint:
+    """Attempts at one request are told by their lines."""
+
+    @pytest.mark.parametrize(
+        ("path", "body", "same"),
+        [("/once/a", b"b", True), ("/once/a", b"c", False), ("/once/a?x=1", b"b", False)],
+    )
+    def test_is_equal_for_one_request_under_other_identities(
+        self, path: str, body: bytes, same: bool
+    ) -> None:
+        """Path, query and body count; the identity of the attempt does not."""
+        world = World()
+        world.add("i-1", "plain")
+        seen: list[str] = []
+
+        async def story() -> None:
+            await world.call("first", "/once/a", body=b"b")
+            await world.call("second", path, body=body)
+            await curio.sleep(LOOKED_S)
+            for line in world.lines.having("event=answered"):
+                seen.append(line.split("fingerprint=")[1].split()[0])
+
+        run_virtual(world.play, story, ONCE, settle_s=0.003)
+        assert len(seen) == 2
+        assert (seen[0] == seen[1]) is same
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -14,6 +14,7 @@
 from crankhinge.errors import CallerGone, HttpClosed
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
 from crankhinge.http import HttpRequest
@@ -65,11 +66,15 @@
             "GET", "/", {"x-request-id": "q"}, b"", (("host", "h"), ("x-request-id", "q"))
         )
         relay = SimpleNamespace(
-            exchange=SimpleNamespace(req=req), ask=SimpleNamespace(ident="q"), account_name=None
+            exchange=SimpleNamespace(req=req),
+            ask=SimpleNamespace(ident="q"),
+            account_name=None,
+            fingerprint="f",
         )
+        crashes = CrashDetector(backends=backends, log=get_log(program="t", stream=world.lines))
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
-            async with Legs(backends, PASSES).open(cast(Relay, relay), server, leg):
+            async with Legs(backends, PASSES, crashes).open(cast(Relay, relay), server, leg):
                 raise failure
         seen.append(backends.standing("i-1").failing)
 
