--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -281,7 +281,7 @@
 
 
 class World:
-    """A store, replicas and one gateway, in the test's kernel.
+    """A store, replicas and a gateway, or several, in the test's kernel.
 
     Args:
         history_s: seconds for which the store remembers changes; 0 for ever.
@@ -308,6 +308,8 @@
         self.peer_port = free_port()
         self.stopping = curio.Event()
         self.ended = False
+        self.others: list[World] = []
+        self._killed = curio.Event()
         self._client = HttpClient(HOST, self.port)
 
     def add(self, ident: str, service: str, phase: str = "", **more: Any) -> FakeReplica:
@@ -316,6 +318,13 @@
         self.replicas.append(replica)
         return replica
 
+    def beside(self, name: str) -> World:
+        """Add a gateway at the same store; call before :meth:`play`."""
+        other = World(name=name, **self._settings)
+        other.store = self.store
+        self.others.append(other)
+        return other
+
     async def play(self, story: Callable[[], Awaitable[None]], *routes: dict[str, Any]) -> None:
         """Start everything, wait until the gateway is ready, run *story*."""
         if routes:
@@ -324,13 +333,26 @@
             await replica.enter()
 
         async def told() -> None:
-            while routes and await self.readiness() != 200:
-                await curio.sleep(0.05)
+            for world in gateways if routes else ():
+                while await world.readiness() != 200:
+                    await curio.sleep(0.05)
             await story()
 
-        await until_first(
-            self.store.run, *(replica.run for replica in self.replicas), self.gateway, told
-        )
+        gateways = [self, *self.others]
+        replicas = (replica.run for replica in self.replicas)
+        await until_first(self.store.run, *replicas, *(each.lives for each in gateways), told)
+
+    async def lives(self) -> None:
+        """Run the gateway, and again whenever it was killed."""
+        while True:
+            await until_first(self.gateway, self._killed.wait)
+            self._killed = curio.Event()
+
+    async def kill(self) -> None:
+        """End the gateway's process without notice; it starts again at once."""
+        await self._killed.set()
+        while await self.readiness() != 200:
+            await curio.sleep(0.05)
 
     async def gateway(self) -> None:
         """Run the gateway; it goes on until the story ends, also after it has stopped."""
