A request under which three servers crashed is kept from servers, by all instances

Cause: what became of a request was known to its attempt alone; the next attempt, under a new identity, began from nothing on every instance. The class: a fact learnt by one attempt, or one instance, that outlives neither. Change: attempts are told to be one request by a fingerprint of caller, method, path and body; a server whose connection ends in mid-request and where nobody listens has crashed; two instances, first in an order by the fingerprint, count the crashes; three begin a quarantine that all are told of, and that who counted keeps in its note in the store. One attempt is let through after 10, 40, 160 s; an answer ends the quarantine. Every way to a server goes through one check (Legs.open).

--- a/src/crankhinge/adapters/_board.py
+++ b/src/crankhinge/adapters/_board.py
@@ -4,7 +4,7 @@
 
 import abc
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from crankhinge.decisions import WorkSheet
 
@@ -17,11 +17,14 @@
         peer: ``host:port`` where it takes notices; empty where it takes none.
         sheets: its measurements by service.
         settled: whether it could act for all instances.
+        quarantined: requests in quarantine by fingerprint, each with the identities of the servers
+            that crashed under it.
     """
 
     peer: str
     sheets: Mapping[str, WorkSheet]
     settled: bool = False
+    quarantined: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -54,6 +54,7 @@
     silent_s,
 )
 from crankhinge.decisions._prefix import PrefixIndex
+from crankhinge.decisions._quarantine import Isolation, Quarantine
 from crankhinge.decisions._quota import (
     NOT_MINE,
     QuotaAllocator,
@@ -133,6 +134,7 @@
     "Freshness",
     "Gathering",
     "Grant",
+    "Isolation",
     "ListChange",
     "Loads",
     "Mechanisms",
@@ -145,6 +147,7 @@
     "PhaseChange",
     "PlaceAsk",
     "PrefixIndex",
+    "Quarantine",
     "QuotaAllocator",
     "QuotaAsker",
     "QuotaBounds",
--- a/src/crankhinge/decisions/_members.py
+++ b/src/crankhinge/decisions/_members.py
@@ -146,6 +146,13 @@
             self._ranks[key] = rank_by_key(key.encode(), self._names())
         return self._ranks[key]
 
+    def keepers(self, key: str, most: int) -> Sequence[str]:
+        """Return the first *most* instances in the order of *key*, for keys that are rarely asked.
+
+        Other than :meth:`ranked` it keeps nothing for the key.
+        """
+        return rank_by_key(key.encode(), self._names())[:most]
+
     def _names(self) -> Iterable[str]:
         """Return all names; this instance counts itself whatever was read."""
         return {*self._peers, self._name}
--- /dev/null
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -0,0 +1,227 @@
+"""Which requests are kept from servers, since servers crashed that ran them.
+
+A crash cuts every request that its server runs, and nobody can tell which of them was the cause.
+One that was cut by crashes of several servers is refused for a while. Then one attempt at it is let
+through, as a trial: an answer ends the quarantine, another crash begins a longer one. So a request
+that was cut by chance is served again soon, and one that crashes servers meets ever fewer of them.
+
+Crashes are told apart by the identities of the servers' lives, so whoever hears of one twice, from
+two instances or by a late message, counts it once.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+# Servers that may crash under one request before it is refused, as the operators bound it.
+CRASHES = 3
+# Seconds from that crash to the trial. Whoever was cut by chance waits that long: callers wait 14 s
+# for a stream. After each further crash it is so many times as long: with 10, 40 and 160 s a
+# request that crashes servers meets two in the first 50 s, and three in four minutes.
+FIRST_S = 10.0
+GROWTH = 4.0
+MOST_S = 3600.0
+# Seconds that a trial has before the next may begin; the crashes that were seen came 0.1 to 0.3 s
+# after a request had reached its server, a busy one reads a prompt for some seconds.
+TRIAL_S = 5.0
+# Seconds for which crashes are remembered: the callers that were seen came again within 6 s.
+KEPT_S = 600.0
+# Requests remembered that were cut by crashes, and of those in quarantine: 0.4 MB together. A
+# server runs 64 at once, so it takes the crashes of 16 servers within KEPT_S to lose one.
+MOST_SUSPECTS = 1024
+MOST_ISOLATED = 256
+# Crashes remembered of one request; more do not lengthen its quarantine.
+MOST_SERVERS = 8
+# Of those in quarantine, how many an instance tells in its note in the store: 2 kB.
+MOST_NOTED = 16
+# Seconds for which notes are not believed of a request that was answered: a note is written anew
+# within seconds, and read seconds late.
+ANSWERED_S = 40.0
+
+T = TypeVar("T")
+
+
+@dataclass
+class _Suspect:
+    """A request that crashes cut.
+
+    Attributes:
+        servers: identities of the lives that ended, the first one first.
+        at: when the last of them was heard of.
+    """
+
+    servers: dict[str, None] = field(default_factory=dict)
+    at: float = 0.0
+
+    def add(self, servers: Iterable[str], now: float) -> bool:
+        """Add crashes; returns whether any is new."""
+        before = len(self.servers)
+        for server in servers:
+            if len(self.servers) < MOST_SERVERS:
+                self.servers.setdefault(server)
+        self.at = now
+        return len(self.servers) > before
+
+
+@dataclass
+class _Isolated(_Suspect):
+    """A request in quarantine.
+
+    Attributes:
+        until: when a trial may begin.
+        own: whether this instance counted the crashes, and so keeps others informed.
+    """
+
+    until: float = 0.0
+    own: bool = False
+
+    @property
+    def wait_s(self) -> float:
+        """Seconds from the last crash to the trial."""
+        return float(min(MOST_S, FIRST_S * GROWTH ** (len(self.servers) - CRASHES)))
+
+
+@dataclass(frozen=True, slots=True)
+class Isolation:
+    """A quarantine as instances tell each other.
+
+    Attributes:
+        fingerprint: of the request.
+        servers: identities of the lives that ended under it.
+        left_s: seconds until a trial.
+    """
+
+    fingerprint: str
+    servers: tuple[str, ...]
+    left_s: float
+
+
+class Quarantine:
+    """The requests that are kept from servers, as one instance believes."""
+
+    def __init__(self) -> None:
+        self._suspects: dict[str, _Suspect] = {}
+        self._isolated: dict[str, _Isolated] = {}
+        self._answered: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._isolated)
+
+    def crashes(self, fingerprint: str) -> int:
+        """Return how many servers are known to have crashed under a request."""
+        suspect = self._isolated.get(fingerprint) or self._suspects.get(fingerprint)
+        return len(suspect.servers) if suspect else 0
+
+    def isolates(self, fingerprint: str) -> bool:
+        """Whether a request is in quarantine, be it refused or due for a trial."""
+        return fingerprint in self._isolated
+
+    def refused_s(self, fingerprint: str, now: float) -> float:
+        """Return for how many seconds a request is refused; 0 for one that may run."""
+        isolated = self._isolated.get(fingerprint)
+        return max(0.0, isolated.until - now) if isolated else 0.0
+
+    def crashed(self, fingerprint: str, server: str, now: float) -> Isolation | None:
+        """Note that a server crashed while it ran a request.
+
+        Returns the quarantine that this begins or lengthens.
+        """
+        isolated = self._isolated.get(fingerprint)
+        if isolated is not None:
+            if not isolated.add((server,), now):
+                return None
+            return self._lengthen(fingerprint, isolated, now)
+        suspect = self._suspects.pop(fingerprint, None) or _Suspect()
+        if suspect.servers and now - suspect.at > KEPT_S:
+            suspect = _Suspect()
+        suspect.add((server,), now)
+        if len(suspect.servers) < CRASHES:
+            _keep(self._suspects, fingerprint, suspect, MOST_SUSPECTS)
+            self._forget_old(now)
+            return None
+        isolated = _Isolated(suspect.servers, now)
+        _keep(self._isolated, fingerprint, isolated, MOST_ISOLATED)
+        return self._lengthen(fingerprint, isolated, now)
+
+    def _lengthen(self, fingerprint: str, isolated: _Isolated, now: float) -> Isolation:
+        isolated.own = True
+        isolated.until = now + isolated.wait_s
+        return Isolation(fingerprint, tuple(isolated.servers), isolated.wait_s)
+
+    def begin_trial(self, fingerprint: str, now: float) -> Isolation:
+        """Let one attempt through: all others are refused until its time is over."""
+        isolated = self._isolated[fingerprint]
+        isolated.until = now + TRIAL_S
+        return Isolation(fingerprint, tuple(isolated.servers), TRIAL_S)
+
+    def told(self, isolation: Isolation, now: float) -> bool:
+        """Take what another instance tells; returns whether it was news."""
+        fingerprint = isolation.fingerprint
+        known = self._isolated.get(fingerprint)
+        isolated = known or _Isolated()
+        news = isolated.add(isolation.servers, now)
+        left_s = min(isolation.left_s, isolated.wait_s)
+        isolated.until = max(isolated.until, now + left_s)
+        if known is None:
+            self._suspects.pop(fingerprint, None)
+            _keep(self._isolated, fingerprint, isolated, MOST_ISOLATED)
+        return news
+
+    def noted(self) -> Mapping[str, tuple[str, ...]]:
+        """Return what this instance tells in its note: servers by fingerprint, the newest."""
+        own = [(key, tuple(each.servers)) for key, each in self._isolated.items() if each.own]
+        return dict(own[-MOST_NOTED:])
+
+    def recall(
+        self, noted: Mapping[str, Collection[str]], now: float, *, own: bool
+    ) -> Iterator[Isolation]:
+        """Take what was read in a note; gives what was news.
+
+        How long ago it was written is not known. So only crashes that are news count, and the
+        quarantine begins when they are read.
+
+        Args:
+            noted: as :meth:`noted` returned it.
+            now: on the runtime's clock, in seconds.
+            own: whether an earlier life of this instance wrote it.
+        """
+        for fingerprint, servers in noted.items():
+            if now - self._answered.get(fingerprint, float("-inf")) < ANSWERED_S:
+                continue
+            known = self._isolated.get(fingerprint)
+            if known is not None and known.servers.keys() >= set(servers):
+                continue
+            isolation = Isolation(fingerprint, tuple(servers), MOST_S)
+            if self.told(isolation, now):
+                self._isolated[fingerprint].own |= own
+                yield isolation
+
+    def answered(self, fingerprint: str, now: float) -> int:
+        """Note that a server ran a request to its end; returns the crashes that are forgotten."""
+        crashes = self.crashes(fingerprint)
+        if crashes:
+            self._suspects.pop(fingerprint, None)
+            self._isolated.pop(fingerprint, None)
+            _keep(self._answered, fingerprint, now, MOST_SUSPECTS)
+        return crashes
+
+    def _forget_old(self, now: float) -> None:
+        """Forget requests of which nothing was heard for long; suspects stand in that order."""
+        while self._suspects:
+            oldest = next(iter(self._suspects))
+            if now - self._suspects[oldest].at <= KEPT_S:
+                break
+            del self._suspects[oldest]
+        for key, isolated in list(self._isolated.items()):
+            if now - max(isolated.at, isolated.until) > KEPT_S:
+                del self._isolated[key]
+
+
+def _keep(table: dict[str, T], key: str, value: T, most: int) -> None:
+    """Put *value* last in *table*, and take the first ones out that are too many."""
+    table.pop(key, None)
+    table[key] = value
+    while len(table) > most:
+        del table[next(iter(table))]
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -181,6 +181,13 @@
     status = 503
 
 
+class Quarantined(RequestError):
+    """Servers crashed while they ran attempts at this request; this attempt was not run."""
+
+    code = "quarantined"
+    status = 503
+
+
 class AlreadyTaken(CrankhingeError):
     """A non-repeatable request with this key was taken before; how it ended is not known."""
 
--- a/src/crankhinge/gateway/_crashes.py
+++ b/src/crankhinge/gateway/_crashes.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable, Collection
 from typing import Any
 
 import curio
@@ -19,16 +20,22 @@
 GATHER_S = 0.01
 
 
+# Called with a server that crashed and the fingerprints of the requests that it was running.
+OnCrash = Callable[[Server, Collection[str]], Awaitable[None]]
+
+
 class CrashDetector:
     """Looks at servers whose connections end in the middle of requests.
 
     Args:
         backends: the servers.
+        on_crash: is told of servers that crashed.
         log: for events.
     """
 
-    def __init__(self, *, backends: Backends, log: Any) -> None:
+    def __init__(self, *, backends: Backends, on_crash: OnCrash, log: Any) -> None:
         self._backends = backends
+        self._on_crash = on_crash
         self._log = log
         # Requests that were cut, by the identity of the server that is about to be looked at.
         self._cut: dict[str, set[str]] = {}
@@ -51,3 +58,5 @@
             return
         event = "server_crashed" if crashed else "server_lives"
         self._log.info(event, server=server.ident, cut=len(cut))
+        if crashed:
+            await self._on_crash(server, cut)
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._plain import PlainRelay
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._settings import GatewaySettings
@@ -30,6 +31,7 @@
 from crankhinge.runtime import split_host_port
 from crankhinge.runtime._exposed import ExposedMetrics
 
+HTTP_OK = 200
 METRICS_PATH = "/metrics"
 METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # A request that is not told otherwise comes back after this many seconds.
@@ -56,6 +58,7 @@
         directory: routes and servers.
         authenticator: tells who asks.
         limits: of accounts.
+        quarantine: of requests under which servers crashed.
         dialect: how callers and servers are spoken to.
         plain: runs requests answered in one piece.
         streams: runs streams.
@@ -71,6 +74,7 @@
         directory: Directory,
         authenticator: Authenticator,
         limits: AccountLimits,
+        quarantine: QuarantineDesk,
         dialect: Dialect,
         plain: PlainRelay,
         streams: StreamRelay,
@@ -82,6 +86,7 @@
         self._directory = directory
         self._authenticator = authenticator
         self._limits = limits
+        self._quarantine = quarantine
         self._dialect = dialect
         self._plain = plain
         self._streams = streams
@@ -230,6 +235,8 @@
             return await self._refuse(relay.exchange, relay.ask, relay, exc)
         await _clock_out(relay)
         self._note_end(relay)
+        if relay.facts["status"] == HTTP_OK:
+            await self._quarantine.done(relay, relay.work(read_only=False))
         return True
 
     async def _run(self, relay: Relay) -> None:
@@ -282,6 +289,7 @@
         if account is not None:
             relay.facts["account"] = account.name
             relay.facts["keys_age_s"] = round(self._directory.keys_age_s(began), 2)
+        self._quarantine.refuse_isolated(relay.work(read_only=False), began)
         relay.returned = self._first_tries.returned(route.name, caller_s, kept=exchange.kept)
         relay.facts.update(
             fingerprint=relay.fingerprint,
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -14,6 +14,7 @@
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ClientStream, ConnectFailed
 
@@ -24,14 +25,21 @@
     Args:
         backends: the servers.
         authenticator: looks once more whether a request may run, before anything is sent.
+        quarantine: the same, for requests under which servers crashed. Every way to a server goes
+            through here: first tries, repeats, resumed streams, prompts read apart.
         crashes: is told of each connection that ends in the middle of a request.
     """
 
     def __init__(
-        self, backends: Backends, authenticator: Authenticator, crashes: CrashDetector
+        self,
+        backends: Backends,
+        authenticator: Authenticator,
+        quarantine: QuarantineDesk,
+        crashes: CrashDetector,
     ) -> None:
         self._backends = backends
         self._authenticator = authenticator
+        self._quarantine = quarantine
         self._crashes = crashes
 
     @asynccontextmanager
@@ -41,6 +49,7 @@
         Raises:
             BadCredentials: its key was taken away meanwhile.
             ConfigTooOld: nobody can tell any more whether its key was.
+            Quarantined: servers crashed meanwhile that ran it.
             ConnectFailed: nothing was sent to that server; where another one has its address, that
                 one did not run it.
             HttpClosed: it may have run.
@@ -51,6 +60,8 @@
         req = relay.exchange.req
         began = await curio.clock()
         self._authenticator.check(relay, began)
+        work = relay.work(read_only=leg.read_only)
+        await self._quarantine.admit(relay, work, began)
         standing.breaker.sent(began)
         standing.open += 1
         stream: ClientStream | None = None
@@ -73,7 +84,9 @@
         except (HttpClosed, BadHttp) as exc:
             standing.failed(await curio.clock())
             if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
-                await self._crashes.connection_ended(server, relay.fingerprint)
+                # A trial that was cut is over, whatever the server is found to be.
+                relay.trial = ""
+                await self._crashes.connection_ended(server, work)
             raise
         finally:
             standing.open -= 1
--- a/src/crankhinge/gateway/_notices.py
+++ b/src/crankhinge/gateway/_notices.py
@@ -13,7 +13,7 @@
 import curio.socket
 import msgspec
 
-from crankhinge.gateway._peer_messages import EngineOrdered, PeerMessage
+from crankhinge.gateway._peer_messages import PeerMessage
 from crankhinge.runtime import split_host_port
 
 # Longest datagram, in bytes: one fits in a packet.
@@ -77,11 +77,14 @@
         except OSError as exc:
             self._log.info("notice_undelivered", peer=peer, why=str(exc))
 
-    async def tell(self, notice: EngineOrdered) -> None:
-        """Send a notice to every other instance that was seen."""
+    async def tell(self, notice: PeerMessage, **facts: Any) -> None:
+        """Send a notice to every other instance that was seen.
+
+        Args:
+            notice: what to tell.
+            facts: what the line about it tells besides.
+        """
         peers = self._peers()
         for peer in peers:
             await self.send(peer, notice)
-        self._log.info(
-            "notice_told", server=notice.server, phase=notice.phase.value, peers=len(peers)
-        )
+        self._log.info("notice_told", kind=notice.__struct_config__.tag, peers=len(peers), **facts)
--- a/src/crankhinge/gateway/_orderer.py
+++ b/src/crankhinge/gateway/_orderer.py
@@ -246,7 +246,8 @@
         """Have this instance and the others leave the engine out until it plays its new part."""
         until = await curio.clock() + LOST_S
         self._backends.ordered(target.ident, phase, until, told=False)
-        await self._notices.tell(EngineOrdered(target.ident, phase, LOST_S))
+        notice = EngineOrdered(target.ident, phase, LOST_S)
+        await self._notices.tell(notice, server=notice.server, phase=phase.value)
 
     async def _settle(self, targets: list[Server], phase: Phase) -> None:
         """Keep the right until the outcome of all orders is known."""
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -88,4 +88,50 @@
     tokens: int
 
 
-PeerMessage = EngineOrdered | Greeting | Greeted | QuotaAsk | QuotaAnswer | QuotaReturn
+class ServerCrashed(msgspec.Struct, frozen=True, tag="server-crashed"):
+    """A server crashed while it ran requests.
+
+    Attributes:
+        server: identity of the life that ended.
+        fingerprints: of the requests.
+    """
+
+    server: str
+    fingerprints: tuple[str, ...]
+
+
+class QuarantineBegun(msgspec.Struct, frozen=True, tag="quarantine-begun"):
+    """A request is kept from servers, or one attempt at it is let through meanwhile.
+
+    Attributes:
+        fingerprint: of the request.
+        servers: identities of the lives that ended under it.
+        left_s: seconds until an attempt may be let through.
+    """
+
+    fingerprint: str
+    servers: tuple[str, ...]
+    left_s: float
+
+
+class QuarantineEnded(msgspec.Struct, frozen=True, tag="quarantine-ended"):
+    """A server ran a request to its end, so it does not crash servers.
+
+    Attributes:
+        fingerprint: of the request.
+    """
+
+    fingerprint: str
+
+
+PeerMessage = (
+    EngineOrdered
+    | Greeting
+    | Greeted
+    | QuotaAsk
+    | QuotaAnswer
+    | QuotaReturn
+    | ServerCrashed
+    | QuarantineBegun
+    | QuarantineEnded
+)
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -28,6 +28,7 @@
 from crankhinge.gateway._orderer import LOST_S, Orderer
 from crankhinge.gateway._peer_messages import EngineOrdered
 from crankhinge.gateway._plain import PlainRelay
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._shared_work import SharedWork
@@ -97,16 +98,20 @@
         partial(RetryBudget, ratio=RETRY_RATIO, burst=RETRY_BURST)
     )
     meters: defaultdict[str, WorkMeter] = defaultdict(WorkMeter)
+    now = await curio.clock()
+    members = Members(settings.name, now)
+    notices = Notices(address=settings.peer, peers=lambda: members.peers, log=log)
+    notices.on(EngineOrdered, partial(_believe, backends))
+    quarantine = QuarantineDesk(
+        name=settings.name, members=members, notices=notices, log=log, metrics=metrics
+    )
+    crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
     common: dict[str, Any] = {
         "backends": backends,
-        "legs": Legs(backends, authenticator, CrashDetector(backends=backends, log=log)),
+        "legs": Legs(backends, authenticator, quarantine, crashes),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
-    now = await curio.clock()
-    members = Members(settings.name, now)
-    notices = Notices(address=settings.peer, peers=lambda: members.peers, log=log)
-    notices.on(EngineOrdered, partial(_believe, backends))
     limits = AccountLimits(
         name=settings.name,
         directory=directory,
@@ -130,9 +135,10 @@
         directory=directory,
         authenticator=authenticator,
         limits=limits,
+        quarantine=quarantine,
         dialect=dialect,
         plain=PlainRelay(**common),
-        streams=StreamRelay(**common, meters=meters),
+        streams=StreamRelay(**common, quarantine=quarantine, meters=meters),
         log=log,
         metrics=metrics,
         rng=rng,
@@ -143,6 +149,7 @@
         members=members,
         board=platform.board,
         meters=meters,
+        quarantine=quarantine,
         log=log,
         rng=rng,
     )
@@ -159,6 +166,7 @@
     metrics.ask("config_heard_s_ago", partial(_age, directory.config))
     metrics.ask("servers_heard_s_ago", partial(_age, directory.list))
     metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
+    metrics.ask("requests_quarantined", quarantine.__len__)
     metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
     metrics.ask("servers_doubted", lambda: len(directory.servers.doubted()))
     metrics.ask("source_bytes", lambda: platform.source.received)
--- /dev/null
+++ b/src/crankhinge/gateway/_quarantine.py
@@ -0,0 +1,176 @@
+"""Keeps requests under which servers crashed from further servers, over all instances.
+
+Crashes of one request are counted by the two instances that come first for its fingerprint, so a
+crash costs two datagrams for each request that it cut, however many instances there are. Whoever
+has counted enough of them tells all, once a quarantine. Datagrams may be lost: two count, an
+instance that was not told is told again when it reports its next crash, and who counted keeps the
+quarantine in its note in the store, which all read and which outlives restarts.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Collection, Mapping
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Note
+from crankhinge.decisions import Isolation, Members, Quarantine, Server
+from crankhinge.errors import Quarantined
+from crankhinge.gateway._notices import Notices
+from crankhinge.gateway._peer_messages import QuarantineBegun, QuarantineEnded, ServerCrashed
+from crankhinge.gateway._request import Relay
+from crankhinge.runtime import Metrics
+
+# Instances that count the crashes of one request: one may be gone or not hear.
+KEEPERS = 2
+# Fingerprints in one datagram: 19 bytes each, 1,200 in a datagram.
+FINGERPRINTS_AT_ONCE = 48
+
+
+class QuarantineDesk:
+    """Refuses requests that are in quarantine and tells instances of crashes.
+
+    Args:
+        name: of this instance.
+        members: the instances.
+        notices: carries the datagrams.
+        log: for events.
+        metrics: for counters.
+    """
+
+    def __init__(
+        self, *, name: str, members: Members, notices: Notices, log: Any, metrics: Metrics
+    ) -> None:
+        self._name = name
+        self._members = members
+        self._notices = notices
+        self._log = log
+        self._metrics = metrics
+        self._quarantine = Quarantine()
+        notices.on(ServerCrashed, self._take_crash)
+        notices.on(QuarantineBegun, self._take_begun)
+        notices.on(QuarantineEnded, self._take_ended)
+
+    def __len__(self) -> int:
+        return len(self._quarantine)
+
+    def refuse_isolated(self, work: str, now: float) -> None:
+        """Refuse work that no server may be sent now.
+
+        Args:
+            work: as :meth:`Relay.work` returns it.
+            now: on the runtime's clock, in seconds.
+
+        Raises:
+            Quarantined: servers crashed while they did it.
+        """
+        left_s = self._quarantine.refused_s(work, now)
+        if left_s > 0:
+            crashes = self._quarantine.crashes(work)
+            raise Quarantined(
+                f"{crashes} servers crashed while they ran this request", retry_after_s=left_s
+            )
+
+    async def admit(self, relay: Relay, work: str, now: float) -> None:
+        """Look at work that is about to be sent to a server; it may become the trial.
+
+        Raises:
+            Quarantined: as :meth:`refuse_isolated` does.
+        """
+        if relay.trial == work:
+            return
+        self.refuse_isolated(work, now)
+        if not self._quarantine.isolates(work):
+            return
+        relay.trial = work
+        trial = self._quarantine.begin_trial(work, now)
+        self._log.info("quarantine_trial", request=relay.ask.ident, fingerprint=work)
+        await self._tell(trial)
+
+    async def crashed(self, server: Server, fingerprints: Collection[str]) -> None:
+        """Note that a server crashed while it ran requests, and have it counted."""
+        by_keeper: defaultdict[str, list[str]] = defaultdict(list)
+        for fingerprint in fingerprints:
+            for keeper in self._members.keepers(fingerprint, KEEPERS):
+                by_keeper[keeper].append(fingerprint)
+            await self._count(fingerprint, server.ident, "own")
+        by_keeper.pop(self._name, None)
+        for keeper, cut in by_keeper.items():
+            peer = self._members.peer(keeper)
+            for first in range(0, len(cut) if peer else 0, FINGERPRINTS_AT_ONCE):
+                some = tuple(cut[first : first + FINGERPRINTS_AT_ONCE])
+                await self._notices.send(peer, ServerCrashed(server.ident, some))
+
+    async def _count(self, fingerprint: str, server: str, told_by: str) -> None:
+        isolation = self._quarantine.crashed(fingerprint, server, await curio.clock())
+        self._log.info(
+            "request_cut",
+            fingerprint=fingerprint,
+            server=server,
+            crashes=self._quarantine.crashes(fingerprint),
+            told_by=told_by,
+        )
+        if isolation is not None:
+            self._note_begun(isolation, "own")
+            await self._tell(isolation)
+
+    async def done(self, relay: Relay, work: str) -> None:
+        """Note that a server did work to its end, which it does not where that crashes servers."""
+        isolated = self._quarantine.isolates(work)
+        crashes = self._quarantine.answered(work, await curio.clock())
+        if not crashes:
+            return
+        self._log.info(
+            "request_cleared", request=relay.ask.ident, fingerprint=work, crashes=crashes
+        )
+        if isolated:
+            await self._notices.tell(QuarantineEnded(work), fingerprint=work)
+            return
+        for keeper in self._members.keepers(work, KEEPERS):
+            if keeper != self._name and (peer := self._members.peer(keeper)):
+                await self._notices.send(peer, QuarantineEnded(work))
+
+    def noted(self) -> Mapping[str, tuple[str, ...]]:
+        """Return what belongs into this instance's note."""
+        return self._quarantine.noted()
+
+    async def recall(self, notes: Mapping[str, Note]) -> None:
+        """Take what stands in the notes of instances; this one's own is of an earlier life."""
+        now = await curio.clock()
+        for name, note in notes.items():
+            own = name == self._name
+            for isolation in self._quarantine.recall(note.quarantined, now, own=own):
+                self._note_begun(isolation, f"note:{name}")
+
+    def _note_begun(self, isolation: Isolation, told_by: str) -> None:
+        self._metrics.count("quarantines")
+        self._log.warning(
+            "request_quarantined",
+            fingerprint=isolation.fingerprint,
+            crashes=len(isolation.servers),
+            left_s=round(isolation.left_s, 1),
+            servers=",".join(isolation.servers),
+            told_by=told_by,
+        )
+
+    async def _tell(self, isolation: Isolation) -> None:
+        notice = QuarantineBegun(isolation.fingerprint, isolation.servers, isolation.left_s)
+        await self._notices.tell(notice, fingerprint=isolation.fingerprint)
+
+    async def _take_crash(self, message: ServerCrashed, sender: str) -> None:
+        for fingerprint in message.fingerprints:
+            await self._count(fingerprint, message.server, sender)
+
+    async def _take_begun(self, message: QuarantineBegun, sender: str) -> None:
+        isolation = Isolation(message.fingerprint, message.servers, message.left_s)
+        if self._quarantine.told(isolation, await curio.clock()):
+            self._note_begun(isolation, sender)
+
+    async def _take_ended(self, message: QuarantineEnded, sender: str) -> None:
+        crashes = self._quarantine.answered(message.fingerprint, await curio.clock())
+        if crashes:
+            self._log.info(
+                "request_cleared", fingerprint=message.fingerprint, crashes=crashes, told_by=sender
+            )
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -9,9 +9,10 @@
 
 from crankhinge.adapters import Leg
 from crankhinge.decisions import Phase, RetryBudget, Server
-from crankhinge.errors import BackendFailed, BadHttp, HttpClosed
+from crankhinge.errors import BackendFailed, BadHttp, HttpClosed, Quarantined
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ConnectFailed
 
@@ -44,12 +45,16 @@
     Args:
         backends: the servers.
         legs: sends requests to them.
+        quarantine: of prompts under which engines crashed; they are not read apart.
         log: for events.
     """
 
-    def __init__(self, *, backends: Backends, legs: Legs, log: Any) -> None:
+    def __init__(
+        self, *, backends: Backends, legs: Legs, quarantine: QuarantineDesk, log: Any
+    ) -> None:
         self._backends = backends
         self._legs = legs
+        self._quarantine = quarantine
         self._log = log
 
     async def read(self, relay: Relay, zone: str, budget: RetryBudget) -> Memory | None:
@@ -118,7 +123,7 @@
         standing = self._backends.standing(server.ident)
         try:
             handle: str = await curio.timeout_after(within, self._leg, relay, server, leg)
-        except ConnectFailed as exc:
+        except (ConnectFailed, Quarantined) as exc:
             self._failed(relay, server, exc.code, exc.detail)
             return None
         except (HttpClosed, BadHttp, BackendFailed) as exc:
@@ -135,6 +140,7 @@
             # Only the first reading is no repeat.
             budget.spend()
         relay.was_read = True
+        await self._quarantine.done(relay, relay.work(read_only=True))
         took = await curio.clock() - began
         standing.succeeded(took)
         relay.facts.update(reader=server.ident, read_ms=round(took * 1000))
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -11,6 +11,8 @@
 from crankhinge.decisions import Account, Route, Service
 from crankhinge.http import Exchange
 
+# Put before a request's fingerprint where its prompt alone is meant.
+READ_APART = "r:"
 # Servers that may not be reached for one request; each costs the time of a connection at most.
 MAX_UNREACHED = 3
 
@@ -46,6 +48,8 @@
         account: who asks; None where that needs no key.
         keyed: whether the configuration has accounts.
         grant: what it has of its account's tokens; None where none are counted.
+        trial: the work of it that is let through a quarantine to see what becomes of it; empty
+            for none.
         returned: whether its caller was refused before and has come back.
         sent: identities of the servers that it was sent to.
         unreached: identities of servers that could not be reached; nothing arrived there.
@@ -67,6 +71,7 @@
     account: Account | None = None
     keyed: bool = False
     grant: Grant | None = None
+    trial: str = ""
     returned: bool = False
     sent: list[str] = field(default_factory=list)
     unreached: list[str] = field(default_factory=list)
@@ -95,6 +100,13 @@
             return self.route.rank
         return self.account.rank
 
+    def work(self, *, read_only: bool) -> str:
+        """Return what is equal for attempts at having the request run, or its prompt read apart.
+
+        A prompt that crashes the engines that read it may well be read by the one that writes.
+        """
+        return f"{READ_APART}{self.fingerprint}" if read_only else self.fingerprint
+
     def note_event(self, now: float) -> None:
         """Note that events go to the caller: when the first did, and the longest pause since."""
         if self.event_at is None:
--- a/src/crankhinge/gateway/_shared_work.py
+++ b/src/crankhinge/gateway/_shared_work.py
@@ -15,6 +15,7 @@
 from crankhinge.adapters import Note, NoteLease, WorkBoard
 from crankhinge.decisions import RENEW_S, Loads, Members, WorkMeter, WorkSheet, loads_of
 from crankhinge.errors import KeyValueUnavailable
+from crankhinge.gateway._quarantine import QuarantineDesk
 
 # Seconds between looks whether the own note is still true.
 LOOK_S = 1.0
@@ -39,6 +40,7 @@
         members: the instances, whose notes tell where they are reached.
         board: where instances put their notes.
         meters: measure this instance's requests, by service.
+        quarantine: what instances tell each other in their notes besides.
         log: for events.
     """
 
@@ -50,6 +52,7 @@
         members: Members,
         board: WorkBoard,
         meters: Mapping[str, WorkMeter],
+        quarantine: QuarantineDesk,
         log: Any,
         rng: random.Random,
     ) -> None:
@@ -61,6 +64,8 @@
         self._held_at = float("-inf")
         self._board = board
         self._meters = meters
+        self._quarantine = quarantine
+        self._told_quarantined: Mapping[str, tuple[str, ...]] = {}
         self._log = log
         self._told: dict[str, WorkSheet] = {}
         self._told_at = float("-inf")
@@ -87,6 +92,7 @@
                 found = await self._board.resume(self._name)
                 if found is not None:
                     note, lease = found
+                    await self._quarantine.recall({self._name: note})
                     await self._join(lease, resumed=note.settled)
             except KeyValueUnavailable as exc:
                 self._log.info("note_unknown", why=exc.detail)
@@ -99,10 +105,13 @@
         """Write, renew and follow up the note, whichever is due."""
         sheets = self._sheets()
         now = await curio.clock()
-        settled = self._members.settled(now)
-        if settled is not self._told_settled or self._due(sheets, now):
-            lease = await self._board.publish(self._name, Note(self._peer, sheets, settled))
-            self._told, self._told_at, self._told_settled = sheets, now, settled
+        settled, quarantined = self._members.settled(now), self._quarantine.noted()
+        news = settled is not self._told_settled or quarantined != self._told_quarantined
+        if news or self._due(sheets, now):
+            note = Note(self._peer, sheets, settled, quarantined)
+            lease = await self._board.publish(self._name, note)
+            self._told, self._told_at = sheets, now
+            self._told_settled, self._told_quarantined = settled, quarantined
             await self._hold(lease)
         elif now - self._held_at >= RENEW_S:
             await self._hold(await self._board.renew())
@@ -128,6 +137,7 @@
             return
         asked = await curio.clock()
         notes = await self._board.read(stale=False)
+        await self._recall(notes)
         if self._name in notes:
             self._members.join(_peers(notes), asked, resumed=resumed)
             self._joined = True
@@ -147,8 +157,14 @@
         if self._joined:
             # What a call brings is at least as old as the call.
             self._members.take(_peers(notes), asked)
+        await self._recall(notes)
         return notes
 
+    async def _recall(self, notes: Mapping[str, Note]) -> None:
+        """Take the others' quarantines; what this instance told itself it need not read."""
+        others = {name: note for name, note in notes.items() if name != self._name}
+        await self._quarantine.recall(others)
+
     def _sheets(self) -> dict[str, WorkSheet]:
         sheets = {service: meter.sheet() for service, meter in self._meters.items()}
         return {service: sheet for service, sheet in sheets.items() if sheet is not None}
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -23,6 +23,7 @@
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._places import Place, Places
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._reading import Memory, Reading
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ClientStream, ConnectFailed
@@ -44,6 +45,7 @@
         backends: the servers.
         legs: sends requests to them.
         budget_of: the retry budget of a service.
+        quarantine: of requests under which servers crashed.
         log: for events.
         meters: measures the work of each service's requests, by its name.
     """
@@ -54,6 +56,7 @@
         backends: Backends,
         legs: Legs,
         budget_of: Any,
+        quarantine: QuarantineDesk,
         log: Any,
         meters: Mapping[str, WorkMeter],
     ) -> None:
@@ -63,7 +66,7 @@
         self._log = log
         self._meters = meters
         self._places = Places(backends, log, meters)
-        self._reading = Reading(backends=backends, legs=legs, log=log)
+        self._reading = Reading(backends=backends, legs=legs, quarantine=quarantine, log=log)
 
     async def run(self, relay: Relay) -> None:
         """Find servers, pass the answer on. Raises a failure with its outcome."""
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -13,10 +13,13 @@
 
 import curio
 
+from crankhinge.decisions import Members
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway import GatewaySettings, Platform, serve
+from crankhinge.gateway._notices import Notices
+from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.http import ClientStream, Exchange, HttpClient, serve_http
-from crankhinge.runtime import get_log, split_host_port, until_first
+from crankhinge.runtime import Metrics, get_log, split_host_port, until_first
 from crankhinge_bench._procs import free_ports
 from crankhinge_platform.board import PlatformWorkBoard
 from crankhinge_platform.dialect import PlatformDialect
@@ -106,6 +109,17 @@
     body: bytes
 
 
+def lone_desk(name: str, log: Any) -> QuarantineDesk:
+    """Return what keeps requests from servers, at an instance that has nobody to tell."""
+    return QuarantineDesk(
+        name=name,
+        members=Members(name, 0.0),
+        notices=Notices(address="", peers=list, log=log),
+        log=log,
+        metrics=Metrics(prefix="t"),
+    )
+
+
 Behave = Callable[["FakeReplica", Exchange], Awaitable[None]]
 
 
@@ -146,6 +160,7 @@
         busy: whether it follows an order.
         dark: whether it answers no side call.
         report_s: seconds that it takes to report its state.
+        crashes_on_reading: body of the request whose prompt ends the process.
         back_s: seconds after a crash until it is back, as a new server at the same address;
             infinite for never.
     """
@@ -169,6 +184,7 @@
     beat: int = 1
     models: tuple[str, ...] = ()
     born: int | None = None
+    crashes_on_reading: bytes | None = None
     back_s: float = math.inf
     lives: int = 1
     crashed: curio.Event = field(default_factory=curio.Event)
@@ -249,6 +265,8 @@
         elif "x-stage" in req.headers and self.refuses_to_read:
             ident = ("x-request-id", req.headers["x-request-id"])
             await exchange.respond_as_is(503, [ident, ("x-not-executed", "1")], b"")
+        elif "x-stage" in req.headers and self.crashes_on_reading == req.body:
+            await self.crash()
         elif "x-stage" in req.headers:
             await curio.sleep(self.read_s)
             handle = f"h{len(self.arrivals)}"
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -22,7 +22,7 @@
 from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import decode_server
 from crankhinge_platform.store import Item
-from platform_fakes import HOST, FakeReplica, World, route
+from platform_fakes import HOST, FakeReplica, World, lone_desk, route
 from virtual_time import run_virtual
 
 
@@ -69,12 +69,16 @@
             exchange=SimpleNamespace(req=req),
             ask=SimpleNamespace(ident="q"),
             account_name=None,
-            fingerprint="f",
+            trial="",
+            work=lambda *, read_only: "f",
         )
-        crashes = CrashDetector(backends=backends, log=get_log(program="t", stream=world.lines))
+        log = get_log(program="t", stream=world.lines)
+        quarantine = lone_desk("g", log)
+        crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
+        legs = Legs(backends, PASSES, quarantine, crashes)
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
-            async with Legs(backends, PASSES, crashes).open(cast(Relay, relay), server, leg):
+            async with legs.open(cast(Relay, relay), server, leg):
                 raise failure
         seen.append(backends.standing("i-1").failing)
 
--- a/tests/test_shared_work.py
+++ b/tests/test_shared_work.py
@@ -12,7 +12,7 @@
 from crankhinge.errors import KeyValueUnavailable
 from crankhinge.gateway._shared_work import AGAIN_S, LATEST_S, SharedWork
 from crankhinge.runtime import get_log, until_first
-from platform_fakes import Lines
+from platform_fakes import Lines, lone_desk
 from virtual_time import run_virtual
 
 
@@ -75,6 +75,7 @@
             members=self.members,
             board=self.board,
             meters={"llm": self.meter},
+            quarantine=lone_desk("here", log),
             log=log,
             rng=random.Random(3),
         )
