The runtime's clock counts suspensions

Cause: the monotonic clock stands still while a machine is suspended, so an instance that wakes believed keys, notes, leases and deadlines as young as before. Ruled out: a look for jumps between two clocks now and then, which leaves a gap until it looks. Change: curio's kernel takes the clock of the boot (it has no setting for it); so do the pool of connections, the log's rate and the metrics' ages, which are compared with it.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -4,7 +4,6 @@
 
 import random
 import secrets
-import time
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -38,6 +37,7 @@
     Supervisor,
     get_log,
     run_process,
+    steady_s,
     until_first,
 )
 from crankhinge.runtime._exposed import ExposedMetrics
@@ -190,7 +190,7 @@
 
 
 def _age(follower: Follower) -> float:
-    return time.monotonic() - (follower.heard or 0.0)
+    return steady_s() - (follower.heard or 0.0)
 
 
 async def _believe(backends: Backends, notice: EngineOrdered, sender: str) -> None:
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -4,7 +4,6 @@
 
 import re
 import socket
-import time
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -20,7 +19,7 @@
     Owns,
     Patience,
 )
-from crankhinge.runtime import open_tcp
+from crankhinge.runtime import open_tcp, steady_s
 
 POOL_SIZE = 8
 CONNECT_TIMEOUT_S = 2.0
@@ -140,7 +139,7 @@
         """Return the kept connection used last that is still good, or None."""
         while self._idle:
             kept = self._idle.pop()
-            if kept.until > time.monotonic() and _still_quiet(kept.sock):
+            if kept.until > steady_s() and _still_quiet(kept.sock):
                 return kept.sock
             await kept.sock.close()
         return None
@@ -176,7 +175,7 @@
         """Keep *sock* for the next call, or close it."""
         kept_s = _kept_s(headers)
         if reusable and kept_s > 0 and len(self._idle) < self._pool_size:
-            now = time.monotonic()
+            now = steady_s()
             self._idle.append(_Kept(sock, now + kept_s, now))
             return
         await sock.close()
@@ -235,7 +234,7 @@
         if sock is None:
             sock = await self._connect()
         stream = ClientStream(self, sock, reused=reused, owns=owns, patience=patience)
-        began = time.monotonic()
+        began = steady_s()
         heard = self.kept_heard
         try:
             await stream.send(method, target, fields, body)
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -1,5 +1,6 @@
 """Supervision, logs, metrics and process start-up."""
 
+from crankhinge.runtime._clock import steady_s
 from crankhinge.runtime._fields import HostPort, Port, Seconds, split_host_port
 from crankhinge.runtime._files import write_json
 from crankhinge.runtime._logs import Log, get_log
@@ -27,6 +28,7 @@
     "send_all",
     "serve_tcp",
     "split_host_port",
+    "steady_s",
     "until_first",
     "wall_ms",
     "write_json",
--- a/src/crankhinge/runtime/_process.py
+++ b/src/crankhinge/runtime/_process.py
@@ -19,6 +19,7 @@
 
 from crankhinge import __version__
 from crankhinge.errors import CrankhingeError, SettingsError
+from crankhinge.runtime._clock import count_suspensions
 from crankhinge.runtime._logs import get_log
 
 EXIT_BAD_INPUT = 2
@@ -89,6 +90,7 @@
     # curio warns of each operation that ends just after its time-out; nothing is wrong with that.
     logging.getLogger("curio").setLevel(logging.ERROR)
     reader = _Reader(args.settings, model, log, reload) if reload else None
+    count_suspensions()
     try:
         curio.run(_until_signal, serve, settings, log, reader)
     except CrankhingeError as exc:
--- a/src/crankhinge/runtime/_sink.py
+++ b/src/crankhinge/runtime/_sink.py
@@ -8,7 +8,8 @@
 
 import fcntl
 import os
-import time
+
+from crankhinge.runtime._clock import steady_s
 
 # Ordinary lines a second that are kept, and how many may come at once. An instance at its peak
 # answers some 60 requests a second with two lines each.
@@ -32,7 +33,7 @@
         self._fd = fd
         self._pending = bytearray()
         self._allowed = LINES_AT_ONCE
-        self._at = time.monotonic()
+        self._at = steady_s()
 
     def write(self, text: str) -> int:
         """Take a line; it is written at once if the reader keeps up."""
@@ -51,7 +52,7 @@
             return True
         if not any(mark in text for mark in _ORDINARY):
             return False
-        now = time.monotonic()
+        now = steady_s()
         self._allowed = min(LINES_AT_ONCE, self._allowed + (now - self._at) * LINES_PER_S)
         self._at = now
         if self._allowed < 1.0:
