--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -332,6 +332,36 @@
         fleet.play(story, ONCE)
         assert fleet.ended == 6
 
+    def test_many_callers_that_ask_the_same_are_served_through_a_rack_that_fails(self) -> None:
+        """Three of four servers crash at once under equal requests; an answer of the fourth clears.
+
+        Without it all that ask so would be refused for ten seconds.
+        """
+
+        async def slowly(replica: FakeReplica, exchange: Exchange) -> None:
+            await curio.sleep(0.3)
+            await sealed(replica, exchange)
+
+        fleet = Fleet()
+        fleet.add(4, "plain", behave=slowly)
+        ask = partial(fleet.ask, path="/once/a", body=b"same")
+
+        async def story() -> None:
+            async with curio.TaskGroup() as group:
+                for number in range(24):
+                    await group.spawn(ask, number)
+                await curio.sleep(0.2)
+                for replica in fleet.replicas[:3]:
+                    await replica.crashed.set()
+            assert fleet.gateways[0].lines.having("event=request_quarantined")
+            await curio.sleep(TOLD_S)
+            fleet.statuses.clear()
+            for number in range(4):
+                await ask(number)
+            assert fleet.statuses == [200] * 4
+
+        fleet.play(story, ONCE)
+
     def test_a_cut_connection_is_no_crash(self) -> None:
         """Servers that live on are sent the request as often as it comes."""
 
