Crashes that a look does not tell are told by the server's entry; a leaving server's end is none

Cause: a server whose machine falls silent with it, or whose next life listens already when an instance that stood still looks, was not counted; a server that ended as planned and cut what it was running was.

--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -108,6 +108,8 @@
         self._doubted: dict[str, float] = {}
         # Last entry of servers that are gone, by name: one that was written late is no life.
         self._last: dict[str, tuple[int, int]] = {}
+        # Identities of servers that are gone and had said that they leave.
+        self._left: dict[str, None] = {}
 
     def all(self) -> Iterable[Server]:
         """Return every server believed in, leaving ones and doubted ones too."""
@@ -117,6 +119,11 @@
         """Return a server by the identity of its life."""
         return self._known.get(ident)
 
+    def leaves(self, ident: str) -> bool:
+        """Whether a server said that it leaves; it may have gone since."""
+        known = self._known.get(ident)
+        return known.leaving if known is not None else ident in self._left
+
     def doubts(self, ident: str) -> bool:
         """Whether the server has no entry and is kept since that may have lapsed."""
         return ident in self._doubted
@@ -257,5 +264,8 @@
         server = self._known.pop(ident)
         del self._idents[server.name]
         self._last[server.name] = server.age
-        if len(self._last) > GONE_KEPT:
-            del self._last[next(iter(self._last))]
+        if server.leaving:
+            self._left[ident] = None
+        for table in (self._last, self._left):
+            if len(table) > GONE_KEPT:
+                del table[next(iter(table))]
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -130,6 +130,14 @@
                 "server_replaced", server=server.ident, at=f"{server.host}:{server.port}"
             )
 
+    def knows(self, ident: str) -> bool:
+        """Whether a server is still in the list."""
+        return self._servers.get(ident) is not None
+
+    def leaves(self, ident: str) -> bool:
+        """Whether a server said that it leaves; it may have gone since."""
+        return self._servers.leaves(ident)
+
     def takes_work(self, ident: str, now: float) -> bool:
         """Whether a server is still there, does not leave and follows no order."""
         server = self._servers.get(ident)
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -106,6 +106,7 @@
         name=settings.name, members=members, notices=notices, log=log, metrics=metrics
     )
     crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
+    directory.on_gone.append(crashes.entry_gone)
     common: dict[str, Any] = {
         "backends": backends,
         "legs": Legs(backends, authenticator, quarantine, crashes),
--- a/tests/test_crashes.py
+++ b/tests/test_crashes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from crankhinge.errors import HttpClosed
-from crankhinge.http import Exchange
+from crankhinge.http import ConnectFailed, Exchange, HttpClient
 from platform_fakes import FakeReplica, World, crash, route
 from virtual_time import run_virtual
 
@@ -46,6 +46,90 @@
         assert not lines_after(reset, "server_crashed")
 
 
+class TestEntryGone:
+    """A look does not tell a crash: the machine is silent, or another life listens there already.
+
+    The entry of a server that crashed goes within seconds.
+    """
+
+    def lines_after(
+        self, monkeypatch: pytest.MonkeyPatch, *, after_s: float, leaving: bool = False
+    ) -> list[str]:
+        """Return the lines of crashes when the entry went *after_s* after a request was cut."""
+        world = World()
+        server = world.add("i-1", "plain", behave=reset)
+
+        async def silent(client: HttpClient) -> bool:
+            raise ConnectFailed("no connection in 0.35 s")
+
+        async def story() -> None:
+            assert (await world.call("a", "/once/a"))[0] == 502
+            await curio.sleep(after_s)
+            if leaving:
+                await server.enter("draining")
+                await curio.sleep(LOOKED_S)
+            await world.store.remove("servers/i-1")
+            await curio.sleep(1.0)
+
+        monkeypatch.setattr(HttpClient, "listens", silent)
+        run_virtual(world.play, story, ONCE, settle_s=0.003)
+        return world.lines.having("event=server_crashed", "server=i-1", "why=entry_gone")
+
+    def test_soon_after_its_requests_were_cut_tells_a_crash(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Three heartbeats later."""
+        assert self.lines_after(monkeypatch, after_s=3.0)
+
+    def test_before_its_requests_are_known_to_be_cut_tells_a_crash(self) -> None:
+        """An instance that stood still hears of both together; another life listens there."""
+        world = World()
+
+        async def end_after_its_entry(replica: FakeReplica, exchange: Exchange) -> None:
+            await world.store.remove("servers/i-1")
+            await curio.sleep(1.0)
+            raise HttpClosed("crash")
+
+        world.add("i-1", "plain", behave=end_after_its_entry)
+
+        async def story() -> None:
+            assert (await world.call("a", "/once/a"))[0] == 502
+            await curio.sleep(LOOKED_S)
+
+        run_virtual(world.play, story, ONCE, settle_s=0.003)
+        assert world.lines.having("event=server_crashed", "why=entry_gone")
+
+    def test_long_after_tells_none(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """The cut had another cause."""
+        assert not self.lines_after(monkeypatch, after_s=20.0)
+
+    def test_of_a_server_that_leaves_tells_none(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """It said so."""
+        assert not self.lines_after(monkeypatch, after_s=1.0, leaving=True)
+
+
+class TestLeaving:
+    """A server that leaves ends as planned, also where it cuts what it is running."""
+
+    def test_is_no_crash(self) -> None:
+        """Nobody looks at it."""
+        world = World()
+
+        async def leave_and_end(replica: FakeReplica, exchange: Exchange) -> None:
+            await replica.enter("draining")
+            await curio.sleep(1.0)
+            await replica.crash()
+
+        world.add("i-1", "plain", behave=leave_and_end)
+
+        async def story() -> None:
+            assert (await world.call("a", "/once/a"))[0] == 502
+            await curio.sleep(LOOKED_S)
+
+        run_virtual(world.play, story, ONCE, settle_s=0.003)
+        assert not world.lines.having("event=server_crashed")
+
+
 class TestFingerprint:
     """Attempts at one request are told by their lines."""
 
