--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -1,15 +1,14 @@
-"""The gateway's HTTP face: which route a request has, and what the caller is told."""
+"""The gateway's HTTP face: what callers are told, and how an instance stops."""
 
 from __future__ import annotations
 
-import random
 from typing import Any
 
 import curio
 import msgspec
 
 from crankhinge.adapters import Dialect, RelayAsk
-from crankhinge.decisions import FirstTries, RouteKind, fingerprint
+from crankhinge.decisions import RouteKind
 from crankhinge.errors import (
     BadHttp,
     CrankhingeError,
@@ -17,9 +16,8 @@
     NotReady,
     Outcome,
     Stopping,
-    UnknownRoute,
 )
-from crankhinge.gateway._authenticator import Authenticator
+from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._quarantine import QuarantineDesk
@@ -27,13 +25,11 @@
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
-from crankhinge.http import Exchange, HttpLimits, HttpRequest, serve_http
+from crankhinge.http import Exchange, HttpLimits, serve_http
 from crankhinge.runtime import split_host_port
 from crankhinge.runtime._exposed import ExposedMetrics
 
 HTTP_OK = 200
-METRICS_PATH = "/metrics"
-METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 # A request that is not told otherwise comes back after this many seconds.
 RETRY_AFTER_S = 0.5
 # A request that meets a stopping instance finds another one at once, in seconds.
@@ -46,8 +42,6 @@
 LAST_CALL_S = 0.7
 # Seconds for the last answers to get out.
 LAST_WORDS_S = 0.3
-# Seconds that a request may take where neither caller nor route sets a bound.
-LONGEST_S = 60.0
 
 
 class Gateway:
@@ -56,7 +50,7 @@
     Args:
         settings: its settings.
         directory: routes and servers.
-        authenticator: tells who asks.
+        admission: tells what a request is and who asks.
         limits: of accounts.
         quarantine: of requests under which servers crashed.
         dialect: how callers and servers are spoken to.
@@ -64,7 +58,6 @@
         streams: runs streams.
         log: for events.
         metrics: for counters.
-        rng: for splits between services.
     """
 
     def __init__(
@@ -72,7 +65,7 @@
         *,
         settings: GatewaySettings,
         directory: Directory,
-        authenticator: Authenticator,
+        admission: Admission,
         limits: AccountLimits,
         quarantine: QuarantineDesk,
         dialect: Dialect,
@@ -80,11 +73,10 @@
         streams: StreamRelay,
         log: Any,
         metrics: ExposedMetrics,
-        rng: random.Random,
     ) -> None:
         self._settings = settings
         self._directory = directory
-        self._authenticator = authenticator
+        self._admission = admission
         self._limits = limits
         self._quarantine = quarantine
         self._dialect = dialect
@@ -92,8 +84,6 @@
         self._streams = streams
         self._log = log
         self._metrics = metrics
-        self._rng = rng
-        self._first_tries = FirstTries()
         self._open = 0
         self._draining = False
         self._closed = curio.Event()
@@ -106,31 +96,13 @@
             host,
             port,
             self._handle,
-            on_bad=self._on_bad,
+            on_bad=self.refuse_malformed,
             log=self._log,
             limits=self._caller_limits,
             closing=lambda: self._draining,
             closed=self._closed,
         )
 
-    async def listen_ready(self) -> None:
-        """Tell the balancer whether to send new connections, until cancelled."""
-        host, port = split_host_port(self._settings.ready)
-        await serve_http(host, port, self._ready, on_bad=self._on_bad, log=self._log)
-
-    async def listen_metrics(self) -> None:
-        """Show the metrics, until cancelled; nothing without an address."""
-        if not self._settings.metrics:
-            await curio.Event().wait()
-        host, port = split_host_port(self._settings.metrics)
-        await serve_http(host, port, self._show, on_bad=self._on_bad, log=self._log)
-
-    async def _show(self, exchange: Exchange) -> None:
-        if exchange.req.path != METRICS_PATH:
-            await exchange.respond(404, b"{}")
-            return
-        await exchange.respond(200, self._metrics.page(), {"content-type": METRICS_TYPE})
-
     def _caller_limits(self) -> HttpLimits:
         table = self._directory.table
         if table is None:
@@ -143,21 +115,15 @@
             read_s=limits.header_s + limits.idle_s,
         )
 
-    async def _ready(self, exchange: Exchange) -> None:
-        ready = self._directory.known and not self._draining
-        # Others may still know; the balancer sends new connections to them.
-        ready = ready and self._knows_keys(await curio.clock())
-        if exchange.req.path != self._settings.ready_path:
-            await exchange.respond(404, b"{}")
-            return
-        table = self._directory.table
-        state = {"ready": ready, "config": table.version if table else None, "open": self._open}
-        await exchange.respond(200 if ready else 503, msgspec.json.encode(state))
+    @property
+    def draining(self) -> bool:
+        """Whether new callers are turned away."""
+        return self._draining
 
-    def _knows_keys(self, now: float) -> bool:
-        table = self._directory.table
-        keyless = table is None or table.accounts is None
-        return keyless or self._directory.knows_keys(now)
+    @property
+    def in_progress(self) -> int:
+        """Requests that are not answered yet."""
+        return self._open
 
     async def drain(self) -> None:
         """Turn new callers away, then wait for what is in progress."""
@@ -180,7 +146,8 @@
         while self._open:
             await curio.sleep(DRAIN_POLL_S)
 
-    async def _on_bad(self, exchange: Exchange, exc: BadHttp) -> None:
+    async def refuse_malformed(self, exchange: Exchange, exc: BadHttp) -> None:
+        """Answer what is no request of HTTP."""
         self._metrics.count("bad_http")
         self._log.warning("request_malformed", why=exc.detail, status=exc.status)
         await exchange.respond(exc.status, _body(exc, Outcome.NOT_RUN))
@@ -268,44 +235,7 @@
     async def _admit(self, exchange: Exchange, ask: RelayAsk) -> Relay:
         if self._closed.is_set():
             raise NotReady("stopping", retry_after_s=STOPPING_RETRY_S)
-        table = self._directory.table
-        if table is None or not self._directory.listed:
-            raise NotReady("no configuration or no list of servers yet", retry_after_s=0.5)
-        req: HttpRequest = exchange.req
-        route = table.match(req.headers.get("host", ""), req.path)
-        if route is None:
-            raise UnknownRoute(f"no route for {req.headers.get('host')}{req.path}")
-        service = table.services.get(route.service_at(self._rng.random()))
-        if service is None:
-            raise NotReady(f"route {route.name} names a service that is not there")
-        began = await curio.clock()
-        account = self._authenticator.identify(table, route, ask, began)
-        caller_s = LONGEST_S if ask.within_s is None else ask.within_s
-        until = began + min(route.timeout_s, caller_s)
-        relay = Relay(exchange, ask, route, service, table.version, began, until)
-        relay.keyed, relay.account = table.accounts is not None, account
-        relay.fingerprint = fingerprint(
-            relay.account_name or "", req.method, req.headers.get("host", ""), req.target, req.body
-        )
-        if account is not None:
-            relay.facts["account"] = account.name
-            relay.facts["keys_age_s"] = round(self._directory.keys_age_s(began), 2)
-        relay.returned = self._first_tries.returned(route.name, caller_s, kept=exchange.kept)
-        relay.facts.update(
-            fingerprint=relay.fingerprint,
-            service=service.name,
-            kind=route.kind.value,
-            target_ms=round(route.target_s * 1000),
-            within_ms=round(caller_s * 1000),
-            returned=relay.returned,
-            kept=exchange.kept,
-        )
-        if route.pause_s:
-            relay.facts["pause_ms"] = round(route.pause_s * 1000)
-        # How long ago the list of servers was last heard of, in seconds: what is believed of
-        # servers is at least that old, unless the list is watched and did not change.
-        relay.facts["list_age_s"] = round(began - (self._directory.list.heard or 0.0), 1)
-        return relay
+        return await self._admission.admit(exchange, ask)
 
     def _note_end(self, relay: Relay) -> None:
         self._metrics.count(f"answered.{relay.route.kind.value}")
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -14,6 +14,7 @@
 
 from crankhinge.adapters import Dialect, FleetSource, TenureOffice, WorkBoard
 from crankhinge.decisions import Members, RetryBudget, WorkMeter
+from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._call_log import CallLog
@@ -31,6 +32,7 @@
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._shared_work import SharedWork
+from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRelay
 from crankhinge.runtime import (
     LineSink,
@@ -134,7 +136,7 @@
     gateway = Gateway(
         settings=settings,
         directory=directory,
-        authenticator=authenticator,
+        admission=Admission(directory=directory, authenticator=authenticator, rng=rng),
         limits=limits,
         quarantine=quarantine,
         dialect=dialect,
@@ -142,7 +144,9 @@
         streams=StreamRelay(**common, quarantine=quarantine, meters=meters),
         log=log,
         metrics=metrics,
-        rng=rng,
+    )
+    status = StatusPages(
+        settings=settings, directory=directory, gateway=gateway, log=log, metrics=metrics
     )
     work = SharedWork(
         name=settings.name,
@@ -174,8 +178,8 @@
     metrics.ask("source_calls", lambda: sum(platform.source.calls.values()))
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
-    supervisor.add("ready", gateway.listen_ready)
-    supervisor.add("metrics", gateway.listen_metrics)
+    supervisor.add("ready", status.listen_ready)
+    supervisor.add("metrics", status.listen_metrics)
     supervisor.add("config", directory.config.run)
     supervisor.add("servers", directory.list.run)
     supervisor.add("expiry", directory.expire)
