--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -30,6 +30,9 @@
             break
         except OSError:
             time.sleep(0.05)
+    else:
+        proc.kill()
+        pytest.fail(f"nobody answers at port {port}: {command}, status {proc.wait()}")
     yield port
     proc.kill()
     proc.wait()
