--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -68,11 +68,13 @@
 
     Args:
         tenants: client accounts, where callers need keys.
+        instances: how many.
     """
 
-    def __init__(self, tenants: Any = None) -> None:
+    def __init__(self, tenants: Any = None, instances: int = 2) -> None:
         self.world = World(tenants=tenants)
-        self.gateways = [self.world, self.world.beside("other")]
+        others = [self.world.beside(f"g{number}") for number in range(1, instances)]
+        self.gateways = [self.world, *others]
         self.replicas: list[FakeReplica] = []
         self.statuses: list[int] = []
 
@@ -114,9 +116,9 @@
         run_virtual(self.world.play, settled, *routes, settle_s=0.003)
 
 
-def plain_fleet() -> Fleet:
+def plain_fleet(instances: int = 2) -> Fleet:
     """Return a fleet before plain servers."""
-    fleet = Fleet()
+    fleet = Fleet(instances=instances)
     fleet.add(6, "plain")
     return fleet
 
@@ -202,6 +204,20 @@
 
         fleet.play(story, ONCE)
 
+    def test_is_refused_by_instances_that_neither_saw_nor_counted_a_crash(self) -> None:
+        """All are told within moments, before they read it in a note."""
+        fleet = plain_fleet(instances=6)
+
+        async def story() -> None:
+            for number in range(3):
+                await fleet.ask(0, "/once/a", body=CRASHING)
+                await curio.sleep(TOLD_S if number == 2 else AGAIN_S)
+            for number in range(6):
+                assert await fleet.ask(number, "/once/a", body=CRASHING) == 503
+
+        fleet.play(story, ONCE)
+        assert fleet.ended == MOST_ENDED
+
     def test_is_refused_though_an_instance_was_told_nothing(self) -> None:
         """The notes in the store tell what a datagram did not."""
         fleet = plain_fleet()
@@ -237,6 +253,21 @@
 
         fleet.play(story, ONCE)
 
+    def test_does_not_wait_for_a_place(self) -> None:
+        """Where none is free, others wait; this one is told what is known."""
+        fleet = engine_fleet()
+
+        async def story() -> None:
+            await fleet.come_again(3, "/stream/a", **TOKENS)
+            for replica in fleet.replicas:
+                replica.room = 0
+            began = await curio.clock()
+            assert await fleet.ask(0, "/stream/a", body=CRASHING, **TOKENS) == 503
+            assert await curio.clock() - began < 0.1
+            assert json.loads(fleet.body)["error"] == "quarantined"
+
+        fleet.play(story, STREAM)
+
     def test_others_are_served(self) -> None:
         """Only that request is refused: other words at the same path are answered."""
         fleet = plain_fleet()
@@ -305,6 +336,20 @@
         fleet.play(story, ONCE)
         assert fleet.ended == MOST_ENDED + 1
 
+    def test_reaches_one_server_in_a_trial_though_it_may_be_repeated(self) -> None:
+        """What comes of the first is answer enough."""
+        fleet = plain_fleet()
+
+        async def story() -> None:
+            await fleet.come_again(3, "/safe/a")
+            before = fleet.ended
+            # Long enough where a crossing repeat ended a fourth server.
+            await curio.sleep(45.0)
+            await fleet.come_again(1, "/safe/a")
+            assert fleet.ended == before + 1
+
+        fleet.play(story, SAFE)
+
     def test_meets_ever_longer_quarantines_while_servers_crash(self) -> None:
         """In the 100 s after the third crash it reaches two servers more."""
         fleet = plain_fleet()
