--- a/src/crankhinge/decisions/_fingerprint.py
+++ b/src/crankhinge/decisions/_fingerprint.py
@@ -8,8 +8,8 @@
 import hashlib
 
 # It takes 3 us for a body of 800 bytes and 9 us for one of 4 kB (mean of 20,000).
-# 64 bits: among the 1,024 requests remembered at a time, 0.2 in 10**13 others are taken for one
-# of them by chance (1,024 / 2**64 each).
+# 64 bits: with 1,024 requests remembered at a time another one is taken for one of them with a
+# chance of 6 in 10**17 (1,024 / 2**64).
 DIGEST_BYTES = 8
 
 
