Sight: what servers name as their limit, and what each instance sends them, is told by lines

Change: the head of an answer is decoded (names_limit, takes_per_s), lines server_limit, server_limit_unreadable, server_limit_use; sent in answered. No decision follows from it yet.

--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -242,7 +242,13 @@
         self._metrics.timing(f"answered.{relay.route.kind.value}", relay.facts["took_ms"] / 1000)
         if "first_ms" in relay.facts:
             self._metrics.timing("first_event", relay.facts["first_ms"] / 1000)
-        self._log.info("answered", request=relay.ask.ident, route=relay.route.name, **relay.facts)
+        self._log.info(
+            "answered",
+            request=relay.ask.ident,
+            route=relay.route.name,
+            sent=len(relay.sent),
+            **relay.facts,
+        )
 
     async def _refuse(
         self, exchange: Exchange, ask: RelayAsk, relay: Relay | None, exc: CrankhingeError
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -16,6 +16,7 @@
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, ConnectFailed
 
 
@@ -28,6 +29,7 @@
         quarantine: the same, for requests under which servers crashed. Every way to a server goes
             through here: first tries, repeats, resumed streams, prompts read apart.
         crashes: is told of each connection that ends in the middle of a request.
+        limits: what servers say they take.
     """
 
     def __init__(
@@ -36,11 +38,13 @@
         authenticator: Authenticator,
         quarantine: QuarantineDesk,
         crashes: CrashDetector,
+        limits: ServerLimits,
     ) -> None:
         self._backends = backends
         self._authenticator = authenticator
         self._quarantine = quarantine
         self._crashes = crashes
+        self._limits = limits
 
     @asynccontextmanager
     async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
@@ -63,6 +67,7 @@
         work = relay.work(read_only=leg.read_only)
         await self._quarantine.admit(relay, work, began)
         standing.breaker.sent(began)
+        self._limits.sent(server)
         standing.open += 1
         stream: ClientStream | None = None
         whole = False
@@ -74,9 +79,11 @@
                 body=req.body,
                 owns=_owner_is(dialect, relay.ask.ident),
             )
-            if dialect.word(stream.status, stream.headers).other_server:
+            word = dialect.word(stream.status, stream.headers)
+            if word.other_server:
                 self._backends.replaced(server)
                 raise ConnectFailed(f"another server answers for {server.ident}")
+            self._limits.heard(server, word)
             yield stream
             whole = True
         except CallerGone:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -30,6 +30,7 @@
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._shared_work import SharedWork
 from crankhinge.gateway._status import StatusPages
@@ -109,9 +110,11 @@
     )
     crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
     directory.on_gone.append(crashes.entry_gone)
+    server_limits = ServerLimits(log=log)
+    directory.on_gone.append(server_limits.forget)
     common: dict[str, Any] = {
         "backends": backends,
-        "legs": Legs(backends, authenticator, quarantine, crashes),
+        "legs": Legs(backends, authenticator, quarantine, crashes, server_limits),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
@@ -188,6 +191,7 @@
     supervisor.add("peers", work.follow_peers)
     supervisor.add("notices", notices.run)
     supervisor.add("greeter", greeter.run)
+    supervisor.add("limits", server_limits.run)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await until_first(supervisor.run, partial(_drain_on, stopping, gateway))
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -162,6 +162,7 @@
         dark: whether it answers no side call.
         report_s: seconds that it takes to report its state.
         crashes_on_reading: body of the request whose prompt ends the process.
+        limit: what it names as the requests a second that it takes; None for nothing.
         back_s: seconds after a crash until it is back, as a new server at the same address;
             infinite for never.
     """
@@ -185,6 +186,7 @@
     beat: int = 1
     models: tuple[str, ...] = ()
     born: int | None = None
+    limit: str | None = None
     crashes_on_reading: bytes | None = None
     back_s: float = math.inf
     lives: int = 1
@@ -239,7 +241,12 @@
     def head(self, exchange: Exchange) -> list[tuple[str, str]]:
         """Return the header fields of an answer to a request that was run."""
         ident = exchange.req.headers["x-request-id"]
-        return [("x-request-id", ident), (SEAL, f"seal-{self.ident}")]
+        return [("x-request-id", ident), (SEAL, f"seal-{self.ident}"), *self.named]
+
+    @property
+    def named(self) -> list[tuple[str, str]]:
+        """The header field in which it names its limit, if it does."""
+        return [] if self.limit is None else [("server-limit", self.limit)]
 
     @property
     def ran(self) -> list[str]:
@@ -272,7 +279,8 @@
             await curio.sleep(self.read_s)
             handle = f"h{len(self.arrivals)}"
             body = json.dumps({"kv_handle": handle, "tokens": 1, "version": 1}).encode()
-            await exchange.respond_as_is(200, [("x-request-id", req.headers["x-request-id"])], body)
+            ident = ("x-request-id", req.headers["x-request-id"])
+            await exchange.respond_as_is(200, [ident, *self.named], body)
         else:
             await self.behave(self, exchange)
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -17,6 +17,7 @@
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import HttpRequest
 from crankhinge.runtime import Metrics, get_log
 from crankhinge_platform.dialect import PlatformDialect
@@ -75,7 +76,7 @@
         log = get_log(program="t", stream=world.lines)
         quarantine = lone_desk("g", log)
         crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
-        legs = Legs(backends, PASSES, quarantine, crashes)
+        legs = Legs(backends, PASSES, quarantine, crashes, ServerLimits(log=log))
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
             async with legs.open(cast(Relay, relay), server, leg):
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -6,6 +6,8 @@
 import platform
 from pathlib import Path
 
+import pytest
+
 from crankhinge.errors import BadHttp
 from crankhinge.http import HttpRequest
 from crankhinge_platform import dialect
@@ -20,6 +22,7 @@
     "x-server-seal",
     "x-expect-instance",
     "x-not-executed",
+    "server-limit",
     "x-stage",
     "kv-from",
     "kv_handle",
@@ -92,6 +95,30 @@
                 raise AssertionError(name)
 
 
+class TestWord:
+    """What the head of an answer says."""
+
+    @pytest.mark.parametrize(
+        ("named", "per_s"),
+        [("4.2", 4.2), ("0", 0.0), ("0.25", 0.25), (" 12 ", 12.0), ("1e3", 1000.0)],
+    )
+    def test_a_servers_limit_is_decoded(self, named: str, per_s: float) -> None:
+        """Requests a second, fractions included."""
+        word = PlatformDialect().word(200, {"server-limit": named})
+        assert (word.names_limit, word.takes_per_s) == (True, per_s)
+
+    @pytest.mark.parametrize("named", ["many", "", "-1", "nan", "inf", "-inf", "4,2", "4 5"])
+    def test_what_is_no_rate_is_told_from_no_limit(self, named: str) -> None:
+        """It says that there is a limit, but not which."""
+        word = PlatformDialect().word(200, {"server-limit": named})
+        assert (word.names_limit, word.takes_per_s) == (True, None)
+
+    def test_no_limit_is_none(self) -> None:
+        """As most answers."""
+        word = PlatformDialect().word(200, {})
+        assert (word.names_limit, word.takes_per_s) == (False, None)
+
+
 class TestFields:
     """Which header fields travel."""
 
