--- a/src/crankhinge/adapters/_board.py
+++ b/src/crankhinge/adapters/_board.py
@@ -19,12 +19,14 @@
         settled: whether it could act for all instances.
         quarantined: requests in quarantine by fingerprint, each with the identities of the servers
             that crashed under it.
+        limited: requests a second that servers say they take, by their identities.
     """
 
     peer: str
     sheets: Mapping[str, WorkSheet]
     settled: bool = False
     quarantined: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
+    limited: Mapping[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -34,9 +34,11 @@
 from crankhinge.decisions._fingerprint import fingerprint
 from crankhinge.decisions._forecast import MemoryForecast
 from crankhinge.decisions._freshness import Freshness, Gathering
+from crankhinge.decisions._limit_pool import PERMIT_S, LimitPool, LimitWord
 from crankhinge.decisions._limits import MemberLimits
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms
 from crankhinge.decisions._members import GREET_S, NOTE_S, RENEW_S, Members
+from crankhinge.decisions._named_limits import NamedLimit, NamedLimits
 from crankhinge.decisions._places import (
     FIRST_S,
     FIRSTS_LEAST,
@@ -84,6 +86,7 @@
 )
 from crankhinge.decisions._routing import RouteAsk, Router, RoutingWeights
 from crankhinge.decisions._servers import ListChange, Phase, Server, ServerList
+from crankhinge.decisions._shared_limits import Loan, SharedLimits, Stamp
 from crankhinge.decisions._slots import Grant, SlotDecision, SlotTable
 from crankhinge.decisions._split import (
     MANY_ANSWERS,
@@ -108,6 +111,7 @@
     "NAIVE",
     "NOTE_S",
     "NOT_MINE",
+    "PERMIT_S",
     "POLICIES",
     "RENEW_S",
     "RETURNED_PART",
@@ -135,12 +139,17 @@
     "Gathering",
     "Grant",
     "Isolation",
+    "LimitPool",
+    "LimitWord",
     "ListChange",
     "Loads",
+    "Loan",
     "Mechanisms",
     "MemberLimits",
     "Members",
     "MemoryForecast",
+    "NamedLimit",
+    "NamedLimits",
     "Permit",
     "Permitted",
     "Phase",
@@ -172,9 +181,11 @@
     "Service",
     "Settle",
     "Share",
+    "SharedLimits",
     "SlotAsk",
     "SlotDecision",
     "SlotTable",
+    "Stamp",
     "Standing",
     "SwapRecord",
     "Take",
--- a/src/crankhinge/decisions/_members.py
+++ b/src/crankhinge/decisions/_members.py
@@ -37,6 +37,10 @@
 READS_RELIED = 2.5
 # What is read may be so many seconds old: reads that may be stale cost a tenth.
 STALE_S = 6.0
+# Seconds for which an instance that was seen is counted where each has a part of something: it may
+# be cut off from the store alone and go on using its part. Whoever has not read the notes for so
+# long, less what a read may be late, uses its own part no more.
+FLEET_KEPT_S = 120.0
 # Seconds between greetings of those that did not answer.
 GREET_S = 0.5
 
@@ -59,6 +63,8 @@
         self._ranks: dict[str, list[str]] = {}
         # When each was last seen: by a read that was sent then, or by its greeting.
         self._seen_at: dict[str, float] = {}
+        # The same, of this instance and of those too that are gone since.
+        self._last_seen: dict[str, float] = {name: float("inf")}
         self._unanswered: set[str] = set()
         self._read_at = float("-inf")
         self._held_until = float("-inf")
@@ -113,13 +119,18 @@
         kept = {name for name, at in self._seen_at.items() if now - at <= STALE_S}
         peers = {name: peer for name, peer in self._peers.items() if name in kept}
         self._seen_at.update(dict.fromkeys(notes, now))
+        self._last_seen = {
+            name: at for name, at in self._last_seen.items() if now - at <= FLEET_KEPT_S
+        }
+        self._last_seen.update(dict.fromkeys(notes, now))
+        self._last_seen[self._name] = float("inf")
         self._set({**peers, **{name: peer for name, peer in notes.items() if peer}}, now)
         self._unanswered &= set(self._peers)
         self._read_at = now
 
     def greeted(self, name: str, peer: str, now: float) -> None:
         """Note that an instance has come and tells where it takes datagrams."""
-        self._seen_at[name] = now
+        self._seen_at[name] = self._last_seen[name] = now
         self._set({**self._peers, name: peer}, now)
 
     def answered(self, name: str) -> None:
@@ -140,6 +151,15 @@
             return False
         return self.settled(now) or now - self._joined_at > READ_SPREAD * self.read_s
 
+    def knows_fleet(self, now: float) -> bool:
+        """Whether this instance may use its part of what all share equally."""
+        return self.counted(now) and now - self._read_at <= FLEET_KEPT_S - STALE_S
+
+    @property
+    def fleet(self) -> int:
+        """How many instances there may be, at most, that use their parts."""
+        return len(self._last_seen)
+
     def ranked(self, key: str) -> Sequence[str]:
         """Return the instances in the order that depends on *key*, the first before all."""
         if key not in self._ranks:
--- /dev/null
+++ b/src/crankhinge/decisions/_named_limits.py
@@ -0,0 +1,132 @@
+"""What servers say they take from all instances together, as one instance knows it.
+
+A server in need names a rate in its answers, for as long as the need lasts. Answers overtake each
+other, and instances tell each other what they heard, so of two words the one that can only have
+been said later stands: a rate counts from when it was heard, and its end from when a request was
+sent that an answer without one came to. A server that names something that is no rate is still in
+need; its last rate stands.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from crankhinge.decisions._bounded import keep_newest
+
+# Servers remembered that name rates, and those that named one before: more than a fleet has that
+# are in need at once; 0.3 MB when all are taken (as the interpreter counts its memory).
+MOST_NAMED = 1024
+# Rates that an instance tells in its note in the store: 1 kB at most.
+MOST_NOTED = 16
+# A note tells another rate of a server only when it has moved by this factor: each change of a note
+# is a priced write, and whoever reads it hears the server's own word with its first answer.
+NOTED_FACTOR = 2.0
+# How old a rate may be that is read in a note, in seconds: an end that was heard since stands.
+NOTE_AGE_S = 40.0
+
+
+@dataclass(frozen=True, slots=True)
+class NamedLimit:
+    """What a server takes.
+
+    Attributes:
+        per_s: requests a second from all instances together.
+        at: when it was heard, on the runtime's clock, in seconds.
+    """
+
+    per_s: float
+    at: float
+
+
+class NamedLimits:
+    """The rates that servers name, by the servers' identities."""
+
+    def __init__(self) -> None:
+        self._named: dict[str, NamedLimit] = {}
+        self._ended: dict[str, float] = {}
+        self._noted: dict[str, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._named)
+
+    @property
+    def servers(self) -> list[str]:
+        """Identities of the servers that name rates."""
+        return list(self._named)
+
+    def get(self, server: str) -> NamedLimit | None:
+        """Return what a server takes; None where it names nothing."""
+        return self._named.get(server)
+
+    def named(self, server: str, per_s: float, at: float) -> bool:
+        """Note that a server named a rate.
+
+        Args:
+            server: its identity.
+            per_s: requests a second.
+            at: when an answer told so, on the runtime's clock, in seconds.
+
+        Returns:
+            Whether this instance believed something else.
+        """
+        if at <= self._ended.get(server, float("-inf")):
+            return False
+        known = self._named.get(server)
+        if known is not None and at < known.at:
+            return False
+        keep_newest(self._named, server, NamedLimit(per_s, at), MOST_NAMED)
+        return known is None or known.per_s != per_s
+
+    def unreadable(self, server: str, at: float) -> None:
+        """Note that a server named something that is no rate: it is still in need."""
+        known = self._named.get(server)
+        if known is not None and at > known.at:
+            keep_newest(self._named, server, NamedLimit(known.per_s, at), MOST_NAMED)
+
+    def unnamed(self, server: str, sent_at: float) -> bool:
+        """Note that a server named nothing in an answer.
+
+        Args:
+            server: its identity.
+            sent_at: when the request was sent that it answered, on the runtime's clock, in seconds.
+                Sent before the rate was heard, it may have been answered before that, too.
+
+        Returns:
+            Whether it has ceased to name a rate by that.
+        """
+        known = self._named.get(server)
+        if known is None or sent_at <= known.at:
+            return False
+        del self._named[server]
+        keep_newest(self._ended, server, sent_at, MOST_NAMED)
+        return True
+
+    def noted(self, servers: Collection[str], now: float) -> Mapping[str, float]:
+        """Return what belongs into this instance's note of some servers: their rates, roughly.
+
+        Args:
+            servers: identities.
+            now: on the runtime's clock, in seconds.
+        """
+        young = [
+            server
+            for server, limit in self._named.items()
+            if server in servers and now - limit.at <= NOTE_AGE_S
+        ]
+        noted = {}
+        for server in young[-MOST_NOTED:]:
+            per_s, told = self._named[server].per_s, self._noted.get(server)
+            noted[server] = per_s if told is None or _moved(told, per_s) else told
+        self._noted = noted
+        return dict(noted)
+
+    def recall(self, noted: Mapping[str, float], now: float) -> list[str]:
+        """Take what was read in a note; returns the servers of which it was news."""
+        at = now - NOTE_AGE_S
+        return [server for server, per_s in noted.items() if self.named(server, per_s, at)]
+
+
+def _moved(told: float, per_s: float) -> bool:
+    low, high = sorted((told, per_s))
+    return high > NOTED_FACTOR * low
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -256,6 +256,7 @@
         (standing_of(server.ident).tokens * rng.uniform(1.0, 1.1), rng.random(), server)
         for server in servers
         if standing_of(server.ident).breaker.allows(now)
+        and standing_of(server.ident).limited_until <= now
         and standing_of(server.ident).full_until + yield_s <= now
         and standing_of(server.ident).tokens + tokens <= kv_tokens
     ]
--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -13,7 +13,8 @@
 
 from collections.abc import Collection, Iterable, Iterator, Mapping
 from dataclasses import dataclass, field
-from typing import TypeVar
+
+from crankhinge.decisions._bounded import keep_newest
 
 # Servers that may crash under one request before it is refused, as the operators bound it.
 CRASHES = 3
@@ -42,8 +43,6 @@
 # within seconds, and read seconds late.
 ANSWERED_S = 40.0
 
-T = TypeVar("T")
-
 
 @dataclass
 class _Suspect:
@@ -140,11 +139,11 @@
             suspect = _Suspect()
         suspect.add((server,), now)
         if len(suspect.servers) < CRASHES:
-            _keep(self._suspects, fingerprint, suspect, MOST_SUSPECTS)
+            keep_newest(self._suspects, fingerprint, suspect, MOST_SUSPECTS)
             self._forget_old(now)
             return None
         isolated = _Isolated(suspect.servers, now)
-        _keep(self._isolated, fingerprint, isolated, MOST_ISOLATED)
+        keep_newest(self._isolated, fingerprint, isolated, MOST_ISOLATED)
         return self._lengthen(fingerprint, isolated, now)
 
     def _lengthen(self, fingerprint: str, isolated: _Isolated, now: float) -> Isolation:
@@ -168,7 +167,7 @@
         isolated.until = max(isolated.until, now + left_s)
         if known is None:
             self._suspects.pop(fingerprint, None)
-            _keep(self._isolated, fingerprint, isolated, MOST_ISOLATED)
+            keep_newest(self._isolated, fingerprint, isolated, MOST_ISOLATED)
         return news
 
     def noted(self) -> Mapping[str, tuple[str, ...]]:
@@ -206,7 +205,7 @@
         if crashes:
             self._suspects.pop(fingerprint, None)
             self._isolated.pop(fingerprint, None)
-            _keep(self._answered, fingerprint, now, MOST_SUSPECTS)
+            keep_newest(self._answered, fingerprint, now, MOST_SUSPECTS)
         return crashes
 
     def _forget_old(self, now: float) -> None:
@@ -219,11 +218,3 @@
         for key, isolated in list(self._isolated.items()):
             if now - max(isolated.at, isolated.until) > KEPT_S:
                 del self._isolated[key]
-
-
-def _keep(table: dict[str, T], key: str, value: T, most: int) -> None:
-    """Put *value* last in *table*, and take the first ones out that are too many."""
-    table.pop(key, None)
-    table[key] = value
-    while len(table) > most:
-        del table[next(iter(table))]
--- a/src/crankhinge/decisions/_quota.py
+++ b/src/crankhinge/decisions/_quota.py
@@ -19,6 +19,7 @@
 
 from crankhinge.decisions._accounts import Account, TokenLimit
 from crankhinge.decisions._members import Members
+from crankhinge.decisions._silences import Silences
 
 # Parts of what the operators allow: the first hands out the account's own rate and burst, but not
 # more than this part of all, since the others need some.
@@ -29,10 +30,8 @@
 OWN_PART = 0.25
 # Of what may be handed out in a window, so much may be at once; the rest comes with time.
 AT_ONCE = 0.5
-# An instance that did not answer is passed over for this long, in seconds, and twice as long each
-# time that it does not answer again; each question to one that is gone takes a tenth of a second.
-SUSPECT_S = 1.0
-SUSPECT_MOST_S = 16.0
+# Questions that an instance may leave unanswered before it is passed over.
+MISSES = 1
 # Callers that were refused come back one after the other; the last of them in so many seconds.
 BACK_MOST_S = 5.0
 # Nobody is told to come back sooner, in seconds.
@@ -252,24 +251,20 @@
     def __init__(self, *, name: str, members: Members) -> None:
         self._name = name
         self._members = members
-        self._silent_until: dict[str, float] = {}
-        self._silent_s: dict[str, float] = {}
+        self._silences = Silences(MISSES)
 
     def allocators(self, account: str, now: float) -> Sequence[str]:
         """Return whom to ask, one after the other, until one grants or refuses."""
         return [
             name
             for name in self._members.ranked(account)[:2]
-            if name == self._name or self._silent_until.get(name, now) <= now
+            if name == self._name or not self._silences.passed_over(name, now)
         ]
 
     def silent(self, name: str, now: float) -> None:
         """Note that an instance did not answer."""
-        for_s = self._silent_s.get(name, SUSPECT_S)
-        self._silent_until[name] = now + for_s
-        self._silent_s[name] = min(SUSPECT_MOST_S, 2 * for_s)
+        self._silences.silent(name, now)
 
     def answered(self, name: str) -> None:
         """Note that an instance answered, or that it has just come."""
-        self._silent_until.pop(name, None)
-        self._silent_s.pop(name, None)
+        self._silences.answered(name)
--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -50,6 +50,7 @@
         took_s: average time of an answer; 0 before the first.
         failing: average share of failures.
         full_until: when to ask again after it refused for want of room.
+        limited_until: when it may be sent more than it says it takes all together.
         refusals: in a row.
         replaced: another server has its address.
         change: the last order that it is known to have taken.
@@ -60,6 +61,7 @@
     took_s: float = 0.0
     failing: float = 0.0
     full_until: float = 0.0
+    limited_until: float = 0.0
     refusals: int = 0
     replaced: bool = False
     change: PhaseChange | None = None
@@ -102,6 +104,12 @@
         """Note that it had no room for a reservation; instances ask again at different times."""
         self.full_until = now + NO_ROOM_S * rng.uniform(0.7, 1.3)
 
+    def at_limit(self, now: float, after_s: float) -> None:
+        """Note that it may be sent a request in *after_s*; several may be told different times."""
+        until = now + after_s
+        known = self.limited_until
+        self.limited_until = min(known, until) if known > now else until
+
     def cost(self, usual_s: float, *, far: bool) -> float:
         """Return the expected wait there, in arbitrary units.
 
@@ -135,10 +143,14 @@
 ) -> Server | None:
     """Return the server with the least expected wait, or None when there is none.
 
-    Servers whose breaker is open, or that refused a moment ago, are taken only when there is no
-    other.
+    Servers that take no more now are out of the question. Those whose breaker is open, or that
+    refused a moment ago, are taken only when there is no other.
     """
-    able = [server for server in servers if server.ident not in avoid]
+    able = [
+        server
+        for server in servers
+        if server.ident not in avoid and standing_of(server.ident).limited_until <= now
+    ]
     sound = [
         server
         for server in able
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -167,6 +167,13 @@
     status = 503
 
 
+class ServerAtLimit(RequestError):
+    """Backend servers say that they take no more; the request was not sent."""
+
+    code = "server-at-limit"
+    status = 503
+
+
 class LimitReached(RequestError):
     """The member is at its own limit; nothing was run."""
 
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 import curio
 
-from crankhinge.adapters import Dialect, SideCall
+from crankhinge.adapters import Dialect, ServerWord, SideCall
 from crankhinge.decisions import Phase, PhaseChange, Server, ServerList, Standing, pick_server
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import HttpClient, Response
@@ -21,6 +22,9 @@
 # A side call is answered in milliseconds; its server is given up on after this, in seconds.
 SIDE_CALL_S = 0.6
 
+# Called with a server, what the head of its answer to a side call says, and when that was sent.
+OnWord = Callable[[Server, ServerWord, float], Awaitable[None]]
+
 
 class Backends:
     """Connections to servers and what was seen of them.
@@ -32,6 +36,9 @@
         log: for events.
         metrics: for counters.
         rng: for choices between equals.
+
+    Attributes:
+        on_word: what is told of the heads of answers to side calls.
     """
 
     def __init__(
@@ -46,6 +53,7 @@
     ) -> None:
         self.dialect = dialect
         self.rng = rng
+        self.on_word: list[OnWord] = []
         self._servers = servers
         self._zone = zone
         self._log = log
@@ -177,16 +185,46 @@
             avoid=avoid,
         )
 
+    def at_limit(
+        self,
+        service: str,
+        now: float,
+        *,
+        avoid: frozenset[str],
+        phase: Phase | None = None,
+        model: str = "",
+    ) -> list[Server]:
+        """Return the servers that take no more of a service's work now, the first to do so first.
+
+        Args:
+            service: its name.
+            now: on the runtime's clock.
+            avoid: identities that are out of the question.
+            phase: the part that they play; any by default.
+            model: that they have to hold.
+        """
+        servers = [
+            server
+            for server in self.able(service, now, phase, model)
+            if server.ident not in avoid and self.standing(server.ident).limited_until > now
+        ]
+        return sorted(servers, key=lambda server: self.standing(server.ident).limited_until)
+
     async def side_call(self, server: Server, call: SideCall) -> Response | None:
         """Make a call of the router's own; None when it isn't answered."""
         client = self.client(server)
         headers = self.dialect.side_fields(server.name)
+        sent_at = await curio.clock()
         try:
             resp: Response = await curio.timeout_after(SIDE_CALL_S, _call, client, call, headers)
         except (HttpClosed, BadHttp, curio.TaskTimeout) as exc:
             self._metrics.count("side_calls_failed")
             self._log.info("side_call_failed", server=server.ident, call=call.target, why=repr(exc))
             return None
+        word = self.dialect.word(resp.status, resp.headers)
+        if not word.other_server:
+            for on_word in self.on_word:
+                await on_word(server, word, sent_at)
         return resp
 
     async def later(self, server: Server, call: SideCall) -> None:
--- /dev/null
+++ b/src/crankhinge/gateway/_choice.py
@@ -0,0 +1,86 @@
+"""Chooses servers that a request may be sent to, and gets it the permits that they ask for."""
+
+from __future__ import annotations
+
+import curio
+
+from crankhinge.decisions import Phase, Server
+from crankhinge.errors import ServerAtLimit
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
+
+
+class ServerChoice:
+    """Chooses among the servers of a request's service.
+
+    Args:
+        backends: the servers.
+        limits: what they say they take.
+    """
+
+    def __init__(self, backends: Backends, limits: ServerLimits) -> None:
+        self._backends = backends
+        self._limits = limits
+
+    async def now(
+        self,
+        relay: Relay,
+        *,
+        avoid: frozenset[str],
+        phase: Phase | None = None,
+        zone: str = "",
+    ) -> Server | None:
+        """Return a server that the request may be sent to at once; None where there is none.
+
+        Args:
+            relay: the request.
+            avoid: identities that are out of the question.
+            phase: the part that the server plays; any by default.
+            zone: availability zone to stay in; this instance's by default.
+        """
+        while True:
+            server = self._backends.pick(
+                relay.service.name,
+                await curio.clock(),
+                phase=phase,
+                avoid=avoid,
+                zone=zone,
+                model=relay.ask.model,
+            )
+            # What is over at one server goes to the others: whoever refuses is not picked again.
+            if server is None or await self._limits.permit(relay, server):
+                return server
+
+    async def soon(
+        self, relay: Relay, *, avoid: frozenset[str], spare_s: float, phase: Phase | None = None
+    ) -> Server | None:
+        """Wait for the first server that takes a request again; None where none is at its limit.
+
+        Args:
+            relay: the request.
+            avoid: identities that are out of the question.
+            spare_s: seconds that it may wait.
+            phase: the part that the server plays; any by default.
+
+        Raises:
+            ServerAtLimit: no server takes it within that time, as is known at once.
+        """
+        at_limit = await self._at_limit(relay, avoid, phase)
+        if not at_limit:
+            return None
+        word = await self._limits.queue(relay, at_limit[0], max(0.0, spare_s))
+        if not word.granted:
+            raise ServerAtLimit(
+                f"{relay.service.name}: servers take no more now", retry_after_s=word.after_s
+            )
+        await curio.sleep(word.after_s)
+        relay.facts["permit_ms"] = round(word.after_s * 1000)
+        return at_limit[0]
+
+    async def _at_limit(
+        self, relay: Relay, avoid: frozenset[str], phase: Phase | None
+    ) -> list[Server]:
+        now = await curio.clock()
+        service, model = relay.service.name, relay.ask.model
+        return self._backends.at_limit(service, now, avoid=avoid, phase=phase, model=model)
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
 from crankhinge.http import Exchange, HttpLimits, serve_http
@@ -52,6 +53,7 @@
         directory: routes and servers.
         admission: tells what a request is and who asks.
         limits: of accounts.
+        server_limits: what servers say they take.
         quarantine: of requests under which servers crashed.
         dialect: how callers and servers are spoken to.
         plain: runs requests answered in one piece.
@@ -67,6 +69,7 @@
         directory: Directory,
         admission: Admission,
         limits: AccountLimits,
+        server_limits: ServerLimits,
         quarantine: QuarantineDesk,
         dialect: Dialect,
         plain: PlainRelay,
@@ -78,6 +81,7 @@
         self._directory = directory
         self._admission = admission
         self._limits = limits
+        self._server_limits = server_limits
         self._quarantine = quarantine
         self._dialect = dialect
         self._plain = plain
@@ -178,6 +182,7 @@
             return await self._run_or_gone(exchange, ask, relay)
         finally:
             await self._limits.settle(relay)
+            await self._server_limits.settle(relay)
 
     async def _run_or_gone(self, exchange: Exchange, ask: RelayAsk, relay: Relay) -> bool:
         """Run one request while its caller is there; returns whether it has a whole answer."""
--- a/src/crankhinge/gateway/_greeter.py
+++ b/src/crankhinge/gateway/_greeter.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import curio
@@ -20,7 +20,7 @@
         peer: ``host:port`` where it takes datagrams; empty for nowhere.
         members: the instances.
         notices: carries the datagrams.
-        on_come: called with the name of an instance that has come.
+        on_come: each is called with the name of an instance that has come.
         log: for events.
     """
 
@@ -31,7 +31,7 @@
         peer: str,
         members: Members,
         notices: Notices,
-        on_come: Callable[[str], None],
+        on_come: Sequence[Callable[[str], None]],
         log: Any,
     ) -> None:
         self._name = name
@@ -60,7 +60,8 @@
 
     async def _take_greeting(self, message: Greeting, sender: str) -> None:
         self._members.greeted(message.name, message.peer, await curio.clock())
-        self._on_come(message.name)
+        for on_come in self._on_come:
+            on_come(message.name)
         await self._notices.send(sender, Greeted(self._name))
 
     async def _take_answer(self, message: Greeted, sender: str) -> None:
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -19,6 +19,9 @@
 from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, ConnectFailed
 
+# Answers below this status are of requests that servers ran well.
+RAN_BELOW = 300
+
 
 class Legs:
     """Opens requests at servers; used by every kind of request.
@@ -54,6 +57,7 @@
             BadCredentials: its key was taken away meanwhile.
             ConfigTooOld: nobody can tell any more whether its key was.
             Quarantined: servers crashed meanwhile that ran it.
+            ServerAtLimit: nothing was sent, since the server takes no more now.
             ConnectFailed: nothing was sent to that server; where another one has its address, that
                 one did not run it.
             HttpClosed: it may have run.
@@ -66,8 +70,9 @@
         self._authenticator.check(relay, began)
         work = relay.work(read_only=leg.read_only)
         await self._quarantine.admit(relay, work, began)
+        # Last, since it is used: a permit of a request that is not sent is lost to others.
+        permit = await self._limits.spend(relay, server)
         standing.breaker.sent(began)
-        self._limits.sent(server)
         standing.open += 1
         stream: ClientStream | None = None
         whole = False
@@ -83,13 +88,16 @@
             if word.other_server:
                 self._backends.replaced(server)
                 raise ConnectFailed(f"another server answers for {server.ident}")
-            self._limits.heard(server, word)
+            ran = not word.not_run and stream.status < RAN_BELOW
+            await self._limits.heard(server, word, sent_at=began, whole=ran)
             yield stream
             whole = True
         except CallerGone:
             raise
         except (HttpClosed, BadHttp) as exc:
             standing.failed(await curio.clock())
+            if isinstance(exc, ConnectFailed) and permit is not None:
+                relay.permits[server.ident] = permit
             if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
                 # A trial that was cut is over, whatever the server is found to be.
                 relay.trial = ""
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from crankhinge.decisions import Phase, Verdict
+from crankhinge.decisions import Loan, Phase, Stamp, Verdict
 
 
 class EngineOrdered(msgspec.Struct, frozen=True, tag="engine-ordered"):
@@ -124,6 +124,113 @@
     fingerprint: str
 
 
+class LimitNamed(msgspec.Struct, frozen=True, tag="limit-named"):
+    """A server said how much it takes from all instances together.
+
+    Attributes:
+        server: its identity.
+        per_s: requests a second.
+        ago_s: seconds since it was heard.
+    """
+
+    server: str
+    per_s: float
+    ago_s: float
+
+
+class LimitEnded(msgspec.Struct, frozen=True, tag="limit-ended"):
+    """A server that named a limit names none any more.
+
+    Attributes:
+        server: its identity.
+        sent_ago_s: seconds since the request was sent that it answered so.
+    """
+
+    server: str
+    sent_ago_s: float
+
+
+class ShareLoan(msgspec.Struct, frozen=True, array_like=True):
+    """The sender's share of a server's limit, lent to the receiver.
+
+    Attributes:
+        life: number of the receiver's life, as the lender knows it.
+        at: the latest moment of the receiver's clock that the lender has seen, in seconds.
+        for_s: seconds for which it is lent from then.
+        fleet: instances that the lender counts.
+    """
+
+    life: int
+    at: float
+    for_s: float
+    fleet: int
+
+    @classmethod
+    def of(cls, loan: Loan) -> ShareLoan:
+        """Return the message of a loan."""
+        return cls(loan.stamp.life, loan.stamp.at, loan.for_s, loan.fleet)
+
+    def decoded(self) -> Loan:
+        """Return the loan."""
+        return Loan(Stamp(self.life, self.at), self.for_s, self.fleet)
+
+
+class PermitAsk(msgspec.Struct, frozen=True, tag="permit-ask", kw_only=True):
+    """An instance lends its share of a server's limit, and may want to send a request there.
+
+    Attributes:
+        number: of the question, for who asks.
+        lender: name of the instance.
+        server: its identity.
+        per_s: requests a second that the server named.
+        ago_s: seconds since that was heard.
+        within_s: seconds within which the request is to be sent; None for no request.
+        caller: whether its caller is told when to come back.
+        loan: the share; None where it can't be lent now.
+    """
+
+    number: int
+    lender: str
+    server: str
+    per_s: float
+    ago_s: float
+    within_s: float | None
+    caller: bool
+    loan: ShareLoan | None
+
+    def numbered(self, number: int) -> PermitAsk:
+        """Return the question under a number."""
+        return msgspec.structs.replace(self, number=number)
+
+
+class PermitAnswer(msgspec.Struct, frozen=True, tag="permit-answer", kw_only=True):
+    """Whether a request may be sent to a server.
+
+    Attributes:
+        number: of the question.
+        granted: whether it may; None where that was not asked.
+        after_s: seconds after which it may, or may be asked for again.
+        life: number of the life of the instance that answers.
+        at: the moment of its clock, in seconds.
+    """
+
+    number: int
+    granted: bool | None
+    after_s: float
+    life: int
+    at: float
+
+
+class PermitReturn(msgspec.Struct, frozen=True, tag="permit-return"):
+    """A request that might have been sent to a server was not.
+
+    Attributes:
+        server: its identity.
+    """
+
+    server: str
+
+
 PeerMessage = (
     EngineOrdered
     | Greeting
@@ -134,4 +241,9 @@
     | ServerCrashed
     | QuarantineBegun
     | QuarantineEnded
+    | LimitNamed
+    | LimitEnded
+    | PermitAsk
+    | PermitAnswer
+    | PermitReturn
 )
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -25,9 +25,10 @@
     places_to_ask,
     silent_s,
 )
-from crankhinge.errors import BadHttp, NoBackend, Overloaded
+from crankhinge.errors import BadHttp, NoBackend, Overloaded, ServerAtLimit
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
 
 # Engines asked in one round; more would cost more calls than the chance of room is worth.
 ASKED_AT_ONCE = 3
@@ -80,12 +81,20 @@
 
     Args:
         backends: the servers.
+        limits: what they say they take.
         log: for events.
         meters: the work of each service's requests, by its name.
     """
 
-    def __init__(self, backends: Backends, log: Any, meters: Mapping[str, WorkMeter]) -> None:
+    def __init__(
+        self,
+        backends: Backends,
+        limits: ServerLimits,
+        log: Any,
+        meters: Mapping[str, WorkMeter],
+    ) -> None:
         self._backends = backends
+        self._limits = limits
         self._meters = meters
         self._log = log
         self._orders: defaultdict[str, WaitingOrder] = defaultdict(WaitingOrder)
@@ -180,8 +189,13 @@
             yield_s=need.yield_s(now - search.began),
         )
         for server in able[:ASKED_AT_ONCE]:
+            if not await self._limits.permit(relay, server):
+                continue
             search.asked += 1
             hold = await self._reserve(server, need.tokens, engine.hold_s)
+            if hold is None:
+                # It was asked in vain, and in need each question counts.
+                relay.permits.pop(server.ident, None)
             if hold is not None:
                 relay.placed_at = await curio.clock()
                 waited = relay.placed_at - search.began
@@ -204,11 +218,34 @@
         if "free_ms" not in search.relay.facts and free_s is not None:
             search.relay.facts["free_ms"] = round(free_s * 1000)
         spare = need.patience_s - waited
+        await self._refuse_at_limit(search, waited)
         if spare <= MIN_ROUND_S or not need.worth_waiting(waited, free_s):
             self._refused(search, "no_room", waited)
             raise Overloaded("no room to write", retry_after_s=self._back(search, waited))
         await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
+    async def _refuse_at_limit(self, search: _Search, waited_s: float) -> None:
+        """Refuse a request at once where no engine takes more within its patience.
+
+        Raises:
+            ServerAtLimit: none does.
+        """
+        relay, now = search.relay, await curio.clock()
+        service, model = relay.service.name, relay.ask.model
+        writers = self._backends.able(service, now, Phase.WRITE, model)
+        limited = self._backends.at_limit(
+            service, now, avoid=search.avoid, phase=Phase.WRITE, model=model
+        )
+        if not limited or len(limited) < sum(each.ident not in search.avoid for each in writers):
+            return
+        until = self._backends.standing(limited[0].ident).limited_until
+        if until - now <= search.need.patience_s - waited_s:
+            return
+        word = await self._limits.queue(relay, limited[0], 0.0)
+        if not word.granted:
+            self._refused(search, "at_limit", waited_s)
+            raise ServerAtLimit("engines take no more now", retry_after_s=word.after_s)
+
     def _free_in(self, search: _Search, waited_s: float) -> float | None:
         """Return the seconds until there is memory for a request and for those before it."""
         service, now = search.relay.service.name, search.began + waited_s
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -18,8 +18,10 @@
     HttpClosed,
     NoBackend,
     Overloaded,
+    ServerAtLimit,
 )
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ConnectFailed
@@ -50,13 +52,17 @@
 
     Args:
         backends: the servers.
+        choice: chooses among them.
         legs: sends requests to them.
         budget_of: the retry budget of a service.
         log: for events.
     """
 
-    def __init__(self, *, backends: Backends, legs: Legs, budget_of: Any, log: Any) -> None:
+    def __init__(
+        self, *, backends: Backends, choice: ServerChoice, legs: Legs, budget_of: Any, log: Any
+    ) -> None:
         self._backends = backends
+        self._choice = choice
         self._legs = legs
         self._budget_of = budget_of
         self._log = log
@@ -84,8 +90,10 @@
         budget: RetryBudget = self._budget_of(relay.service.name)
         failed: Answer | None = None
         while True:
-            server = await self._choose(relay)
-            result = self._no_server(relay) if server is None else await self._try(relay, server)
+            server, result = await self._attempt(relay)
+            if server is not None and isinstance(result, ServerAtLimit):
+                # Nothing was sent; it is not chosen again until it takes more.
+                continue
             if isinstance(result, ConnectFailed):
                 if relay.not_reached():
                     continue
@@ -99,27 +107,27 @@
                 return failed
             raise result
 
+    async def _attempt(self, relay: Relay) -> tuple[Server | None, Answer | CrankhingeError]:
+        """Send a request to a server; returns which, None where none takes it, and what came."""
+        try:
+            server = await self._choose(relay)
+        except ServerAtLimit as exc:
+            return None, exc
+        if server is None:
+            return None, self._no_server(relay)
+        return server, await self._try(relay, server)
+
     async def _wait_turn(self, relay: Relay, congestion: Congestion) -> None:
         """Wait while the service's answers take too long for more to be sent.
 
         Raises:
             Overloaded: it did not recover in time.
         """
-        name, target_s = relay.service.name, relay.route.target_s
-        if target_s <= congestion.alone_s:
-            # No target, or one that nothing can meet: then no call is late.
-            target_s = float("inf")
+        name = relay.service.name
         order = self._orders[name]
         began = now = await curio.clock()
-        need = PlaceAsk(
-            tokens=1,
-            target_s=target_s,
-            left_s=relay.until - now,
-            returned=relay.returned,
-            serve_s=SERVE_TIMES * congestion.alone_s,
-            first_s=congestion.alone_s,
-        )
-        patience_s = need.patience_s if need.returned else min(need.in_time_s, need.patience_s)
+        need = self._need(relay, now)
+        patience_s = _patience_s(need)
         number = order.enter(need, now)
         try:
             while order.ahead(number, now) or not congestion.clear(
@@ -135,6 +143,22 @@
         if now > began:
             relay.facts["waited_ms"] = round((now - began) * 1000)
 
+    def _need(self, relay: Relay, now: float) -> PlaceAsk:
+        """Return what a request needs that begins to wait."""
+        alone_s = self._congestion[relay.service.name].alone_s
+        target_s = relay.route.target_s
+        if target_s <= alone_s:
+            # No target, or one that nothing can meet: then no call is late.
+            target_s = float("inf")
+        return PlaceAsk(
+            tokens=1,
+            target_s=target_s,
+            left_s=relay.until - now,
+            returned=relay.returned,
+            serve_s=SERVE_TIMES * alone_s,
+            first_s=alone_s,
+        )
+
     def _back(self, service: str, now: float) -> float:
         """Return when to come back, in seconds, spread for those that are refused together."""
         return self._congestion[service].back_s(now) * self._backends.rng.uniform(*SPREAD)
@@ -154,13 +178,21 @@
         phase = Phase.WRITE if relay.service.engine else None
         if await relay.left() <= 0:
             raise DeadlinePassed("no time is left") if relay.may_have_run else Overloaded("late")
-        return self._backends.pick(
-            relay.service.name,
-            await curio.clock(),
-            phase=phase,
-            avoid=relay.tried,
-            model=relay.ask.model,
-        )
+        server = await self._choice.now(relay, avoid=relay.tried, phase=phase)
+        if server is not None:
+            return server
+        spare_s = await self._spare_s(relay)
+        return await self._choice.soon(relay, avoid=relay.tried, spare_s=spare_s, phase=phase)
+
+    async def _spare_s(self, relay: Relay) -> float:
+        """Return for how long a request may wait for a server that takes no more now."""
+        if relay.sent:
+            # It has failed once and is late; what it waits for others may yet get in time.
+            return 0.0
+        # Whoever came back when it was told waits as long as a first try, by arrival.
+        now: float = await curio.clock()
+        alone_s = self._congestion[relay.service.name].alone_s
+        return relay.route.target_s - alone_s - (now - relay.began)
 
     def _no_server(self, relay: Relay) -> CrankhingeError:
         if relay.may_have_run:
@@ -195,6 +227,9 @@
         except ConnectFailed as exc:
             self._note(relay, server, "unreached", exc.detail)
             return exc
+        except ServerAtLimit as exc:
+            relay.sent.pop()
+            return exc
         except (HttpClosed, BadHttp) as exc:
             relay.may_have_run = True
             self._note(relay, server, "broken", exc.detail)
@@ -235,3 +270,8 @@
             after = word.retry_after_s or self._back(relay.service.name, now)
             self._note(relay, server, "refused", f"status {stream.status}")
             return Overloaded(f"{server.ident} refused", retry_after_s=after)
+
+
+def _patience_s(need: PlaceAsk) -> float:
+    """Return how long a plain call waits, in seconds; a first try only while it may be in time."""
+    return need.patience_s if need.returned else min(need.in_time_s, need.patience_s)
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -13,11 +13,12 @@
 import curio
 
 from crankhinge.adapters import Dialect, FleetSource, TenureOffice, WorkBoard
-from crankhinge.decisions import Members, RetryBudget, WorkMeter
+from crankhinge.decisions import Members, RetryBudget, SharedLimits, WorkMeter
 from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._call_log import CallLog
+from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._follower import Follower
@@ -52,6 +53,8 @@
 # one in debt each, stay within a slack of a hundred.
 RETRY_RATIO = 0.15
 RETRY_BURST = 2.0
+# Numbers of instances' lives are drawn of so many bits: no two agree.
+LIFE_BITS = 63
 
 
 @dataclass(frozen=True)
@@ -110,10 +113,24 @@
     )
     crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
     directory.on_gone.append(crashes.entry_gone)
-    server_limits = ServerLimits(log=log)
+    shared_limits = SharedLimits(
+        name=settings.name, members=members, life=rng.getrandbits(LIFE_BITS), now=now
+    )
+    server_limits = ServerLimits(
+        name=settings.name,
+        shared=shared_limits,
+        members=members,
+        backends=backends,
+        notices=notices,
+        log=log,
+        metrics=metrics,
+    )
+    backends.on_word.append(server_limits.heard_aside)
     directory.on_gone.append(server_limits.forget)
+    choice = ServerChoice(backends, server_limits)
     common: dict[str, Any] = {
         "backends": backends,
+        "choice": choice,
         "legs": Legs(backends, authenticator, quarantine, crashes, server_limits),
         "budget_of": budgets.__getitem__,
         "log": log,
@@ -133,7 +150,7 @@
         peer=settings.peer,
         members=members,
         notices=notices,
-        on_come=limits.has_come,
+        on_come=[limits.has_come, server_limits.has_come],
         log=log,
     )
     gateway = Gateway(
@@ -141,10 +158,11 @@
         directory=directory,
         admission=Admission(directory=directory, authenticator=authenticator, rng=rng),
         limits=limits,
+        server_limits=server_limits,
         quarantine=quarantine,
         dialect=dialect,
         plain=PlainRelay(**common),
-        streams=StreamRelay(**common, quarantine=quarantine, meters=meters),
+        streams=StreamRelay(**common, limits=server_limits, quarantine=quarantine, meters=meters),
         log=log,
         metrics=metrics,
     )
@@ -158,6 +176,7 @@
         board=platform.board,
         meters=meters,
         quarantine=quarantine,
+        limits=server_limits,
         log=log,
         rng=rng,
     )
@@ -175,6 +194,7 @@
     metrics.ask("servers_heard_s_ago", partial(_age, directory.list))
     metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
     metrics.ask("requests_quarantined", quarantine.__len__)
+    metrics.ask("servers_limited", server_limits.__len__)
     metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
     metrics.ask("servers_doubted", lambda: len(directory.servers.doubted()))
     metrics.ask("source_bytes", lambda: platform.source.received)
@@ -191,7 +211,8 @@
     supervisor.add("peers", work.follow_peers)
     supervisor.add("notices", notices.run)
     supervisor.add("greeter", greeter.run)
-    supervisor.add("limits", server_limits.run)
+    supervisor.add("lending", server_limits.lend)
+    supervisor.add("limits", server_limits.tell_use)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await until_first(supervisor.run, partial(_drain_on, stopping, gateway))
--- a/src/crankhinge/gateway/_quota.py
+++ b/src/crankhinge/gateway/_quota.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import itertools
 from typing import Any
 
 import curio
@@ -21,12 +20,10 @@
 from crankhinge.gateway._directory import Directory
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._peer_messages import QuotaAnswer, QuotaAsk, QuotaReturn
+from crankhinge.gateway._questions import Questions
 from crankhinge.gateway._request import Grant, Relay
 from crankhinge.runtime import Metrics
 
-# Seconds until another instance is asked. A question and its answer take 3 ms between availability
-# zones, and some ten more at an instance that is busy.
-ANSWER_S = 0.1
 # When to come back where no instance could tell whether tokens are there, in seconds.
 UNKNOWN_S = 0.2
 
@@ -65,8 +62,7 @@
         self._metrics = metrics
         self._allocator = QuotaAllocator(name=name, members=members, bounds=bounds, now=now)
         self._asker = QuotaAsker(name=name, members=members)
-        self._numbers = itertools.count()
-        self._open: dict[int, _Question] = {}
+        self._questions: Questions[QuotaWord] = Questions()
         notices.on(QuotaAsk, self._take_ask)
         notices.on(QuotaAnswer, self._take_answer)
         notices.on(QuotaReturn, self._take_return)
@@ -135,14 +131,11 @@
         peer = self._members.peer(allocator)
         if not peer:
             return None
-        question = _Question()
-        number = next(self._numbers)
-        self._open[number] = question
-        try:
+
+        async def send(number: int) -> None:
             await self._notices.send(peer, QuotaAsk(number, account.name, tokens))
-            word: QuotaWord | None = await curio.ignore_after(ANSWER_S, question.answered)
-        finally:
-            del self._open[number]
+
+        word = await self._questions.ask(send)
         if word is None:
             self._log.info("quota_unanswered", account=account.name, instance=allocator)
             self._metrics.count("quota_unanswered")
@@ -167,29 +160,10 @@
         await self._notices.send(sender, answer)
 
     async def _take_answer(self, message: QuotaAnswer, sender: str) -> None:
-        question = self._open.get(message.number)
-        if question is not None:
-            await question.answer(QuotaWord(message.verdict, message.after_s, message.left))
+        word = QuotaWord(message.verdict, message.after_s, message.left)
+        await self._questions.answer(message.number, word)
 
     async def _take_return(self, message: QuotaReturn, sender: str) -> None:
         account = self._account(message.account)
         if account is not None:
             self._allocator.give_back(account, message.tokens, await curio.clock())
-
-
-class _Question:
-    """A question that waits for its answer."""
-
-    def __init__(self) -> None:
-        self._event = curio.Event()
-        self._word: QuotaWord | None = None
-
-    async def answer(self, word: QuotaWord) -> None:
-        """Take the answer."""
-        self._word = word
-        await self._event.set()
-
-    async def answered(self) -> QuotaWord | None:
-        """Wait for the answer."""
-        await self._event.wait()
-        return self._word
--- a/src/crankhinge/gateway/_reading.py
+++ b/src/crankhinge/gateway/_reading.py
@@ -9,8 +9,9 @@
 
 from crankhinge.adapters import Leg
 from crankhinge.decisions import Phase, RetryBudget, Server
-from crankhinge.errors import BackendFailed, BadHttp, HttpClosed, Quarantined
+from crankhinge.errors import BackendFailed, BadHttp, HttpClosed, Quarantined, ServerAtLimit
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
@@ -44,15 +45,23 @@
 
     Args:
         backends: the servers.
+        choice: chooses among them.
         legs: sends requests to them.
         quarantine: of prompts under which engines crashed; they are not read apart.
         log: for events.
     """
 
     def __init__(
-        self, *, backends: Backends, legs: Legs, quarantine: QuarantineDesk, log: Any
+        self,
+        *,
+        backends: Backends,
+        choice: ServerChoice,
+        legs: Legs,
+        quarantine: QuarantineDesk,
+        log: Any,
     ) -> None:
         self._backends = backends
+        self._choice = choice
         self._legs = legs
         self._quarantine = quarantine
         self._log = log
@@ -75,7 +84,7 @@
             if until - now < LEAST_READING_S:
                 why = "no_time"
                 break
-            server = self._choose(relay, zone, tried, now)
+            server = await self._choice.now(relay, avoid=tried, phase=Phase.READ, zone=zone)
             if server is None:
                 why = "no_reader"
                 break
@@ -99,16 +108,6 @@
             return budget.allows()
         return not budget.in_debt
 
-    def _choose(self, relay: Relay, zone: str, tried: frozenset[str], now: float) -> Server | None:
-        return self._backends.pick(
-            relay.service.name,
-            now,
-            phase=Phase.READ,
-            avoid=tried,
-            zone=zone,
-            model=relay.ask.model,
-        )
-
     def _doubtful(self, server: Server) -> bool:
         """Whether a reading there may well fail, and so become a repeat."""
         standing = self._backends.standing(server.ident)
@@ -123,7 +122,7 @@
         standing = self._backends.standing(server.ident)
         try:
             handle: str = await curio.timeout_after(within, self._leg, relay, server, leg)
-        except (ConnectFailed, Quarantined) as exc:
+        except (ConnectFailed, Quarantined, ServerAtLimit) as exc:
             self._failed(relay, server, exc.code, exc.detail)
             return None
         except (HttpClosed, BadHttp, BackendFailed) as exc:
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -32,6 +32,19 @@
     tokens: int
 
 
+@dataclass(frozen=True)
+class SendPermit:
+    """Leave to send a request to a server that says how much it takes.
+
+    Attributes:
+        allocator: the instance that gave it; empty for this one.
+        until: when it is over, on the runtime's clock.
+    """
+
+    allocator: str
+    until: float
+
+
 @dataclass
 class Relay:
     """A request, what binds it, and what has been done for it.
@@ -48,6 +61,7 @@
         account: who asks; None where that needs no key.
         keyed: whether the configuration has accounts.
         grant: what it has of its account's tokens; None where none are counted.
+        permits: leave to be sent to servers that name limits, by their identities.
         trial: the work of it that is let through a quarantine to see what becomes of it; empty
             for none.
         returned: whether its caller was refused before and has come back.
@@ -71,6 +85,7 @@
     account: Account | None = None
     keyed: bool = False
     grant: Grant | None = None
+    permits: dict[str, SendPermit] = field(default_factory=dict)
     trial: str = ""
     returned: bool = False
     sent: list[str] = field(default_factory=list)
--- a/src/crankhinge/gateway/_server_limits.py
+++ b/src/crankhinge/gateway/_server_limits.py
@@ -1,63 +1,380 @@
-"""What servers say they take, and what this instance sends them since."""
+"""Keeps all instances together to what servers say they take.
+
+Every request that goes to a server that names a limit has a permit, from the instance that comes
+first for that server, or from this one where nobody answers. Whoever hears another word of a server
+tells all, since the others send to it meanwhile; and each instance lends its share by a word now
+and then, so that the whole of what the server takes is handed out though few ask.
+"""
 
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+from functools import partial
 from typing import Any
 
 import curio
 
-from crankhinge.adapters import ServerWord
-from crankhinge.decisions import Server
+from crankhinge.adapters import Note, ServerWord
+from crankhinge.decisions import PERMIT_S, LimitWord, Members, Server, SharedLimits, Stamp
+from crankhinge.errors import ServerAtLimit
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._notices import Notices
+from crankhinge.gateway._peer_messages import (
+    LimitEnded,
+    LimitNamed,
+    PermitAnswer,
+    PermitAsk,
+    PermitReturn,
+    ShareLoan,
+)
+from crankhinge.gateway._questions import Questions
+from crankhinge.gateway._request import Relay, SendPermit
+from crankhinge.runtime import Metrics
 
 # Seconds between lines that tell how much was sent to servers that name limits; the operators sum
 # their requests over as long.
 USE_S = 4.0
+# Seconds between words to all that a server names another figure: who hands out is told with each
+# question, and each instance hears the server itself.
+TELL_S = 1.0
+# Lending anew is spread by these factors, so that instances do not lend in step.
+LEND_SPREAD = (0.8, 1.0)
+
+
+@dataclass(frozen=True, slots=True)
+class _Wish:
+    """A permit that is asked for.
+
+    Attributes:
+        within_s: seconds within which the request is to be sent.
+        caller: whether its caller is told when to come back.
+    """
+
+    within_s: float
+    caller: bool
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """What an instance says that was asked for a permit, or was lent a share.
+
+    Attributes:
+        word: on the request; None where none was asked for.
+        stamp: the moment of its clock.
+    """
+
+    word: LimitWord | None
+    stamp: Stamp
 
 
 class ServerLimits:
-    """Keeps what servers name in their answers.
+    """Gets requests the permits that they need, and lends this instance's shares.
 
     Args:
+        name: of this instance.
+        shared: what is known, lent and handed out.
+        members: the instances.
+        backends: the servers.
+        notices: carries the datagrams.
         log: for events.
+        metrics: for counters.
     """
 
-    def __init__(self, *, log: Any) -> None:
+    def __init__(
+        self,
+        *,
+        name: str,
+        shared: SharedLimits,
+        members: Members,
+        backends: Backends,
+        notices: Notices,
+        log: Any,
+        metrics: Metrics,
+    ) -> None:
+        self._name = name
+        self._shared = shared
+        self._members = members
+        self._backends = backends
+        self._notices = notices
         self._log = log
-        # Requests a second, by the server's identity.
-        self._named: dict[str, float] = {}
+        self._metrics = metrics
+        self._questions: Questions[_Answer] = Questions()
+        self._told_at: dict[str, float] = {}
         self._sent: Counter[str] = Counter()
+        notices.on(LimitNamed, self._take_named)
+        notices.on(LimitEnded, self._take_ended)
+        notices.on(PermitAsk, self._take_ask)
+        notices.on(PermitAnswer, self._take_answer)
+        notices.on(PermitReturn, self._take_return)
+
+    def __len__(self) -> int:
+        return len(self._shared.limits)
 
-    def heard(self, server: Server, word: ServerWord) -> None:
-        """Note what the head of a server's answer says of how much it takes."""
-        was = self._named.get(server.ident)
-        if word.names_limit and word.takes_per_s is None:
+    def has_come(self, name: str) -> None:
+        """Note that an instance has come."""
+        self._shared.has_come(name)
+
+    # What servers name.
+
+    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, whole: bool) -> None:
+        """Note what the head of a server's answer says of how much it takes.
+
+        Args:
+            server: the server.
+            word: what the head says.
+            sent_at: when the request was sent, on the runtime's clock, in seconds.
+            whole: whether it is the answer of a request that the server ran well. Only these tell
+                that it names nothing any more: a refusal may come from before the server itself.
+        """
+        now = await curio.clock()
+        limits = self._shared.limits
+        known = limits.get(server.ident)
+        was = None if known is None else known.per_s
+        if word.takes_per_s is not None:
+            if limits.named(server.ident, word.takes_per_s, now):
+                self._note(server.ident, word.takes_per_s, was, "own")
+                await self._tell_named(server.ident, word.takes_per_s, now, begun=known is None)
+        elif word.names_limit:
+            limits.unreadable(server.ident, now)
             self._log.info("server_limit_unreadable", server=server.ident, was=was)
+        elif whole and limits.unnamed(server.ident, sent_at):
+            self._note(server.ident, None, was, "own")
+            notice = LimitEnded(server.ident, now - sent_at)
+            await self._notices.tell(notice, server=server.ident)
+
+    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
+        """Note what the head of an answer to a side call says; it need not name what others do."""
+        await self.heard(server, word, sent_at=sent_at, whole=False)
+
+    def _note(self, ident: str, per_s: float | None, was: float | None, told_by: str) -> None:
+        self._log.info("server_limit", server=ident, per_s=per_s, was=was, told_by=told_by)
+        if self._backends.knows(ident):
+            # What was refused by the old figure says nothing of the new one.
+            self._backends.standing(ident).limited_until = 0.0
+
+    async def _tell_named(self, ident: str, per_s: float, now: float, *, begun: bool) -> None:
+        if not begun and now - self._told_at.get(ident, float("-inf")) < TELL_S:
             return
-        if word.takes_per_s == was:
-            return
-        if word.takes_per_s is None:
-            del self._named[server.ident]
-        else:
-            self._named[server.ident] = word.takes_per_s
-        self._log.info("server_limit", server=server.ident, per_s=word.takes_per_s, was=was)
+        self._told_at[ident] = now
+        await self._notices.tell(LimitNamed(ident, per_s, 0.0), server=ident, per_s=per_s)
+
+    def _told(self, ident: str, per_s: float, at: float, told_by: str) -> None:
+        """Take what another instance heard of a server."""
+        known = self._shared.limits.get(ident)
+        if self._shared.limits.named(ident, per_s, at):
+            self._note(ident, per_s, None if known is None else known.per_s, told_by)
 
-    def sent(self, server: Server) -> None:
-        """Note that a request goes to a server."""
-        if server.ident in self._named:
-            self._sent[server.ident] += 1
+    async def _take_named(self, message: LimitNamed, sender: str) -> None:
+        now = await curio.clock()
+        self._told(message.server, message.per_s, now - message.ago_s, sender)
+
+    async def _take_ended(self, message: LimitEnded, sender: str) -> None:
+        now = await curio.clock()
+        known = self._shared.limits.get(message.server)
+        if self._shared.limits.unnamed(message.server, now - message.sent_ago_s):
+            self._note(message.server, None, None if known is None else known.per_s, sender)
 
     async def forget(self, ident: str) -> None:
-        """Forget a server that is gone."""
-        self._named.pop(ident, None)
+        """Forget what this instance counts of a server that is gone.
+
+        Its limit stays: its entry may have lapsed though it lives, and its need with it.
+        """
+        self._told_at.pop(ident, None)
+
+    def noted(self, now: float) -> Mapping[str, float]:
+        """Return what belongs into this instance's note: what it hands out for."""
+        servers = [ident for ident in self._shared.limits.servers if self._shared.hands_out(ident)]
+        return self._shared.limits.noted(servers, now)
+
+    async def recall(self, notes: Mapping[str, Note]) -> None:
+        """Take what stands in the notes of instances."""
+        now = await curio.clock()
+        for name, note in notes.items():
+            for ident in self._shared.limits.recall(note.limited, now):
+                self._note(ident, note.limited[ident], None, f"note:{name}")
+
+    # Permits.
+
+    async def permit(self, relay: Relay, server: Server) -> bool:
+        """Get a request leave to be sent to a server now; it keeps the permit.
+
+        Returns:
+            Whether it may be; if not, the server's standing tells when to ask again, and nobody
+            asks before that.
+        """
+        if self._shared.limits.get(server.ident) is None:
+            return True
+        now = await curio.clock()
+        held = relay.permits.get(server.ident)
+        if held is not None and now <= held.until:
+            return True
+        if self._backends.standing(server.ident).limited_until > now:
+            return False
+        return (await self._get(relay, server, _Wish(0.0, caller=False))).granted
+
+    async def queue(self, relay: Relay, server: Server, within_s: float) -> LimitWord:
+        """Get a request leave to be sent to a server soon, or a time for its caller to come back.
+
+        Args:
+            relay: the request; it keeps the permit.
+            server: where it is to be sent.
+            within_s: seconds for which it may wait before that.
+        """
+        return await self._get(relay, server, _Wish(within_s, caller=True))
+
+    async def _get(self, relay: Relay, server: Server, wish: _Wish) -> LimitWord:
+        now = await curio.clock()
+        standing = self._backends.standing(server.ident)
+        allocator, word = await self._ask(server.ident, wish)
+        if word.granted:
+            # From when it was asked: the answer may have been under way for any time.
+            relay.permits[server.ident] = SendPermit(allocator, now + word.after_s + PERMIT_S)
+            if not word.after_s:
+                standing.limited_until = 0.0
+            return word
+        standing.at_limit(await curio.clock(), word.after_s)
+        self._metrics.count("permits_refused")
+        self._log.info(
+            "permit_refused",
+            request=relay.ask.ident,
+            server=server.ident,
+            by=allocator or "own",
+            after_ms=round(word.after_s * 1000),
+            own_part=round(self._shared.part(server.ident), 3),
+        )
+        return word
+
+    async def spend(self, relay: Relay, server: Server) -> SendPermit | None:
+        """Use a request's permit, as it is sent to a server; None where none is needed.
+
+        Raises:
+            ServerAtLimit: the server names a limit and the request has no permit, nor gets one now.
+        """
+        if self._shared.limits.get(server.ident) is None:
+            return None
+        if not await self.permit(relay, server):
+            raise ServerAtLimit(f"{server.ident} takes no more now")
+        self._sent[server.ident] += 1
+        return relay.permits.pop(server.ident, None)
+
+    async def settle(self, relay: Relay) -> None:
+        """Give the permits of a request back that it did not use."""
+        now = await curio.clock()
+        while relay.permits:
+            ident, permit = relay.permits.popitem()
+            if now > permit.until:
+                continue
+            if permit.allocator in ("", self._name):
+                self._shared.give_back(ident, now)
+            elif peer := self._members.peer(permit.allocator):
+                await self._notices.send(peer, PermitReturn(ident))
+
+    async def _ask(self, ident: str, wish: _Wish) -> tuple[str, LimitWord]:
+        """Ask for a permit; returns who answered, and what."""
+        now = await curio.clock()
+        for allocator in self._shared.allocators(ident, now):
+            if allocator == self._name:
+                break
+            answer = await self._question(allocator, ident, wish)
+            if answer is not None and answer.word is not None:
+                return allocator, answer.word
+        now = await curio.clock()
+        return "", self._shared.hand_out(ident, wish.within_s, now, caller=wish.caller)
+
+    async def _question(self, allocator: str, ident: str, wish: _Wish | None) -> _Answer | None:
+        """Lend the own share to an instance and, where there is a wish, ask for a permit."""
+        peer, limit = self._members.peer(allocator), self._shared.limits.get(ident)
+        if not peer or limit is None:
+            return None
+        now = await curio.clock()
+        loan = self._shared.lend(ident, allocator, now)
+        send = partial(
+            self._send_ask,
+            peer,
+            PermitAsk(
+                number=0,
+                lender=self._name,
+                server=ident,
+                per_s=limit.per_s,
+                ago_s=now - limit.at,
+                within_s=None if wish is None else wish.within_s,
+                caller=wish is not None and wish.caller,
+                loan=None if loan is None else ShareLoan.of(loan),
+            ),
+        )
+        answer = await self._questions.ask(send)
+        if answer is None:
+            self._log.info("permit_unanswered", server=ident, instance=allocator)
+            self._metrics.count("permits_unanswered")
+            self._shared.silent(allocator, await curio.clock())
+        else:
+            self._shared.answered(allocator, answer.stamp)
+        return answer
+
+    async def _send_ask(self, peer: str, ask: PermitAsk, number: int) -> None:
+        await self._notices.send(peer, ask.numbered(number))
+
+    # Handing out.
+
+    async def _take_ask(self, message: PermitAsk, sender: str) -> None:
+        now = await curio.clock()
+        self._told(message.server, message.per_s, now - message.ago_s, message.lender)
+        if message.loan is not None:
+            self._shared.borrow(message.server, message.lender, message.loan.decoded(), now)
+        word = None
+        if message.within_s is not None:
+            word = self._shared.hand_out(
+                message.server, message.within_s, now, caller=message.caller
+            )
+        stamp = self._shared.stamp(now)
+        answer = PermitAnswer(
+            number=message.number,
+            granted=None if word is None else word.granted,
+            after_s=0.0 if word is None else word.after_s,
+            life=stamp.life,
+            at=stamp.at,
+        )
+        await self._notices.send(sender, answer)
+
+    async def _take_answer(self, message: PermitAnswer, sender: str) -> None:
+        word = None if message.granted is None else LimitWord(message.granted, message.after_s)
+        stamp = Stamp(message.life, message.at)
+        await self._questions.answer(message.number, _Answer(word, stamp))
+
+    async def _take_return(self, message: PermitReturn, sender: str) -> None:
+        self._shared.give_back(message.server, await curio.clock())
+
+    # Tasks.
+
+    async def lend(self) -> None:
+        """Lend the shares of limits that others hand out for, again and again, until cancelled."""
+        while True:
+            await curio.sleep(self._shared.renew_s * self._backends.rng.uniform(*LEND_SPREAD))
+            for ident in self._shared.limits.servers:
+                await self._lend(ident)
+
+    async def _lend(self, ident: str) -> None:
+        now = await curio.clock()
+        for allocator in self._shared.allocators(ident, now):
+            if allocator == self._name:
+                self._shared.use_own(ident, now)
+                return
+            if await self._question(allocator, ident, None) is not None:
+                return
 
-    async def run(self) -> None:
+    async def tell_use(self) -> None:
         """Tell how much is sent to servers that name limits, until cancelled."""
         while True:
             await curio.sleep(USE_S)
             sent, self._sent = self._sent, Counter()
             for ident, requests in sent.items():
-                per_s = self._named.get(ident)
+                limit = self._shared.limits.get(ident)
                 self._log.info(
-                    "server_limit_use", server=ident, per_s=per_s, sent=requests, within_s=USE_S
+                    "server_limit_use",
+                    server=ident,
+                    per_s=None if limit is None else limit.per_s,
+                    sent=requests,
+                    within_s=USE_S,
                 )
--- a/src/crankhinge/gateway/_shared_work.py
+++ b/src/crankhinge/gateway/_shared_work.py
@@ -16,6 +16,7 @@
 from crankhinge.decisions import RENEW_S, Loads, Members, WorkMeter, WorkSheet, loads_of
 from crankhinge.errors import KeyValueUnavailable
 from crankhinge.gateway._quarantine import QuarantineDesk
+from crankhinge.gateway._server_limits import ServerLimits
 
 # Seconds between looks whether the own note is still true.
 LOOK_S = 1.0
@@ -40,7 +41,7 @@
         members: the instances, whose notes tell where they are reached.
         board: where instances put their notes.
         meters: measure this instance's requests, by service.
-        quarantine: what instances tell each other in their notes besides.
+        quarantine, limits: what instances tell each other in their notes besides.
         log: for events.
     """
 
@@ -53,6 +54,7 @@
         board: WorkBoard,
         meters: Mapping[str, WorkMeter],
         quarantine: QuarantineDesk,
+        limits: ServerLimits,
         log: Any,
         rng: random.Random,
     ) -> None:
@@ -65,7 +67,9 @@
         self._board = board
         self._meters = meters
         self._quarantine = quarantine
+        self._limits = limits
         self._told_quarantined: Mapping[str, tuple[str, ...]] = {}
+        self._told_limited: Mapping[str, float] = {}
         self._log = log
         self._told: dict[str, WorkSheet] = {}
         self._told_at = float("-inf")
@@ -93,6 +97,7 @@
                 if found is not None:
                     note, lease = found
                     await self._quarantine.recall({self._name: note})
+                    await self._limits.recall({self._name: note})
                     await self._join(lease, resumed=note.settled)
             except KeyValueUnavailable as exc:
                 self._log.info("note_unknown", why=exc.detail)
@@ -106,12 +111,18 @@
         sheets = self._sheets()
         now = await curio.clock()
         settled, quarantined = self._members.settled(now), self._quarantine.noted()
-        news = settled is not self._told_settled or quarantined != self._told_quarantined
+        limited = self._limits.noted(now)
+        news = (
+            settled is not self._told_settled
+            or quarantined != self._told_quarantined
+            or limited != self._told_limited
+        )
         if news or self._due(sheets, now):
-            note = Note(self._peer, sheets, settled, quarantined)
+            note = Note(self._peer, sheets, settled, quarantined, limited)
             lease = await self._board.publish(self._name, note)
             self._told, self._told_at = sheets, now
             self._told_settled, self._told_quarantined = settled, quarantined
+            self._told_limited = limited
             await self._hold(lease)
         elif now - self._held_at >= RENEW_S:
             await self._hold(await self._board.renew())
@@ -161,9 +172,10 @@
         return notes
 
     async def _recall(self, notes: Mapping[str, Note]) -> None:
-        """Take the others' quarantines; what this instance told itself it need not read."""
+        """Take what the others tell besides; what this instance told itself it need not read."""
         others = {name: note for name, note in notes.items() if name != self._name}
         await self._quarantine.recall(others)
+        await self._limits.recall(others)
 
     def _sheets(self) -> dict[str, WorkSheet]:
         sheets = {service: meter.sheet() for service, meter in self._meters.items()}
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -18,14 +18,17 @@
     HttpClosed,
     NoBackend,
     Overloaded,
+    ServerAtLimit,
 )
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._places import Place, Places
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._reading import Memory, Reading
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, ConnectFailed
 
 
@@ -35,6 +38,7 @@
     WHOLE = "whole"
     REFUSED = "refused"
     UNREACHED = "unreached"
+    AT_LIMIT = "at-limit"
     BROKEN = "broken"
 
 
@@ -43,6 +47,8 @@
 
     Args:
         backends: the servers.
+        choice: chooses among them.
+        limits: what they say they take.
         legs: sends requests to them.
         budget_of: the retry budget of a service.
         quarantine: of requests under which servers crashed.
@@ -54,6 +60,8 @@
         self,
         *,
         backends: Backends,
+        choice: ServerChoice,
+        limits: ServerLimits,
         legs: Legs,
         budget_of: Any,
         quarantine: QuarantineDesk,
@@ -61,12 +69,15 @@
         meters: Mapping[str, WorkMeter],
     ) -> None:
         self._backends = backends
+        self._choice = choice
         self._legs = legs
         self._budget_of = budget_of
         self._log = log
         self._meters = meters
-        self._places = Places(backends, log, meters)
-        self._reading = Reading(backends=backends, legs=legs, quarantine=quarantine, log=log)
+        self._places = Places(backends, limits, log, meters)
+        self._reading = Reading(
+            backends=backends, choice=choice, legs=legs, quarantine=quarantine, log=log
+        )
 
     async def run(self, relay: Relay) -> None:
         """Find servers, pass the answer on. Raises a failure with its outcome."""
@@ -98,6 +109,9 @@
             if end is _End.UNREACHED:
                 # Nothing arrived, so nothing is repeated.
                 again = relay.not_reached()
+            elif end is _End.AT_LIMIT:
+                # Nothing was sent; that server is not chosen again until it takes more.
+                again = True
             else:
                 again = relay.may_be_sent and relay.may_repeat and budget.try_retry()
             if not again or await relay.left() <= 0:
@@ -123,7 +137,10 @@
         return Overloaded(why, retry_after_s=after)
 
     async def _at_plain_server(self, relay: Relay, events: EventSplitter) -> tuple[_End, str]:
-        server = self._backends.pick(relay.service.name, await curio.clock(), avoid=relay.tried)
+        server = await self._choice.now(relay, avoid=relay.tried)
+        if server is None:
+            spare_s = relay.began + relay.route.target_s - await curio.clock()
+            server = await self._choice.soon(relay, avoid=relay.tried, spare_s=spare_s)
         if server is None:
             raise self._failure(relay, _End.UNREACHED, "no server")
         return await self._write(relay, server, Leg(server.name, await relay.left()), events)
@@ -172,6 +189,11 @@
         server = place.server
         leg = await self._leg(relay, place, memory, events)
         end, why = await self._write(relay, server, leg, events)
+        if end is _End.AT_LIMIT:
+            # Nothing arrived: the reservation is still to be given back, and the memory freed.
+            place.hold = leg.hold
+            if memory is not None:
+                await self._reading.free(memory)
         if memory is None or end is not _End.REFUSED:
             return end, why
         # The memory or the reservation lapsed; the same server may still read it itself.
@@ -219,6 +241,9 @@
                 return _End.WHOLE, ""
         except ConnectFailed as exc:
             return _End.UNREACHED, exc.detail
+        except ServerAtLimit as exc:
+            relay.sent.pop()
+            return _End.AT_LIMIT, exc.detail
         except CallerGone:
             raise
         except (HttpClosed, BadHttp) as exc:
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -7,17 +7,20 @@
 
 import json
 import math
+import random
 from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 import curio
 
-from crankhinge.decisions import Members
+from crankhinge.decisions import Members, ServerList, SharedLimits
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway import GatewaySettings, Platform, serve
+from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._quarantine import QuarantineDesk
+from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, Exchange, HttpClient, serve_http
 from crankhinge.runtime import Metrics, get_log, split_host_port, until_first
 from crankhinge_bench._procs import free_ports
@@ -121,6 +124,32 @@
     )
 
 
+def lone_backends(log: Any) -> Backends:
+    """Return the connections of an instance that knows no server yet."""
+    return Backends(
+        servers=ServerList(),
+        dialect=PlatformDialect(),
+        zone="z1",
+        log=log,
+        metrics=Metrics(prefix="t"),
+        rng=random.Random(1),
+    )
+
+
+def lone_limits(name: str, backends: Backends, log: Any) -> ServerLimits:
+    """Return what keeps to servers' limits, at an instance that has nobody to ask."""
+    members = Members(name, 0.0)
+    return ServerLimits(
+        name=name,
+        shared=SharedLimits(name=name, members=members, life=1, now=0.0),
+        members=members,
+        backends=backends,
+        notices=Notices(address="", peers=list, log=log),
+        log=log,
+        metrics=Metrics(prefix="t"),
+    )
+
+
 Behave = Callable[["FakeReplica", Exchange], Awaitable[None]]
 
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -3,27 +3,22 @@
 from __future__ import annotations
 
 import base64
-import random
 from types import SimpleNamespace
 from typing import cast
 
 import pytest
 
 from crankhinge.adapters import Leg
-from crankhinge.decisions import ServerList
 from crankhinge.errors import CallerGone, HttpClosed
 from crankhinge.gateway._authenticator import Authenticator
-from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import HttpRequest
-from crankhinge.runtime import Metrics, get_log
-from crankhinge_platform.dialect import PlatformDialect
+from crankhinge.runtime import get_log
 from crankhinge_platform.source import decode_server
 from crankhinge_platform.store import Item
-from platform_fakes import HOST, FakeReplica, World, lone_desk, route
+from platform_fakes import HOST, FakeReplica, World, lone_backends, lone_desk, lone_limits, route
 from virtual_time import run_virtual
 
 
@@ -45,15 +40,8 @@
     seen: list[float] = []
     world = World()
     replica: FakeReplica = world.add("i-1", "plain")
-    servers = ServerList()
-    backends = Backends(
-        servers=servers,
-        dialect=PlatformDialect(),
-        zone="z1",
-        log=get_log(program="t", stream=world.lines),
-        metrics=Metrics(prefix="t"),
-        rng=random.Random(1),
-    )
+    log = get_log(program="t", stream=world.lines)
+    backends = lone_backends(log)
 
     async def story() -> None:
         entry = (
@@ -73,10 +61,10 @@
             trial="",
             work=lambda *, read_only: "f",
         )
-        log = get_log(program="t", stream=world.lines)
         quarantine = lone_desk("g", log)
         crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
-        legs = Legs(backends, PASSES, quarantine, crashes, ServerLimits(log=log))
+        limits = lone_limits("g", backends, log)
+        legs = Legs(backends, PASSES, quarantine, crashes, limits)
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
             async with legs.open(cast(Relay, relay), server, leg):
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -22,13 +22,24 @@
 import curio
 import pytest
 
+from crankhinge.errors import HttpClosed
 from crankhinge.http import Exchange
-from limit_worlds import LimitedFleet, allowed, most_arrivals, route
-from platform_fakes import FakeReplica, stream
+from limit_worlds import (
+    SETTLED_S,
+    LimitedFleet,
+    allowed,
+    most_arrivals,
+    most_in_window,
+    route,
+)
+from platform_fakes import FakeReplica, events, stream
 
 ONCE = route("r-once", "/once/", "unsafe", "plain")
 SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
 STREAM = route("r-stream", "/stream/", "streaming", "llm")
+RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
+# Target of the routes, in seconds.
+TARGET_S = 0.9
 TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
 # Requests a second that callers send, many times what the server takes, and for how long, seconds.
 ASKED_PER_S = 30.0
@@ -115,3 +126,315 @@
         fleet.play(story, ONCE)
         assert most_arrivals(limited, since=named_at + 0.5) <= allowed(2.0)
         assert fleet.statuses() == {200: int(ASKED_PER_S * ASKED_S)}
+
+
+async def break_off(replica: FakeReplica, exchange: Exchange) -> None:
+    """Answer with two events and close the connection."""
+    await exchange.start_as_is(200, replica.head(exchange))
+    await exchange.write(events(1, 2))
+    raise HttpClosed("broken off")
+
+
+class TestEveryWay:
+    """Each way in which a request, or a call for one, reaches a server that names a limit."""
+
+    def test_a_stream_that_is_taken_up_elsewhere(self) -> None:
+        """It broke off at one engine; the other one takes four requests a second."""
+        fleet = LimitedFleet()
+        fleet.add("i-reader", "llm", "prefill")
+        limited = fleet.add("i-limited", "llm", "decode", limit="4", behave=stream, room=10_000)
+        fleet.add("i-breaking", "llm", "decode", behave=break_off, room=10_000)
+
+        async def story() -> None:
+            await fleet.ask_often("/resumed/a", per_s=12.0, for_s=15.0, **TOKENS)
+
+        fleet.play(story, RESUMED)
+        taken_up = [each for each in limited.arrivals if "last-event-id" in each.headers]
+        assert taken_up
+        assert most_arrivals(limited) <= allowed(4.0)
+
+    def test_a_second_reading(self) -> None:
+        """The first reader refuses; the second names a limit."""
+        fleet = LimitedFleet()
+        fleet.add("i-refusing", "llm", "prefill", refuses_to_read=True)
+        limited = fleet.add("i-limited", "llm", "prefill", limit="2")
+        fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
+
+        async def story() -> None:
+            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
+
+        fleet.play(story, STREAM)
+        assert limited.arrivals
+        assert most_arrivals(limited) <= allowed(2.0)
+
+    def test_a_memory_that_is_fetched(self) -> None:
+        """The engine that writes is asked to fetch the memory of a prompt by such a request."""
+        fleet = LimitedFleet()
+        fleet.add("i-reader", "llm", "prefill")
+        limited = fleet.add("i-limited", "llm", "decode", limit="4", behave=stream, room=10_000)
+
+        async def story() -> None:
+            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
+
+        fleet.play(story, STREAM)
+        assert any("kv-from" in each.headers for each in limited.arrivals)
+        assert most_arrivals(limited) <= allowed(4.0)
+
+    def test_reservations(self) -> None:
+        """An engine without room is asked for some as rarely as it takes requests."""
+        fleet = LimitedFleet()
+        fleet.add("i-reader", "llm", "prefill")
+        limited = fleet.add("i-limited", "llm", "decode", limit="2", behave=stream, room=4)
+        fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
+
+        async def story() -> None:
+            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
+
+        fleet.play(story, STREAM)
+        reserved = limited.side_calls.count("POST /v1/hold-take")
+        # Four were granted, and told the limit; each call after that had a permit.
+        assert 4 < reserved <= 2.0 * ASKED_S + allowed(2.0)
+
+    def test_a_place_that_was_taken_before_the_limit_was_known(self) -> None:
+        """Its prompt is read elsewhere meanwhile, and it is written by another engine."""
+        fleet = LimitedFleet()
+        fleet.add("i-reader", "llm", "prefill", read_s=0.8)
+        limited = fleet.add("i-limited", "llm", "decode", behave=stream, room=10_000)
+        fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
+        named_at = 0.0
+
+        async def story() -> None:
+            nonlocal named_at
+            asking = partial(fleet.ask_often, "/stream/a", per_s=20.0, for_s=6.0, **TOKENS)
+            async with curio.TaskGroup(wait=all) as group:
+                await group.spawn(asking)
+                await curio.sleep(2.0)
+                limited.limit, named_at = "0.5", await curio.clock()
+
+        fleet.play(story, STREAM)
+        # The second word after it began comes with the first answer that names it.
+        assert most_arrivals(limited, since=named_at + 0.5) <= allowed(0.5)
+        assert fleet.statuses() == {200: 120}
+
+    def test_calls_that_free_its_memory_are_made_all_the_same(self) -> None:
+        """They relieve it."""
+        fleet = LimitedFleet()
+        reader = fleet.add("i-reader", "llm", "prefill")
+        limited = fleet.add("i-limited", "llm", "decode", limit="2", behave=stream, room=10_000)
+
+        async def story() -> None:
+            await fleet.ask("/stream/a", **TOKENS)
+            await curio.sleep(SETTLED_S)
+            reader.read_s = 0.8
+            async with curio.TaskGroup(wait=all) as group:
+                await group.spawn(partial(fleet.ask, "/stream/a", **TOKENS))
+                await curio.sleep(0.4)
+                # It leaves while the prompt is read: the place there is given back.
+                await limited.enter("draining")
+
+        fleet.play(story, STREAM)
+        assert limited.side_calls.count("POST /v1/hold-take") == 2
+        assert [each for each in limited.side_calls if each.startswith("DELETE /v1/hold-drop")]
+
+
+class TestChanges:
+    """A limit that ends, rises, falls, or says nothing."""
+
+    def test_ends_with_the_first_answer_without_it(self) -> None:
+        """A server that names none any more gets its part of everything again."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit="1")
+        ended_at = 0.0
+
+        async def story() -> None:
+            nonlocal ended_at
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=4.0)
+            limited.limit = None
+            await curio.sleep(4.0)
+            ended_at = await curio.clock()
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=4.0)
+
+        fleet.play(story, ONCE)
+        since = [each for each in fleet.outcomes if each.sent >= ended_at]
+        assert len(since) == 4 * ASKED_PER_S
+        assert all(each.status == 200 for each in since)
+        for gateway in fleet.gateways:
+            assert gateway.lines.having("server_limit ", "per_s=", "was=1.0")
+
+    @pytest.mark.parametrize(("first", "second"), [("1", "8"), ("8", "1")])
+    def test_rises_and_falls_at_once(self, first: str, second: str) -> None:
+        """Whatever was saved up by the old figure is not sent by the new one."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit=first)
+        fleet.add("i-other")
+        changed_at = 0.0
+
+        async def story() -> None:
+            nonlocal changed_at
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=8.0)
+            limited.limit, changed_at = second, await curio.clock()
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=8.0)
+
+        fleet.play(story, ONCE)
+        before = [each.at for each in limited.arrivals if each.at < changed_at]
+        since = [each.at for each in limited.arrivals if each.at >= changed_at + 0.5]
+        assert most_in_window(before) <= allowed(float(first))
+        assert most_in_window(since) <= allowed(float(second))
+        assert len(since) >= 0.8 * 7.5 * float(second)
+
+    @pytest.mark.parametrize("limit", ["0", "0.25"])
+    def test_below_one_a_second(self, limit: str) -> None:
+        """It is tried now and then, so that the end of its need is seen."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit=limit)
+        fleet.add("i-other")
+
+        async def story() -> None:
+            await fleet.ask_often("/once/a", per_s=10.0, for_s=20.0)
+
+        fleet.play(story, ONCE)
+        assert 3 <= len(limited.arrivals) <= 10
+        assert most_arrivals(limited) <= allowed(float(limit))
+        assert fleet.statuses() == {200: 200}
+
+    def test_what_is_no_number_neither_begins_nor_ends_it(self) -> None:
+        """The last figure stands, and without one nothing is known."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit="lots")
+        fleet.add("i-other")
+        named_at = 0.0
+
+        async def story() -> None:
+            nonlocal named_at
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=2.0)
+            limited.limit, named_at = "2", await curio.clock()
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=3.0)
+            limited.limit = "nan"
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=8.0)
+
+        fleet.play(story, ONCE)
+        assert sum(each.at < named_at for each in limited.arrivals) >= 15
+        assert most_arrivals(limited, since=named_at + 0.5) <= allowed(2.0)
+
+    def test_is_not_that_of_the_next_life(self) -> None:
+        """A server that starts again under its name has said nothing yet."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit="0.25", born=1000)
+        again_at = 0.0
+
+        async def story() -> None:
+            nonlocal again_at
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=2.0)
+            limited.limit, limited.born = None, 2000
+            await limited.enter()
+            await curio.sleep(1.0)
+            again_at = await curio.clock()
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=2.0)
+
+        fleet.play(story, ONCE)
+        since = [each for each in fleet.outcomes if each.sent >= again_at]
+        assert [each.status for each in since] == [200] * len(since)
+
+    def test_stands_while_its_entry_is_away(self) -> None:
+        """Entries lapse with the store; the need of the server does not end with them."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit="2")
+        fleet.add("i-other")
+        back_at = 0.0
+
+        async def story() -> None:
+            nonlocal back_at
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=3.0)
+            await fleet.world.store.remove("servers/i-limited")
+            await curio.sleep(4.0)
+            await limited.enter()
+            await curio.sleep(0.5)
+            back_at = await curio.clock()
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=4.0)
+
+        fleet.play(story, ONCE)
+        assert most_arrivals(limited, since=back_at) <= allowed(2.0)
+        assert any(each.at >= back_at for each in limited.arrivals)
+
+
+class TestAllLimited:
+    """Every server of a service names a limit."""
+
+    def test_what_is_over_is_refused_at_once(self) -> None:
+        """Or is served within its target; nobody waits in vain."""
+        fleet = LimitedFleet()
+        servers = [fleet.add(f"i-{number}", limit="2") for number in range(3)]
+
+        async def story() -> None:
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=ASKED_S)
+
+        fleet.play(story, ONCE)
+        served = [each for each in fleet.outcomes if each.status == 200]
+        refused = [each for each in fleet.outcomes if each.status == 503]
+        assert len(served) + len(refused) == ASKED_PER_S * ASKED_S
+        assert len(served) >= 0.8 * 3 * 2.0 * ASKED_S
+        assert max(each.took_s for each in served) <= TARGET_S + 0.1
+        assert max(each.took_s for each in refused) <= 0.2
+        assert min(each.back_s for each in refused) > 0.0
+        for server in servers:
+            assert most_arrivals(server) <= allowed(2.0)
+
+    def test_whoever_comes_back_when_told_is_served(self) -> None:
+        """Twelve callers at once before a server that takes two a second."""
+        fleet = LimitedFleet()
+        fleet.add("i-limited", limit="2")
+        statuses: list[int] = []
+
+        async def come() -> None:
+            outcome = await fleet.ask("/once/a")
+            if outcome.status == 503:
+                await curio.sleep(outcome.back_s)
+                statuses.append((await fleet.ask("/once/a")).status)
+
+        async def story() -> None:
+            await fleet.ask("/once/a")
+            await curio.sleep(SETTLED_S)
+            async with curio.TaskGroup(wait=all) as group:
+                for _ in range(12):
+                    await group.spawn(come)
+
+        fleet.play(story, ONCE)
+        assert len(statuses) >= 6
+        assert statuses.count(200) >= 0.8 * len(statuses)
+
+
+class TestInstances:
+    """Instances that have just started, or were never told by an answer."""
+
+    def test_one_that_starts_again_knows_the_limit(self) -> None:
+        """Those that hand out for the server keep it in their notes."""
+        fleet = LimitedFleet()
+        limited = fleet.add("i-limited", limit="2")
+        fleet.add("i-other")
+
+        async def story() -> None:
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=4.0)
+            await curio.sleep(3.0)
+            for gateway in fleet.gateways:
+                await gateway.kill()
+            await curio.sleep(1.5)
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=6.0)
+
+        fleet.play(story, ONCE)
+        assert most_arrivals(limited) <= allowed(2.0)
+        for gateway in fleet.gateways:
+            assert gateway.lines.having("server_limit ", "per_s=2.0", "told_by=note:")
+
+    def test_one_whose_callers_all_left_is_told_by_the_others(self) -> None:
+        """Callers that leave before the answer leave nothing to read it."""
+        fleet = LimitedFleet(2)
+        fleet.add("i-limited", limit="2")
+        told = fleet.gateways[1]
+
+        async def story() -> None:
+            await fleet.world.call("q", "/once/a")
+            await curio.sleep(0.1)
+
+        fleet.play(story, ONCE)
+        assert told.lines.having("server_limit ", "server=i-limited", "per_s=2.0")
+        assert not told.lines.having("event=answered")
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from crankhinge.decisions import Account, QuotaBounds, TokenBucket, TokenLimit
+from member_fleet import strike
 from quota_fleet import Fleet
 
 LIMIT = TokenLimit(1000.0, 1000.0)
@@ -178,22 +179,6 @@
 )
 
 
-def strike(fleet: Fleet, kind: str, at: float, for_s: float, one: str, other: str) -> None:
-    """Have a trouble begin and end."""
-    others = [name for name in fleet.names if name != one]
-    ends = {"cut": [other], "alone": [*others, "store"], "store": ["store"]}.get(kind, [])
-    for end in ends:
-        if end != one:
-            fleet.at(at, lambda end=end: fleet.cut(one, end))
-            fleet.at(at + for_s, lambda end=end: fleet.heal(one, end))
-    if kind == "freeze":
-        fleet.at(at, lambda: fleet.freeze(one))
-        fleet.at(at + for_s, lambda: fleet.thaw(one))
-    if kind == "kill":
-        fleet.at(at, lambda: fleet.kill(one))
-        fleet.at(at + for_s, lambda: fleet.start([one]))
-
-
 class TestNeverOver:
     """The sum over all instances, in any window, whatever happens between them."""
 
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -4,6 +4,7 @@
 
 import curio
 
+from limit_worlds import SETTLED_S
 from platform_fakes import World, route
 from virtual_time import run_virtual
 
@@ -29,9 +30,9 @@
             line.split("event=server_limit ")[1] for line in world.lines.having("server_limit ")
         ]
         assert [" ".join(line.split()) for line in told] == [
-            "server=i-1 per_s=8.0 was=",
-            "server=i-1 per_s=6.5 was=8.0",
-            "server=i-1 per_s= was=6.5",
+            "server=i-1 per_s=8.0 was= told_by=own",
+            "server=i-1 per_s=6.5 was=8.0 told_by=own",
+            "server=i-1 per_s= was=6.5 told_by=own",
         ]
         assert len(world.lines.having("server_limit_unreadable", "was=6.5")) == 1
 
@@ -41,6 +42,7 @@
         world.add("i-1", "plain", limit="8")
 
         async def story() -> None:
+            await curio.sleep(SETTLED_S)
             for number in range(5):
                 await world.call(f"q{number}", "/once/a")
             await curio.sleep(5.0)
--- a/tests/test_shared_work.py
+++ b/tests/test_shared_work.py
@@ -12,7 +12,7 @@
 from crankhinge.errors import KeyValueUnavailable
 from crankhinge.gateway._shared_work import AGAIN_S, LATEST_S, SharedWork
 from crankhinge.runtime import get_log, until_first
-from platform_fakes import Lines, lone_desk
+from platform_fakes import Lines, lone_backends, lone_desk, lone_limits
 from virtual_time import run_virtual
 
 
@@ -69,6 +69,7 @@
         self.lines = Lines()
         log = get_log(program="t", stream=self.lines)
         self.members = Members("here", 0.0)
+        self.limits = lone_limits("here", lone_backends(log), log)
         self.work = SharedWork(
             name="here",
             peer="127.0.0.1:7",
@@ -76,6 +77,7 @@
             board=self.board,
             meters={"llm": self.meter},
             quarantine=lone_desk("here", log),
+            limits=self.limits,
             log=log,
             rng=random.Random(3),
         )
