A server's word on when to come back, and on how many connections it takes, is kept to

Walked: Retry-After of a refusal went to the caller only, so a server that refused at once was chosen as the least busy one again; max_connections of a service was decoded and used by nobody, and each instance kept up to eight idle connections to a server. Change: a server that told when to come back is left alone until then, where there are others; idle connections kept to a server are an instance's part of 0.8 of what it takes (eight at most, as before in fleets of up to 31).

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -6,6 +6,7 @@
 from crankhinge.decisions._breaker import Breaker, BreakerState
 from crankhinge.decisions._budget import RetryBudget
 from crankhinge.decisions._congestion import Congestion
+from crankhinge.decisions._connections import KEPT_MOST, kept_connections
 from crankhinge.decisions._fair import FairQueue
 from crankhinge.decisions._fence import FencePair
 from crankhinge.decisions._fence_actions import (
@@ -106,6 +107,7 @@
     "FULL",
     "GREET_S",
     "HELD_PER_S",
+    "KEPT_MOST",
     "LATE_WORTH",
     "MANY_ANSWERS",
     "NAIVE",
@@ -202,6 +204,7 @@
     "back_after",
     "fingerprint",
     "keep_answer",
+    "kept_connections",
     "loads_of",
     "mechanisms",
     "memory_needed",
--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -100,6 +100,14 @@
         self.full_until = now + min(REFUSED_MOST_S, REFUSED_S * 2.0**self.refusals)
         self.refusals = min(10, self.refusals + 1)
 
+    def told_back(self, now: float, after_s: float) -> None:
+        """Note that it refused a request and told when to come back.
+
+        Others' requests would be refused as well until then; all instances together may repeat a
+        fifth of their requests only.
+        """
+        self.full_until = max(self.full_until, now + min(REFUSED_MOST_S, after_s))
+
     def had_no_room(self, now: float, rng: random.Random) -> None:
         """Note that it had no room for a reservation; instances ask again at different times."""
         self.full_until = now + NO_ROOM_S * rng.uniform(0.7, 1.3)
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -9,7 +9,15 @@
 import curio
 
 from crankhinge.adapters import Dialect, ServerWord, SideCall
-from crankhinge.decisions import Phase, PhaseChange, Server, ServerList, Standing, pick_server
+from crankhinge.decisions import (
+    KEPT_MOST,
+    Phase,
+    PhaseChange,
+    Server,
+    ServerList,
+    Standing,
+    pick_server,
+)
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import HttpClient, Response
 from crankhinge.runtime import Metrics
@@ -17,8 +25,6 @@
 # A connection in one availability zone comes up in a millisecond; a lost first packet is sent
 # again after one second, which is too late for most requests: then another server is asked.
 CONNECT_S = 0.35
-# Kept connections to one server; thirty instances keep 240 of the 370 that a server takes.
-POOL_SIZE = 8
 # A side call is answered in milliseconds; its server is given up on after this, in seconds.
 SIDE_CALL_S = 0.6
 
@@ -36,6 +42,7 @@
         log: for events.
         metrics: for counters.
         rng: for choices between equals.
+        most_kept: returns how many idle connections to keep to each server of a service.
 
     Attributes:
         on_word: what is told of the heads of answers to side calls.
@@ -50,12 +57,14 @@
         log: Any,
         metrics: Metrics,
         rng: random.Random,
+        most_kept: Callable[[str], int] = lambda service: KEPT_MOST,
     ) -> None:
         self.dialect = dialect
         self.rng = rng
         self.on_word: list[OnWord] = []
         self._servers = servers
         self._zone = zone
+        self._most_kept = most_kept
         self._log = log
         self._metrics = metrics
         self._clients: dict[str, HttpClient] = {}
@@ -68,10 +77,10 @@
     def client(self, server: Server) -> HttpClient:
         """Return the connections to a server."""
         if server.ident not in self._clients:
-            self._clients[server.ident] = HttpClient(
-                server.host, server.port, pool_size=POOL_SIZE, connect_s=CONNECT_S
-            )
-        return self._clients[server.ident]
+            self._clients[server.ident] = HttpClient(server.host, server.port, connect_s=CONNECT_S)
+        client = self._clients[server.ident]
+        client.pool_size = self._most_kept(server.service)
+        return client
 
     async def forget(self, ident: str) -> None:
         """Close the idle connections to a server that is gone."""
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -88,6 +88,8 @@
             if word.other_server:
                 self._backends.replaced(server)
                 raise ConnectFailed(f"another server answers for {server.ident}")
+            if word.not_run and word.retry_after_s is not None:
+                standing.told_back(await curio.clock(), word.retry_after_s)
             ran = not word.not_run and stream.status < RAN_BELOW
             await self._limits.heard(server, word, sent_at=began, whole=ran)
             yield stream
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -268,7 +268,8 @@
             now = await curio.clock()
             self._congestion[relay.service.name].refused(now)
             after = word.retry_after_s or self._back(relay.service.name, now)
-            self._note(relay, server, "refused", f"status {stream.status}")
+            said_s = word.retry_after_s
+            self._note(relay, server, "refused", f"status {stream.status}, back in {said_s} s")
             return Overloaded(f"{server.ident} refused", retry_after_s=after)
 
 
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -13,7 +13,14 @@
 import curio
 
 from crankhinge.adapters import Dialect, FleetSource, TenureOffice, WorkBoard
-from crankhinge.decisions import Members, RetryBudget, SharedLimits, WorkMeter
+from crankhinge.decisions import (
+    KEPT_MOST,
+    Members,
+    RetryBudget,
+    SharedLimits,
+    WorkMeter,
+    kept_connections,
+)
 from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
@@ -90,6 +97,8 @@
     platform = make_platform(settings, log)
     dialect = platform.dialect
     directory = Directory(platform.source, settings.freshness, log, rng)
+    now = await curio.clock()
+    members = Members(settings.name, now)
     backends = Backends(
         servers=directory.servers,
         dialect=dialect,
@@ -97,6 +106,7 @@
         log=log,
         metrics=metrics,
         rng=rng,
+        most_kept=partial(_most_kept, directory, members),
     )
     authenticator = Authenticator(directory)
     directory.on_gone.append(backends.forget)
@@ -104,8 +114,6 @@
         partial(RetryBudget, ratio=RETRY_RATIO, burst=RETRY_BURST)
     )
     meters: defaultdict[str, WorkMeter] = defaultdict(WorkMeter)
-    now = await curio.clock()
-    members = Members(settings.name, now)
     notices = Notices(address=settings.peer, peers=lambda: members.peers, log=log)
     notices.on(EngineOrdered, partial(_believe, backends))
     quarantine = QuarantineDesk(
@@ -219,6 +227,12 @@
     log.info("stopped")
 
 
+def _most_kept(directory: Directory, members: Members, service: str) -> int:
+    """Return how many idle connections to keep to each server of a service."""
+    known = directory.table.services.get(service) if directory.table else None
+    return KEPT_MOST if known is None else kept_connections(known.max_connections, members.fleet)
+
+
 def _age(follower: Follower) -> float:
     return steady_s() - (follower.heard or 0.0)
 
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -104,6 +104,7 @@
 
     Attributes:
         opened: connections made so far.
+        pool_size: idle connections that are kept from now on.
         received: bytes that came on all of them, those of answers that were given up too.
         kept_heard: how often something came on a connection that was used before.
     """
@@ -121,7 +122,7 @@
         self.opened = 0
         self.received = 0
         self.kept_heard = 0
-        self._pool_size = pool_size
+        self.pool_size = pool_size
         self._connect_s = connect_s
         self._idle: list[_Kept] = []
 
@@ -174,7 +175,7 @@
     async def give_back(self, sock: Any, *, reusable: bool, headers: Mapping[str, str]) -> None:
         """Keep *sock* for the next call, or close it."""
         kept_s = _kept_s(headers)
-        if reusable and kept_s > 0 and len(self._idle) < self._pool_size:
+        if reusable and kept_s > 0 and len(self._idle) < self.pool_size:
             now = steady_s()
             self._idle.append(_Kept(sock, now + kept_s, now))
             return
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -5,7 +5,9 @@
 import random
 from typing import Any
 
-from crankhinge.decisions import Phase, Server, ServerList
+import pytest
+
+from crankhinge.decisions import Phase, Server, ServerList, kept_connections
 from crankhinge.gateway._backends import Backends
 from crankhinge.runtime import Metrics, get_log
 from platform_fakes import Lines
@@ -16,7 +18,7 @@
     return Server(ident, "llm", "10.0.0.1", 80, "z", phase, 64, False, 1)
 
 
-def backends_of(*servers: Server) -> Backends:
+def backends_of(*servers: Server, **more: Any) -> Backends:
     """Return the backend servers of an instance that knows these."""
     known = ServerList()
     known.replace(servers, 0.0, was_away=False)
@@ -28,6 +30,7 @@
         log=get_log(program="t", stream=Lines()),
         metrics=Metrics(prefix="t"),
         rng=random.Random(1),
+        **more,
     )
 
 
@@ -73,3 +76,26 @@
         backends = backends_of(engine("r0", Phase.READ))
         backends.ordered("gone", Phase.WRITE, 13.0, told=True)
         assert backends.coming("llm", Phase.WRITE, 5.0) == 0
+
+
+class TestConnections:
+    """Connections that are kept to one server, of what it takes from all instances together."""
+
+    @pytest.mark.parametrize("fleet", [1, 3, 31, 68, 300])
+    @pytest.mark.parametrize("taken", [110, 470, 520])
+    def test_are_not_more_than_it_takes(self, taken: int, fleet: int) -> None:
+        """Eight for each of 68 instances were 544 of 470 or 520; others are in use besides."""
+        assert kept_connections(taken, fleet) * fleet <= max(taken, fleet)
+
+    def test_are_as_many_as_ever_in_small_fleets(self) -> None:
+        """A new connection costs its server time."""
+        assert [kept_connections(370, fleet) for fleet in (1, 5, 31)] == [8, 8, 8]
+
+    def test_follow_the_fleet(self) -> None:
+        """Also those of a server that was used before the fleet grew."""
+        most = 8
+        backends = backends_of(engine("r0", Phase.READ), most_kept=lambda service: most)
+        client = backends.client(engine("r0", Phase.READ))
+        assert client.pool_size == 8
+        most = 2
+        assert backends.client(engine("r0", Phase.READ)).pool_size == 2
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -438,3 +438,27 @@
         fleet.play(story, ONCE)
         assert told.lines.having("server_limit ", "server=i-limited", "per_s=2.0")
         assert not told.lines.having("event=answered")
+
+
+async def shed(replica: FakeReplica, exchange: Exchange) -> None:
+    """Refuse a request and tell when to come back."""
+    ident = exchange.req.headers["x-request-id"]
+    fields = [("x-request-id", ident), ("x-not-executed", "1"), ("retry-after", "2")]
+    await exchange.respond_as_is(503, fields, b"")
+
+
+class TestToldToComeBack:
+    """A server that refuses a request and tells when to come back."""
+
+    def test_is_left_alone_until_then(self) -> None:
+        """Another request would be refused as well; the others serve meanwhile."""
+        fleet = LimitedFleet(1)
+        shedding = fleet.add("i-shedding", behave=shed)
+        fleet.add("i-other")
+
+        async def story() -> None:
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=6.0)
+
+        fleet.play(story, ONCE)
+        assert len(shedding.arrivals) <= 3
+        assert fleet.statuses() == {200: 180 - len(shedding.arrivals), 503: len(shedding.arrivals)}
