The soak has servers that name what they take, and checks the sum over all instances

Change: a fault limit-server (one server, or all of its service; 0.5, 2 or 5 a second for 8 to 12 s) and a promise: in any four seconds from three seconds after the first word no server gets more than the operators allow, summed over all instances whatever befell them (nothing is excused).

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -37,6 +38,9 @@
 SLACK_S = 1.0
 # A request that crosses the close of its connection was sent at most this long before, in seconds.
 CROSSING_S = 0.3
+# What a server may get beyond its own word: so many seconds' sum may be this part more, and so many
+# requests.
+LIMIT_WINDOW_S, LIMIT_OVERRUN, LIMIT_SLACK = 4.0, 0.5, 5
 # Least share of requests that are answered once everything is whole again.
 SERVED = 0.9
 MOST_RUNS = {path: most for path, _, most, _ in ROUTES}
@@ -130,6 +134,7 @@
         "servers are told the account and never the key": _accounts,
         "a key that was taken away runs nothing after its bound": _revoked,
         "an account's use stays within its limit": _limited,
+        "a server gets no more than it says it takes": _server_limits,
     }
     return [verdict(promise, *look(history)) for promise, look in checks.items()]
 
@@ -363,3 +368,31 @@
         if used > allowed:
             cases.append(f"{used} tokens in {QUOTA_WINDOW_S} s from {begin:.1f}, not {allowed:.0f}")
     return len(asked), cases
+
+
+def _server_limits(history: History) -> tuple[int, list[str]]:
+    """The sum over all instances, whatever befell them, in any window after the first word."""
+    cases = []
+    tested = 0
+    for server, per_s, times in _limited_spans(history):
+        late = [at for at in times if at >= times[0] + CONTACT_S]
+        tested += bool(late)
+        allowed = per_s * LIMIT_WINDOW_S * (1 + LIMIT_OVERRUN) + LIMIT_SLACK
+        for number, begin in enumerate(late):
+            got = sum(at <= begin + LIMIT_WINDOW_S for at in late[number:])
+            if got > allowed:
+                cases.append(f"{server}: {got} in {LIMIT_WINDOW_S} s, takes {per_s} a second")
+                break
+    return tested, cases
+
+
+def _limited_spans(history: History) -> list[tuple[str, float, list[float]]]:
+    """Return servers, what they said they take, and when requests came meanwhile."""
+    rows = [row for row in history.rows if row["kind"] == "arrival"]
+    spans = []
+    for server in sorted({row["server"] for row in rows}):
+        own = [row for row in rows if row["server"] == server]
+        for limit, some in itertools.groupby(own, key=lambda row: str(row.get("limit", ""))):
+            if limit:
+                spans.append((server, float(limit), [float(row["at"]) for row in some]))
+    return spans
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -29,13 +29,18 @@
 # Faults of a server: shares of its runs and answers, and a factor on its durations.
 HARMED = {"errors": 0.5, "resets": 0.5, "garbles": 0.4, "refuses": 0.6, "slow": 8.0}
 WHOLE = {"errors": 0.0, "resets": 0.0, "garbles": 0.0, "refuses": 0.0, "slow": 1.0}
+# What servers in need name as the requests a second that they take, and for how many seconds: the
+# bound holds three seconds after the first word, over four.
+LIMITS = ("0.5", "2", "5")
+LIMITED_S = (8.0, 12.0)
 # Changes of the configuration in quick succession.
 STORM = 6
 # Shares, so that each variant comes a few times in twenty seeds: of episodes, those in series; of
 # planned stops of servers, those without a word; of reloads, those of settings that can't be read;
 # of harmed paths, those that are reset and those whose connections fall silent; of outages of the
 # store, those in which entries lapse; of changes of the configuration, those in quick succession,
-# those that move calls, those that take a key away, and those that make it large or small.
+# those that move calls, those that take a key away, and those that make it large or small; of
+# servers that name limits, those whose service does as a whole.
 SERIES_SHARE = 0.4
 SILENT_SHARE = 0.3
 UNREADABLE_SHARE = 0.4
@@ -46,6 +51,7 @@
 MOVE_SHARE = 0.5
 REVOKE_SHARE = 0.4
 LARGE_SHARE = 0.3
+ALL_LIMITED_SHARE = 0.3
 # Seconds by which a clock jumps, at most.
 JUMP_S = 6.0
 
@@ -242,6 +248,18 @@
         await self._lasting(trouble)
         await self._fleet.faults(place.port, **WHOLE)
 
+    async def _limit_server(self) -> None:
+        """Have a server, or all of its service, say how much it takes."""
+        place = self._place()
+        alike = [each for each in self._fleet.places if each.service == place.service]
+        places = alike if self._by_chance(ALL_LIMITED_SHARE) else [place]
+        limit = self._rng.choice(LIMITS)
+        for each in places:
+            await self._fleet.faults(each.port, limit=limit)
+        await curio.sleep(self._rng.uniform(*LIMITED_S))
+        for each in places:
+            await self._fleet.faults(each.port, limit="")
+
     async def _path(self, proxy: Proxy, kind: str, target: str, *, mutes: bool = True) -> None:
         trouble = self._begin(f"{kind}-reset", target)
         if self._by_chance(RESET_SHARE):
@@ -318,6 +336,7 @@
     "stop-server": Faults._stop_server,
     "pause-server": Faults._pause_server,
     "harm-server": Faults._harm_server,
+    "limit-server": Faults._limit_server,
     "path-store": Faults._path_to_store,
     "path-callers": Faults._path_of_callers,
     "path-server": Faults._path_to_server,
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -17,6 +17,7 @@
         garbles: share of answers that break off.
         refuses: share of arrivals that are refused before they run.
         slow: factor on every duration.
+        limit: what it names as the requests a second that it takes; empty for nothing.
     """
 
     errors: float = 0.0
@@ -24,6 +25,7 @@
     garbles: float = 0.0
     refuses: float = 0.0
     slow: float = 1.0
+    limit: str = ""
 
 
 @dataclass
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -194,6 +194,7 @@
             leaving=self._leaving,
             account=req.headers.get("x-tenant", ""),
             key=req.headers.get("authorization", ""),
+            limit=self.faults.limit,
         )
         reading = req.headers.get("x-stage") == "prefill"
         fits = (self._phase == "prefill") == reading
@@ -224,12 +225,17 @@
         return ident
 
     def _head(self, ident: str) -> list[tuple[str, str]]:
-        return [("x-request-id", ident), ("x-server-seal", f"{self.ident}.{ident}")]
+        seal = ("x-server-seal", f"{self.ident}.{ident}")
+        return [("x-request-id", ident), seal, *self._named()]
+
+    def _named(self) -> list[tuple[str, str]]:
+        """Return the field in which it says how much it takes, if it does."""
+        return [("server-limit", self.faults.limit)] if self.faults.limit else []
 
     async def _refuse(self, exchange: Exchange, status: int) -> None:
         ident = exchange.req.headers["x-request-id"]
         head = [("x-request-id", ident), ("x-not-executed", "1"), ("x-instance-id", self.ident)]
-        await exchange.respond_as_is(status, head, b"")
+        await exchange.respond_as_is(status, head + self._named(), b"")
 
     async def _work(self, exchange: Exchange) -> None:
         ident = self._ran(exchange.req)
@@ -255,7 +261,7 @@
         await curio.spawn(self._lapse, self._memory.handles, handle, HANDLE_S, daemon=True)
         body = msgspec.json.encode({"kv_handle": handle, "tokens": tokens, "version": 1})
         ident = exchange.req.headers["x-request-id"]
-        await exchange.respond_as_is(200, [("x-request-id", ident)], body)
+        await exchange.respond_as_is(200, [("x-request-id", ident), *self._named()], body)
 
     async def _lapse(self, tied: dict[str, int], name: str, after_s: float) -> None:
         await curio.sleep(after_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -137,6 +137,16 @@
         "servers are told the account and never the key",
         {"rows": [row("arrival", "q1", account=LIMITED), row("run", "q1")]},
     ),
+    "more than a server takes": (
+        "a server gets no more than it says it takes",
+        {
+            "seen": [seen(f"q{number}") for number in range(20)],
+            "rows": [
+                row("arrival", f"q{number}", T0 + number / 2, limit="0.5") for number in range(20)
+            ],
+            "calm_from": T0 + 99,
+        },
+    ),
     "a key that was taken away long ago": (
         "a key that was taken away runs nothing after its bound",
         {"seen": [seen("q1", key="key-1"), seen("q2")], "revoked": {"key-1": T0 - 6}},
