Hearing of limits and permits are modules of their own; a stream waits for its permit in turn

Cause: what servers name and who may send stood in one module of 380 lines; a stream before engines that all name limits polled for a permit and was refused after up to 1 s of its patience, though when it would get one is known at once. Change: LimitNews hears and tells, Permits asks, hands out and lends. A stream that no engine takes now gets its turn within its patience or is refused at once, as plain calls do. A server whose word is no rate is told by one line. Tests for mechanisms that no test held down when they were taken out by hand: engines at their limit are not asked, refused at once, places given back, a limit is not ended by earlier answers nor by refusals, nor asked late.

--- a/src/crankhinge/gateway/_choice.py
+++ b/src/crankhinge/gateway/_choice.py
@@ -7,8 +7,8 @@
 from crankhinge.decisions import Phase, Server
 from crankhinge.errors import ServerAtLimit
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 
 
 class ServerChoice:
@@ -16,12 +16,12 @@
 
     Args:
         backends: the servers.
-        limits: what they say they take.
+        permits: leave to send to those that say how much they take.
     """
 
-    def __init__(self, backends: Backends, limits: ServerLimits) -> None:
+    def __init__(self, backends: Backends, permits: Permits) -> None:
         self._backends = backends
-        self._limits = limits
+        self._permits = permits
 
     async def now(
         self,
@@ -49,7 +49,7 @@
                 model=relay.ask.model,
             )
             # What is over at one server goes to the others: whoever refuses is not picked again.
-            if server is None or await self._limits.permit(relay, server):
+            if server is None or await self._permits.permit(relay, server):
                 return server
 
     async def soon(
@@ -69,12 +69,12 @@
         at_limit = await self._at_limit(relay, avoid, phase)
         if not at_limit:
             return None
-        word = await self._limits.queue(relay, at_limit[0], max(0.0, spare_s))
+        word = await self._permits.queue(relay, at_limit[0], max(0.0, spare_s))
         if not word.granted:
             raise ServerAtLimit(
                 f"{relay.service.name}: servers take no more now", retry_after_s=word.after_s
             )
-        await curio.sleep(word.after_s)
+        await self._permits.wait(at_limit[0], word)
         relay.facts["permit_ms"] = round(word.after_s * 1000)
         return at_limit[0]
 
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -19,11 +19,11 @@
 )
 from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._directory import Directory
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRelay
 from crankhinge.http import Exchange, HttpLimits, serve_http
@@ -53,7 +53,7 @@
         directory: routes and servers.
         admission: tells what a request is and who asks.
         limits: of accounts.
-        server_limits: what servers say they take.
+        permits: of requests, for servers that say how much they take.
         quarantine: of requests under which servers crashed.
         dialect: how callers and servers are spoken to.
         plain: runs requests answered in one piece.
@@ -69,7 +69,7 @@
         directory: Directory,
         admission: Admission,
         limits: AccountLimits,
-        server_limits: ServerLimits,
+        permits: Permits,
         quarantine: QuarantineDesk,
         dialect: Dialect,
         plain: PlainRelay,
@@ -81,7 +81,7 @@
         self._directory = directory
         self._admission = admission
         self._limits = limits
-        self._server_limits = server_limits
+        self._permits = permits
         self._quarantine = quarantine
         self._dialect = dialect
         self._plain = plain
@@ -182,7 +182,7 @@
             return await self._run_or_gone(exchange, ask, relay)
         finally:
             await self._limits.settle(relay)
-            await self._server_limits.settle(relay)
+            await self._permits.settle(relay)
 
     async def _run_or_gone(self, exchange: Exchange, ask: RelayAsk, relay: Relay) -> bool:
         """Run one request while its caller is there; returns whether it has a whole answer."""
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -14,9 +14,10 @@
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
+from crankhinge.gateway._limit_news import LimitNews
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, ConnectFailed
 
 # Answers below this status are of requests that servers ran well.
@@ -32,7 +33,8 @@
         quarantine: the same, for requests under which servers crashed. Every way to a server goes
             through here: first tries, repeats, resumed streams, prompts read apart.
         crashes: is told of each connection that ends in the middle of a request.
-        limits: what servers say they take.
+        permits: looks whether a server takes one more request.
+        news: is told what servers say of that.
     """
 
     def __init__(
@@ -41,13 +43,15 @@
         authenticator: Authenticator,
         quarantine: QuarantineDesk,
         crashes: CrashDetector,
-        limits: ServerLimits,
+        permits: Permits,
+        news: LimitNews,
     ) -> None:
         self._backends = backends
         self._authenticator = authenticator
         self._quarantine = quarantine
         self._crashes = crashes
-        self._limits = limits
+        self._permits = permits
+        self._news = news
 
     @asynccontextmanager
     async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
@@ -71,7 +75,7 @@
         work = relay.work(read_only=leg.read_only)
         await self._quarantine.admit(relay, work, began)
         # Last, since it is used: a permit of a request that is not sent is lost to others.
-        permit = await self._limits.spend(relay, server)
+        permit = await self._permits.spend(relay, server)
         standing.breaker.sent(began)
         standing.open += 1
         stream: ClientStream | None = None
@@ -91,7 +95,7 @@
             if word.not_run and word.retry_after_s is not None:
                 standing.told_back(await curio.clock(), word.retry_after_s)
             ran = not word.not_run and stream.status < RAN_BELOW
-            await self._limits.heard(server, word, sent_at=began, whole=ran)
+            await self._news.heard(server, word, sent_at=began, ran=ran)
             yield stream
             whole = True
         except CallerGone:
--- /dev/null
+++ b/src/crankhinge/gateway/_limit_news.py
@@ -0,0 +1,145 @@
+"""Hears what servers say they take, and tells the other instances.
+
+Whoever hears another word of a server tells all, since the others send to it meanwhile. Those that
+hand out for a server keep its rate in their notes in the store, for instances that start.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import Note, ServerWord
+from crankhinge.decisions import Server, SharedLimits
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._notices import Notices
+from crankhinge.gateway._peer_messages import LimitEnded, LimitNamed
+
+# Seconds between words to all that a server names another rate: who hands out is told with each
+# question, and each instance hears the server itself.
+TELL_S = 1.0
+
+
+class LimitNews:
+    """What servers name, as this instance and the others hear it.
+
+    Args:
+        shared: takes what is heard.
+        backends: the servers.
+        notices: carries the datagrams.
+        log: for events.
+    """
+
+    def __init__(
+        self, *, shared: SharedLimits, backends: Backends, notices: Notices, log: Any
+    ) -> None:
+        self._shared = shared
+        self._limits = shared.limits
+        self._backends = backends
+        self._notices = notices
+        self._log = log
+        self._told_at: dict[str, float] = {}
+        # Servers whose last word was no rate; one line tells of it.
+        self._unreadable: set[str] = set()
+        notices.on(LimitNamed, self._take_named)
+        notices.on(LimitEnded, self._take_ended)
+
+    def __len__(self) -> int:
+        return len(self._limits)
+
+    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
+        """Note what the head of a server's answer says of how much it takes.
+
+        Args:
+            server: the server.
+            word: what the head says.
+            sent_at: when the request was sent, on the runtime's clock, in seconds.
+            ran: whether it is the answer of a request that the server ran well. Only these tell
+                that it names nothing any more: a refusal may come from before the server itself.
+        """
+        now = await curio.clock()
+        if word.takes_per_s is not None:
+            self._unreadable.discard(server.ident)
+            begun = self._limits.get(server.ident) is None
+            if self._take(server.ident, word.takes_per_s, now, "own"):
+                await self._tell_named(server.ident, word.takes_per_s, now, begun=begun)
+        elif word.names_limit:
+            self._take_unreadable(server.ident, now)
+        elif ran and self._take_end(server.ident, sent_at, "own"):
+            notice = LimitEnded(server.ident, now - sent_at)
+            await self._notices.tell(notice, server=server.ident)
+
+    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
+        """Note what the head of an answer to a side call says; it need not name what others do."""
+        await self.heard(server, word, sent_at=sent_at, ran=False)
+
+    def told(self, ident: str, per_s: float, at: float, told_by: str) -> None:
+        """Note what another instance heard of a server at a time on the runtime's clock."""
+        self._take(ident, per_s, at, told_by)
+
+    def _take(self, ident: str, per_s: float, at: float, told_by: str) -> bool:
+        """Take a rate; returns whether it was news."""
+        was = self._rate(ident)
+        news = self._limits.named(ident, per_s, at)
+        if news:
+            self._note(ident, per_s, was, told_by)
+        return news
+
+    def _take_end(self, ident: str, sent_at: float, told_by: str) -> bool:
+        """Take that a server names nothing any more; returns whether it was news."""
+        was = self._rate(ident)
+        news = self._limits.unnamed(ident, sent_at)
+        if news:
+            self._unreadable.discard(ident)
+            self._note(ident, None, was, told_by)
+        return news
+
+    def _take_unreadable(self, ident: str, now: float) -> None:
+        self._limits.unreadable(ident, now)
+        if ident not in self._unreadable:
+            self._unreadable.add(ident)
+            self._log.info("server_limit_unreadable", server=ident, was=self._rate(ident))
+
+    def _rate(self, ident: str) -> float | None:
+        limit = self._limits.get(ident)
+        return None if limit is None else limit.per_s
+
+    def _note(self, ident: str, per_s: float | None, was: float | None, told_by: str) -> None:
+        self._log.info("server_limit", server=ident, per_s=per_s, was=was, told_by=told_by)
+        if self._backends.knows(ident):
+            # What was refused by the old rate says nothing of the new one.
+            self._backends.standing(ident).limited_until = 0.0
+
+    async def _tell_named(self, ident: str, per_s: float, now: float, *, begun: bool) -> None:
+        if not begun and now - self._told_at.get(ident, float("-inf")) < TELL_S:
+            return
+        self._told_at[ident] = now
+        await self._notices.tell(LimitNamed(ident, per_s, 0.0), server=ident, per_s=per_s)
+
+    async def _take_named(self, message: LimitNamed, sender: str) -> None:
+        self.told(message.server, message.per_s, await curio.clock() - message.ago_s, sender)
+
+    async def _take_ended(self, message: LimitEnded, sender: str) -> None:
+        self._take_end(message.server, await curio.clock() - message.sent_ago_s, sender)
+
+    async def forget(self, ident: str) -> None:
+        """Forget what was told of a server that is gone.
+
+        Its limit stays: its entry may have lapsed though it lives, and its need with it.
+        """
+        self._told_at.pop(ident, None)
+        self._unreadable.discard(ident)
+
+    def noted(self, now: float) -> Mapping[str, float]:
+        """Return what belongs into this instance's note: the rates of what it hands out for."""
+        servers = [ident for ident in self._limits.servers if self._shared.hands_out(ident)]
+        return self._limits.noted(servers, now)
+
+    async def recall(self, notes: Mapping[str, Note]) -> None:
+        """Take what stands in the notes of instances."""
+        now = await curio.clock()
+        for name, note in notes.items():
+            for ident in self._limits.recall(note.limited, now):
+                self._note(ident, note.limited[ident], None, f"note:{name}")
--- a/src/crankhinge/gateway/_server_limits.py
+++ b/src/crankhinge/gateway/_permits.py
@@ -1,29 +1,25 @@
 """Keeps all instances together to what servers say they take.
 
 Every request that goes to a server that names a limit has a permit, from the instance that comes
-first for that server, or from this one where nobody answers. Whoever hears another word of a server
-tells all, since the others send to it meanwhile; and each instance lends its share by a word now
-and then, so that the whole of what the server takes is handed out though few ask.
+first for that server, or from this one where nobody answers. Each instance lends its share by a
+word now and then, so that the whole of what the server takes is handed out though few ask.
 """
 
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Mapping
 from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
 import curio
 
-from crankhinge.adapters import Note, ServerWord
 from crankhinge.decisions import PERMIT_S, LimitWord, Members, Server, SharedLimits, Stamp
 from crankhinge.errors import ServerAtLimit
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._limit_news import LimitNews
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._peer_messages import (
-    LimitEnded,
-    LimitNamed,
     PermitAnswer,
     PermitAsk,
     PermitReturn,
@@ -36,9 +32,6 @@
 # Seconds between lines that tell how much was sent to servers that name limits; the operators sum
 # their requests over as long.
 USE_S = 4.0
-# Seconds between words to all that a server names another figure: who hands out is told with each
-# question, and each instance hears the server itself.
-TELL_S = 1.0
 # Lending anew is spread by these factors, so that instances do not lend in step.
 LEND_SPREAD = (0.8, 1.0)
 
@@ -69,12 +62,13 @@
     stamp: Stamp
 
 
-class ServerLimits:
+class Permits:
     """Gets requests the permits that they need, and lends this instance's shares.
 
     Args:
         name: of this instance.
         shared: what is known, lent and handed out.
+        news: takes what other instances heard of servers.
         members: the instances.
         backends: the servers.
         notices: carries the datagrams.
@@ -87,6 +81,7 @@
         *,
         name: str,
         shared: SharedLimits,
+        news: LimitNews,
         members: Members,
         backends: Backends,
         notices: Notices,
@@ -95,108 +90,22 @@
     ) -> None:
         self._name = name
         self._shared = shared
+        self._news = news
         self._members = members
         self._backends = backends
         self._notices = notices
         self._log = log
         self._metrics = metrics
         self._questions: Questions[_Answer] = Questions()
-        self._told_at: dict[str, float] = {}
         self._sent: Counter[str] = Counter()
-        notices.on(LimitNamed, self._take_named)
-        notices.on(LimitEnded, self._take_ended)
         notices.on(PermitAsk, self._take_ask)
         notices.on(PermitAnswer, self._take_answer)
         notices.on(PermitReturn, self._take_return)
 
-    def __len__(self) -> int:
-        return len(self._shared.limits)
-
     def has_come(self, name: str) -> None:
         """Note that an instance has come."""
         self._shared.has_come(name)
 
-    # What servers name.
-
-    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, whole: bool) -> None:
-        """Note what the head of a server's answer says of how much it takes.
-
-        Args:
-            server: the server.
-            word: what the head says.
-            sent_at: when the request was sent, on the runtime's clock, in seconds.
-            whole: whether it is the answer of a request that the server ran well. Only these tell
-                that it names nothing any more: a refusal may come from before the server itself.
-        """
-        now = await curio.clock()
-        limits = self._shared.limits
-        known = limits.get(server.ident)
-        was = None if known is None else known.per_s
-        if word.takes_per_s is not None:
-            if limits.named(server.ident, word.takes_per_s, now):
-                self._note(server.ident, word.takes_per_s, was, "own")
-                await self._tell_named(server.ident, word.takes_per_s, now, begun=known is None)
-        elif word.names_limit:
-            limits.unreadable(server.ident, now)
-            self._log.info("server_limit_unreadable", server=server.ident, was=was)
-        elif whole and limits.unnamed(server.ident, sent_at):
-            self._note(server.ident, None, was, "own")
-            notice = LimitEnded(server.ident, now - sent_at)
-            await self._notices.tell(notice, server=server.ident)
-
-    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
-        """Note what the head of an answer to a side call says; it need not name what others do."""
-        await self.heard(server, word, sent_at=sent_at, whole=False)
-
-    def _note(self, ident: str, per_s: float | None, was: float | None, told_by: str) -> None:
-        self._log.info("server_limit", server=ident, per_s=per_s, was=was, told_by=told_by)
-        if self._backends.knows(ident):
-            # What was refused by the old figure says nothing of the new one.
-            self._backends.standing(ident).limited_until = 0.0
-
-    async def _tell_named(self, ident: str, per_s: float, now: float, *, begun: bool) -> None:
-        if not begun and now - self._told_at.get(ident, float("-inf")) < TELL_S:
-            return
-        self._told_at[ident] = now
-        await self._notices.tell(LimitNamed(ident, per_s, 0.0), server=ident, per_s=per_s)
-
-    def _told(self, ident: str, per_s: float, at: float, told_by: str) -> None:
-        """Take what another instance heard of a server."""
-        known = self._shared.limits.get(ident)
-        if self._shared.limits.named(ident, per_s, at):
-            self._note(ident, per_s, None if known is None else known.per_s, told_by)
-
-    async def _take_named(self, message: LimitNamed, sender: str) -> None:
-        now = await curio.clock()
-        self._told(message.server, message.per_s, now - message.ago_s, sender)
-
-    async def _take_ended(self, message: LimitEnded, sender: str) -> None:
-        now = await curio.clock()
-        known = self._shared.limits.get(message.server)
-        if self._shared.limits.unnamed(message.server, now - message.sent_ago_s):
-            self._note(message.server, None, None if known is None else known.per_s, sender)
-
-    async def forget(self, ident: str) -> None:
-        """Forget what this instance counts of a server that is gone.
-
-        Its limit stays: its entry may have lapsed though it lives, and its need with it.
-        """
-        self._told_at.pop(ident, None)
-
-    def noted(self, now: float) -> Mapping[str, float]:
-        """Return what belongs into this instance's note: what it hands out for."""
-        servers = [ident for ident in self._shared.limits.servers if self._shared.hands_out(ident)]
-        return self._shared.limits.noted(servers, now)
-
-    async def recall(self, notes: Mapping[str, Note]) -> None:
-        """Take what stands in the notes of instances."""
-        now = await curio.clock()
-        for name, note in notes.items():
-            for ident in self._shared.limits.recall(note.limited, now):
-                self._note(ident, note.limited[ident], None, f"note:{name}")
-
-    # Permits.
-
     async def permit(self, relay: Relay, server: Server) -> bool:
         """Get a request leave to be sent to a server now; it keeps the permit.
 
@@ -224,6 +133,11 @@
         """
         return await self._get(relay, server, _Wish(within_s, caller=True))
 
+    async def wait(self, server: Server, word: LimitWord) -> None:
+        """Wait until a request may be sent that was granted for later."""
+        await curio.sleep(word.after_s)
+        self._backends.standing(server.ident).limited_until = 0.0
+
     async def _get(self, relay: Relay, server: Server, wish: _Wish) -> LimitWord:
         now = await curio.clock()
         standing = self._backends.standing(server.ident)
@@ -320,7 +234,7 @@
 
     async def _take_ask(self, message: PermitAsk, sender: str) -> None:
         now = await curio.clock()
-        self._told(message.server, message.per_s, now - message.ago_s, message.lender)
+        self._news.told(message.server, message.per_s, now - message.ago_s, message.lender)
         if message.loan is not None:
             self._shared.borrow(message.server, message.lender, message.loan.decoded(), now)
         word = None
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -27,8 +27,8 @@
 )
 from crankhinge.errors import BadHttp, NoBackend, Overloaded, ServerAtLimit
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 
 # Engines asked in one round; more would cost more calls than the chance of room is worth.
 ASKED_AT_ONCE = 3
@@ -81,7 +81,7 @@
 
     Args:
         backends: the servers.
-        limits: what they say they take.
+        permits: leave to send to those that say how much they take.
         log: for events.
         meters: the work of each service's requests, by its name.
     """
@@ -89,12 +89,12 @@
     def __init__(
         self,
         backends: Backends,
-        limits: ServerLimits,
+        permits: Permits,
         log: Any,
         meters: Mapping[str, WorkMeter],
     ) -> None:
         self._backends = backends
-        self._limits = limits
+        self._permits = permits
         self._meters = meters
         self._log = log
         self._orders: defaultdict[str, WaitingOrder] = defaultdict(WaitingOrder)
@@ -139,7 +139,8 @@
                 place = await self._look(search, engine, order)
                 if place is not None:
                     return place
-                await self._wait(search)
+                if not await self._waited_for_permit(search):
+                    await self._wait(search)
         finally:
             order.leave(search.number)
 
@@ -189,7 +190,7 @@
             yield_s=need.yield_s(now - search.began),
         )
         for server in able[:ASKED_AT_ONCE]:
-            if not await self._limits.permit(relay, server):
+            if not await self._permits.permit(relay, server):
                 continue
             search.asked += 1
             hold = await self._reserve(server, need.tokens, engine.hold_s)
@@ -218,33 +219,40 @@
         if "free_ms" not in search.relay.facts and free_s is not None:
             search.relay.facts["free_ms"] = round(free_s * 1000)
         spare = need.patience_s - waited
-        await self._refuse_at_limit(search, waited)
         if spare <= MIN_ROUND_S or not need.worth_waiting(waited, free_s):
             self._refused(search, "no_room", waited)
             raise Overloaded("no room to write", retry_after_s=self._back(search, waited))
         await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
-    async def _refuse_at_limit(self, search: _Search, waited_s: float) -> None:
-        """Refuse a request at once where no engine takes more within its patience.
+    async def _waited_for_permit(self, search: _Search) -> bool:
+        """Wait until an engine takes more; returns whether none did before.
 
         Raises:
-            ServerAtLimit: none does.
+            ServerAtLimit: none does within the request's patience, as is known at once.
         """
+        limited = await self._first_at_limit(search)
+        if limited is None:
+            return False
+        waited_s = await curio.clock() - search.began
+        spare_s = max(0.0, search.need.patience_s - waited_s)
+        word = await self._permits.queue(search.relay, limited, spare_s)
+        if not word.granted:
+            self._refused(search, "at_limit", waited_s)
+            raise ServerAtLimit("engines take no more now", retry_after_s=word.after_s)
+        await self._permits.wait(limited, word)
+        return True
+
+    async def _first_at_limit(self, search: _Search) -> Server | None:
+        """Return the engine that takes more first; None where one does now, or there is none."""
         relay, now = search.relay, await curio.clock()
         service, model = relay.service.name, relay.ask.model
         writers = self._backends.able(service, now, Phase.WRITE, model)
         limited = self._backends.at_limit(
             service, now, avoid=search.avoid, phase=Phase.WRITE, model=model
         )
-        if not limited or len(limited) < sum(each.ident not in search.avoid for each in writers):
-            return
-        until = self._backends.standing(limited[0].ident).limited_until
-        if until - now <= search.need.patience_s - waited_s:
-            return
-        word = await self._limits.queue(relay, limited[0], 0.0)
-        if not word.granted:
-            self._refused(search, "at_limit", waited_s)
-            raise ServerAtLimit("engines take no more now", retry_after_s=word.after_s)
+        if len(limited) < sum(each.ident not in search.avoid for each in writers):
+            return None
+        return limited[0] if limited else None
 
     def _free_in(self, search: _Search, waited_s: float) -> float | None:
         """Return the seconds until there is memory for a request and for those before it."""
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -32,13 +32,14 @@
 from crankhinge.gateway._gateway import Gateway
 from crankhinge.gateway._greeter import Greeter
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._limit_news import LimitNews
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._orderer import LOST_S, Orderer
 from crankhinge.gateway._peer_messages import EngineOrdered
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._shared_work import SharedWork
 from crankhinge.gateway._status import StatusPages
@@ -124,22 +125,24 @@
     shared_limits = SharedLimits(
         name=settings.name, members=members, life=rng.getrandbits(LIFE_BITS), now=now
     )
-    server_limits = ServerLimits(
+    limit_news = LimitNews(shared=shared_limits, backends=backends, notices=notices, log=log)
+    backends.on_word.append(limit_news.heard_aside)
+    directory.on_gone.append(limit_news.forget)
+    permits = Permits(
         name=settings.name,
         shared=shared_limits,
+        news=limit_news,
         members=members,
         backends=backends,
         notices=notices,
         log=log,
         metrics=metrics,
     )
-    backends.on_word.append(server_limits.heard_aside)
-    directory.on_gone.append(server_limits.forget)
-    choice = ServerChoice(backends, server_limits)
+    choice = ServerChoice(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
         "choice": choice,
-        "legs": Legs(backends, authenticator, quarantine, crashes, server_limits),
+        "legs": Legs(backends, authenticator, quarantine, crashes, permits, limit_news),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
@@ -158,7 +161,7 @@
         peer=settings.peer,
         members=members,
         notices=notices,
-        on_come=[limits.has_come, server_limits.has_come],
+        on_come=[limits.has_come, permits.has_come],
         log=log,
     )
     gateway = Gateway(
@@ -166,11 +169,11 @@
         directory=directory,
         admission=Admission(directory=directory, authenticator=authenticator, rng=rng),
         limits=limits,
-        server_limits=server_limits,
+        permits=permits,
         quarantine=quarantine,
         dialect=dialect,
         plain=PlainRelay(**common),
-        streams=StreamRelay(**common, limits=server_limits, quarantine=quarantine, meters=meters),
+        streams=StreamRelay(**common, permits=permits, quarantine=quarantine, meters=meters),
         log=log,
         metrics=metrics,
     )
@@ -184,7 +187,7 @@
         board=platform.board,
         meters=meters,
         quarantine=quarantine,
-        limits=server_limits,
+        limits=limit_news,
         log=log,
         rng=rng,
     )
@@ -202,7 +205,7 @@
     metrics.ask("servers_heard_s_ago", partial(_age, directory.list))
     metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
     metrics.ask("requests_quarantined", quarantine.__len__)
-    metrics.ask("servers_limited", server_limits.__len__)
+    metrics.ask("servers_limited", limit_news.__len__)
     metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
     metrics.ask("servers_doubted", lambda: len(directory.servers.doubted()))
     metrics.ask("source_bytes", lambda: platform.source.received)
@@ -219,8 +222,8 @@
     supervisor.add("peers", work.follow_peers)
     supervisor.add("notices", notices.run)
     supervisor.add("greeter", greeter.run)
-    supervisor.add("lending", server_limits.lend)
-    supervisor.add("limits", server_limits.tell_use)
+    supervisor.add("lending", permits.lend)
+    supervisor.add("limits", permits.tell_use)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await until_first(supervisor.run, partial(_drain_on, stopping, gateway))
--- a/src/crankhinge/gateway/_shared_work.py
+++ b/src/crankhinge/gateway/_shared_work.py
@@ -15,8 +15,8 @@
 from crankhinge.adapters import Note, NoteLease, WorkBoard
 from crankhinge.decisions import RENEW_S, Loads, Members, WorkMeter, WorkSheet, loads_of
 from crankhinge.errors import KeyValueUnavailable
+from crankhinge.gateway._limit_news import LimitNews
 from crankhinge.gateway._quarantine import QuarantineDesk
-from crankhinge.gateway._server_limits import ServerLimits
 
 # Seconds between looks whether the own note is still true.
 LOOK_S = 1.0
@@ -54,7 +54,7 @@
         board: WorkBoard,
         meters: Mapping[str, WorkMeter],
         quarantine: QuarantineDesk,
-        limits: ServerLimits,
+        limits: LimitNews,
         log: Any,
         rng: random.Random,
     ) -> None:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -24,11 +24,11 @@
 from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._places import Place, Places
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._reading import Memory, Reading
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, ConnectFailed
 
 
@@ -48,7 +48,7 @@
     Args:
         backends: the servers.
         choice: chooses among them.
-        limits: what they say they take.
+        permits: leave to send to those that say how much they take.
         legs: sends requests to them.
         budget_of: the retry budget of a service.
         quarantine: of requests under which servers crashed.
@@ -61,7 +61,7 @@
         *,
         backends: Backends,
         choice: ServerChoice,
-        limits: ServerLimits,
+        permits: Permits,
         legs: Legs,
         budget_of: Any,
         quarantine: QuarantineDesk,
@@ -74,7 +74,7 @@
         self._budget_of = budget_of
         self._log = log
         self._meters = meters
-        self._places = Places(backends, limits, log, meters)
+        self._places = Places(backends, permits, log, meters)
         self._reading = Reading(
             backends=backends, choice=choice, legs=legs, quarantine=quarantine, log=log
         )
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -14,15 +14,16 @@
 
 import curio
 
-from crankhinge.decisions import Members, ServerList, SharedLimits
+from crankhinge.decisions import Members, Server, ServerList, SharedLimits
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway import GatewaySettings, Platform, serve
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._limit_news import LimitNews
 from crankhinge.gateway._notices import Notices
+from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_limits import ServerLimits
 from crankhinge.http import ClientStream, Exchange, HttpClient, serve_http
 from crankhinge.runtime import Metrics, get_log, split_host_port, until_first
 from crankhinge_bench._procs import free_ports
@@ -126,10 +127,12 @@
     )
 
 
-def lone_backends(log: Any) -> Backends:
-    """Return the connections of an instance that knows no server yet."""
+def lone_backends(log: Any, *servers: Server) -> Backends:
+    """Return the connections of an instance that knows these servers."""
+    known = ServerList()
+    known.replace(servers, 0.0, was_away=False)
     return Backends(
-        servers=ServerList(),
+        servers=known,
         dialect=PlatformDialect(),
         zone="z1",
         log=log,
@@ -151,20 +154,33 @@
 PASSES = Passes()
 
 
+@dataclass(frozen=True)
+class LoneLimits:
+    """What keeps to servers' limits, at an instance that has nobody to ask."""
+
+    news: LimitNews
+    permits: Permits
+
+
 def lone_limits(
     name: str, backends: Backends, log: Any, members: Members | None = None
-) -> ServerLimits:
+) -> LoneLimits:
     """Return what keeps to servers' limits, at an instance that has nobody to ask."""
     members = members or Members(name, 0.0)
-    return ServerLimits(
+    shared = SharedLimits(name=name, members=members, life=1, now=0.0)
+    notices = Notices(address="", peers=list, log=log)
+    news = LimitNews(shared=shared, backends=backends, notices=notices, log=log)
+    permits = Permits(
         name=name,
-        shared=SharedLimits(name=name, members=members, life=1, now=0.0),
+        shared=shared,
+        news=news,
         members=members,
         backends=backends,
-        notices=Notices(address="", peers=list, log=log),
+        notices=notices,
         log=log,
         metrics=Metrics(prefix="t"),
     )
+    return LoneLimits(news, permits)
 
 
 Behave = Callable[["FakeReplica", Exchange], Awaitable[None]]
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -59,7 +59,7 @@
         quarantine = lone_desk("g", log)
         crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
         limits = lone_limits("g", backends, log)
-        legs = Legs(backends, PASSES, quarantine, crashes, limits)
+        legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news)
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
             async with legs.open(cast(Relay, relay), server, leg):
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -215,6 +215,11 @@
         # The second word after it began comes with the first answer that names it.
         assert most_arrivals(limited, since=named_at + 0.5) <= allowed(0.5)
         assert fleet.statuses() == {200: 120}
+        # Each place there was used or given back.
+        given_back = sum(each.startswith("DELETE /v1/hold-drop") for each in limited.side_calls)
+        assert given_back > 0
+        taken = limited.side_calls.count("POST /v1/hold-take")
+        assert taken == len(limited.arrivals) + given_back
 
     def test_calls_that_free_its_memory_are_made_all_the_same(self) -> None:
         """They relieve it."""
@@ -237,6 +242,13 @@
         assert [each for each in limited.side_calls if each.startswith("DELETE /v1/hold-drop")]
 
 
+async def slow_or_named(replica: FakeReplica, exchange: Exchange) -> None:
+    """Answer a certain request late, with what the server had to say when it began."""
+    head = replica.head(exchange)
+    await curio.sleep(1.0 if exchange.req.body == b"slow" else 0.0)
+    await exchange.respond_as_is(200, head, b"whole")
+
+
 class TestChanges:
     """A limit that ends, rises, falls, or says nothing."""
 
@@ -333,6 +345,37 @@
         assert sum(each.at < named_at for each in limited.arrivals) >= 15
         assert most_arrivals(limited, since=named_at + 0.5) <= allowed(2.0)
 
+    def test_is_not_ended_by_an_answer_to_an_earlier_request(self) -> None:
+        """The server ran it from before it was in need, and its answer came late."""
+        fleet = LimitedFleet(1)
+        limited = fleet.add("i-limited", behave=slow_or_named)
+
+        async def story() -> None:
+            async with curio.TaskGroup(wait=all) as group:
+                await group.spawn(partial(fleet.ask, "/once/a", body=b"slow"))
+                await curio.sleep(0.2)
+                limited.limit = "2"
+                await fleet.ask("/once/a")
+
+        fleet.play(story, ONCE)
+        assert fleet.statuses() == {200: 2}
+        assert len(fleet.world.lines.having("event=server_limit ")) == 1
+
+    def test_is_not_ended_by_a_refusal(self) -> None:
+        """It may come from before the server itself, which names what it takes."""
+        fleet = LimitedFleet(1)
+        limited = fleet.add("i-limited", limit="2")
+
+        async def story() -> None:
+            await fleet.ask("/once/a")
+            limited.behave = shed
+            await curio.sleep(2.0)
+            await fleet.ask("/once/a")
+
+        fleet.play(story, ONCE)
+        assert fleet.statuses() == {200: 1, 503: 1}
+        assert len(fleet.world.lines.having("event=server_limit ")) == 1
+
     def test_is_not_that_of_the_next_life(self) -> None:
         """A server that starts again under its name has said nothing yet."""
         fleet = LimitedFleet()
@@ -396,6 +439,23 @@
         for server in servers:
             assert most_arrivals(server) <= allowed(2.0)
 
+    def test_a_stream_is_refused_at_once_where_no_engine_takes_it(self) -> None:
+        """It does not wait for its patience to end."""
+        fleet = LimitedFleet(1)
+        fleet.add("i-reader", "llm", "prefill")
+        for number in range(2):
+            fleet.add(f"i-{number}", "llm", "decode", limit="0", behave=stream)
+
+        async def story() -> None:
+            await fleet.ask_often("/stream/a", per_s=4.0, for_s=6.0, **TOKENS)
+
+        fleet.play(story, STREAM)
+        refused = [each for each in fleet.outcomes if each.status == 503]
+        assert len(refused) >= 15
+        assert max(each.took_s for each in refused) <= 0.2
+        assert min(each.back_s for each in refused) > 0.0
+        assert fleet.world.lines.having("request_failed", "code=server-at-limit")
+
     def test_whoever_comes_back_when_told_is_served(self) -> None:
         """Twelve callers at once before a server that takes two a second."""
         fleet = LimitedFleet()
--- a/tests/test_server_limits.py
+++ b/tests/test_permits.py
@@ -87,9 +87,10 @@
 
     def __init__(self) -> None:
         log = get_log(program="t", stream=Lines())
-        self.backends = lone_backends(log)
+        self.backends = lone_backends(log, SERVER)
         self.members = Members("here", 0.0)
-        self.limits = lone_limits("here", self.backends, log, self.members)
+        limits = lone_limits("here", self.backends, log, self.members)
+        self.news, self.permits = limits.news, limits.permits
         self.relay = cast(
             Relay, SimpleNamespace(permits={}, ask=SimpleNamespace(ident="q"), facts={})
         )
@@ -102,15 +103,15 @@
             self.members.join({"here": ""}, await curio.clock(), resumed=True)
             await curio.sleep(SETTLED_S)
             word = ServerWord(False, False, None, names_limit=True, takes_per_s=2.0)
-            await self.limits.heard(SERVER, word, sent_at=0.0, whole=True)
+            await self.news.heard(SERVER, word, sent_at=0.0, ran=True)
             await story()
 
         run_virtual(ready)
 
-    async def permits(self) -> int:
+    async def left(self) -> int:
         """Return how many requests may be sent at once, and take them."""
         number = 0
-        while await self.limits.permit(self._other(), SERVER):
+        while await self.permits.permit(self._other(), SERVER):
             number += 1
         return number
 
@@ -126,14 +127,14 @@
         alone = Alone()
 
         async def story() -> None:
-            assert not await alone.limits.permit(alone.relay, SERVER)
+            assert not await alone.permits.permit(alone.relay, SERVER)
             await curio.sleep(FILLED_S)
-            assert await alone.limits.permit(alone.relay, SERVER)
-            assert await alone.permits() == 1
+            assert await alone.permits.permit(alone.relay, SERVER)
+            assert await alone.left() == 1
             alone.backends.standing("i-1").limited_until = 0.0
-            await alone.limits.settle(alone.relay)
+            await alone.permits.settle(alone.relay)
             assert not alone.relay.permits
-            assert await alone.permits() == 1
+            assert await alone.left() == 1
 
         alone.play(story)
 
@@ -142,14 +143,14 @@
         alone = Alone()
 
         async def story() -> None:
-            await alone.limits.permit(alone.relay, SERVER)
+            await alone.permits.permit(alone.relay, SERVER)
             await curio.sleep(FILLED_S)
-            assert await alone.limits.permit(alone.relay, SERVER)
-            assert await alone.limits.permit(alone.relay, SERVER)
-            assert await alone.limits.spend(alone.relay, SERVER) is not None
-            assert await alone.permits() == 1
+            assert await alone.permits.permit(alone.relay, SERVER)
+            assert await alone.permits.permit(alone.relay, SERVER)
+            assert await alone.permits.spend(alone.relay, SERVER) is not None
+            assert await alone.left() == 1
             with pytest.raises(ServerAtLimit):
-                await alone.limits.spend(alone.relay, SERVER)
+                await alone.permits.spend(alone.relay, SERVER)
 
         alone.play(story)
 
@@ -158,16 +159,30 @@
         alone = Alone()
 
         async def story() -> None:
-            await alone.limits.permit(alone.relay, SERVER)
+            await alone.permits.permit(alone.relay, SERVER)
             await curio.sleep(FILLED_S)
-            assert await alone.limits.permit(alone.relay, SERVER)
-            assert await alone.permits() == 1
+            assert await alone.permits.permit(alone.relay, SERVER)
+            assert await alone.left() == 1
             await curio.sleep(PERMIT_S + 0.1)
             alone.backends.standing("i-1").limited_until = 0.0
             before = alone.relay.permits["i-1"]
-            assert await alone.limits.permit(alone.relay, SERVER)
+            assert await alone.permits.permit(alone.relay, SERVER)
             assert alone.relay.permits["i-1"] != before
-            assert await alone.permits() == 1
+            assert await alone.left() == 1
+
+        alone.play(story)
+
+    def test_is_asked_for_at_once_after_another_word(self) -> None:
+        """What was refused by the old rate says nothing of the new one."""
+        alone = Alone()
+
+        async def story() -> None:
+            standing = alone.backends.standing("i-1")
+            standing.limited_until = math.inf
+            alone.news.told("i-1", 2.0, await curio.clock(), "there")
+            assert standing.limited_until == math.inf
+            alone.news.told("i-1", 8.0, await curio.clock(), "there")
+            assert standing.limited_until == 0.0
 
         alone.play(story)
 
@@ -178,15 +193,15 @@
         log = get_log(program="t", stream=Lines())
         quarantine = lone_desk("here", log)
         crashes = CrashDetector(backends=alone.backends, on_crash=quarantine.crashed, log=log)
-        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.limits)
+        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.permits, alone.news)
         req = HttpRequest("GET", "/", {"x-request-id": "q"}, b"", (("x-request-id", "q"),))
         alone.relay.exchange = cast(Any, SimpleNamespace(req=req))
         alone.relay.__dict__.update(account_name=None, trial="", work=lambda *, read_only: "f")
 
         async def story() -> None:
-            await alone.limits.permit(alone.relay, server)
+            await alone.permits.permit(alone.relay, server)
             await curio.sleep(FILLED_S)
-            assert await alone.limits.permit(alone.relay, server)
+            assert await alone.permits.permit(alone.relay, server)
             with pytest.raises(ConnectFailed):
                 async with legs.open(alone.relay, server, Leg("i-1", 1.0)):
                     raise AssertionError("nobody is there")
--- a/tests/test_places.py
+++ b/tests/test_places.py
@@ -280,6 +280,19 @@
         assert asked(1.05, newcomer.yield_s(0.8)) == 0
         assert asked(1.35, newcomer.yield_s(0.8)) == 1
 
+    @pytest.mark.parametrize("limited_until", [1.0, 9.0])
+    def test_an_engine_that_takes_no_more_is_not_asked(self, limited_until: float) -> None:
+        """Nor picked, though there is no other: it has said so for all instances."""
+        standings = {"a": Standing(limited_until=limited_until), "b": Standing(tokens=500)}
+        servers = [writer("a"), writer("b")]
+        for now, idents in ((0.5, ["b"]), (limited_until, ["a", "b"])):
+            asked = places_to_ask(
+                servers, standings.__getitem__, tokens=1, kv_tokens=1000, now=now, rng=RNG
+            )
+            assert [server.ident for server in asked] == idents
+        alone = pick_server([writer("a")], standings.__getitem__, zone="z", now=0.5, rng=RNG)
+        assert alone is None
+
     def test_a_reader_that_refused_is_taken_only_without_another(self) -> None:
         """An engine that changes its part refuses for seconds."""
         standings = {"a": Standing(full_until=5.0), "b": Standing(open=50)}
--- a/tests/test_shared_work.py
+++ b/tests/test_shared_work.py
@@ -77,7 +77,7 @@
             board=self.board,
             meters={"llm": self.meter},
             quarantine=lone_desk("here", log),
-            limits=self.limits,
+            limits=self.limits.news,
             log=log,
             rng=random.Random(3),
         )
