The soak's checker knows of servers that were killed before they recorded a request

Ruled out: the stop itself, which waits for what is in progress (drain took its time; the answer came from the reset). Change: the check is narrowed by that case alone: nothing recorded but a prompt read apart, and a server of the same service killed between the request's sending and its end. Three neighbours of the case still break it, by test.

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -25,6 +25,7 @@
     ROUTES,
     SAFE,
     STREAM,
+    STREAMS,
 )
 from crankhinge_soak._load import Probe, Seen
 from crankhinge_soak._verdict import Verdict, verdict
@@ -43,6 +44,8 @@
 LIMIT_WINDOW_S, LIMIT_OVERRUN, LIMIT_SLACK = 4.0, 0.5, 5
 # Least share of requests that are answered once everything is whole again.
 SERVED = 0.9
+# How the names of places begin that serve streams and plain calls, and what marks those that read.
+ENGINES, PLAIN, READER = "llm", "plain", "prefill"
 MOST_RUNS = {path: most for path, _, most, _ in ROUTES}
 NOT_RUN_STATUS = (408, 421, 429, 503)
 
@@ -114,6 +117,22 @@
             for trouble in self.troubles
         )
 
+    def met_a_killed_server(self, seen: Seen) -> bool:
+        """Whether a request went to a server that was killed before it could record it.
+
+        Its prompt may have been read elsewhere, which is recorded.
+        """
+        reached = [self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())]
+        if any(READER not in name for name in reached):
+            return False
+        service = ENGINES if seen.path in STREAMS else PLAIN
+        return any(
+            trouble.kind == "kill"
+            and trouble.target.startswith(service)
+            and trouble.overlaps(seen.sent, seen.ended)
+            for trouble in self.troubles
+        )
+
 
 def check(history: History) -> list[Verdict]:
     """Return a verdict for each promise."""
@@ -212,7 +231,7 @@
     if answered or seen.left or seen.why.startswith("connect-failed"):
         return ""
     crossed = seen.ended - seen.sent < CROSSING_S and seen.ident not in history.arrivals
-    if crossed or history.server_harmed(seen):
+    if crossed or history.server_harmed(seen) or history.met_a_killed_server(seen):
         return ""
     if history.harmed([seen.gateway], seen.sent - CONTACT_S, seen.ended):
         return ""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -226,6 +226,27 @@
         found = history(seen=[cut], troubles=[STOP, killed], calm_from=T0 + 9)
         assert "a planned stop cuts nothing" not in broken(found)
 
+    def test_nor_for_one_that_was_killed_before_it_recorded_the_request(self) -> None:
+        """The prompt of a stream was read elsewhere; its connection to the writer was reset."""
+        stream = dataclasses.replace(seen("q1", "/stream/"), **CUT)
+        read = row("arrival", "q1", server="i-r")
+        places = {"i-r": "llm-prefill-0", "i-w": "llm-decode-1"}
+        killed = Trouble("kill", "llm-decode-1", T0 + 0.5, T0 + 0.9)
+        story = {"seen": [stream], "calm_from": T0 + 9, "places": places}
+        promise = "a planned stop cuts nothing"
+        found = history(**story, troubles=[STOP, killed], rows=[read])
+        assert promise not in broken(found)
+        # Another server's record tells which one it was; a kill before or after it is no excuse.
+        elsewhere = row("arrival", "q1", server="i-w2")
+        for rows, trouble in (
+            ([read, elsewhere], killed),
+            ([read], dataclasses.replace(killed, began=T0 - 3, ended=T0 - 2)),
+            ([read], dataclasses.replace(killed, target="plain-a-one-0")),
+        ):
+            places["i-w2"] = "llm-decode-2"
+            found = history(**story, troubles=[STOP, trouble], rows=rows)
+            assert promise in broken(found)
+
 
 async def _echo(exchange: Exchange) -> None:
     await exchange.respond(200, exchange.req.path.encode())
