--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -48,6 +48,7 @@
 
     beliefs: dict[str, Pairs] = field(default_factory=dict)
     servers: dict[str, Pairs] = field(default_factory=dict)
+    limits: dict[str, Pairs] = field(default_factory=dict)
     quarantines: dict[str, Pairs] = field(default_factory=dict)
     lines: list[Pairs] = field(default_factory=list)
 
@@ -94,6 +95,8 @@
         story.beliefs[f"{event} {pairs.get('what', '')}"] = pairs
     elif event in ("server_seen", "server_gone"):
         story.servers[pairs.get("server", "")] = pairs
+    elif event == "server_limit":
+        story.limits[pairs.get("server", "")] = pairs
     elif event in ("request_quarantined", "request_cleared"):
         story.quarantines[pairs.get("fingerprint", "")] = pairs
 
@@ -109,8 +112,9 @@
     for pairs in story.beliefs.values():
         yield _line("believed", first, pairs)
     for ident in sorted(_servers_of(story)):
-        if ident in story.servers:
-            yield _line("believed", first, story.servers[ident])
+        for beliefs in (story.servers, story.limits):
+            if ident in beliefs:
+                yield _line("believed", first, beliefs[ident])
     for fingerprint in sorted({pairs.get("fingerprint", "") for pairs in story.lines}):
         if fingerprint in story.quarantines:
             yield _line("believed", first, story.quarantines[fingerprint])
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -40,6 +40,7 @@
 SERVICES = (
     operator.service("plain"),
     operator.service("fragile"),
+    operator.service("needy"),
     operator.service("llm", operator.engine(slots=64, kv_tokens=10000)),
 )
 route = operator.route
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -19,6 +19,7 @@
 ONCE = route("r-once", "/once/", "unsafe", "plain")
 STREAM = route("r-stream", "/stream/", "streaming", "llm")
 CRASH = route("r-crash", "/crash/", "unsafe", "fragile")
+NEEDY = route("r-needy", "/needy/", "unsafe", "needy")
 TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
 
 
@@ -35,12 +36,13 @@
 
 
 def make_log(path: Path) -> None:
-    """Play requests that fail in four ways and write the gateway's log."""
+    """Play requests that fail in five ways and write the gateway's log."""
     world = World()
     world.add("i-plain", "plain", behave=reset)
     world.add("i-reader", "llm", "prefill")
     for number in range(3):
         world.add(f"i-c{number}", "fragile", behave=crash)
+    world.add("i-needy", "needy", limit="0")
     writer = world.add("i-writer", "llm", "decode", behave=broken)
 
     async def story() -> None:
@@ -55,8 +57,10 @@
             assert (await world.call(f"crashed{number}", "/crash/a"))[0] == 502
             await curio.sleep(1.0)
         assert (await world.call("kept", "/crash/a"))[0] == 503
+        assert (await world.call("first", "/needy/a"))[0] == 200
+        assert (await world.call("over", "/needy/a"))[0] == 503
 
-    run_virtual(world.play, story, ONCE, STREAM, CRASH, settle_s=0.003)
+    run_virtual(world.play, story, ONCE, STREAM, CRASH, NEEDY, settle_s=0.003)
     path.write_text("".join(world.lines.text))
 
 
@@ -85,7 +89,7 @@
 
 
 class TestOperationsPage:
-    """docs/OPERATIONS.md, four failed requests from top to bottom."""
+    """docs/OPERATIONS.md, five failed requests from top to bottom."""
 
     def test_commands_show_the_lines_of_the_page(
         self,
@@ -98,7 +102,7 @@
         make_log(tmp_path / "gateway.log")
         page = PAGE.read_text()
         blocks = re.findall(r"^    crankhinge-ctl (.*)\n((?:    .*\n)*)", page, re.MULTILINE)
-        assert len(blocks) == 4
+        assert len(blocks) == 5
         for command, lines in blocks:
             assert main(shlex.split(command)) == 0
             out = capsys.readouterr().out
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -9,13 +9,16 @@
 from typing import Any, cast
 
 import curio
+import msgspec
 import pytest
 
 from crankhinge.adapters import Leg, ServerWord
-from crankhinge.decisions import PERMIT_S, Members, Phase, Server
+from crankhinge.decisions import PERMIT_S, Loan, Members, Phase, Server, SharedLimits
 from crankhinge.errors import ServerAtLimit
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
+from crankhinge.gateway._notices import MOST_BYTES
+from crankhinge.gateway._peer_messages import PermitAnswer, PermitAsk, ShareLoan
 from crankhinge.gateway._request import Relay
 from crankhinge.http import ConnectFailed, HttpRequest
 from crankhinge.runtime import get_log
@@ -208,3 +211,30 @@
             assert list(alone.relay.permits) == ["i-1"]
 
         alone.play(story)
+
+
+class TestSize:
+    """What instances say to each other about one server that names a limit."""
+
+    def test_lending_at_three_hundred_instances_is_within_control(self) -> None:
+        """Ten kilobytes a second for all of control, at the instance that hands out."""
+        members = Members("n0", 0.0)
+        members.join({f"n{number}": "" for number in range(300)}, 0.0, resumed=True)
+        shared = SharedLimits(name="n0", members=members, life=2**62, now=0.0)
+        loan = Loan(shared.stamp(1234567.123), shared.lend_s, 300)
+        ask = PermitAsk(
+            number=123456,
+            lender="frontend-pamplemousses-12",
+            server="i-8b1d6bd897@1733200000000",
+            per_s=4.25,
+            ago_s=0.123,
+            within_s=None,
+            caller=False,
+            loan=ShareLoan.of(loan),
+        )
+        answer = PermitAnswer(number=123456, granted=None, after_s=0.0, life=2**62, at=1234567.1)
+        sizes = [len(msgspec.msgpack.encode(message)) for message in (ask, answer)]
+        a_second = 300 / shared.renew_s
+        print(f"{sizes} B, {a_second:.1f} a second, {a_second * sizes[0] / 1000:.1f} kB in")
+        assert a_second * sum(sizes) <= 10_000
+        assert max(sizes) <= MOST_BYTES / 4
