--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -456,6 +456,24 @@
         assert min(each.back_s for each in refused) > 0.0
         assert fleet.world.lines.having("request_failed", "code=server-at-limit")
 
+    def test_the_turn_of_a_caller_that_left_is_the_next_ones(self) -> None:
+        """It was granted for half a second later, and not used."""
+        fleet = LimitedFleet(1)
+        fleet.add("i-limited", limit="2")
+
+        async def story() -> None:
+            await fleet.ask("/once/a")
+            await curio.sleep(SETTLED_S)
+            await fleet.ask("/once/a")
+            await fleet.ask("/once/a")
+            await curio.ignore_after(0.1, fleet.ask, "/once/a")
+            await curio.sleep(0.05)
+            await fleet.ask("/once/a")
+
+        fleet.play(story, ONCE)
+        assert fleet.statuses() == {200: 4}
+        assert fleet.outcomes[-1].took_s <= 0.45
+
     def test_whoever_comes_back_when_told_is_served(self) -> None:
         """Twelve callers at once before a server that takes two a second."""
         fleet = LimitedFleet()
