--- a/tests/member_fleet.py
+++ b/tests/member_fleet.py
@@ -10,8 +10,18 @@
 from dataclasses import dataclass, field
 from typing import Any, Generic, TypeVar
 
+from hypothesis import HealthCheck, Phase, settings
+
 from crankhinge.decisions import GREET_S, NOTE_S, Members
 
+# For tests that draw what befalls such a fleet. A case that fails is told as it was drawn; making
+# it smaller takes minutes.
+PLAYED = settings(
+    max_examples=60,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+    phases=[Phase.explicit, Phase.reuse, Phase.generate],
+)
 ANSWER_S = 0.1
 DELAY_S = (0.0005, 0.02)
 CALL_S = (0.002, 0.15)
--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -51,6 +51,15 @@
     await exchange.respond_as_is(500, replica.head(exchange), b"failed")
 
 
+def stream_often(fleet: LimitedFleet) -> None:
+    """Have callers ask for streams, many times what the limited server takes."""
+
+    async def story() -> None:
+        await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
+
+    fleet.play(story, STREAM)
+
+
 class TestNamedLimit:
     """A server names what it takes; callers ask for many times as much."""
 
@@ -88,10 +97,7 @@
         limited = fleet.add("i-limited", "llm", "decode", limit="2", behave=stream, room=10_000)
         fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
 
-        async def story() -> None:
-            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
-
-        fleet.play(story, STREAM)
+        stream_often(fleet)
         assert most_arrivals(limited) <= allowed(2.0)
         assert fleet.statuses() == {200: int(ASKED_PER_S * ASKED_S)}
 
@@ -101,10 +107,7 @@
         limited = fleet.add("i-limited", "llm", "prefill", limit="2")
         fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
 
-        async def story() -> None:
-            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
-
-        fleet.play(story, STREAM)
+        stream_often(fleet)
         assert most_arrivals(limited) <= allowed(2.0)
         assert fleet.statuses() == {200: int(ASKED_PER_S * ASKED_S)}
 
@@ -160,10 +163,7 @@
         limited = fleet.add("i-limited", "llm", "prefill", limit="2")
         fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
 
-        async def story() -> None:
-            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
-
-        fleet.play(story, STREAM)
+        stream_often(fleet)
         assert limited.arrivals
         assert most_arrivals(limited) <= allowed(2.0)
 
@@ -173,10 +173,7 @@
         fleet.add("i-reader", "llm", "prefill")
         limited = fleet.add("i-limited", "llm", "decode", limit="4", behave=stream, room=10_000)
 
-        async def story() -> None:
-            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
-
-        fleet.play(story, STREAM)
+        stream_often(fleet)
         assert any("kv-from" in each.headers for each in limited.arrivals)
         assert most_arrivals(limited) <= allowed(4.0)
 
@@ -187,10 +184,7 @@
         limited = fleet.add("i-limited", "llm", "decode", limit="2", behave=stream, room=4)
         fleet.add("i-writer", "llm", "decode", behave=stream, room=10_000)
 
-        async def story() -> None:
-            await fleet.ask_often("/stream/a", per_s=ASKED_PER_S, for_s=ASKED_S, **TOKENS)
-
-        fleet.play(story, STREAM)
+        stream_often(fleet)
         reserved = limited.side_calls.count("POST /v1/hold-take")
         # Four were granted, and told the limit; each call after that had a permit.
         assert 4 < reserved <= 2.0 * ASKED_S + allowed(2.0)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -6,11 +6,11 @@
 import random
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from crankhinge.decisions import Account, QuotaBounds, TokenBucket, TokenLimit
-from member_fleet import strike
+from member_fleet import PLAYED, strike
 from quota_fleet import Fleet
 
 LIMIT = TokenLimit(1000.0, 1000.0)
@@ -182,13 +182,7 @@
 class TestNeverOver:
     """The sum over all instances, in any window, whatever happens between them."""
 
-    @settings(
-        max_examples=60,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-        # A case that fails is told as it was drawn; making it smaller takes minutes.
-        phases=[Phase.explicit, Phase.reuse, Phase.generate],
-    )
+    @PLAYED
     @given(
         troubles=st.lists(trouble, max_size=12),
         seed=st.integers(0, 10_000),
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -5,7 +5,7 @@
 import math
 
 import pytest
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given
 from hypothesis import strategies as st
 
 from crankhinge.decisions import (
@@ -27,7 +27,7 @@
 from crankhinge.decisions._members import FLEET_KEPT_S, STALE_S
 from limit_fleet import SERVER, LimitFleet
 from limit_worlds import allowed, most_in_window
-from member_fleet import strike
+from member_fleet import PLAYED, strike
 
 DAY_S = 40.0
 # Seconds after which all instances know and have lent to each other: each has read the notes, and
@@ -331,13 +331,7 @@
 class TestNeverOver:
     """The sum over all instances, in any window, whatever happens between them."""
 
-    @settings(
-        max_examples=60,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-        # A case that fails is told as it was drawn; making it smaller takes minutes.
-        phases=[Phase.explicit, Phase.reuse, Phase.generate],
-    )
+    @PLAYED
     @given(
         troubles=st.lists(trouble, max_size=12),
         seed=st.integers(0, 10_000),
