--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -73,6 +73,9 @@
         not_run: the server states that it did not run the request.
         other_server: the server at this address is not the one that was meant.
         retry_after_s: when it expects to have room.
+        rest_s: seconds for which it wants no further request from this instance; None where it
+            does not say.
+        leaving: whether it says that it leaves.
         names_limit: whether it says how much it takes.
         takes_per_s: requests a second that it takes from all instances together; None where it
             does not say, or says what is no such number.
@@ -81,6 +84,8 @@
     not_run: bool
     other_server: bool
     retry_after_s: float | None
+    rest_s: float | None = None
+    leaving: bool = False
     names_limit: bool = False
     takes_per_s: float | None = None
 
--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -49,6 +49,8 @@
     beliefs: dict[str, Pairs] = field(default_factory=dict)
     servers: dict[str, Pairs] = field(default_factory=dict)
     limits: dict[str, Pairs] = field(default_factory=dict)
+    leaves: dict[str, Pairs] = field(default_factory=dict)
+    rests: dict[str, Pairs] = field(default_factory=dict)
     quarantines: dict[str, Pairs] = field(default_factory=dict)
     lines: list[Pairs] = field(default_factory=list)
 
@@ -97,6 +99,10 @@
         story.servers[pairs.get("server", "")] = pairs
     elif event == "server_limit":
         story.limits[pairs.get("server", "")] = pairs
+    elif event == "server_leaves":
+        story.leaves[pairs.get("server", "")] = pairs
+    elif event == "server_rests":
+        story.rests[pairs.get("server", "")] = pairs
     elif event in ("request_quarantined", "request_cleared"):
         story.quarantines[pairs.get("fingerprint", "")] = pairs
 
@@ -112,7 +118,7 @@
     for pairs in story.beliefs.values():
         yield _line("believed", first, pairs)
     for ident in sorted(_servers_of(story)):
-        for beliefs in (story.servers, story.limits):
+        for beliefs in (story.servers, story.limits, story.leaves, story.rests):
             if ident in beliefs:
                 yield _line("believed", first, beliefs[ident])
     for fingerprint in sorted({pairs.get("fingerprint", "") for pairs in story.lines}):
--- /dev/null
+++ b/src/crankhinge/decisions/_bars.py
@@ -0,0 +1,58 @@
+"""What servers say that bars requests from them: that they leave, or want none for a while.
+
+A bar holds whatever other servers there are. Which of the servers without one gets a request is a
+preference, kept in :class:`Standing`, so that no guess of an instance shortens what a server said.
+"""
+
+from __future__ import annotations
+
+from crankhinge.decisions._bounded import keep_newest
+
+# Servers remembered that said something: more than a fleet has that leave or rest at once.
+MOST_BARRED = 1024
+
+
+class Bars:
+    """What servers said, by the identities of their lives.
+
+    A word outlives the server's entry, which may lapse and come back while the same life goes on.
+    """
+
+    def __init__(self) -> None:
+        self._leaving: dict[str, float] = {}
+        self._rests: dict[str, float] = {}
+
+    def says_it_leaves(self, server: str, at: float) -> bool:
+        """Note that a server says it leaves; returns whether that is news.
+
+        No life that leaves comes back, so nothing lifts it.
+
+        Args:
+            server: its identity.
+            at: when it was heard, on the runtime's clock, in seconds.
+        """
+        if server in self._leaving:
+            return False
+        keep_newest(self._leaving, server, at, MOST_BARRED)
+        return True
+
+    def asks_rest(self, server: str, until: float) -> bool:
+        """Note that a server wants no request for a while; returns whether for longer than known.
+
+        Args:
+            server: its identity.
+            until: on the runtime's clock, in seconds.
+        """
+        if until <= self._rests.get(server, float("-inf")):
+            return False
+        keep_newest(self._rests, server, until, MOST_BARRED)
+        return True
+
+    def leaves_since(self, server: str) -> float | None:
+        """Return when a server was first heard to leave; None where it was not."""
+        return self._leaving.get(server)
+
+    def rests_until(self, server: str, now: float) -> float | None:
+        """Return until when a server wants no request; None where it wants some now."""
+        until = self._rests.get(server, now)
+        return until if until > now else None
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -11,6 +11,7 @@
 from crankhinge.adapters import Dialect, ServerWord, SideCall
 from crankhinge.decisions import (
     KEPT_MOST,
+    Bars,
     Phase,
     PhaseChange,
     Server,
@@ -46,6 +47,7 @@
 
     Attributes:
         on_word: what is told of the heads of answers to side calls.
+        bars: what servers said that bars requests from them.
     """
 
     def __init__(
@@ -62,6 +64,7 @@
         self.dialect = dialect
         self.rng = rng
         self.on_word: list[OnWord] = []
+        self.bars = Bars()
         self._servers = servers
         self._zone = zone
         self._most_kept = most_kept
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -18,6 +18,7 @@
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_words import ServerWords
 from crankhinge.http import ClientStream, ConnectFailed
 
 # Answers below this status are of requests that servers ran well.
@@ -35,6 +36,7 @@
         crashes: is told of each connection that ends in the middle of a request.
         permits: looks whether a server takes one more request.
         news: is told what servers say of that.
+        words: is told what else they say.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         crashes: CrashDetector,
         permits: Permits,
         news: LimitNews,
+        words: ServerWords,
     ) -> None:
         self._backends = backends
         self._authenticator = authenticator
@@ -52,6 +55,7 @@
         self._crashes = crashes
         self._permits = permits
         self._news = news
+        self._words = words
 
     @asynccontextmanager
     async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
@@ -76,6 +80,7 @@
         await self._quarantine.admit(relay, work, began)
         # Last, since it is used: a permit of a request that is not sent is lost to others.
         permit = await self._permits.spend(relay, server)
+        relay.facts.update(self._words.facts(server, began))
         standing.breaker.sent(began)
         standing.open += 1
         stream: ClientStream | None = None
@@ -96,6 +101,7 @@
                 standing.told_back(await curio.clock(), word.retry_after_s)
             ran = not word.not_run and stream.status < RAN_BELOW
             await self._news.heard(server, word, sent_at=began, ran=ran)
+            await self._words.heard(server, word)
             yield stream
             whole = True
         except CallerGone:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -40,6 +40,7 @@
 from crankhinge.gateway._plain import PlainRelay
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._quota import AccountLimits
+from crankhinge.gateway._server_words import ServerWords
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._shared_work import SharedWork
 from crankhinge.gateway._status import StatusPages
@@ -128,6 +129,8 @@
     limit_news = LimitNews(shared=shared_limits, backends=backends, notices=notices, log=log)
     backends.on_word.append(limit_news.heard_aside)
     directory.on_gone.append(limit_news.forget)
+    words = ServerWords(bars=backends.bars, log=log)
+    backends.on_word.append(words.heard_aside)
     permits = Permits(
         name=settings.name,
         shared=shared_limits,
@@ -142,7 +145,7 @@
     common: dict[str, Any] = {
         "backends": backends,
         "choice": choice,
-        "legs": Legs(backends, authenticator, quarantine, crashes, permits, limit_news),
+        "legs": Legs(backends, authenticator, quarantine, crashes, permits, limit_news, words),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
--- /dev/null
+++ b/src/crankhinge/gateway/_server_words.py
@@ -0,0 +1,54 @@
+"""Hears what servers say of themselves in the heads of their answers."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import curio
+
+from crankhinge.adapters import ServerWord
+from crankhinge.decisions import Bars, Server
+
+
+class ServerWords:
+    """What servers say, as this instance hears it.
+
+    Args:
+        bars: keeps it.
+        log: for events.
+    """
+
+    def __init__(self, *, bars: Bars, log: Any) -> None:
+        self._bars = bars
+        self._log = log
+
+    async def heard(self, server: Server, word: ServerWord) -> None:
+        """Note what the head of a server's answer says."""
+        now = await curio.clock()
+        if word.leaving and self._bars.says_it_leaves(server.ident, now):
+            self._log.info("server_leaves", server=server.ident, told_by="own")
+        if word.rest_s is not None:
+            was = self._bars.rests_until(server.ident, now)
+            longer = self._bars.asks_rest(server.ident, now + word.rest_s)
+            self._log.info(
+                "server_rests",
+                server=server.ident,
+                for_s=round(word.rest_s, 2),
+                left_s=None if was is None else round(was - now, 2),
+                taken=longer,
+            )
+
+    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
+        """Note what the head of an answer to a side call says."""
+        await self.heard(server, word)
+
+    def facts(self, server: Server, now: float) -> dict[str, float]:
+        """Return what tells that a request is sent to a server in spite of what that said."""
+        facts = {}
+        since = self._bars.leaves_since(server.ident)
+        if since is not None:
+            facts["leaving_s"] = round(now - since, 2)
+        until = self._bars.rests_until(server.ident, now)
+        if until is not None:
+            facts["rest_left_s"] = round(until - now, 2)
+        return facts
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -13,6 +13,7 @@
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_words import ServerWords
 from crankhinge.http import HttpRequest
 from crankhinge.runtime import get_log
 from crankhinge_platform.source import decode_server
@@ -52,6 +53,7 @@
         relay = SimpleNamespace(
             exchange=SimpleNamespace(req=req),
             ask=SimpleNamespace(ident="q"),
+            facts={},
             account_name=None,
             trial="",
             work=lambda *, read_only: "f",
@@ -59,7 +61,8 @@
         quarantine = lone_desk("g", log)
         crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
         limits = lone_limits("g", backends, log)
-        legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news)
+        words = ServerWords(bars=backends.bars, log=log)
+        legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news, words)
         leg = Leg("i-1", 1.0)
         with pytest.raises(type(failure)):
             async with legs.open(cast(Relay, relay), server, leg):
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -20,6 +20,7 @@
 from crankhinge.gateway._notices import MOST_BYTES
 from crankhinge.gateway._peer_messages import PermitAnswer, PermitAsk, ShareLoan
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._server_words import ServerWords
 from crankhinge.http import ConnectFailed, HttpRequest
 from crankhinge.runtime import get_log
 from limit_worlds import SETTLED_S
@@ -196,10 +197,13 @@
         log = get_log(program="t", stream=Lines())
         quarantine = lone_desk("here", log)
         crashes = CrashDetector(backends=alone.backends, on_crash=quarantine.crashed, log=log)
-        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.permits, alone.news)
+        words = ServerWords(bars=alone.backends.bars, log=log)
+        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.permits, alone.news, words)
         req = HttpRequest("GET", "/", {"x-request-id": "q"}, b"", (("x-request-id", "q"),))
         alone.relay.exchange = cast(Any, SimpleNamespace(req=req))
-        alone.relay.__dict__.update(account_name=None, trial="", work=lambda *, read_only: "f")
+        alone.relay.__dict__.update(
+            account_name=None, facts={}, trial="", work=lambda *, read_only: "f"
+        )
 
         async def story() -> None:
             await alone.permits.permit(alone.relay, server)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -118,6 +118,31 @@
         word = PlatformDialect().word(200, {})
         assert (word.names_limit, word.takes_per_s) == (False, None)
 
+    @pytest.mark.parametrize(("named", "leaving"), [("1", True), (" 1 ", True), ("0", False)])
+    def test_a_server_that_leaves_is_decoded(self, named: str, leaving: bool) -> None:
+        """Whatever else its answer says."""
+        assert PlatformDialect().word(500, {"server-leaving": named}).leaving is leaving
+
+    @pytest.mark.parametrize(("named", "rest_s"), [("3", 3.0), ("0.4", 0.4), (" 90 ", 90.0)])
+    def test_a_server_that_asks_for_rest_is_decoded(self, named: str, rest_s: float) -> None:
+        """Where it turns a request away, also where it does not say that it ran nothing."""
+        for more in ({}, {"x-not-executed": "1"}):
+            word = PlatformDialect().word(503, {"retry-after": named, **more})
+            assert word.rest_s == rest_s
+
+    @pytest.mark.parametrize(
+        "named", ["", "soon", "-1", "0", "nan", "inf", "1e309", "Wed, 21 Oct 2026 07:28:00 GMT"]
+    )
+    def test_what_is_no_time_is_no_rest(self, named: str) -> None:
+        """A server is not shut out past what it asked."""
+        word = PlatformDialect().word(503, {"retry-after": named, "x-not-executed": "1"})
+        assert (word.rest_s, word.retry_after_s) == (None, None)
+
+    @pytest.mark.parametrize("status", [200, 421, 500])
+    def test_other_answers_ask_for_no_rest(self, status: int) -> None:
+        """Nothing was turned away, or by another server."""
+        assert PlatformDialect().word(status, {"retry-after": "3"}).rest_s is None
+
 
 class TestFields:
     """Which header fields travel."""
