A server that asks for rest gets no request until then, by no way

Callers saw: refusals by a server that had asked for none for 3 s, sent there 0.7, 2.1 and 2.9 s later; where all servers asked, hundreds of requests were sent in vain; 48 of 560 streams refused while five of six writers had room. Cause: one field held what the server had asked for, the instance's own guess after a refusal, and 0.06 s after a reservation without room; the last written stood. And it was a preference: put aside when no other server was there, cut at 6 s, not asked for places that were taken before. Ruled out: more than one instance (one alone breaks it), requests chosen before (they come within half a second). Change: the longest time that a server named is kept apart (Bars) and bars every way to it; guesses stay guesses. Where all rest, a request waits if it can be in time, else is refused at once with the end of the first rest. A refusal with a time does not lower the window of the whole service, nor send its caller away for longer than other servers need. Holds because nothing but a longer word of the server writes the time, and the last step before a request is sent asks it too.

--- a/src/crankhinge/decisions/_bars.py
+++ b/src/crankhinge/decisions/_bars.py
@@ -22,6 +22,7 @@
     GONE = "gone"
     LEAVING = "leaving"
     REPLACED = "replaced"
+    RESTING = "resting"
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +31,7 @@
 
     Attributes:
         cause: why.
-        until: when it ends, on the runtime's clock, in seconds; infinite for as long as it lives.
+        until: when it ends, on the runtime's clock, in seconds; infinite where its life ends first.
     """
 
     cause: BarCause
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -181,6 +181,13 @@
     status = 503
 
 
+class ServersRest(ServerBarred):
+    """All backend servers want no request for a while; the request was not sent."""
+
+    code = "servers-rest"
+    status = 503
+
+
 class LimitReached(RequestError):
     """The member is at its own limit; nothing was run."""
 
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -108,7 +108,7 @@
             server
             for server in self._servers.all()
             if server.service == service
-            and self.bar(server) is None
+            and self._lasting_bar(server) is None
             and (phase is None or server.phase is phase)
             and server.holds(model)
         ]
@@ -116,8 +116,31 @@
         sure = [server for server in able if not self._servers.doubts(server.ident)]
         return sure if len(sure) >= len(able) - len(sure) else able
 
-    def bar(self, server: Server) -> Bar | None:
-        """Return what keeps requests from a server, whatever others there are; None for nothing.
+    def eligible(
+        self, service: str, now: float, phase: Phase | None = None, model: str = ""
+    ) -> list[Server]:
+        """Return the servers of a service that a request may be sent to now.
+
+        A server that wants no request for a while counts among the able ones: it stays.
+        """
+        able = self.able(service, now, phase, model)
+        return [server for server in able if self.bar(server, now) is None]
+
+    def bar(self, server: Server, now: float) -> Bar | None:
+        """Return what keeps requests from a server, whatever others there are; None for nothing."""
+        lasting = self._lasting_bar(server)
+        until = self.bars.rests_until(server.ident, now)
+        if lasting is not None or until is None:
+            return lasting
+        return Bar(BarCause.RESTING, until)
+
+    def barred(self, cause: BarCause, now: float) -> int:
+        """Return how many servers get no request for a cause."""
+        bars = [self.bar(server, now) for server in self._servers.all()]
+        return sum(bar is not None and bar.cause is cause for bar in bars)
+
+    def _lasting_bar(self, server: Server) -> Bar | None:
+        """Return what keeps requests from a server for as long as it lives.
 
         A server that leaves says so in its answers before its entry does: the store may be away,
         and takes entries late.
@@ -177,7 +200,9 @@
     def takes_work(self, ident: str, now: float) -> bool:
         """Whether nothing keeps requests from a server, and it follows no order."""
         server = self._servers.get(ident)
-        return server is not None and self.bar(server) is None and not self._changes(server, now)
+        return (
+            server is not None and self.bar(server, now) is None and not self._changes(server, now)
+        )
 
     def pick(
         self,
@@ -200,7 +225,7 @@
             model: that it has to hold.
         """
         return pick_server(
-            self.able(service, now, phase, model),
+            self.eligible(service, now, phase, model),
             self.standing,
             zone=zone or self._zone,
             now=now,
@@ -228,11 +253,34 @@
         """
         servers = [
             server
-            for server in self.able(service, now, phase, model)
+            for server in self.eligible(service, now, phase, model)
             if server.ident not in avoid and self.standing(server.ident).limited_until > now
         ]
         return sorted(servers, key=lambda server: self.standing(server.ident).limited_until)
 
+    def rest_ends(
+        self,
+        service: str,
+        now: float,
+        *,
+        avoid: frozenset[str],
+        phase: Phase | None = None,
+        model: str = "",
+    ) -> float | None:
+        """Return when the first server wants requests again; None where one does, or none is there.
+
+        Args:
+            service: its name.
+            now: on the runtime's clock.
+            avoid: identities that are out of the question.
+            phase: the part that they play; any by default.
+            model: that they have to hold.
+        """
+        able = self.able(service, now, phase, model)
+        bars = [self.bar(server, now) for server in able if server.ident not in avoid]
+        ends = [bar.until for bar in bars if bar is not None]
+        return min(ends) if ends and len(ends) == len(bars) else None
+
     async def side_call(self, server: Server, call: SideCall) -> Response | None:
         """Make a call of the router's own; None when it isn't answered."""
         client = self.client(server)
--- a/src/crankhinge/gateway/_choice.py
+++ b/src/crankhinge/gateway/_choice.py
@@ -5,11 +5,15 @@
 import curio
 
 from crankhinge.decisions import Phase, Server
-from crankhinge.errors import ServerAtLimit
+from crankhinge.errors import ServerAtLimit, ServersRest
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._request import Relay
 
+# When to come back after a rest, in parts of what is left of it: those that were refused in it do
+# not all come with its end.
+REST_SPREAD = (1.0, 1.2)
+
 
 class ServerChoice:
     """Chooses among the servers of a request's service.
@@ -55,7 +59,7 @@
     async def soon(
         self, relay: Relay, *, avoid: frozenset[str], spare_s: float, phase: Phase | None = None
     ) -> Server | None:
-        """Wait for the first server that takes a request again; None where none is at its limit.
+        """Wait for the first server that takes a request again; None where none will.
 
         Args:
             relay: the request.
@@ -65,10 +69,11 @@
 
         Raises:
             ServerAtLimit: no server takes it within that time, as is known at once.
+            ServersRest: all want none for longer, as is known at once.
         """
         at_limit = await self._at_limit(relay, avoid, phase)
         if not at_limit:
-            return None
+            return await self._after_rest(relay, avoid, spare_s, phase)
         word = await self._permits.queue(relay, at_limit[0], max(0.0, spare_s))
         if not word.granted:
             raise ServerAtLimit(
@@ -78,6 +83,46 @@
         relay.facts["permit_ms"] = round(word.after_s * 1000)
         return at_limit[0]
 
+    async def _after_rest(
+        self, relay: Relay, avoid: frozenset[str], spare_s: float, phase: Phase | None
+    ) -> Server | None:
+        now = await curio.clock()
+        ends = self.rest_ends(relay, now, avoid=avoid, spare_s=spare_s, phase=phase)
+        if ends is None:
+            return None
+        await curio.sleep(ends - now)
+        return await self.now(relay, avoid=avoid, phase=phase)
+
+    def rest_ends(
+        self,
+        relay: Relay,
+        now: float,
+        *,
+        avoid: frozenset[str],
+        spare_s: float,
+        phase: Phase | None = None,
+    ) -> float | None:
+        """Return when the first server wants requests again; None where one does, or none is there.
+
+        Args:
+            relay: the request.
+            now: on the runtime's clock.
+            avoid: identities that are out of the question.
+            spare_s: seconds that it may wait for that.
+            phase: the part that the servers play; any by default.
+
+        Raises:
+            ServersRest: that is too late for it; its caller is told when to come back.
+        """
+        service = relay.service.name
+        ends = self._backends.rest_ends(
+            service, now, avoid=avoid, phase=phase, model=relay.ask.model
+        )
+        if ends is not None and ends - now > spare_s:
+            after_s = (ends - now) * self._backends.rng.uniform(*REST_SPREAD)
+            raise ServersRest(f"{service}: servers rest", retry_after_s=after_s)
+        return ends
+
     async def _at_limit(
         self, relay: Relay, avoid: frozenset[str], phase: Phase | None
     ) -> list[Server]:
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -79,7 +79,7 @@
         work = relay.work(read_only=leg.read_only)
         await self._quarantine.admit(relay, work, began)
         # Its place may have been taken seconds ago, while its prompt was read elsewhere.
-        bar = self._backends.bar(server)
+        bar = self._backends.bar(server, began)
         if bar is not None:
             raise ServerBarred(f"{server.ident}: {bar.cause.value}")
         # Last, since it is used: a permit of a request that is not sent is lost to others.
@@ -101,8 +101,6 @@
             if word.other_server:
                 self._backends.replaced(server)
                 raise ConnectFailed(f"another server answers for {server.ident}")
-            if word.not_run and word.retry_after_s is not None:
-                standing.told_back(await curio.clock(), word.retry_after_s)
             ran = not word.not_run and stream.status < RAN_BELOW
             await self._news.heard(server, word, sent_at=began, ran=ran)
             await self._words.heard(server, word)
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -25,8 +25,9 @@
     places_to_ask,
     silent_s,
 )
-from crankhinge.errors import BadHttp, NoBackend, Overloaded, ServerAtLimit
+from crankhinge.errors import BadHttp, NoBackend, Overloaded, ServerAtLimit, ServersRest
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._choice import ServerChoice
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._request import Relay
 
@@ -81,6 +82,7 @@
 
     Args:
         backends: the servers.
+        choice: waits for those that want no request for a while.
         permits: leave to send to those that say how much they take.
         log: for events.
         meters: the work of each service's requests, by its name.
@@ -89,11 +91,13 @@
     def __init__(
         self,
         backends: Backends,
+        choice: ServerChoice,
         permits: Permits,
         log: Any,
         meters: Mapping[str, WorkMeter],
     ) -> None:
         self._backends = backends
+        self._choice = choice
         self._permits = permits
         self._meters = meters
         self._log = log
@@ -139,7 +143,9 @@
                 place = await self._look(search, engine, order)
                 if place is not None:
                     return place
-                if not await self._waited_for_permit(search):
+                if not (
+                    await self._waited_for_rest(search) or await self._waited_for_permit(search)
+                ):
                     await self._wait(search)
         finally:
             order.leave(search.number)
@@ -174,14 +180,14 @@
             raise Overloaded("can't end in time", retry_after_s=back_after(self._backends.rng))
         now = await curio.clock()
         writers = self._backends.able(relay.service.name, now, Phase.WRITE, relay.ask.model)
-        servers = [server for server in writers if server.ident not in search.avoid]
-        if not servers:
+        present = [server for server in writers if server.ident not in search.avoid]
+        if not present:
             self._refused(search, "no_writer", now - search.began)
             raise NoBackend("no server writes", retry_after_s=back_after(self._backends.rng))
         if not order.may_ask(search.number, now):
             return None
         able = places_to_ask(
-            servers,
+            [server for server in present if self._backends.bar(server, now) is None],
             self._backends.standing,
             tokens=need.tokens,
             kv_tokens=engine.kv_tokens,
@@ -224,6 +230,30 @@
             raise Overloaded("no room to write", retry_after_s=self._back(search, waited))
         await curio.sleep(min(ROUND_S, spare - MIN_ROUND_S))
 
+    async def _waited_for_rest(self, search: _Search) -> bool:
+        """Wait until an engine wants requests; returns whether none did before.
+
+        Raises:
+            ServersRest: none does within the request's patience, as is known at once.
+        """
+        now = await curio.clock()
+        waited_s = now - search.began
+        try:
+            ends = self._choice.rest_ends(
+                search.relay,
+                now,
+                avoid=search.avoid,
+                spare_s=search.need.patience_s - waited_s,
+                phase=Phase.WRITE,
+            )
+        except ServersRest:
+            self._refused(search, "servers_rest", waited_s)
+            raise
+        if ends is None:
+            return False
+        await curio.sleep(ends - now)
+        return True
+
     async def _waited_for_permit(self, search: _Search) -> bool:
         """Wait until an engine takes more; returns whether none did before.
 
@@ -246,7 +276,7 @@
         """Return the engine that takes more first; None where one does now, or there is none."""
         relay, now = search.relay, await curio.clock()
         service, model = relay.service.name, relay.ask.model
-        writers = self._backends.able(service, now, Phase.WRITE, model)
+        writers = self._backends.eligible(service, now, Phase.WRITE, model)
         limited = self._backends.at_limit(
             service, now, avoid=search.avoid, phase=Phase.WRITE, model=model
         )
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -122,6 +122,7 @@
 
         Raises:
             Overloaded: it did not recover in time.
+            ServersRest: its servers want nothing for longer.
         """
         name = relay.service.name
         order = self._orders[name]
@@ -133,6 +134,8 @@
             while order.ahead(number, now) or not congestion.clear(
                 now, late=need.late(now - began)
             ):
+                spare_s = patience_s - (now - began)
+                self._choice.rest_ends(relay, now, avoid=relay.tried, spare_s=spare_s)
                 if now - began > patience_s:
                     self._not_sent(relay, now - began)
                     raise Overloaded(f"{name} is overloaded", retry_after_s=self._back(name, now))
@@ -266,13 +269,17 @@
             if not word.not_run:
                 return Answer(stream.status, stream.fields, body)
             now = await curio.clock()
-            self._congestion[relay.service.name].refused(now)
+            if word.rest_s is None:
+                # Otherwise it speaks for itself, and the others need not be sent less.
+                self._congestion[relay.service.name].refused(now)
             # Whoever refuses at once looks least busy, and would get most of the next requests.
             self._backends.standing(server.ident).refused(now)
-            after = word.retry_after_s or self._back(relay.service.name, now)
             said_s = word.retry_after_s
             self._note(relay, server, "refused", f"status {stream.status}, back in {said_s} s")
-            return Overloaded(f"{server.ident} refused", retry_after_s=after)
+            # What it said holds for itself: others may take the request sooner.
+            ends = self._backends.rest_ends(relay.service.name, now, avoid=frozenset())
+            after_s = ends - now if ends is not None else self._back(relay.service.name, now)
+            return Overloaded(f"{server.ident} refused", retry_after_s=after_s)
 
 
 def _patience_s(need: PlaceAsk) -> float:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -74,7 +74,7 @@
         self._budget_of = budget_of
         self._log = log
         self._meters = meters
-        self._places = Places(backends, permits, log, meters)
+        self._places = Places(backends, choice, permits, log, meters)
         self._reading = Reading(
             backends=backends, choice=choice, legs=legs, quarantine=quarantine, log=log
         )
@@ -196,6 +196,10 @@
                 await self._reading.free(memory)
         if memory is None or end is not _End.REFUSED:
             return end, why
+        if self._backends.bar(server, await curio.clock()) is not None:
+            # It wants this request no more than any other.
+            await self._reading.free(memory)
+            return end, why
         # The memory or the reservation lapsed; the same server may still read it itself.
         await self._reading.free(memory)
         if not budget.try_retry():
