--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -29,6 +29,7 @@
 )
 from crankhinge_soak._load import Probe, Seen
 from crankhinge_soak._verdict import Verdict, verdict
+from crankhinge_soak._words_check import keeps_leaving, keeps_rests
 
 # Seconds without trouble after which bounds in time hold again.
 CONTACT_S = 3.0
@@ -154,6 +155,8 @@
         "a key that was taken away runs nothing after its bound": _revoked,
         "an account's use stays within its limit": _limited,
         "a server gets no more than it says it takes": _server_limits,
+        "a server that says it leaves gets no new work": keeps_leaving,
+        "a server that wants rest gets it": keeps_rests,
     }
     return [verdict(promise, *look(history)) for promise, look in checks.items()]
 
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -33,6 +33,9 @@
 # bound holds three seconds after the first word, over four.
 LIMITS = ("0.5", "2", "5")
 LIMITED_S = (8.0, 12.0)
+# Part of the requests that a server refuses that wants rest, and the seconds that it names.
+RESTING_REFUSES = 0.7
+RESTS_S = (1.0, 3.0, 6.0)
 # Changes of the configuration in quick succession.
 STORM = 6
 # Shares, so that each variant comes a few times in twenty seeds: of episodes, those in series; of
@@ -40,7 +43,7 @@
 # of harmed paths, those that are reset and those whose connections fall silent; of outages of the
 # store, those in which entries lapse; of changes of the configuration, those in quick succession,
 # those that move calls, those that take a key away, and those that make it large or small; of
-# servers that name limits, those whose service does as a whole.
+# servers that name limits or want rest, those whose service does as a whole.
 SERIES_SHARE = 0.4
 SILENT_SHARE = 0.3
 UNREADABLE_SHARE = 0.4
@@ -248,11 +251,14 @@
         await self._lasting(trouble)
         await self._fleet.faults(place.port, **WHOLE)
 
+    def _alike(self, place: Place) -> list[Place]:
+        """Return a server, or now and then all of its service."""
+        alike = [each for each in self._fleet.places if each.service == place.service]
+        return alike if self._by_chance(ALL_LIMITED_SHARE) else [place]
+
     async def _limit_server(self) -> None:
         """Have a server, or all of its service, say how much it takes."""
-        place = self._place()
-        alike = [each for each in self._fleet.places if each.service == place.service]
-        places = alike if self._by_chance(ALL_LIMITED_SHARE) else [place]
+        places = self._alike(self._place())
         limit = self._rng.choice(LIMITS)
         for each in places:
             await self._fleet.faults(each.port, limit=limit)
@@ -260,6 +266,18 @@
         for each in places:
             await self._fleet.faults(each.port, limit="")
 
+    async def _rest_server(self) -> None:
+        """Have a server, or all of its service, refuse requests and ask for rest."""
+        places = self._alike(self._place())
+        rest_s = self._rng.choice(RESTS_S)
+        for each in places:
+            await self._fleet.faults(each.port, refuses=RESTING_REFUSES, rest_s=rest_s)
+        await curio.sleep(self._rng.uniform(*LIMITED_S))
+        for each in places:
+            await self._fleet.faults(each.port, refuses=0.0, rest_s=0.0)
+        # What it asked for last holds on; nothing is whole before that.
+        await curio.sleep(rest_s)
+
     async def _path(self, proxy: Proxy, kind: str, target: str, *, mutes: bool = True) -> None:
         trouble = self._begin(f"{kind}-reset", target)
         if self._by_chance(RESET_SHARE):
@@ -337,6 +355,7 @@
     "pause-server": Faults._pause_server,
     "harm-server": Faults._harm_server,
     "limit-server": Faults._limit_server,
+    "rest-server": Faults._rest_server,
     "path-store": Faults._path_to_store,
     "path-callers": Faults._path_of_callers,
     "path-server": Faults._path_to_server,
--- /dev/null
+++ b/src/crankhinge_soak/_words_check.py
@@ -0,0 +1,81 @@
+"""Checks that instances keep to what servers say of themselves: that they leave, or want rest.
+
+Both hold for the instance that was told, whatever befell others; only what befell itself, or its
+path to the server, excuses it.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from crankhinge_soak._check import History
+
+# Seconds after which a server that said it leaves gets nothing more, with those of a busy machine.
+LEAVE_S = 3.0
+# Seconds after its word from which a server that wants rest gets at most so many requests.
+HEARD_S, MOST_IN_REST = 0.5, 2
+
+# What one instance sent: wall clock and identity of the request, by server and instance.
+Sent = dict[tuple[str, str], list[tuple[float, str]]]
+
+
+def keeps_leaving(history: History) -> tuple[int, list[str]]:
+    """A server gets nothing from an instance that has passed on its word that it leaves."""
+    told: dict[tuple[str, str], float] = {}
+    for row in _told(history):
+        seen = history.by_ident.get(row["request"])
+        if row["leaving"] and seen is not None and seen.whole and not seen.own:
+            told.setdefault((row["server"], seen.gateway), seen.ended)
+    cases = []
+    for (server, gateway), at in told.items():
+        for arrived, ident in _sent(history)[server, gateway]:
+            sent = history.by_ident[ident].sent
+            if sent > at + LEAVE_S and not _befell(history, [gateway], at, arrived):
+                cases.append(f"{ident} by {gateway} to {server} {sent - at:.2f} s after its word")
+    return len(told), cases
+
+
+def keeps_rests(history: History) -> tuple[int, list[str]]:
+    """A server that refused an instance and wants rest gets next to nothing from it meanwhile."""
+    cases = []
+    tested = 0
+    all_sent = _sent(history)
+    for row in _told(history):
+        seen = history.by_ident.get(row["request"])
+        begin, end = row["at"], row["at"] + row["rest_s"]
+        if seen is None or end - begin <= HEARD_S:
+            continue
+        names = [seen.gateway, history.places.get(row["server"], "")]
+        if _befell(history, names, begin, end):
+            continue
+        tested += 1
+        times = all_sent[row["server"], seen.gateway]
+        got = sum(begin + HEARD_S < at < end for at, _ in times)
+        if got > MOST_IN_REST:
+            cases.append(f"{got} by {seen.gateway} to {row['server']} in {row['rest_s']} s of rest")
+    return tested, cases
+
+
+def _told(history: History) -> list[dict[str, Any]]:
+    return [row for row in history.rows if row["kind"] == "told"]
+
+
+def _sent(history: History) -> Sent:
+    sent: Sent = defaultdict(list)
+    for ident, rows in history.arrivals.items():
+        seen = history.by_ident.get(ident)
+        if seen is not None:
+            for row in rows:
+                sent[row["server"], seen.gateway].append((row["at"], ident))
+    return sent
+
+
+def _befell(history: History, names: Iterable[str], begin: float, end: float) -> bool:
+    """Whether anything, planned or not, befell one of these between two times."""
+    targets = set(names)
+    return any(
+        trouble.target in targets and trouble.overlaps(begin, end) for trouble in history.troubles
+    )
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -17,6 +17,7 @@
         garbles: share of answers that break off.
         refuses: share of arrivals that are refused before they run.
         slow: factor on every duration.
+        rest_s: seconds for which it wants no request from whom it refuses; 0 for no such word.
         limit: what it names as the requests a second that it takes; empty for nothing.
     """
 
@@ -26,6 +27,7 @@
     refuses: float = 0.0
     slow: float = 1.0
     limit: str = ""
+    rest_s: float = 0.0
 
 
 @dataclass
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -40,6 +40,8 @@
 SIDE_CALL_S = 1.0
 # Seconds between looks whether SIGTERM has come.
 LOOK_S = 0.05
+# Status of a refusal for want of room.
+FULL = 503
 ORDER_FIELDS = ("opcode", "holder", "fencing_token")
 
 
@@ -200,7 +202,7 @@
         fits = (self._phase == "prefill") == reading
         full = self._running >= SLOTS or self._switching or self._by_chance(self.faults.refuses)
         if not fits or full:
-            await self._refuse(exchange, 503 if fits else 421)
+            await self._refuse(exchange, FULL if fits else 421)
             return
         self._running += 1
         try:
@@ -226,16 +228,32 @@
 
     def _head(self, ident: str) -> list[tuple[str, str]]:
         seal = ("x-server-seal", f"{self.ident}.{ident}")
-        return [("x-request-id", ident), seal, *self._named()]
-
-    def _named(self) -> list[tuple[str, str]]:
-        """Return the field in which it says how much it takes, if it does."""
-        return [("server-limit", self.faults.limit)] if self.faults.limit else []
+        return [("x-request-id", ident), seal, *self._words(ident)]
+
+    def _words(self, ident: str, rest_s: float = 0.0) -> list[tuple[str, str]]:
+        """Return the fields in which it says of itself what it has to say, and record them."""
+        fields = []
+        if self.faults.limit:
+            fields.append(("server-limit", self.faults.limit))
+        if self._leaving and not self._silent_leave:
+            fields.append(("server-leaving", "1"))
+        if rest_s:
+            fields.append(("retry-after", f"{rest_s:g}"))
+        if self._leaving or rest_s:
+            self._recorder.write(
+                kind="told",
+                server=self.ident,
+                request=ident,
+                leaving=self._leaving and not self._silent_leave,
+                rest_s=rest_s,
+            )
+        return fields
 
     async def _refuse(self, exchange: Exchange, status: int) -> None:
         ident = exchange.req.headers["x-request-id"]
         head = [("x-request-id", ident), ("x-not-executed", "1"), ("x-instance-id", self.ident)]
-        await exchange.respond_as_is(status, head + self._named(), b"")
+        rest_s = self.faults.rest_s if status == FULL else 0.0
+        await exchange.respond_as_is(status, head + self._words(ident, rest_s), b"")
 
     async def _work(self, exchange: Exchange) -> None:
         ident = self._ran(exchange.req)
@@ -261,7 +279,7 @@
         await curio.spawn(self._lapse, self._memory.handles, handle, HANDLE_S, daemon=True)
         body = msgspec.json.encode({"kv_handle": handle, "tokens": tokens, "version": 1})
         ident = exchange.req.headers["x-request-id"]
-        await exchange.respond_as_is(200, [("x-request-id", ident), *self._named()], body)
+        await exchange.respond_as_is(200, [("x-request-id", ident), *self._words(ident)], body)
 
     async def _lapse(self, tied: dict[str, int], name: str, after_s: float) -> None:
         await curio.sleep(after_s)
@@ -275,12 +293,12 @@
         run = f"r{next(self._names)}"
         held = self._memory.holds.pop(req.headers.get("hold", ""), 0)
         if self._memory.used + max(tokens, held) > KV_TOKENS:
-            await self._refuse(exchange, 503)
+            await self._refuse(exchange, FULL)
             return
         self._memory.runs[run] = max(tokens, held)
         try:
             if "kv-from" in req.headers and not await self._fetch(req.headers["kv-from"]):
-                await self._refuse(exchange, 503)
+                await self._refuse(exchange, FULL)
                 return
             if "kv-from" not in req.headers:
                 await curio.sleep(int(prompt) * READ_TOKEN_S * 2 * self.faults.slow)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,6 +21,9 @@
 from crankhinge_soak._proxy import Harm, Proxy
 from crankhinge_soak.main import main, make_parser, run_seed, seeds_of
 
+# What a server records that said it leaves, or that it wants rest.
+LEAVES: dict[str, Any] = {"leaving": True, "rest_s": 0.0}
+RESTS: dict[str, Any] = {"leaving": False, "rest_s": 3.0}
 # Wall clock at which the histories of these tests begin.
 T0 = 1000.0
 CASES = Path(__file__).resolve().parent.parent / "docs" / "soak-cases.toml"
@@ -147,6 +150,26 @@
             "calm_from": T0 + 99,
         },
     ),
+    "a server that said it leaves": (
+        "a server that says it leaves gets no new work",
+        {
+            "seen": [seen("q1"), seen("q2", sent=T0 + 4)],
+            "rows": [
+                *(row("arrival", "q1"), row("run", "q1"), row("told", "q1", **LEAVES)),
+                *(row("arrival", "q2", T0 + 4.1), row("run", "q2", T0 + 4.1)),
+            ],
+        },
+    ),
+    "a server that wants rest": (
+        "a server that wants rest gets it",
+        {
+            "seen": [seen("q1", status=503, own=True), *(seen(f"q{n}") for n in range(2, 5))],
+            "rows": [
+                *(row("arrival", "q1"), row("told", "q1", **RESTS)),
+                *(row("arrival", f"q{n}", T0 + n / 2) for n in range(2, 5)),
+            ],
+        },
+    ),
     "a key that was taken away long ago": (
         "a key that was taken away runs nothing after its bound",
         {"seen": [seen("q1", key="key-1"), seen("q2")], "revoked": {"key-1": T0 - 6}},
@@ -226,6 +249,14 @@
         found = history(seen=[cut], troubles=[STOP, killed], calm_from=T0 + 9)
         assert "a planned stop cuts nothing" not in broken(found)
 
+    @pytest.mark.parametrize("fault", ["a server that said it leaves", "a server that wants rest"])
+    @pytest.mark.parametrize(("target", "excuses"), [("gateway-0", True), ("gateway-1", False)])
+    def test_a_server_is_told_to_one_instance(self, fault: str, target: str, excuses: bool) -> None:
+        """What befell another one excuses nothing."""
+        promise, differs = FAULTS[fault]
+        trouble = Trouble("pause", target, T0 + 0.3, T0 + 0.6)
+        assert (promise not in broken(history(**differs, troubles=[trouble]))) is excuses
+
     def test_nor_for_one_that_was_killed_before_it_recorded_the_request(self) -> None:
         """The prompt of a stream was read elsewhere; its connection to the writer was reset."""
         stream = dataclasses.replace(seen("q1", "/stream/"), **CUT)
