--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -278,21 +278,63 @@
         return ServiceAnswer(200, {}, b"")
 
 
+class RestingService(SlowService):
+    """A service that refuses the first call and wants none for three seconds."""
+
+    async def call(
+        self, method: str, target: str, headers: Mapping[str, str], body: bytes
+    ) -> ServiceAnswer:
+        """Refuse, then run."""
+        answer = await super().call(method, target, headers, body)
+        if self.runs > 1:
+            return answer
+        return ServiceAnswer(503, {"retry-after": "3"}, b"")
+
+
+def plain_role(service: PlainService) -> PlainRole:
+    """Return the role with a silent log; it passes one call on at a time."""
+    return PlainRole(
+        service=service,
+        queue=WorkQueue(width=1, rate=10.0),
+        keeper=BundleKeeper({}),
+        log=get_log(program="test", stream=io.StringIO()),
+        metrics=Metrics(prefix="test"),
+    )
+
+
 class TestPlainRole:
     """Calls to a plain service."""
 
+    def test_a_service_that_rests_gets_no_call(self) -> None:
+        """Whoever comes, or waits already, is refused with the time that is left.
+
+        Callers saw calls refused by a service that had asked for none for a while: its word went to
+        the caller that was refused, and the next call was sent at once.
+        """
+
+        async def scenario() -> tuple[int, list[float], int]:
+            service, link = RestingService(), FakeLink()
+            role = plain_role(service)
+            for req in range(4):
+                call = Call(req, "POST", "/x", {}, b"", 20.0)
+                await role.handle(link, call)  # type: ignore[arg-type]
+                await curio.sleep(0.7)
+            left = [round(msg.retry_after, 1) for msg in link.of(Refused)]
+            await curio.sleep(2.0)
+            await role.handle(link, Call(9, "POST", "/x", {}, b"", 20.0))  # type: ignore[arg-type]
+            await curio.sleep(1.5)
+            return service.runs, left, link.of(CallDone)[-1].status
+
+        runs, left, status = run_virtual(scenario)
+        assert (runs, status) == (2, 200)
+        assert left == [3.0, 2.6, 1.9]
+
     def test_a_begun_call_outlives_its_entry(self) -> None:
         """When the entry dies, the begun call ends, the waiting one is dropped, others go on."""
 
         async def scenario() -> tuple[int, int, bool]:
             service, link, other = SlowService(), FakeLink(), FakeLink()
-            role = PlainRole(
-                service=service,
-                queue=WorkQueue(width=1, rate=10.0),
-                keeper=BundleKeeper({}),
-                log=get_log(program="test", stream=io.StringIO()),
-                metrics=Metrics(prefix="test"),
-            )
+            role = plain_role(service)
             for req, owner in ((1, link), (2, link), (3, other)):
                 call = Call(req, "POST", "/x", {}, b"", 20.0)
                 await role.handle(owner, call)  # type: ignore[arg-type]
