An agent keeps the rest that its service asks for

Callers saw: calls refused by a plain service that had asked for none for a while, one after the other; told to come back in a second at most, they came too early. The agent is the one process that calls the service. Change: after a 503 with Retry-After the agent refuses calls with the time that is left, those that wait in its queue too; the entry tries other agents, and tells its caller the shortest time that they named. Left: an engine's 503 counts as a failure, as before.

--- a/src/crankhinge/adapters/_service.py
+++ b/src/crankhinge/adapters/_service.py
@@ -9,11 +9,19 @@
 
 @dataclass(frozen=True)
 class ServiceAnswer:
-    """A whole answer."""
+    """A whole answer.
+
+    Attributes:
+        status: of HTTP.
+        headers: that are passed on.
+        body: the whole body.
+        rest_s: seconds for which the service wants no further call; None where it does not say.
+    """
 
     status: int
     headers: Mapping[str, str]
     body: bytes
+    rest_s: float | None = None
 
 
 class PlainService(abc.ABC):
--- a/src/crankhinge/agent/_plain.py
+++ b/src/crankhinge/agent/_plain.py
@@ -12,6 +12,7 @@
 
 CALL_UNITS = 1
 CALL_RANK = 0
+RESTING = "backend-rests"
 
 
 class PlainRole(QueuedRole):
@@ -25,13 +26,27 @@
     def __init__(self, *, service: PlainService, **more: Any) -> None:
         super().__init__(**more)
         self._service = service
+        # When the service wants calls again, on the runtime's clock.
+        self._rests_until = 0.0
 
     async def handle(self, link: Link, msg: Message) -> None:
         """Act on Call and Cancel."""
-        if isinstance(msg, Call):
-            await self.enqueue(link, msg.req, msg.member, CALL_RANK, msg.within, CALL_UNITS, msg)
-        else:
+        if not isinstance(msg, Call):
             await self.handle_cancel(msg)
+        elif not await self._refused_in_rest(link, msg.req):
+            await self.enqueue(link, msg.req, msg.member, CALL_RANK, msg.within, CALL_UNITS, msg)
+
+    async def _refused_in_rest(self, link: Link, req: int) -> bool:
+        """Refuse a call while the service wants none; returns whether it does not.
+
+        Every call to the service comes through here: sent on, it would be refused there as well,
+        and its entry would not know that it may go elsewhere.
+        """
+        left_s = self._rests_until - await curio.clock()
+        if left_s <= 0:
+            return False
+        await self.refuse(link, req, RESTING, left_s)
+        return True
 
     async def cancel(self, req: int) -> None:
         """End a request that nobody waits for, unless it is a call that has begun.
@@ -49,6 +64,9 @@
     async def work(self, msg: Any) -> int:
         """Pass one call on."""
         req = msg.req
+        link = self.owner(req)
+        if link is not None and await self._refused_in_rest(link, req):
+            return 0
         try:
             answer: ServiceAnswer = await curio.timeout_after(
                 msg.within, self._service.call, msg.method, msg.target, msg.headers, msg.body
@@ -61,10 +79,17 @@
         except curio.TaskTimeout:
             await self._failed(req, "deadline-passed", ran=True)
             return 0
+        if answer.rest_s is not None:
+            await self._note_rest(answer.rest_s)
         self.metrics.count("calls")
         await self.tell(req, CallDone(req, answer.status, dict(answer.headers), answer.body))
         return CALL_UNITS
 
+    async def _note_rest(self, rest_s: float) -> None:
+        until = await curio.clock() + rest_s
+        self._rests_until = max(self._rests_until, until)
+        self.log.info("backend_rests", for_s=round(rest_s, 2), taken=until == self._rests_until)
+
     async def _failed(self, req: int, code: str, *, ran: bool) -> None:
         self.log.warning("call_failed", req=f"{req:016x}", code=code, ran=ran)
         self.metrics.count(f"call_failed.{code}")
--- a/src/crankhinge/entry/_plain.py
+++ b/src/crankhinge/entry/_plain.py
@@ -28,6 +28,8 @@
 MAX_ATTEMPTS = 3
 REPLAYED = "x-answer-replayed"
 ANSWER_SLACK_S = 0.5
+# When to come back where no agent tells, in seconds.
+RETRY_AFTER_S = 1.0
 PRIVATE_HEADERS = frozenset({"authorization", "x-deadline-ms", "x-priority", "x-repeatable"})
 
 
@@ -137,7 +139,7 @@
         """
         until = await curio.clock() + min(service.timeout_s, terms.deadline_s or service.timeout_s)
         self._budget.first_attempt()
-        retry_after = 1.0
+        told_back: list[float] = []
         tried: set[str] = set()
         for _ in range(MAX_ATTEMPTS):
             backend = await self._next(service, tried)
@@ -149,14 +151,15 @@
             if isinstance(answer, CallDone):
                 return answer
             if isinstance(answer, Refused):
-                retry_after = min(retry_after, answer.retry_after or retry_after)
+                told_back += [answer.retry_after] if answer.retry_after else []
             elif progress.touched and not (repeatable and self._budget.try_retry()):
                 raise BackendFailed(f"{backend.name} failed in mid-call")
         if progress.touched:
             raise BackendFailed("every attempt failed")
         if not progress.attempts:
-            raise NoBackend(f"no backend server for {service.name}", retry_after_s=1.0)
-        raise Overloaded("no backend server took the call", retry_after_s=retry_after)
+            raise NoBackend(f"no backend server for {service.name}", retry_after_s=RETRY_AFTER_S)
+        after_s = min(told_back, default=RETRY_AFTER_S)
+        raise Overloaded("no backend server took the call", retry_after_s=after_s)
 
     async def _next(self, service: Service, tried: set[str]) -> Backend | None:
         """Return the next backend server to try."""
--- /dev/null
+++ b/tests/test_http_service.py
@@ -0,0 +1,59 @@
+"""Tests of the adapter for plain services."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from crankhinge.adapters import ServiceAnswer
+from crankhinge.adapters.http_service import HttpService
+from crankhinge.errors import BadHttp
+from crankhinge.http import Exchange, serve_http
+from crankhinge.runtime import get_log, until_first
+from crankhinge_bench._procs import HOST, free_ports
+
+
+def answer_of(status: int, fields: list[tuple[str, str]]) -> ServiceAnswer:
+    """Return what the adapter makes of a service's answer."""
+    [port] = free_ports(1)
+    answers: list[ServiceAnswer] = []
+
+    async def handle(exchange: Exchange) -> None:
+        await exchange.respond_as_is(status, fields, b"")
+
+    async def on_bad(exchange: Exchange, exc: BadHttp) -> None:
+        await exchange.respond(400, exc.detail.encode())
+
+    async def serve() -> None:
+        await serve_http(HOST, port, handle, on_bad=on_bad, log=get_log(program="t"))
+
+    async def call() -> None:
+        service = HttpService(HOST, port)
+        while not await service.alive():
+            await curio.sleep(0.01)
+        answers.append(await service.call("POST", "/x", {}, b""))
+
+    curio.run(until_first, serve, call)
+    return answers[0]
+
+
+class TestRest:
+    """A service that is unavailable for a while."""
+
+    @pytest.mark.parametrize(
+        ("status", "named", "rest_s"),
+        [
+            (503, "3", 3.0),
+            (503, "0.5", 0.5),
+            (503, "soon", None),
+            (503, "-1", None),
+            (503, "inf", None),
+            (429, "3", None),
+            (200, "3", None),
+        ],
+    )
+    def test_is_decoded(self, status: int, named: str, rest_s: float | None) -> None:
+        """Only where it says so, in seconds; the field itself is passed on."""
+        answer = answer_of(status, [("retry-after", named)])
+        assert (answer.status, answer.rest_s) == (status, rest_s)
+        assert answer.headers["retry-after"] == named
--- a/tests/test_roles.py
+++ b/tests/test_roles.py
@@ -288,7 +288,7 @@
         answer = await super().call(method, target, headers, body)
         if self.runs > 1:
             return answer
-        return ServiceAnswer(503, {"retry-after": "3"}, b"")
+        return ServiceAnswer(503, {"retry-after": "3"}, b"", rest_s=3.0)
 
 
 def plain_role(service: PlainService) -> PlainRole:
