--- a/src/crankhinge/decisions/_bars.py
+++ b/src/crankhinge/decisions/_bars.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self._leaving: dict[str, float] = {}
         self._rests: dict[str, float] = {}
+        self._last_end = float("-inf")
 
     def says_it_leaves(self, server: str, at: float) -> bool:
         """Note that a server says it leaves; returns whether that is news.
@@ -72,12 +73,17 @@
         if until <= self._rests.get(server, float("-inf")):
             return False
         keep_newest(self._rests, server, until, MOST_BARRED)
+        self._last_end = max(self._last_end, until)
         return True
 
     def leaves_since(self, server: str) -> float | None:
         """Return when a server was first heard to leave; None where it was not."""
         return self._leaving.get(server)
 
+    def any_rests(self, now: float) -> bool:
+        """Whether any server may want no request now; false spares the look at each of them."""
+        return now < self._last_end
+
     def rests_until(self, server: str, now: float) -> float | None:
         """Return until when a server wants no request; None where it wants some now."""
         until = self._rests.get(server, now)
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -123,12 +123,20 @@
 
         A server that wants no request for a while counts among the able ones: it stays.
         """
-        able = self.able(service, now, phase, model)
-        return [server for server in able if self.bar(server, now) is None]
+        return self.without_rest(self.able(service, now, phase, model), now)
+
+    def without_rest(self, servers: list[Server], now: float) -> list[Server]:
+        """Return those of some servers that want requests now."""
+        if not self.bars.any_rests(now):
+            return servers
+        return [server for server in servers if self.bars.rests_until(server.ident, now) is None]
 
     def bar(self, server: Server, now: float) -> Bar | None:
         """Return what keeps requests from a server, whatever others there are; None for nothing."""
-        lasting = self._lasting_bar(server)
+        known = self._servers.get(server.ident)
+        if known is None:
+            return Bar(BarCause.GONE)
+        lasting = self._lasting_bar(known)
         until = self.bars.rests_until(server.ident, now)
         if lasting is not None or until is None:
             return lasting
@@ -140,15 +148,12 @@
         return sum(bar is not None and bar.cause is cause for bar in bars)
 
     def _lasting_bar(self, server: Server) -> Bar | None:
-        """Return what keeps requests from a server for as long as it lives.
+        """Return what keeps requests from a server in the list for as long as it lives.
 
         A server that leaves says so in its answers before its entry does: the store may be away,
         and takes entries late.
         """
-        known = self._servers.get(server.ident)
-        if known is None:
-            return Bar(BarCause.GONE)
-        if known.leaving or self.bars.leaves_since(server.ident) is not None:
+        if server.leaving or self.bars.leaves_since(server.ident) is not None:
             return Bar(BarCause.LEAVING)
         if self.standing(server.ident).replaced:
             return Bar(BarCause.REPLACED)
@@ -276,10 +281,13 @@
             phase: the part that they play; any by default.
             model: that they have to hold.
         """
+        if not self.bars.any_rests(now):
+            return None
         able = self.able(service, now, phase, model)
-        bars = [self.bar(server, now) for server in able if server.ident not in avoid]
-        ends = [bar.until for bar in bars if bar is not None]
-        return min(ends) if ends and len(ends) == len(bars) else None
+        ends = [
+            self.bars.rests_until(server.ident, now) for server in able if server.ident not in avoid
+        ]
+        return None if None in ends else min((end for end in ends if end is not None), default=None)
 
     async def side_call(self, server: Server, call: SideCall) -> Response | None:
         """Make a call of the router's own; None when it isn't answered."""
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -187,7 +187,7 @@
         if not order.may_ask(search.number, now):
             return None
         able = places_to_ask(
-            [server for server in present if self._backends.bar(server, now) is None],
+            self._backends.without_rest(present, now),
             self._backends.standing,
             tokens=need.tokens,
             kv_tokens=engine.kv_tokens,
