--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -1,15 +1,20 @@
-"""Tests of what a request's end says of its server."""
+"""Tests of the way to a server: what bars it, and what a request's end says of its server."""
 
 from __future__ import annotations
 
 import base64
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
 import pytest
 
 from crankhinge.adapters import Leg
-from crankhinge.errors import CallerGone, HttpClosed
+from crankhinge.decisions import Server
+from crankhinge.errors import CallerGone, HttpClosed, ServerBarred
+from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._legs import Legs
 from crankhinge.gateway._request import Relay
@@ -31,48 +36,90 @@
 from virtual_time import run_virtual
 
 
+@dataclass(frozen=True)
+class Way:
+    """The way of one request to one server."""
+
+    legs: Legs
+    backends: Backends
+    relay: Relay
+    server: Server
+
+
+def way_to(replica: FakeReplica, log: Any) -> Way:
+    """Return the way of a request to a server, at an instance that has nobody to ask."""
+    entry = (
+        f'{{"service": "plain", "address": "{HOST}:{replica.port}", "zone": "z1", '
+        '"slots": 4, "state": "ready", "sequence": 1}'
+    )
+    value = base64.b64encode(entry.encode()).decode()
+    server = decode_server(Item("servers/i-1", value=value))
+    backends = lone_backends(log, server)
+    req = HttpRequest(
+        "GET", "/", {"x-request-id": "q"}, b"", (("host", "h"), ("x-request-id", "q"))
+    )
+    relay = SimpleNamespace(
+        exchange=SimpleNamespace(req=req),
+        ask=SimpleNamespace(ident="q"),
+        facts={},
+        account_name=None,
+        trial="",
+        work=lambda *, read_only: "f",
+    )
+    quarantine = lone_desk("g", log)
+    crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
+    limits = lone_limits("g", backends, log)
+    words = lone_words(backends.bars, log)
+    legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news, words)
+    return Way(legs, backends, cast(Relay, relay), server)
+
+
 def failing_after(failure: Exception) -> float:
     """Return the share of failures believed of a server after *failure* while its answer passed."""
     seen: list[float] = []
     world = World()
     replica: FakeReplica = world.add("i-1", "plain")
-    log = get_log(program="t", stream=world.lines)
 
     async def story() -> None:
-        entry = (
-            f'{{"service": "plain", "address": "{HOST}:{replica.port}", "zone": "z1", '
-            '"slots": 4, "state": "ready", "sequence": 1}'
-        )
-        value = base64.b64encode(entry.encode()).decode()
-        server = decode_server(Item("servers/i-1", value=value))
-        backends = lone_backends(log, server)
-
-        req = HttpRequest(
-            "GET", "/", {"x-request-id": "q"}, b"", (("host", "h"), ("x-request-id", "q"))
-        )
-        relay = SimpleNamespace(
-            exchange=SimpleNamespace(req=req),
-            ask=SimpleNamespace(ident="q"),
-            facts={},
-            account_name=None,
-            trial="",
-            work=lambda *, read_only: "f",
-        )
-        quarantine = lone_desk("g", log)
-        crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
-        limits = lone_limits("g", backends, log)
-        words = lone_words(backends.bars, log)
-        legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news, words)
-        leg = Leg("i-1", 1.0)
+        way = way_to(replica, get_log(program="t", stream=world.lines))
         with pytest.raises(type(failure)):
-            async with legs.open(cast(Relay, relay), server, leg):
+            async with way.legs.open(way.relay, way.server, Leg("i-1", 1.0)):
                 raise failure
-        seen.append(backends.standing("i-1").failing)
+        seen.append(way.backends.standing("i-1").failing)
 
     run_virtual(world.play, story, route("r", "/r/", "safe", "plain"), settle_s=0.003)
     return seen[0]
 
 
+class TestBarred:
+    """A server that was chosen, and is barred by the time that the request is sent."""
+
+    @pytest.mark.parametrize(
+        "bar",
+        [
+            lambda way: way.backends.bars.says_it_leaves("i-1", 1.0),
+            lambda way: way.backends.bars.asks_rest("i-1", math.inf),
+            lambda way: way.backends.replaced(way.server),
+            lambda way: way.backends._servers.replace([], 1.0, was_away=False),
+        ],
+        ids=["leaving", "resting", "replaced", "gone"],
+    )
+    def test_nothing_is_sent(self, bar: Callable[[Any], object]) -> None:
+        """Whoever sends it chooses another."""
+        world = World()
+        replica = world.add("i-1", "plain")
+
+        async def story() -> None:
+            way = way_to(replica, get_log(program="t", stream=world.lines))
+            bar(way)
+            with pytest.raises(ServerBarred):
+                async with way.legs.open(way.relay, way.server, Leg("i-1", 1.0)):
+                    raise AssertionError("sent")
+
+        run_virtual(world.play, story, route("r", "/r/", "safe", "plain"), settle_s=0.003)
+        assert not replica.arrivals
+
+
 class TestBlame:
     """Who failed."""
 
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -251,7 +251,8 @@
         fleet.add("i-other", behave=slowly)
 
         async def story() -> None:
-            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=1.5 * rest_s + 2.0)
+            # Enough that a window for the whole service would be felt.
+            await fleet.ask_often("/once/a", per_s=30.0, for_s=1.5 * rest_s + 2.0)
 
         fleet.play(story, ONCE)
         assert resting.most_in_rest(server) == 0
@@ -277,6 +278,25 @@
         assert max(each.took_s for each in known) < 0.1
         assert all(0.0 <= each.sent + each.back_s - first < 1.5 for each in known)
 
+    def test_whoever_waits_in_turn_is_told_at_once(self) -> None:
+        """Both servers rest while a call that was sent before holds the service's only turn."""
+        fleet = LimitedFleet(1)
+        for number in range(2):
+            fleet.add(f"i-{number}", behave=as_asked)
+
+        async def story() -> None:
+            async with curio.TaskGroup(wait=all) as group:
+                full = [b"full %.2f" % after_s for after_s in (0.1, 0.27, 0.44, 0.61, 0.78)]
+                for body in (b"run 1.6", *full, *[b"rest 0.8"] * 4):
+                    await group.spawn(partial(fleet.ask, "/once/a", body=body))
+                await curio.sleep(0.85)
+                await fleet.ask("/once/a")
+
+        fleet.play(story, ONCE)
+        assert fleet.statuses() == {200: 1, 503: 10}
+        last = max(fleet.outcomes, key=lambda each: each.sent)
+        assert (last.status, last.took_s < 0.1) == (503, True)
+
     def test_one_that_ends_soon_is_waited_for(self) -> None:
         """A caller that can still be in time is served rather than sent away."""
         fleet = LimitedFleet(1)
@@ -474,6 +494,19 @@
     await sealed(replica, exchange)
 
 
+async def as_asked(replica: FakeReplica, exchange: Exchange) -> None:
+    """Run a request, refuse it, or refuse it and ask for rest, after a time, as its body says."""
+    what, _, after_s = exchange.req.body.decode().partition(" ")
+    await curio.sleep(float(after_s or 0))
+    if what == "run":
+        await sealed(replica, exchange)
+        return
+    ident = exchange.req.headers["x-request-id"]
+    rest = [("retry-after", "3")] if what == "rest" else []
+    fields = [("x-request-id", ident), ("x-not-executed", "1"), *rest]
+    await exchange.respond_as_is(503, fields, b"")
+
+
 async def fail(replica: FakeReplica, exchange: Exchange) -> None:
     """Run the request and answer that it failed."""
     await exchange.respond_as_is(500, replica.head(exchange), b"failed")
