--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -373,11 +373,16 @@
         fleet.add("i-reader", "llm", "prefill")
         resting = Resting()
         server = fleet.add("i-resting", "llm", "decode", behave=resting, room=10_000)
-        for number in range(others):
+        writers = [
             fleet.add(f"i-writer{number}", "llm", "decode", behave=stream, room=10_000)
+            for number in range(others)
+        ]
 
         stream_often(fleet)
         assert resting.most_in_rest(server) <= MOST_IN_REST
+        # The route allows one server.
+        sent = [each.ident for writer in [server, *writers] for each in writer.arrivals]
+        assert len(sent) == len(set(sent))
         if others:
             # Once a rest.
             assert (
