Retry-After is rounded up

Callers were told to come back up to 5 ms before a server's rest ends: the field was rounded to the nearest hundredth.

--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import curio
@@ -287,6 +288,8 @@
         fields = [*self._dialect.own_fields(ask), ("content-type", "application/json")]
         if status in (429, 503):
             after = exc.retry_after_s or RETRY_AFTER_S
+            # Rounded up: whoever comes a moment early is refused once more.
+            after = math.ceil(round(after * 100, 6)) / 100
             fields.append(("retry-after", f"{after:.2f}"))
         try:
             await exchange.respond_as_is(status, fields, _body(exc, outcome))
