What bars a server is its cause alone

The end of a bar that went with its cause was read by nobody since the end of a rest is asked of the words themselves.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -3,7 +3,7 @@
 from crankhinge.decisions._accounts import Account, Accounts, TokenLimit
 from crankhinge.decisions._asks import FairAsk, Refuse, SlotAsk, WorkAsk
 from crankhinge.decisions._backend import Backend
-from crankhinge.decisions._bars import Bar, BarCause, Bars
+from crankhinge.decisions._bars import Bar, Bars
 from crankhinge.decisions._breaker import Breaker, BreakerState
 from crankhinge.decisions._budget import RetryBudget
 from crankhinge.decisions._congestion import Congestion
@@ -124,7 +124,6 @@
     "Answer",
     "Backend",
     "Bar",
-    "BarCause",
     "Bars",
     "Breaker",
     "BreakerState",
--- a/src/crankhinge/decisions/_bars.py
+++ b/src/crankhinge/decisions/_bars.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import enum
-import math
-from dataclasses import dataclass
 
 from crankhinge.decisions._bounded import keep_newest
 
@@ -16,7 +14,7 @@
 MOST_BARRED = 1024
 
 
-class BarCause(enum.Enum):
+class Bar(enum.Enum):
     """Why a server gets no request."""
 
     GONE = "gone"
@@ -25,19 +23,6 @@
     RESTING = "resting"
 
 
-@dataclass(frozen=True, slots=True)
-class Bar:
-    """What keeps requests from a server.
-
-    Attributes:
-        cause: why.
-        until: when it ends, on the runtime's clock, in seconds; infinite where its life ends first.
-    """
-
-    cause: BarCause
-    until: float = math.inf
-
-
 class Bars:
     """What servers said, by the identities of their lives.
 
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -12,7 +12,6 @@
 from crankhinge.decisions import (
     KEPT_MOST,
     Bar,
-    BarCause,
     Bars,
     Phase,
     PhaseChange,
@@ -135,17 +134,13 @@
         """Return what keeps requests from a server, whatever others there are; None for nothing."""
         known = self._servers.get(server.ident)
         if known is None:
-            return Bar(BarCause.GONE)
-        lasting = self._lasting_bar(known)
-        until = self.bars.rests_until(server.ident, now)
-        if lasting is not None or until is None:
-            return lasting
-        return Bar(BarCause.RESTING, until)
-
-    def barred(self, cause: BarCause, now: float) -> int:
+            return Bar.GONE
+        resting = self.bars.rests_until(server.ident, now) is not None
+        return self._lasting_bar(known) or (Bar.RESTING if resting else None)
+
+    def barred(self, bar: Bar, now: float) -> int:
         """Return how many servers get no request for a cause."""
-        bars = [self.bar(server, now) for server in self._servers.all()]
-        return sum(bar is not None and bar.cause is cause for bar in bars)
+        return sum(self.bar(server, now) is bar for server in self._servers.all())
 
     def _lasting_bar(self, server: Server) -> Bar | None:
         """Return what keeps requests from a server in the list for as long as it lives.
@@ -154,9 +149,9 @@
         and takes entries late.
         """
         if server.leaving or self.bars.leaves_since(server.ident) is not None:
-            return Bar(BarCause.LEAVING)
+            return Bar.LEAVING
         if self.standing(server.ident).replaced:
-            return Bar(BarCause.REPLACED)
+            return Bar.REPLACED
         return None
 
     def _changes(self, server: Server, now: float) -> bool:
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -81,7 +81,7 @@
         # Its place may have been taken seconds ago, while its prompt was read elsewhere.
         bar = self._backends.bar(server, began)
         if bar is not None:
-            raise ServerBarred(f"{server.ident}: {bar.cause.value}")
+            raise ServerBarred(f"{server.ident}: {bar.value}")
         # Last, since it is used: a permit of a request that is not sent is lost to others.
         permit = await self._permits.spend(relay, server)
         relay.facts.update(self._words.facts(server, began))
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -15,7 +15,7 @@
 from crankhinge.adapters import Dialect, FleetSource, TenureOffice, WorkBoard
 from crankhinge.decisions import (
     KEPT_MOST,
-    BarCause,
+    Bar,
     Members,
     RetryBudget,
     SharedLimits,
@@ -210,8 +210,8 @@
     metrics.ask("config_version", lambda: directory.table.version if directory.table else 0)
     metrics.ask("requests_quarantined", quarantine.__len__)
     metrics.ask("servers_limited", limit_news.__len__)
-    metrics.ask("servers_leaving", lambda: backends.barred(BarCause.LEAVING, steady_s()))
-    metrics.ask("servers_resting", lambda: backends.barred(BarCause.RESTING, steady_s()))
+    metrics.ask("servers_leaving", lambda: backends.barred(Bar.LEAVING, steady_s()))
+    metrics.ask("servers_resting", lambda: backends.barred(Bar.RESTING, steady_s()))
     metrics.ask("servers_known", lambda: len(list(directory.servers.all())))
     metrics.ask("servers_doubted", lambda: len(directory.servers.doubted()))
     metrics.ask("source_bytes", lambda: platform.source.received)
