One reading of Retry-After serves both adapters

The platform's adapter and that of plain services each parsed it, with the same look at what is no time.

--- a/src/crankhinge/adapters/http_service.py
+++ b/src/crankhinge/adapters/http_service.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 
 from crankhinge.adapters._engine import EngineFailed
 from crankhinge.adapters._service import PlainService, ServiceAnswer
 from crankhinge.errors import BadHttp, HttpClosed
-from crankhinge.http import ConnectFailed, HttpClient
+from crankhinge.http import ConnectFailed, HttpClient, retry_after_s
 
 UNAVAILABLE = 503
 HOP_BY_HOP = frozenset(
@@ -22,20 +21,6 @@
     return {name: value for name, value in headers.items() if name not in HOP_BY_HOP}
 
 
-def _rest_s(status: int, headers: Mapping[str, str]) -> float | None:
-    """Return for how long a service is unavailable (RFC 9110, section 10.2.3).
-
-    A date is taken for no word: the clocks of two machines need not agree.
-    """
-    if status != UNAVAILABLE:
-        return None
-    try:
-        rest_s = float(headers.get("retry-after", ""))
-    except ValueError:
-        return None
-    return rest_s if math.isfinite(rest_s) and rest_s > 0 else None
-
-
 class HttpService(PlainService):
     """The service at one address."""
 
@@ -62,5 +47,5 @@
             raise EngineFailed(exc.detail, ran=False) from exc
         except (HttpClosed, BadHttp) as exc:
             raise EngineFailed(exc.detail) from exc
-        rest_s = _rest_s(resp.status, resp.headers)
+        rest_s = retry_after_s(resp.headers) if resp.status == UNAVAILABLE else None
         return ServiceAnswer(resp.status, end_to_end(resp.headers), resp.body, rest_s)
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -8,6 +8,7 @@
     Response,
 )
 from crankhinge.http._client_stream import ClientStream, HttpSilent, Patience
+from crankhinge.http._retry_after import retry_after_s
 from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
 from crankhinge.http._sse import SseParser, sse_event
 
@@ -24,6 +25,7 @@
     "Patience",
     "Response",
     "SseParser",
+    "retry_after_s",
     "serve_http",
     "sse_event",
 ]
