The soak's history is a module of its own, and tells once what befell a name

Two checks looked through the troubles in the same way beside it, one module imported the other in a circle, and what each instance sent was summed anew for each word.

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -8,9 +8,7 @@
 
 import itertools
 from collections import defaultdict
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
-from typing import Any
+from collections.abc import Callable
 
 from crankhinge_soak._faults import Trouble
 from crankhinge_soak._fleet import (
@@ -25,14 +23,12 @@
     ROUTES,
     SAFE,
     STREAM,
-    STREAMS,
 )
-from crankhinge_soak._load import Probe, Seen
+from crankhinge_soak._history import CONTACT_S, History
+from crankhinge_soak._load import Seen
 from crankhinge_soak._verdict import Verdict, verdict
 from crankhinge_soak._words_check import keeps_leaving, keeps_rests
 
-# Seconds without trouble after which bounds in time hold again.
-CONTACT_S = 3.0
 # Seconds: a leaving server gets no new work after; a configuration is in force after.
 LEAVE_S = 2.0
 IN_FORCE_S = 2.0
@@ -45,96 +41,10 @@
 LIMIT_WINDOW_S, LIMIT_OVERRUN, LIMIT_SLACK = 4.0, 0.5, 5
 # Least share of requests that are answered once everything is whole again.
 SERVED = 0.9
-# How the names of places begin that serve streams and plain calls, and what marks those that read.
-ENGINES, PLAIN, READER = "llm", "plain", "prefill"
 MOST_RUNS = {path: most for path, _, most, _ in ROUTES}
 NOT_RUN_STATUS = (408, 421, 429, 503)
 
 
-@dataclass
-class History:
-    """All that the checker looks at.
-
-    Attributes:
-        seen: what callers saw.
-        probes: which configuration instances had in force.
-        rows: what backend servers recorded.
-        troubles: faults as played.
-        acknowledged: wall clock, version and service of plain calls of each configuration.
-        places: name of the place of each server, by its identity.
-        held: memory tied at each engine after everything had ended.
-        calm_from: wall clock from which everything was whole again.
-        exits: processes under test that ended by themselves.
-        revoked: wall clock at which each key was taken away.
-    """
-
-    seen: list[Seen]
-    probes: list[Probe]
-    rows: list[dict[str, Any]]
-    troubles: list[Trouble]
-    acknowledged: list[tuple[float, int, str]]
-    places: dict[str, str]
-    held: dict[str, int]
-    calm_from: float
-    exits: list[str]
-    revoked: dict[str, float] = field(default_factory=dict)
-
-    def __post_init__(self) -> None:
-        self.by_ident = {seen.ident: seen for seen in self.seen}
-        self.runs = self._by_request("run")
-        self.arrivals = self._by_request("arrival")
-
-    def _by_request(self, kind: str) -> dict[str, list[dict[str, Any]]]:
-        table: dict[str, list[dict[str, Any]]] = {}
-        for row in self.rows:
-            if row["kind"] == kind:
-                table.setdefault(row["request"], []).append(row)
-        return table
-
-    def harmed(self, targets: Iterable[str], begin: float, end: float) -> bool:
-        """Whether unplanned trouble befell one of *targets* between two times."""
-        names = set(targets)
-        return any(
-            trouble.target in names and not trouble.planned and trouble.overlaps(begin, end)
-            for trouble in self.troubles
-        )
-
-    def in_touch(self, gateway: str, begin: float, end: float) -> bool:
-        """Whether an instance's bounds in time hold between two times."""
-        targets = (gateway, f"{gateway}/store", "store")
-        begin -= CONTACT_S
-        stopped = any(
-            trouble.target == gateway and trouble.planned and trouble.overlaps(begin, end)
-            for trouble in self.troubles
-            if trouble.kind == "stop"
-        )
-        return not stopped and not self.harmed(targets, begin, end)
-
-    def server_harmed(self, seen: Seen) -> bool:
-        """Whether a server that a request reached was harmed, or left, in its time."""
-        names = {self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())}
-        return any(
-            trouble.target in names and trouble.overlaps(seen.sent - CONTACT_S, seen.ended)
-            for trouble in self.troubles
-        )
-
-    def met_a_killed_server(self, seen: Seen) -> bool:
-        """Whether a request went to a server that was killed before it could record it.
-
-        Its prompt may have been read elsewhere, which is recorded.
-        """
-        reached = [self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())]
-        if any(READER not in name for name in reached):
-            return False
-        service = ENGINES if seen.path in STREAMS else PLAIN
-        return any(
-            trouble.kind == "kill"
-            and trouble.target.startswith(service)
-            and trouble.overlaps(seen.sent, seen.ended)
-            for trouble in self.troubles
-        )
-
-
 def check(history: History) -> list[Verdict]:
     """Return a verdict for each promise."""
     checks: dict[str, Callable[[History], tuple[int, list[str]]]] = {
--- /dev/null
+++ b/src/crankhinge_soak/_history.py
@@ -0,0 +1,101 @@
+"""What callers saw and what backend servers recorded, as the checks look at it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from crankhinge_soak._faults import Trouble
+from crankhinge_soak._fleet import STREAMS
+from crankhinge_soak._load import Probe, Seen
+
+# Seconds without trouble after which bounds in time hold again.
+CONTACT_S = 3.0
+# How the names of places begin that serve streams and plain calls, and what marks those that read.
+ENGINES, PLAIN, READER = "llm", "plain", "prefill"
+
+
+@dataclass
+class History:
+    """All that the checker looks at.
+
+    Attributes:
+        seen: what callers saw.
+        probes: which configuration instances had in force.
+        rows: what backend servers recorded.
+        troubles: faults as played.
+        acknowledged: wall clock, version and service of plain calls of each configuration.
+        places: name of the place of each server, by its identity.
+        held: memory tied at each engine after everything had ended.
+        calm_from: wall clock from which everything was whole again.
+        exits: processes under test that ended by themselves.
+        revoked: wall clock at which each key was taken away.
+    """
+
+    seen: list[Seen]
+    probes: list[Probe]
+    rows: list[dict[str, Any]]
+    troubles: list[Trouble]
+    acknowledged: list[tuple[float, int, str]]
+    places: dict[str, str]
+    held: dict[str, int]
+    calm_from: float
+    exits: list[str]
+    revoked: dict[str, float] = field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        self.by_ident = {seen.ident: seen for seen in self.seen}
+        self.runs = self._by_request("run")
+        self.arrivals = self._by_request("arrival")
+
+    def _by_request(self, kind: str) -> dict[str, list[dict[str, Any]]]:
+        table: dict[str, list[dict[str, Any]]] = {}
+        for row in self.rows:
+            if row["kind"] == kind:
+                table.setdefault(row["request"], []).append(row)
+        return table
+
+    def befell(self, targets: Iterable[str], begin: float, end: float) -> list[Trouble]:
+        """Return what befell any of *targets*, planned or not, between two times."""
+        names = set(targets)
+        return [
+            trouble
+            for trouble in self.troubles
+            if trouble.target in names and trouble.overlaps(begin, end)
+        ]
+
+    def harmed(self, targets: Iterable[str], begin: float, end: float) -> bool:
+        """Whether unplanned trouble befell one of *targets* between two times."""
+        return any(not trouble.planned for trouble in self.befell(targets, begin, end))
+
+    def in_touch(self, gateway: str, begin: float, end: float) -> bool:
+        """Whether an instance's bounds in time hold between two times."""
+        targets = (gateway, f"{gateway}/store", "store")
+        begin -= CONTACT_S
+        stopped = any(
+            trouble.kind == "stop" and trouble.planned
+            for trouble in self.befell([gateway], begin, end)
+        )
+        return not stopped and not self.harmed(targets, begin, end)
+
+    def server_harmed(self, seen: Seen) -> bool:
+        """Whether a server that a request reached was harmed, or left, in its time."""
+        names = {self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())}
+        return bool(self.befell(names, seen.sent - CONTACT_S, seen.ended))
+
+    def met_a_killed_server(self, seen: Seen) -> bool:
+        """Whether a request went to a server that was killed before it could record it.
+
+        Its prompt may have been read elsewhere, which is recorded.
+        """
+        reached = [self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())]
+        if any(READER not in name for name in reached):
+            return False
+        service = ENGINES if seen.path in STREAMS else PLAIN
+        return any(
+            trouble.kind == "kill"
+            and trouble.target.startswith(service)
+            and trouble.overlaps(seen.sent, seen.ended)
+            for trouble in self.troubles
+        )
--- a/src/crankhinge_soak/_words_check.py
+++ b/src/crankhinge_soak/_words_check.py
@@ -7,11 +7,9 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Iterable
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from crankhinge_soak._check import History
+from crankhinge_soak._history import History
 
 # Seconds after which a server that said it leaves gets nothing more, with those of a busy machine.
 LEAVE_S = 3.0
@@ -30,10 +28,11 @@
         if row["leaving"] and seen is not None and seen.whole and not seen.own:
             told.setdefault((row["server"], seen.gateway), seen.ended)
     cases = []
+    all_sent = _sent(history)
     for (server, gateway), at in told.items():
-        for arrived, ident in _sent(history)[server, gateway]:
+        for arrived, ident in all_sent[server, gateway]:
             sent = history.by_ident[ident].sent
-            if sent > at + LEAVE_S and not _befell(history, [gateway], at, arrived):
+            if sent > at + LEAVE_S and not history.befell([gateway], at, arrived):
                 cases.append(f"{ident} by {gateway} to {server} {sent - at:.2f} s after its word")
     return len(told), cases
 
@@ -49,7 +48,7 @@
         if seen is None or end - begin <= HEARD_S:
             continue
         names = [seen.gateway, history.places.get(row["server"], "")]
-        if _befell(history, names, begin, end):
+        if history.befell(names, begin, end):
             continue
         tested += 1
         times = all_sent[row["server"], seen.gateway]
@@ -71,11 +70,3 @@
             for row in rows:
                 sent[row["server"], seen.gateway].append((row["at"], ident))
     return sent
-
-
-def _befell(history: History, names: Iterable[str], begin: float, end: float) -> bool:
-    """Whether anything, planned or not, befell one of these between two times."""
-    targets = set(names)
-    return any(
-        trouble.target in targets and trouble.overlaps(begin, end) for trouble in history.troubles
-    )
--- a/src/crankhinge_soak/main.py
+++ b/src/crankhinge_soak/main.py
@@ -15,10 +15,11 @@
 from crankhinge import __version__
 from crankhinge.runtime import write_json
 from crankhinge_bench._procs import http_json
-from crankhinge_soak._check import History, check
+from crankhinge_soak._check import check
 from crankhinge_soak._entries import run_seed as run_entries
 from crankhinge_soak._faults import EPISODES, Faults
 from crankhinge_soak._fleet import Fleet
+from crankhinge_soak._history import History
 from crankhinge_soak._load import Load
 from crankhinge_soak._verdict import Report, render
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,9 +14,10 @@
 from crankhinge.http import Exchange, HttpClient, serve_http
 from crankhinge.runtime import get_log, until_first
 from crankhinge_bench._procs import HOST, free_ports
-from crankhinge_soak._check import History, check
+from crankhinge_soak._check import check
 from crankhinge_soak._faults import Faults, Trouble
 from crankhinge_soak._fleet import FREE, LIMITED, Fleet
+from crankhinge_soak._history import History
 from crankhinge_soak._load import Probe, Seen
 from crankhinge_soak._proxy import Harm, Proxy
 from crankhinge_soak.main import main, make_parser, run_seed, seeds_of
