--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -38,6 +38,14 @@
         "note_gone",
     }
 )
+# What is believed of a server, by the events that change it; told in this order.
+_OF_SERVERS = {
+    "server_seen": "entry",
+    "server_gone": "entry",
+    "server_limit": "limit",
+    "server_leaves": "leave",
+    "server_rests": "rest",
+}
 
 Pairs = dict[str, str]
 
@@ -47,10 +55,7 @@
     """What one log says of a request."""
 
     beliefs: dict[str, Pairs] = field(default_factory=dict)
-    servers: dict[str, Pairs] = field(default_factory=dict)
-    limits: dict[str, Pairs] = field(default_factory=dict)
-    leaves: dict[str, Pairs] = field(default_factory=dict)
-    rests: dict[str, Pairs] = field(default_factory=dict)
+    servers: dict[tuple[str, str], Pairs] = field(default_factory=dict)
     quarantines: dict[str, Pairs] = field(default_factory=dict)
     lines: list[Pairs] = field(default_factory=list)
 
@@ -95,14 +100,8 @@
     event = pairs.get("event", "")
     if event in _BELIEFS:
         story.beliefs[f"{event} {pairs.get('what', '')}"] = pairs
-    elif event in ("server_seen", "server_gone"):
-        story.servers[pairs.get("server", "")] = pairs
-    elif event == "server_limit":
-        story.limits[pairs.get("server", "")] = pairs
-    elif event == "server_leaves":
-        story.leaves[pairs.get("server", "")] = pairs
-    elif event == "server_rests":
-        story.rests[pairs.get("server", "")] = pairs
+    elif event in _OF_SERVERS:
+        story.servers[pairs.get("server", ""), _OF_SERVERS[event]] = pairs
     elif event in ("request_quarantined", "request_cleared"):
         story.quarantines[pairs.get("fingerprint", "")] = pairs
 
@@ -118,9 +117,9 @@
     for pairs in story.beliefs.values():
         yield _line("believed", first, pairs)
     for ident in sorted(_servers_of(story)):
-        for beliefs in (story.servers, story.limits, story.leaves, story.rests):
-            if ident in beliefs:
-                yield _line("believed", first, beliefs[ident])
+        for what in dict.fromkeys(_OF_SERVERS.values()):
+            if (ident, what) in story.servers:
+                yield _line("believed", first, story.servers[ident, what])
     for fingerprint in sorted({pairs.get("fingerprint", "") for pairs in story.lines}):
         if fingerprint in story.quarantines:
             yield _line("believed", first, story.quarantines[fingerprint])
