What answers say is told to listeners in one way

The head of an answer to a request was told to two parts one after the other, that of a side call to a list of adapters of the same two. Both go through one list now; the last step before a request is sent knows neither part.

--- a/src/crankhinge/decisions/_bars.py
+++ b/src/crankhinge/decisions/_bars.py
@@ -73,3 +73,13 @@
         """Return until when a server wants no request; None where it wants some now."""
         until = self._rests.get(server, now)
         return until if until > now else None
+
+    def facts(self, server: str, now: float) -> dict[str, float]:
+        """Return what tells that a request is sent to a server in spite of what that said."""
+        facts = {}
+        since, until = self.leaves_since(server), self.rests_until(server, now)
+        if since is not None:
+            facts["leaving_s"] = round(now - since, 2)
+        if until is not None:
+            facts["rest_left_s"] = round(until - now, 2)
+        return facts
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Any
 
 import curio
@@ -21,6 +21,7 @@
     pick_server,
 )
 from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.gateway._listener import WordListener
 from crankhinge.http import HttpClient, Response
 from crankhinge.runtime import Metrics
 
@@ -30,9 +31,6 @@
 # A side call is answered in milliseconds; its server is given up on after this, in seconds.
 SIDE_CALL_S = 0.6
 
-# Called with a server, what the head of its answer to a side call says, and when that was sent.
-OnWord = Callable[[Server, ServerWord, float], Awaitable[None]]
-
 
 class Backends:
     """Connections to servers and what was seen of them.
@@ -47,7 +45,7 @@
         most_kept: returns how many idle connections to keep to each server of a service.
 
     Attributes:
-        on_word: what is told of the heads of answers to side calls.
+        listeners: are told what servers say in the heads of their answers.
         bars: what servers said that bars requests from them.
     """
 
@@ -64,7 +62,7 @@
     ) -> None:
         self.dialect = dialect
         self.rng = rng
-        self.on_word: list[OnWord] = []
+        self.listeners: list[WordListener] = []
         self.bars = Bars()
         self._servers = servers
         self._zone = zone
@@ -284,6 +282,11 @@
         ]
         return None if None in ends else min((end for end in ends if end is not None), default=None)
 
+    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
+        """Tell all listeners what the head of a server's answer says."""
+        for listener in self.listeners:
+            await listener.heard(server, word, sent_at=sent_at, ran=ran)
+
     async def side_call(self, server: Server, call: SideCall) -> Response | None:
         """Make a call of the router's own; None when it isn't answered."""
         client = self.client(server)
@@ -297,8 +300,7 @@
             return None
         word = self.dialect.word(resp.status, resp.headers)
         if not word.other_server:
-            for on_word in self.on_word:
-                await on_word(server, word, sent_at)
+            await self.heard(server, word, sent_at=sent_at, ran=False)
         return resp
 
     async def later(self, server: Server, call: SideCall) -> None:
--- a/src/crankhinge/gateway/_legs.py
+++ b/src/crankhinge/gateway/_legs.py
@@ -14,11 +14,9 @@
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
-from crankhinge.gateway._limit_news import LimitNews
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_words import ServerWords
 from crankhinge.http import ClientStream, ConnectFailed
 
 # Answers below this status are of requests that servers ran well.
@@ -35,8 +33,6 @@
             through here: first tries, repeats, resumed streams, prompts read apart.
         crashes: is told of each connection that ends in the middle of a request.
         permits: looks whether a server takes one more request.
-        news: is told what servers say of that.
-        words: is told what else they say.
     """
 
     def __init__(
@@ -46,16 +42,12 @@
         quarantine: QuarantineDesk,
         crashes: CrashDetector,
         permits: Permits,
-        news: LimitNews,
-        words: ServerWords,
     ) -> None:
         self._backends = backends
         self._authenticator = authenticator
         self._quarantine = quarantine
         self._crashes = crashes
         self._permits = permits
-        self._news = news
-        self._words = words
 
     @asynccontextmanager
     async def open(self, relay: Relay, server: Server, leg: Leg) -> AsyncIterator[ClientStream]:
@@ -84,7 +76,7 @@
             raise ServerBarred(f"{server.ident}: {bar.value}")
         # Last, since it is used: a permit of a request that is not sent is lost to others.
         permit = await self._permits.spend(relay, server)
-        relay.facts.update(self._words.facts(server, began))
+        relay.facts.update(self._backends.bars.facts(server.ident, began))
         standing.breaker.sent(began)
         standing.open += 1
         stream: ClientStream | None = None
@@ -102,8 +94,7 @@
                 self._backends.replaced(server)
                 raise ConnectFailed(f"another server answers for {server.ident}")
             ran = not word.not_run and stream.status < RAN_BELOW
-            await self._news.heard(server, word, sent_at=began, ran=ran)
-            await self._words.heard(server, word)
+            await self._backends.heard(server, word, sent_at=began, ran=ran)
             yield stream
             whole = True
         except CallerGone:
--- a/src/crankhinge/gateway/_limit_news.py
+++ b/src/crankhinge/gateway/_limit_news.py
@@ -14,6 +14,7 @@
 from crankhinge.adapters import Note, ServerWord
 from crankhinge.decisions import Server, SharedLimits
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._listener import WordListener
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._peer_messages import LimitEnded, LimitNamed
 
@@ -22,7 +23,7 @@
 TELL_S = 1.0
 
 
-class LimitNews:
+class LimitNews(WordListener):
     """What servers name, as this instance and the others hear it.
 
     Args:
@@ -52,12 +53,7 @@
     async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
         """Note what the head of a server's answer says of how much it takes.
 
-        Args:
-            server: the server.
-            word: what the head says.
-            sent_at: when the request was sent, on the runtime's clock, in seconds.
-            ran: whether it is the answer of a request that the server ran well. Only these tell
-                that it names nothing any more: a refusal may come from before the server itself.
+        Only the answer of a request that it ran well tells that it names nothing any more.
         """
         now = await curio.clock()
         if word.takes_per_s is not None:
@@ -71,10 +67,6 @@
             notice = LimitEnded(server.ident, now - sent_at)
             await self._notices.tell(notice, server=server.ident)
 
-    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
-        """Note what the head of an answer to a side call says; it need not name what others do."""
-        await self.heard(server, word, sent_at=sent_at, ran=False)
-
     def told(self, ident: str, per_s: float, at: float, told_by: str) -> None:
         """Note what another instance heard of a server at a time on the runtime's clock."""
         self._take(ident, per_s, at, told_by)
--- /dev/null
+++ b/src/crankhinge/gateway/_listener.py
@@ -0,0 +1,24 @@
+"""Who is told what servers say in the heads of their answers."""
+
+from __future__ import annotations
+
+import abc
+
+from crankhinge.adapters import ServerWord
+from crankhinge.decisions import Server
+
+
+class WordListener(abc.ABC):
+    """Keeps some of what servers say of themselves."""
+
+    @abc.abstractmethod
+    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
+        """Note what the head of a server's answer says.
+
+        Args:
+            server: the server.
+            word: what the head says.
+            sent_at: when the request was sent, on the runtime's clock, in seconds.
+            ran: whether it is the answer of a request that the server ran well. A refusal may come
+                from before the server itself, and the answer to a side call need not say all.
+        """
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -128,10 +128,9 @@
         name=settings.name, members=members, life=rng.getrandbits(LIFE_BITS), now=now
     )
     limit_news = LimitNews(shared=shared_limits, backends=backends, notices=notices, log=log)
-    backends.on_word.append(limit_news.heard_aside)
     directory.on_gone.append(limit_news.forget)
     words = ServerWords(bars=backends.bars, notices=notices, log=log)
-    backends.on_word.append(words.heard_aside)
+    backends.listeners += [limit_news, words]
     permits = Permits(
         name=settings.name,
         shared=shared_limits,
@@ -146,7 +145,7 @@
     common: dict[str, Any] = {
         "backends": backends,
         "choice": choice,
-        "legs": Legs(backends, authenticator, quarantine, crashes, permits, limit_news, words),
+        "legs": Legs(backends, authenticator, quarantine, crashes, permits),
         "budget_of": budgets.__getitem__,
         "log": log,
     }
--- a/src/crankhinge/gateway/_server_words.py
+++ b/src/crankhinge/gateway/_server_words.py
@@ -12,11 +12,12 @@
 
 from crankhinge.adapters import ServerWord
 from crankhinge.decisions import Bars, Server
+from crankhinge.gateway._listener import WordListener
 from crankhinge.gateway._notices import Notices
 from crankhinge.gateway._peer_messages import ServerLeaves
 
 
-class ServerWords:
+class ServerWords(WordListener):
     """What servers say, as this instance hears it.
 
     Args:
@@ -31,8 +32,8 @@
         self._log = log
         notices.on(ServerLeaves, self._take_leaves)
 
-    async def heard(self, server: Server, word: ServerWord) -> None:
-        """Note what the head of a server's answer says."""
+    async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
+        """Note what the head of a server's answer says of leaving and rest."""
         now = await curio.clock()
         if word.leaving and self._note_leaves(server.ident, now, "own"):
             await self._notices.tell(ServerLeaves(server.ident), server=server.ident)
@@ -56,18 +57,3 @@
 
     async def _take_leaves(self, message: ServerLeaves, sender: str) -> None:
         self._note_leaves(message.server, await curio.clock(), sender)
-
-    async def heard_aside(self, server: Server, word: ServerWord, sent_at: float) -> None:
-        """Note what the head of an answer to a side call says."""
-        await self.heard(server, word)
-
-    def facts(self, server: Server, now: float) -> dict[str, float]:
-        """Return what tells that a request is sent to a server in spite of what that said."""
-        facts = {}
-        since = self._bars.leaves_since(server.ident)
-        if since is not None:
-            facts["leaving_s"] = round(now - since, 2)
-        until = self._bars.rests_until(server.ident, now)
-        if until is not None:
-            facts["rest_left_s"] = round(until - now, 2)
-        return facts
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -14,7 +14,7 @@
 
 import curio
 
-from crankhinge.decisions import Bars, Members, Server, ServerList, SharedLimits
+from crankhinge.decisions import Members, Server, ServerList, SharedLimits
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway import GatewaySettings, Platform, serve
 from crankhinge.gateway._authenticator import Authenticator
@@ -24,7 +24,6 @@
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineDesk
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._server_words import ServerWords
 from crankhinge.http import ClientStream, Exchange, HttpClient, serve_http
 from crankhinge.runtime import Metrics, get_log, split_host_port, until_first
 from crankhinge_bench._procs import free_ports
@@ -185,12 +184,6 @@
     return LoneLimits(news, permits)
 
 
-def lone_words(bars: Bars, log: Any) -> ServerWords:
-    """Return what hears servers, at an instance that has nobody to tell."""
-    notices = Notices(address="", peers=list, log=log)
-    return ServerWords(bars=bars, notices=notices, log=log)
-
-
 Behave = Callable[["FakeReplica", Exchange], Awaitable[None]]
 
 
--- a/tests/test_legs.py
+++ b/tests/test_legs.py
@@ -30,7 +30,6 @@
     lone_backends,
     lone_desk,
     lone_limits,
-    lone_words,
     route,
 )
 from virtual_time import run_virtual
@@ -69,8 +68,7 @@
     quarantine = lone_desk("g", log)
     crashes = CrashDetector(backends=backends, on_crash=quarantine.crashed, log=log)
     limits = lone_limits("g", backends, log)
-    words = lone_words(backends.bars, log)
-    legs = Legs(backends, PASSES, quarantine, crashes, limits.permits, limits.news, words)
+    legs = Legs(backends, PASSES, quarantine, crashes, limits.permits)
     return Way(legs, backends, cast(Relay, relay), server)
 
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -32,7 +32,6 @@
     lone_backends,
     lone_desk,
     lone_limits,
-    lone_words,
     route,
 )
 from virtual_time import run_virtual
@@ -197,8 +196,7 @@
         log = get_log(program="t", stream=Lines())
         quarantine = lone_desk("here", log)
         crashes = CrashDetector(backends=alone.backends, on_crash=quarantine.crashed, log=log)
-        words = lone_words(alone.backends.bars, log)
-        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.permits, alone.news, words)
+        legs = Legs(alone.backends, PASSES, quarantine, crashes, alone.permits)
         req = HttpRequest("GET", "/", {"x-request-id": "q"}, b"", (("x-request-id", "q"),))
         alone.relay.exchange = cast(Any, SimpleNamespace(req=req))
         alone.relay.__dict__.update(
