--- a/src/crankhinge/decisions/_connections.py
+++ b/src/crankhinge/decisions/_connections.py
@@ -9,7 +9,7 @@
 # Idle connections kept to one server, at most: requests that are under way at once.
 KEPT_MOST = 8
 # Part of a server's connections that all instances together keep idle; the rest is for those that
-# are in use or new. Eight for each were 544 at 68 instances, before servers that take 470 and 520.
+# are in use or new.
 KEPT_PART = 0.8
 
 
--- a/src/crankhinge/decisions/_freshness.py
+++ b/src/crankhinge/decisions/_freshness.py
@@ -11,9 +11,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-# Part of a bound for which changes may be gathered. The rest is for the store's answer, the link
-# and the request that was on its way. With 68 instances and some 150 changes in 34 s of traffic,
-# calls to the store fell from 11,864 to 4,023 (one played day each).
+# Part of a bound for which changes may be gathered, so that one call brings several. The rest is
+# for the store's answer, the link and the request that was on its way.
 GATHERED = 0.4
 # The same for the configuration: large ones take links seconds, and changes are rare but in storms.
 GATHERED_CONFIG = 0.1
--- a/src/crankhinge/decisions/_limit_pool.py
+++ b/src/crankhinge/decisions/_limit_pool.py
@@ -18,8 +18,7 @@
 # tells when its need has ended, and the operators allow five.
 TRIAL_PER_S = 0.25
 # What may be sent at once after a pause: so many seconds of what the server takes, or so many
-# requests. With one request, whatever gathers before the next is asked for is lost: of 8 requests
-# in 32 s a server got 6 from three instances whose callers asked five times as often.
+# requests. With one request, whatever gathers before the next is asked for would be lost.
 BURST_S = 1.0
 BURST_LEAST = 2.0
 # When to ask again whoever was lent too little to hand out anything, in seconds.
--- a/src/crankhinge/decisions/_named_limits.py
+++ b/src/crankhinge/decisions/_named_limits.py
@@ -15,7 +15,7 @@
 from crankhinge.decisions._bounded import keep_newest
 
 # Servers remembered that name rates, and those that named one before: more than a fleet has that
-# are in need at once; 0.3 MB when all are taken (as the interpreter counts its memory).
+# are in need at once.
 MOST_NAMED = 1024
 # Rates that an instance tells in its note in the store: 1 kB at most.
 MOST_NOTED = 16
--- a/src/crankhinge/decisions/_shared_limits.py
+++ b/src/crankhinge/decisions/_shared_limits.py
@@ -26,8 +26,8 @@
 from crankhinge.decisions._silences import Silences
 
 # Seconds for which a share is lent, at least and for each instance; it is lent anew thrice in that
-# time. A borrower that dies takes the shares with it for as long. At 300 instances one that hands
-# out for one server gets 38 such words of 190 bytes a second, 7 kB.
+# time. A borrower that dies takes the shares with it for as long; the more instances, the longer,
+# so that whoever hands out gets no more such words in a large fleet.
 LEND_S = 2.4
 LEND_S_EACH = 0.08
 LEND_TIMES = 3
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -26,15 +26,14 @@
 CLASS_KEPT = 20
 PASSED_OVER = 4
 # Newest readings that an instance tells the others, some 15 bytes each: a few of each instance show
-# together what reading takes, while each by itself, at four readings, holds waits for work. Of 122
-# readings in the first two seconds of 68 instances the faster quarter took what all took later.
+# together what reading takes, while each by itself, at four readings, holds waits for work.
 TOLD_READINGS = 12
 # Least part of a fast reading that is counted as work, whatever the slope says: a short
 # reading that had to wait makes the slope look flat.
 LEAST_PART = 0.6
 # Engines that read are loaded so many times less than those that write: what a prompt waits behind
-# others its caller waits, while a full writer only turns requests away. With twenty instances and
-# nineteen engines, two days by two seeds: first tries in time 0.747 to 0.792; 1.6 loses it again.
+# others its caller waits, while a full writer only turns requests away. Far more than this takes
+# the memory to write in away again.
 READ_HEADROOM = 1.3
 # Engines left in each pool as long as there are others: one that crashes must not be the last.
 LEAST_POOL = 2
--- a/src/crankhinge/decisions/_standing.py
+++ b/src/crankhinge/decisions/_standing.py
@@ -20,9 +20,8 @@
 NO_ROOM_S = 0.06
 # After a refusal a server is left alone for this long, in seconds; twice as long after each further
 # one, up to the most. An engine that changes its part refuses for six seconds or more, and all
-# instances together may repeat a fifth of their requests only. Where one of three plain servers
-# refused four or nine of ten calls, 1.5 to 8 in 100 of all requests were refused to their callers,
-# and 0.2 at most since it is left alone (two small sites, one played day by two seeds each).
+# instances together may repeat a fifth of their requests only; a plain server that refuses at once
+# looks least busy, and would get most of the next calls.
 REFUSED_S = 0.7
 REFUSED_MOST_S = 6.0
 # A server in another availability zone looks this much slower; a few percent is what the way costs.
@@ -74,8 +73,7 @@
         """Return the part that it takes work for, when its entry tells *phase*.
 
         From an order on it refuses work for its old part, and its entry tells the new one some six
-        seconds later. Sixty-eight instances that found this out by themselves had 201 readings
-        refused in a day, each a repeat, and 305 prompts read by writers for want of repeats.
+        seconds later. What is sent until then is refused, and each refusal is a repeat.
         """
         change = self.change
         return phase if change is None or now >= change.until else change.phase
@@ -129,8 +127,8 @@
 def _usual_s(standings: Iterable[Standing]) -> float:
     """Return what an answer is held to take at a server of which nothing was seen, in seconds.
 
-    As the others on the mean: held for faster, a reader that came in the place of another got the
-    requests of all 31 instances at once, and of 47 readings that took over a second 45 were there.
+    As the others on the mean: held for faster, a reader that came in the place of another would get
+    the requests of all instances at once.
     """
     seen = [standing.took_s for standing in standings if standing.took_s]
     return sum(seen) / len(seen) if seen else FIRST_TOOK_S
