--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -92,13 +92,18 @@
         )
 
 
-def stream_often(fleet: LimitedFleet, path: str = "/stream/a", for_s: float = 8.0) -> None:
-    """Have callers ask for streams."""
+def call_often(fleet: LimitedFleet, path: str, *, for_s: float, **more: str) -> None:
+    """Have callers send requests to a path."""
 
     async def story() -> None:
-        await fleet.ask_often(path, per_s=ASKED_PER_S, for_s=for_s, **TOKENS)
+        await fleet.ask_often(path, per_s=ASKED_PER_S, for_s=for_s, **more)
+
+    fleet.play(story, ONCE, SAFE, STREAM, RESUMED)
+
 
-    fleet.play(story, STREAM, RESUMED)
+def stream_often(fleet: LimitedFleet, path: str = "/stream/a") -> None:
+    """Have callers ask for streams."""
+    call_often(fleet, path, for_s=8.0, **TOKENS)
 
 
 def sent_after(replica: FakeReplica, at: float) -> list[float]:
@@ -265,10 +270,7 @@
         rests = [Resting(REST_S), Resting(2 * REST_S)]
         servers = [fleet.add(f"i-{number}", behave=rest) for number, rest in enumerate(rests)]
 
-        async def story() -> None:
-            await fleet.ask_often("/safe/a", per_s=ASKED_PER_S, for_s=8.0)
-
-        fleet.play(story, SAFE)
+        call_often(fleet, "/safe/a", for_s=8.0)
         for rest, server in zip(rests, servers, strict=True):
             assert rest.most_in_rest(server) <= MOST_IN_REST
         first = min(until for rest in rests for _, until in rest.told[:1])
@@ -318,39 +320,23 @@
         fleet.add("i-resting", behave=resting)
         fleet.add("i-other", behave=slowly)
 
-        async def story() -> None:
-            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=2.0)
-
-        fleet.play(story, ONCE)
+        call_often(fleet, "/once/a", for_s=2.0)
         refused = [each for each in fleet.outcomes if each.status == 503]
         assert refused
         assert max(each.back_s for each in refused) < 1.0
 
-    @pytest.mark.parametrize("status", [429, 503])
-    def test_holds_for_each_status_that_runs_nothing(self, status: int) -> None:
-        """Whatever its refusal is."""
+    @pytest.mark.parametrize(
+        "resting",
+        [Resting(status=429), Resting(status=503), Resting(fields=(("x-server-seal", "s"),))],
+        ids=["429", "503", "503-not-told-not-run"],
+    )
+    def test_holds_for_each_kind_of_refusal(self, resting: Resting) -> None:
+        """Also for one that does not say that it ran nothing: that answer is the caller's."""
         fleet = LimitedFleet(1)
-        resting = Resting(REST_S, status=status)
         server = fleet.add("i-resting", behave=resting)
         fleet.add("i-other", behave=slowly)
 
-        async def story() -> None:
-            await fleet.ask_often("/safe/a", per_s=ASKED_PER_S, for_s=6.0)
-
-        fleet.play(story, SAFE)
-        assert resting.most_in_rest(server) == 0
-
-    def test_holds_where_it_does_not_say_that_it_ran_nothing(self) -> None:
-        """Then the answer is the caller's, and the rest the instance's."""
-        fleet = LimitedFleet(1)
-        resting = Resting(REST_S, fields=(("x-server-seal", "s"),))
-        server = fleet.add("i-resting", behave=resting)
-        fleet.add("i-other", behave=slowly)
-
-        async def story() -> None:
-            await fleet.ask_often("/safe/a", per_s=ASKED_PER_S, for_s=6.0)
-
-        fleet.play(story, SAFE)
+        call_often(fleet, "/safe/a", for_s=6.0)
         assert resting.most_in_rest(server) == 0
 
     def test_holds_for_repeats(self) -> None:
@@ -360,10 +346,7 @@
         server = fleet.add("i-resting", behave=resting)
         fleet.add("i-failing", behave=fail)
 
-        async def story() -> None:
-            await fleet.ask_often("/safe/a", per_s=ASKED_PER_S, for_s=8.0)
-
-        fleet.play(story, SAFE)
+        call_often(fleet, "/safe/a", for_s=8.0)
         assert resting.most_in_rest(server) <= MOST_IN_REST
 
     @pytest.mark.parametrize("others", [0, 5])
