--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from crankhinge.decisions import Phase, Server, ServerList, kept_connections
+from crankhinge.decisions import Bar, Phase, Server, ServerList, kept_connections
 from crankhinge.gateway._backends import Backends
 from crankhinge.runtime import Metrics, get_log
 from platform_fakes import Lines
@@ -78,6 +78,42 @@
         assert backends.coming("llm", Phase.WRITE, 5.0) == 0
 
 
+class TestResting:
+    """Servers that want no request for a while."""
+
+    @pytest.mark.parametrize("rest_s", [0.3, 3.0, 60.0])
+    def test_get_none_until_their_time_is_over(self, rest_s: float) -> None:
+        """Also where no other is there; then they get some again."""
+        backends = backends_of(engine("r0", Phase.READ), engine("r1", Phase.READ))
+        backends.bars.asks_rest("r0", 10.0 + rest_s)
+        assert idents(backends.eligible("llm", 10.0, Phase.READ)) == ["r1"]
+        backends.bars.asks_rest("r1", 10.0 + 2 * rest_s)
+        last = 10.0 + 0.99 * rest_s
+        assert backends.eligible("llm", last, Phase.READ) == []
+        assert backends.pick("llm", last, avoid=frozenset()) is None
+        assert idents(backends.eligible("llm", 10.0 + rest_s, Phase.READ)) == ["r0"]
+        assert len(backends.eligible("llm", 10.0 + 2 * rest_s, Phase.READ)) == 2
+
+    def test_the_first_end_is_told_where_all_rest(self) -> None:
+        """Of those that a request may go to."""
+        backends = backends_of(engine("r0", Phase.READ), engine("r1", Phase.READ))
+        nobody: frozenset[str] = frozenset()
+        backends.bars.asks_rest("r0", 13.0)
+        assert backends.rest_ends("llm", 10.0, avoid=nobody) is None
+        backends.bars.asks_rest("r1", 16.0)
+        assert backends.rest_ends("llm", 10.0, avoid=nobody) == 13.0
+        assert backends.rest_ends("llm", 10.0, avoid=frozenset({"r0"})) == 16.0
+        assert backends.rest_ends("llm", 13.0, avoid=nobody) is None
+        assert backends.rest_ends("other", 10.0, avoid=nobody) is None
+
+    def test_stay_among_those_that_the_split_counts(self) -> None:
+        """A pool that is short for seconds is no reason for orders."""
+        backends = backends_of(engine("r0", Phase.READ))
+        backends.bars.asks_rest("r0", 13.0)
+        assert idents(backends.able("llm", 10.0, Phase.READ)) == ["r0"]
+        assert backends.barred(Bar.RESTING, 10.0) == 1
+
+
 class TestConnections:
     """Connections that are kept to one server, of what it takes from all instances together."""
 
