What servers want is asked of a list that was chosen once

at_limit and rest_ends took the same five arguments each and chose the servers anew; a stream that waits chose them three times a round, now twice, and servers to avoid are left out in one place.

--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -92,7 +92,12 @@
             await client.close()
 
     def able(
-        self, service: str, now: float, phase: Phase | None = None, model: str = ""
+        self,
+        service: str,
+        now: float,
+        phase: Phase | None = None,
+        model: str = "",
+        avoid: frozenset[str] = frozenset(),
     ) -> list[Server]:
         """Return the servers of a service that take new work for a model.
 
@@ -111,16 +116,22 @@
         ]
         able = [server for server in entered if not self._changes(server, now)] or entered
         sure = [server for server in able if not self._servers.doubts(server.ident)]
-        return sure if len(sure) >= len(able) - len(sure) else able
+        able = sure if len(sure) >= len(able) - len(sure) else able
+        return [server for server in able if server.ident not in avoid] if avoid else able
 
     def eligible(
-        self, service: str, now: float, phase: Phase | None = None, model: str = ""
+        self,
+        service: str,
+        now: float,
+        phase: Phase | None = None,
+        model: str = "",
+        avoid: frozenset[str] = frozenset(),
     ) -> list[Server]:
         """Return the servers of a service that a request may be sent to now.
 
         A server that wants no request for a while counts among the able ones: it stays.
         """
-        return self.without_rest(self.able(service, now, phase, model), now)
+        return self.without_rest(self.able(service, now, phase, model, avoid), now)
 
     def without_rest(self, servers: list[Server], now: float) -> list[Server]:
         """Return those of some servers that want requests now."""
@@ -231,55 +242,14 @@
             avoid=avoid,
         )
 
-    def at_limit(
-        self,
-        service: str,
-        now: float,
-        *,
-        avoid: frozenset[str],
-        phase: Phase | None = None,
-        model: str = "",
-    ) -> list[Server]:
-        """Return the servers that take no more of a service's work now, the first to do so first.
-
-        Args:
-            service: its name.
-            now: on the runtime's clock.
-            avoid: identities that are out of the question.
-            phase: the part that they play; any by default.
-            model: that they have to hold.
-        """
-        servers = [
-            server
-            for server in self.eligible(service, now, phase, model)
-            if server.ident not in avoid and self.standing(server.ident).limited_until > now
-        ]
-        return sorted(servers, key=lambda server: self.standing(server.ident).limited_until)
-
-    def rest_ends(
-        self,
-        service: str,
-        now: float,
-        *,
-        avoid: frozenset[str],
-        phase: Phase | None = None,
-        model: str = "",
-    ) -> float | None:
-        """Return when the first server wants requests again; None where one does, or none is there.
+    def at_limit(self, servers: list[Server], now: float) -> list[Server]:
+        """Return those of some servers that take no more now, the first to do so first."""
+        limited = [server for server in servers if self.standing(server.ident).limited_until > now]
+        return sorted(limited, key=lambda server: self.standing(server.ident).limited_until)
 
-        Args:
-            service: its name.
-            now: on the runtime's clock.
-            avoid: identities that are out of the question.
-            phase: the part that they play; any by default.
-            model: that they have to hold.
-        """
-        if not self.bars.any_rests(now):
-            return None
-        able = self.able(service, now, phase, model)
-        ends = [
-            self.bars.rests_until(server.ident, now) for server in able if server.ident not in avoid
-        ]
+    def rest_ends(self, servers: list[Server], now: float) -> float | None:
+        """Return when the first of some servers wants requests; None where one does already."""
+        ends = [self.bars.rests_until(server.ident, now) for server in servers]
         return None if None in ends else min((end for end in ends if end is not None), default=None)
 
     async def heard(self, server: Server, word: ServerWord, *, sent_at: float, ran: bool) -> None:
--- a/src/crankhinge/gateway/_choice.py
+++ b/src/crankhinge/gateway/_choice.py
@@ -114,10 +114,10 @@
         Raises:
             ServersRest: that is too late for it; its caller is told when to come back.
         """
-        service = relay.service.name
-        ends = self._backends.rest_ends(
-            service, now, avoid=avoid, phase=phase, model=relay.ask.model
-        )
+        if not self._backends.bars.any_rests(now):
+            return None
+        service, model = relay.service.name, relay.ask.model
+        ends = self._backends.rest_ends(self._backends.able(service, now, phase, model, avoid), now)
         if ends is not None and ends - now > spare_s:
             after_s = (ends - now) * self._backends.rng.uniform(*REST_SPREAD)
             raise ServersRest(f"{service}: servers rest", retry_after_s=after_s)
@@ -128,4 +128,5 @@
     ) -> list[Server]:
         now = await curio.clock()
         service, model = relay.service.name, relay.ask.model
-        return self._backends.at_limit(service, now, avoid=avoid, phase=phase, model=model)
+        eligible = self._backends.eligible(service, now, phase, model, avoid)
+        return self._backends.at_limit(eligible, now)
--- a/src/crankhinge/gateway/_places.py
+++ b/src/crankhinge/gateway/_places.py
@@ -179,15 +179,15 @@
             self._refused(search, "no_time", 0.0)
             raise Overloaded("can't end in time", retry_after_s=back_after(self._backends.rng))
         now = await curio.clock()
-        writers = self._backends.able(relay.service.name, now, Phase.WRITE, relay.ask.model)
-        present = [server for server in writers if server.ident not in search.avoid]
-        if not present:
+        service, model = relay.service.name, relay.ask.model
+        writers = self._backends.able(service, now, Phase.WRITE, model, search.avoid)
+        if not writers:
             self._refused(search, "no_writer", now - search.began)
             raise NoBackend("no server writes", retry_after_s=back_after(self._backends.rng))
         if not order.may_ask(search.number, now):
             return None
         able = places_to_ask(
-            self._backends.without_rest(present, now),
+            self._backends.without_rest(writers, now),
             self._backends.standing,
             tokens=need.tokens,
             kv_tokens=engine.kv_tokens,
@@ -276,13 +276,9 @@
         """Return the engine that takes more first; None where one does now, or there is none."""
         relay, now = search.relay, await curio.clock()
         service, model = relay.service.name, relay.ask.model
-        writers = self._backends.eligible(service, now, Phase.WRITE, model)
-        limited = self._backends.at_limit(
-            service, now, avoid=search.avoid, phase=Phase.WRITE, model=model
-        )
-        if len(limited) < sum(each.ident not in search.avoid for each in writers):
-            return None
-        return limited[0] if limited else None
+        writers = self._backends.eligible(service, now, Phase.WRITE, model, search.avoid)
+        limited = self._backends.at_limit(writers, now)
+        return limited[0] if limited and len(limited) == len(writers) else None
 
     def _free_in(self, search: _Search, waited_s: float) -> float | None:
         """Return the seconds until there is memory for a request and for those before it."""
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -135,6 +135,7 @@
                 now, late=need.late(now - began)
             ):
                 spare_s = patience_s - (now - began)
+                # No turn helps it where all rest for longer; then this raises.
                 self._choice.rest_ends(relay, now, avoid=relay.tried, spare_s=spare_s)
                 if now - began > patience_s:
                     self._not_sent(relay, now - began)
@@ -277,7 +278,7 @@
             said_s = word.retry_after_s
             self._note(relay, server, "refused", f"status {stream.status}, back in {said_s} s")
             # What it said holds for itself: others may take the request sooner.
-            ends = self._backends.rest_ends(relay.service.name, now, avoid=frozenset())
+            ends = self._choice.rest_ends(relay, now, avoid=frozenset(), spare_s=float("inf"))
             after_s = ends - now if ends is not None else self._back(relay.service.name, now)
             return Overloaded(f"{server.ident} refused", retry_after_s=after_s)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -97,14 +97,14 @@
     def test_the_first_end_is_told_where_all_rest(self) -> None:
         """Of those that a request may go to."""
         backends = backends_of(engine("r0", Phase.READ), engine("r1", Phase.READ))
-        nobody: frozenset[str] = frozenset()
+        r0, r1 = engine("r0", Phase.READ), engine("r1", Phase.READ)
         backends.bars.asks_rest("r0", 13.0)
-        assert backends.rest_ends("llm", 10.0, avoid=nobody) is None
+        assert backends.rest_ends([r0, r1], 10.0) is None
         backends.bars.asks_rest("r1", 16.0)
-        assert backends.rest_ends("llm", 10.0, avoid=nobody) == 13.0
-        assert backends.rest_ends("llm", 10.0, avoid=frozenset({"r0"})) == 16.0
-        assert backends.rest_ends("llm", 13.0, avoid=nobody) is None
-        assert backends.rest_ends("other", 10.0, avoid=nobody) is None
+        assert backends.rest_ends([r0, r1], 10.0) == 13.0
+        assert backends.rest_ends(backends.able("llm", 10.0, avoid=frozenset({"r0"})), 10.0) == 16.0
+        assert backends.rest_ends([r0, r1], 13.0) is None
+        assert backends.rest_ends([], 10.0) is None
 
     def test_stay_among_those_that_the_split_counts(self) -> None:
         """A pool that is short for seconds is no reason for orders."""
