Ports of one test run are held against other runs

Cause: a port was looked for, not held; two processes went through one range. Ruled out: load; single runs beside other load had none. Change: the range is split into blocks, each held by listening on its first port; a port is free when neither TCP nor UDP has it (a gateway's address for datagrams was never asked before). Holds because the kernel gives a block's first port to one process only.

--- a/src/crankhinge_bench/_procs.py
+++ b/src/crankhinge_bench/_procs.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import itertools
 import json
 import os
 import signal
@@ -19,33 +18,22 @@
 
 import msgspec
 
-HOST = "127.0.0.1"
+from crankhinge_bench._ports import HOST as HOST
+from crankhinge_bench._ports import Ports
+
 READY_S = 60.0
 STOP_S = 10.0
 POLL_S = 0.05
-# Each process begins at another place of the range; those with neighbouring ids, which are often
-# started together, begin a hundred ports apart.
-_FIRST_PORT = 12000 + os.getpid() * 101 % 15000
-_PORTS = itertools.chain(range(_FIRST_PORT, 30000), range(12000, 30000))
+_PORTS = Ports()
 
 
 def free_ports(count: int) -> list[int]:
-    """Return TCP ports that are free now.
+    """Return ports that are free now and that no other process finds here.
 
-    They lie below the range from which the kernel takes ports for outgoing connections: one from
-    that range can be taken between this call and the time it is listened on.
+    Raises:
+        RuntimeError: no port is free.
     """
-    found: list[int] = []
-    for port in _PORTS:
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        found.append(port)
-        if len(found) == count:
-            return found
-    raise RuntimeError("no free ports are left")
+    return _PORTS.take(count)
 
 
 def http_json(method: str, port: int, path: str, body: Any = None, timeout_s: float = 5.0) -> Any:
--- /dev/null
+++ b/tests/test_ports.py
@@ -0,0 +1,63 @@
+"""Two test runs, started together on one machine, took each other's ports.
+
+What was seen: 2 and 4 of 804 tests failed with "address already in use" where a gateway bound its
+port.
+Events: each process went through one range from a place that its id gave; in the course of a run
+both came by the same place, and a port that was free when it was looked for was taken when it was
+listened on.
+Cause: looking for a port held nothing.
+Evidence: two runs beside each other that began far apart in the range had no such failure, nor had
+single runs beside other load.
+"""
+
+import socket
+from collections.abc import Iterator
+
+import pytest
+
+from crankhinge_bench._ports import BLOCK_PORTS, HOST, MOST_BLOCKS, Ports
+
+
+@pytest.fixture
+def two() -> Iterator[tuple[Ports, Ports]]:
+    """Return what two processes with one id would use."""
+    both = Ports(), Ports()
+    yield both
+    for ports in both:
+        ports.close()
+
+
+class TestPorts:
+    """What is given to whom."""
+
+    def test_are_never_given_to_two_at_once(self, two: tuple[Ports, Ports]) -> None:
+        """However long both go on taking ports."""
+        one, other = ({port for _ in range(200) for port in ports.take(20)} for ports in two)
+        assert not one & other
+        assert len(one) > BLOCK_PORTS
+
+    def test_taken_in_turns_are_never_those_of_the_other(self, two: tuple[Ports, Ports]) -> None:
+        """Taken by turns, as by two runs that go on beside each other."""
+        taken: tuple[set[int], set[int]] = (set(), set())
+        for _ in range(MOST_BLOCKS * BLOCK_PORTS // 10):
+            for ports, mine in zip(two, taken, strict=True):
+                mine.update(ports.take(20))
+        assert not taken[0] & taken[1]
+
+    @pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM], ids=["tcp", "udp"])
+    def test_on_which_somebody_listens_are_passed_over(
+        self, two: tuple[Ports, Ports], kind: socket.SocketKind
+    ) -> None:
+        """Also when all have been given once."""
+        ports, _ = two
+        [taken] = ports.take(1)
+        with socket.socket(socket.AF_INET, kind) as sock:
+            sock.bind((HOST, taken))
+            later = {port for _ in range(2 * MOST_BLOCKS) for port in ports.take(BLOCK_PORTS)}
+        assert taken not in later
+        assert BLOCK_PORTS < len(later) < MOST_BLOCKS * (BLOCK_PORTS - 1)
+
+    def test_more_than_there_are_is_refused(self, two: tuple[Ports, Ports]) -> None:
+        """Rather than looked for without end."""
+        with pytest.raises(RuntimeError):
+            two[0].take(MOST_BLOCKS * BLOCK_PORTS + 1)
