The part of requests that may be repeated is the sheet's

Callers of a deployment whose sheet allows fewer repeats than a fifth would have had its bound broken: each instance repeated 0.15 of its requests, a constant. Found by walking the sheet's bounds, not seen: all known sheets name 0.2, for which nothing changes (0.75 of it is the 0.15 of before). Change: setting repeat_ratio, filled in by the template; an instance uses three quarters of it. Test: at a twentieth, 1,000 requests get 20 to 50 repeats (150 before). Holds because the budget of each service is made from the settings alone.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -58,15 +58,21 @@
 
 PROGRAM = "crankhinge-gateway"
 STDOUT = 1
-# Retries are counted over all instances together: a fifth of all requests and a slack. Each takes a
-# part of its own first attempts and saves up few: thirty instances that spend all at once, with
-# one in debt each, stay within a slack of a hundred.
-RETRY_RATIO = 0.15
-RETRY_BURST = 2.0
+# Repeats are counted over all instances together: a part of all requests and a slack. Each takes
+# less than that part of its own first attempts, since requests are counted by when callers sent
+# them, and saves up few: thirty instances that spend all at once, with one in debt each, stay
+# within a slack of a hundred.
+REPEATS_USED = 0.75
+REPEATS_SAVED = 2.0
 # Numbers of instances' lives are drawn of so many bits: no two agree.
 LIFE_BITS = 63
 
 
+def repeat_budget(settings: GatewaySettings) -> RetryBudget:
+    """Return what an instance may repeat of the requests for one service."""
+    return RetryBudget(ratio=REPEATS_USED * settings.repeat_ratio, burst=REPEATS_SAVED)
+
+
 @dataclass(frozen=True)
 class Platform:
     """What a platform brings.
@@ -113,9 +119,7 @@
     )
     authenticator = Authenticator(directory)
     directory.on_gone.append(backends.forget)
-    budgets: defaultdict[str, RetryBudget] = defaultdict(
-        partial(RetryBudget, ratio=RETRY_RATIO, burst=RETRY_BURST)
-    )
+    budgets: defaultdict[str, RetryBudget] = defaultdict(partial(repeat_budget, settings))
     meters: defaultdict[str, WorkMeter] = defaultdict(WorkMeter)
     notices = Notices(address=settings.peer, peers=lambda: members.peers, log=log)
     notices.on(EngineOrdered, partial(_believe, backends))
--- a/src/crankhinge/gateway/_settings.py
+++ b/src/crankhinge/gateway/_settings.py
@@ -32,6 +32,7 @@
         quota_overrun: part of an account's rate and burst by which all instances together may
             exceed them in such a window.
         quota_slack: tokens by which they may exceed them besides.
+        repeat_ratio: part of a service's requests that all instances together may repeat.
         order_lease_s: seconds that the right to order lasts without renewal.
         peer: ``host:port`` (UDP) for notices of other instances; empty for none.
         statsd: ``host:port`` of the statsd server; empty for none.
@@ -52,6 +53,7 @@
     quota_window_s: Seconds = 8.0
     quota_overrun: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     quota_slack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    repeat_ratio: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.2
     order_lease_s: Seconds = 3.0
     peer: str = ""
     statsd: str = ""
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from crankhinge.gateway import GatewaySettings
+from crankhinge.gateway._program import repeat_budget
 from crankhinge_platform.gateway import SETTINGS_PATH
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -66,6 +67,21 @@
         settings = msgspec.convert(tomllib.loads(text), GatewaySettings)
         assert (settings.apply_s, settings.leave_s, settings.contact_s) == (2.0, 2.0, 3.0)
 
+    def test_repeats_are_those_that_the_sheet_allows(self) -> None:
+        """A sheet that allows a twentieth must not get the seventh of others."""
+        given = {**GIVEN, "bounds": {"grace_s": 8, "retry_budget_ratio": 0.05}}
+        text = fill((ROOT / "deploy" / "gateway.toml.template").read_text(), given)
+        settings = msgspec.convert(tomllib.loads(text), GatewaySettings)
+        assert settings.repeat_ratio == 0.05
+        budget = repeat_budget(settings)
+        for _ in range(1000):
+            budget.first_attempt()
+        spent = 0
+        for _ in range(1000):
+            budget.first_attempt()
+            spent += budget.try_retry()
+        assert 20 <= spent <= 50
+
     def test_metrics_are_where_the_settings_say(self) -> None:
         """Port and path of the deploy file are those of the template."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
