--- a/tests/test_limited_servers.py
+++ b/tests/test_limited_servers.py
@@ -22,7 +22,7 @@
 import curio
 import pytest
 
-from crankhinge.errors import HttpClosed
+from behaviours import break_off, fail
 from crankhinge.http import Exchange
 from limit_worlds import (
     SETTLED_S,
@@ -32,7 +32,7 @@
     most_in_window,
     route,
 )
-from platform_fakes import Behave, FakeReplica, events, stream
+from platform_fakes import Behave, FakeReplica, stream
 
 ONCE = route("r-once", "/once/", "unsafe", "plain")
 SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
@@ -46,11 +46,6 @@
 ASKED_S = 10.0
 
 
-async def fail(replica: FakeReplica, exchange: Exchange) -> None:
-    """Run the request and answer that it failed."""
-    await exchange.respond_as_is(500, replica.head(exchange), b"failed")
-
-
 def stream_often(fleet: LimitedFleet) -> None:
     """Have callers ask for streams, many times what the limited server takes."""
 
@@ -131,13 +126,6 @@
         assert fleet.statuses() == {200: int(ASKED_PER_S * ASKED_S)}
 
 
-async def break_off(replica: FakeReplica, exchange: Exchange) -> None:
-    """Answer with two events and close the connection."""
-    await exchange.start_as_is(200, replica.head(exchange))
-    await exchange.write(events(1, 2))
-    raise HttpClosed("broken off")
-
-
 class TestEveryWay:
     """Each way in which a request, or a call for one, reaches a server that names a limit."""
 
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -19,16 +19,15 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from functools import partial
 
 import curio
 import pytest
 
-from crankhinge.errors import HttpClosed
+from behaviours import REST_S, Resting, break_off, fail, slowly
 from crankhinge.http import Exchange
 from limit_worlds import LimitedFleet, route
-from platform_fakes import Behave, FakeReplica, events, sealed, stream
+from platform_fakes import FakeReplica, sealed, stream
 
 ONCE = route("r-once", "/once/", "unsafe", "plain")
 SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
@@ -37,59 +36,11 @@
 TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
 ASKED_PER_S = 15.0
 # What the operators allow: requests that were sent this long after a server said that it leaves,
-# and requests that reach a server between half a second after its refusal and its rest's end.
+# and requests that reach a server that rests.
 DRAIN_S = 2.0
-HEARD_S = 0.5
 MOST_IN_REST = 2
 # Target of the routes.
 TARGET_S = 0.9
-REST_S = 3.0
-
-
-@dataclass
-class Resting:
-    """A server's behaviour: it refuses all requests for a while and asks for rest each time.
-
-    Attributes:
-        rest_s: seconds that it asks for.
-        after_s: seconds that it takes to refuse.
-        status: of its refusals.
-        fields: header fields of its refusals besides.
-        over_at: when it begins to serve, on the runtime's clock.
-        serve: what it does then.
-        told: when it refused, and until when it had asked for rest by that.
-    """
-
-    rest_s: float = REST_S
-    after_s: float = 0.0
-    status: int = 503
-    fields: tuple[tuple[str, str], ...] = (("x-not-executed", "1"),)
-    over_at: float = float("inf")
-    serve: Behave = sealed
-
-    def __post_init__(self) -> None:
-        self.told: list[tuple[float, float]] = []
-
-    async def __call__(self, replica: FakeReplica, exchange: Exchange) -> None:
-        """Refuse a request, or run it."""
-        if await curio.clock() >= self.over_at:
-            await self.serve(replica, exchange)
-            return
-        rest_s = self.rest_s
-        await curio.sleep(self.after_s)
-        now = await curio.clock()
-        self.told.append((now, now + rest_s))
-        ident = exchange.req.headers["x-request-id"]
-        told = [("x-request-id", ident), ("retry-after", f"{rest_s:g}"), *self.fields]
-        await exchange.respond_as_is(self.status, told, b"")
-
-    def most_in_rest(self, replica: FakeReplica) -> int:
-        """Return the most requests that reached the server within one rest."""
-        times = [arrival.at for arrival in replica.arrivals]
-        return max(
-            (sum(at + HEARD_S < each < until for each in times) for at, until in self.told),
-            default=0,
-        )
 
 
 def call_often(fleet: LimitedFleet, path: str, *, for_s: float, **more: str) -> None:
@@ -476,12 +427,6 @@
         assert len(back) > 0.2 * len(other.arrivals) * (10.0 - REST_S) / 10.0
 
 
-async def slowly(replica: FakeReplica, exchange: Exchange) -> None:
-    """Run the request for a while, so that the next ones go to other servers."""
-    await curio.sleep(0.2)
-    await sealed(replica, exchange)
-
-
 async def as_asked(replica: FakeReplica, exchange: Exchange) -> None:
     """Run a request, refuse it, or refuse it and ask for rest, after a time, as its body says."""
     what, _, after_s = exchange.req.body.decode().partition(" ")
@@ -493,15 +438,3 @@
     rest = [("retry-after", "3")] if what == "rest" else []
     fields = [("x-request-id", ident), ("x-not-executed", "1"), *rest]
     await exchange.respond_as_is(503, fields, b"")
-
-
-async def fail(replica: FakeReplica, exchange: Exchange) -> None:
-    """Run the request and answer that it failed."""
-    await exchange.respond_as_is(500, replica.head(exchange), b"failed")
-
-
-async def break_off(replica: FakeReplica, exchange: Exchange) -> None:
-    """Answer with two events and close the connection."""
-    await exchange.start_as_is(200, replica.head(exchange))
-    await exchange.write(events(1, 2))
-    raise HttpClosed("broken off")
