--- a/tests/limit_worlds.py
+++ b/tests/limit_worlds.py
@@ -22,7 +22,15 @@
 # Seconds after which instances know each other.
 SETTLED_S = 8.0
 
+# Target of the routes below, in seconds.
+TARGET_S = 0.9
+
 route = operator.route
+ONCE = route("r-once", "/once/", "unsafe", "plain")
+SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
+STREAM = route("r-stream", "/stream/", "streaming", "llm")
+RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
+TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
 
 
 def allowed(per_s: float) -> int:
--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -26,21 +26,22 @@
 
 from behaviours import REST_S, Resting, break_off, fail, slowly
 from crankhinge.http import Exchange
-from limit_worlds import LimitedFleet, route
+from limit_worlds import (
+    ONCE,
+    RESUMED,
+    SAFE,
+    STREAM,
+    TARGET_S,
+    TOKENS,
+    LimitedFleet,
+)
 from platform_fakes import FakeReplica, sealed, stream
 
-ONCE = route("r-once", "/once/", "unsafe", "plain")
-SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
-STREAM = route("r-stream", "/stream/", "streaming", "llm")
-RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
-TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
 ASKED_PER_S = 15.0
 # What the operators allow: requests that were sent this long after a server said that it leaves,
 # and requests that reach a server that rests.
 DRAIN_S = 2.0
 MOST_IN_REST = 2
-# Target of the routes.
-TARGET_S = 0.9
 
 
 def call_often(fleet: LimitedFleet, path: str, *, for_s: float, **more: str) -> None:
