--- a/src/crankhinge_bench/_ports.py
+++ b/src/crankhinge_bench/_ports.py
@@ -6,13 +6,13 @@
 import socket
 
 HOST = "127.0.0.1"
+# Below the range from which the kernel takes ports for outgoing connections: one from that range
+# can be taken between the call that finds it and the time it is listened on.
 FIRST_PORT = 12_000
 END_PORT = 30_000
-"""Below the range from which the kernel takes ports for outgoing connections: one from that range
-can be taken between the call that finds it and the time it is listened on."""
 BLOCK_PORTS = 100
+# What one process holds at most, that several find room; it then begins again with its first.
 MOST_BLOCKS = 30
-"""What one process holds at most, that several find room; it then begins again with its first."""
 
 
 class Ports:
--- a/tests/test_virtual_time.py
+++ b/tests/test_virtual_time.py
@@ -10,8 +10,8 @@
 
 from virtual_time import run_virtual
 
+# Real seconds that what was sent gets to be delivered.
 SETTLE_S = 0.003
-"""Real seconds that what was sent gets to be delivered."""
 
 
 class TestJumps:
