Callers of the series and the balancer of the tests give up

Cause, as far as it is known: callers of the series and the question whether an instance is ready waited for an answer without end, some of them to instances that the series kills. Change: both give up, as real ones do; an attempt at an instance that was not killed meanwhile and is not answered fails the test, where it hung before. No bound is eased: whoever gets no answer still counts as not served.

--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -46,6 +46,10 @@
 route = operator.route
 
 
+# Seconds after which the balancer takes silence for a miss.
+BALANCER_S = 1.0
+
+
 def free_port() -> int:
     """Return a TCP port that nobody listens on."""
     return free_ports(1)[0]
@@ -476,11 +480,13 @@
         await curio.Event().wait()
 
     async def readiness(self) -> int:
-        """Return what the balancer is told."""
+        """Return what the balancer is told; 0 for nothing in its time."""
+        client = HttpClient(HOST, self.ready_port)
         try:
-            return (await HttpClient(HOST, self.ready_port).call("GET", "/readyz")).status
-        except HttpClosed:
+            answer = await curio.timeout_after(BALANCER_S, client.call, "GET", "/readyz")
+        except (HttpClosed, curio.TaskTimeout):
             return 0
+        return int(answer.status)
 
     async def open(
         self,
--- a/tests/test_quarantine_series.py
+++ b/tests/test_quarantine_series.py
@@ -9,8 +9,9 @@
 
 import random
 import sys
-from collections import defaultdict
+from collections import Counter, defaultdict
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 from unittest import mock
 
@@ -27,6 +28,8 @@
 SAFE = route("r-safe", "/safe/", "safe", "plain", max_attempts=2)
 STREAM = route("r-stream", "/stream/", "streaming", "llm", max_attempts=2, resumable=True)
 TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
+# Seconds after which callers give up: the four of their deadline, and time for an answer to it.
+CALLER_S = 6.0
 SETTLED_S = 8.0
 LASTS_S = 60.0
 # Seconds after which an instance that nothing befalls knows what the others know.
@@ -49,6 +52,7 @@
         befallen: when something befell an instance or the store last.
         innocent: whether each innocent attempt was answered.
         shut_out: innocent attempts that were told of a quarantine.
+        unanswered: attempts that an instance which was not killed meanwhile left without an answer.
     """
 
     seed: int
@@ -58,9 +62,11 @@
     befallen: float = float("-inf")
     innocent: list[bool] = field(default_factory=list)
     shut_out: int = 0
+    unanswered: int = 0
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.seed)
+        self._kills: Counter[str] = Counter()
         self._world = World()
         self._gateways = [self._world, *(self._world.beside(f"g{n}") for n in range(2))]
         self._replicas = [
@@ -115,12 +121,16 @@
         self._numbers += 1
         gateway = self._rng.choice(self._gateways)
         more = TOKENS if path.startswith("/stream") else {}
+        call = partial(gateway.call, f"q{self._numbers}", path, body=body, fresh=True, **more)
+        kills = self._kills[gateway.name]
         try:
-            status, _, answer = await gateway.call(
-                f"q{self._numbers}", path, body=body, fresh=True, **more
-            )
+            status, _, answer = await curio.timeout_after(CALLER_S, call)
         except (BadHttp, HttpClosed):
             return 0, b""
+        except curio.TaskTimeout:
+            # Nobody may answer for an instance that was killed; one that lives has to.
+            self.unanswered += kills == self._kills[gateway.name]
+            return 0, b""
         return status, answer
 
     async def _crashing(self, body: bytes, path: str, until: float) -> None:
@@ -149,6 +159,7 @@
     async def _kill_gateway(self) -> None:
         for gateway in self._rng.sample(self._gateways, self._rng.choice((1, 1, 3))):
             self.befallen = await curio.clock()
+            self._kills[gateway.name] += 1
             await gateway.kill()
         self.befallen = await curio.clock()
 
@@ -171,6 +182,8 @@
             late = [at for at, calm in crashes if calm and at > third + CONTACT_S]
             if len(late) > MORE:
                 cases.append(f"{body!r}: {len(late)} servers more, {len(crashes)} in all")
+        if self.unanswered:
+            cases.append(f"{self.unanswered} attempts at instances that live were not answered")
         if sum(self.innocent) < SERVED * len(self.innocent):
             cases.append(f"{sum(self.innocent)} of {len(self.innocent)} innocent attempts answered")
         return cases
