A choice makes nothing for servers that were seen

Cause: standing() gave setdefault a new Standing each time, whether it was needed or not; a choice asks seven times a server, so one among 600 made 42,000 of them in ten choices. Ruled out: the bars; the code before them costs the same a choice. Change: a defaultdict makes one for a server that was not seen yet. Holds because the test counts what is made: 600 for 600 servers, 42,000 before.

--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+from collections import defaultdict
 from collections.abc import Callable
 from typing import Any
 
@@ -70,11 +71,12 @@
         self._log = log
         self._metrics = metrics
         self._clients: dict[str, HttpClient] = {}
-        self._standing: dict[str, Standing] = {}
+        # Asked several times a server at each choice: none is made but for a server not seen yet.
+        self._standing: defaultdict[str, Standing] = defaultdict(Standing)
 
     def standing(self, ident: str) -> Standing:
         """Return what was seen of a server."""
-        return self._standing.setdefault(ident, Standing())
+        return self._standing[ident]
 
     def client(self, server: Server) -> HttpClient:
         """Return the connections to a server."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+import time
 from typing import Any
+from unittest import mock
 
 import pytest
 
-from crankhinge.decisions import Bar, Phase, Server, ServerList, kept_connections
+from crankhinge.decisions import Bar, Phase, Server, ServerList, Standing, kept_connections
 from crankhinge.gateway._backends import Backends
 from crankhinge.runtime import Metrics, get_log
 from platform_fakes import Lines
@@ -114,6 +116,31 @@
         assert backends.barred(Bar.RESTING, 10.0) == 1
 
 
+class TestChoice:
+    """What a choice among many servers costs."""
+
+    def test_makes_nothing_for_servers_that_were_seen(self) -> None:
+        """Each is looked at seven times: 4.6 us a server, 13.8 when it did, counting included."""
+        servers = [engine(f"r{number}", Phase.READ) for number in range(600)]
+        made = 0
+
+        class Counted(Standing):
+            def __init__(self) -> None:
+                nonlocal made
+                made += 1
+                super().__init__()
+
+        with mock.patch("crankhinge.gateway._backends.Standing", Counted):
+            backends = backends_of(*servers)
+            took_s = []
+            for _ in range(10):
+                began = time.process_time()
+                assert backends.pick("llm", 5.0, avoid=frozenset()) is not None
+                took_s.append(time.process_time() - began)
+        print(f"a choice among {len(servers)}: {min(took_s) / len(servers) * 1e6:.1f} us a server")
+        assert made == len(servers)
+
+
 class TestConnections:
     """Connections that are kept to one server, of what it takes from all instances together."""
 
