--- a/src/crankhinge/decisions/_freshness.py
+++ b/src/crankhinge/decisions/_freshness.py
@@ -28,7 +28,7 @@
 # Shortest wait of a watch, in seconds: below it a watch is polling.
 WATCH_LEAST_S = 0.5
 # Seconds of the operators' bound on keys that are left unused: an answer of a slow store (0.3) and
-# the tick of the two clocks by which wait and age are measured.
+# the tick of the two clocks by which wait and age are told.
 REVOKE_SPARE_S = 0.2
 # Seconds that the answer to a watch may take beyond its wait, for the belief not to grow too old
 # meanwhile: a slow store's 0.32 and the way.
--- a/src/crankhinge/decisions/_places.py
+++ b/src/crankhinge/decisions/_places.py
@@ -31,7 +31,7 @@
 SILENT_PAUSES = 8.0
 # Seconds before that at which its first event has to be on its way.
 SILENT_SPARE_S = 0.2
-# Seconds from a place to the first event, until some were measured.
+# Seconds from a place to the first event, until some were seen.
 FIRST_S = 0.25
 # A request is held to have come back when its caller waits less than this part of the longest wait
 # seen on its route.
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -39,7 +39,7 @@
 LEAST_POOL = 2
 # A change costs an engine's work for seconds; it has to lower the larger load by this part.
 GAIN = 0.12
-# One change takes a pool's engines divided by this at most: what was measured may be wrong.
+# One change takes a pool's engines divided by this at most: what was seen may be wrong.
 POOL_DIVISOR = 3
 
 
--- a/src/crankhinge_bench/_cluster.py
+++ b/src/crankhinge_bench/_cluster.py
@@ -27,6 +27,8 @@
 SEEDS = 3
 PUBLISH_TRIES = 20
 EXIT_UNKNOWN = 4
+# Who signs each bundle; the members are all the first one's.
+PARTNERS = ("partner-a", "partner-b")
 
 
 @dataclass
@@ -98,7 +100,7 @@
         self.wait_ready()
 
     def _make_keys(self) -> None:
-        for partner in ("timbook", "heating-oil"):
+        for partner in PARTNERS:
             self._keys[partner] = new_key_pair(self.dir / f"{partner}.key")
 
     def _plan(self) -> None:
@@ -231,7 +233,12 @@
         for partner in self._keys:
             out += ["[[partners]]", f'name = "{partner}"', ""]
         for name, weight in spec.members:
-            out += ["[[members]]", f'name = "{name}"', 'partner = "timbook"', f"weight = {weight}"]
+            out += [
+                "[[members]]",
+                f'name = "{name}"',
+                f'partner = "{PARTNERS[0]}"',
+                f"weight = {weight}",
+            ]
             out += [f'credential_sha256 = "{hash_credential(self.credentials[name])}"', ""]
         out += self._pool_lines()
         out += self._model_lines()
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -38,7 +38,7 @@
 RESTS_S = (1.0, 3.0, 6.0)
 # Changes of the configuration in quick succession.
 STORM = 6
-# Shares, so that each variant comes a few times in twenty seeds: of episodes, those in series; of
+# Shares, so that each variant comes now and then: of episodes, those in series; of
 # planned stops of servers, those without a word; of reloads, those of settings that can't be read;
 # of harmed paths, those that are reset and those whose connections fall silent; of outages of the
 # store, those in which entries lapse; of changes of the configuration, those in quick succession,
