--- a/tests/test_virtual_time.py
+++ b/tests/test_virtual_time.py
@@ -8,7 +8,7 @@
 import pytest
 from curio import socket
 
-from virtual_time import run_virtual
+from virtual_time import NeverEnds, run_virtual
 
 # Real seconds that what was sent gets to be delivered.
 SETTLE_S = 0.003
@@ -74,3 +74,21 @@
             return arrived
 
         assert run_virtual(story, settle_s=SETTLE_S) == [float(n) for n in range(1, 21)]
+
+
+class TestNeverEnds:
+    """Stories that would go on until somebody ends the run."""
+
+    def test_what_it_waits_for_is_told(self) -> None:
+        """A task that looks again and again for what never comes."""
+
+        async def looks_again() -> None:
+            while True:
+                await curio.sleep(0.5)
+
+        async def story() -> None:
+            task = await curio.spawn(looks_again)
+            await task.join()
+
+        with pytest.raises(NeverEnds, match="looks_again:"):
+            run_virtual(story)
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -12,12 +12,21 @@
 import curio
 import curio.kernel
 
+# Virtual seconds after which a story is taken never to end, unless it says that it lasts longer.
+MOST_S = 600.0
+
+
+class NeverEnds(AssertionError):
+    """A story goes on and on; tells what its tasks wait for."""
+
 
 class VirtualClock:
     """The kernel's clock."""
 
-    def __init__(self) -> None:
+    def __init__(self, most_s: float) -> None:
         self.now = 1000.0
+        self.most_s = most_s
+        self.end = self.now + most_s
 
     def monotonic(self) -> float:
         """Return the virtual time."""
@@ -95,6 +104,10 @@
         if timeout is None:
             raise RuntimeError("nothing will ever happen")
         self._clock.now += max(0.0, timeout)
+        if self._clock.now > self._clock.end:
+            # The kernel ends its tasks then; where one does not end, this comes once more.
+            self._clock.end = self._clock.now + self._clock.most_s
+            raise NeverEnds(f"no end within {self._clock.most_s:g} s")
         return []
 
     def _settled(self, timeout: float | None) -> Any:
@@ -111,7 +124,9 @@
         super().close()
 
 
-def run_virtual(main: Callable[..., Any], *args: Any, settle_s: float = 0.0) -> Any:
+def run_virtual(
+    main: Callable[..., Any], *args: Any, settle_s: float = 0.0, most_s: float = MOST_S
+) -> Any:
     """Return what ``main(*args)`` returns, its sleeps taking no time.
 
     Args:
@@ -119,8 +134,27 @@
         args: its arguments.
         settle_s: real seconds that the kernel gets to deliver what was sent over loopback, before
             the time jumps; spent only after sockets were used and where delivery takes its time.
+        most_s: virtual seconds within which it ends.
+
+    Raises:
+        NeverEnds: it did not; with where each of its tasks stood.
     """
-    clock, traffic = VirtualClock(), Traffic()
+    clock, traffic = VirtualClock(most_s), Traffic()
     fake = types.SimpleNamespace(monotonic=clock.monotonic)
-    with mock.patch.object(curio.kernel, "time", fake), traffic.watched():
-        return curio.run(main, *args, selector=JumpingSelector(clock, traffic, settle_s))
+    selector = JumpingSelector(clock, traffic, settle_s)
+    time_jumps = mock.patch.object(curio.kernel, "time", fake)
+    with time_jumps, traffic.watched(), curio.Kernel(selector=selector) as kernel:
+        try:
+            return kernel.run(main, *args)
+        except NeverEnds as exc:
+            waits = sorted(_waits(task.coro) for task in kernel._tasks.values())
+            raise NeverEnds("\n".join([str(exc), *waits])) from exc
+
+
+def _waits(coro: Any) -> str:
+    """Return where a task stands, from its outermost call to its innermost."""
+    calls = []
+    while coro is not None and (frame := getattr(coro, "cr_frame", None)):
+        calls.append(f"{frame.f_code.co_qualname}:{frame.f_lineno}")
+        coro = coro.cr_await
+    return " > ".join(calls)
