--- a/tests/test_server_words.py
+++ b/tests/test_server_words.py
@@ -410,6 +410,27 @@
         fleet.play(story, ONCE)
         assert len(server.arrivals) == 1
 
+    def test_is_not_that_of_the_next_life(self) -> None:
+        """Another life of the same name serves at once, whatever the last one asked for."""
+        fleet = LimitedFleet(1)
+        resting = Resting(60.0)
+        server = fleet.add("i-resting", behave=resting, born=1)
+        fleet.add("i-other", behave=slowly)
+
+        async def story() -> None:
+            while not resting.told:
+                await fleet.ask("/once/a")
+            server.behave, server.born = sealed, 2
+            server.arrivals.clear()
+            await server.enter()
+            await curio.sleep(0.2)
+            await fleet.ask_often("/once/a", per_s=ASKED_PER_S, for_s=1.0)
+
+        fleet.play(story, ONCE)
+        assert server.arrivals
+        assert set(fleet.statuses()) == {200, 503}
+        assert fleet.statuses()[503] == len(resting.told)
+
     def test_ends_when_it_said(self) -> None:
         """It serves again, and gets its part."""
         fleet = LimitedFleet(1)
