Keep a registry of the streams that run at engines

Cause: placement reports the runs of an instance, and a move of a run needs the stream that it belongs to; neither can find a running stream today.

Change: StreamRunner enters each attempt at an engine into RunningStreams with its run id, request, engine, events, prompt tokens and start, and removes it when the attempt ends.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -41,6 +41,7 @@
 from crankhinge.gateway._quota import AccountLimits
 from crankhinge.gateway._record_sync import InstanceRecordSync
 from crankhinge.gateway._role_controller import MAX_ORDER_S, RoleController
+from crankhinge.gateway._running_streams import RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._source_watcher import SourceWatcher
@@ -157,6 +158,7 @@
         log=log,
         metrics=metrics,
     )
+    running = RunningStreams(settings.name)
     selector = ServerSelector(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
@@ -192,7 +194,9 @@
         quarantine=quarantine,
         dialect=dialect,
         plain=PlainRunner(**common),
-        streams=StreamRunner(**common, permits=permits, quarantine=quarantine, meters=meters),
+        streams=StreamRunner(
+            **common, permits=permits, quarantine=quarantine, meters=meters, running=running
+        ),
         log=log,
         metrics=metrics,
     )
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -32,6 +32,7 @@
 from crankhinge.gateway._quarantine import QuarantineService
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._reservations import Reservation, Reservations
+from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
 from crankhinge.http import ClientStream, ConnectFailed
 
@@ -58,6 +59,7 @@
         quarantine: notified of prompts that engines processed, since these do not crash engines.
         log: log for events.
         meters: measures the cost of each service's requests, by service name.
+        running: registry of the streams that run at engines.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         quarantine: QuarantineService,
         log: Any,
         meters: Mapping[str, WorkloadMeter],
+        running: RunningStreams,
     ) -> None:
         self._backends = backends
         self._selector = selector
@@ -78,6 +81,7 @@
         self._budget_of = budget_of
         self._log = log
         self._meters = meters
+        self._running = running
         self._reservations = Reservations(backends, selector, permits, log, meters)
         self._prompt_processor = PromptProcessor(
             backends=backends, selector=selector, attempts=attempts, quarantine=quarantine, log=log
@@ -176,13 +180,13 @@
                 if self._backends.accepts_work(
                     reservation.server.incarnation_id, await curio.clock()
                 ):
-                    return await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+                    return await self._track_at_engine(relay, reservation, kv_cache, events, budget)
                 # While the prompt was processed, the engine stopped accepting work: it may be
                 # leaving, in backoff, replaced or gone, or it changes its role.
                 async with self._reservations.reserve(
                     relay, extra_tokens=answered_tokens, avoid=avoid
                 ) as second_reservation:
-                    return await self._run_at_engine(
+                    return await self._track_at_engine(
                         relay, second_reservation, kv_cache, events, budget
                     )
             except BaseException:
@@ -205,6 +209,30 @@
             meter.record_prompt(request.prompt_tokens, kv_cache.duration_s)
         return kv_cache
 
+    async def _track_at_engine(
+        self,
+        relay: Relay,
+        reservation: Reservation,
+        kv_cache: PromptKvCache | None,
+        events: EventSplitter,
+        budget: RetryBudget,
+    ) -> tuple[_AttemptEnd, str]:
+        """Run the request at the engine of its reservation; keep it in the registry meanwhile."""
+        engine = relay.service.engine
+        assert engine is not None
+        stream = RunningStream(
+            run_id=self._running.new_run_id(),
+            relay=relay,
+            server=reservation.server,
+            events=events,
+            prompt_tokens=relay.request.prompt_tokens
+            + events.event_count * engine.tokens_per_event,
+            started_at=await curio.clock(),
+            events_before=events.event_count,
+        )
+        with self._running.track(stream):
+            return await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+
     async def _run_at_engine(
         self,
         relay: Relay,
