One order of the instances that keep something for the fleet

Cause: QuotaClient and SharedLimits each compute the first instance of a key and its standby and skip instances that do not respond; placement needs the same a third time.

--- a/src/crankhinge/decisions/_quota.py
+++ b/src/crankhinge/decisions/_quota.py
@@ -21,7 +21,7 @@
 
 from crankhinge.decisions._accounts import Account, TokenLimit
 from crankhinge.decisions._membership import Membership
-from crankhinge.decisions._unresponsive import UnresponsivePeers
+from crankhinge.decisions.coordination import CoordinatorOrder
 
 # Share of the allowed tokens that the first instance may allocate at most: it allocates the
 # account's rate and burst, but the other instances need some tokens as well.
@@ -294,22 +294,16 @@
     """
 
     def __init__(self, *, name: str, membership: Membership) -> None:
-        self._name = name
-        self._membership = membership
-        self._unresponsive = UnresponsivePeers(MAX_MISSES)
+        self._order = CoordinatorOrder(name=name, membership=membership, max_misses=MAX_MISSES)
 
     def allocators(self, account: str, now: float) -> Sequence[str]:
         """Return the instances to ask for tokens, in this order until one grants or refuses."""
-        return [
-            name
-            for name in self._membership.rank_instances(account)[:2]
-            if name == self._name or not self._unresponsive.is_skipped(name, now)
-        ]
+        return self._order.coordinators(account, now)
 
     def record_unresponsive(self, name: str, now: float) -> None:
         """Record that an instance did not respond."""
-        self._unresponsive.record_unresponsive(name, now)
+        self._order.record_unresponsive(name, now)
 
     def record_response(self, name: str) -> None:
         """Record that an instance responded, or that it has just joined."""
-        self._unresponsive.record_response(name)
+        self._order.record_response(name)
--- a/src/crankhinge/decisions/_shared_limits.py
+++ b/src/crankhinge/decisions/_shared_limits.py
@@ -24,7 +24,7 @@
 from crankhinge.decisions._bounded import keep_newest
 from crankhinge.decisions._membership import Membership
 from crankhinge.decisions._permit_pool import PermitDecision, PermitPool, burst_limit
-from crankhinge.decisions._unresponsive import UnresponsivePeers
+from crankhinge.decisions.coordination import CoordinatorOrder
 
 # Duration of a lease in seconds: the minimum, and the amount for each instance of the fleet. A
 # lease is renewed three times in its duration. When the allocator crashes, the shares leased to it
@@ -33,9 +33,6 @@
 MIN_SHARE_LEASE_S = 2.4
 SHARE_LEASE_S_PER_INSTANCE = 0.08
 RENEWALS_PER_LEASE = 3
-# Number of instances, in the order of a server, that may act as its allocator before an instance
-# falls back to its local share.
-MAX_ALLOCATORS = 2
 # Unanswered requests in a row after which an instance is skipped: a lossy link drops three
 # datagrams in a hundred.
 MAX_MISSES = 2
@@ -89,7 +86,7 @@
         self._membership = membership
         self._incarnation = incarnation
         self._started_at = now
-        self._unresponsive = UnresponsivePeers(MAX_MISSES)
+        self._order = CoordinatorOrder(name=name, membership=membership, max_misses=MAX_MISSES)
         self._clock_stamps: dict[str, ClockStamp] = {}
         self._pools: dict[str, PermitPool] = {}
         # To which instance the local share of a server's limit is leased, and until when.
@@ -99,28 +96,24 @@
 
     def allocators(self, server: str, now: float) -> Sequence[str]:
         """Return the instances to ask for a permit, one after the other until one responds."""
-        return [
-            name
-            for name in self._membership.rank_instances(server)[:MAX_ALLOCATORS]
-            if name == self._name or not self._unresponsive.is_skipped(name, now)
-        ]
+        return self._order.coordinators(server, now)
 
     def is_allocator(self, server: str) -> bool:
         """Whether other instances may ask this one for permits to a server."""
-        return self._name in self._membership.rank_instances(server)[:MAX_ALLOCATORS]
+        return self._order.is_coordinator(server)
 
     def record_unresponsive(self, name: str, now: float) -> None:
         """Record that an instance did not respond."""
-        self._unresponsive.record_unresponsive(name, now)
+        self._order.record_unresponsive(name, now)
 
     def record_response(self, name: str, stamp: ClockStamp) -> None:
         """Record that an instance responded, and the time of its clock in its response."""
-        self._unresponsive.record_response(name)
+        self._order.record_response(name)
         self._clock_stamps[name] = stamp
 
     def record_joined(self, name: str) -> None:
         """Record that an instance has joined, so that it is not skipped any longer."""
-        self._unresponsive.record_response(name)
+        self._order.record_response(name)
 
     # Leases of the local share.
 
@@ -143,7 +136,7 @@
         """
         clock_stamp = self._clock_stamps.get(allocator)
         # A share leased to an instance that is gone would stay unused until the lease ends.
-        if clock_stamp is None or self._unresponsive.missed_last(allocator):
+        if clock_stamp is None or self._order.missed_last(allocator):
             return None
         if not self._may_lease(server, allocator, now):
             return None
