--- a/src/crankhinge/decisions/_reservations.py
+++ b/src/crankhinge/decisions/_reservations.py
@@ -11,7 +11,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from crankhinge.decisions._server_stats import ServerStats
 from crankhinge.decisions._servers import Server
@@ -100,12 +100,25 @@
         below the value of the answer.
         """
         value = RETRY_VALUE if self.is_retry else LATE_VALUE
+        return min(self.max_in_time_wait_s + value / WAIT_COST_PER_S, self.latest_wait_s)
+
+    @property
+    def latest_wait_s(self) -> float:
+        """Seconds after which memory is of no use to the request, whatever the answer is worth."""
         return min(
-            self.max_in_time_wait_s + value / WAIT_COST_PER_S,
             self.event_timeout_s - self.first_event_s - EVENT_TIMEOUT_MARGIN_S,
             self.remaining_s - self.service_s,
         )
 
+    def after(self, waited_s: float) -> ReservationRequest:
+        """Return the request with the times that are left after it has waited *waited_s*."""
+        return replace(
+            self,
+            target_s=self.target_s - waited_s,
+            remaining_s=self.remaining_s - waited_s,
+            event_timeout_s=self.event_timeout_s - waited_s,
+        )
+
     def is_late(self, waited_s: float) -> bool:
         """Whether the request can no longer be answered in time after it has waited *waited_s*."""
         return waited_s >= self.max_in_time_wait_s
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -236,6 +236,18 @@
                 "server_replaced", server=server.incarnation_id, at=f"{server.host}:{server.port}"
             )
 
+    def get(self, incarnation_id: str) -> Server | None:
+        """Return a listed server; None if it is not in the list."""
+        return self._servers.get(incarnation_id)
+
+    def listed_servers(self, service: str, role: EngineRole) -> list[Server]:
+        """Return all listed servers of a service with a role, also those that are excluded."""
+        return [
+            server
+            for server in self._servers.all()
+            if server.service == service and server.role is role
+        ]
+
     def is_listed(self, incarnation_id: str) -> bool:
         """Return whether a server is in the list."""
         return self._servers.get(incarnation_id) is not None
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from crankhinge.decisions import ClockStamp, EngineRole, QuotaOutcome, ShareLease
+from crankhinge.gateway.placement._messages import PlacementMessage
 
 
 class EngineOrdered(msgspec.Struct, frozen=True, tag="engine-ordered"):
@@ -265,3 +266,19 @@
     | PermitResponse
     | PermitReturn
 )
+# The first byte of an encoded message is below this if the message is a map, as the messages of
+# this module are. Messages about placement are arrays: they are sent most often, and the names of
+# their fields would take more bytes than their values.
+_FIRST_ARRAY_BYTE = 0x90
+_map_decoder = msgspec.msgpack.Decoder(PeerMessage)
+_array_decoder = msgspec.msgpack.Decoder(PlacementMessage)
+
+
+def decode_message(data: bytes) -> PeerMessage | PlacementMessage:
+    """Return the message that a datagram contains.
+
+    Raises:
+        msgspec.DecodeError, msgspec.ValidationError: the datagram contains no valid message.
+    """
+    is_map = not data or data[0] < _FIRST_ARRAY_BYTE
+    return _map_decoder.decode(data) if is_map else _array_decoder.decode(data)
--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -14,7 +14,8 @@
 import curio.socket
 import msgspec
 
-from crankhinge.gateway._peer_messages import PeerMessage
+from crankhinge.gateway._peer_messages import PeerMessage, decode_message
+from crankhinge.gateway.placement._messages import PlacementMessage
 from crankhinge.runtime import split_host_port
 
 # Maximum size of a datagram in bytes, so that it fits in one packet.
@@ -59,7 +60,7 @@
     async def _receive_one(self) -> None:
         try:
             data, sender = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-            message = msgspec.msgpack.decode(data, type=PeerMessage)
+            message = decode_message(data)
         except (msgspec.DecodeError, msgspec.ValidationError) as exc:
             self._log.info("notice_unreadable", peer=sender[0], why=str(exc))
             return
@@ -71,7 +72,7 @@
         if handler is not None:
             await handler(message, f"{sender[0]}:{sender[1]}")
 
-    async def send(self, address: str, message: PeerMessage) -> None:
+    async def send(self, address: str, message: PeerMessage | PlacementMessage) -> None:
         """Send a message to one instance."""
         if self._sock is None:
             return
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -22,6 +22,7 @@
     WorkloadMeter,
     idle_connection_limit,
 )
+from crankhinge.decisions.coordination import CoordinatorOrder
 from crankhinge.gateway._admission import Admission
 from crankhinge.gateway._attempts import Attempts
 from crankhinge.gateway._authenticator import Authenticator
@@ -47,6 +48,11 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
+from crankhinge.gateway.placement._client import MAX_MISSES as MAX_PLACEMENT_MISSES
+from crankhinge.gateway.placement._client import PlacementClient
+from crankhinge.gateway.placement._engines import PlacementEngines
+from crankhinge.gateway.placement._service import PlacementService
+from crankhinge.gateway.placement._transport import PlacementTransport
 from crankhinge.runtime import (
     LineSink,
     Supervisor,
@@ -68,6 +74,8 @@
 MAX_SAVED_RETRIES = 2.0
 # Random bits in the number of an instance's incarnation, enough that no two are equal.
 INCARNATION_BITS = 63
+# Random bits in the first run counter, so that the runs of two incarnations have different ids.
+RUN_COUNTER_BITS = 31
 
 
 def new_retry_budget(settings: GatewaySettings) -> RetryBudget:
@@ -158,7 +166,35 @@
         log=log,
         metrics=metrics,
     )
-    running = RunningStreams(settings.name)
+    running = RunningStreams(settings.name, first=rng.getrandbits(RUN_COUNTER_BITS))
+    placement_order = CoordinatorOrder(
+        name=settings.name, membership=membership, max_misses=MAX_PLACEMENT_MISSES
+    )
+    placement_engines = PlacementEngines(backends)
+    placement_transport = PlacementTransport(
+        name=settings.name, membership=membership, messenger=messenger
+    )
+    placement_service = PlacementService(
+        order=placement_order,
+        membership=membership,
+        engines=placement_engines,
+        discovery=discovery,
+        transport=placement_transport,
+        log=log,
+        metrics=metrics,
+        rng=rng,
+    )
+    placement = PlacementClient(
+        zone=settings.zone,
+        order=placement_order,
+        engines=placement_engines,
+        backends=backends,
+        running=running,
+        transport=placement_transport,
+        log=log,
+        metrics=metrics,
+        rng=rng,
+    )
     selector = ServerSelector(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
@@ -182,7 +218,11 @@
         address=settings.peer,
         membership=membership,
         messenger=messenger,
-        on_joined=[account_limits.record_joined, permits.record_joined],
+        on_joined=[
+            account_limits.record_joined,
+            permits.record_joined,
+            placement.record_joined,
+        ],
         log=log,
     )
     gateway = Gateway(
@@ -195,7 +235,12 @@
         dialect=dialect,
         plain=PlainRunner(**common),
         streams=StreamRunner(
-            **common, permits=permits, quarantine=quarantine, meters=meters, running=running
+            **common,
+            permits=permits,
+            quarantine=quarantine,
+            meters=meters,
+            running=running,
+            placement=placement,
         ),
         log=log,
         metrics=metrics,
@@ -246,6 +291,9 @@
     metrics.set_gauge_function("servers_doubted", lambda: len(discovery.servers.suspects()))
     metrics.set_gauge_function("source_bytes", lambda: platform.source.received_bytes)
     metrics.set_gauge_function("source_calls", lambda: sum(platform.source.call_counts.values()))
+    metrics.set_gauge_function("placement_runs", lambda: placement_service.run_count)
+    metrics.set_gauge_function("placement_requests", lambda: placement_service.waiting_count)
+    metrics.set_gauge_function("placement_peak", lambda: placement_service.max_peak_share)
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
     supervisor.add("ready", status.listen_ready)
@@ -260,6 +308,8 @@
     supervisor.add("greeter", join_announcer.run)
     supervisor.add("lending", permits.renew_leases)
     supervisor.add("limits", permits.log_use)
+    supervisor.add("placement", placement_service.run)
+    supervisor.add("runs", placement.run)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await run_until_first_ends(supervisor.run, partial(_drain_when_stopping, stopping, gateway))
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -25,11 +25,14 @@
     stream_event_timeout_s,
     tokens_to_reserve,
 )
+from crankhinge.decisions.placement import PlacementDecision, PlacementOutcome
 from crankhinge.errors import BadHttp, NoBackend, Overloaded, ServerAtLimit, ServersRest
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway._running_streams import RunningStream
 from crankhinge.gateway._server_selector import ServerSelector
+from crankhinge.gateway.placement._client import PlacedRun, PlacementAttempt, PlacementClient
 
 # A request asks engines for a reservation in rounds until one engine has room. Engines asked in one
 # round: the chance that one more engine has room does not justify the cost of the call.
@@ -51,6 +54,7 @@
         request: the tokens and times of the reservation that it needs.
         avoid: incarnation ids of servers that must not be used.
         started_at: when the search began, on the runtime's clock.
+        extra_tokens: tokens of the answer that another engine generated already.
         engines_asked: number of engines asked for a reservation so far.
         queue_number: number of the request in the reservation queue.
     """
@@ -59,6 +63,7 @@
     request: ReservationRequest
     avoid: frozenset[str]
     started_at: float
+    extra_tokens: int = 0
     engines_asked: int = 0
     queue_number: int = 0
 
@@ -73,12 +78,18 @@
             reservation was used.
         tokens: reserved memory in tokens.
         forecast_number: number of the reservation in the memory forecast.
+        attempt: how a coordinator granted the place; None if the engine was asked directly.
+        run: the run as it is reported to the coordinator of the engine; None if it is not.
+        stream: the last attempt that used the reservation; None before.
     """
 
     server: Server
     reservation_id: str
     tokens: int
     forecast_number: int
+    attempt: PlacementAttempt | None = None
+    run: PlacedRun | None = None
+    stream: RunningStream | None = None
 
 
 class Reservations:
@@ -90,6 +101,7 @@
         permits: gets permits to send requests to servers that advertise a limit.
         log: log for events.
         meters: measured cost of each service's requests, by service name.
+        placement: asks coordinators for places on engines.
     """
 
     def __init__(
@@ -99,12 +111,14 @@
         permits: Permits,
         log: Any,
         meters: Mapping[str, WorkloadMeter],
+        placement: PlacementClient,
     ) -> None:
         self._backends = backends
         self._selector = selector
         self._permits = permits
         self._meters = meters
         self._log = log
+        self._placement = placement
         self._queues: defaultdict[str, ReservationQueue] = defaultdict(ReservationQueue)
         self._forecasts: defaultdict[str, MemoryForecast] = defaultdict(MemoryForecast)
 
@@ -130,9 +144,17 @@
         stats = self._backends.stats(reservation.server.incarnation_id)
         stats.reserved_tokens += reservation.tokens
         try:
+            if self._placement.is_coordinated(relay.service):
+                reservation.run = await self._placement.record_started(
+                    relay, reservation.server, reservation.attempt, extra_tokens
+                )
             yield reservation
         finally:
             stats.reserved_tokens -= reservation.tokens
+            if reservation.run is not None:
+                await self._placement.record_ended(reservation.run, reservation.stream)
+            elif reservation.attempt is not None:
+                await reservation.attempt.withdraw()
             self._forecasts[relay.service.name].record_released(reservation.forecast_number)
             if reservation.reservation_id:
                 call = self._backends.dialect.release_reservation_call(reservation.reservation_id)
@@ -144,7 +166,12 @@
         engine = relay.service.engine
         assert engine is not None
         now = await curio.clock()
-        search = _Search(relay, self._new_request(relay, engine, extra_tokens, now), avoid, now)
+        request = self._new_request(relay, engine, extra_tokens, now)
+        search = _Search(relay, request, avoid, now, extra_tokens)
+        if self._placement.is_coordinated(relay.service):
+            reservation = await self._reserve_placed(search, engine)
+            if reservation is not None:
+                return reservation
         queue = self._queues[relay.service.name]
         search.queue_number = queue.add(search.request, search.started_at)
         try:
@@ -201,19 +228,8 @@
             NoBackend: there is no decode engine.
         """
         relay, request = search.relay, search.request
-        if request.max_wait_s < 0:
-            self._log_refused(search, "no_time", 0.0)
-            raise Overloaded(
-                "cannot complete in time", retry_after_s=retry_delay_s(self._backends.rng)
-            )
         now = await curio.clock()
-        service, model = relay.service.name, relay.request.model
-        decode_engines = self._backends.available_servers(
-            service, now, EngineRole.DECODE, model, search.avoid
-        )
-        if not decode_engines:
-            self._log_refused(search, "no_writer", now - search.started_at)
-            raise NoBackend("no decode engine", retry_after_s=retry_delay_s(self._backends.rng))
+        decode_engines = self._possible_engines(search, now)
         if not queue.may_try(search.queue_number, now):
             return None
         engines = engines_to_try(
@@ -238,21 +254,122 @@
                 # capacity.
                 relay.permits.pop(server.incarnation_id, None)
             if reservation_id is not None:
-                relay.reserved_at = await curio.clock()
-                waited_s = relay.reserved_at - search.started_at
-                relay.log_fields.update(
-                    waited_ms=round(waited_s * 1000), asked=search.engines_asked
-                )
-                forecast_number = self._forecasts[relay.service.name].record_reserved(
-                    request.tokens,
-                    request.service_s,
-                    relay.reserved_at,
-                    late=request.is_late(waited_s),
-                )
-                self._log_reserved(relay, request, server)
-                return Reservation(server, reservation_id, request.tokens, forecast_number)
+                return await self._record_reserved(search, server, reservation_id, request.tokens)
         return None
 
+    def _possible_engines(self, search: _Search, now: float) -> list[Server]:
+        """Return the engines that may run the request, including those in backoff.
+
+        Raises:
+            Overloaded: the request cannot be completed in time.
+            NoBackend: there is no decode engine.
+        """
+        relay, request = search.relay, search.request
+        if request.max_wait_s < 0:
+            self._log_refused(search, "no_time", 0.0)
+            raise Overloaded(
+                "cannot complete in time", retry_after_s=retry_delay_s(self._backends.rng)
+            )
+        decode_engines = self._backends.available_servers(
+            relay.service.name, now, EngineRole.DECODE, relay.request.model, search.avoid
+        )
+        if not decode_engines:
+            self._log_refused(search, "no_writer", now - search.started_at)
+            raise NoBackend("no decode engine", retry_after_s=retry_delay_s(self._backends.rng))
+        return decode_engines
+
+    async def _record_reserved(
+        self, search: _Search, server: Server, reservation_id: str, tokens: int
+    ) -> Reservation:
+        relay, request = search.relay, search.request
+        relay.reserved_at = await curio.clock()
+        waited_s = relay.reserved_at - search.started_at
+        relay.log_fields.update(waited_ms=round(waited_s * 1000), asked=search.engines_asked)
+        forecast_number = self._forecasts[relay.service.name].record_reserved(
+            tokens, request.service_s, relay.reserved_at, late=request.is_late(waited_s)
+        )
+        self._log_reserved(relay, tokens, server)
+        return Reservation(server, reservation_id, tokens, forecast_number)
+
+    # Coordinated placement.
+
+    async def _reserve_placed(self, search: _Search, engine: EngineLimits) -> Reservation | None:
+        """Reserve memory on the engine that a coordinator grants.
+
+        Returns:
+            The reservation; None if no coordinator decides, so that engines are asked directly.
+
+        Raises:
+            Overloaded: the coordinator refused the request, or no engine has room in time.
+            NoBackend: there is no decode engine.
+        """
+        self._possible_engines(search, search.started_at)
+        relay, request = search.relay, search.request
+        attempt = self._placement.begin(
+            relay, request, search.extra_tokens, search.avoid, search.started_at
+        )
+        reservation = None
+        try:
+            while True:
+                decision = await attempt.next_decision(search.started_at + request.latest_wait_s)
+                if decision is None:
+                    self._log.info(
+                        "placement_fallback",
+                        request=relay.request.request_id,
+                        run=attempt.run_id,
+                        waited_ms=round((await curio.clock() - search.started_at) * 1000),
+                    )
+                    return None
+                if decision.outcome is not PlacementOutcome.GRANTED:
+                    await self._refuse(search, decision)
+                reservation = await self._take_up(search, engine, attempt, decision)
+                if reservation is not None:
+                    return reservation
+        finally:
+            if reservation is None:
+                await attempt.withdraw()
+
+    async def _refuse(self, search: _Search, decision: PlacementDecision) -> None:
+        """Raise the error of a request that a coordinator refused, or that has waited too long."""
+        waited_s = await curio.clock() - search.started_at
+        self._log_refused(search, "not_placed", waited_s)
+        if decision.outcome is PlacementOutcome.REFUSED:
+            retry_after_s = decision.retry_after_s
+        else:
+            retry_after_s = retry_delay_s(self._backends.rng, search.request)
+        raise Overloaded("no decode engine has room", retry_after_s=retry_after_s)
+
+    async def _take_up(
+        self,
+        search: _Search,
+        engine: EngineLimits,
+        attempt: PlacementAttempt,
+        decision: PlacementDecision,
+    ) -> Reservation | None:
+        """Reserve memory on the granted engine; return None if it grants none."""
+        relay = search.relay
+        server = self._backends.get(decision.engine)
+        if server is None or not self._backends.accepts_work(decision.engine, await curio.clock()):
+            await attempt.engine_refused(decision.engine, avoid=True)
+            return None
+        if not await self._permits.try_get_permit(relay, server):
+            await attempt.engine_refused(decision.engine, avoid=True)
+            return None
+        search.engines_asked += 1
+        tokens = min(decision.reserve_tokens, engine.kv_tokens)
+        stats = self._backends.stats(decision.engine)
+        failures_before = stats.failure_share
+        reservation_id = await self._call_reserve(server, tokens, engine.max_reservation_s)
+        if reservation_id is None:
+            relay.permits.pop(decision.engine, None)
+            failed = stats.failure_share > failures_before or stats.is_replaced
+            await attempt.engine_refused(decision.engine, avoid=failed)
+            return None
+        relay.log_fields["run"] = attempt.run_id
+        reservation = await self._record_reserved(search, server, reservation_id, tokens)
+        reservation.attempt = attempt
+        return reservation
+
     async def _wait_for_round(self, search: _Search) -> None:
         """Wait until the next round.
 
@@ -385,7 +502,7 @@
             )
             return None
 
-    def _log_reserved(self, relay: Relay, request: ReservationRequest, server: Server) -> None:
+    def _log_reserved(self, relay: Relay, tokens: int, server: Server) -> None:
         stats = self._backends.stats(server.incarnation_id)
         about = {
             **relay.log_fields,
@@ -395,7 +512,7 @@
         self._log.info(
             "place_taken",
             request=relay.request.request_id,
-            tokens=request.tokens,
+            tokens=tokens,
             **about,
         )
 
--- a/src/crankhinge/gateway/_running_streams.py
+++ b/src/crankhinge/gateway/_running_streams.py
@@ -25,6 +25,8 @@
             attempts.
         started_at: when the attempt began, on the runtime's clock.
         events_before: number of events that earlier attempts sent.
+        movable: whether another engine may continue the run.
+        completed: whether the whole answer was sent.
     """
 
     run_id: str
@@ -34,23 +36,33 @@
     prompt_tokens: int
     started_at: float
     events_before: int = 0
+    movable: bool = False
+    completed: bool = False
 
     @property
     def made_events(self) -> int:
         """Number of events that this attempt has sent."""
         return self.events.event_count - self.events_before
 
+    @property
+    def made_tokens(self) -> int:
+        """Number of tokens in the events that this attempt has sent."""
+        engine = self.relay.service.engine
+        return 0 if engine is None else self.made_events * engine.tokens_per_event
+
 
 class RunningStreams:
     """Registry of the streams of this instance that run at engines.
 
     Args:
         name: name of this instance.
+        first: first counter. It differs between incarnations of the instance, so that runs of the
+            previous incarnation are not taken for those of this one.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, first: int = 1) -> None:
         self._name = name
-        self._counter = itertools.count(1)
+        self._counter = itertools.count(first)
         self._by_run_id: dict[str, RunningStream] = {}
 
     def __len__(self) -> int:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -34,6 +34,7 @@
 from crankhinge.gateway._reservations import Reservation, Reservations
 from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
+from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.http import ClientStream, ConnectFailed
 
 
@@ -60,6 +61,7 @@
         log: log for events.
         meters: measures the cost of each service's requests, by service name.
         running: registry of the streams that run at engines.
+        placement: asks coordinators for places on engines.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         log: Any,
         meters: Mapping[str, WorkloadMeter],
         running: RunningStreams,
+        placement: PlacementClient,
     ) -> None:
         self._backends = backends
         self._selector = selector
@@ -82,7 +85,8 @@
         self._log = log
         self._meters = meters
         self._running = running
-        self._reservations = Reservations(backends, selector, permits, log, meters)
+        self._placement = placement
+        self._reservations = Reservations(backends, selector, permits, log, meters, placement)
         self._prompt_processor = PromptProcessor(
             backends=backends, selector=selector, attempts=attempts, quarantine=quarantine, log=log
         )
@@ -95,6 +99,7 @@
         """
         budget: RetryBudget = self._budget_of(relay.service.name)
         budget.record_first_attempt()
+        self._placement.record_request(relay)
         relay.log_fields.update(
             prompt=relay.request.prompt_tokens,
             most=relay.request.max_answer_tokens,
@@ -221,7 +226,7 @@
         engine = relay.service.engine
         assert engine is not None
         stream = RunningStream(
-            run_id=self._running.new_run_id(),
+            run_id=reservation.run.run_id if reservation.run else self._running.new_run_id(),
             relay=relay,
             server=reservation.server,
             events=events,
@@ -230,8 +235,11 @@
             started_at=await curio.clock(),
             events_before=events.event_count,
         )
+        reservation.stream = stream
         with self._running.track(stream):
-            return await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+            end, why = await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+        stream.completed = end is _AttemptEnd.COMPLETED
+        return end, why
 
     async def _run_at_engine(
         self,
--- /dev/null
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -0,0 +1,634 @@
+"""An instance's side of placement: asks coordinators for places, and reports its runs to them."""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import curio
+import msgspec
+
+from crankhinge.decisions import ReservationRequest, Server, Service
+from crankhinge.decisions.coordination import CoordinatorOrder
+from crankhinge.decisions.placement import PlacementDecision, PlacementOutcome
+from crankhinge.gateway._backends import Backends
+from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
+from crankhinge.gateway._request import Relay
+from crankhinge.gateway._running_streams import RunningStream, RunningStreams
+from crankhinge.gateway.placement._engines import PlacementEngines
+from crankhinge.gateway.placement._growth_share import GrowthShare
+from crankhinge.gateway.placement._messages import (
+    GroupKey,
+    PlacementAsk,
+    PlacementGrant,
+    PlacementMessage,
+    PlacementReply,
+    PlacementWithdrawal,
+    RunChanges,
+    RunDetails,
+    RunDetailsRequest,
+    RunMoveOrder,
+    RunsComplete,
+    RunState,
+    engine_hash,
+    to_counter,
+    to_ms,
+    to_run_id,
+)
+from crankhinge.gateway.placement._transport import PlacementTransport
+from crankhinge.runtime import Metrics
+
+# Seconds to wait for the response to each of the two tries of a request. A request and its response
+# take 3 ms between availability zones, and about 10 ms more if the coordinator is busy. Direct
+# reservation is the alternative, so it is not worth to wait for a suspended coordinator.
+RESPONSE_TIMEOUTS_S = (0.05, 0.1)
+# Seconds after which a waiting request asks again, in case the message with its grant was lost.
+ASK_INTERVAL_S = 0.15
+# Seconds between reports of all runs, and the factors by which they vary, so that instances do not
+# report in step.
+REPORT_INTERVAL_S = 1.0
+REPORT_JITTER = (0.85, 1.0)
+# Unanswered requests in a row after which a coordinator is skipped.
+MAX_MISSES = 2
+# Seconds for which the standby gets reports, too, after the first instance did not respond or did
+# not coordinate. The standby may have coordinated before the first instance joined.
+STANDBY_REPORTS_S = 3.0
+# Of an answer that is as long as expected, and whose stream is resumed, this share of the expected
+# length is assumed to be left.
+OVERDUE_SHARE = 0.25
+# Engines that refused a granted place in a row from which on a request pauses before it asks again.
+MAX_QUICK_REFUSALS = 3
+# Groups that one request asks before it is refused: each costs a round trip.
+MAX_GROUPS = 2
+# Engines that a request names as unusable, so that it fits in one datagram.
+MAX_AVOIDED = 20
+REFUSED_PAUSE_S = 0.05
+
+MoveHandler = Callable[[RunningStream, Server], Awaitable[Any]]
+
+
+@dataclass
+class PlacedRun:
+    """A run of this instance at an engine, from its reservation to its end.
+
+    Attributes:
+        key: the group of engines of which a coordinator placed it.
+        details: the run as it is reported; the age is that at the reservation.
+        reserved_at: when its memory was reserved, on the runtime's clock.
+        is_resumed: whether an earlier attempt has sent a part of the answer.
+        run_id: id of the run.
+    """
+
+    key: GroupKey
+    details: RunDetails
+    reserved_at: float
+    is_resumed: bool
+    run_id: str
+
+
+class _Waiter:
+    """Receives the decisions about one request."""
+
+    def __init__(self) -> None:
+        self.decision: PlacementDecision | None = None
+        self._event = curio.Event()
+
+    async def deliver(self, decision: PlacementDecision) -> None:
+        """Accept a decision; one that is final is not replaced by a delayed one that is not."""
+        if self.decision is None or (
+            self.decision.outcome is PlacementOutcome.WAITING
+            and decision.outcome is not PlacementOutcome.WAITING
+        ):
+            self.decision = decision
+            await self._event.set()
+
+    def reset(self) -> None:
+        """Forget the decision before the request is sent again."""
+        self.decision = None
+        self._event.clear()
+
+    async def wait(self, seconds: float) -> PlacementDecision | None:
+        """Return the next decision; None if none arrives in time."""
+        if not self._event.is_set():
+            await curio.ignore_after(seconds, self._event.wait)
+        return self.decision
+
+    async def wait_for_final(self, seconds: float) -> None:
+        """Wait until a decision that is not WAITING arrives, or the time has passed."""
+        self._event.clear()
+        if self.decision is None or self.decision.outcome is PlacementOutcome.WAITING:
+            await curio.ignore_after(seconds, self._event.wait)
+
+
+class PlacementClient:
+    """Asks the coordinators of groups of engines for places, and reports this instance's runs.
+
+    Args:
+        zone: availability zone of this instance.
+        order: the order of the instances that coordinate a group.
+        engines: the engines of each service.
+        backends: the backend servers.
+        running: the streams of this instance that run at engines.
+        transport: sends and receives messages about placement.
+        log: log for events.
+        metrics: registry for counters.
+        rng: source of random choices.
+
+    Attributes:
+        move_run: moves a run to another engine, when its coordinator asks for it; None if runs
+            cannot be moved.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: str,
+        order: CoordinatorOrder,
+        engines: PlacementEngines,
+        backends: Backends,
+        running: RunningStreams,
+        transport: PlacementTransport,
+        log: Any,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self.move_run: MoveHandler | None = None
+        self._zone = zone
+        self._order = order
+        self._engines = engines
+        self._backends = backends
+        self._running = running
+        self._transport = transport
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._shares: defaultdict[str, GrowthShare] = defaultdict(GrowthShare)
+        self._waiters: dict[int, _Waiter] = {}
+        self._runs: dict[int, PlacedRun] = {}
+        self._standby_until: dict[GroupKey, float] = {}
+        # Groups to which this instance has reported runs; a last report says that none is left.
+        self._reported: set[GroupKey] = set()
+        self._report_number = rng.getrandbits(31)
+        transport.add_handler(PlacementReply, self._on_reply)
+        transport.add_handler(PlacementGrant, self._on_grant)
+        transport.add_handler(RunDetailsRequest, self._on_details_request)
+        transport.add_handler(RunMoveOrder, self._on_move_order)
+
+    def record_joined(self, name: str) -> None:
+        """Record that an instance joined the fleet."""
+        self._order.record_response(name)
+
+    # Which services are coordinated.
+
+    def record_request(self, relay: Relay) -> None:
+        """Record a request's expected answer, which decides whether its service is coordinated."""
+        engine = relay.service.engine
+        if engine is None or engine.max_reservation_s <= 0:
+            return
+        share = self._shares[relay.service.name]
+        was_large = share.is_large
+        share.record(_expected_tokens(relay) or relay.request.max_answer_tokens, engine.kv_tokens)
+        if share.is_large is not was_large:
+            self._log.info(
+                "placement_switched",
+                service=relay.service.name,
+                coordinated=share.is_large,
+                mean_share=round(share.mean, 4),
+            )
+
+    def is_coordinated(self, service: Service) -> bool:
+        """Whether the requests of a service are placed by coordinators."""
+        engine = service.engine
+        return (
+            engine is not None
+            and engine.max_reservation_s > 0
+            and self._shares[service.name].is_large
+        )
+
+    # Requests for places.
+
+    def begin(
+        self,
+        relay: Relay,
+        need: ReservationRequest,
+        extra_tokens: int,
+        avoid: frozenset[str],
+        now: float,
+    ) -> PlacementAttempt:
+        """Return an attempt to get a place for a request.
+
+        Args:
+            relay: the request.
+            need: its times.
+            extra_tokens: tokens of the answer that another engine generated already.
+            avoid: incarnation ids of engines that must not be used.
+            now: time on the runtime's clock.
+        """
+        return PlacementAttempt(self, relay, need, extra_tokens, avoid, now)
+
+    def choose_group(
+        self, service: str, now: float, model: str, avoid: frozenset[str], tried: frozenset[int]
+    ) -> tuple[GroupKey, tuple[str, ...]] | None:
+        """Return a group to ask, and its engines that must not be used; None if there is none."""
+        groups = self._engines.groups(service)
+        usable = self._engines.usable(service, now, model, avoid)
+        group = groups.choose(self._rng, usable=usable, tried=tried)
+        if group is None:
+            return None
+        unusable = sorted(
+            server.incarnation_id
+            for server in self._engines.members(service, group, now)
+            if server.incarnation_id not in usable
+        )
+        return GroupKey(service, group), tuple(unusable[:MAX_AVOIDED])
+
+    def new_ask(
+        self,
+        relay: Relay,
+        key: GroupKey,
+        need: ReservationRequest,
+        extra_tokens: int,
+        avoid: tuple[str, ...],
+    ) -> PlacementAsk:
+        """Return the message that asks for a place for a request."""
+        request = relay.request
+        expected, most = _answer_left(relay, extra_tokens)
+        return PlacementAsk(
+            key=key,
+            owner=self._transport.name,
+            counter=to_counter(self._running.new_run_id()),
+            account=relay.account_name or "",
+            rank=relay.rank,
+            route=relay.route.name,
+            prompt_tokens=request.prompt_tokens + extra_tokens,
+            expected_tokens=expected,
+            max_tokens=most,
+            target_ms=to_ms(need.target_s),
+            timeout_ms=to_ms(min(need.event_timeout_s, need.remaining_s)),
+            left_ms=to_ms(need.remaining_s),
+            pause_ms=to_ms(relay.route.max_pause_s),
+            is_retry=need.is_retry,
+            zone=self._zone,
+            avoid=avoid,
+        )
+
+    async def ask(self, ask: PlacementAsk, deadline: float) -> PlacementDecision | None:
+        """Ask the coordinators of a group until one decides.
+
+        Args:
+            ask: the request.
+            deadline: time on the runtime's clock until which the request may wait.
+
+        Returns:
+            GRANTED, REFUSED, or WAITING if the deadline has passed; None if no coordinator
+            responds or is ready.
+        """
+        waiter = self._waiters.setdefault(ask.counter, _Waiter())
+        try:
+            while True:
+                waiter.reset()
+                decision = await self._ask_coordinators(ask, waiter)
+                if decision is None or decision.outcome is not PlacementOutcome.WAITING:
+                    return decision
+                ask = msgspec.structs.replace(ask, full="")
+                wait_s = min(ASK_INTERVAL_S, deadline - await curio.clock())
+                if wait_s <= 0:
+                    return decision
+                await waiter.wait_for_final(wait_s)
+                if (
+                    waiter.decision is not None
+                    and waiter.decision.outcome is not PlacementOutcome.WAITING
+                ):
+                    return waiter.decision
+        finally:
+            self._waiters.pop(ask.counter, None)
+
+    async def _ask_coordinators(
+        self, ask: PlacementAsk, waiter: _Waiter
+    ) -> PlacementDecision | None:
+        now = await curio.clock()
+        for instance in self._order.coordinators(str(ask.key), now):
+            decision = await self._ask_instance(instance, ask, waiter)
+            if decision is None:
+                self._use_standby(ask.key, await curio.clock())
+                return None
+            if decision.outcome is not PlacementOutcome.NOT_COORDINATOR:
+                return decision
+            self._use_standby(ask.key, await curio.clock())
+            waiter.reset()
+        return None
+
+    async def _ask_instance(
+        self, instance: str, ask: PlacementAsk, waiter: _Waiter
+    ) -> PlacementDecision | None:
+        for timeout_s in RESPONSE_TIMEOUTS_S:
+            if not await self._transport.send(instance, ask):
+                return None
+            decision = await waiter.wait(timeout_s)
+            if decision is not None:
+                self._order.record_response(instance)
+                return decision
+            self._metrics.count("placement_unanswered")
+            self._order.record_unresponsive(instance, await curio.clock())
+        self._log.info(
+            "placement_unanswered", run=ask.run_id, group=ask.key.group, instance=instance
+        )
+        return None
+
+    def _use_standby(self, key: GroupKey, now: float) -> None:
+        self._standby_until[key] = now + STANDBY_REPORTS_S
+
+    async def withdraw(self, ask: PlacementAsk) -> None:
+        """Tell the coordinators that a request needs no place any more."""
+        await self._tell(ask.key, PlacementWithdrawal(ask.key, ask.owner, ask.counter))
+
+    async def _on_reply(self, message: PlacementReply, sender: str) -> None:
+        waiter = self._waiters.get(message.counter)
+        if waiter is not None:
+            await waiter.deliver(message.decision)
+
+    async def _on_grant(self, message: PlacementGrant, sender: str) -> None:
+        counter = message.reply.counter
+        waiter = self._waiters.get(counter)
+        if waiter is not None:
+            await waiter.deliver(message.reply.decision)
+        elif counter not in self._runs and message.reply.outcome is PlacementOutcome.GRANTED:
+            # The request is gone, and its withdrawal was lost.
+            await self._tell(
+                message.key, PlacementWithdrawal(message.key, self._transport.name, counter)
+            )
+
+    # Reports of runs.
+
+    async def record_started(
+        self,
+        relay: Relay,
+        server: Server,
+        attempt: PlacementAttempt | None,
+        extra_tokens: int,
+    ) -> PlacedRun | None:
+        """Record that memory for a run was reserved, and report the run.
+
+        Args:
+            relay: the request.
+            server: the engine.
+            attempt: the attempt that got the place; None if the engine was asked directly.
+            extra_tokens: tokens of the answer that another engine generated already.
+
+        Returns:
+            The run; None if it is not reported since the engine has no group.
+        """
+        if attempt is not None and attempt.ask is not None:
+            key, counter = attempt.ask.key, attempt.ask.counter
+        else:
+            group = self._engines.groups(relay.service.name).group_of(server.incarnation_id)
+            if group is None:
+                return None
+            key = GroupKey(relay.service.name, group)
+            counter = to_counter(self._running.new_run_id())
+        expected, most = _answer_left(relay, extra_tokens)
+        details = RunDetails(
+            counter=counter,
+            made_tokens=0,
+            engine=server.incarnation_id,
+            prompt_tokens=relay.request.prompt_tokens + extra_tokens,
+            expected_tokens=expected,
+            max_tokens=most,
+            rank=relay.rank,
+            account=relay.account_name or "",
+            route=relay.route.name,
+            age_ms=0,
+            pause_ms=to_ms(relay.route.max_pause_s),
+            movable=False,
+        )
+        run = PlacedRun(
+            key,
+            details,
+            await curio.clock(),
+            extra_tokens > 0,
+            to_run_id(self._transport.name, counter),
+        )
+        self._runs[counter] = run
+        await self._tell(key, RunChanges(key, self._transport.name, runs=(details,)))
+        return run
+
+    async def record_ended(self, run: PlacedRun, stream: RunningStream | None) -> None:
+        """Record that a run has ended, and report its end.
+
+        Args:
+            run: the run.
+            stream: the attempt that ran it; None if none began.
+        """
+        counter = run.details.counter
+        self._runs.pop(counter, None)
+        changes = RunChanges(run.key, self._transport.name, aborted=(counter,))
+        if stream is not None and stream.completed and not run.is_resumed:
+            state = RunState(counter, stream.made_tokens, engine_hash(run.details.engine))
+            changes = RunChanges(run.key, self._transport.name, completed=(state,))
+        await self._tell(run.key, changes)
+
+    async def record_moved(self, stream: RunningStream) -> None:
+        """Record that a run continues at another engine, and report it."""
+        run = self._runs.get(to_counter(stream.run_id))
+        if run is not None:
+            await self._report_details(run)
+
+    async def run(self) -> None:
+        """Report all runs from time to time, until cancelled."""
+        while True:
+            await curio.sleep(REPORT_INTERVAL_S * self._rng.uniform(*REPORT_JITTER))
+            by_key: defaultdict[GroupKey, list[RunState]] = defaultdict(list)
+            for run in list(self._runs.values()):
+                by_key[run.key].append(self._state(run))
+            for key in {*by_key, *self._reported}:
+                await self._report_all(key, by_key[key])
+            self._reported = {key for key, states in by_key.items() if states}
+
+    async def _report_all(self, key: GroupKey, states: Sequence[RunState]) -> None:
+        self._report_number += 1
+        for message in split_report(key, self._transport.name, self._report_number, states):
+            await self._tell(key, message)
+
+    def _state(self, run: PlacedRun) -> RunState:
+        details = self._details(run, run.reserved_at)
+        return RunState(details.counter, details.made_tokens, engine_hash(details.engine))
+
+    def _details(self, run: PlacedRun, now: float) -> RunDetails:
+        """Return the details of a run as they are now."""
+        stream = self._running.get(run.run_id)
+        if stream is not None:
+            run.details = msgspec.structs.replace(
+                run.details,
+                made_tokens=stream.made_tokens,
+                engine=stream.server.incarnation_id,
+                movable=self.move_run is not None and stream.movable,
+            )
+        return msgspec.structs.replace(run.details, age_ms=to_ms(now - run.reserved_at))
+
+    async def _report_details(self, run: PlacedRun) -> None:
+        details = self._details(run, await curio.clock())
+        await self._tell(run.key, RunChanges(run.key, self._transport.name, runs=(details,)))
+
+    async def _on_details_request(self, message: RunDetailsRequest, sender: str) -> None:
+        for counter in message.counters:
+            run = self._runs.get(counter)
+            if run is not None:
+                await self._report_details(run)
+
+    async def _on_move_order(self, message: RunMoveOrder, sender: str) -> None:
+        stream = self._running.get(to_run_id(self._transport.name, message.counter))
+        target = self._backends.get(message.target)
+        if (
+            self.move_run is None
+            or stream is None
+            or target is None
+            or stream.server.incarnation_id != message.source
+        ):
+            return
+        await curio.spawn(self.move_run, stream, target, daemon=True)
+
+    async def _tell(self, key: GroupKey, message: PlacementMessage) -> None:
+        """Send a message to the first instance of a group, and to the standby if it is in use.
+
+        The first instance gets it even while it does not respond, so that it is up to date when it
+        responds again.
+        """
+        now = await curio.clock()
+        ranked = self._order.ranked(str(key))
+        uses_standby = (
+            ranked[0] not in self._order.coordinators(str(key), now)
+            or self._standby_until.get(key, now) > now
+        )
+        for instance in ranked if uses_standby else ranked[:1]:
+            await self._transport.send(instance, message)
+
+
+class PlacementAttempt:
+    """One request's attempt to get a place: the groups and engines that it has tried.
+
+    Attributes:
+        ask: the last request that was sent; None before the first.
+    """
+
+    def __init__(
+        self,
+        client: PlacementClient,
+        relay: Relay,
+        need: ReservationRequest,
+        extra_tokens: int,
+        avoid: frozenset[str],
+        now: float,
+    ) -> None:
+        self.ask: PlacementAsk | None = None
+        self._began_at = now
+        self._client = client
+        self._relay = relay
+        self._need = need
+        self._extra_tokens = extra_tokens
+        self._avoid = avoid
+        self._tried: frozenset[int] = frozenset()
+        self._refusals = 0
+
+    @property
+    def run_id(self) -> str:
+        """Id of the run; empty before the first request."""
+        return "" if self.ask is None else self.ask.run_id
+
+    async def next_decision(self, deadline: float) -> PlacementDecision | None:
+        """Return the next decision: GRANTED, REFUSED, or WAITING if the deadline has passed.
+
+        Return None if no coordinator responds or is ready, or if no group has a usable engine.
+
+        Args:
+            deadline: time on the runtime's clock until which the request may wait.
+        """
+        refused: PlacementDecision | None = None
+        while True:
+            if self.ask is None and not await self._new_ask():
+                return refused
+            assert self.ask is not None
+            decision = await self._client.ask(self.ask, deadline)
+            if decision is None or decision.outcome is not PlacementOutcome.REFUSED:
+                return decision
+            # Another group may have room at once; of several refusals the soonest return counts.
+            if refused is None or decision.retry_after_s < refused.retry_after_s:
+                refused = decision
+            self._tried |= {self.ask.key.group}
+            self.ask = None
+
+    async def _new_ask(self) -> bool:
+        relay, now = self._relay, await curio.clock()
+        chosen = self._client.choose_group(
+            relay.service.name, now, relay.request.model, self._avoid, self._tried
+        )
+        if chosen is None or len(self._tried) >= MAX_GROUPS:
+            return False
+        key, unusable = chosen
+        need = self._need.after(now - self._began_at)
+        self.ask = self._client.new_ask(relay, key, need, self._extra_tokens, unusable)
+        return True
+
+    async def engine_refused(self, engine: str, *, avoid: bool) -> None:
+        """Record that the engine of the last grant had no room, or must not be used at all.
+
+        Args:
+            engine: its incarnation id.
+            avoid: whether the request must not be sent to it for another reason.
+        """
+        assert self.ask is not None
+        self._refusals += 1
+        if avoid:
+            self._avoid |= {engine}
+            await self.withdraw()
+            self.ask = None
+            return
+        self.ask = msgspec.structs.replace(self.ask, full=engine)
+        if self._refusals >= MAX_QUICK_REFUSALS:
+            await curio.sleep(REFUSED_PAUSE_S)
+
+    async def withdraw(self) -> None:
+        """Tell the coordinator that the request needs no place any more."""
+        if self.ask is not None:
+            await self._client.withdraw(self.ask)
+
+
+def split_report(
+    key: GroupKey, owner: str, number: int, states: Sequence[RunState]
+) -> list[RunsComplete]:
+    """Return the datagrams of a report of all runs, each small enough for one packet."""
+    chunks: list[tuple[RunState, ...]] = [tuple(states)]
+    while True:
+        messages = [
+            RunsComplete(key, owner, number, part, len(chunks), chunk)
+            for part, chunk in enumerate(chunks)
+        ]
+        if all(
+            len(msgspec.msgpack.encode(message)) <= MAX_DATAGRAM_BYTES or len(message.runs) < 2
+            for message in messages
+        ):
+            return messages
+        size = max(1, max(len(chunk) for chunk in chunks) // 2)
+        chunks = [tuple(states[at : at + size]) for at in range(0, len(states), size)]
+
+
+def _expected_tokens(relay: Relay) -> int:
+    """Return the caller's estimate of the answer, bounded by the maximum; 0 if unknown."""
+    request = relay.request
+    return min(request.expected_answer_tokens, request.max_answer_tokens)
+
+
+def _answer_left(relay: Relay, answered_tokens: int) -> tuple[int, int]:
+    """Return the expected and the maximum tokens of the answer that are left.
+
+    Args:
+        relay: the request.
+        answered_tokens: tokens of the answer that the caller has.
+    """
+    expected = _expected_tokens(relay)
+    most = max(1, relay.request.max_answer_tokens - answered_tokens)
+    if expected and answered_tokens:
+        expected = max(expected - answered_tokens, round(OVERDUE_SHARE * expected))
+    return min(expected, most), most
--- /dev/null
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -0,0 +1,503 @@
+"""The coordinator's side of placement: decides about the requests of all instances for a group.
+
+A coordinator keeps only soft state. It learns the runs of its engines from the requests that it
+grants and from the reports of their owners. An instance that begins to coordinate a group decides
+nothing until all owners have had time to report.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from typing import Any
+
+import curio
+
+from crankhinge.decisions import EngineLimits, Membership
+from crankhinge.decisions.coordination import CoordinatorOrder
+from crankhinge.decisions.placement import (
+    RUN_EXPIRY_S,
+    PlacementCoordinator,
+    PlacementDecision,
+    PlacementOutcome,
+    PlacementRequest,
+    RunReport,
+)
+from crankhinge.gateway._discovery import Discovery
+from crankhinge.gateway.placement._engines import PlacementEngines
+from crankhinge.gateway.placement._messages import (
+    GroupKey,
+    PlacementAsk,
+    PlacementGrant,
+    PlacementReply,
+    PlacementWithdrawal,
+    RunChanges,
+    RunDetails,
+    RunDetailsRequest,
+    RunMoveOrder,
+    RunsComplete,
+    RunState,
+    engine_hash,
+    to_counter,
+    to_ms,
+    to_run_id,
+)
+from crankhinge.gateway.placement._transport import PlacementTransport
+from crankhinge.runtime import Metrics
+
+# Seconds between checks of what changes only with time: waiting requests become late, engines that
+# refused a reservation are tried again, and owners fall silent.
+TICK_S = 0.05
+# Seconds between updates of a group's engines from the list of servers.
+ENGINES_INTERVAL_S = 0.25
+# Seconds without a message after which an instance forgets a group that it coordinates first, or as
+# the standby. The standby's knowledge is complete only while the owners report to it, so it begins
+# anew after two reports are missing.
+FIRST_IDLE_S = 60.0
+STANDBY_IDLE_S = 2.5
+# A check that is late by this many seconds shows that this instance was suspended. The messages of
+# that time are lost, so it begins anew.
+SUSPENDED_S = 1.0
+# Runs whose details are requested in one datagram, so that the response fits in a few.
+MAX_UNKNOWN_RUNS = 64
+# Time in seconds for which the parts of a complete report may arrive one after the other.
+MAX_REPORT_S = 1.0
+
+NOT_COORDINATOR = PlacementDecision(PlacementOutcome.NOT_COORDINATOR)
+
+
+@dataclass
+class _KnownRun:
+    """What is known about a run from its request or from its owner.
+
+    Attributes:
+        report: the run as its owner reported it last.
+        seen_at: when the owner last mentioned it.
+        since: when the engine was asked to run it.
+        asked_at: when its owner first asked for a place; None if this instance did not place it.
+        waiting: whether the owner waits for a decision.
+        started: whether the owner has reported that it runs.
+    """
+
+    report: RunReport
+    seen_at: float
+    since: float
+    asked_at: float | None = None
+    waiting: bool = False
+    started: bool = False
+
+
+@dataclass
+class _PartialReport:
+    """A complete report of which not all datagrams have arrived."""
+
+    number: int
+    began_at: float
+    parts: dict[int, tuple[RunState, ...]] = field(default_factory=dict)
+
+
+@dataclass
+class _Group:
+    """A group that this instance coordinates.
+
+    Attributes:
+        coordinator: the decisions.
+        used_at: when another instance, or this one as a client, last sent a message about it.
+        engines_at: when its engines were last updated.
+        runs: the runs by run id, waiting ones included.
+        reports: the newest complete report of each owner.
+        addresses: ``host:port`` of each owner, as its last message showed it.
+    """
+
+    coordinator: PlacementCoordinator
+    used_at: float
+    engines_at: float = float("-inf")
+    runs: dict[str, _KnownRun] = field(default_factory=dict)
+    reports: dict[str, _PartialReport] = field(default_factory=dict)
+    addresses: dict[str, str] = field(default_factory=dict)
+
+
+class PlacementService:
+    """Coordinates the groups of engines for which this instance is the first or the standby.
+
+    Args:
+        order: the order of the instances that coordinate a group.
+        membership: the instances of the fleet.
+        engines: the engines of each service.
+        discovery: the configuration of the services.
+        transport: sends and receives messages about placement.
+        log: log for events.
+        metrics: registry for counters.
+        rng: source of random choices.
+    """
+
+    def __init__(
+        self,
+        *,
+        order: CoordinatorOrder,
+        membership: Membership,
+        engines: PlacementEngines,
+        discovery: Discovery,
+        transport: PlacementTransport,
+        log: Any,
+        metrics: Metrics,
+        rng: random.Random,
+    ) -> None:
+        self._order = order
+        self._membership = membership
+        self._engines = engines
+        self._discovery = discovery
+        self._transport = transport
+        self._log = log
+        self._metrics = metrics
+        self._rng = rng
+        self._groups: dict[GroupKey, _Group] = {}
+        transport.add_handler(PlacementAsk, self._on_ask)
+        transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
+        transport.add_handler(RunChanges, self._on_changes)
+        transport.add_handler(RunsComplete, self._on_complete)
+
+    @property
+    def run_count(self) -> int:
+        """Number of runs that this instance knows as a coordinator."""
+        return sum(
+            known.started for group in self._groups.values() for known in group.runs.values()
+        )
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests that wait for a decision of this instance."""
+        return sum(
+            known.waiting for group in self._groups.values() for known in group.runs.values()
+        )
+
+    @property
+    def max_peak_share(self) -> float:
+        """Expected memory of the fullest engine, as a share of its memory; 0 without a run."""
+        peaks: defaultdict[str, float] = defaultdict(float)
+        for key, group in self._groups.items():
+            limits = self._limits(key)
+            if limits is None:
+                continue
+            for known in group.runs.values():
+                report = known.report
+                answer = max(report.made_tokens, report.expected_tokens or report.max_tokens)
+                peaks[report.engine] += (report.prompt_tokens + answer) / limits.kv_tokens
+        peaks.pop("", None)
+        return max(peaks.values(), default=0.0)
+
+    # Messages from owners.
+
+    async def _on_ask(self, message: PlacementAsk, sender: str) -> None:
+        now = await curio.clock()
+        group = self._group(message.key, now, from_report=False)
+        decision = NOT_COORDINATOR
+        if group is not None:
+            group.addresses[message.owner] = sender
+            if message.full:
+                group.coordinator.engine_refused(message.run_id, message.full, now)
+            need = message.to_request()
+            decision = group.coordinator.request(need, now)
+            self._record_asked(group, need, decision, now, refused_by=message.full)
+        await self._transport.send(
+            message.owner, _to_reply(message.counter, decision), address=sender
+        )
+        if group is not None and message.full:
+            await self._push(message.key, group, now)
+
+    async def _on_withdrawal(self, message: PlacementWithdrawal, sender: str) -> None:
+        now = await curio.clock()
+        group = self._groups.get(message.key)
+        if group is None:
+            return
+        run_id = to_run_id(message.owner, message.counter)
+        group.runs.pop(run_id, None)
+        group.coordinator.withdraw(run_id, now)
+        await self._push(message.key, group, now)
+
+    async def _on_changes(self, message: RunChanges, sender: str) -> None:
+        now = await curio.clock()
+        group = self._group(message.key, now, from_report=True)
+        if group is None:
+            return
+        group.addresses[message.owner] = sender
+        reports = [self._apply_details(group, message.owner, run, now) for run in message.runs]
+        ended = [to_run_id(message.owner, counter) for counter in message.aborted]
+        for state in message.completed:
+            run_id = to_run_id(message.owner, state.counter)
+            ended.append(run_id)
+            known = group.runs.get(run_id)
+            if known is not None:
+                reports.append(_current(known, state.made_tokens, now))
+        for run_id in ended:
+            group.runs.pop(run_id, None)
+        group.coordinator.report(message.owner, reports, ended, now, complete=False)
+        if ended:
+            await self._push(message.key, group, now)
+
+    async def _on_complete(self, message: RunsComplete, sender: str) -> None:
+        now = await curio.clock()
+        group = self._group(message.key, now, from_report=True)
+        if group is None:
+            return
+        group.addresses[message.owner] = sender
+        states = self._assemble(group, message, now)
+        if states is None:
+            return
+        reports, unknown = [], []
+        for state in states:
+            known = group.runs.get(to_run_id(message.owner, state.counter))
+            if known is None or engine_hash(known.report.engine) != state.engine_hash:
+                unknown.append(state.counter)
+                continue
+            known.seen_at, known.started, known.waiting = now, True, False
+            known.report = _current(known, state.made_tokens, now)
+            reports.append(known.report)
+        listed = {to_run_id(message.owner, state.counter) for state in states}
+        for run_id, known in list(group.runs.items()):
+            # A run that was granted a moment ago may have started after the report was sent.
+            if known.started and run_id not in listed and _owner_of(run_id) == message.owner:
+                del group.runs[run_id]
+        group.coordinator.report(message.owner, reports, [], now, complete=True)
+        if unknown:
+            request = RunDetailsRequest(message.key, tuple(unknown[:MAX_UNKNOWN_RUNS]))
+            await self._transport.send(message.owner, request, address=sender)
+        await self._push(message.key, group, now)
+
+    def _assemble(self, group: _Group, message: RunsComplete, now: float) -> list[RunState] | None:
+        """Return all runs of a complete report; None until all of its datagrams have arrived."""
+        report = group.reports.get(message.owner)
+        if report is None or message.number > report.number or now - report.began_at > RUN_EXPIRY_S:
+            report = group.reports[message.owner] = _PartialReport(message.number, now)
+        elif message.number < report.number:
+            # A datagram that was delayed says less than a newer one.
+            return None
+        is_new = message.part not in report.parts
+        report.parts[message.part] = message.runs
+        if not is_new or len(report.parts) < message.parts:
+            return None
+        if now - report.began_at > MAX_REPORT_S:
+            return None
+        return [state for part in report.parts.values() for state in part]
+
+    def _apply_details(self, group: _Group, owner: str, run: RunDetails, now: float) -> RunReport:
+        report = run.to_report(owner)
+        known = group.runs.get(report.run_id)
+        group.runs[report.run_id] = _KnownRun(
+            report,
+            now,
+            now - report.age_s,
+            asked_at=None if known is None else known.asked_at,
+            started=True,
+        )
+        return report
+
+    def _record_asked(
+        self,
+        group: _Group,
+        need: PlacementRequest,
+        decision: PlacementDecision,
+        now: float,
+        *,
+        refused_by: str,
+    ) -> None:
+        """Record what was decided about a request, and log it unless it just waits longer."""
+        known = group.runs.get(need.run_id)
+        if decision.outcome is PlacementOutcome.NOT_COORDINATOR:
+            return
+        was_waiting = known is not None and known.waiting
+        was_granted = known is not None and known.report.engine == decision.engine
+        if known is None:
+            known = group.runs[need.run_id] = _KnownRun(
+                _report_of(need, ""), now, now, asked_at=now
+            )
+        known.seen_at = now
+        known.waiting = decision.outcome is PlacementOutcome.WAITING
+        self._apply_decision(group, need, decision, known, now)
+        repeated = was_waiting if known.waiting else was_granted
+        if not repeated or refused_by:
+            self._log_decision(need, decision, known, now, refused_by=refused_by)
+
+    def _apply_decision(
+        self,
+        group: _Group,
+        need: PlacementRequest,
+        decision: PlacementDecision,
+        known: _KnownRun,
+        now: float,
+    ) -> None:
+        if decision.outcome is PlacementOutcome.GRANTED:
+            if known.report.engine != decision.engine:
+                known.report, known.since = _report_of(need, decision.engine), now
+        elif decision.outcome is PlacementOutcome.REFUSED:
+            group.runs.pop(need.run_id, None)
+
+    # Decisions that are sent to owners.
+
+    async def _push(self, key: GroupKey, group: _Group, now: float) -> None:
+        """Send the decisions about waiting requests that were made since the last call."""
+        for need, decision in group.coordinator.grants(now):
+            known = group.runs.get(need.run_id)
+            if known is None:
+                known = group.runs[need.run_id] = _KnownRun(_report_of(need, ""), now, now)
+            known.waiting = False
+            self._apply_decision(group, need, decision, known, now)
+            self._log_decision(need, decision, known, now, refused_by="")
+            reply = _to_reply(to_counter(need.run_id), decision)
+            await self._transport.send(
+                need.owner, PlacementGrant(key, reply), address=group.addresses.get(need.owner, "")
+            )
+
+    async def _send_moves(self, key: GroupKey, group: _Group, now: float) -> None:
+        for move in group.coordinator.moves(now):
+            order = RunMoveOrder(key, to_counter(move.run_id), move.source, move.target)
+            await self._transport.send(
+                move.owner, order, address=group.addresses.get(move.owner, "")
+            )
+
+    async def run(self) -> None:
+        """Check what changes with time, until cancelled."""
+        checked_at = await curio.clock()
+        while True:
+            await curio.sleep(TICK_S)
+            now = await curio.clock()
+            if now - checked_at > TICK_S + SUSPENDED_S and self._groups:
+                self._log.info("placement_restarted", idle_s=round(now - checked_at, 2))
+                self._groups.clear()
+            checked_at = now
+            for key, group in list(self._groups.items()):
+                await self._check(key, group, now)
+
+    async def _check(self, key: GroupKey, group: _Group, now: float) -> None:
+        ranked = self._order.ranked(str(key))
+        is_first = bool(ranked) and ranked[0] == self._transport.name
+        idle_s = FIRST_IDLE_S if is_first else STANDBY_IDLE_S
+        if now - group.used_at > idle_s or not self._order.is_coordinator(str(key)):
+            del self._groups[key]
+            self._log.info("placement_ended", service=key.service, group=key.group)
+            return
+        if now - group.engines_at >= ENGINES_INTERVAL_S:
+            limits = self._limits(key)
+            if limits is None:
+                del self._groups[key]
+                return
+            self._set_engines(key, group, limits, now)
+            group.coordinator.expire(now)
+            for run_id, known in list(group.runs.items()):
+                if now - known.seen_at > RUN_EXPIRY_S:
+                    del group.runs[run_id]
+            await self._send_moves(key, group, now)
+        if any(known.waiting for known in group.runs.values()):
+            await self._push(key, group, now)
+
+    # Groups.
+
+    def _group(self, key: GroupKey, now: float, *, from_report: bool) -> _Group | None:
+        """Return a group; None if this instance does not coordinate it.
+
+        The standby begins to coordinate only when an owner reports its runs, which shows that the
+        first instance does not respond to that owner. A request alone would make it wait for
+        reports that never come, and then place runs on engines that it takes for empty.
+        """
+        group = self._groups.get(key)
+        if group is None:
+            ranked = self._order.ranked(str(key))
+            may_begin = ranked[0] == self._transport.name or (
+                from_report and self._transport.name in ranked
+            )
+            limits = self._limits(key)
+            if not may_begin or limits is None or not self._membership.has_counted_instances(now):
+                return None
+            coordinator = PlacementCoordinator(rng=self._rng, now=now)
+            group = self._groups[key] = _Group(coordinator, now)
+            self._set_engines(key, group, limits, now)
+            self._log.info(
+                "placement_began",
+                service=key.service,
+                group=key.group,
+                first=ranked[0] == self._transport.name,
+                engines=len(self._engines.members(key.service, key.group, now)),
+            )
+        group.used_at = now
+        return group
+
+    def _limits(self, key: GroupKey) -> EngineLimits | None:
+        config = self._discovery.config
+        service = config.services.get(key.service) if config is not None else None
+        return None if service is None else service.engine
+
+    def _set_engines(self, key: GroupKey, group: _Group, limits: EngineLimits, now: float) -> None:
+        group.engines_at = now
+        members = self._engines.members(key.service, key.group, now)
+        group.coordinator.set_engines(members, limits, now)
+
+    def _log_decision(
+        self,
+        need: PlacementRequest,
+        decision: PlacementDecision,
+        known: _KnownRun,
+        now: float,
+        *,
+        refused_by: str,
+    ) -> None:
+        fields: dict[str, Any] = {
+            "run": need.run_id,
+            "route": need.route,
+            "account": need.account,
+            "rank": need.rank,
+            "prompt": need.prompt_tokens,
+            "likely": need.expected_tokens,
+            "most": need.max_tokens,
+            "target_ms": to_ms(need.target_left_s),
+            "returned": need.is_retry,
+            "waited_ms": to_ms(now - (known.since if known.asked_at is None else known.asked_at)),
+        }
+        if refused_by:
+            fields["refused_by"] = refused_by
+        if decision.outcome is PlacementOutcome.GRANTED:
+            fields.update(server=decision.engine, tokens=decision.reserve_tokens)
+        elif decision.outcome is PlacementOutcome.REFUSED:
+            fields["back_ms"] = to_ms(decision.retry_after_s)
+            is_late = fields["waited_ms"] > fields["target_ms"]
+            reason = "returned" if need.is_retry else "late" if is_late else "in_time"
+            self._metrics.count(f"placement_refused.{reason}")
+        self._metrics.count(f"placement_{decision.outcome.value}")
+        self._log.info(f"placement_{decision.outcome.value}", **fields)
+
+
+def _owner_of(run_id: str) -> str:
+    return run_id.rpartition("/")[0]
+
+
+def _to_reply(counter: int, decision: PlacementDecision) -> PlacementReply:
+    return PlacementReply(
+        counter,
+        decision.outcome,
+        decision.engine,
+        decision.reserve_tokens,
+        to_ms(decision.retry_after_s),
+    )
+
+
+def _report_of(need: PlacementRequest, engine: str) -> RunReport:
+    """Return the report of a run that its owner has not reported yet."""
+    return RunReport(
+        run_id=need.run_id,
+        engine=engine,
+        prompt_tokens=need.prompt_tokens,
+        expected_tokens=need.expected_tokens,
+        max_tokens=need.max_tokens,
+        made_tokens=0,
+        rank=need.rank,
+        account=need.account,
+        route=need.route,
+        age_s=0.0,
+        movable=False,
+        max_pause_s=need.max_pause_s,
+    )
+
+
+def _current(known: _KnownRun, made_tokens: int, now: float) -> RunReport:
+    """Return the report of a run with its present length and age."""
+    return replace(known.report, made_tokens=made_tokens, age_s=now - known.since)
--- a/tests/test_role_controller.py
+++ b/tests/test_role_controller.py
@@ -11,7 +11,7 @@
 
 from crankhinge.adapters import InstanceRecord
 from crankhinge.decisions import EngineRole, WorkloadMeter, WorkloadStats
-from crankhinge.gateway._peer_messages import EngineOrdered, PeerMessage
+from crankhinge.gateway._peer_messages import EngineOrdered, decode_message
 from platform_fakes import HOST, GatewayHarness, free_port, respond_stream, route
 from virtual_time import run_virtual
 
@@ -223,7 +223,7 @@
             await send_streams(harness)
             await curio.sleep(4.0)
             ordered = {replica.incarnation_id for replica in harness.replicas if replica.orders}
-            messages = [msgspec.msgpack.decode(data, type=PeerMessage) for data in received]
+            messages = [decode_message(data) for data in received]
             order_messages = [message for message in messages if isinstance(message, EngineOrdered)]
             assert ordered
             assert {order.server for order in order_messages} == ordered
