Placement: answer growth, memory over time, and the order of waiting

Cause: a run was admitted by the sum of expected memory, in the order of arrival. Change: memory is predicted as mean and variance over time from the survival function of the answers of a route; a run is admitted if mean plus 1.64 standard deviations fit at each time. Waiting requests go by urgency, rank, account's share, and value by memory and time. Those whose turn comes too late are refused at once with a return time that is kept.

--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -3,11 +3,43 @@
 from __future__ import annotations
 
 import random
+from bisect import bisect_left
+from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 
+from crankhinge.decisions._reservations import DEFAULT_FIRST_EVENT_S, ReservationRequest
 from crankhinge.decisions._routes import EngineLimits
 from crankhinge.decisions._servers import Server
+from crankhinge.decisions.placement._choice import best_engine
+from crankhinge.decisions.placement._engines import (
+    DEFAULT_TOKENS_PER_S,
+    EWMA_WEIGHT,
+    MIN_SAMPLE_S,
+    EngineState,
+    Run,
+)
+from crankhinge.decisions.placement._growth import AnswerGrowth, answer_base
+from crankhinge.decisions.placement._memory import (
+    ADMISSION_DEVIATIONS,
+    BLOCK_TOKENS,
+    REFRESH_S,
+    Profile,
+    RunGrowth,
+    fits,
+    new_profile,
+    peak,
+    step_s,
+)
+from crankhinge.decisions.placement._order import (
+    MIN_LATE_SHARE,
+    AccountShares,
+    ArrivalRate,
+    Promises,
+    Urgency,
+    Waiting,
+    order_key,
+)
 from crankhinge.decisions.placement._types import (
     PlacementDecision,
     PlacementOutcome,
@@ -24,39 +56,35 @@
 # Seconds from the first call until the coordinator decides. Each owner reports all of its runs
 # every second.
 WARM_UP_S = 1.5
-# Seconds for which an engine that refused a reservation gets no further run.
-REFUSAL_PAUSE_S = 0.1
-DEFAULT_RETRY_S = 3.0
+# A complete report that lacks a run which was reported less than this many seconds ago may have
+# been sent before the run started.
+REORDER_S = 0.3
+# Seconds for which ended requests are remembered, so that datagrams that arrive late do not bring
+# them back.
+ENDED_EXPIRY_S = 5.0
+# Share of the expected answer that is reserved at the engine together with the prompt. The engine
+# counts a reservation in full at once, but a run needs its memory only as it grows: the engine
+# would refuse runs that the prediction over time admits. The part covers the start, in which the
+# run is the newest and would be preempted first.
+RESERVED_ANSWER_SHARE = 0.25
+# Requests tried in one pass without success. Requests further behind need about as much memory.
+MAX_TRIES = 4
+# A request that has waited this many seconds lets no smaller one pass.
+PASS_BY_S = 0.3
 
 WAITING = PlacementDecision(PlacementOutcome.WAITING)
 NOT_COORDINATOR = PlacementDecision(PlacementOutcome.NOT_COORDINATOR)
 
+Granted = tuple[PlacementRequest, PlacementDecision]
 
-@dataclass
-class _Run:
-    report: RunReport
-    owner: str
-    seen_at: float
-    is_grant: bool = False
-
-    @property
-    def tokens(self) -> int:
-        answer = max(self.report.made_tokens, self.report.expected_tokens or self.report.max_tokens)
-        return self.report.prompt_tokens + answer
-
-
-@dataclass
-class _Engine:
-    server: Server
-    runs: dict[str, _Run] = field(default_factory=dict)
-    paused_until: float = 0.0
 
+@dataclass(slots=True)
+class _Decided:
+    """A decision that is kept, since its datagram may be lost and the request asked again."""
 
-@dataclass
-class _Waiting:
-    need: PlacementRequest
-    asked_at: float
-    number: int
+    waiting: Waiting
+    decision: PlacementDecision
+    at: float
 
 
 class PlacementCoordinator:
@@ -70,57 +98,95 @@
     def __init__(self, *, rng: random.Random, now: float) -> None:
         self._rng = rng
         self._started_at = now
-        self._engines: dict[str, _Engine] = {}
         self._limits: EngineLimits | None = None
+        self._engines: dict[str, EngineState] = {}
         self._where: dict[str, str] = {}
-        self._waiting: dict[str, _Waiting] = {}
-        self._decided: dict[str, tuple[PlacementRequest, PlacementDecision, float]] = {}
-        self._number = 0
+        self._growth = AnswerGrowth()
+        self._first_event_s = DEFAULT_FIRST_EVENT_S
+        self._mean_answer = 0.0
+        self._step_s = 0.0
+        self._waiting: dict[str, Waiting] = {}
+        self._keys: list[tuple[float, ...]] = []
+        self._decided: dict[str, _Decided] = {}
+        self._ended: dict[str, float] = {}
+        self._promises = Promises()
+        self._arrivals = ArrivalRate(now)
+
+    @property
+    def known_runs(self) -> int:
+        """Number of runs and grants on the engines of the group."""
+        return len(self._where)
+
+    @property
+    def waiting_requests(self) -> int:
+        """Number of requests that wait."""
+        return len(self._waiting)
+
+    def fullest_share(self, now: float) -> float:
+        """Return the predicted peak of the fullest engine as a share of its memory."""
+        if self._limits is None or not self._engines:
+            return 0.0
+        highest = max(
+            peak(self._profile(engine, now), ADMISSION_DEVIATIONS)
+            for engine in self._engines.values()
+        )
+        return highest / self._limits.kv_tokens
 
     def set_engines(self, engines: Iterable[Server], limits: EngineLimits, now: float) -> None:
-        """Set the engines of the group; runs on engines that are gone are forgotten."""
-        self._limits = limits
+        """Set the engines of the group; the runs of engines that are gone are forgotten.
+
+        Engines that come after the first call are filled at a rising rate.
+        """
+        is_first, self._limits = self._limits is None, limits
         servers = {server.incarnation_id: server for server in engines}
-        for gone in [engine for engine in self._engines if engine not in servers]:
-            for run_id in self._engines.pop(gone).runs:
-                self._where.pop(run_id, None)
-        for incarnation_id, server in servers.items():
-            known = self._engines.get(incarnation_id)
+        for gone in [engine_id for engine_id in self._engines if engine_id not in servers]:
+            for run_id in list(self._engines[gone].runs):
+                self._remove_run(run_id)
+            del self._engines[gone]
+        for engine_id, server in servers.items():
+            known = self._engines.get(engine_id)
             if known is None:
-                self._engines[incarnation_id] = _Engine(server)
+                self._engines[engine_id] = EngineState(server, None if is_first else now)
             else:
                 known.server = server
 
     def request(self, need: PlacementRequest, now: float) -> PlacementDecision:
         """Decide about a request; asking again for the same run returns its present state."""
-        if not self.is_ready(now):
+        if not self.is_ready(now) or not self._engines:
             return NOT_COORDINATOR
         decided = self._decided.get(need.run_id)
         if decided is not None:
-            return decided[1]
-        if need.run_id not in self._waiting:
-            self._number += 1
-            self._waiting[need.run_id] = _Waiting(need, now, self._number)
-        self._serve(now, notify=False, asking=need.run_id)
-        decided = self._decided.get(need.run_id)
-        return WAITING if decided is None else decided[1]
+            return decided.decision
+        if need.run_id in self._waiting or need.run_id in self._ended:
+            return WAITING
+        waiting = self._new_waiting(need, now)
+        if waiting.may_be_in_time(now):
+            self._arrivals.record(now)
+        ahead = bisect_left(self._keys, order_key(waiting, self._shares(), now))
+        decision = None if ahead else self._try_place(waiting, now)
+        if decision is None:
+            decision = self._refusal(waiting, ahead, now)
+        if decision is None:
+            self._waiting[need.run_id] = waiting
+            return WAITING
+        self._decided[need.run_id] = _Decided(waiting, decision, now)
+        return decision
 
     def engine_refused(self, run_id: str, engine: str, now: float) -> None:
-        """Record that the engine itself had no room; the request waits again."""
-        known = self._engines.get(engine)
-        if known is not None:
-            known.paused_until = now + REFUSAL_PAUSE_S
+        """Record that the engine itself had no room; the request waits again, at its old place."""
+        decided = self._decided.get(run_id)
+        if decided is None or decided.decision.engine != engine:
+            return
+        del self._decided[run_id]
         self._remove_run(run_id)
-        decided = self._decided.pop(run_id, None)
-        if decided is not None:
-            self._number += 1
-            self._waiting[run_id] = _Waiting(decided[0], now, self._number)
+        state = self._engines.get(engine)
+        if state is not None and self._limits is not None:
+            state.record_refusal(decided.decision.reserve_tokens, self._limits.kv_tokens, now)
+        self._waiting[run_id] = decided.waiting
 
     def withdraw(self, run_id: str, now: float) -> None:
         """Forget a request whose caller is gone, or which was served elsewhere or refused."""
-        self._waiting.pop(run_id, None)
-        self._decided.pop(run_id, None)
-        self._remove_run(run_id)
+        self._end(run_id, now)
 
     def report(
         self,
@@ -141,33 +207,66 @@
             now: time of the runtime's clock in seconds.
             complete: whether *runs* are all runs of the owner.
         """
-        for run in runs:
-            if run.engine in self._engines and run.run_id not in ended:
-                self._put_run(run, owner, now)
+        over = set(ended)
+        for report in runs:
+            if report.run_id in self._ended:
+                continue
+            if report.run_id in over:
+                self._record_completed(report)
+            elif report.engine in self._engines:
+                self._put_report(report, owner, now)
         for run_id in ended:
-            self._remove_run(run_id)
-            self._decided.pop(run_id, None)
+            self._end(run_id, now)
         if complete:
-            kept = {run.run_id for run in runs}
-            for engine in self._engines.values():
-                for run_id, run_state in list(engine.runs.items()):
-                    if run_state.owner == owner and run_id not in kept and not run_state.is_grant:
-                        self._remove_run(run_id)
+            kept = {report.run_id for report in runs}
+            for run_id, run in self._all_runs():
+                is_settled = not run.is_grant and now - run.seen_at > REORDER_S
+                if run.owner == owner and run_id not in kept and is_settled:
+                    self._remove_run(run_id)
 
     def expire(self, now: float) -> None:
         """Remove runs of owners silent for :data:`RUN_EXPIRY_S`, and grants not taken up."""
-        for engine in self._engines.values():
-            for run_id, run in list(engine.runs.items()):
-                limit_s = GRANT_EXPIRY_S if run.is_grant else RUN_EXPIRY_S
-                if now - run.seen_at > limit_s:
-                    self._remove_run(run_id)
-        for run_id, (_, _, at) in list(self._decided.items()):
-            if now - at > GRANT_EXPIRY_S and run_id not in self._where:
+        for run_id, run in self._all_runs():
+            if now - run.seen_at > (GRANT_EXPIRY_S if run.is_grant else RUN_EXPIRY_S):
+                self._remove_run(run_id)
+        for run_id, decided in list(self._decided.items()):
+            if now - decided.at > GRANT_EXPIRY_S:
                 del self._decided[run_id]
+        for run_id, at in list(self._ended.items()):
+            if now - at <= ENDED_EXPIRY_S:
+                break
+            del self._ended[run_id]
+        self._promises.expire(now)
 
-    def grants(self, now: float) -> list[tuple[PlacementRequest, PlacementDecision]]:
+    def grants(self, now: float) -> list[Granted]:
         """Return the requests granted or refused while waiting, since the last call."""
-        return self._serve(now, notify=True) if self.is_ready(now) else []
+        if not self._waiting or not self.is_ready(now):
+            return []
+        shares = self._shares()
+        order = sorted(
+            (order_key(waiting, shares, now), run_id) for run_id, waiting in self._waiting.items()
+        )
+        made: list[Granted] = []
+        failed = 0
+        smallest = float("inf")
+        is_blocked = False
+        for _, run_id in order:
+            waiting = self._waiting[run_id]
+            decision = None
+            if not is_blocked and waiting.expected_tokens < smallest:
+                decision = self._try_place(waiting, now)
+                if decision is None:
+                    failed += 1
+                    smallest = waiting.expected_tokens
+                    is_blocked = failed >= MAX_TRIES or now - waiting.asked_at > PASS_BY_S
+            if decision is None:
+                decision = self._refusal(waiting, len(order) - len(self._waiting), now)
+            if decision is not None:
+                del self._waiting[run_id]
+                self._decided[run_id] = _Decided(waiting, decision, now)
+                made.append((waiting.need, decision))
+        self._keys = [key for key, run_id in order if run_id in self._waiting]
+        return made
 
     def moves(self, now: float) -> list[RunMove]:
         """Return the moves to start now."""
@@ -177,72 +276,191 @@
         """Whether it has coordinated for long enough to know the runs."""
         return now - self._started_at >= WARM_UP_S
 
-    def _serve(
-        self, now: float, *, notify: bool, asking: str = ""
-    ) -> list[tuple[PlacementRequest, PlacementDecision]]:
-        made = []
-        for run_id, waiting in list(self._waiting.items()):
-            if not notify and run_id != asking:
-                continue
-            decision = self._decide(waiting, now)
-            if decision.outcome is not PlacementOutcome.WAITING:
-                del self._waiting[run_id]
-                self._decided[run_id] = (waiting.need, decision, now)
-                made.append((waiting.need, decision))
-        return made
+    def _new_waiting(self, need: PlacementRequest, now: float) -> Waiting:
+        answer, _ = self._growth.remaining(need.route, 0, need.expected_tokens, need.max_tokens)
+        tokens_per_s = self._mean_tokens_per_s()
+        service_s = self._first_event_s + answer / tokens_per_s
+        self._mean_answer += (EWMA_WEIGHT if self._mean_answer else 1.0) * (
+            answer - self._mean_answer
+        )
+        times = ReservationRequest(
+            tokens=need.prompt_tokens + int(answer),
+            target_s=need.target_left_s,
+            remaining_s=need.remaining_s,
+            event_timeout_s=need.event_timeout_s,
+            is_retry=need.is_retry,
+            service_s=service_s,
+            first_event_s=self._first_event_s,
+        )
+        is_promised = self._promises.redeem(need, now)
+        return Waiting(need, now, times, is_promised, need.prompt_tokens + answer, service_s)
 
-    def _decide(self, waiting: _Waiting, now: float) -> PlacementDecision:
+    def _refusal(self, waiting: Waiting, ahead: int, now: float) -> PlacementDecision | None:
+        """Return a refusal if the request will not be served before its caller gives up."""
+        left_s = waiting.times.max_wait_s - (now - waiting.asked_at)
+        turns_per_s = self._turns_per_s()
+        late_per_s = max(MIN_LATE_SHARE * turns_per_s, turns_per_s - self._arrivals.per_s(now))
+        in_time_left_s = waiting.times.max_in_time_wait_s - (now - waiting.asked_at)
+        turn_s = (ahead + 1) / turns_per_s
+        if waiting.urgency(now) is Urgency.LATE or turn_s > in_time_left_s:
+            turn_s = (ahead + 1) / late_per_s
+        if turn_s <= left_s:
+            return None
+        retry_s = self._promises.promise(waiting, late_per_s, ahead, now)
+        return PlacementDecision(PlacementOutcome.REFUSED, retry_after_s=retry_s)
+
+    def _turns_per_s(self) -> float:
+        """Return how many runs end per second, by the mean duration of the runs in progress."""
+        run_s = self._first_event_s + self._mean_answer / self._mean_tokens_per_s()
+        return max(1.0, len(self._where)) / max(0.1, run_s)
+
+    def _mean_tokens_per_s(self) -> float:
+        measured = [engine.pace.token_s for engine in self._engines.values() if engine.pace.token_s]
+        return len(measured) / sum(measured) if measured else DEFAULT_TOKENS_PER_S
+
+    def _shares(self) -> AccountShares:
+        runs = Counter(run.report.account for _, run in self._all_runs())
+        return AccountShares(runs, {waiting.need.account for waiting in self._waiting.values()})
+
+    def _try_place(self, waiting: Waiting, now: float) -> PlacementDecision | None:
+        """Grant the request a place on the best engine that admits it; None without one."""
+        assert self._limits is not None
         need = waiting.need
-        if now - waiting.asked_at >= min(need.event_timeout_s, need.remaining_s):
-            return PlacementDecision(PlacementOutcome.REFUSED, retry_after_s=DEFAULT_RETRY_S)
-        tokens = need.prompt_tokens + (need.expected_tokens or need.max_tokens)
-        assert self._limits is not None or not self._engines
-        best: _Engine | None = None
-        best_load = 0
-        for incarnation_id, engine in self._engines.items():
-            assert self._limits is not None
-            load = sum(run.tokens for run in engine.runs.values())
-            if (
-                incarnation_id not in need.avoid
-                and not engine.server.leaving
-                and engine.paused_until <= now
-                and len(engine.runs) < self._limits.slots
-                and load + tokens <= self._limits.kv_tokens
-                and (best is None or load < best_load)
-            ):
-                best, best_load = engine, load
-        if best is None:
-            return WAITING
-        engine_id = best.server.incarnation_id
-        best.runs[need.run_id] = _Run(
-            RunReport(
-                need.run_id,
-                engine_id,
-                need.prompt_tokens,
-                need.expected_tokens,
-                need.max_tokens,
-                0,
-                need.rank,
-                need.account,
-                need.route,
-                0.0,
-                False,
-                need.max_pause_s,
-            ),
-            need.owner,
-            now,
-            is_grant=True,
+        answer = waiting.expected_tokens - need.prompt_tokens
+        blocks = -(-(need.prompt_tokens + RESERVED_ANSWER_SHARE * answer) // BLOCK_TOKENS)
+        reserve = min(int(blocks) * BLOCK_TOKENS, self._limits.kv_tokens)
+        growths: dict[float, tuple[RunGrowth, Profile]] = {}
+        admitted = []
+        mean_token_s = 1.0 / self._mean_tokens_per_s()
+        for engine_id, engine in self._engines.items():
+            if engine_id in need.avoid or not self._may_start(engine, need, reserve, now):
+                continue
+            token_s = engine.pace.token_s or mean_token_s
+            if token_s not in growths:
+                growth = self._new_growth(need, token_s, now)
+                growths[token_s] = growth, new_profile(growth, now, *self._grid(now))
+            profile = self._profile(engine, now)
+            capacity = self._limits.kv_tokens - engine.unseen_tokens(now)
+            if fits(profile, growths[token_s][1], capacity, ADMISSION_DEVIATIONS):
+                admitted.append((engine, peak(profile, 0.0) / capacity, token_s / mean_token_s))
+        chosen = best_engine(admitted, need.zone, self._rng)
+        if chosen is None:
+            return None
+        growth = growths[chosen.pace.token_s or mean_token_s][0]
+        report = RunReport(
+            run_id=need.run_id,
+            engine=chosen.server.incarnation_id,
+            prompt_tokens=need.prompt_tokens,
+            expected_tokens=need.expected_tokens,
+            max_tokens=need.max_tokens,
+            made_tokens=0,
+            rank=need.rank,
+            account=need.account,
+            route=need.route,
+            age_s=0.0,
+            movable=False,
+            max_pause_s=need.max_pause_s,
+        )
+        chosen.ramp_grants += 1
+        self._add_run(Run(report, need.owner, now, growth, reserve, is_grant=True))
+        return PlacementDecision(PlacementOutcome.GRANTED, report.engine, reserve)
+
+    def _may_start(
+        self, engine: EngineState, need: PlacementRequest, reserve: int, now: float
+    ) -> bool:
+        """Whether the engine admits the run, apart from the prediction of its memory."""
+        limits = self._limits
+        assert limits is not None
+        if not engine.may_start(limits.slots, now):
+            return False
+        if engine.tokens_now(now) + reserve > limits.kv_tokens:
+            return False
+        bounds = [run.report.max_pause_s for run in engine.runs.values()]
+        bound_s = min((bound for bound in (*bounds, need.max_pause_s) if bound > 0), default=0.0)
+        pause_s = engine.pace.pause_s(len(engine.runs) + 1, limits.tokens_per_event)
+        return not bound_s or pause_s <= bound_s
+
+    def _grid(self, now: float) -> tuple[float, float]:
+        """Return the first point in time of the predictions, and the step between points."""
+        wanted = step_s(self._first_event_s + self._mean_answer / self._mean_tokens_per_s())
+        # Each change of the step has all predictions computed again.
+        if not self._step_s or not 0.7 < wanted / self._step_s < 1.4:
+            self._step_s = wanted
+        return now // REFRESH_S * REFRESH_S, self._step_s
+
+    def _profile(self, engine: EngineState, now: float) -> Profile:
+        growths = (run.growth for run in engine.runs.values())
+        return engine.memory.profile(growths, now, *self._grid(now))
+
+    def _new_growth(self, need: PlacementRequest, token_s: float, now: float) -> RunGrowth:
+        return RunGrowth(
+            prompt_tokens=need.prompt_tokens,
+            made_tokens=0.0,
+            at=now + self._first_event_s,
+            tokens_per_s=1.0 / token_s,
+            survival=self._growth.survival(need.route, need.expected_tokens, need.max_tokens),
+            base=answer_base(need.expected_tokens, need.max_tokens),
+            max_tokens=need.max_tokens,
         )
-        self._where[need.run_id] = engine_id
-        return PlacementDecision(PlacementOutcome.GRANTED, engine_id, tokens)
 
-    def _put_run(self, run: RunReport, owner: str, now: float) -> None:
-        if self._where.get(run.run_id) != run.engine:
-            self._remove_run(run.run_id)
-        self._engines[run.engine].runs[run.run_id] = _Run(replace(run), owner, now)
-        self._where[run.run_id] = run.engine
+    def _put_report(self, report: RunReport, owner: str, now: float) -> None:
+        engine = self._engines[report.engine]
+        known = engine.runs.get(report.run_id)
+        if known is not None and report.made_tokens and not known.is_grant:
+            self._measure_pace(engine, known.report, report, now)
+        token_s = engine.pace.token_s or 1.0 / self._mean_tokens_per_s()
+        first_in_s = 0.0 if report.made_tokens else max(0.0, self._first_event_s - report.age_s)
+        growth = RunGrowth(
+            prompt_tokens=report.prompt_tokens,
+            made_tokens=float(report.made_tokens),
+            at=now + first_in_s,
+            tokens_per_s=1.0 / token_s,
+            survival=self._growth.survival(report.route, report.expected_tokens, report.max_tokens),
+            base=answer_base(report.expected_tokens, report.max_tokens),
+            max_tokens=report.max_tokens,
+        )
+        reserved = known.reserved_tokens if known is not None else 0
+        if known is None:
+            self._remove_run(report.run_id)
+        engine.refusals = 0
+        self._add_run(Run(report, owner, now, growth, reserved, is_grant=False))
+
+    def _measure_pace(
+        self, engine: EngineState, before: RunReport, report: RunReport, now: float
+    ) -> None:
+        took_s, made = report.age_s - before.age_s, report.made_tokens - before.made_tokens
+        if took_s < MIN_SAMPLE_S or made <= 0:
+            return
+        if before.made_tokens:
+            engine.pace.record(took_s / made, len(engine.runs), now)
+        elif engine.pace.token_s:
+            first_s = report.age_s - report.made_tokens * engine.pace.token_s
+            self._first_event_s += EWMA_WEIGHT * (max(0.0, first_s) - self._first_event_s)
+
+    def _record_completed(self, report: RunReport) -> None:
+        if report.made_tokens:
+            self._growth.record_completed(
+                report.route, report.made_tokens, report.expected_tokens, report.max_tokens
+            )
+
+    def _all_runs(self) -> list[tuple[str, Run]]:
+        return [row for engine in self._engines.values() for row in engine.runs.items()]
+
+    def _add_run(self, run: Run) -> None:
+        engine = self._engines[run.report.engine]
+        engine.runs[run.report.run_id] = run
+        engine.memory.invalidate()
+        self._where[run.report.run_id] = run.report.engine
 
     def _remove_run(self, run_id: str) -> None:
         engine = self._engines.get(self._where.pop(run_id, ""))
         if engine is not None:
             engine.runs.pop(run_id, None)
+            engine.memory.invalidate()
+
+    def _end(self, run_id: str, now: float) -> None:
+        self._remove_run(run_id)
+        self._waiting.pop(run_id, None)
+        self._decided.pop(run_id, None)
+        self._ended.pop(run_id, None)
+        self._ended[run_id] = now
--- /dev/null
+++ b/src/crankhinge/decisions/placement/_order.py
@@ -0,0 +1,198 @@
+"""The order of all waiting requests, and the return times that refused callers were told."""
+
+from __future__ import annotations
+
+import enum
+import math
+from collections import deque
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from crankhinge.decisions._reservations import (
+    LATE_VALUE,
+    MIN_RETRY_DELAY_S,
+    RETRY_MARGIN_S,
+    RETRY_VALUE,
+    ReservationRequest,
+)
+from crankhinge.decisions.placement._types import PlacementRequest
+
+# Seconds of waiting after which a late request goes with those that may be in time, and after which
+# each criterion counts one step less. A caller waits three to four seconds for its first event, so
+# a request that waits for its turn gets it before the caller gives up.
+LATE_AGING_S = 1.5
+RANK_AGING_S = 1.0
+ACCOUNT_AGING_S = 1.0
+VALUE_AGING_S = 0.5
+# An account goes later if it has this many times its fair share of the runs in progress. A margin,
+# so that one run more or less of a small account does not change the order.
+OVER_SHARE = 1.2
+# Share of the freed memory that late requests and retries get at least, however many first attempts
+# there are: no load lasts forever.
+MIN_LATE_SHARE = 0.2
+# Seconds by which a retry may come before its promised time, and after it, and still take its
+# place.
+EARLY_S = 0.15
+OVERDUE_S = 1.0
+# Seconds that determine the moving average of the rate of first attempts.
+RATE_TIME_S = 2.0
+
+
+class Urgency(enum.IntEnum):
+    """First criterion of the order."""
+
+    PROMISED = 0
+    IN_TIME = 1
+    LATE = 2
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request that waits for its turn.
+
+    Attributes:
+        need: the request.
+        asked_at: when it was first asked for.
+        times: its times and values.
+        is_promised: whether its caller returned at the time it was told.
+        expected_tokens: memory that it needs on average, in tokens.
+        service_s: expected duration of its run.
+    """
+
+    need: PlacementRequest
+    asked_at: float
+    times: ReservationRequest
+    is_promised: bool
+    expected_tokens: float
+    service_s: float
+
+    def urgency(self, now: float) -> Urgency:
+        """Return its place by the first criterion."""
+        if self.is_promised:
+            return Urgency.PROMISED
+        waited_s = now - self.asked_at
+        is_late = self.need.is_retry or self.times.is_late(waited_s)
+        return Urgency.LATE if is_late and waited_s < LATE_AGING_S else Urgency.IN_TIME
+
+    def may_be_in_time(self, now: float) -> bool:
+        """Whether it is a first attempt that may still be answered in time."""
+        return not self.need.is_retry and not self.times.is_late(now - self.asked_at)
+
+    def value(self, now: float) -> float:
+        """Return the value of an answer, as a fraction of that of an answer in time."""
+        if self.need.is_retry:
+            return RETRY_VALUE
+        return 1.0 if self.may_be_in_time(now) else LATE_VALUE
+
+
+class AccountShares:
+    """Which accounts have more than their fair share of the runs in progress."""
+
+    def __init__(self, runs: Mapping[str, int], waiting: Collection[str]) -> None:
+        accounts = {account for account, count in runs.items() if count}.union(waiting)
+        self._runs = runs
+        self._fair = sum(runs.values()) / max(1, len(accounts))
+        self._is_only = len(accounts) <= 1
+
+    def is_over(self, account: str) -> bool:
+        """Whether the account has more than its fair share; never if it is the only one."""
+        return not self._is_only and self._runs.get(account, 0) > OVER_SHARE * max(1.0, self._fair)
+
+
+def order_key(waiting: Waiting, shares: AccountShares, now: float) -> tuple[float, ...]:
+    """Return the sort key of a waiting request; lower keys go first."""
+    waited_s = now - waiting.asked_at
+    rank = max(0, waiting.need.rank - int(waited_s / RANK_AGING_S))
+    over = shares.is_over(waiting.need.account) and waited_s < ACCOUNT_AGING_S
+    density = waiting.value(now) / max(1.0, waiting.expected_tokens * waiting.service_s)
+    return (
+        waiting.urgency(now),
+        rank,
+        over,
+        -density * (1.0 + waited_s / VALUE_AGING_S),
+        waiting.asked_at,
+    )
+
+
+@dataclass(slots=True)
+class _Promise:
+    account: str
+    route: str
+    due_at: float
+
+
+class Promises:
+    """Return times told to refused callers, each with its share of the memory that becomes free.
+
+    Each promise takes the next free turn of the rate at which late requests can be served, so two
+    callers are never promised the same memory, and the sum of the promises stays servable.
+    """
+
+    def __init__(self) -> None:
+        self._promises: deque[_Promise] = deque()
+        self._last_due_at = 0.0
+
+    def promise(
+        self, waiting: Waiting, turns_per_s: float, turns_ahead: float, now: float
+    ) -> float:
+        """Return the seconds after which the caller should return; the turn is kept for it.
+
+        Args:
+            waiting: the refused request.
+            turns_per_s: runs that late requests can start per second.
+            turns_ahead: waiting requests that are served before.
+            now: time of the runtime's clock in seconds.
+        """
+        self.expire(now)
+        earliest = now + max(MIN_RETRY_DELAY_S, (turns_ahead + 1.0) / turns_per_s)
+        due_at = max(earliest, self._last_due_at + 1.0 / turns_per_s)
+        waited_s = now - waiting.asked_at
+        latest = now + waiting.need.remaining_s - waited_s - waiting.service_s - RETRY_MARGIN_S
+        if due_at > latest:
+            # No turn is left while the caller could still be answered. It may return at its last
+            # chance, without a promise; the load may have ended by then.
+            return max(MIN_RETRY_DELAY_S, latest - now if latest > now else due_at - now)
+        self._last_due_at = due_at
+        self._promises.append(_Promise(waiting.need.account, waiting.need.route, due_at))
+        return due_at - now
+
+    def redeem(self, need: PlacementRequest, now: float) -> bool:
+        """Whether a retry comes at a promised time; it uses up the promise."""
+        if not need.is_retry:
+            return False
+        for promise in self._promises:
+            if promise.due_at - EARLY_S > now:
+                break
+            if (
+                promise.due_at + OVERDUE_S >= now
+                and promise.account == need.account
+                and promise.route == need.route
+            ):
+                self._promises.remove(promise)
+                return True
+        return False
+
+    def expire(self, now: float) -> None:
+        """Forget the promises whose callers did not return."""
+        while self._promises and self._promises[0].due_at + OVERDUE_S < now:
+            self._promises.popleft()
+
+    def __len__(self) -> int:
+        return len(self._promises)
+
+
+class ArrivalRate:
+    """Moving average of the rate of first attempts."""
+
+    def __init__(self, now: float) -> None:
+        self._rate = 0.0
+        self._at = now
+
+    def record(self, now: float) -> None:
+        """Record a first attempt."""
+        self._rate = self.per_s(now) + 1.0 / RATE_TIME_S
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Return first attempts per second."""
+        return self._rate * math.exp((self._at - now) / RATE_TIME_S)
