--- a/src/crankhinge/decisions/placement/_memory.py
+++ b/src/crankhinge/decisions/placement/_memory.py
@@ -11,7 +11,7 @@
 
 # A run is admitted if, at each time until the runs have ended, the probability that the engine is
 # out of memory stays at or below this.
-MAX_OVERFLOW_PROBABILITY = 0.05
+MAX_OVERFLOW_PROBABILITY = 0.02
 # Points in time at which the memory is predicted, and the duration of an average run in these
 # points. The last point is at twice the average: few runs last longer, and by then most of the
 # runs that are in the way of a long one have ended.
--- a/src/crankhinge/decisions/placement/_order.py
+++ b/src/crankhinge/decisions/placement/_order.py
@@ -29,7 +29,7 @@
 OVER_SHARE = 1.2
 # Share of the freed memory that late requests and retries get at least, however many first attempts
 # there are: no load lasts forever.
-MIN_LATE_SHARE = 0.2
+MIN_LATE_SHARE = 0.1
 # Seconds by which a retry may come before its promised time, and after it, and still take its
 # place.
 EARLY_S = 0.15
--- a/tests/placement_load.py
+++ b/tests/placement_load.py
@@ -12,6 +12,7 @@
 from crankhinge.decisions.placement import (
     WARM_UP_S,
     PlacementCoordinator,
+    PlacementDecision,
     PlacementOutcome,
     PlacementRequest,
     RunMove,
@@ -156,9 +157,11 @@
     def poll(self, now: float) -> tuple[list[tuple[Call, str, int]], list[tuple[Call, float]]]:
         """Return calls to start, with engine and tokens, and refused calls with a delay."""
 
+    @abstractmethod
     def refused_by_engine(self, call: Call, engine: str, now: float) -> None:
         """The engine had no room."""
 
+    @abstractmethod
     def observe(self, running: Sequence[Call], ended: Sequence[Call], now: float) -> None:
         """Report the runs in progress and those that have ended."""
 
@@ -211,6 +214,13 @@
             del self.waiting[call.number]
         return placed, refused
 
+    def refused_by_engine(self, call: Call, engine: str, now: float) -> None:
+        """Have the call wait again."""
+        self.ask(call, now)
+
+    def observe(self, running: Sequence[Call], ended: Sequence[Call], now: float) -> None:
+        """Nothing is learned."""
+
 
 class Coordinated(Policy):
     """Asks a placement coordinator; datagrams are lost with a probability."""
@@ -222,7 +232,7 @@
         self.loss = loss
         self.coordinator = self.new_coordinator(engines, -WARM_UP_S)
         self.calls: dict[str, Call] = {}
-        self.decided: list[tuple[str, object]] = []
+        self.decided: list[tuple[str, PlacementDecision]] = []
         self.moves: list[RunMove] = []
 
     def new_coordinator(self, engines: Sequence[EngineModel], now: float) -> PlacementCoordinator:
