--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -11,7 +11,7 @@
 from crankhinge.decisions._reservations import DEFAULT_FIRST_EVENT_S, ReservationRequest
 from crankhinge.decisions._routes import EngineLimits
 from crankhinge.decisions._servers import Server
-from crankhinge.decisions.placement._choice import best_engine
+from crankhinge.decisions.placement._choice import placement_cost
 from crankhinge.decisions.placement._engines import (
     DEFAULT_TOKENS_PER_S,
     EWMA_WEIGHT,
@@ -24,10 +24,10 @@
     ADMISSION_DEVIATIONS,
     BLOCK_TOKENS,
     REFRESH_S,
+    Grid,
     Profile,
     RunGrowth,
     fits,
-    new_profile,
     peak,
     step_s,
 )
@@ -101,8 +101,10 @@
         self._limits: EngineLimits | None = None
         self._engines: dict[str, EngineState] = {}
         self._where: dict[str, str] = {}
+        self._account_runs: Counter[str] = Counter()
         self._growth = AnswerGrowth()
         self._first_event_s = DEFAULT_FIRST_EVENT_S
+        self._tokens_per_s = DEFAULT_TOKENS_PER_S
         self._mean_answer = 0.0
         self._step_s = 0.0
         self._waiting: dict[str, Waiting] = {}
@@ -127,7 +129,7 @@
         if self._limits is None or not self._engines:
             return 0.0
         highest = max(
-            peak(self._profile(engine, now), ADMISSION_DEVIATIONS)
+            peak(engine.memory.refresh(self._grid(now), now), ADMISSION_DEVIATIONS)
             for engine in self._engines.values()
         )
         return highest / self._limits.kv_tokens
@@ -247,7 +249,7 @@
             (order_key(waiting, shares, now), run_id) for run_id, waiting in self._waiting.items()
         )
         made: list[Granted] = []
-        failed = 0
+        ahead = failed = 0
         smallest = float("inf")
         is_blocked = False
         for _, run_id in order:
@@ -260,8 +262,10 @@
                     smallest = waiting.expected_tokens
                     is_blocked = failed >= MAX_TRIES or now - waiting.asked_at > PASS_BY_S
             if decision is None:
-                decision = self._refusal(waiting, len(order) - len(self._waiting), now)
-            if decision is not None:
+                decision = self._refusal(waiting, ahead, now)
+            if decision is None:
+                ahead += 1
+            else:
                 del self._waiting[run_id]
                 self._decided[run_id] = _Decided(waiting, decision, now)
                 made.append((waiting.need, decision))
@@ -278,7 +282,7 @@
 
     def _new_waiting(self, need: PlacementRequest, now: float) -> Waiting:
         answer, _ = self._growth.remaining(need.route, 0, need.expected_tokens, need.max_tokens)
-        tokens_per_s = self._mean_tokens_per_s()
+        tokens_per_s = self._tokens_per_s
         service_s = self._first_event_s + answer / tokens_per_s
         self._mean_answer += (EWMA_WEIGHT if self._mean_answer else 1.0) * (
             answer - self._mean_answer
@@ -311,16 +315,13 @@
 
     def _turns_per_s(self) -> float:
         """Return how many runs end per second, by the mean duration of the runs in progress."""
-        run_s = self._first_event_s + self._mean_answer / self._mean_tokens_per_s()
+        run_s = self._first_event_s + self._mean_answer / self._tokens_per_s
         return max(1.0, len(self._where)) / max(0.1, run_s)
 
-    def _mean_tokens_per_s(self) -> float:
-        measured = [engine.pace.token_s for engine in self._engines.values() if engine.pace.token_s]
-        return len(measured) / sum(measured) if measured else DEFAULT_TOKENS_PER_S
-
     def _shares(self) -> AccountShares:
-        runs = Counter(run.report.account for _, run in self._all_runs())
-        return AccountShares(runs, {waiting.need.account for waiting in self._waiting.values()})
+        return AccountShares(
+            self._account_runs, {waiting.need.account for waiting in self._waiting.values()}
+        )
 
     def _try_place(self, waiting: Waiting, now: float) -> PlacementDecision | None:
         """Grant the request a place on the best engine that admits it; None without one."""
@@ -330,26 +331,43 @@
         blocks = -(-(need.prompt_tokens + RESERVED_ANSWER_SHARE * answer) // BLOCK_TOKENS)
         reserve = min(int(blocks) * BLOCK_TOKENS, self._limits.kv_tokens)
         growths: dict[float, tuple[RunGrowth, Profile]] = {}
-        admitted = []
-        mean_token_s = 1.0 / self._mean_tokens_per_s()
+        grid, mean_token_s = self._grid(now), 1.0 / self._tokens_per_s
+        candidates = []
         for engine_id, engine in self._engines.items():
-            if engine_id in need.avoid or not self._may_start(engine, need, reserve, now):
-                continue
-            token_s = engine.pace.token_s or mean_token_s
+            profile = engine.memory.refresh(grid, now)
+            if (
+                waiting.expected_tokens < engine.memory.rejected_tokens
+                and engine.may_start(self._limits.slots, now)
+                and engine_id not in need.avoid
+            ):
+                token_s = engine.pace.token_s or mean_token_s
+                cost = placement_cost(
+                    engine,
+                    engine.memory.level / self._limits.kv_tokens,
+                    token_s / mean_token_s,
+                    need.zone,
+                    self._rng,
+                )
+                candidates.append((cost, engine_id, token_s, profile))
+        for _, engine_id, token_s, profile in sorted(candidates):
+            engine = self._engines[engine_id]
             if token_s not in growths:
                 growth = self._new_growth(need, token_s, now)
-                growths[token_s] = growth, new_profile(growth, now, *self._grid(now))
-            profile = self._profile(engine, now)
+                growths[token_s] = growth, growth.profile(now, grid)
             capacity = self._limits.kv_tokens - engine.unseen_tokens(now)
-            if fits(profile, growths[token_s][1], capacity, ADMISSION_DEVIATIONS):
-                admitted.append((engine, peak(profile, 0.0) / capacity, token_s / mean_token_s))
-        chosen = best_engine(admitted, need.zone, self._rng)
-        if chosen is None:
-            return None
-        growth = growths[chosen.pace.token_s or mean_token_s][0]
+            if not fits(profile, growths[token_s][1], capacity, ADMISSION_DEVIATIONS):
+                engine.memory.rejected_tokens = waiting.expected_tokens
+            elif self._engine_admits(engine, need, reserve, now):
+                return self._grant(engine, waiting, growths[token_s][0], reserve, now)
+        return None
+
+    def _grant(
+        self, engine: EngineState, waiting: Waiting, growth: RunGrowth, reserve: int, now: float
+    ) -> PlacementDecision:
+        need = waiting.need
         report = RunReport(
             run_id=need.run_id,
-            engine=chosen.server.incarnation_id,
+            engine=engine.server.incarnation_id,
             prompt_tokens=need.prompt_tokens,
             expected_tokens=need.expected_tokens,
             max_tokens=need.max_tokens,
@@ -361,18 +379,16 @@
             movable=False,
             max_pause_s=need.max_pause_s,
         )
-        chosen.ramp_grants += 1
-        self._add_run(Run(report, need.owner, now, growth, reserve, is_grant=True))
+        engine.ramp_grants += 1
+        self._add_run(Run(report, need.owner, now, growth, reserve, is_grant=True), now)
         return PlacementDecision(PlacementOutcome.GRANTED, report.engine, reserve)
 
-    def _may_start(
+    def _engine_admits(
         self, engine: EngineState, need: PlacementRequest, reserve: int, now: float
     ) -> bool:
-        """Whether the engine admits the run, apart from the prediction of its memory."""
+        """Whether the engine will take the reservation, and pauses stay within the bounds."""
         limits = self._limits
         assert limits is not None
-        if not engine.may_start(limits.slots, now):
-            return False
         if engine.tokens_now(now) + reserve > limits.kv_tokens:
             return False
         bounds = [run.report.max_pause_s for run in engine.runs.values()]
@@ -380,18 +396,14 @@
         pause_s = engine.pace.pause_s(len(engine.runs) + 1, limits.tokens_per_event)
         return not bound_s or pause_s <= bound_s
 
-    def _grid(self, now: float) -> tuple[float, float]:
+    def _grid(self, now: float) -> Grid:
         """Return the first point in time of the predictions, and the step between points."""
-        wanted = step_s(self._first_event_s + self._mean_answer / self._mean_tokens_per_s())
+        wanted = step_s(self._first_event_s + self._mean_answer / self._tokens_per_s)
         # Each change of the step has all predictions computed again.
         if not self._step_s or not 0.7 < wanted / self._step_s < 1.4:
             self._step_s = wanted
         return now // REFRESH_S * REFRESH_S, self._step_s
 
-    def _profile(self, engine: EngineState, now: float) -> Profile:
-        growths = (run.growth for run in engine.runs.values())
-        return engine.memory.profile(growths, now, *self._grid(now))
-
     def _new_growth(self, need: PlacementRequest, token_s: float, now: float) -> RunGrowth:
         return RunGrowth(
             prompt_tokens=need.prompt_tokens,
@@ -408,7 +420,7 @@
         known = engine.runs.get(report.run_id)
         if known is not None and report.made_tokens and not known.is_grant:
             self._measure_pace(engine, known.report, report, now)
-        token_s = engine.pace.token_s or 1.0 / self._mean_tokens_per_s()
+        token_s = engine.pace.token_s or 1.0 / self._tokens_per_s
         first_in_s = 0.0 if report.made_tokens else max(0.0, self._first_event_s - report.age_s)
         growth = RunGrowth(
             prompt_tokens=report.prompt_tokens,
@@ -420,10 +432,8 @@
             max_tokens=report.max_tokens,
         )
         reserved = known.reserved_tokens if known is not None else 0
-        if known is None:
-            self._remove_run(report.run_id)
         engine.refusals = 0
-        self._add_run(Run(report, owner, now, growth, reserved, is_grant=False))
+        self._add_run(Run(report, owner, now, growth, reserved, is_grant=False), now)
 
     def _measure_pace(
         self, engine: EngineState, before: RunReport, report: RunReport, now: float
@@ -432,7 +442,10 @@
         if took_s < MIN_SAMPLE_S or made <= 0:
             return
         if before.made_tokens:
-            engine.pace.record(took_s / made, len(engine.runs), now)
+            if engine.pace.record(took_s / made, len(engine.runs), now):
+                paces = [state.pace.token_s for state in self._engines.values()]
+                measured = [token_s for token_s in paces if token_s]
+                self._tokens_per_s = len(measured) / sum(measured)
         elif engine.pace.token_s:
             first_s = report.age_s - report.made_tokens * engine.pace.token_s
             self._first_event_s += EWMA_WEIGHT * (max(0.0, first_s) - self._first_event_s)
@@ -446,17 +459,23 @@
     def _all_runs(self) -> list[tuple[str, Run]]:
         return [row for engine in self._engines.values() for row in engine.runs.items()]
 
-    def _add_run(self, run: Run) -> None:
-        engine = self._engines[run.report.engine]
-        engine.runs[run.report.run_id] = run
-        engine.memory.invalidate()
-        self._where[run.report.run_id] = run.report.engine
+    def _add_run(self, run: Run, now: float) -> None:
+        engine, run_id = self._engines[run.report.engine], run.report.run_id
+        if self._where.get(run_id) != run.report.engine:
+            self._remove_run(run_id)
+            self._account_runs[run.report.account] += 1
+        engine.runs[run_id] = run
+        engine.memory.put(run_id, run.growth, self._grid(now), now)
+        self._where[run_id] = run.report.engine
 
     def _remove_run(self, run_id: str) -> None:
         engine = self._engines.get(self._where.pop(run_id, ""))
         if engine is not None:
-            engine.runs.pop(run_id, None)
-            engine.memory.invalidate()
+            run = engine.runs.pop(run_id)
+            engine.memory.remove(run_id)
+            self._account_runs[run.report.account] -= 1
+            if not self._account_runs[run.report.account]:
+                del self._account_runs[run.report.account]
 
     def _end(self, run_id: str, now: float) -> None:
         self._remove_run(run_id)
--- a/src/crankhinge/decisions/placement/_engines.py
+++ b/src/crankhinge/decisions/placement/_engines.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from crankhinge.decisions._servers import Server
@@ -17,6 +18,7 @@
 # share for this many seconds.
 PACE_TOLERANCE = 0.1
 PACE_HOLD_S = 0.6
+PACE_STEP = 0.05
 # A pace is measured between two reports at least this far apart. Reports count whole events, so a
 # shorter time would give coarse values.
 MIN_SAMPLE_S = 0.3
@@ -77,7 +79,8 @@
     def record(self, token_s: float, runs: int, now: float) -> bool:
         """Record a measured pace with this many runs; return whether the used pace changed."""
         if not self._token_s:
-            self._token_s = self._used_token_s = token_s
+            self._token_s = token_s
+            self._used_token_s = _rounded(token_s)
             self._runs = float(runs)
             return True
         self._token_s += EWMA_WEIGHT * (token_s - self._token_s)
@@ -89,7 +92,7 @@
             self._differs_since = now
         if now - self._differs_since < PACE_HOLD_S:
             return False
-        self._used_token_s = self._token_s
+        self._used_token_s = _rounded(self._token_s)
         self._differs_since = None
         return True
 
@@ -103,6 +106,11 @@
         return self._used_token_s * more * tokens_per_event * PAUSE_FACTOR
 
 
+def _rounded(token_s: float) -> float:
+    """Round to steps of 5 %, so that engines of about the same pace share one prediction."""
+    return math.exp(round(math.log(token_s) / PACE_STEP) * PACE_STEP)
+
+
 @dataclass
 class EngineState:
     """One engine of the group.
--- a/src/crankhinge/decisions/placement/_memory.py
+++ b/src/crankhinge/decisions/placement/_memory.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
 from dataclasses import dataclass
 from statistics import NormalDist
 
@@ -26,6 +25,8 @@
 
 # Mean and variance of the memory at each point in time.
 Profile = tuple[list[float], list[float]]
+# Time of the first point, and the seconds between points.
+Grid = tuple[float, float]
 
 
 def deviations(probability: float) -> float:
@@ -33,6 +34,7 @@
     return NormalDist().inv_cdf(1.0 - probability)
 
 
+EMPTY_PROFILE: Profile = ([0.0] * POINTS, [0.0] * POINTS)
 ADMISSION_DEVIATIONS = deviations(MAX_OVERFLOW_PROBABILITY)
 
 
@@ -62,66 +64,103 @@
         """Return the tokens made at the time *now*, if the answer continues until then."""
         return self.made_tokens + max(0.0, now - self.at) * self.tokens_per_s
 
-    def add_to(self, profile: Profile, now: float, first_at: float, step_s: float) -> None:
-        """Add the memory of this run to a profile."""
-        means, variances = profile
+    def profile(self, now: float, grid: Grid) -> Profile:
+        """Return the mean and variance of its memory at each point of a grid."""
+        first_at, step_s = grid
+        made = min(self.made_at(now), self.max_tokens - 1.0)
         scale = 1.0 / (self.base * BIN_WIDTH)
-        survival = self.survival
-        made_now = min(self.made_at(now), self.max_tokens - 1.0)
+        survival, maximum = self.survival, self.max_tokens
         # The answer is known to be longer than what was reported, and assumed to be longer than
         # what it has made since.
-        alive = survival[min(BINS, int(made_now * scale))]
+        alive = 1.0 / survival[min(BINS, int(made * scale))]
         prompt = self.prompt_tokens + BLOCK_TOKENS / 2
-        for index in range(POINTS):
-            ahead_s = first_at + index * step_s - max(now, self.at)
-            made = made_now + ahead_s * self.tokens_per_s if ahead_s > 0 else made_now
-            if made >= self.max_tokens:
-                return
+        means, variances = [], []
+        ahead_s = first_at - max(now, self.at)
+        step_tokens = step_s * self.tokens_per_s
+        for _ in range(POINTS):
+            if ahead_s > 0:
+                # The first of these steps may be a part of one.
+                made += step_tokens if ahead_s >= step_s else ahead_s * self.tokens_per_s
+                if made >= maximum:
+                    break
+            ahead_s += step_s
             bin_number = int(made * scale)
-            share = survival[bin_number if bin_number < BINS else BINS] / alive
+            share = survival[bin_number if bin_number < BINS else BINS] * alive
             tokens = prompt + made
             mean = tokens * share
-            means[index] += mean
-            variances[index] += mean * (tokens - mean)
+            means.append(mean)
+            variances.append(mean * (tokens - mean))
+        rest = [0.0] * (POINTS - len(means))
+        return means + rest, variances + rest
 
 
 class EngineMemory:
-    """Predicted memory of one engine."""
+    """Predicted memory of one engine.
+
+    The memory of each run is computed once for each grid and report, and added to the sum or
+    subtracted from it, so that a new run costs the same whatever the engine runs.
+
+    Attributes:
+        level: largest mean of the sum.
+        rejected_tokens: expected memory of the smallest run that did not fit, as long as the runs
+            are the same; larger runs don't fit either.
+    """
 
     def __init__(self) -> None:
-        self._profile: Profile = ([], [])
-        self._grid = (-math.inf, 0.0)
-        self._is_dirty = True
-
-    def invalidate(self) -> None:
-        """Have the prediction computed again: a run was added or removed, or has grown."""
-        self._is_dirty = True
-
-    def profile(
-        self, runs: Iterable[RunGrowth], now: float, first_at: float, step_s: float
-    ) -> Profile:
-        """Return the mean and variance of the memory at :data:`POINTS` points in time.
-
-        Args:
-            runs: the runs of the engine.
-            now: time of the runtime's clock in seconds.
-            first_at: time of the first point.
-            step_s: seconds between the points.
-        """
-        if self._is_dirty or (first_at, step_s) != self._grid:
-            self._profile = ([0.0] * POINTS, [0.0] * POINTS)
-            for run in runs:
-                run.add_to(self._profile, now, first_at, step_s)
-            self._grid = first_at, step_s
-            self._is_dirty = False
+        self.level = 0.0
+        self.rejected_tokens = math.inf
+        self._runs: dict[str, tuple[RunGrowth, Profile]] = {}
+        self._profile = EMPTY_PROFILE
+        self._grid: Grid = (-math.inf, 0.0)
+
+    def refresh(self, grid: Grid, now: float) -> Profile:
+        """Return the profile for a grid; it is computed again if the grid has changed."""
+        if grid != self._grid:
+            self._grid = grid
+            for run_id, (growth, _) in self._runs.items():
+                self._runs[run_id] = growth, growth.profile(now, grid)
+            rows = [profile for _, profile in self._runs.values()]
+            self._profile = (
+                [sum(column) for column in zip(*(row[0] for row in rows), strict=True)],
+                [sum(column) for column in zip(*(row[1] for row in rows), strict=True)],
+            )
+            if not rows:
+                self._profile = EMPTY_PROFILE
+            self._changed()
         return self._profile
 
-
-def new_profile(run: RunGrowth, now: float, first_at: float, step_s: float) -> Profile:
-    """Return the profile of a single run; see :meth:`EngineMemory.profile`."""
-    profile = ([0.0] * POINTS, [0.0] * POINTS)
-    run.add_to(profile, now, first_at, step_s)
-    return profile
+    def put(self, run_id: str, growth: RunGrowth, grid: Grid, now: float) -> None:
+        """Add a run. What is learned of a known run counts from the next grid on."""
+        known = self._runs.get(run_id)
+        if known is not None:
+            self._runs[run_id] = growth, known[1]
+            return
+        self.refresh(grid, now)
+        profile = growth.profile(now, grid)
+        self._runs[run_id] = growth, profile
+        (means, variances), (more, more_variance) = self._profile, profile
+        self._profile = (
+            [old + new for old, new in zip(means, more, strict=True)],
+            [old + new for old, new in zip(variances, more_variance, strict=True)],
+        )
+        self._changed()
+
+    def remove(self, run_id: str) -> None:
+        """Remove a run."""
+        known = self._runs.pop(run_id, None)
+        if known is None:
+            return
+        (means, variances), (less, less_variance) = self._profile, known[1]
+        # Differences of equal sums may fall below zero by rounding.
+        self._profile = (
+            [max(0.0, old - gone) for old, gone in zip(means, less, strict=True)],
+            [max(0.0, old - gone) for old, gone in zip(variances, less_variance, strict=True)],
+        )
+        self._changed()
+
+    def _changed(self) -> None:
+        self.level = max(self._profile[0])
+        self.rejected_tokens = math.inf
 
 
 def fits(profile: Profile, added: Profile, capacity: float, factor: float) -> bool:
--- a/tests/placement_load.py
+++ b/tests/placement_load.py
@@ -329,6 +329,7 @@
     engine_refusals: int = 0
     refusals: int = 0
     waits_s: list[float] = field(default_factory=list)
+    refused_after_s: list[float] = field(default_factory=list)
 
     def in_time(self, account: str = "") -> int:
         """Return the number of calls answered in time."""
@@ -366,6 +367,7 @@
                     policy.refused_by_engine(call, engine, now)
             for call, delay_s in refused:
                 outcome.refusals += 1
+                outcome.refused_after_s.append(now - call.asked_at)
                 call.state = "refused"
                 returns_at = now + delay_s
                 if call.attempt == 1 and returns_at + 3.0 < call.arrives_at + DEADLINE_S:
