Placement: tell instances that a service is coordinated

Cause: an instance decides by its own first ten requests, which take 12 s in a fleet of 25 with 21 requests/s; after a restart it reserves directly until then. Its runs from that time stay unknown to the coordinator afterwards.

Change: the first coordinator of a service tells instances that report no runs. They use its finding until they have seen ten requests. Runs are recorded from the start and reported once the service is coordinated. After a suspension, a coordinator keeps what it learned of answer lengths and decides again after the warm-up. Gauges read the decisions' own predictions.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -293,7 +293,9 @@
     metrics.set_gauge_function("source_calls", lambda: sum(platform.source.call_counts.values()))
     metrics.set_gauge_function("placement_runs", lambda: placement_service.run_count)
     metrics.set_gauge_function("placement_requests", lambda: placement_service.waiting_count)
-    metrics.set_gauge_function("placement_peak", lambda: placement_service.max_peak_share)
+    metrics.set_gauge_function(
+        "placement_peak", lambda: placement_service.max_peak_share(steady_s())
+    )
     supervisor = Supervisor(log)
     supervisor.add("listener", gateway.listen)
     supervisor.add("ready", status.listen_ready)
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -144,10 +144,9 @@
         stats = self._backends.stats(reservation.server.incarnation_id)
         stats.reserved_tokens += reservation.tokens
         try:
-            if self._placement.is_coordinated(relay.service):
-                reservation.run = await self._placement.record_started(
-                    relay, reservation.server, reservation.attempt, extra_tokens
-                )
+            reservation.run = await self._placement.record_started(
+                relay, reservation.server, reservation.attempt, extra_tokens
+            )
             yield reservation
         finally:
             stats.reserved_tokens -= reservation.tokens
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -26,6 +26,7 @@
     PlacementGrant,
     PlacementMessage,
     PlacementReply,
+    PlacementSwitched,
     PlacementWithdrawal,
     RunChanges,
     RunDetails,
@@ -176,6 +177,7 @@
         transport.add_handler(PlacementGrant, self._on_grant)
         transport.add_handler(RunDetailsRequest, self._on_details_request)
         transport.add_handler(RunMoveOrder, self._on_move_order)
+        transport.add_handler(PlacementSwitched, self._on_switched)
 
     def record_joined(self, name: str) -> None:
         """Record that an instance joined the fleet."""
@@ -192,21 +194,31 @@
         was_large = share.is_large
         share.record(_expected_tokens(relay) or relay.request.max_answer_tokens, engine.kv_tokens)
         if share.is_large is not was_large:
-            self._log.info(
-                "placement_switched",
-                service=relay.service.name,
-                coordinated=share.is_large,
-                mean_share=round(share.mean, 4),
-            )
+            self._log_switched(relay.service.name, share, by_peer=False)
+
+    async def _on_switched(self, message: PlacementSwitched, sender: str) -> None:
+        share = self._shares[message.service]
+        was_large = share.is_large
+        share.adopt()
+        if share.is_large is not was_large:
+            self._log_switched(message.service, share, by_peer=True)
+
+    def _log_switched(self, service: str, share: GrowthShare, *, by_peer: bool) -> None:
+        self._log.info(
+            "placement_switched",
+            service=service,
+            coordinated=share.is_large,
+            mean_share=round(share.mean, 4),
+            told=by_peer,
+        )
 
     def is_coordinated(self, service: Service) -> bool:
         """Whether the requests of a service are placed by coordinators."""
         engine = service.engine
-        return (
-            engine is not None
-            and engine.max_reservation_s > 0
-            and self._shares[service.name].is_large
-        )
+        return engine is not None and engine.max_reservation_s > 0 and self._is_on(service.name)
+
+    def _is_on(self, service: str) -> bool:
+        return service in self._shares and self._shares[service].is_large
 
     # Requests for places.
 
@@ -372,6 +384,9 @@
     ) -> PlacedRun | None:
         """Record that memory for a run was reserved, and report the run.
 
+        The runs of a service that is not coordinated are recorded, too, so that its coordinator
+        learns of them as soon as it is.
+
         Args:
             relay: the request.
             server: the engine.
@@ -412,7 +427,8 @@
             to_run_id(self._transport.name, counter),
         )
         self._runs[counter] = run
-        await self._tell(key, RunChanges(key, self._transport.name, runs=(details,)))
+        if self._is_on(key.service):
+            await self._tell(key, RunChanges(key, self._transport.name, runs=(details,)))
         return run
 
     async def record_ended(self, run: PlacedRun, stream: RunningStream | None) -> None:
@@ -424,6 +440,8 @@
         """
         counter = run.details.counter
         self._runs.pop(counter, None)
+        if not self._is_on(run.key.service):
+            return
         changes = RunChanges(run.key, self._transport.name, aborted=(counter,))
         if stream is not None and stream.completed and not run.is_resumed:
             state = RunState(counter, stream.made_tokens, engine_hash(run.details.engine))
@@ -442,7 +460,8 @@
             await curio.sleep(REPORT_INTERVAL_S * self._rng.uniform(*REPORT_JITTER))
             by_key: defaultdict[GroupKey, list[RunState]] = defaultdict(list)
             for run in list(self._runs.values()):
-                by_key[run.key].append(self._state(run))
+                if self._is_on(run.key.service):
+                    by_key[run.key].append(self._state(run))
             for key in {*by_key, *self._reported}:
                 await self._report_all(key, by_key[key])
             self._reported = {key for key, states in by_key.items() if states}
--- a/src/crankhinge/gateway/placement/_growth_share.py
+++ b/src/crankhinge/gateway/placement/_growth_share.py
@@ -37,6 +37,11 @@
         """Whether the service uses coordinated placement."""
         return self._is_large
 
+    def adopt(self) -> None:
+        """Use the mean of another instance, which has seen enough requests, until there is one."""
+        if self._requests < MIN_REQUESTS:
+            self._is_large = True
+
     def record(self, answer_tokens: int, kv_tokens: int) -> None:
         """Record a request.
 
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -304,6 +304,18 @@
     target: str
 
 
+class PlacementSwitched(msgspec.Struct, frozen=True, array_like=True, tag="ps"):
+    """The placement of a service is coordinated.
+
+    An instance that has seen too few requests to decide that itself learns it from this message.
+
+    Attributes:
+        service: name of the service.
+    """
+
+    service: str
+
+
 PlacementMessage = (
     PlacementAsk
     | PlacementReply
@@ -313,4 +325,5 @@
     | RunsComplete
     | RunDetailsRequest
     | RunMoveOrder
+    | PlacementSwitched
 )
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import random
-from collections import defaultdict
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -18,6 +17,7 @@
 from crankhinge.decisions.coordination import CoordinatorOrder
 from crankhinge.decisions.placement import (
     RUN_EXPIRY_S,
+    WARM_UP_S,
     PlacementCoordinator,
     PlacementDecision,
     PlacementOutcome,
@@ -31,6 +31,7 @@
     PlacementAsk,
     PlacementGrant,
     PlacementReply,
+    PlacementSwitched,
     PlacementWithdrawal,
     RunChanges,
     RunDetails,
@@ -56,9 +57,13 @@
 # anew after two reports are missing.
 FIRST_IDLE_S = 60.0
 STANDBY_IDLE_S = 2.5
-# A check that is late by this many seconds shows that this instance was suspended. The messages of
-# that time are lost, so it begins anew.
+# A check that is late by this many seconds shows that this instance was suspended. It does not know
+# the runs of that time, so it decides nothing until all owners have reported.
 SUSPENDED_S = 1.0
+# Seconds between messages to an instance that reports no runs, that the service is coordinated, and
+# the number of such messages per round of ENGINES_INTERVAL_S.
+INFORM_INTERVAL_S = 5.0
+INFORMED_PER_ROUND = 6
 # Runs whose details are requested in one datagram, so that the response fits in a few.
 MAX_UNKNOWN_RUNS = 64
 # Time in seconds for which the parts of a complete report may arrive one after the other.
@@ -108,6 +113,8 @@
         runs: the runs by run id, waiting ones included.
         reports: the newest complete report of each owner.
         addresses: ``host:port`` of each owner, as its last message showed it.
+        heard_at: when each address last sent a message about the group, or was told of it.
+        ready_at: when this instance may decide again after it was suspended.
     """
 
     coordinator: PlacementCoordinator
@@ -116,6 +123,13 @@
     runs: dict[str, _KnownRun] = field(default_factory=dict)
     reports: dict[str, _PartialReport] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
+    heard_at: dict[str, float] = field(default_factory=dict)
+    ready_at: float = float("-inf")
+
+    def record_sender(self, owner: str, address: str, now: float) -> None:
+        """Record that an owner sent a message."""
+        self.addresses[owner] = address
+        self.heard_at[address] = now
 
 
 class PlacementService:
@@ -161,31 +175,18 @@
     @property
     def run_count(self) -> int:
         """Number of runs that this instance knows as a coordinator."""
-        return sum(
-            known.started for group in self._groups.values() for known in group.runs.values()
-        )
+        return sum(group.coordinator.known_runs for group in self._groups.values())
 
     @property
     def waiting_count(self) -> int:
         """Number of requests that wait for a decision of this instance."""
-        return sum(
-            known.waiting for group in self._groups.values() for known in group.runs.values()
-        )
+        return sum(group.coordinator.waiting_requests for group in self._groups.values())
 
-    @property
-    def max_peak_share(self) -> float:
-        """Expected memory of the fullest engine, as a share of its memory; 0 without a run."""
-        peaks: defaultdict[str, float] = defaultdict(float)
-        for key, group in self._groups.items():
-            limits = self._limits(key)
-            if limits is None:
-                continue
-            for known in group.runs.values():
-                report = known.report
-                answer = max(report.made_tokens, report.expected_tokens or report.max_tokens)
-                peaks[report.engine] += (report.prompt_tokens + answer) / limits.kv_tokens
-        peaks.pop("", None)
-        return max(peaks.values(), default=0.0)
+    def max_peak_share(self, now: float) -> float:
+        """Return the predicted peak of the fullest engine, as a share of its memory."""
+        return max(
+            (group.coordinator.fullest_share(now) for group in self._groups.values()), default=0.0
+        )
 
     # Messages from owners.
 
@@ -194,7 +195,8 @@
         group = self._group(message.key, now, from_report=False)
         decision = NOT_COORDINATOR
         if group is not None:
-            group.addresses[message.owner] = sender
+            group.record_sender(message.owner, sender, now)
+        if group is not None and now >= group.ready_at:
             if message.full:
                 group.coordinator.engine_refused(message.run_id, message.full, now)
             need = message.to_request()
@@ -221,7 +223,7 @@
         group = self._group(message.key, now, from_report=True)
         if group is None:
             return
-        group.addresses[message.owner] = sender
+        group.record_sender(message.owner, sender, now)
         reports = [self._apply_details(group, message.owner, run, now) for run in message.runs]
         ended = [to_run_id(message.owner, counter) for counter in message.aborted]
         for state in message.completed:
@@ -241,7 +243,7 @@
         group = self._group(message.key, now, from_report=True)
         if group is None:
             return
-        group.addresses[message.owner] = sender
+        group.record_sender(message.owner, sender, now)
         states = self._assemble(group, message, now)
         if states is None:
             return
@@ -337,6 +339,8 @@
 
     async def _push(self, key: GroupKey, group: _Group, now: float) -> None:
         """Send the decisions about waiting requests that were made since the last call."""
+        if now < group.ready_at:
+            return
         for need, decision in group.coordinator.grants(now):
             known = group.runs.get(need.run_id)
             if known is None:
@@ -363,8 +367,9 @@
             await curio.sleep(TICK_S)
             now = await curio.clock()
             if now - checked_at > TICK_S + SUSPENDED_S and self._groups:
-                self._log.info("placement_restarted", idle_s=round(now - checked_at, 2))
-                self._groups.clear()
+                self._log.info("placement_suspended", suspended_s=round(now - checked_at, 2))
+                for group in self._groups.values():
+                    group.ready_at = now + WARM_UP_S
             checked_at = now
             for key, group in list(self._groups.items()):
                 await self._check(key, group, now)
@@ -388,9 +393,26 @@
                 if now - known.seen_at > RUN_EXPIRY_S:
                     del group.runs[run_id]
             await self._send_moves(key, group, now)
-        if any(known.waiting for known in group.runs.values()):
+            if is_first and key.group == 0:
+                await self._inform(key, group, now)
+        if group.coordinator.waiting_requests:
             await self._push(key, group, now)
 
+    async def _inform(self, key: GroupKey, group: _Group, now: float) -> None:
+        """Tell instances that report no runs that the service is coordinated.
+
+        An instance that has just started would otherwise reserve directly until it has seen enough
+        requests of its own.
+        """
+        unheard = [
+            address
+            for address in self._membership.peer_addresses
+            if now - group.heard_at.get(address, float("-inf")) > INFORM_INTERVAL_S
+        ]
+        for address in unheard[:INFORMED_PER_ROUND]:
+            group.heard_at[address] = now
+            await self._transport.send_to_address(address, PlacementSwitched(key.service))
+
     # Groups.
 
     def _group(self, key: GroupKey, now: float, *, from_report: bool) -> _Group | None:
--- a/src/crankhinge/gateway/placement/_transport.py
+++ b/src/crankhinge/gateway/placement/_transport.py
@@ -53,3 +53,7 @@
             return False
         await self._messenger.send(address, message)
         return True
+
+    async def send_to_address(self, address: str, message: PlacementMessage) -> None:
+        """Send a message to another instance by its ``host:port``."""
+        await self._messenger.send(address, message)
