Dialect: the call that copies a run to another engine

Cause: a run cannot be moved, since the gateway can neither ask an engine for the copy nor read the response, and does not know whether engines move runs.

Change: Dialect.copy_run_call and parse_run_copy with the typed RunCopy; EngineState.leaves_in_s; EngineLimits.moves, kv_token_bytes and link_mbps with copy_s(), decoded from the service's configuration.

Why it holds: a response without a handle counts as failed, never as a copy.

--- a/src/crankhinge/adapters/__init__.py
+++ b/src/crankhinge/adapters/__init__.py
@@ -2,11 +2,13 @@
 
 from crankhinge.adapters._dialect import (
     AttemptParams,
+    CopyOutcome,
     Dialect,
     EngineState,
     OrderOutcome,
     RelayRequest,
     ResponseSignals,
+    RunCopy,
     SideCall,
 )
 from crankhinge.adapters._engine import (
@@ -33,6 +35,7 @@
 __all__ = [
     "AttemptParams",
     "ConfigUpdate",
+    "CopyOutcome",
     "DecodeStream",
     "Dialect",
     "DiscoverySource",
@@ -55,6 +58,7 @@
     "RecordLease",
     "RelayRequest",
     "ResponseSignals",
+    "RunCopy",
     "ServersUpdate",
     "ServiceResponse",
     "SideCall",
--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -114,11 +114,50 @@
         role: current role of the engine.
         accepted_orders: number of orders that the engine has accepted since its start.
         busy: whether the engine is still carrying out an order.
+        leaves_in_s: seconds until the engine ends the runs that are then in progress; None unless
+            it is leaving and says when.
     """
 
     role: EngineRole
     accepted_orders: int
     busy: bool
+    leaves_in_s: float | None = None
+
+
+class CopyOutcome(enum.Enum):
+    """How an engine responds to the call that copies a run to another engine. Values are logged.
+
+    Attributes:
+        COPIED: the target has the copy.
+        NO_SUCH_RUN: the engine runs no request with that id.
+        IN_PROGRESS: another call is copying the same run.
+        NO_ROOM: the target has no room, or the engine cannot reach it.
+        WRONG_SERVER: the server at this address is not the intended one.
+        FAILED: any other response. Whether the run goes on is unknown.
+    """
+
+    COPIED = "copied"
+    NO_SUCH_RUN = "no-such-run"
+    IN_PROGRESS = "in-progress"
+    NO_ROOM = "no-room"
+    WRONG_SERVER = "wrong-server"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class RunCopy:
+    """Response of an engine to the call that copies a run to another engine.
+
+    Attributes:
+        outcome: the outcome.
+        cache_handle: handle with which the run continues, at the target or at the engine itself;
+            empty if the response has none.
+        events_made: number of events that the run has made.
+    """
+
+    outcome: CopyOutcome
+    cache_handle: str = ""
+    events_made: int = 0
 
 
 class OrderOutcome(enum.Enum):
@@ -186,7 +225,7 @@
 
     @abc.abstractmethod
     def free_kv_cache_call(self, handle: str) -> SideCall:
-        """Return the call that frees the KV cache of a prompt."""
+        """Return the call that frees the KV cache of a prompt, or both ends of a run's copy."""
 
     @abc.abstractmethod
     def reserve_call(self, tokens: int, duration_s: float) -> SideCall:
@@ -203,6 +242,27 @@
     def release_reservation_call(self, reservation_id: str) -> SideCall:
         """Return the call that releases a reservation."""
 
+    @abc.abstractmethod
+    def copy_run_call(self, request_id: str, host: str, port: int, *, last: bool) -> SideCall:
+        """Return the call that copies the KV memory of a run to another engine.
+
+        The call goes to the engine that runs the request. A repeated call copies what is new.
+
+        Args:
+            request_id: id of the running request.
+            host: host of the engine that receives the copy.
+            port: its port.
+            last: whether the run stops before it is copied. Its stream is then closed without its
+                end.
+        """
+
+    @abc.abstractmethod
+    def parse_run_copy(self, status: int, body: bytes) -> RunCopy:
+        """Return the meaning of the response to :meth:`copy_run_call`.
+
+        A response whose body lacks a required field counts as :attr:`CopyOutcome.FAILED`.
+        """
+
     @abc.abstractmethod
     def side_call_fields(self, server: str) -> dict[str, str]:
         """Return the header fields of a side call, which any server but *server* refuses."""
--- a/src/crankhinge/decisions/_routes.py
+++ b/src/crankhinge/decisions/_routes.py
@@ -85,6 +85,9 @@
             it.
         max_reservation_s: longest time for which memory may be reserved in advance, in seconds.
         tokens_per_event: number of tokens in one event of a stream.
+        moves: whether a run can be moved to another engine.
+        kv_token_bytes: KV memory of one token, in bytes; 0 if unknown.
+        link_mbps: rate of an engine's link, in Mbit/s; 0 if unknown.
     """
 
     slots: int
@@ -92,6 +95,15 @@
     kv_handle_ttl_s: float
     max_reservation_s: float
     tokens_per_event: int
+    moves: bool = False
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+
+    def copy_s(self, tokens: int) -> float:
+        """Return the seconds that the KV memory of *tokens* tokens takes over an engine's link."""
+        if self.link_mbps <= 0:
+            return 0.0
+        return tokens * self.kv_token_bytes * 8 / (self.link_mbps * 1e6)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import importlib
+import json
 import platform
 from pathlib import Path
 
 import pytest
 
+from crankhinge.adapters import CopyOutcome, RunCopy
+from crankhinge.decisions import EngineLimits
 from crankhinge.errors import BadHttp
 from crankhinge.http import HttpRequest
 from crankhinge_platform import dialect
 from crankhinge_platform.dialect import PlatformDialect
+from crankhinge_platform.source import decode_config
 
 ROOT = Path(__file__).resolve().parent.parent
 FOLDER = ROOT / "platform"
@@ -150,6 +154,70 @@
         assert PlatformDialect().parse_signals(status, {"retry-after": "3"}).backoff_s is None
 
 
+class TestRunCopy:
+    """The call that copies a run to another engine, and its response."""
+
+    def test_call_names_run_target_and_whether_the_run_stops(self) -> None:
+        """An engine that misses one of these fields would copy the wrong run or not stop it."""
+        call = PlatformDialect().copy_run_call("q", "10.0.0.2", 80, last=True)
+        assert (call.method, call.target) == ("POST", "/v1/kv-move")
+        assert json.loads(call.body) == {"id": "q", "target_version": "10.0.0.2:80", "last": True}
+
+    @pytest.mark.parametrize(
+        ("status", "body", "expected"),
+        [
+            (200, b'{"kv_handle": "h", "made": 7}', RunCopy(CopyOutcome.COPIED, "h", 7)),
+            (404, b"", RunCopy(CopyOutcome.NO_SUCH_RUN)),
+            (409, b"{}", RunCopy(CopyOutcome.IN_PROGRESS)),
+            (421, b"", RunCopy(CopyOutcome.WRONG_SERVER)),
+            (503, b"", RunCopy(CopyOutcome.NO_ROOM)),
+            (503, b"{}", RunCopy(CopyOutcome.NO_ROOM)),
+            (503, b'{"kv_handle": "h"}', RunCopy(CopyOutcome.NO_ROOM, "h")),
+            (500, b'{"kv_handle": "h"}', RunCopy(CopyOutcome.FAILED)),
+            (200, b"{}", RunCopy(CopyOutcome.FAILED)),
+            (200, b"cut", RunCopy(CopyOutcome.FAILED)),
+            (200, b'{"kv_handle": "h", "made": -1}', RunCopy(CopyOutcome.FAILED)),
+        ],
+    )
+    def test_response_is_decoded(self, status: int, body: bytes, expected: RunCopy) -> None:
+        """A response without the handle must not count as a copy, since nothing can use it."""
+        assert PlatformDialect().parse_run_copy(status, body) == expected
+
+    @pytest.mark.parametrize(("value", "expected"), [("1500", 1.5), ("null", None)])
+    def test_report_tells_when_a_leaving_engine_ends(
+        self, value: str, expected: float | None
+    ) -> None:
+        """An engine that does not leave may report no time or null."""
+        body = b'{"phase": "decode", "sequence": 1, "leaves_ms": %s}' % value.encode()
+        assert PlatformDialect().parse_engine_state(body).leaves_in_s == expected
+
+
+class TestEngineLimits:
+    """The engine fields of a service's configuration."""
+
+    @staticmethod
+    def decode(**fields: object) -> EngineLimits:
+        """Return the limits of the engines whose configuration has these fields."""
+        engine = {"slots": 12, "kv_tokens": 75276, **fields}
+        config = {"version": 1, "routes": [], "services": [{"name": "s", "engine": engine}]}
+        limits = decode_config(json.dumps(config).encode()).services["s"].engine
+        assert limits is not None
+        return limits
+
+    def test_fields_of_moves_are_decoded(self) -> None:
+        """A copy of 5,200 tokens of 18.432 KB takes 0.35 ms at 2,200 Gbit/s."""
+        limits = self.decode(moves=True, kv_token_bytes=18432, link_mbps=2.2e6)
+        assert limits.moves
+        assert round(limits.copy_s(5200) * 1000, 2) == 0.35
+
+    @pytest.mark.parametrize("fields", [{}, {"moves": False}, {"moves": 0}])
+    def test_engines_without_moves_move_nothing(self, fields: dict[str, object]) -> None:
+        """A deployment whose configuration lacks the field is served as before."""
+        limits = self.decode(**fields)
+        assert not limits.moves
+        assert limits.copy_s(1000) == 0.0
+
+
 class TestFields:
     """Which header fields the gateway forwards."""
 
