--- a/src/crankhinge/gateway/_running_streams.py
+++ b/src/crankhinge/gateway/_running_streams.py
@@ -25,7 +25,6 @@
             attempts.
         started_at: when the attempt began, on the runtime's clock.
         events_before: number of events that earlier attempts sent.
-        movable: whether another engine may continue the run.
         completed: whether the whole answer was sent.
     """
 
@@ -36,7 +35,6 @@
     prompt_tokens: int
     started_at: float
     events_before: int = 0
-    movable: bool = False
     completed: bool = False
 
     @property
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -449,7 +449,7 @@
         await self._tell(run.key, changes)
 
     async def record_moved(self, stream: RunningStream) -> None:
-        """Record that a run continues at another engine, and report it."""
+        """Report where a run continues after an attempt to move it."""
         run = self._runs.get(to_counter(stream.run_id))
         if run is not None:
             await self._report_details(run)
@@ -473,7 +473,9 @@
 
     def _state(self, run: PlacedRun) -> RunState:
         details = self._details(run, run.reserved_at)
-        return RunState(details.counter, details.made_tokens, engine_hash(details.engine))
+        return RunState(
+            details.counter, details.made_tokens, engine_hash(details.engine), details.movable
+        )
 
     def _details(self, run: PlacedRun, now: float) -> RunDetails:
         """Return the details of a run as they are now."""
@@ -483,10 +485,20 @@
                 run.details,
                 made_tokens=stream.made_tokens,
                 engine=stream.server.incarnation_id,
-                movable=self.move_run is not None and stream.movable,
+                movable=self._is_movable(stream),
             )
         return msgspec.structs.replace(run.details, age_ms=to_ms(now - run.reserved_at))
 
+    def _is_movable(self, stream: RunningStream) -> bool:
+        """Whether a run may be moved now; its engine knows it only once it has sent an event."""
+        engine = stream.relay.service.engine
+        return (
+            self.move_run is not None
+            and engine is not None
+            and engine.moves
+            and stream.made_events > 0
+        )
+
     async def _report_details(self, run: PlacedRun) -> None:
         details = self._details(run, await curio.clock())
         await self._tell(run.key, RunChanges(run.key, self._transport.name, runs=(details,)))
@@ -500,14 +512,14 @@
     async def _on_move_order(self, message: RunMoveOrder, sender: str) -> None:
         stream = self._running.get(to_run_id(self._transport.name, message.counter))
         target = self._backends.get(message.target)
-        if (
-            self.move_run is None
-            or stream is None
-            or target is None
-            or stream.server.incarnation_id != message.source
-        ):
+        if stream is None or target is None or stream.server.incarnation_id != message.source:
             return
-        await curio.spawn(self.move_run, stream, target, daemon=True)
+        await curio.spawn(self._move, stream, target, daemon=True)
+
+    async def _move(self, stream: RunningStream, target: Server) -> None:
+        if self.move_run is not None:
+            await self.move_run(stream, target)
+            await self.record_moved(stream)
 
     async def _tell(self, key: GroupKey, message: PlacementMessage) -> None:
         """Send a message to the first instance of a group, and to the standby if it is in use.
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -182,11 +182,13 @@
         counter: counter of the run.
         made_tokens: tokens of the answer so far.
         engine_hash: :func:`engine_hash` of the engine.
+        movable: whether it may be moved to another engine now.
     """
 
     counter: int
     made_tokens: int
     engine_hash: int
+    movable: bool = False
 
 
 class RunDetails(msgspec.Struct, frozen=True, array_like=True):
@@ -204,7 +206,7 @@
         route: name of the route.
         age_ms: milliseconds since its memory was reserved.
         pause_ms: longest pause between events that counts as in time; 0 for no bound.
-        movable: whether it may be moved to another engine.
+        movable: whether it may be moved to another engine now.
     """
 
     counter: int
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -167,6 +167,7 @@
         self._metrics = metrics
         self._rng = rng
         self._groups: dict[GroupKey, _Group] = {}
+        self._checked_at = float("inf")
         transport.add_handler(PlacementAsk, self._on_ask)
         transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
         transport.add_handler(RunChanges, self._on_changes)
@@ -198,15 +199,16 @@
             group.record_sender(message.owner, sender, now)
         if group is not None and now >= group.ready_at:
             if message.full:
+                self._log.info("placement_no_room", run=message.run_id, server=message.full)
+                self._metrics.count("placement_no_room")
                 group.coordinator.engine_refused(message.run_id, message.full, now)
+                await self._push(message.key, group, now)
             need = message.to_request()
             decision = group.coordinator.request(need, now)
-            self._record_asked(group, need, decision, now, refused_by=message.full)
+            self._record_asked(group, need, decision, now)
         await self._transport.send(
             message.owner, _to_reply(message.counter, decision), address=sender
         )
-        if group is not None and message.full:
-            await self._push(message.key, group, now)
 
     async def _on_withdrawal(self, message: PlacementWithdrawal, sender: str) -> None:
         now = await curio.clock()
@@ -231,7 +233,7 @@
             ended.append(run_id)
             known = group.runs.get(run_id)
             if known is not None:
-                reports.append(_current(known, state.made_tokens, now))
+                reports.append(_current(known, state, now))
         for run_id in ended:
             group.runs.pop(run_id, None)
         group.coordinator.report(message.owner, reports, ended, now, complete=False)
@@ -254,7 +256,7 @@
                 unknown.append(state.counter)
                 continue
             known.seen_at, known.started, known.waiting = now, True, False
-            known.report = _current(known, state.made_tokens, now)
+            known.report = _current(known, state, now)
             reports.append(known.report)
         listed = {to_run_id(message.owner, state.counter) for state in states}
         for run_id, known in list(group.runs.items()):
@@ -301,8 +303,6 @@
         need: PlacementRequest,
         decision: PlacementDecision,
         now: float,
-        *,
-        refused_by: str,
     ) -> None:
         """Record what was decided about a request, and log it unless it just waits longer."""
         known = group.runs.get(need.run_id)
@@ -317,9 +317,8 @@
         known.seen_at = now
         known.waiting = decision.outcome is PlacementOutcome.WAITING
         self._apply_decision(group, need, decision, known, now)
-        repeated = was_waiting if known.waiting else was_granted
-        if not repeated or refused_by:
-            self._log_decision(need, decision, known, now, refused_by=refused_by)
+        if not (was_waiting if known.waiting else was_granted):
+            self._log_decision(need, decision, known, now)
 
     def _apply_decision(
         self,
@@ -347,7 +346,7 @@
                 known = group.runs[need.run_id] = _KnownRun(_report_of(need, ""), now, now)
             known.waiting = False
             self._apply_decision(group, need, decision, known, now)
-            self._log_decision(need, decision, known, now, refused_by="")
+            self._log_decision(need, decision, known, now)
             reply = _to_reply(to_counter(need.run_id), decision)
             await self._transport.send(
                 need.owner, PlacementGrant(key, reply), address=group.addresses.get(need.owner, "")
@@ -362,18 +361,21 @@
 
     async def run(self) -> None:
         """Check what changes with time, until cancelled."""
-        checked_at = await curio.clock()
         while True:
             await curio.sleep(TICK_S)
             now = await curio.clock()
-            if now - checked_at > TICK_S + SUSPENDED_S and self._groups:
-                self._log.info("placement_suspended", suspended_s=round(now - checked_at, 2))
-                for group in self._groups.values():
-                    group.ready_at = now + WARM_UP_S
-            checked_at = now
+            self._detect_suspension(now)
             for key, group in list(self._groups.items()):
                 await self._check(key, group, now)
 
+    def _detect_suspension(self, now: float) -> None:
+        late_s = now - self._checked_at - TICK_S
+        if late_s > SUSPENDED_S and self._groups:
+            self._log.info("placement_suspended", late_s=round(late_s, 2))
+            for group in self._groups.values():
+                group.ready_at = now + WARM_UP_S
+        self._checked_at = now
+
     async def _check(self, key: GroupKey, group: _Group, now: float) -> None:
         ranked = self._order.ranked(str(key))
         is_first = bool(ranked) and ranked[0] == self._transport.name
@@ -460,8 +462,6 @@
         decision: PlacementDecision,
         known: _KnownRun,
         now: float,
-        *,
-        refused_by: str,
     ) -> None:
         fields: dict[str, Any] = {
             "run": need.run_id,
@@ -475,8 +475,6 @@
             "returned": need.is_retry,
             "waited_ms": to_ms(now - (known.since if known.asked_at is None else known.asked_at)),
         }
-        if refused_by:
-            fields["refused_by"] = refused_by
         if decision.outcome is PlacementOutcome.GRANTED:
             fields.update(server=decision.engine, tokens=decision.reserve_tokens)
         elif decision.outcome is PlacementOutcome.REFUSED:
@@ -520,6 +518,11 @@
     )
 
 
-def _current(known: _KnownRun, made_tokens: int, now: float) -> RunReport:
-    """Return the report of a run with its present length and age."""
-    return replace(known.report, made_tokens=made_tokens, age_s=now - known.since)
+def _current(known: _KnownRun, state: RunState, now: float) -> RunReport:
+    """Return the report of a run with its present state and age."""
+    return replace(
+        known.report,
+        made_tokens=state.made_tokens,
+        movable=state.movable,
+        age_s=now - known.since,
+    )
