Placement: moves of runs, and promises by account

Cause: runs stayed where they were placed, also on an engine that leaves or runs out of memory; a flood of refused callers of one account pushed the promised turns of all others back. Change: at most one move per engine at a time, where the predicted cost of preemption exceeds that of the move, to an engine that stays below half the probability of admission. The turns of late requests are divided among accounts. An engine whose runs fit at their maxima, or that runs nothing, admits always.

--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left
+from bisect import bisect_left, insort
 from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from crankhinge.decisions._reservations import DEFAULT_FIRST_EVENT_S, ReservationRequest
 from crankhinge.decisions._routes import EngineLimits
@@ -31,6 +31,7 @@
     peak,
     step_s,
 )
+from crankhinge.decisions.placement._moves import MoveChoice, choose_move
 from crankhinge.decisions.placement._order import (
     MIN_LATE_SHARE,
     AccountShares,
@@ -67,6 +68,14 @@
 # would refuse runs that the prediction over time admits. The part covers the start, in which the
 # run is the newest and would be preempted first.
 RESERVED_ANSWER_SHARE = 0.25
+# Seconds between searches for moves. A shortage is predicted a second ahead.
+MOVE_INTERVAL_S = 0.1
+# Seconds after which a move counts as failed if its run was not reported by the target, and then
+# seconds in which no other run is moved from its engine.
+MOVE_TIMEOUT_S = 1.5
+MOVE_PAUSE_S = 1.0
+# The copy of a moved run is kept under the id of the run with this suffix.
+COPY_SUFFIX = "#copy"
 # Requests tried in one pass without success. Requests further behind need about as much memory.
 MAX_TRIES = 4
 # A request that has waited this many seconds lets no smaller one pass.
@@ -111,6 +120,8 @@
         self._keys: list[tuple[float, ...]] = []
         self._decided: dict[str, _Decided] = {}
         self._ended: dict[str, float] = {}
+        self._next_moves_at = now
+        self._moves: dict[str, tuple[RunMove, float]] = {}
         self._promises = Promises()
         self._arrivals = ArrivalRate(now)
 
@@ -142,6 +153,9 @@
         is_first, self._limits = self._limits is None, limits
         servers = {server.incarnation_id: server for server in engines}
         for gone in [engine_id for engine_id in self._engines if engine_id not in servers]:
+            for run_id, (move, _) in list(self._moves.items()):
+                if gone in (move.source, move.target):
+                    self._end_move(run_id, now, has_failed=False)
             for run_id in list(self._engines[gone].runs):
                 self._remove_run(run_id)
             del self._engines[gone]
@@ -164,12 +178,14 @@
         waiting = self._new_waiting(need, now)
         if waiting.may_be_in_time(now):
             self._arrivals.record(now)
-        ahead = bisect_left(self._keys, order_key(waiting, self._shares(), now))
+        key = order_key(waiting, self._shares(), now)
+        ahead = bisect_left(self._keys, key) if self._waiting else 0
         decision = None if ahead else self._try_place(waiting, now)
         if decision is None:
             decision = self._refusal(waiting, ahead, now)
         if decision is None:
             self._waiting[need.run_id] = waiting
+            insort(self._keys, key)
             return WAITING
         self._decided[need.run_id] = _Decided(waiting, decision, now)
         return decision
@@ -239,10 +255,12 @@
                 break
             del self._ended[run_id]
         self._promises.expire(now)
+        self._expire_moves(now)
 
     def grants(self, now: float) -> list[Granted]:
         """Return the requests granted or refused while waiting, since the last call."""
         if not self._waiting or not self.is_ready(now):
+            self._keys.clear()
             return []
         shares = self._shares()
         order = sorted(
@@ -273,8 +291,20 @@
         return made
 
     def moves(self, now: float) -> list[RunMove]:
-        """Return the moves to start now."""
-        return []
+        """Return the moves to start now: at most one from or to an engine at a time."""
+        if self._limits is None or not self.is_ready(now) or now < self._next_moves_at:
+            return []
+        self._next_moves_at = now + MOVE_INTERVAL_S
+        self._expire_moves(now)
+        found = []
+        engines, grid = list(self._engines.values()), self._grid(now)
+        for source in engines:
+            choice = choose_move(
+                source, engines, self._limits, lambda run: self._left_tokens(run, now), grid, now
+            )
+            if choice is not None:
+                found.append(self._start_move(choice, source, now))
+        return found
 
     def is_ready(self, now: float) -> bool:
         """Whether it has coordinated for long enough to know the runs."""
@@ -355,10 +385,17 @@
                 growth = self._new_growth(need, token_s, now)
                 growths[token_s] = growth, growth.profile(now, grid)
             capacity = self._limits.kv_tokens - engine.unseen_tokens(now)
-            if not fits(profile, growths[token_s][1], capacity, ADMISSION_DEVIATIONS):
+            growth, added = growths[token_s]
+            # The approximation by mean and deviation exceeds the true maximum of few runs, so an
+            # engine without runs, and one that holds the maxima of all its runs, always fit.
+            if (
+                engine.runs
+                and engine.memory.bound + growth.bound > capacity
+                and not fits(profile, capacity, ADMISSION_DEVIATIONS, added)
+            ):
                 engine.memory.rejected_tokens = waiting.expected_tokens
             elif self._engine_admits(engine, need, reserve, now):
-                return self._grant(engine, waiting, growths[token_s][0], reserve, now)
+                return self._grant(engine, waiting, growth, reserve, now)
         return None
 
     def _grant(
@@ -432,6 +469,8 @@
             max_tokens=report.max_tokens,
         )
         reserved = known.reserved_tokens if known is not None else 0
+        if report.run_id in self._moves and report.engine == self._moves[report.run_id][0].target:
+            self._end_move(report.run_id, now, has_failed=False)
         engine.refusals = 0
         self._add_run(Run(report, owner, now, growth, reserved, is_grant=False), now)
 
@@ -456,6 +495,44 @@
                 report.route, report.made_tokens, report.expected_tokens, report.max_tokens
             )
 
+    def _left_tokens(self, run: Run, now: float) -> float:
+        report = run.report
+        made = int(min(run.growth.made_at(now), report.max_tokens))
+        left, _ = self._growth.remaining(
+            report.route, made, report.expected_tokens, report.max_tokens
+        )
+        return left
+
+    def _start_move(self, choice: MoveChoice, source: EngineState, now: float) -> RunMove:
+        """Occupy the place at the target until the run is reported there."""
+        run, target = choice.run, choice.target
+        run_id, target_id = run.report.run_id, target.server.incarnation_id
+        source.moves += 1
+        target.moves += 1
+        copy = replace(run.report, run_id=run_id + COPY_SUFFIX, engine=target_id)
+        self._add_run(replace(run, report=copy, seen_at=now, is_grant=True), now)
+        move = RunMove(run_id, run.owner, run.report.engine, target_id)
+        self._moves[run_id] = move, now
+        return move
+
+    def _end_move(self, run_id: str, now: float, *, has_failed: bool) -> None:
+        moved = self._moves.pop(run_id, None)
+        if moved is None:
+            return
+        self._remove_run(run_id + COPY_SUFFIX)
+        for engine_id in (moved[0].source, moved[0].target):
+            engine = self._engines.get(engine_id)
+            if engine is not None:
+                engine.moves -= 1
+        source = self._engines.get(moved[0].source)
+        if has_failed and source is not None:
+            source.move_paused_until = now + MOVE_PAUSE_S
+
+    def _expire_moves(self, now: float) -> None:
+        for run_id, (_, since) in list(self._moves.items()):
+            if now - since > MOVE_TIMEOUT_S:
+                self._end_move(run_id, now, has_failed=True)
+
     def _all_runs(self) -> list[tuple[str, Run]]:
         return [row for engine in self._engines.values() for row in engine.runs.items()]
 
@@ -478,6 +555,7 @@
                 del self._account_runs[run.report.account]
 
     def _end(self, run_id: str, now: float) -> None:
+        self._end_move(run_id, now, has_failed=False)
         self._remove_run(run_id)
         self._waiting.pop(run_id, None)
         self._decided.pop(run_id, None)
--- a/src/crankhinge/decisions/placement/_engines.py
+++ b/src/crankhinge/decisions/placement/_engines.py
@@ -125,6 +125,7 @@
         refusals: refusals in a row.
         ramp_grants: runs granted since it came.
         moves: number of moves in progress from or to it.
+        move_paused_until: time before which no run is moved from it, after a move that failed.
     """
 
     server: Server
@@ -136,6 +137,7 @@
     refusals: int = 0
     ramp_grants: int = 0
     moves: int = 0
+    move_paused_until: float = 0.0
     _unseen_tokens: float = 0.0
     _unseen_at: float = 0.0
 
--- a/src/crankhinge/decisions/placement/_memory.py
+++ b/src/crankhinge/decisions/placement/_memory.py
@@ -60,6 +60,11 @@
     base: float
     max_tokens: int
 
+    @property
+    def bound(self) -> int:
+        """Memory that it occupies at most."""
+        return self.prompt_tokens + self.max_tokens + BLOCK_TOKENS
+
     def made_at(self, now: float) -> float:
         """Return the tokens made at the time *now*, if the answer continues until then."""
         return self.made_tokens + max(0.0, now - self.at) * self.tokens_per_s
@@ -67,7 +72,7 @@
     def profile(self, now: float, grid: Grid) -> Profile:
         """Return the mean and variance of its memory at each point of a grid."""
         first_at, step_s = grid
-        made = min(self.made_at(now), self.max_tokens - 1.0)
+        made = max(0.0, min(self.made_at(now), self.max_tokens - 1.0))
         scale = 1.0 / (self.base * BIN_WIDTH)
         survival, maximum = self.survival, self.max_tokens
         # The answer is known to be longer than what was reported, and assumed to be longer than
@@ -102,12 +107,14 @@
 
     Attributes:
         level: largest mean of the sum.
+        bound: memory that the runs occupy if all reach their maximum together.
         rejected_tokens: expected memory of the smallest run that did not fit, as long as the runs
             are the same; larger runs don't fit either.
     """
 
     def __init__(self) -> None:
         self.level = 0.0
+        self.bound = 0
         self.rejected_tokens = math.inf
         self._runs: dict[str, tuple[RunGrowth, Profile]] = {}
         self._profile = EMPTY_PROFILE
@@ -134,10 +141,12 @@
         known = self._runs.get(run_id)
         if known is not None:
             self._runs[run_id] = growth, known[1]
+            self.bound += growth.bound - known[0].bound
             return
         self.refresh(grid, now)
         profile = growth.profile(now, grid)
         self._runs[run_id] = growth, profile
+        self.bound += growth.bound
         (means, variances), (more, more_variance) = self._profile, profile
         self._profile = (
             [old + new for old, new in zip(means, more, strict=True)],
@@ -150,12 +159,8 @@
         known = self._runs.pop(run_id, None)
         if known is None:
             return
-        (means, variances), (less, less_variance) = self._profile, known[1]
-        # Differences of equal sums may fall below zero by rounding.
-        self._profile = (
-            [max(0.0, old - gone) for old, gone in zip(means, less, strict=True)],
-            [max(0.0, old - gone) for old, gone in zip(variances, less_variance, strict=True)],
-        )
+        self.bound -= known[0].bound
+        self._profile = without(self._profile, known[1])
         self._changed()
 
     def _changed(self) -> None:
@@ -163,7 +168,7 @@
         self.rejected_tokens = math.inf
 
 
-def fits(profile: Profile, added: Profile, capacity: float, factor: float) -> bool:
+def fits(profile: Profile, capacity: float, factor: float, added: Profile = EMPTY_PROFILE) -> bool:
     """Whether mean plus *factor* standard deviations stays within the capacity at each point."""
     square = factor * factor
     for mean, variance, more, more_variance in zip(*profile, *added, strict=True):
@@ -173,6 +178,15 @@
     return True
 
 
+def without(profile: Profile, gone: Profile) -> Profile:
+    """Return a profile without that of one run."""
+    # Differences of equal sums may fall below zero by rounding.
+    return (
+        [max(0.0, old - less) for old, less in zip(profile[0], gone[0], strict=True)],
+        [max(0.0, old - less) for old, less in zip(profile[1], gone[1], strict=True)],
+    )
+
+
 def peak(profile: Profile, factor: float) -> float:
     """Return the largest of mean plus *factor* standard deviations."""
     return max(mean + factor * math.sqrt(variance) for mean, variance in zip(*profile, strict=True))
@@ -180,11 +194,12 @@
 
 def overflow_probability(profile: Profile, capacity: float, points: int = POINTS) -> float:
     """Return the largest probability, over the first points, that the memory is exceeded."""
-    normal = NormalDist()
-    return max(
-        1.0 - normal.cdf((capacity - mean) / math.sqrt(variance + 1.0))
-        for mean, variance in list(zip(*profile, strict=True))[:points]
+    means, variances = profile
+    fewest = min(
+        (capacity - mean) / math.sqrt(variance + 1.0)
+        for mean, variance in zip(means[:points], variances[:points], strict=True)
     )
+    return 0.5 * math.erfc(fewest / math.sqrt(2.0))
 
 
 def step_s(run_s: float) -> float:
--- a/src/crankhinge/decisions/placement/_order.py
+++ b/src/crankhinge/decisions/placement/_order.py
@@ -114,23 +114,16 @@
     )
 
 
-@dataclass(slots=True)
-class _Promise:
-    account: str
-    route: str
-    due_at: float
-
-
 class Promises:
     """Return times told to refused callers, each with its share of the memory that becomes free.
 
-    Each promise takes the next free turn of the rate at which late requests can be served, so two
-    callers are never promised the same memory, and the sum of the promises stays servable.
+    The rate at which late requests can be served is divided among the accounts that have promises.
+    Each promise takes the next turn of its account, so no two callers are promised the same memory,
+    and the callers that one account has sent home don't make those of others wait.
     """
 
     def __init__(self) -> None:
-        self._promises: deque[_Promise] = deque()
-        self._last_due_at = 0.0
+        self._due: dict[str, deque[tuple[float, str]]] = {}
 
     def promise(
         self, waiting: Waiting, turns_per_s: float, turns_ahead: float, now: float
@@ -144,41 +137,46 @@
             now: time of the runtime's clock in seconds.
         """
         self.expire(now)
-        earliest = now + max(MIN_RETRY_DELAY_S, (turns_ahead + 1.0) / turns_per_s)
-        due_at = max(earliest, self._last_due_at + 1.0 / turns_per_s)
+        need = waiting.need
+        promised = self._due.get(need.account, deque())
+        accounts = len(self._due) + (need.account not in self._due)
+        due_at = now + max(MIN_RETRY_DELAY_S, (turns_ahead + 1.0) / turns_per_s)
+        if promised:
+            due_at = max(due_at, promised[-1][0] + accounts / turns_per_s)
         waited_s = now - waiting.asked_at
-        latest = now + waiting.need.remaining_s - waited_s - waiting.service_s - RETRY_MARGIN_S
+        latest = now + need.remaining_s - waited_s - waiting.service_s - RETRY_MARGIN_S
         if due_at > latest:
             # No turn is left while the caller could still be answered. It may return at its last
             # chance, without a promise; the load may have ended by then.
             return max(MIN_RETRY_DELAY_S, latest - now if latest > now else due_at - now)
-        self._last_due_at = due_at
-        self._promises.append(_Promise(waiting.need.account, waiting.need.route, due_at))
+        promised.append((due_at, need.route))
+        self._due[need.account] = promised
         return due_at - now
 
     def redeem(self, need: PlacementRequest, now: float) -> bool:
         """Whether a retry comes at a promised time; it uses up the promise."""
         if not need.is_retry:
             return False
-        for promise in self._promises:
-            if promise.due_at - EARLY_S > now:
+        self.expire(now)
+        promised = self._due.get(need.account, deque())
+        for due_at, route in promised:
+            if due_at - EARLY_S > now:
                 break
-            if (
-                promise.due_at + OVERDUE_S >= now
-                and promise.account == need.account
-                and promise.route == need.route
-            ):
-                self._promises.remove(promise)
+            if route == need.route:
+                promised.remove((due_at, route))
                 return True
         return False
 
     def expire(self, now: float) -> None:
         """Forget the promises whose callers did not return."""
-        while self._promises and self._promises[0].due_at + OVERDUE_S < now:
-            self._promises.popleft()
+        for account, promised in list(self._due.items()):
+            while promised and promised[0][0] + OVERDUE_S < now:
+                promised.popleft()
+            if not promised:
+                del self._due[account]
 
     def __len__(self) -> int:
-        return len(self._promises)
+        return sum(len(promised) for promised in self._due.values())
 
 
 class ArrivalRate:
--- a/tests/placement_load.py
+++ b/tests/placement_load.py
@@ -27,6 +27,7 @@
 FIRST_EVENT_S = 0.25
 TARGET_S, EVENT_TIMEOUT_S, DEADLINE_S, MAX_PAUSE_S = 0.82, 3.28, 14.2, 0.3
 PROMPT_TOKENS_PER_S = 55_600.0
+MOVE_S = 0.03
 
 
 @dataclass
@@ -328,6 +329,7 @@
     preempted: int = 0
     engine_refusals: int = 0
     refusals: int = 0
+    moved: int = 0
     waits_s: list[float] = field(default_factory=list)
     refused_after_s: list[float] = field(default_factory=list)
 
@@ -374,6 +376,7 @@
                     call.attempt = 2
                     coming.append((returns_at, call.number))
                     coming.sort()
+        outcome.moved += move_runs(policy, by_name, now)
         ended = [call for engine in engines for call in engine.tick(now)]
         for call in ended:
             call.state = "done"
@@ -383,6 +386,23 @@
     return outcome
 
 
+def move_runs(policy: Policy, by_name: dict[str, EngineModel], now: float) -> int:
+    """Carry out the moves that the coordinator wants; return their number."""
+    moved = 0
+    for move in getattr(policy, "moves", []):
+        source, target = by_name[move.source], by_name[move.target]
+        run = next((run for run in source.runs if run.run_id == move.run_id), None)
+        counted = sum(max(other.used, other.reserved) for other in target.runs)
+        if run is not None and counted + PROMPT_TOKENS + run.made <= LIMITS.kv_tokens:
+            source.runs.remove(run)
+            target.runs.append(run)
+            run.engine, run.is_stopped = target.server.incarnation_id, False
+            run.stalled_until = max(run.stalled_until, now + MOVE_S)
+            moved += 1
+    getattr(policy, "moves", []).clear()
+    return moved
+
+
 def engines(count: int) -> list[EngineModel]:
     """Return engines of one zone."""
     return [
