Placement: short datagrams, and tests of each failure between instances

Cause: with full details in each report and the names of owner and group in each datagram, the coordinator of 23 engines received 10.5 KB/s and the busiest of 300 instances 18.3 KB/s; 10 KB/s are allowed.

Change: the owner is the sender of a datagram, groups and engines are hashes, and a run that its coordinator placed is reported without its details. A coordinator asks for the details of runs that it does not know. The numbers of complete reports wrap around, so that a restarted owner is believed at once.

Figures, computed from the encoded messages: 6.7 KB/s at 23 engines and 25 instances; busiest coordinator 9.8 KB/s at 300 instances and 500 engines, 8.5 KB/s at 360 and 600.

--- a/src/crankhinge/decisions/_membership.py
+++ b/src/crankhinge/decisions/_membership.py
@@ -66,6 +66,7 @@
         self.changed_at = now
         self._name = name
         self._addresses: dict[str, str] = {}
+        self._names_at: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
         # When each instance was last seen: the sending time of a read that listed it, or its
         # announcement.
@@ -94,6 +95,10 @@
         """Return the datagram address of an instance; empty if it has none."""
         return self._addresses.get(name, "")
 
+    def name_at(self, address: str) -> str:
+        """Return the name of the instance with a datagram address; empty if none is known."""
+        return self._names_at.get(address, "")
+
     @property
     def read_interval_s(self) -> float:
         """Seconds between reads of the records."""
@@ -211,4 +216,5 @@
             self._rankings.clear()
             self.changed_at = now
         self._addresses = peers
+        self._names_at = {address: name for name, address in peers.items()}
         self._seen_at = {name: self._seen_at.get(name, now) for name in peers}
--- a/src/crankhinge/decisions/coordination/_groups.py
+++ b/src/crankhinge/decisions/coordination/_groups.py
@@ -9,8 +9,9 @@
 from crankhinge.decisions._servers import Server
 
 # A service with up to this many engines has one group; a larger one has a group for each
-# ENGINES_PER_GROUP engines. One coordinator handles about one request per second and engine, at 360
-# bytes with its reports, and an instance may receive 10 KB/s.
+# ENGINES_PER_GROUP engines. A coordinator receives 290 to 450 bytes per second and engine, and the
+# groups differ in size: with 6 on average, the busiest of 300 instances receives 9.8 KB/s of the
+# 10 KB/s that it may receive (tests/test_placement_messages.py).
 MAX_SINGLE_GROUP = 32
 ENGINES_PER_GROUP = 6
 
--- a/src/crankhinge/gateway/placement/_engines.py
+++ b/src/crankhinge/gateway/placement/_engines.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import replace
 
 from crankhinge.decisions import EngineRole, Server
 from crankhinge.decisions.coordination import EngineGroups
 from crankhinge.gateway._backends import Backends
+from crankhinge.gateway.placement._messages import GroupKey
 
 
 class PlacementEngines:
@@ -30,6 +32,15 @@
             self._groups[service] = known
         return known[1]
 
+    def key_of(self, group_id: int, services: Iterable[str]) -> GroupKey | None:
+        """Return the group of one of *services* with an id; None if there is none."""
+        for service in services:
+            for group in range(len(self.groups(service))):
+                key = GroupKey(service, group)
+                if key.id == group_id:
+                    return key
+        return None
+
     def members(self, service: str, group: int, now: float) -> list[Server]:
         """Return the engines of a group that run requests or may get some.
 
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -1,14 +1,16 @@
 """Messages about placement between instances, one per datagram.
 
-Each may be lost, late or duplicated. They are encoded as arrays, and times as whole milliseconds,
-since a coordinator receives them for all runs of its engines. A run is identified by its owner and
-its counter; its run id is ``<owner>/<counter>``.
+Each may be lost, late or duplicated. A coordinator receives them for all runs of its engines, so
+they are kept short: they are encoded as arrays, times are whole milliseconds, groups and engines
+are hashes, and the owner of a run is the sender. A run is identified by its owner and its counter;
+its run id is ``<owner>/<counter>``.
 """
 
 from __future__ import annotations
 
 import functools
 import hashlib
+from dataclasses import dataclass
 
 import msgspec
 
@@ -41,7 +43,8 @@
     return round(seconds * 1000)
 
 
-class GroupKey(msgspec.Struct, frozen=True, array_like=True):
+@dataclass(frozen=True, slots=True)
+class GroupKey:
     """A group of engines.
 
     Attributes:
@@ -56,13 +59,22 @@
         """Return the key by which the instances are ordered for this group."""
         return f"placement:{self.service}:{self.group}"
 
+    @property
+    def id(self) -> int:
+        """Number of 32 bits that stands for the group in messages."""
+        return _group_id(str(self))
+
+
+@functools.lru_cache(maxsize=4096)
+def _group_id(key: str) -> int:
+    return int.from_bytes(hashlib.blake2b(key.encode(), digest_size=4).digest(), "big")
+
 
 class PlacementAsk(msgspec.Struct, frozen=True, array_like=True, tag="pa"):
     """Request for a place on an engine; asking again returns the present state.
 
     Attributes:
-        key: the group of engines.
-        owner: name of the instance that asks.
+        group_id: id of the group of engines.
         counter: counter of the run.
         account: name of the client account; empty without accounts.
         rank: priority, 0 is first.
@@ -80,8 +92,7 @@
         full: incarnation id of the granted engine, if it had no room itself; empty otherwise.
     """
 
-    key: GroupKey
-    owner: str
+    group_id: int
     counter: int
     account: str
     rank: int
@@ -98,16 +109,11 @@
     avoid: tuple[str, ...] = ()
     full: str = ""
 
-    @property
-    def run_id(self) -> str:
-        """Id of the run."""
-        return to_run_id(self.owner, self.counter)
-
-    def to_request(self) -> PlacementRequest:
+    def to_request(self, owner: str) -> PlacementRequest:
         """Return the request as the decisions take it."""
         return PlacementRequest(
-            run_id=self.run_id,
-            owner=self.owner,
+            run_id=to_run_id(owner, self.counter),
+            owner=owner,
             account=self.account,
             rank=self.rank,
             route=self.route,
@@ -153,11 +159,11 @@
     """Decision about a waiting request, sent when its turn comes.
 
     Attributes:
-        key: the group of engines.
+        group_id: id of the group of engines.
         reply: the decision.
     """
 
-    key: GroupKey
+    group_id: int
     reply: PlacementReply
 
 
@@ -165,13 +171,11 @@
     """The caller of a request is gone, or the request was served elsewhere or refused.
 
     Attributes:
-        key: the group of engines.
-        owner: name of the instance that asked.
+        group_id: id of the group of engines.
         counter: counter of the run.
     """
 
-    key: GroupKey
-    owner: str
+    group_id: int
     counter: int
 
 
@@ -244,34 +248,43 @@
     """Runs that started, changed their engine or ended, sent at once.
 
     Attributes:
-        key: the group of engines.
-        owner: name of the instance that relays the runs.
-        runs: the runs that started or changed.
+        group_id: id of the group of engines.
+        started: the runs that started as their coordinator granted them.
+        runs: the runs that the coordinator does not know, or that it asked for.
         completed: the runs that ended with their whole answer, with its final length.
         aborted: counters of the runs that ended otherwise.
     """
 
-    key: GroupKey
-    owner: str
+    group_id: int
+    started: tuple[RunState, ...] = ()
     runs: tuple[RunDetails, ...] = ()
     completed: tuple[RunState, ...] = ()
     aborted: tuple[int, ...] = ()
 
 
+# Number of different numbers of complete reports, and how far a report may be behind the newest
+# one: a report that is further behind is from a later incarnation of its owner, which began anew.
+NUMBERS = 1 << 16
+MAX_NUMBERS_BEHIND = 64
+
+
+def is_older(number: int, newest: int) -> bool:
+    """Whether a complete report is older than the newest one of its owner."""
+    return 0 < (newest - number) % NUMBERS <= MAX_NUMBERS_BEHIND
+
+
 class RunsComplete(msgspec.Struct, frozen=True, array_like=True, tag="pl"):
     """All runs of an owner at the engines of a group, sent every second.
 
     Attributes:
-        key: the group of engines.
-        owner: name of the instance that relays the runs.
-        number: grows with each report of the owner.
+        group_id: id of the group of engines.
+        number: grows with each report of the owner, modulo NUMBERS.
         part: number of this datagram among those of the report.
         parts: number of datagrams of the report.
         runs: the runs in this datagram.
     """
 
-    key: GroupKey
-    owner: str
+    group_id: int
     number: int
     part: int
     parts: int
@@ -282,11 +295,11 @@
     """A coordinator asks the owner of runs for their details.
 
     Attributes:
-        key: the group of engines.
+        group_id: id of the group of engines.
         counters: counters of the runs that the coordinator does not know.
     """
 
-    key: GroupKey
+    group_id: int
     counters: tuple[int, ...]
 
 
@@ -294,13 +307,13 @@
     """A coordinator asks the owner of a run to move it to another engine.
 
     Attributes:
-        key: the group of engines.
+        group_id: id of the group of engines.
         counter: counter of the run.
         source: incarnation id of the engine that runs it.
         target: incarnation id of the engine to move it to.
     """
 
-    key: GroupKey
+    group_id: int
     counter: int
     source: str
     target: str
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -30,6 +31,7 @@
     GroupKey,
     PlacementAsk,
     PlacementGrant,
+    PlacementMessage,
     PlacementReply,
     PlacementSwitched,
     PlacementWithdrawal,
@@ -40,6 +42,7 @@
     RunsComplete,
     RunState,
     engine_hash,
+    is_older,
     to_counter,
     to_ms,
     to_run_id,
@@ -77,6 +80,7 @@
     """What is known about a run from its request or from its owner.
 
     Attributes:
+        owner: name of the instance that relays it.
         report: the run as its owner reported it last.
         seen_at: when the owner last mentioned it.
         since: when the engine was asked to run it.
@@ -85,6 +89,7 @@
         started: whether the owner has reported that it runs.
     """
 
+    owner: str
     report: RunReport
     seen_at: float
     since: float
@@ -107,6 +112,7 @@
     """A group that this instance coordinates.
 
     Attributes:
+        key: the group.
         coordinator: the decisions.
         used_at: when another instance, or this one as a client, last sent a message about it.
         engines_at: when its engines were last updated.
@@ -117,6 +123,7 @@
         ready_at: when this instance may decide again after it was suspended.
     """
 
+    key: GroupKey
     coordinator: PlacementCoordinator
     used_at: float
     engines_at: float = float("-inf")
@@ -166,7 +173,7 @@
         self._log = log
         self._metrics = metrics
         self._rng = rng
-        self._groups: dict[GroupKey, _Group] = {}
+        self._groups: dict[int, _Group] = {}
         self._checked_at = float("inf")
         transport.add_handler(PlacementAsk, self._on_ask)
         transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
@@ -193,102 +200,100 @@
 
     async def _on_ask(self, message: PlacementAsk, sender: str) -> None:
         now = await curio.clock()
-        group = self._group(message.key, now, from_report=False)
+        owner = self._transport.name_of(sender)
+        group = self._group(message.group_id, now, from_report=False)
         decision = NOT_COORDINATOR
         if group is not None:
-            group.record_sender(message.owner, sender, now)
+            group.record_sender(owner, sender, now)
         if group is not None and now >= group.ready_at:
+            need = message.to_request(owner)
             if message.full:
-                self._log.info("placement_no_room", run=message.run_id, server=message.full)
+                self._log.info("placement_no_room", run=need.run_id, server=message.full)
                 self._metrics.count("placement_no_room")
-                group.coordinator.engine_refused(message.run_id, message.full, now)
-                await self._push(message.key, group, now)
-            need = message.to_request()
+                group.coordinator.engine_refused(need.run_id, message.full, now)
+                await self._push(group, now)
             decision = group.coordinator.request(need, now)
             self._record_asked(group, need, decision, now)
-        await self._transport.send(
-            message.owner, _to_reply(message.counter, decision), address=sender
-        )
+        await self._transport.reply(sender, _to_reply(message.counter, decision))
 
     async def _on_withdrawal(self, message: PlacementWithdrawal, sender: str) -> None:
         now = await curio.clock()
-        group = self._groups.get(message.key)
+        group = self._groups.get(message.group_id)
         if group is None:
             return
-        run_id = to_run_id(message.owner, message.counter)
+        run_id = to_run_id(self._transport.name_of(sender), message.counter)
         group.runs.pop(run_id, None)
         group.coordinator.withdraw(run_id, now)
-        await self._push(message.key, group, now)
+        await self._push(group, now)
 
     async def _on_changes(self, message: RunChanges, sender: str) -> None:
         now = await curio.clock()
-        group = self._group(message.key, now, from_report=True)
+        group = self._group(message.group_id, now, from_report=True)
         if group is None:
             return
-        group.record_sender(message.owner, sender, now)
-        reports = [self._apply_details(group, message.owner, run, now) for run in message.runs]
-        ended = [to_run_id(message.owner, counter) for counter in message.aborted]
+        owner = self._transport.name_of(sender)
+        group.record_sender(owner, sender, now)
+        reports, unknown = self._apply_states(group, owner, message.started, now)
+        reports += [self._apply_details(group, owner, run, now) for run in message.runs]
+        ended = [to_run_id(owner, counter) for counter in message.aborted]
         for state in message.completed:
-            run_id = to_run_id(message.owner, state.counter)
+            run_id = to_run_id(owner, state.counter)
             ended.append(run_id)
             known = group.runs.get(run_id)
             if known is not None:
                 reports.append(_current(known, state, now))
         for run_id in ended:
             group.runs.pop(run_id, None)
-        group.coordinator.report(message.owner, reports, ended, now, complete=False)
+        group.coordinator.report(owner, reports, ended, now, complete=False)
+        await self._ask_details(group, sender, unknown)
         if ended:
-            await self._push(message.key, group, now)
+            await self._push(group, now)
 
     async def _on_complete(self, message: RunsComplete, sender: str) -> None:
         now = await curio.clock()
-        group = self._group(message.key, now, from_report=True)
+        group = self._group(message.group_id, now, from_report=True)
         if group is None:
             return
-        group.record_sender(message.owner, sender, now)
-        states = self._assemble(group, message, now)
+        owner = self._transport.name_of(sender)
+        group.record_sender(owner, sender, now)
+        states = _assemble(group, owner, message, now)
         if states is None:
             return
+        reports, unknown = self._apply_states(group, owner, states, now)
+        listed = {to_run_id(owner, state.counter) for state in states}
+        for run_id, known in list(group.runs.items()):
+            # A run that was granted a moment ago may have started after the report was sent.
+            if known.started and run_id not in listed and known.owner == owner:
+                del group.runs[run_id]
+        group.coordinator.report(owner, reports, [], now, complete=True)
+        await self._ask_details(group, sender, unknown)
+        await self._push(group, now)
+
+    def _apply_states(
+        self, group: _Group, owner: str, states: Iterable[RunState], now: float
+    ) -> tuple[list[RunReport], list[int]]:
+        """Return the reports of runs, and the counters of those whose details are not known."""
         reports, unknown = [], []
         for state in states:
-            known = group.runs.get(to_run_id(message.owner, state.counter))
+            known = group.runs.get(to_run_id(owner, state.counter))
             if known is None or engine_hash(known.report.engine) != state.engine_hash:
                 unknown.append(state.counter)
                 continue
             known.seen_at, known.started, known.waiting = now, True, False
             known.report = _current(known, state, now)
             reports.append(known.report)
-        listed = {to_run_id(message.owner, state.counter) for state in states}
-        for run_id, known in list(group.runs.items()):
-            # A run that was granted a moment ago may have started after the report was sent.
-            if known.started and run_id not in listed and _owner_of(run_id) == message.owner:
-                del group.runs[run_id]
-        group.coordinator.report(message.owner, reports, [], now, complete=True)
+        return reports, unknown
+
+    async def _ask_details(self, group: _Group, sender: str, unknown: Sequence[int]) -> None:
         if unknown:
-            request = RunDetailsRequest(message.key, tuple(unknown[:MAX_UNKNOWN_RUNS]))
-            await self._transport.send(message.owner, request, address=sender)
-        await self._push(message.key, group, now)
-
-    def _assemble(self, group: _Group, message: RunsComplete, now: float) -> list[RunState] | None:
-        """Return all runs of a complete report; None until all of its datagrams have arrived."""
-        report = group.reports.get(message.owner)
-        if report is None or message.number > report.number or now - report.began_at > RUN_EXPIRY_S:
-            report = group.reports[message.owner] = _PartialReport(message.number, now)
-        elif message.number < report.number:
-            # A datagram that was delayed says less than a newer one.
-            return None
-        is_new = message.part not in report.parts
-        report.parts[message.part] = message.runs
-        if not is_new or len(report.parts) < message.parts:
-            return None
-        if now - report.began_at > MAX_REPORT_S:
-            return None
-        return [state for part in report.parts.values() for state in part]
+            request = RunDetailsRequest(group.key.id, tuple(unknown[:MAX_UNKNOWN_RUNS]))
+            await self._transport.reply(sender, request)
 
     def _apply_details(self, group: _Group, owner: str, run: RunDetails, now: float) -> RunReport:
         report = run.to_report(owner)
         known = group.runs.get(report.run_id)
         group.runs[report.run_id] = _KnownRun(
+            owner,
             report,
             now,
             now - report.age_s,
@@ -312,7 +317,7 @@
         was_granted = known is not None and known.report.engine == decision.engine
         if known is None:
             known = group.runs[need.run_id] = _KnownRun(
-                _report_of(need, ""), now, now, asked_at=now
+                need.owner, _report_of(need, ""), now, now, asked_at=now
             )
         known.seen_at = now
         known.waiting = decision.outcome is PlacementOutcome.WAITING
@@ -336,27 +341,35 @@
 
     # Decisions that are sent to owners.
 
-    async def _push(self, key: GroupKey, group: _Group, now: float) -> None:
+    async def _push(self, group: _Group, now: float) -> None:
         """Send the decisions about waiting requests that were made since the last call."""
         if now < group.ready_at:
             return
         for need, decision in group.coordinator.grants(now):
             known = group.runs.get(need.run_id)
             if known is None:
-                known = group.runs[need.run_id] = _KnownRun(_report_of(need, ""), now, now)
+                known = group.runs[need.run_id] = _KnownRun(
+                    need.owner, _report_of(need, ""), now, now
+                )
             known.waiting = False
             self._apply_decision(group, need, decision, known, now)
             self._log_decision(need, decision, known, now)
             reply = _to_reply(to_counter(need.run_id), decision)
-            await self._transport.send(
-                need.owner, PlacementGrant(key, reply), address=group.addresses.get(need.owner, "")
-            )
+            await self._send(group, need.owner, PlacementGrant(group.key.id, reply))
+
+    async def _send(self, group: _Group, owner: str, message: PlacementMessage) -> None:
+        """Send a message to an owner, at the address of its last message."""
+        address = group.addresses.get(owner)
+        if address is not None:
+            await self._transport.reply(address, message)
 
-    async def _send_moves(self, key: GroupKey, group: _Group, now: float) -> None:
+    async def _send_moves(self, group: _Group, now: float) -> None:
+        if now < group.ready_at:
+            return
         for move in group.coordinator.moves(now):
-            order = RunMoveOrder(key, to_counter(move.run_id), move.source, move.target)
-            await self._transport.send(
-                move.owner, order, address=group.addresses.get(move.owner, "")
+            counter = to_counter(move.run_id)
+            await self._send(
+                group, move.owner, RunMoveOrder(group.key.id, counter, move.source, move.target)
             )
 
     async def run(self) -> None:
@@ -365,8 +378,8 @@
             await curio.sleep(TICK_S)
             now = await curio.clock()
             self._detect_suspension(now)
-            for key, group in list(self._groups.items()):
-                await self._check(key, group, now)
+            for group in list(self._groups.values()):
+                await self._check(group, now)
 
     def _detect_suspension(self, now: float) -> None:
         late_s = now - self._checked_at - TICK_S
@@ -376,31 +389,32 @@
                 group.ready_at = now + WARM_UP_S
         self._checked_at = now
 
-    async def _check(self, key: GroupKey, group: _Group, now: float) -> None:
+    async def _check(self, group: _Group, now: float) -> None:
+        key = group.key
         ranked = self._order.ranked(str(key))
         is_first = bool(ranked) and ranked[0] == self._transport.name
         idle_s = FIRST_IDLE_S if is_first else STANDBY_IDLE_S
         if now - group.used_at > idle_s or not self._order.is_coordinator(str(key)):
-            del self._groups[key]
+            del self._groups[key.id]
             self._log.info("placement_ended", service=key.service, group=key.group)
             return
         if now - group.engines_at >= ENGINES_INTERVAL_S:
             limits = self._limits(key)
             if limits is None:
-                del self._groups[key]
+                del self._groups[key.id]
                 return
-            self._set_engines(key, group, limits, now)
+            self._set_engines(group, limits, now)
             group.coordinator.expire(now)
             for run_id, known in list(group.runs.items()):
                 if now - known.seen_at > RUN_EXPIRY_S:
                     del group.runs[run_id]
-            await self._send_moves(key, group, now)
+            await self._send_moves(group, now)
             if is_first and key.group == 0:
-                await self._inform(key, group, now)
+                await self._inform(group, now)
         if group.coordinator.waiting_requests:
-            await self._push(key, group, now)
+            await self._push(group, now)
 
-    async def _inform(self, key: GroupKey, group: _Group, now: float) -> None:
+    async def _inform(self, group: _Group, now: float) -> None:
         """Tell instances that report no runs that the service is coordinated.
 
         An instance that has just started would otherwise reserve directly until it has seen enough
@@ -413,19 +427,22 @@
         ]
         for address in unheard[:INFORMED_PER_ROUND]:
             group.heard_at[address] = now
-            await self._transport.send_to_address(address, PlacementSwitched(key.service))
+            await self._transport.reply(address, PlacementSwitched(group.key.service))
 
     # Groups.
 
-    def _group(self, key: GroupKey, now: float, *, from_report: bool) -> _Group | None:
+    def _group(self, group_id: int, now: float, *, from_report: bool) -> _Group | None:
         """Return a group; None if this instance does not coordinate it.
 
         The standby begins to coordinate only when an owner reports its runs, which shows that the
         first instance does not respond to that owner. A request alone would make it wait for
         reports that never come, and then place runs on engines that it takes for empty.
         """
-        group = self._groups.get(key)
+        group = self._groups.get(group_id)
         if group is None:
+            key = self._engines.key_of(group_id, self._services())
+            if key is None:
+                return None
             ranked = self._order.ranked(str(key))
             may_begin = ranked[0] == self._transport.name or (
                 from_report and self._transport.name in ranked
@@ -434,8 +451,8 @@
             if not may_begin or limits is None or not self._membership.has_counted_instances(now):
                 return None
             coordinator = PlacementCoordinator(rng=self._rng, now=now)
-            group = self._groups[key] = _Group(coordinator, now)
-            self._set_engines(key, group, limits, now)
+            group = self._groups[group_id] = _Group(key, coordinator, now)
+            self._set_engines(group, limits, now)
             self._log.info(
                 "placement_began",
                 service=key.service,
@@ -446,14 +463,20 @@
         group.used_at = now
         return group
 
+    def _services(self) -> list[str]:
+        config = self._discovery.config
+        if config is None:
+            return []
+        return [name for name, service in config.services.items() if service.engine is not None]
+
     def _limits(self, key: GroupKey) -> EngineLimits | None:
         config = self._discovery.config
         service = config.services.get(key.service) if config is not None else None
         return None if service is None else service.engine
 
-    def _set_engines(self, key: GroupKey, group: _Group, limits: EngineLimits, now: float) -> None:
+    def _set_engines(self, group: _Group, limits: EngineLimits, now: float) -> None:
         group.engines_at = now
-        members = self._engines.members(key.service, key.group, now)
+        members = self._engines.members(group.key.service, group.key.group, now)
         group.coordinator.set_engines(members, limits, now)
 
     def _log_decision(
@@ -486,8 +509,21 @@
         self._log.info(f"placement_{decision.outcome.value}", **fields)
 
 
-def _owner_of(run_id: str) -> str:
-    return run_id.rpartition("/")[0]
+def _assemble(
+    group: _Group, owner: str, message: RunsComplete, now: float
+) -> list[RunState] | None:
+    """Return all runs of a complete report; None until all of its datagrams have arrived."""
+    report = group.reports.get(owner)
+    if report is not None and is_older(message.number, report.number):
+        # A datagram that was delayed says less than a newer one.
+        return None
+    if report is None or message.number != report.number:
+        report = group.reports[owner] = _PartialReport(message.number, now)
+    is_new = message.part not in report.parts
+    report.parts[message.part] = message.runs
+    if not is_new or len(report.parts) < message.parts or now - report.began_at > MAX_REPORT_S:
+        return None
+    return [state for part in report.parts.values() for state in part]
 
 
 def _to_reply(counter: int, decision: PlacementDecision) -> PlacementReply:
--- a/src/crankhinge/gateway/placement/_transport.py
+++ b/src/crankhinge/gateway/placement/_transport.py
@@ -34,26 +34,34 @@
         self._handlers[kind] = handler
         self._messenger.add_handler(kind, handler)
 
-    async def send(self, instance: str, message: PlacementMessage, *, address: str = "") -> bool:
+    def name_of(self, address: str) -> str:
+        """Return the name of a sender; its address if the name is not known yet."""
+        return (self._membership.name_at(address) or address) if address else self.name
+
+    async def send(self, instance: str, message: PlacementMessage) -> bool:
         """Send a message to an instance.
 
         Args:
             instance: its name.
             message: the message.
-            address: its ``host:port``; empty to look it up.
 
         Returns:
             Whether the message was sent; False if the address of the instance is unknown.
         """
-        if instance == self.name:
-            await self._handlers[type(message)](message, "")
-            return True
-        address = address or self._membership.peer_address(instance)
-        if not address:
+        address = "" if instance == self.name else self._membership.peer_address(instance)
+        if not address and instance != self.name:
             return False
-        await self._messenger.send(address, message)
+        await self.reply(address, message)
         return True
 
-    async def send_to_address(self, address: str, message: PlacementMessage) -> None:
-        """Send a message to another instance by its ``host:port``."""
-        await self._messenger.send(address, message)
+    async def reply(self, address: str, message: PlacementMessage) -> None:
+        """Send a message to the sender of another one.
+
+        Args:
+            address: ``host:port`` of the sender; empty for this instance.
+            message: the message.
+        """
+        if address:
+            await self._messenger.send(address, message)
+        else:
+            await self._handlers[type(message)](message, "")
