Placement: refusals reach the caller, and engines are updated at once

Cause: the log line of a refused request looked up its place in the queue of direct reservations, in which it is not, and its task failed; the caller got no response. A new engine was used only 0.25 s after it was listed.

Change: the line has no place in the queue for such requests. The engines of a group are compared with the list at each request. The meter of the workload and the forecast count what a request is expected to need, not the part that a coordinator reserves. After the refusal of one group, a request is refused also if no coordinator of another group responds. Without a group, an instance checks four times a second instead of twenty.

--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -76,7 +76,8 @@
         server: the engine.
         reservation_id: id of the reservation; empty if the engine takes no reservations or if the
             reservation was used.
-        tokens: reserved memory in tokens.
+        tokens: memory in tokens that the request is expected to need. A coordinator reserves only a
+            part of it at the engine and plans the rest.
         forecast_number: number of the reservation in the memory forecast.
         attempt: how a coordinator granted the place; None if the engine was asked directly.
         run: the run as it is reported to the coordinator of the engine; None if it is not.
@@ -150,14 +151,14 @@
             yield reservation
         finally:
             stats.reserved_tokens -= reservation.tokens
-            if reservation.run is not None:
-                await self._placement.record_ended(reservation.run, reservation.stream)
-            elif reservation.attempt is not None:
-                await reservation.attempt.withdraw()
             self._forecasts[relay.service.name].record_released(reservation.forecast_number)
             if reservation.reservation_id:
                 call = self._backends.dialect.release_reservation_call(reservation.reservation_id)
                 await self._backends.side_call_in_background(reservation.server, call)
+            if reservation.run is not None:
+                await self._placement.record_ended(reservation.run, reservation.stream)
+            elif reservation.attempt is not None:
+                await reservation.attempt.withdraw()
 
     async def _reserve_engine(
         self, relay: Relay, extra_tokens: int, avoid: frozenset[str]
@@ -253,7 +254,7 @@
                 # capacity.
                 relay.permits.pop(server.incarnation_id, None)
             if reservation_id is not None:
-                return await self._record_reserved(search, server, reservation_id, request.tokens)
+                return await self._record_reserved(search, server, reservation_id)
         return None
 
     def _possible_engines(self, search: _Search, now: float) -> list[Server]:
@@ -278,17 +279,17 @@
         return decode_engines
 
     async def _record_reserved(
-        self, search: _Search, server: Server, reservation_id: str, tokens: int
+        self, search: _Search, server: Server, reservation_id: str
     ) -> Reservation:
         relay, request = search.relay, search.request
         relay.reserved_at = await curio.clock()
         waited_s = relay.reserved_at - search.started_at
         relay.log_fields.update(waited_ms=round(waited_s * 1000), asked=search.engines_asked)
         forecast_number = self._forecasts[relay.service.name].record_reserved(
-            tokens, request.service_s, relay.reserved_at, late=request.is_late(waited_s)
+            request.tokens, request.service_s, relay.reserved_at, late=request.is_late(waited_s)
         )
-        self._log_reserved(relay, tokens, server)
-        return Reservation(server, reservation_id, tokens, forecast_number)
+        self._log_reserved(relay, request, server)
+        return Reservation(server, reservation_id, request.tokens, forecast_number)
 
     # Coordinated placement.
 
@@ -364,8 +365,8 @@
             failed = stats.failure_share > failures_before or stats.is_replaced
             await attempt.engine_refused(decision.engine, avoid=failed)
             return None
-        relay.log_fields["run"] = attempt.run_id
-        reservation = await self._record_reserved(search, server, reservation_id, tokens)
+        relay.log_fields.update(run=attempt.run_id, held=tokens)
+        reservation = await self._record_reserved(search, server, reservation_id)
         reservation.attempt = attempt
         return reservation
 
@@ -501,7 +502,7 @@
             )
             return None
 
-    def _log_reserved(self, relay: Relay, tokens: int, server: Server) -> None:
+    def _log_reserved(self, relay: Relay, request: ReservationRequest, server: Server) -> None:
         stats = self._backends.stats(server.incarnation_id)
         about = {
             **relay.log_fields,
@@ -511,13 +512,19 @@
         self._log.info(
             "place_taken",
             request=relay.request.request_id,
-            tokens=tokens,
+            tokens=request.tokens,
             **about,
         )
 
     def _log_refused(self, search: _Search, why: str, waited_s: float) -> None:
         relay, request = search.relay, search.request
         queue = self._queues[relay.service.name]
+        # A request that a coordinator placed or refused is not in the queue.
+        ahead = (
+            len(queue.requests_ahead(search.queue_number, search.started_at + waited_s))
+            if search.queue_number
+            else None
+        )
         self._log.info(
             "place_refused",
             request=relay.request.request_id,
@@ -528,7 +535,7 @@
             first_s=round(request.first_event_s, 2),
             left_s=round(request.remaining_s, 1),
             asked=search.engines_asked,
-            ahead=len(queue.requests_ahead(search.queue_number, search.started_at + waited_s)),
+            ahead=ahead,
             waiting=len(queue),
             waited_ms=round(waited_s * 1000),
         )
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -594,7 +594,9 @@
             assert self._asked is not None
             key, ask = self._asked
             decision = await self._client.ask(key, ask, deadline)
-            if decision is None or decision.outcome is not PlacementOutcome.REFUSED:
+            if decision is None:
+                return refused
+            if decision.outcome is not PlacementOutcome.REFUSED:
                 return decision
             # Another group may have room at once; of several refusals the soonest return counts.
             if refused is None or decision.retry_after_s < refused.retry_after_s:
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -14,7 +14,7 @@
 
 import curio
 
-from crankhinge.decisions import EngineLimits, Membership
+from crankhinge.decisions import EngineLimits, Membership, Server
 from crankhinge.decisions.coordination import CoordinatorOrder
 from crankhinge.decisions.placement import (
     RUN_EXPIRY_S,
@@ -53,8 +53,8 @@
 # Seconds between checks of what changes only with time: waiting requests become late, engines that
 # refused a reservation are tried again, and owners fall silent.
 TICK_S = 0.05
-# Seconds between updates of a group's engines from the list of servers.
-ENGINES_INTERVAL_S = 0.25
+# Seconds between checks of a group that need not be done at once.
+CHECK_INTERVAL_S = 0.25
 # Seconds without a message after which an instance forgets a group that it coordinates first, or as
 # the standby. The standby's knowledge is complete only while the owners report to it, so it begins
 # anew after two reports are missing.
@@ -64,7 +64,7 @@
 # the runs of that time, so it decides nothing until all owners have reported.
 SUSPENDED_S = 1.0
 # Seconds between messages to an instance that reports no runs, that the service is coordinated, and
-# the number of such messages per round of ENGINES_INTERVAL_S.
+# the number of such messages per round of CHECK_INTERVAL_S.
 INFORM_INTERVAL_S = 5.0
 INFORMED_PER_ROUND = 6
 # Runs whose details are requested in one datagram, so that the response fits in a few.
@@ -115,7 +115,8 @@
         key: the group.
         coordinator: the decisions.
         used_at: when another instance, or this one as a client, last sent a message about it.
-        engines_at: when its engines were last updated.
+        checked_at: when it was last checked.
+        engines: its engines as the decisions know them, and their limits.
         runs: the runs by run id, waiting ones included.
         reports: the newest complete report of each owner.
         addresses: ``host:port`` of each owner, as its last message showed it.
@@ -126,7 +127,8 @@
     key: GroupKey
     coordinator: PlacementCoordinator
     used_at: float
-    engines_at: float = float("-inf")
+    checked_at: float = float("-inf")
+    engines: tuple[list[Server], EngineLimits] | None = None
     runs: dict[str, _KnownRun] = field(default_factory=dict)
     reports: dict[str, _PartialReport] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -205,6 +207,7 @@
         decision = NOT_COORDINATOR
         if group is not None:
             group.record_sender(owner, sender, now)
+            self._update_engines(group, now)
         if group is not None and now >= group.ready_at:
             need = message.to_request(owner)
             if message.full:
@@ -375,14 +378,15 @@
     async def run(self) -> None:
         """Check what changes with time, until cancelled."""
         while True:
-            await curio.sleep(TICK_S)
+            interval_s = TICK_S if self._groups else CHECK_INTERVAL_S
+            await curio.sleep(interval_s)
             now = await curio.clock()
-            self._detect_suspension(now)
+            self._detect_suspension(now, interval_s)
             for group in list(self._groups.values()):
                 await self._check(group, now)
 
-    def _detect_suspension(self, now: float) -> None:
-        late_s = now - self._checked_at - TICK_S
+    def _detect_suspension(self, now: float, interval_s: float) -> None:
+        late_s = now - self._checked_at - interval_s
         if late_s > SUSPENDED_S and self._groups:
             self._log.info("placement_suspended", late_s=round(late_s, 2))
             for group in self._groups.values():
@@ -398,12 +402,12 @@
             del self._groups[key.id]
             self._log.info("placement_ended", service=key.service, group=key.group)
             return
-        if now - group.engines_at >= ENGINES_INTERVAL_S:
-            limits = self._limits(key)
-            if limits is None:
-                del self._groups[key.id]
-                return
-            self._set_engines(group, limits, now)
+        if self._limits(key) is None:
+            del self._groups[key.id]
+            return
+        if now - group.checked_at >= CHECK_INTERVAL_S:
+            group.checked_at = now
+            self._update_engines(group, now)
             group.coordinator.expire(now)
             for run_id, known in list(group.runs.items()):
                 if now - known.seen_at > RUN_EXPIRY_S:
@@ -452,7 +456,7 @@
                 return None
             coordinator = PlacementCoordinator(rng=self._rng, now=now)
             group = self._groups[group_id] = _Group(key, coordinator, now)
-            self._set_engines(group, limits, now)
+            self._update_engines(group, now)
             self._log.info(
                 "placement_began",
                 service=key.service,
@@ -474,10 +478,15 @@
         service = config.services.get(key.service) if config is not None else None
         return None if service is None else service.engine
 
-    def _set_engines(self, group: _Group, limits: EngineLimits, now: float) -> None:
-        group.engines_at = now
+    def _update_engines(self, group: _Group, now: float) -> None:
+        """Apply the engines of the list of servers, if they have changed."""
+        limits = self._limits(group.key)
+        if limits is None:
+            return
         members = self._engines.members(group.key.service, group.key.group, now)
-        group.coordinator.set_engines(members, limits, now)
+        if group.engines != (members, limits):
+            group.engines = members, limits
+            group.coordinator.set_engines(members, limits, now)
 
     def _log_decision(
         self,
--- a/tests/test_placement_flow.py
+++ b/tests/test_placement_flow.py
@@ -130,6 +130,44 @@
         assert 860 <= waited_ms <= 900
         assert max(fleet.took_s) < 2 * ANSWER_S
 
+    def test_overload_is_refused_with_the_predicted_time(self) -> None:
+        """A refusal must reach the caller as one, with a delay that the coordinator planned."""
+        fleet = PlacedFleet()
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            fleet.statuses.clear()
+            await fleet.send(80, 0.03, "q", LONG_ANSWER)
+            await curio.sleep(6.0)
+
+        fleet.run(scenario)
+        assert set(fleet.statuses) == {200, 503}
+        assert len(fleet.statuses) == 80
+        refused = fleet.logged("event=place_refused", "why=not_placed")
+        assert len(refused) == fleet.statuses.count(503)
+        assert fleet.logged("event=placement_refused", "back_ms=")
+        # Six runs of a second on each of two engines, for the 2.4 s of the load.
+        assert fleet.statuses.count(200) >= 2 * RUNS_PER_ENGINE * 2
+
+    def test_requests_are_served_while_the_coordinator_restarts(self) -> None:
+        """Nothing depends on the coordinator: without it, instances reserve directly."""
+        fleet = PlacedFleet(gateways=3)
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            fleet.statuses.clear()
+            [coordinator] = [
+                gateway for gateway in fleet.gateways if gateway.logs.matching("first=true")
+            ]
+            fleet.gateways.remove(coordinator)
+            await curio.spawn(coordinator.kill_gateway, daemon=True)
+            await fleet.send(60, 0.1, "q", LONG_ANSWER)
+            await curio.sleep(3.0)
+
+        fleet.run(scenario)
+        assert fleet.statuses == [200] * 60
+        assert fleet.logged("event=placement_fallback")
+
     def test_service_with_short_answers_is_not_coordinated(self) -> None:
         """Below the threshold, everything stays as it was, and no datagram is sent."""
         fleet = PlacedFleet()
--- a/tests/test_placement_messages.py
+++ b/tests/test_placement_messages.py
@@ -31,7 +31,7 @@
     engine_hash,
     is_older,
 )
-from crankhinge.gateway.placement._service import ENGINES_INTERVAL_S, INFORMED_PER_ROUND
+from crankhinge.gateway.placement._service import CHECK_INTERVAL_S, INFORMED_PER_ROUND
 
 KEY = GroupKey("llm-large", 73)
 ENGINE = "replica-llm-large-0412@1764793000123"
@@ -199,7 +199,7 @@
         runs = RUNS_PER_ENGINE * engines / instances
         report = size(RunsComplete(KEY.id, 60_000, 0, 1, (STATE,)))
         sent = streams_per_s * (1.4 * size(ASK) + size(STARTED) + size(ENDED)) + runs * report
-        informed = size(PlacementSwitched("llm-large")) * INFORMED_PER_ROUND / ENGINES_INTERVAL_S
+        informed = size(PlacementSwitched("llm-large")) * INFORMED_PER_ROUND / CHECK_INTERVAL_S
         busiest = max(received.values())
         print(
             f"{instances} instances, {engines} engines, {len(groups)} groups: "
