Placement: a coordinator that stops hands over to its standby

Cause: a roll stops each instance once. When the coordinator stopped, requests reserved directly for two seconds and jumped the queue.

Change: a coordinator that stops tells the owners of runs to report to the standby, too, decides for two more seconds, and then no longer. A request whose coordinator does not respond asks a standby that gets reports.

Why it holds: test_coordinator_that_stops_hands_over_without_a_gap. test_dead_coordinator_costs_two_short_waits_and_then_none waits until the standby of its warm-up is forgotten, and is as strict as before.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -245,6 +245,7 @@
         log=log,
         metrics=metrics,
     )
+    placement_service.is_stopping = lambda: gateway.is_draining
     status = StatusPages(
         settings=settings, discovery=discovery, gateway=gateway, log=log, metrics=metrics
     )
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -22,6 +22,7 @@
 from crankhinge.gateway.placement._growth_share import GrowthShare
 from crankhinge.gateway.placement._messages import (
     NUMBERS,
+    CoordinatorLeaving,
     GroupKey,
     PlacementAsk,
     PlacementGrant,
@@ -170,7 +171,8 @@
         self._shares: defaultdict[str, GrowthShare] = defaultdict(GrowthShare)
         self._waiters: dict[int, _Waiter] = {}
         self._runs: dict[int, PlacedRun] = {}
-        self._standby_until: dict[GroupKey, float] = {}
+        # By the id of a group, until when its standby gets reports, too.
+        self._standby_until: dict[int, float] = {}
         # Groups to which this instance has reported runs; a last report says that none is left.
         self._reported: set[GroupKey] = set()
         self._report_number = rng.randrange(NUMBERS)
@@ -179,6 +181,7 @@
         transport.add_handler(RunDetailsRequest, self._on_details_request)
         transport.add_handler(RunMoveOrder, self._on_move_order)
         transport.add_handler(PlacementSwitched, self._on_switched)
+        transport.add_handler(CoordinatorLeaving, self._on_leaving)
 
     def record_joined(self, name: str) -> None:
         """Record that an instance joined the fleet."""
@@ -329,14 +332,15 @@
         self, key: GroupKey, ask: PlacementAsk, waiter: _Waiter
     ) -> PlacementDecision | None:
         now = await curio.clock()
+        is_standby_ready = self._standby_until.get(key.id, now) > now
         for instance in self._order.coordinators(str(key), now):
             decision = await self._ask_instance(instance, ask, waiter)
-            if decision is None:
-                self._use_standby(key, await curio.clock())
-                return None
-            if decision.outcome is not PlacementOutcome.NOT_COORDINATOR:
+            if decision is not None and decision.outcome is not PlacementOutcome.NOT_COORDINATOR:
                 return decision
-            self._use_standby(key, await curio.clock())
+            self._use_standby(key.id, await curio.clock())
+            if decision is None and not is_standby_ready:
+                # The standby has no reports yet, so that it could not decide either.
+                return None
             waiter.reset()
         return None
 
@@ -355,8 +359,20 @@
         self._log.info("placement_unanswered", run=ask.counter, instance=instance)
         return None
 
-    def _use_standby(self, key: GroupKey, now: float) -> None:
-        self._standby_until[key] = now + STANDBY_REPORTS_S
+    def _use_standby(self, group_id: int, now: float) -> None:
+        self._standby_until[group_id] = now + STANDBY_REPORTS_S
+
+    async def _on_leaving(self, message: CoordinatorLeaving, sender: str) -> None:
+        now = await curio.clock()
+        is_known = self._standby_until.get(message.group_id, now) > now
+        self._use_standby(message.group_id, now)
+        if is_known:
+            return
+        # The standby needs the runs at once, to be ready when the coordinator is gone.
+        by_key = self._states_by_key()
+        for key, states in by_key.items():
+            if key.id == message.group_id:
+                await self._report_all(key, states)
 
     async def withdraw(self, key: GroupKey, counter: int) -> None:
         """Tell the coordinators that a request needs no place any more."""
@@ -468,14 +484,18 @@
         """Report all runs from time to time, until cancelled."""
         while True:
             await curio.sleep(REPORT_INTERVAL_S * self._rng.uniform(*REPORT_JITTER))
-            by_key: defaultdict[GroupKey, list[RunState]] = defaultdict(list)
-            for run in list(self._runs.values()):
-                if self._is_on(run.key.service):
-                    by_key[run.key].append(self._state(run))
+            by_key = self._states_by_key()
             for key in {*by_key, *self._reported}:
                 await self._report_all(key, by_key[key])
             self._reported = {key for key, states in by_key.items() if states}
 
+    def _states_by_key(self) -> defaultdict[GroupKey, list[RunState]]:
+        by_key: defaultdict[GroupKey, list[RunState]] = defaultdict(list)
+        for run in self._runs.values():
+            if self._is_on(run.key.service):
+                by_key[run.key].append(self._state(run))
+        return by_key
+
     async def _report_all(self, key: GroupKey, states: Sequence[RunState]) -> None:
         self._report_number = (self._report_number + 1) % NUMBERS
         for message in split_report(key, self._report_number, states):
@@ -541,7 +561,7 @@
         ranked = self._order.ranked(str(key))
         uses_standby = (
             ranked[0] not in self._order.coordinators(str(key), now)
-            or self._standby_until.get(key, now) > now
+            or self._standby_until.get(key.id, now) > now
         )
         for instance in ranked if uses_standby else ranked[:1]:
             await self._transport.send(instance, message)
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -319,6 +319,16 @@
     target: str
 
 
+class CoordinatorLeaving(msgspec.Struct, frozen=True, array_like=True, tag="cl"):
+    """The coordinator of a group is stopping, so that its standby needs the reports of all runs.
+
+    Attributes:
+        group_id: id of the group of engines.
+    """
+
+    group_id: int
+
+
 class PlacementSwitched(msgspec.Struct, frozen=True, array_like=True, tag="ps"):
     """The placement of a service is coordinated.
 
@@ -341,4 +351,5 @@
     | RunDetailsRequest
     | RunMoveOrder
     | PlacementSwitched
+    | CoordinatorLeaving
 )
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -28,6 +28,7 @@
 from crankhinge.gateway._discovery import Discovery
 from crankhinge.gateway.placement._engines import PlacementEngines
 from crankhinge.gateway.placement._messages import (
+    CoordinatorLeaving,
     GroupKey,
     PlacementAsk,
     PlacementGrant,
@@ -67,6 +68,11 @@
 # the number of such messages per round of CHECK_INTERVAL_S.
 INFORM_INTERVAL_S = 5.0
 INFORMED_PER_ROUND = 6
+# Seconds between messages to the owners of runs that this instance is stopping, and seconds after
+# the first of them from which the standby has their reports and decides instead. An instance serves
+# for at least 2.5 s after it began to stop.
+LEAVING_INTERVAL_S = 0.5
+HANDOVER_S = 2.0
 # Runs whose details are requested in one datagram, so that the response fits in a few.
 MAX_UNKNOWN_RUNS = 64
 # Time in seconds for which the parts of a complete report may arrive one after the other.
@@ -153,6 +159,9 @@
         log: log for events.
         metrics: registry for counters.
         rng: source of random choices.
+
+    Attributes:
+        is_stopping: whether this instance is stopping.
     """
 
     def __init__(
@@ -167,6 +176,7 @@
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
+        self.is_stopping: Callable[[], bool] = lambda: False
         self._order = order
         self._membership = membership
         self._engines = engines
@@ -177,6 +187,8 @@
         self._rng = rng
         self._groups: dict[int, _Group] = {}
         self._checked_at = float("inf")
+        self._stopping_since: float | None = None
+        self._leaving_sent_at = float("-inf")
         transport.add_handler(PlacementAsk, self._on_ask)
         transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
         transport.add_handler(RunChanges, self._on_changes)
@@ -208,7 +220,7 @@
         if group is not None:
             group.record_sender(owner, sender, now)
             self._update_engines(group, now)
-        if group is not None and now >= group.ready_at:
+        if group is not None and self._may_decide(group, now):
             need = message.to_request(owner)
             if message.full:
                 self._log.info("placement_no_room", run=need.run_id, server=message.full)
@@ -346,7 +358,7 @@
 
     async def _push(self, group: _Group, now: float) -> None:
         """Send the decisions about waiting requests that were made since the last call."""
-        if now < group.ready_at:
+        if not self._may_decide(group, now):
             return
         for need, decision in group.coordinator.grants(now):
             known = group.runs.get(need.run_id)
@@ -367,7 +379,7 @@
             await self._transport.reply(address, message)
 
     async def _send_moves(self, group: _Group, now: float) -> None:
-        if now < group.ready_at:
+        if not self._may_decide(group, now):
             return
         for move in group.coordinator.moves(now):
             counter = to_counter(move.run_id)
@@ -382,6 +394,8 @@
             await curio.sleep(interval_s)
             now = await curio.clock()
             self._detect_suspension(now, interval_s)
+            if self.is_stopping():
+                await self._hand_over(now)
             for group in list(self._groups.values()):
                 await self._check(group, now)
 
@@ -418,6 +432,17 @@
         if group.coordinator.waiting_requests:
             await self._push(group, now)
 
+    async def _hand_over(self, now: float) -> None:
+        """Have the owners report to the standby, before this instance stops."""
+        if self._stopping_since is None:
+            self._stopping_since = now
+        if now - self._leaving_sent_at < LEAVING_INTERVAL_S:
+            return
+        self._leaving_sent_at = now
+        for group_id, group in self._groups.items():
+            for address in group.addresses.values():
+                await self._transport.reply(address, CoordinatorLeaving(group_id))
+
     async def _inform(self, group: _Group, now: float) -> None:
         """Tell instances that report no runs that the service is coordinated.
 
@@ -467,6 +492,13 @@
         group.used_at = now
         return group
 
+    def _may_decide(self, group: _Group, now: float) -> bool:
+        """Whether this instance decides now: it was not suspended, and has not handed over."""
+        has_handed_over = (
+            self._stopping_since is not None and now - self._stopping_since >= HANDOVER_S
+        )
+        return now >= group.ready_at and not has_handed_over
+
     def _services(self) -> list[str]:
         config = self._discovery.config
         if config is None:
--- a/tests/test_placement_coordination.py
+++ b/tests/test_placement_coordination.py
@@ -14,7 +14,11 @@
     WARM_UP_S,
     PlacementOutcome,
 )
-from crankhinge.gateway.placement._client import ASK_INTERVAL_S, RESPONSE_TIMEOUTS_S
+from crankhinge.gateway.placement._client import (
+    ASK_INTERVAL_S,
+    RESPONSE_TIMEOUTS_S,
+    STANDBY_REPORTS_S,
+)
 from crankhinge.gateway.placement._messages import (
     PlacementAsk,
     PlacementGrant,
@@ -302,6 +306,8 @@
 
         async def scenario() -> None:
             await fleet.warm_up()
+            # The standby was asked while the first instance warmed up, and was to get reports.
+            await curio.sleep(STANDBY_REPORTS_S)
             await fleet.kill(fleet.first.name)
             decision, took_s = await timed_place(fleet, fleet.owner)
             assert decision is None
@@ -454,6 +460,28 @@
 
         fleet.run(scenario)
 
+    def test_coordinator_that_stops_hands_over_without_a_gap(self) -> None:
+        """A roll stops each instance once; requests must not jump the queue meanwhile."""
+        fleet = PlacementFleet(4)
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            first, owner = fleet.first, fleet.owner
+            await fleet.start_run(owner)
+            first.service.is_stopping = lambda: True
+            began_at = await curio.clock()
+            while await curio.clock() - began_at < 6.0:
+                attempt, decision = await fleet.place(owner)
+                assert decision is not None
+                await attempt.withdraw()
+                await curio.sleep(0.1)
+                if await curio.clock() - began_at > 2.5 and first.name in fleet.network.messengers:
+                    await fleet.kill(first.name)
+            assert fleet.standby.logged("placement_granted")
+            assert fleet.standby.service.run_count == 1
+
+        fleet.run(scenario)
+
     def test_both_parts_of_a_partitioned_fleet_place_runs(self) -> None:
         """Each part has its own coordinator, and the engines decide between them."""
         fleet = PlacementFleet(6)
--- a/tests/test_placement_messages.py
+++ b/tests/test_placement_messages.py
@@ -15,6 +15,7 @@
 from crankhinge.gateway.placement._client import MAX_AVOIDED, REPORT_INTERVAL_S, split_report
 from crankhinge.gateway.placement._messages import (
     NUMBERS,
+    CoordinatorLeaving,
     GroupKey,
     PlacementAsk,
     PlacementGrant,
@@ -75,6 +76,7 @@
     RunDetailsRequest(KEY.id, (COUNTER,) * 64),
     RunMoveOrder(KEY.id, COUNTER, ENGINE, ENGINE),
     PlacementSwitched("llm-large"),
+    CoordinatorLeaving(KEY.id),
 ]
 
 
