crankhinge-ctl explain shows what the coordinator decided about a request

Cause: the lines of a coordinator are in another log and name only the run.

Change: explain finds the runs of the request in all logs, shows the lines about them and leaves out lines about other runs at the same engine. The refusal of a placed request names its run.

Why it holds: tests/test_explain.py.

--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -63,7 +63,8 @@
         server_state: the last line about each server and aspect before the request, by server id
             and aspect (see ``_SERVER_STATE_EVENTS``).
         quarantines: the last line about a quarantine before the request, by request fingerprint.
-        lines: the lines about the request, and later lines about the servers that it involves.
+        lines: the lines about the request, including those of the instance that placed its runs,
+            and later lines about the servers that it involves.
     """
 
     state: dict[str, Pairs] = field(default_factory=dict)
@@ -80,8 +81,14 @@
         RequestNotFound: no log contains a line about the request.
     """
     parts = []
+    runs = frozenset(
+        pairs["run"]
+        for name in args.logs
+        for pairs in _read_lines(Path(name))
+        if pairs.get("request") == args.request and pairs.get("run")
+    )
     for name in args.logs:
-        log = _read_log(Path(name), args.request)
+        log = _read_log(Path(name), args.request, runs)
         if log.lines:
             parts.append("\n".join(_render_log(name, log)))
     if not parts:
@@ -91,21 +98,29 @@
     return "\n\n".join(parts)
 
 
-def _read_log(path: Path, request: str) -> _RequestLog:
-    log = _RequestLog()
+def _read_lines(path: Path) -> Iterator[Pairs]:
     try:
         with path.open(encoding="utf-8", errors="replace") as file:
             for line in file:
-                _add_line(log, parse_line(line), request)
+                yield parse_line(line)
     except OSError as exc:
         raise SettingsError(f"{path}: cannot be read: {exc.strerror}") from exc
+
+
+def _read_log(path: Path, request: str, runs: frozenset[str]) -> _RequestLog:
+    log = _RequestLog()
+    for pairs in _read_lines(path):
+        _add_line(log, pairs, request, runs)
     return log
 
 
-def _add_line(log: _RequestLog, pairs: Pairs, request: str) -> None:
-    if pairs.get("request") == request:
+def _add_line(log: _RequestLog, pairs: Pairs, request: str, runs: frozenset[str]) -> None:
+    if pairs.get("request") == request or pairs.get("run") in runs:
         log.lines.append(pairs)
         return
+    if "run" in pairs:
+        # The run of another request.
+        return
     if log.lines:
         # A later state change cannot have influenced the first step of the request, but a change
         # of an involved server may have influenced the following steps.
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -321,7 +321,7 @@
                     )
                     return None
                 if decision.outcome is not PlacementOutcome.GRANTED:
-                    await self._refuse(search, decision)
+                    await self._refuse(search, decision, attempt)
                 reservation = await self._take_up(search, engine, attempt, decision)
                 if reservation is not None:
                     return reservation
@@ -329,10 +329,12 @@
             if reservation is None:
                 await attempt.withdraw()
 
-    async def _refuse(self, search: _Search, decision: PlacementDecision) -> None:
+    async def _refuse(
+        self, search: _Search, decision: PlacementDecision, attempt: PlacementAttempt
+    ) -> None:
         """Raise the error of a request that a coordinator refused, or that has waited too long."""
         waited_s = await curio.clock() - search.started_at
-        self._log_refused(search, "not_placed", waited_s)
+        self._log_refused(search, "not_placed", waited_s, run=attempt.run_id)
         if decision.outcome is PlacementOutcome.REFUSED:
             retry_after_s = decision.retry_after_s
         else:
@@ -516,7 +518,7 @@
             **about,
         )
 
-    def _log_refused(self, search: _Search, why: str, waited_s: float) -> None:
+    def _log_refused(self, search: _Search, why: str, waited_s: float, **facts: Any) -> None:
         relay, request = search.relay, search.request
         queue = self._queues[relay.service.name]
         # A request that a coordinator placed or refused is not in the queue.
@@ -538,4 +540,5 @@
             ahead=ahead,
             waiting=len(queue),
             waited_ms=round(waited_s * 1000),
+            **facts,
         )
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -356,7 +356,7 @@
                 return decision
             self._metrics.count("placement_unanswered")
             self._order.record_unresponsive(instance, await curio.clock())
-        self._log.info("placement_unanswered", run=ask.counter, instance=instance)
+        self._log.info("placement_unanswered", run=self.run_id(ask.counter), instance=instance)
         return None
 
     def _use_standby(self, group_id: int, now: float) -> None:
@@ -580,6 +580,7 @@
         now: float,
     ) -> None:
         self._asked: tuple[GroupKey, PlacementAsk] | None = None
+        self._run_id = ""
         self._began_at = now
         self._client = client
         self._relay = relay
@@ -591,8 +592,8 @@
 
     @property
     def run_id(self) -> str:
-        """Id of the run; empty before the first request."""
-        return "" if self._asked is None else self._client.run_id(self._asked[1].counter)
+        """Id of the run that was asked for last; empty before the first request."""
+        return self._run_id
 
     @property
     def place(self) -> tuple[GroupKey, int] | None:
@@ -634,6 +635,7 @@
         key, unusable = chosen
         need = self._need.after(now - self._began_at)
         self._asked = key, self._client.new_ask(relay, key, need, self._extra_tokens, unusable)
+        self._run_id = self._client.run_id(self._asked[1].counter)
         return True
 
     async def engine_refused(self, engine: str, *, avoid: bool) -> None:
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -439,8 +439,8 @@
         if now - self._leaving_sent_at < LEAVING_INTERVAL_S:
             return
         self._leaving_sent_at = now
-        for group_id, group in self._groups.items():
-            for address in group.addresses.values():
+        for group_id, group in list(self._groups.items()):
+            for address in list(group.addresses.values()):
                 await self._transport.reply(address, CoordinatorLeaving(group_id))
 
     async def _inform(self, group: _Group, now: float) -> None:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -88,6 +88,30 @@
         assert re.search(r"happened .* leg_failed  server=i-plain outcome=broken", out)
         assert re.search(r"happened .* request_failed .* outcome=unknown status=502", out)
 
+    def test_decisions_of_the_coordinator_are_shown(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """They are in another log and have no request id; those about other runs are left out."""
+        owner, coordinator = tmp_path / "owner.log", tmp_path / "coordinator.log"
+        ts = "ts=2026-12-03T20:00:0"
+        owner.write_text(
+            f"{ts}1Z event=place_taken request=a server=e-1 run=g/5\n"
+            f"{ts}2Z event=place_taken request=b server=e-1 run=g/6\n"
+        )
+        coordinator.write_text(
+            f"{ts}1Z event=placement_waiting run=g/5 rank=1\n"
+            f"{ts}2Z event=placement_granted run=g/6 server=e-1\n"
+            f"{ts}3Z event=placement_granted run=g/5 server=e-1\n"
+            f"{ts}4Z event=placement_granted run=h/5 server=e-1\n"
+        )
+        assert main(["explain", "a", str(owner), str(coordinator)]) == 0
+        shown = capsys.readouterr().out
+        assert re.findall(r" s  (\w+)  .*run=(\S+)", shown) == [
+            ("place_taken", "g/5"),
+            ("placement_waiting", "g/5"),
+            ("placement_granted", "g/5"),
+        ]
+
     def test_unknown_request_exits_with_status_2(self, tmp_path: Path) -> None:
         """A log that does not exist has the same exit status as an unknown request id."""
         log = tmp_path / "gateway.log"
