Tests of placement: reports, groups, engines and random faults

Fleets over a fake network: reports in several datagrams, delayed reports, unknown runs, moved runs, several groups, engines that leave or that one instance cannot use, and twelve seeds of random losses, duplicates and restarts.

--- a/tests/test_placement_coordination.py
+++ b/tests/test_placement_coordination.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from typing import Any
 
 import curio
@@ -14,6 +15,7 @@
     WARM_UP_S,
     PlacementOutcome,
 )
+from crankhinge.decisions.placement._coordinator import REORDER_S
 from crankhinge.gateway.placement._client import (
     ASK_INTERVAL_S,
     RESPONSE_TIMEOUTS_S,
@@ -27,6 +29,7 @@
     RunChanges,
     RunsComplete,
 )
+from crankhinge.gateway.placement._service import STANDBY_IDLE_S
 from placement_fleet import DELAY_S, PlacementFleet, deadline, make_relay
 
 GRANTED, WAITING = PlacementOutcome.GRANTED, PlacementOutcome.WAITING
@@ -468,7 +471,13 @@
             await fleet.warm_up()
             first, owner = fleet.first, fleet.owner
             await fleet.start_run(owner)
+            # The standby got reports during the warm-up, and forgets them.
+            await curio.sleep(STANDBY_REPORTS_S + STANDBY_IDLE_S + 0.5)
+            assert fleet.standby.service.run_count == 0
             first.service.is_stopping = lambda: True
+            await curio.sleep(0.1)
+            # The owner reports at once, not only with its next report of all runs.
+            assert fleet.standby.service.run_count == 1
             began_at = await curio.clock()
             while await curio.clock() - began_at < 6.0:
                 attempt, decision = await fleet.place(owner)
@@ -520,6 +529,248 @@
         fleet.run(scenario)
 
 
+class TestReports:
+    """Reports of all runs of an owner."""
+
+    def test_report_in_several_datagrams_counts_only_as_a_whole(self) -> None:
+        """Without one of its parts, the runs in it would be taken for ended ones."""
+        fleet = PlacementFleet()
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            for number in range(200):
+                await fleet.report_run(fleet.owner, make_relay(), fleet.servers[number % 8])
+            await curio.sleep(1.1)
+            assert fleet.first.service.run_count == 200
+            fleet.network.drop = lambda sender, receiver, message: (
+                isinstance(message, RunsComplete) and message.part == 1
+            )
+            await curio.sleep(2.0)
+            assert fleet.network.sent[RunsComplete.__name__] >= 6
+            assert fleet.first.service.run_count == 200
+
+        fleet.run(scenario)
+
+    def test_delayed_report_does_not_undo_a_newer_one(self) -> None:
+        """A run that started since the delayed report was sent would be taken for an ended one."""
+        fleet = PlacementFleet()
+        delayed: list[RunsComplete] = []
+
+        def keep(sender: str, receiver: str, message: Any) -> bool:
+            is_kept = isinstance(message, RunsComplete) and not delayed
+            if is_kept:
+                delayed.append(message)
+            return is_kept
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            await fleet.start_run(fleet.owner)
+            fleet.network.drop = keep
+            await curio.sleep(1.1)
+            await fleet.start_run(fleet.owner)
+            await curio.sleep(1.1)
+            assert fleet.first.service.run_count == 2
+            # The coordinator keeps runs that were reported a moment ago in any case.
+            fleet.network.drop = drop(RunsComplete)
+            await curio.sleep(REORDER_S + 0.1)
+            await fleet.first.service._on_complete(delayed[0], f"{fleet.owner.name}:1")
+            assert fleet.first.service.run_count == 2
+
+        fleet.run(scenario)
+
+    def test_details_of_many_unknown_runs_are_asked_for(self) -> None:
+        """A coordinator that restarts must know all runs when its warm-up is over."""
+        fleet = PlacementFleet()
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            for number in range(60):
+                await fleet.report_run(fleet.owner, make_relay(), fleet.servers[number % 8])
+            first = await fleet.restart(fleet.first.name)
+            await curio.sleep(WARM_UP_S)
+            assert first.service.run_count == 60
+
+        fleet.run(scenario)
+
+    def test_run_that_moved_is_known_at_its_new_engine(self) -> None:
+        """Its memory would otherwise be planned at the engine that it has left."""
+        fleet = PlacementFleet()
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            placed = await fleet.start_run(fleet.owner)
+            target = next(
+                server
+                for server in fleet.servers
+                if server.incarnation_id != placed.run.details.engine
+            )
+            placed.stream.server = target
+            await fleet.owner.client.record_moved(placed.stream)
+            await curio.sleep(0.01)
+            [group] = fleet.first.service._groups.values()
+            assert group.runs[placed.run.run_id].report.engine == target.incarnation_id
+            # The same if that message is lost.
+            placed.stream.server = fleet.servers[0]
+            await curio.sleep(1.1)
+            assert group.runs[placed.run.run_id].report.engine == "e-0"
+            assert fleet.first.service.run_count == 1
+
+        fleet.run(scenario)
+
+
+class TestGroups:
+    """A service with more engines than one coordinator can serve."""
+
+    def test_request_that_one_group_refuses_asks_another(self) -> None:
+        """One full group must not refuse what the other 99 could serve."""
+        fleet = PlacementFleet(4, engines=36)
+
+        async def scenario() -> None:
+            groups = fleet.owner.engines.groups("llm")
+            assert len(groups) == 6
+            for _ in range(60):
+                await (await fleet.owner.begin()).next_decision(await deadline())
+            await curio.sleep(WARM_UP_S + 0.1)
+            chosen = max(range(6), key=lambda group: len(groups.members(group)))
+            for server in [*groups.members(chosen)] * 5:
+                await fleet.report_run(fleet.standby, make_relay(), server)
+            await curio.sleep(0.1)
+            outcomes = []
+            for number in range(60):
+                relay = make_relay(f"q{number}", is_retry=True)
+                attempt, decision = await fleet.place(fleet.owner, relay)
+                assert decision is not None
+                outcomes.append(decision.outcome)
+                await attempt.withdraw()
+            assert outcomes.count(GRANTED) == 60
+            refused = [
+                line
+                for instance in fleet.instances.values()
+                for line in instance.logged("placement_refused")
+            ]
+            assert refused
+
+        fleet.run(scenario)
+
+    def test_coordinators_of_all_groups_know_their_runs(self) -> None:
+        """A run belongs to the group of its engine, whoever placed it."""
+        fleet = PlacementFleet(4, engines=36)
+
+        async def scenario() -> None:
+            for _ in range(60):
+                await (await fleet.owner.begin()).next_decision(await deadline())
+            for server in fleet.servers:
+                await fleet.report_run(fleet.owner, make_relay(), server)
+            await curio.sleep(1.2)
+            known = [instance.service.run_count for instance in fleet.instances.values()]
+            # The standbys get reports, too, while the first instances warm up.
+            assert sum(known) == 2 * 36
+            await curio.sleep(6.0)
+            known = [instance.service.run_count for instance in fleet.instances.values()]
+            assert sum(known) == 36
+
+        fleet.run(scenario)
+
+
+class TestEngines:
+    """Which engines a coordinator uses."""
+
+    def test_engine_that_leaves_gets_no_runs(self) -> None:
+        """Its entry may not show that yet; its responses do."""
+        fleet = PlacementFleet(engines=3)
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            now = await curio.clock()
+            fleet.first.backends.exclusions.record_leaving("e-1", now)
+            members = fleet.first.engines.members("llm", 0, now)
+            assert {server.incarnation_id for server in members if server.leaving} == {"e-1"}
+            for _ in range(4):
+                _, decision = await fleet.place(fleet.owner)
+                assert decision is not None
+                assert decision.engine != "e-1"
+
+        fleet.run(scenario)
+
+    def test_engine_that_one_instance_cannot_use_is_left_to_the_others(self) -> None:
+        """A circuit breaker is open at one instance only."""
+        fleet = PlacementFleet(engines=2)
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            now = await curio.clock()
+            breaker = fleet.owner.backends.stats("e-0").breaker
+            while breaker.allows_request(now):
+                breaker.record_failure(now)
+            engines = {}
+            for instance in (fleet.owner, fleet.standby):
+                engines[instance.name] = []
+                for _ in range(6):
+                    attempt, decision = await fleet.place(instance)
+                    assert decision is not None
+                    engines[instance.name].append(decision.engine)
+                    await attempt.withdraw()
+            assert set(engines[fleet.owner.name]) == {"e-1"}
+            assert set(engines[fleet.standby.name]) == {"e-0", "e-1"}
+
+        fleet.run(scenario)
+
+
+class TestRandomFaults:
+    """Fleets under random faults: what is known in the end, and that nobody waits too long."""
+
+    @pytest.mark.parametrize("seed", range(12))
+    def test_coordinator_knows_exactly_the_runs_in_progress(self, seed: int) -> None:
+        """Each fault may cost time, but must leave no run behind and end no request's wait late."""
+        rng = random.Random(seed)
+        fleet = PlacementFleet(5)
+        live: dict[str, list[Any]] = {name: [] for name in fleet.names}
+        longest_s = 0.0
+
+        async def request(instance: Any) -> None:
+            nonlocal longest_s
+            relay = make_relay("q", expected=rng.randrange(500, 3000))
+            attempt, began_at = await instance.begin(relay), await curio.clock()
+            decision = await attempt.next_decision(await deadline(2.0))
+            longest_s = max(longest_s, await curio.clock() - began_at)
+            if decision is None or decision.outcome is not GRANTED:
+                await attempt.withdraw()
+            elif rng.random() < 0.15:
+                await attempt.engine_refused(decision.engine, avoid=rng.random() < 0.5)
+                await attempt.withdraw()
+            elif fleet.instances[instance.name] is instance:
+                server = instance.backends.get(decision.engine)
+                run = await fleet.report_run(instance, relay, server, attempt)
+                live[instance.name].append(run)
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            fleet.network.drop = lambda sender, receiver, message: rng.random() < 0.1
+            for _ in range(150):
+                name = rng.choice(fleet.names)
+                if rng.random() < 0.02:
+                    live[name].clear()
+                    await fleet.restart(name)
+                fleet.network.copies = rng.choice([1, 1, 1, 2])
+                await curio.spawn(request, fleet.instances[name], daemon=True)
+                owner = rng.choice(fleet.names)
+                if live[owner] and rng.random() < 0.9:
+                    run = live[owner].pop(rng.randrange(len(live[owner])))
+                    await fleet.end_run(fleet.instances[owner], run, completed=rng.random() < 0.8)
+                await curio.sleep(rng.expovariate(20.0))
+            await curio.sleep(2.5)
+            fleet.network.drop, fleet.network.copies = (lambda *message: False), 1
+            await curio.sleep(RUN_EXPIRY_S + GRANT_EXPIRY_S)
+            in_progress = {run.run.run_id for runs in live.values() for run in runs}
+            [group] = fleet.first.service._groups.values()
+            assert {run_id for run_id, run in group.runs.items() if run.started} == in_progress
+            assert fleet.first.service.run_count == len(in_progress)
+            assert fleet.first.service.waiting_count == 0
+            assert longest_s < 2.0 + sum(RESPONSE_TIMEOUTS_S) * 2 + 0.05
+
+        fleet.run(scenario)
+
+
 class TestSwitch:
     """How instances learn that a service is coordinated."""
 
