--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from bisect import bisect_left, insort
+from bisect import bisect_right, insort
 from collections import Counter
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, replace
@@ -16,6 +16,7 @@
     DEFAULT_TOKENS_PER_S,
     EWMA_WEIGHT,
     MIN_SAMPLE_S,
+    UNSEEN_S,
     EngineState,
     Run,
 )
@@ -115,6 +116,8 @@
         self._first_event_s = DEFAULT_FIRST_EVENT_S
         self._tokens_per_s = DEFAULT_TOKENS_PER_S
         self._mean_answer = 0.0
+        self._mean_tokens = 0.0
+        self._unseen_until = now
         self._step_s = 0.0
         self._last_grid: Grid = (-1.0, 0.0)
         self._waiting: dict[str, Waiting] = {}
@@ -180,7 +183,7 @@
         if waiting.may_be_in_time(now):
             self._arrivals.record(now)
         key = order_key(waiting, self._shares(), now)
-        ahead = bisect_left(self._keys, key) if self._waiting else 0
+        ahead = bisect_right(self._keys, key) if self._waiting else 0
         decision = None if ahead else self._try_place(waiting, now)
         if decision is None:
             decision = self._refusal(waiting, ahead, now)
@@ -199,6 +202,7 @@
         del self._decided[run_id]
         self._remove_run(run_id)
         state = self._engines.get(engine)
+        self._unseen_until = now + UNSEEN_S
         if state is not None and self._limits is not None:
             state.record_refusal(decided.decision.reserve_tokens, self._limits.kv_tokens, now)
         self._waiting[run_id] = decided.waiting
@@ -320,9 +324,9 @@
         answer, _ = self._growth.remaining(need.route, 0, need.expected_tokens, need.max_tokens)
         tokens_per_s = self._tokens_per_s
         service_s = self._first_event_s + answer / tokens_per_s
-        self._mean_answer += (EWMA_WEIGHT if self._mean_answer else 1.0) * (
-            answer - self._mean_answer
-        )
+        weight = EWMA_WEIGHT if self._mean_tokens else 1.0
+        self._mean_answer += weight * (answer - self._mean_answer)
+        self._mean_tokens += weight * (need.prompt_tokens + answer - self._mean_tokens)
         times = ReservationRequest(
             tokens=need.prompt_tokens + int(answer),
             target_s=need.target_left_s,
@@ -338,7 +342,7 @@
     def _refusal(self, waiting: Waiting, ahead: int, now: float) -> PlacementDecision | None:
         """Return a refusal if the request will not be served before its caller gives up."""
         times, waited_s = waiting.times, now - waiting.asked_at
-        turns_per_s = self._turns_per_s()
+        turns_per_s = self._turns_per_s(now)
         late_per_s = max(MIN_LATE_SHARE * turns_per_s, turns_per_s - self._arrivals.per_s(now))
         turn_s = (ahead + 1) / turns_per_s
         # A request whose turn was predicted in time keeps waiting until it is late. Refused
@@ -352,10 +356,17 @@
         retry_s = self._promises.promise(waiting, late_per_s, ahead, now)
         return PlacementDecision(PlacementOutcome.REFUSED, retry_after_s=retry_s)
 
-    def _turns_per_s(self) -> float:
-        """Return how many runs end per second, by the mean duration of the runs in progress."""
+    def _turns_per_s(self, now: float) -> float:
+        """Return how many runs end per second, by the mean duration of the runs in progress.
+
+        The memory that a refusal showed to be in use counts as runs that are unknown here.
+        """
+        runs = float(len(self._where))
+        if now < self._unseen_until:
+            unseen = sum(engine.unseen_tokens(now) for engine in self._engines.values())
+            runs += unseen / max(1.0, self._mean_tokens)
         run_s = self._first_event_s + self._mean_answer / self._tokens_per_s
-        return max(1.0, len(self._where)) / max(0.1, run_s)
+        return max(1.0, runs) / max(0.1, run_s)
 
     def _shares(self) -> AccountShares:
         return AccountShares(
@@ -558,19 +569,25 @@
 
     def _add_run(self, run: Run, now: float) -> None:
         engine, run_id = self._engines[run.report.engine], run.report.run_id
-        if self._where.get(run_id) != run.report.engine:
+        known = engine.runs.get(run_id)
+        if known is None:
             self._remove_run(run_id)
-            self._account_runs[run.report.account] += 1
+        else:
+            self._count_account(known, -1)
         engine.add_run(run, self._grid(now), now)
         self._where[run_id] = run.report.engine
+        self._count_account(run, 1)
+
+    def _count_account(self, run: Run, change: int) -> None:
+        account = run.report.account
+        self._account_runs[account] += change
+        if not self._account_runs[account]:
+            del self._account_runs[account]
 
     def _remove_run(self, run_id: str) -> None:
         engine = self._engines.get(self._where.pop(run_id, ""))
         if engine is not None:
-            run = engine.remove_run(run_id)
-            self._account_runs[run.report.account] -= 1
-            if not self._account_runs[run.report.account]:
-                del self._account_runs[run.report.account]
+            self._count_account(engine.remove_run(run_id), -1)
 
     def _end(self, run_id: str, now: float) -> None:
         self._end_move(run_id, now, has_failed=False)
--- a/src/crankhinge/decisions/placement/_moves.py
+++ b/src/crankhinge/decisions/placement/_moves.py
@@ -29,6 +29,9 @@
 # Assumed tokens per second at which an engine processes the memory of a preempted run again, while
 # its other runs wait.
 PROMPT_TOKENS_PER_S = 50_000.0
+# Cost of a run that its engine breaks off, or that pauses for longer than its caller accepts: more
+# than a move between zones.
+LOST_RUN_S = 1.0
 # Probability of running out of memory up to which an engine is a target. A target that is near the
 # threshold of admission would move the run on.
 TARGET_DEVIATIONS = deviations(MAX_OVERFLOW_PROBABILITY / 2.0)
@@ -64,7 +67,8 @@
     """
     if source.moves or source.move_paused_until > now:
         return None
-    probability = _probability_of_loss(source, limits, grid, now)
+    is_lost = source.server.leaving or _breaks_pause_bound(source, limits)
+    probability = 1.0 if is_lost else _overflow(source, limits, grid, now)
     if probability < MIN_PROBABILITY:
         return None
     movable = [run for run in source.runs.values() if run.report.movable and not run.is_grant]
@@ -72,12 +76,8 @@
         movable = [
             run for run in movable if left_tokens(run) / run.growth.tokens_per_s > MIN_LEFT_S
         ]
-    saved_s = (
-        probability
-        * max((run.tokens_now(now) for run in movable), default=0.0)
-        / PROMPT_TOKENS_PER_S
-        * len(source.runs)
-    )
+    again_s = max((run.tokens_now(now) for run in movable), default=0.0) / PROMPT_TOKENS_PER_S
+    saved_s = LOST_RUN_S if is_lost else probability * again_s * len(source.runs)
     if saved_s <= MOVE_COST_S:
         return None
     run = _run_to_move(source, movable, limits, left_tokens, grid, now)
@@ -139,12 +139,8 @@
     return bool(bounds) and pause_s > min(bounds)
 
 
-def _probability_of_loss(
-    engine: EngineState, limits: EngineLimits, grid: Grid, now: float
-) -> float:
-    """Return the probability that runs are preempted, broken off, or paused for too long."""
-    if engine.server.leaving or _breaks_pause_bound(engine, limits):
-        return 1.0
+def _overflow(engine: EngineState, limits: EngineLimits, grid: Grid, now: float) -> float:
+    """Return the probability that the engine runs out of memory within the horizon."""
     first_at, step_s = grid
     points = 1 + math.ceil((now + MOVE_HORIZON_S - first_at) / step_s)
     capacity = limits.kv_tokens - engine.unseen_tokens(now)
--- a/src/crankhinge/decisions/placement/_order.py
+++ b/src/crankhinge/decisions/placement/_order.py
@@ -86,10 +86,10 @@
         return not self.need.is_retry and not self.times.is_late(now - self.asked_at)
 
     def value(self, now: float) -> float:
-        """Return the value of an answer, as a fraction of that of an answer in time."""
-        if self.need.is_retry:
-            return RETRY_VALUE
-        return 1.0 if self.may_be_in_time(now) else LATE_VALUE
+        """Return the value of an answer, as a fraction of that of an answer in time; aged."""
+        if self.may_be_in_time(now) or now - self.asked_at >= LATE_AGING_S:
+            return 1.0
+        return RETRY_VALUE if self.need.is_retry else LATE_VALUE
 
 
 class AccountShares:
