--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -4,35 +4,23 @@
 
 import random
 from bisect import bisect_right, insort
-from collections import Counter
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
-from crankhinge.decisions._reservations import DEFAULT_FIRST_EVENT_S, ReservationRequest
+from crankhinge.decisions._reservations import ReservationRequest
 from crankhinge.decisions._routes import EngineLimits
 from crankhinge.decisions._servers import Server
 from crankhinge.decisions.placement._choice import placement_cost
-from crankhinge.decisions.placement._engines import (
-    DEFAULT_TOKENS_PER_S,
-    EWMA_WEIGHT,
-    MIN_SAMPLE_S,
-    UNSEEN_S,
-    EngineState,
-    Run,
-)
-from crankhinge.decisions.placement._growth import AnswerGrowth, answer_base
+from crankhinge.decisions.placement._engines import EngineState, Run
+from crankhinge.decisions.placement._group import EngineGroup
 from crankhinge.decisions.placement._memory import (
     ADMISSION_DEVIATIONS,
     BLOCK_TOKENS,
-    REFRESH_S,
-    Grid,
     Profile,
     RunGrowth,
     fits,
     peak,
-    step_s,
 )
-from crankhinge.decisions.placement._moves import MoveChoice, choose_move
 from crankhinge.decisions.placement._order import (
     CLASS_CRITERIA,
     MIN_LATE_SHARE,
@@ -69,14 +57,6 @@
 # would refuse runs that the prediction over time admits. The part covers the start, in which the
 # run is the newest and would be preempted first.
 RESERVED_ANSWER_SHARE = 0.25
-# Seconds between searches for moves. A shortage is predicted a second ahead.
-MOVE_INTERVAL_S = 0.2
-# Seconds after which a move counts as failed if its run was not reported by the target, and then
-# seconds in which no other run is moved from its engine.
-MOVE_TIMEOUT_S = 1.5
-MOVE_PAUSE_S = 1.0
-# The copy of a moved run is kept under the id of the run with this suffix.
-COPY_SUFFIX = "#copy"
 # Requests tried in one pass without success. Requests further behind need about as much memory.
 MAX_TRIES = 4
 # A request that has waited this many seconds lets no smaller one pass.
@@ -108,31 +88,18 @@
     def __init__(self, *, rng: random.Random, now: float) -> None:
         self._rng = rng
         self._started_at = now
-        self._limits: EngineLimits | None = None
-        self._engines: dict[str, EngineState] = {}
-        self._where: dict[str, str] = {}
-        self._account_runs: Counter[str] = Counter()
-        self._growth = AnswerGrowth()
-        self._first_event_s = DEFAULT_FIRST_EVENT_S
-        self._tokens_per_s = DEFAULT_TOKENS_PER_S
-        self._mean_answer = 0.0
-        self._mean_tokens = 0.0
-        self._unseen_until = now
-        self._step_s = 0.0
-        self._last_grid: Grid = (-1.0, 0.0)
+        self._group = EngineGroup(now)
         self._waiting: dict[str, Waiting] = {}
         self._keys: list[tuple[float, ...]] = []
         self._decided: dict[str, _Decided] = {}
         self._ended: dict[str, float] = {}
-        self._next_moves_at = now
-        self._moves: dict[str, tuple[RunMove, float]] = {}
         self._promises = Promises()
         self._arrivals = ArrivalRate(now)
 
     @property
     def known_runs(self) -> int:
         """Number of runs and grants on the engines of the group."""
-        return len(self._where)
+        return self._group.run_count
 
     @property
     def waiting_requests(self) -> int:
@@ -141,38 +108,25 @@
 
     def fullest_share(self, now: float) -> float:
         """Return the predicted peak of the fullest engine as a share of its memory."""
-        if self._limits is None or not self._engines:
+        if self._group.limits is None or not self._group.engines:
             return 0.0
-        self._grid(now)
+        self._group.grid(now)
         highest = max(
-            peak(engine.memory.profile, ADMISSION_DEVIATIONS) for engine in self._engines.values()
+            peak(engine.memory.profile, ADMISSION_DEVIATIONS)
+            for engine in self._group.engines.values()
         )
-        return highest / self._limits.kv_tokens
+        return highest / self._group.limits.kv_tokens
 
     def set_engines(self, engines: Iterable[Server], limits: EngineLimits, now: float) -> None:
         """Set the engines of the group; the runs of engines that are gone are forgotten.
 
         Engines that come after the first call are filled at a rising rate.
         """
-        is_first, self._limits = self._limits is None, limits
-        servers = {server.incarnation_id: server for server in engines}
-        for gone in [engine_id for engine_id in self._engines if engine_id not in servers]:
-            for run_id, (move, _) in list(self._moves.items()):
-                if gone in (move.source, move.target):
-                    self._end_move(run_id, now, has_failed=False)
-            for run_id in list(self._engines[gone].runs):
-                self._remove_run(run_id)
-            del self._engines[gone]
-        for engine_id, server in servers.items():
-            known = self._engines.get(engine_id)
-            if known is None:
-                self._engines[engine_id] = EngineState(server, None if is_first else now)
-            else:
-                known.server = server
+        self._group.set_engines(engines, limits, now)
 
     def request(self, need: PlacementRequest, now: float) -> PlacementDecision:
         """Decide about a request; asking again for the same run returns its present state."""
-        if not self.is_ready(now) or not self._engines:
+        if not self.is_ready(now) or not self._group.engines:
             return NOT_COORDINATOR
         decided = self._decided.get(need.run_id)
         if decided is not None:
@@ -200,11 +154,8 @@
         if decided is None or decided.decision.engine != engine:
             return
         del self._decided[run_id]
-        self._remove_run(run_id)
-        state = self._engines.get(engine)
-        self._unseen_until = now + UNSEEN_S
-        if state is not None and self._limits is not None:
-            state.record_refusal(decided.decision.reserve_tokens, self._limits.kv_tokens, now)
+        self._group.remove_run(run_id)
+        self._group.record_refusal(engine, decided.decision.reserve_tokens, now)
         self._waiting[run_id] = decided.waiting
 
     def withdraw(self, run_id: str, now: float) -> None:
@@ -235,23 +186,25 @@
             if report.run_id in self._ended:
                 continue
             if report.run_id in over:
-                self._record_completed(report)
-            elif report.engine in self._engines:
-                self._put_report(report, owner, now)
+                self._group.record_completed(report)
+            elif report.engine in self._group.engines:
+                # Its owner may have reserved at the engine itself while the request waited here.
+                self._waiting.pop(report.run_id, None)
+                self._group.put_report(report, owner, now)
         for run_id in ended:
             self._end(run_id, now)
         if complete:
             kept = {report.run_id for report in runs}
-            for run_id, run in self._all_runs():
+            for run_id, run in self._group.all_runs():
                 is_settled = not run.is_grant and now - run.seen_at > REORDER_S
                 if run.owner == owner and run_id not in kept and is_settled:
-                    self._remove_run(run_id)
+                    self._group.remove_run(run_id)
 
     def expire(self, now: float) -> None:
         """Remove runs of owners silent for :data:`RUN_EXPIRY_S`, and grants not taken up."""
-        for run_id, run in self._all_runs():
+        for run_id, run in self._group.all_runs():
             if now - run.seen_at > (GRANT_EXPIRY_S if run.is_grant else RUN_EXPIRY_S):
-                self._remove_run(run_id)
+                self._group.remove_run(run_id)
         for run_id, decided in list(self._decided.items()):
             if now - decided.at > GRANT_EXPIRY_S:
                 del self._decided[run_id]
@@ -260,7 +213,7 @@
                 break
             del self._ended[run_id]
         self._promises.expire(now)
-        self._expire_moves(now)
+        self._group.expire_moves(now)
 
     def grants(self, now: float) -> list[Granted]:
         """Return the requests granted or refused while waiting, since the last call."""
@@ -302,31 +255,16 @@
 
     def moves(self, now: float) -> list[RunMove]:
         """Return the moves to start now: at most one from or to an engine at a time."""
-        if self._limits is None or not self.is_ready(now) or now < self._next_moves_at:
-            return []
-        self._next_moves_at = now + MOVE_INTERVAL_S
-        self._expire_moves(now)
-        found = []
-        engines, grid = list(self._engines.values()), self._grid(now)
-        for source in engines:
-            choice = choose_move(
-                source, engines, self._limits, lambda run: self._left_tokens(run, now), grid, now
-            )
-            if choice is not None:
-                found.append(self._start_move(choice, source, now))
-        return found
+        return self._group.start_moves(now) if self.is_ready(now) else []
 
     def is_ready(self, now: float) -> bool:
         """Whether it has coordinated for long enough to know the runs."""
         return now - self._started_at >= WARM_UP_S
 
     def _new_waiting(self, need: PlacementRequest, now: float) -> Waiting:
-        answer, _ = self._growth.remaining(need.route, 0, need.expected_tokens, need.max_tokens)
-        tokens_per_s = self._tokens_per_s
-        service_s = self._first_event_s + answer / tokens_per_s
-        weight = EWMA_WEIGHT if self._mean_tokens else 1.0
-        self._mean_answer += weight * (answer - self._mean_answer)
-        self._mean_tokens += weight * (need.prompt_tokens + answer - self._mean_tokens)
+        group = self._group
+        answer = group.record_request(need)
+        service_s = group.first_event_s + answer / group.tokens_per_s
         times = ReservationRequest(
             tokens=need.prompt_tokens + int(answer),
             target_s=need.target_left_s,
@@ -334,7 +272,7 @@
             event_timeout_s=need.event_timeout_s,
             is_retry=need.is_retry,
             service_s=service_s,
-            first_event_s=self._first_event_s,
+            first_event_s=self._group.first_event_s,
         )
         is_promised = self._promises.redeem(need, now)
         return Waiting(need, now, times, is_promised, need.prompt_tokens + answer, service_s)
@@ -342,7 +280,7 @@
     def _refusal(self, waiting: Waiting, ahead: int, now: float) -> PlacementDecision | None:
         """Return a refusal if the request will not be served before its caller gives up."""
         times, waited_s = waiting.times, now - waiting.asked_at
-        turns_per_s = self._turns_per_s(now)
+        turns_per_s = self._group.turns_per_s(now)
         late_per_s = max(MIN_LATE_SHARE * turns_per_s, turns_per_s - self._arrivals.per_s(now))
         turn_s = (ahead + 1) / turns_per_s
         # A request whose turn was predicted in time keeps waiting until it is late. Refused
@@ -356,56 +294,44 @@
         retry_s = self._promises.promise(waiting, late_per_s, ahead, now)
         return PlacementDecision(PlacementOutcome.REFUSED, retry_after_s=retry_s)
 
-    def _turns_per_s(self, now: float) -> float:
-        """Return how many runs end per second, by the mean duration of the runs in progress.
-
-        The memory that a refusal showed to be in use counts as runs that are unknown here.
-        """
-        runs = float(len(self._where))
-        if now < self._unseen_until:
-            unseen = sum(engine.unseen_tokens(now) for engine in self._engines.values())
-            runs += unseen / max(1.0, self._mean_tokens)
-        run_s = self._first_event_s + self._mean_answer / self._tokens_per_s
-        return max(1.0, runs) / max(0.1, run_s)
-
     def _shares(self) -> AccountShares:
         return AccountShares(
-            self._account_runs, {waiting.need.account for waiting in self._waiting.values()}
+            self._group.account_runs, {waiting.need.account for waiting in self._waiting.values()}
         )
 
     def _try_place(self, waiting: Waiting, now: float) -> PlacementDecision | None:
         """Grant the request a place on the best engine that admits it; None without one."""
-        assert self._limits is not None
-        need = waiting.need
+        group, need = self._group, waiting.need
+        assert group.limits is not None
         answer = waiting.expected_tokens - need.prompt_tokens
         blocks = -(-(need.prompt_tokens + RESERVED_ANSWER_SHARE * answer) // BLOCK_TOKENS)
-        reserve = min(int(blocks) * BLOCK_TOKENS, self._limits.kv_tokens)
+        reserve = min(int(blocks) * BLOCK_TOKENS, group.limits.kv_tokens)
         growths: dict[float, tuple[RunGrowth, Profile]] = {}
-        grid, mean_token_s = self._grid(now), 1.0 / self._tokens_per_s
-        headroom = self._shares().headroom(need.account) * self._limits.kv_tokens
+        grid, mean_token_s = group.grid(now), 1.0 / group.tokens_per_s
+        headroom = self._shares().headroom(need.account) * group.limits.kv_tokens
         demand = waiting.expected_tokens + headroom
         candidates = []
-        for engine_id, engine in self._engines.items():
+        for engine_id, engine in group.engines.items():
             if (
                 demand < engine.memory.rejected_tokens
-                and engine.may_start(self._limits.slots, now)
+                and engine.may_start(group.limits.slots, now)
                 and engine_id not in need.avoid
             ):
                 token_s = engine.pace.token_s or mean_token_s
                 cost = placement_cost(
                     engine,
-                    engine.memory.level / self._limits.kv_tokens,
+                    engine.memory.level / group.limits.kv_tokens,
                     token_s / mean_token_s,
                     need.zone,
                     self._rng,
                 )
                 candidates.append((cost, engine_id, token_s))
         for _, engine_id, token_s in sorted(candidates):
-            engine = self._engines[engine_id]
+            engine = group.engines[engine_id]
             if token_s not in growths:
-                growth = self._new_growth(need, token_s, now)
+                growth = group.new_growth(need, token_s, now)
                 growths[token_s] = growth, growth.profile(now, grid)
-            capacity = self._limits.kv_tokens - engine.unseen_tokens(now) - headroom
+            capacity = group.limits.kv_tokens - engine.unseen_tokens(now) - headroom
             growth, added = growths[token_s]
             # The approximation by mean and deviation exceeds the true maximum of few runs, so an
             # engine without runs, and one that holds the maxima of all its runs, always fit.
@@ -415,7 +341,7 @@
                 and not fits(engine.memory.profile, capacity, ADMISSION_DEVIATIONS, added)
             ):
                 engine.memory.rejected_tokens = demand
-            elif self._engine_admits(engine, need, reserve, now):
+            elif group.admits(engine, need, reserve, now):
                 return self._grant(engine, waiting, growth, reserve, now)
         return None
 
@@ -438,160 +364,12 @@
             max_pause_s=need.max_pause_s,
         )
         engine.ramp_grants += 1
-        self._add_run(Run(report, need.owner, now, growth, reserve, is_grant=True), now)
+        self._group.add_run(Run(report, need.owner, now, growth, reserve, is_grant=True), now)
         return PlacementDecision(PlacementOutcome.GRANTED, report.engine, reserve)
 
-    def _engine_admits(
-        self, engine: EngineState, need: PlacementRequest, reserve: int, now: float
-    ) -> bool:
-        """Whether the engine will take the reservation, and pauses stay within the bounds."""
-        limits = self._limits
-        assert limits is not None
-        if engine.tokens_now(now) + reserve > limits.kv_tokens:
-            return False
-        bounds = [run.report.max_pause_s for run in engine.runs.values()]
-        bound_s = min((bound for bound in (*bounds, need.max_pause_s) if bound > 0), default=0.0)
-        pause_s = engine.pace.pause_s(len(engine.runs) + 1, limits.tokens_per_event)
-        return not bound_s or pause_s <= bound_s
-
-    def _grid(self, now: float) -> Grid:
-        """Return the first point in time of the predictions, and the step between points.
-
-        The predictions of all engines are computed again when it changes.
-        """
-        wanted = step_s(self._first_event_s + self._mean_answer / self._tokens_per_s)
-        # Each change of the step has all predictions computed again.
-        if not self._step_s or not 0.7 < wanted / self._step_s < 1.4:
-            self._step_s = wanted
-        grid = now // REFRESH_S * REFRESH_S, self._step_s
-        if grid != self._last_grid:
-            self._last_grid = grid
-            for engine in self._engines.values():
-                engine.memory.refresh(grid, now)
-        return grid
-
-    def _new_growth(self, need: PlacementRequest, token_s: float, now: float) -> RunGrowth:
-        return RunGrowth(
-            prompt_tokens=need.prompt_tokens,
-            made_tokens=0.0,
-            at=now + self._first_event_s,
-            tokens_per_s=1.0 / token_s,
-            survival=self._growth.survival(need.route, need.expected_tokens, need.max_tokens),
-            base=answer_base(need.expected_tokens, need.max_tokens),
-            max_tokens=need.max_tokens,
-        )
-
-    def _put_report(self, report: RunReport, owner: str, now: float) -> None:
-        engine = self._engines[report.engine]
-        known = engine.runs.get(report.run_id)
-        if known is not None and report.made_tokens and not known.is_grant:
-            self._measure_pace(engine, known.report, report, now)
-        token_s = engine.pace.token_s or 1.0 / self._tokens_per_s
-        first_in_s = 0.0 if report.made_tokens else max(0.0, self._first_event_s - report.age_s)
-        growth = RunGrowth(
-            prompt_tokens=report.prompt_tokens,
-            made_tokens=float(report.made_tokens),
-            at=now + first_in_s,
-            tokens_per_s=1.0 / token_s,
-            survival=self._growth.survival(report.route, report.expected_tokens, report.max_tokens),
-            base=answer_base(report.expected_tokens, report.max_tokens),
-            max_tokens=report.max_tokens,
-        )
-        reserved = known.reserved_tokens if known is not None else 0
-        if report.run_id in self._moves and report.engine == self._moves[report.run_id][0].target:
-            self._end_move(report.run_id, now, has_failed=False)
-        engine.refusals = 0
-        # Its owner may have reserved at the engine itself while the request waited here.
-        self._waiting.pop(report.run_id, None)
-        self._add_run(Run(report, owner, now, growth, reserved, is_grant=False), now)
-
-    def _measure_pace(
-        self, engine: EngineState, before: RunReport, report: RunReport, now: float
-    ) -> None:
-        took_s, made = report.age_s - before.age_s, report.made_tokens - before.made_tokens
-        if took_s < MIN_SAMPLE_S or made <= 0:
-            return
-        if before.made_tokens:
-            if engine.pace.record(took_s / made, len(engine.runs), now):
-                paces = [state.pace.token_s for state in self._engines.values()]
-                measured = [token_s for token_s in paces if token_s]
-                self._tokens_per_s = len(measured) / sum(measured)
-        elif engine.pace.token_s:
-            first_s = report.age_s - report.made_tokens * engine.pace.token_s
-            self._first_event_s += EWMA_WEIGHT * (max(0.0, first_s) - self._first_event_s)
-
-    def _record_completed(self, report: RunReport) -> None:
-        if report.made_tokens:
-            self._growth.record_completed(
-                report.route, report.made_tokens, report.expected_tokens, report.max_tokens
-            )
-
-    def _left_tokens(self, run: Run, now: float) -> float:
-        report = run.report
-        made = int(min(run.growth.made_at(now), report.max_tokens))
-        left, _ = self._growth.remaining(
-            report.route, made, report.expected_tokens, report.max_tokens
-        )
-        return left
-
-    def _start_move(self, choice: MoveChoice, source: EngineState, now: float) -> RunMove:
-        """Occupy the place at the target until the run is reported there."""
-        run, target = choice.run, choice.target
-        run_id, target_id = run.report.run_id, target.server.incarnation_id
-        source.moves += 1
-        target.moves += 1
-        copy = replace(run.report, run_id=run_id + COPY_SUFFIX, engine=target_id)
-        self._add_run(replace(run, report=copy, seen_at=now, is_grant=True), now)
-        move = RunMove(run_id, run.owner, run.report.engine, target_id)
-        self._moves[run_id] = move, now
-        return move
-
-    def _end_move(self, run_id: str, now: float, *, has_failed: bool) -> None:
-        moved = self._moves.pop(run_id, None)
-        if moved is None:
-            return
-        self._remove_run(run_id + COPY_SUFFIX)
-        for engine_id in (moved[0].source, moved[0].target):
-            engine = self._engines.get(engine_id)
-            if engine is not None:
-                engine.moves -= 1
-        source = self._engines.get(moved[0].source)
-        if has_failed and source is not None:
-            source.move_paused_until = now + MOVE_PAUSE_S
-
-    def _expire_moves(self, now: float) -> None:
-        for run_id, (_, since) in list(self._moves.items()):
-            if now - since > MOVE_TIMEOUT_S:
-                self._end_move(run_id, now, has_failed=True)
-
-    def _all_runs(self) -> list[tuple[str, Run]]:
-        return [row for engine in self._engines.values() for row in engine.runs.items()]
-
-    def _add_run(self, run: Run, now: float) -> None:
-        engine, run_id = self._engines[run.report.engine], run.report.run_id
-        known = engine.runs.get(run_id)
-        if known is None:
-            self._remove_run(run_id)
-        else:
-            self._count_account(known, -1)
-        engine.add_run(run, self._grid(now), now)
-        self._where[run_id] = run.report.engine
-        self._count_account(run, 1)
-
-    def _count_account(self, run: Run, change: int) -> None:
-        account = run.report.account
-        self._account_runs[account] += change
-        if not self._account_runs[account]:
-            del self._account_runs[account]
-
-    def _remove_run(self, run_id: str) -> None:
-        engine = self._engines.get(self._where.pop(run_id, ""))
-        if engine is not None:
-            self._count_account(engine.remove_run(run_id), -1)
-
     def _end(self, run_id: str, now: float) -> None:
-        self._end_move(run_id, now, has_failed=False)
-        self._remove_run(run_id)
+        self._group.end_move(run_id, now, has_failed=False)
+        self._group.remove_run(run_id)
         self._waiting.pop(run_id, None)
         self._decided.pop(run_id, None)
         self._ended.pop(run_id, None)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -21,13 +21,14 @@
     PlacementRequest,
     RunReport,
 )
-from crankhinge.decisions.placement._coordinator import MOVE_TIMEOUT_S, REORDER_S
+from crankhinge.decisions.placement._coordinator import REORDER_S
 from crankhinge.decisions.placement._engines import (
     PACE_HOLD_S,
     RAMP_S,
     REFUSAL_PAUSE_S,
     EnginePace,
 )
+from crankhinge.decisions.placement._group import MOVE_TIMEOUT_S
 from crankhinge.decisions.placement._growth import BIN_WIDTH, BINS, AnswerGrowth, answer_base
 from crankhinge.decisions.placement._memory import (
     POINTS,
@@ -477,7 +478,7 @@
             coordinator.expire(now + 0.1 * step)
         assert (coordinator.known_runs, coordinator.waiting_requests) == (0, 0)
         assert coordinator.fullest_share(now + 8.0) == pytest.approx(0.0, abs=1e-9)
-        assert not coordinator._account_runs
-        assert not coordinator._moves
+        assert not coordinator._group.account_runs
+        assert not coordinator._group._moves
         assert not coordinator._decided
         assert not coordinator._ended
