Placement: pauses are predicted from the pace at other numbers of runs

Cause: pauses were taken to grow in proportion to the number of runs, so an engine measured with one run at 40 ms per event counted as full from the fourth run on; one sample of a preempted run tripled the average. Change: the seconds per token follow a line through the measurements, with 5 % per run assumed until then; a sample counts as at most twice the average.

--- a/src/crankhinge/decisions/placement/_engines.py
+++ b/src/crankhinge/decisions/placement/_engines.py
@@ -22,8 +22,16 @@
 # A pace is measured between two reports at least this far apart. Reports count whole events, so a
 # shorter time would give coarse values.
 MIN_SAMPLE_S = 0.3
+# A sample counts as at most this many times the average. The time of a preempted run is up to 20
+# times the average, and says nothing of the pace of the others.
+MAX_SAMPLE_RATIO = 2.0
 # Pauses vary around their average by up to this factor, since prompts are processed in between.
 PAUSE_FACTOR = 2.0
+# Until it was measured, each run more is assumed to slow an engine's runs down by this share: most
+# of the time of a step does not depend on their number. The assumption counts like measurements
+# with this variance of the number of runs.
+RUN_SHARE = 0.05
+RUNS_VARIANCE = 2.0
 # Seconds in which a new or returned engine gets its first runs at a rising rate. An engine that
 # fails soon after its start then loses few runs, and its first prompts don't arrive all at once.
 RAMP_S = 3.0
@@ -73,6 +81,8 @@
     def __init__(self) -> None:
         self._token_s = 0.0
         self._runs = 0.0
+        self._runs_variance = 0.0
+        self._covariance = 0.0
         self._used_token_s = 0.0
         self._differs_since: float | None = None
 
@@ -88,8 +98,12 @@
             self._used_token_s = _rounded(token_s)
             self._runs = float(runs)
             return True
-        self._token_s += EWMA_WEIGHT * (token_s - self._token_s)
-        self._runs += EWMA_WEIGHT * (runs - self._runs)
+        token_s = min(token_s, MAX_SAMPLE_RATIO * self._token_s)
+        slower_s, more = token_s - self._token_s, runs - self._runs
+        self._token_s += EWMA_WEIGHT * slower_s
+        self._runs += EWMA_WEIGHT * more
+        self._runs_variance += EWMA_WEIGHT * (more * more - self._runs_variance)
+        self._covariance += EWMA_WEIGHT * (more * slower_s - self._covariance)
         if abs(self._token_s - self._used_token_s) <= PACE_TOLERANCE * self._used_token_s:
             self._differs_since = None
             return False
@@ -104,11 +118,12 @@
     def pause_s(self, runs: int, tokens_per_event: int) -> float:
         """Return the longest likely pause between events with this many runs.
 
-        With more runs than were measured, the pace is assumed to fall in proportion: that is the
-        slowest it can be while the engine is not short of memory.
+        The seconds per token follow a line through what was measured with other numbers of runs.
         """
-        more = max(1.0, runs / self._runs) if self._runs else 1.0
-        return self._used_token_s * more * tokens_per_event * PAUSE_FACTOR
+        assumed = RUNS_VARIANCE * RUN_SHARE * self._token_s
+        per_run_s = max(0.0, self._covariance + assumed) / (self._runs_variance + RUNS_VARIANCE)
+        token_s = self._used_token_s + per_run_s * max(0.0, runs - self._runs)
+        return token_s * tokens_per_event * PAUSE_FACTOR
 
 
 def _rounded(token_s: float) -> float:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -345,6 +345,17 @@
         assert coordinator.request(NEED, 2.0).outcome is not GRANTED
         assert coordinator.request(replace(NEED, run_id="a/2"), 2.1).outcome is not GRANTED
 
+    def test_engine_measured_with_one_run_is_not_taken_for_full(self) -> None:
+        """At the start of a burst, engines must not be refused since their pace is unknown."""
+        pace = EnginePace()
+        for tick in range(40):
+            pace.record(0.00065, 1, tick * 0.1)
+        assert pace.pause_s(12, 63) < 0.15
+        for tick in range(200):
+            runs = 1 + tick % 8
+            pace.record(0.0005 + 0.00015 * runs, runs, 4.0 + tick * 0.1)
+        assert pace.pause_s(12, 63) == pytest.approx(2 * 63 * (0.0005 + 0.00015 * 12), rel=0.25)
+
 
 class TestMoves:
     """Which run leaves an engine."""
