A fault of the placement decisions ends no instance

Cause: an exception in a handler of datagrams ends the task that receives all messages between instances, and the process after ten of them in 30 s.

Change: the coordinator forgets the group, as after a restart, logs placement_failed and says that it does not coordinate.

Why it holds: test_request_falls_back_and_the_group_begins_anew lets each method of the decisions fail. The other fleets of the tests fail on such a line.

--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -8,9 +8,10 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
-from typing import Any
+from functools import partial
+from typing import Any, TypeVar
 
 import curio
 
@@ -78,6 +79,8 @@
 # Time in seconds for which the parts of a complete report may arrive one after the other.
 MAX_REPORT_S = 1.0
 
+M = TypeVar("M", PlacementWithdrawal, RunChanges, RunsComplete)
+
 NOT_COORDINATOR = PlacementDecision(PlacementOutcome.NOT_COORDINATOR)
 
 
@@ -190,9 +193,9 @@
         self._stopping_since: float | None = None
         self._leaving_sent_at = float("-inf")
         transport.add_handler(PlacementAsk, self._on_ask)
-        transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
-        transport.add_handler(RunChanges, self._on_changes)
-        transport.add_handler(RunsComplete, self._on_complete)
+        transport.add_handler(PlacementWithdrawal, partial(self._guarded, self._on_withdrawal))
+        transport.add_handler(RunChanges, partial(self._guarded, self._on_changes))
+        transport.add_handler(RunsComplete, partial(self._guarded, self._on_complete))
 
     @property
     def run_count(self) -> int:
@@ -212,7 +215,33 @@
 
     # Messages from owners.
 
+    async def _guarded(
+        self, handle: Callable[[M, str], Awaitable[None]], message: M, sender: str
+    ) -> None:
+        """Handle a message; if that fails, forget the group, as after a restart.
+
+        A false message or a fault of the decisions must not end the task that receives the messages
+        of this instance. Without a coordinator, the instances reserve directly.
+        """
+        try:
+            await handle(message, sender)
+        except Exception as exc:
+            self._forget(message.group_id, exc)
+
+    def _forget(self, group_id: int, exc: Exception) -> None:
+        self._groups.pop(group_id, None)
+        self._metrics.count("placement_failed")
+        self._log.error("placement_failed", kind=type(exc).__name__, why=str(exc))
+
     async def _on_ask(self, message: PlacementAsk, sender: str) -> None:
+        try:
+            decision = await self._decide(message, sender)
+        except Exception as exc:
+            self._forget(message.group_id, exc)
+            decision = NOT_COORDINATOR
+        await self._transport.reply(sender, _to_reply(message.counter, decision))
+
+    async def _decide(self, message: PlacementAsk, sender: str) -> PlacementDecision:
         now = await curio.clock()
         owner = self._transport.name_of(sender)
         group = self._group(message.group_id, now, from_report=False)
@@ -229,7 +258,7 @@
                 await self._push(group, now)
             decision = group.coordinator.request(need, now)
             self._record_asked(group, need, decision, now)
-        await self._transport.reply(sender, _to_reply(message.counter, decision))
+        return decision
 
     async def _on_withdrawal(self, message: PlacementWithdrawal, sender: str) -> None:
         now = await curio.clock()
@@ -396,8 +425,11 @@
             self._detect_suspension(now, interval_s)
             if self.is_stopping():
                 await self._hand_over(now)
-            for group in list(self._groups.values()):
-                await self._check(group, now)
+            for group_id, group in list(self._groups.items()):
+                try:
+                    await self._check(group, now)
+                except Exception as exc:
+                    self._forget(group_id, exc)
 
     def _detect_suspension(self, now: float, interval_s: float) -> None:
         late_s = now - self._checked_at - interval_s
--- a/tests/placement_fleet.py
+++ b/tests/placement_fleet.py
@@ -210,17 +210,27 @@
     Args:
         count: number of instances.
         engines: number of engines.
+
+    Attributes:
+        network: connects the instances.
+        instances: the current incarnation of each instance.
+        logs: logs of all incarnations.
+        tolerates_failures: whether the decisions of a coordinator may fail.
     """
 
     def __init__(self, count: int = 3, engines: int = 8) -> None:
         self.network = Network()
+        self.logs: list[LogCapture] = []
+        self.tolerates_failures = False
         self.servers = [engine(number) for number in range(engines)]
         self.names = [f"g-{number}" for number in range(count)]
         self.instances = {name: self._make(name) for name in self.names}
         self._tasks: dict[str, Any] = {}
 
     def _make(self, name: str) -> Instance:
-        return Instance(name, self.network, self.servers, len(self.network.messengers))
+        instance = Instance(name, self.network, self.servers, len(self.logs))
+        self.logs.append(instance.logs)
+        return instance
 
     def ranked(self) -> list[Instance]:
         """Return the instances in the order in which they coordinate the only group."""
@@ -254,6 +264,8 @@
             await scenario()
 
         run_virtual(run_all)
+        failed = [line for logs in self.logs for line in logs.matching("event=placement_failed")]
+        assert self.tolerates_failures or not failed
 
     def _join(self, instance: Instance, now: float) -> None:
         instance.membership.set_lease_end(1e9)
--- a/tests/test_placement_coordination.py
+++ b/tests/test_placement_coordination.py
@@ -30,7 +30,7 @@
     RunsComplete,
 )
 from crankhinge.gateway.placement._service import STANDBY_IDLE_S
-from placement_fleet import DELAY_S, PlacementFleet, deadline, make_relay
+from placement_fleet import DELAY_S, READY_S, PlacementFleet, deadline, make_relay
 
 GRANTED, WAITING = PlacementOutcome.GRANTED, PlacementOutcome.WAITING
 ROUND_TRIP_S = 2 * DELAY_S
@@ -618,6 +618,35 @@
         fleet.run(scenario)
 
 
+class TestFailingDecisions:
+    """A fault of the decisions, or a false message that leads to one."""
+
+    def test_request_falls_back_and_the_group_begins_anew(self) -> None:
+        """An instance whose decisions fail must not end, nor leave requests without a response."""
+        fleet = PlacementFleet()
+        fleet.tolerates_failures = True
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            for method in ("request", "report", "withdraw", "grants", "expire"):
+                await fleet.start_run(fleet.owner)
+                [group] = fleet.first.service._groups.values()
+
+                def fail(*args: Any, **kwargs: Any) -> Any:
+                    raise ZeroDivisionError
+
+                setattr(group.coordinator, method, fail)
+                attempt, _ = await fleet.place(fleet.owner)
+                await attempt.withdraw()
+                await curio.sleep(1.2)
+                assert group not in fleet.first.service._groups.values()
+                await fleet.place(fleet.owner)
+                await curio.sleep(READY_S)
+            assert len(fleet.first.logged("placement_failed")) >= 5
+
+        fleet.run(scenario)
+
+
 class TestGroups:
     """A service with more engines than one coordinator can serve."""
 
