Fence: only the replica that continues alone swaps the record's head

What callers saw: after a restart of both agents of a fence pair, with late responses of the key-value service, one agent stayed solo at epoch n and the other was paired at n+1.

While the swap is pending the link returns, and "b" still announces that it is empty. "a", empty as well, reads the head (5, "b"), takes both for empty by that announcement and swaps the head to (6, ""). "b" is solo and asks nobody, so it never learns this; "a" sends its new record but no announcement, and "b" ignores the record.

Ruled out: the loss of the response (the head was read again and the swap was recognized), the write that takes effect late, and the compare-and-swap itself. The announcement alone would not be enough: a solo replica permits keys until the announcement arrives.

Change: - Of two empty replicas, the one that the head names begins the new record; the smaller name does only if the head names neither. - A replica that begins a record announces it, so that one that is paired at an older epoch steps down. Faults of the same kind, found by reading and now tested: - A late response to an earlier swap was taken for that of the pending one. - A head read before an own swap, answered after it, made the replica drop its record; so did the epoch of its own swap when the other replica reported it first. - A solo replica could pair without the other having a copy with its latest permits. - A link that is replaced before its end is noticed left the copy, the announcement and the claims of the old link in force; the service handled late messages of the old link, and sent the rest of a copy over the new link, where it looked complete.

Why it holds: a replica is solo only while the head names it, and only that name swaps such a head, while it permits nothing. Paired replicas need consent at the same epoch. Each change of the head keeps the permits or begins after them (docs/design/at-most-once.md).

--- a/src/crankhinge/agent/_fence_service.py
+++ b/src/crankhinge/agent/_fence_service.py
@@ -182,7 +182,8 @@
         ):
             return False
         pair = self._pairs.get(msg.range_id)
-        if pair is None:
+        if pair is None or self._links.get(pair.other) is not link:
+            # A link that was replaced may still deliver messages of a process that has ended.
             return True
         role_before = pair.role
         await self._apply_actions(pair, _apply_message(pair, msg, await curio.clock()))
@@ -200,19 +201,18 @@
         await self._apply_actions(pair, pair.on_permit(msg, now, wall_ms()))
 
     async def _apply_actions(self, pair: FencePair, actions: list[FenceAction]) -> None:
+        # The actions of one decision go over one link: if a link is replaced while a copy is sent,
+        # the rest of the copy would look like a complete one on the new link.
+        link = self._links.get(pair.other)
         for action in actions:
             if isinstance(action, Send):
-                await self._send(pair.other, action.msg)
+                if link is not None:
+                    await send_if_open(link, action.msg)
             elif isinstance(action, Reply):
                 await self._reply(action)
             else:
                 await curio.spawn(self._call_store, pair, action, daemon=True)
 
-    async def _send(self, name: str, msg: Message) -> None:
-        link = self._links.get(name)
-        if link is not None:
-            await send_if_open(link, msg)
-
     async def _reply(self, action: Reply) -> None:
         link = self._requesters.pop(action.req, None)
         if link is None:
--- a/src/crankhinge/decisions/_fence.py
+++ b/src/crankhinge/decisions/_fence.py
@@ -6,9 +6,11 @@
 the other. Only a change of who keeps the record goes through the key-value service, by
 compare-and-swap on its epoch: a replica that has lost the other must win that swap before it may
 continue alone, and a replica that restarts with an empty record must verify there that the copy it
-received is current. When both replicas lose their memory at once, requests with keys created before
-that moment get the response "unknown" and are never run: a key is a UUID of version 7 (RFC 9562)
-and contains the time of its creation.
+received is current. While the head names a replica that continues alone, only that replica swaps
+the head, since it grants permission without asking and would not notice the swap of another one.
+When both replicas lose their memory at once, requests with keys created before that moment get the
+response "unknown" and are never run: a key is a UUID of version 7 (RFC 9562) and contains the time
+of its creation.
 
 This module only decides: events in, actions out, no I/O.
 """
@@ -102,11 +104,15 @@
         self._linked = False
         self._unlinked_at: float | None = None
         self._other_state = ""
+        self._other_epoch = 0
         self._copy: _IncomingCopy | None = None
         self._sync_id = 0
+        self._is_copy_current = False
         self._syncing_until = 0.0
         self._swap: FenceRecord | None = None
+        self._pending_swap_calls = 0
         self._read_pending = False
+        self._read_outdated = False
 
     def __len__(self) -> int:
         return len(self._keys)
@@ -129,6 +135,7 @@
             return [Reply(msg.req, FenceAlreadyTaken(msg.req, cause=cause))]
         if self.role is FenceRole.SOLO and self._may_grant_alone(now):
             self._keys[msg.key] = KeyState(msg.digest, msg.req, now)
+            self._is_copy_current = False
             return [Reply(msg.req, FencePermitted(msg.req))]
         if self.role is FenceRole.PAIRED and self._linked and self._swap is None:
             self._keys[msg.key] = KeyState(msg.digest, msg.req, now, awaiting_consent=True)
@@ -165,17 +172,24 @@
     # -- the other replica --------------------------------------------------------------------
 
     def on_linked(self) -> list[FenceAction]:
-        """Handle a new connection to the other replica."""
+        """Handle a new connection to the other replica, which may replace one that still exists."""
+        # A process that has ended may have sent what came over the previous connection.
+        actions = self._forget_connection()
         self._linked = True
         self._unlinked_at = None
-        return [self._announce_state()]
+        return [*actions, self._announce_state()]
 
     def on_unlinked(self, now: float) -> list[FenceAction]:
         """Handle a lost connection: attempts that wait for consent get the response "not now"."""
         self._linked = False
         self._unlinked_at = now
+        return self._forget_connection()
+
+    def _forget_connection(self) -> list[FenceAction]:
+        """Drop what the other replica sent, and what it was asked, over a connection."""
         self._other_state = ""
         self._copy = None
+        self._is_copy_current = False
         return self._drop_unconsented()
 
     def _drop_unconsented(self) -> list[FenceAction]:
@@ -228,15 +242,18 @@
             return [Reply(msg.nonce, FenceAlreadyTaken(msg.nonce))]
         actions: list[FenceAction] = [Reply(msg.nonce, None)]
         if msg.epoch > self.epoch:
-            actions += self._step_down()
+            actions += self._on_newer_epoch()
         return actions
 
     def on_state(self, msg: FenceState, now: float) -> list[FenceAction]:
         """Act on the state that the other replica announces."""
         self._other_state = msg.state
+        self._other_epoch = msg.epoch
         if msg.epoch > self.epoch and self.role is not FenceRole.JOINING:
-            return self._step_down()
+            return self._on_newer_epoch()
         if msg.state == FenceRole.JOINING.value:
+            # It no longer has the record from which it sent a copy.
+            self._copy = None
             return self._on_other_joining(now)
         if self.role is not FenceRole.JOINING:
             return [] if msg.epoch == self.epoch else [self._announce_state()]
@@ -246,6 +263,13 @@
             return self._read_record()
         return [self._announce_state()] if copy is None else []
 
+    def _on_newer_epoch(self) -> list[FenceAction]:
+        """Handle the news that the record has an epoch which this replica does not know."""
+        if self._swap is not None:
+            # The change may be this replica's own swap, whose result it has yet to learn.
+            return self._read_record()
+        return self._step_down()
+
     def _step_down(self) -> list[FenceAction]:
         """Stop trusting this replica's keys, since the record has changed without it."""
         actions = self._drop_unconsented()
@@ -257,8 +281,8 @@
     def _on_other_joining(self, now: float) -> list[FenceAction]:
         """Send the record to the other replica, or begin a new one if this one has none either."""
         if self.role is FenceRole.JOINING:
-            # Both replicas are empty: the one with the smaller name begins a new record.
-            return self._read_record() if self.me < self.other else []
+            # The record's head determines which of the two empty replicas begins a new record.
+            return self._read_record()
         self._sync_id += 1
         if self.role is FenceRole.SOLO:
             self._syncing_until = now + SYNC_TIMEOUT_S
@@ -305,6 +329,7 @@
         current = msg.sync == self._sync_id and msg.epoch == self.epoch
         if self.role is not FenceRole.SOLO or not current or now >= self._syncing_until:
             return []
+        self._is_copy_current = True
         return self._read_record()
 
     # -- the key-value service ----------------------------------------------------------------
@@ -321,6 +346,10 @@
     ) -> list[FenceAction]:
         """Act on the record's head in the key-value service; None when there is none yet."""
         self._read_pending = False
+        if self._read_outdated:
+            # The head was possibly read before this replica's own swap; on_tick reads it again.
+            self._read_outdated = False
+            return []
         head = record or FenceRecord(0, "", 0)
         if self._swap is not None:
             return self._resolve_swap(head, index, now, wall_ms)
@@ -330,13 +359,15 @@
             return self._step_down()
         if self.role is FenceRole.PAIRED and self._is_other_lost(now):
             return self._start_swap(index, self.me)
-        if self.role is FenceRole.SOLO and now < self._syncing_until:
+        is_syncing = self._is_copy_current and now < self._syncing_until
+        if self.role is FenceRole.SOLO and is_syncing:
             return self._start_swap(index, "")
         return []
 
     def on_read_failed(self) -> list[FenceAction]:
         """Handle a read without a response from the key-value service; :meth:`on_tick` retries."""
         self._read_pending = False
+        self._read_outdated = False
         return []
 
     def _try_join(self, head: FenceRecord, index: int, now: float) -> list[FenceAction]:
@@ -345,7 +376,7 @@
         if copy is not None and copy.complete:
             return self._use_copy(copy, head, now)
         both_empty = self._linked and self._other_state == FenceRole.JOINING.value
-        if both_empty and self.me < self.other:
+        if both_empty and self._may_begin(head):
             self.epoch = head.epoch
             return self._start_swap(index, "")
         if self._is_other_lost(now, JOINING_GRACE_S) and head.holder in ("", self.me):
@@ -355,12 +386,25 @@
             return self._start_swap(index, self.me)
         return []
 
+    def _may_begin(self, head: FenceRecord) -> bool:
+        """Whether this one of two empty replicas begins a new record.
+
+        The replica that the head names does so, since the other one cannot know whether it still
+        continues alone: it may have won that swap after its last announcement. Without such a
+        replica, both names are compared; the compare-and-swap then excludes any other change.
+        """
+        first = head.holder if head.holder in (self.me, self.other) else min(self.me, self.other)
+        return first == self.me
+
     def _use_copy(self, copy: _IncomingCopy, head: FenceRecord, now: float) -> list[FenceAction]:
         """Acknowledge a complete copy, or trust it once both replicas keep the record."""
         if head.epoch == copy.epoch and head.holder == self.other:
             copy.acknowledged = True
             return [Send(FenceJoined(self.range_id, copy.epoch, copy.sync_id))]
-        paired_since = head.epoch == copy.epoch + 1 and self._other_state == "paired"
+        paired_since = (
+            self._other_state == FenceRole.PAIRED.value
+            and head.epoch == self._other_epoch == copy.epoch + 1
+        )
         if head.holder or not (head.epoch == copy.epoch or paired_since):
             # The copy is outdated. The announcement informs its sender of the newer epoch.
             self._copy = None
@@ -379,14 +423,25 @@
 
     def _start_swap(self, index: int, holder: str) -> list[FenceAction]:
         """Try to swap in a head that makes *holder* continue alone; empty for both replicas."""
-        self._swap = FenceRecord(self.epoch + 1, holder, self._writer)
-        return [SwapRecord(index, self._swap)]
+        return self._send_swap(index, FenceRecord(self.epoch + 1, holder, self._writer))
+
+    def _send_swap(self, index: int, swap: FenceRecord) -> list[FenceAction]:
+        """Send a swap, which may be one that was sent before."""
+        self._swap = swap
+        self._pending_swap_calls += 1
+        return [SwapRecord(index, swap)]
 
     def on_swapped(self, won: bool | None, now: float, wall_ms: int) -> list[FenceAction]:
-        """Act on the result of a swap; None when no response came, so the head is read again."""
+        """Act on the result of a swap; None when no response came, so the head is read again.
+
+        The head is also read while other swap calls are pending, since the result may then belong
+        to an earlier swap.
+        """
+        is_only_call = self._pending_swap_calls == 1
+        self._pending_swap_calls = max(0, self._pending_swap_calls - 1)
         if self._swap is None:
             return []
-        if won:
+        if won and is_only_call:
             return self._resolve_swap(self._swap, 0, now, wall_ms)
         return self._read_record()
 
@@ -402,7 +457,7 @@
             return self._apply_swap(swap, now, wall_ms)
         if head.epoch < swap.epoch:
             # The swap may still take effect. It is sent again; only one of the two can succeed.
-            return [SwapRecord(index, swap)]
+            return self._send_swap(index, swap)
         self._swap = None
         return self._step_down()
 
@@ -414,15 +469,17 @@
             # Before the very first record, no permission can have been granted.
             self.since_ms = wall_ms if swap.epoch > 1 else 0
         self._copy = None
-        if swap.holder:
-            self.role = FenceRole.SOLO
-            self._syncing_until = 0.0
-            return [self._announce_state()] if self._linked else []
+        self._read_outdated = self._read_pending
         was_empty = self.role is FenceRole.JOINING
-        self.role = FenceRole.PAIRED
-        if was_empty:
-            return self._on_other_joining(now) if self._linked else []
-        return [self._announce_state()] if self._linked else []
+        self.role = FenceRole.SOLO if swap.holder else FenceRole.PAIRED
+        self._syncing_until = 0.0
+        if not self._linked:
+            return []
+        # The other replica may still trust an older record, which it gives up on this announcement.
+        actions: list[FenceAction] = [self._announce_state()]
+        if was_empty and self.role is FenceRole.PAIRED:
+            actions += self._on_other_joining(now)
+        return actions
 
     # -- timers -------------------------------------------------------------------------------
 
--- a/tests/test_fence.py
+++ b/tests/test_fence.py
@@ -184,9 +184,80 @@
         )
 
 
-def paired_simulation() -> FenceSimulation:
-    """Return a simulation in which both replicas are paired."""
-    simulation = FenceSimulation()
+@dataclass
+class KvResponse:
+    """The response of a call to the key-value service that was executed but not yet answered."""
+
+    action: ReadRecord | SwapRecord
+    result: Any
+
+
+@dataclass
+class SlowSimulation(FenceSimulation):
+    """A simulation in which responses and notices come late.
+
+    The key-value service executes a call at one time and answers it at a later time, each replica
+    has a path of its own to the service, and a replica may learn of a broken link only when the
+    other replica connects again. The simulation also records the requests that a replica permitted
+    alone while the stored record did not name it.
+    """
+
+    unreachable_from: set[str] = field(default_factory=set)
+    unaware: str = ""
+    permitted_unnamed: list[int] = field(default_factory=list)
+
+    def perform(self, name: str, actions: list[Any]) -> None:
+        """Perform the actions, and compare permits with the stored record."""
+        replica, head = self.replicas[name], self.stored_record[0]
+        is_named = head is not None and (head.epoch, head.holder) == (replica.epoch, name)
+        if replica.role is FenceRole.SOLO and not is_named:
+            self.permitted_unnamed += [
+                action.req
+                for action in actions
+                if isinstance(action, Reply) and isinstance(action.msg, FencePermitted)
+            ]
+        super().perform(name, actions)
+
+    def cut_link(self) -> None:
+        """Break the link, unnoticed by the unaware replica, and drop the messages in flight."""
+        if self.linked:
+            self.linked = False
+            self.in_flight.clear()
+            for name, replica in self.replicas.items():
+                if name != self.unaware:
+                    self.perform(name, replica.on_unlinked(self.now))
+
+    def complete_kv_call(self, position: int) -> None:
+        """Execute one of the pending calls, or answer a call that was executed before."""
+        name, replica, action = self.pending_calls.pop(position)
+        if not isinstance(action, KvResponse):
+            response = KvResponse(action, self.execute(name, action))
+            self.pending_calls.append((name, replica, response))
+            return
+        if isinstance(action.action, SwapRecord):
+            won = None if self.lose_kv_responses else action.result
+            actions = replica.on_swapped(won, self.now, self.wall_ms)
+        elif action.result is None:
+            actions = replica.on_read_failed()
+        else:
+            actions = replica.on_record(*action.result, self.now, self.wall_ms)
+        if self.replicas[name] is replica:
+            self.perform(name, actions)
+
+    def execute(self, name: str, action: ReadRecord | SwapRecord) -> Any:
+        """Return the result of a call; None if the service is unavailable to the replica."""
+        available = self.kv_available and name not in self.unreachable_from
+        if isinstance(action, ReadRecord):
+            return self.stored_record if available else None
+        if available:
+            return self.compare_and_swap(action)
+        self.delayed_writes.append(action)
+        return None
+
+
+def paired_simulation(simulation: FenceSimulation | None = None) -> FenceSimulation:
+    """Return the simulation, a new one by default, after both replicas have paired."""
+    simulation = simulation or FenceSimulation()
     simulation.restore_link()
     simulation.run_for()
     assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
@@ -337,6 +408,212 @@
         assert isinstance(simulation.replies[2], FenceAlreadyTaken)
 
 
+def continue_alone_beside_joining(simulation: FenceSimulation) -> None:
+    """Let "b" win the swap to continue alone after "a", which is empty, heard that b is empty."""
+    simulation.start("b")
+    simulation.start("a")
+    simulation.advance(0.5)
+    simulation.now += 20.0
+    simulation.perform("b", simulation.replicas["b"].on_tick(simulation.now))
+    simulation.complete_kv_call(0)
+    simulation.restore_link()
+    while simulation.in_flight["a"] or simulation.in_flight["b"]:
+        simulation.deliver("a")
+        simulation.deliver("b")
+
+
+class TestChangeOfHead:
+    """The record's head changes while a replica or its information is outdated."""
+
+    def test_empty_replica_does_not_displace_one_that_continues_alone(self) -> None:
+        """The other replica announced that it is empty and then won the swap to continue alone.
+
+        It would go on permitting keys after the empty replica has begun a new record.
+        """
+        simulation = paired_simulation()
+        continue_alone_beside_joining(simulation)
+        simulation.complete_kv_call(0)
+        assert simulation.replicas["b"].role is FenceRole.SOLO
+        while simulation.pending_calls:
+            simulation.complete_kv_call(0)
+        assert simulation.stored_record[0] == FenceRecord(2, "b", 3)
+
+    def test_empty_replicas_begin_a_record_after_one_continued_alone(self) -> None:
+        """The replica that the stored record names begins, also if its name is the greater one."""
+        simulation = paired_simulation()
+        simulation.start("a")
+        simulation.run_for(5.0)
+        assert simulation.replicas["b"].role is FenceRole.SOLO
+        simulation.start("b")
+        simulation.restore_link()
+        simulation.run_for(5.0)
+        assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
+
+    def test_late_response_to_an_earlier_swap_is_not_taken_for_the_present_one(self) -> None:
+        """The response to the swap that paired both arrives during the swap to continue alone."""
+        simulation = FenceSimulation()
+        first = simulation.replicas["a"]
+        simulation.restore_link()
+        simulation.deliver("b")
+        simulation.complete_kv_call(0)
+        (_, _, swap) = simulation.pending_calls.pop()
+        assert simulation.compare_and_swap(swap)
+        simulation.run_for(5.0)
+        assert first.role is FenceRole.PAIRED
+        simulation.cut_link()
+        simulation.now += 5.0
+        simulation.perform("a", first.on_tick(simulation.now))
+        simulation.complete_kv_call(0)
+        assert simulation.pending_calls
+        simulation.perform("a", first.on_swapped(True, simulation.now, simulation.wall_ms))
+        assert first.role is FenceRole.PAIRED
+
+    def test_replica_keeps_its_record_when_the_other_reports_its_own_swap(self) -> None:
+        """The epoch of a replica's own swap reaches it through the other replica first."""
+        simulation = paired_simulation()
+        key = make_key(simulation.wall_ms)
+        simulation.request_permit("b", key, 1)
+        simulation.advance(0.1)
+        simulation.cut_link()
+        simulation.now += 5.0
+        simulation.perform("b", simulation.replicas["b"].on_tick(simulation.now))
+        simulation.complete_kv_call(0)
+        (_, _, swap) = simulation.pending_calls.pop()
+        assert simulation.compare_and_swap(swap)
+        news = FenceState("r", FenceRole.JOINING.value, swap.new.epoch)
+        simulation.perform("b", simulation.replicas["b"].on_state(news, simulation.now))
+        simulation.run_for(1.0)
+        simulation.request_permit("b", key, 2)
+        assert simulation.replies[2] == FenceAlreadyTaken(2)
+
+    def test_head_that_was_read_before_a_swap_is_ignored(self) -> None:
+        """The response with the older head arrives after the swap; the record is kept."""
+        simulation = paired_simulation()
+        simulation.cut_link()
+        simulation.now += 5.0
+        replica = simulation.replicas["b"]
+        simulation.perform("b", replica.on_tick(simulation.now))
+        simulation.complete_kv_call(0)
+        older = simulation.stored_record
+        simulation.perform("b", replica.on_tick(simulation.now))
+        simulation.complete_kv_call(0)
+        assert replica.role is FenceRole.SOLO
+        replica.on_record(*older, simulation.now, simulation.wall_ms)
+        assert replica.role is FenceRole.SOLO
+
+    def test_replica_learns_that_the_other_began_a_new_record(self) -> None:
+        """A replica that is paired at an older epoch gives that record up and gets the new one."""
+        simulation = paired_simulation()
+        simulation.start("a")
+        simulation.restore_link()
+        simulation.deliver("b")
+        joining = FenceState("r", FenceRole.JOINING.value, 0)
+        simulation.perform("a", simulation.replicas["a"].on_state(joining, simulation.now))
+        while simulation.pending_calls:
+            simulation.complete_kv_call(0)
+        assert simulation.replicas["a"].epoch == 2
+        simulation.run_for(5.0)
+        assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
+        assert {replica.epoch for replica in simulation.replicas.values()} == {2}
+
+    def test_claim_is_answered_when_its_connection_is_replaced(self) -> None:
+        """The reply to the claim is lost with the old connection, so the request gets "not now"."""
+        simulation = paired_simulation()
+        simulation.request_permit("a", make_key(simulation.wall_ms), 1)
+        simulation.linked = False
+        simulation.in_flight.clear()
+        simulation.restore_link()
+        assert simulation.replies == {1: None}
+
+    def test_copy_is_not_used_after_an_older_announcement(self) -> None:
+        """The sender announced that it is paired before it was alone, not since."""
+        replica = FencePair(range_id="r", me="b", other="a", writer=1)
+        replica.on_linked()
+        replica.on_sync(FenceSync("r", 2, 0, 1, (), final=True))
+        replica.on_state(FenceState("r", FenceRole.PAIRED.value, 1), 0.0)
+        replica.on_record(FenceRecord(3, "", 2), 3, 0.0, START_MS)
+        assert replica.role is FenceRole.JOINING
+
+    def test_copy_is_dropped_when_its_sender_begins_again(self) -> None:
+        """A change of the configuration takes the record from its sender and gives it back empty.
+
+        The connection stays, and the sender then begins a new record, which the copy is not of.
+        """
+        simulation = paired_simulation()
+        simulation.start("b")
+        simulation.run_for(5.0)
+        key = make_key(simulation.wall_ms)
+        simulation.restore_link()
+        simulation.deliver("b")
+        simulation.deliver("a")
+        simulation.deliver("a")
+        simulation.now += 6.0
+        simulation.request_permit("a", key, 1)
+        assert isinstance(simulation.replies[1], FencePermitted)
+        empty = FencePair(range_id="r", me="a", other="b", writer=9)
+        simulation.replicas["a"] = empty
+        simulation.perform("a", empty.on_linked())
+        # "b" had announced itself twice before it received the copy; it reads the head last.
+        simulation.deliver("b")
+        while empty.role is FenceRole.JOINING:
+            simulation.complete_kv_call(1)
+        simulation.deliver("a")
+        simulation.deliver("a")
+        simulation.complete_kv_call(0)
+        simulation.advance(0.1)
+        for request_id, name in ((2, "b"), (3, "a")):
+            simulation.request_permit(name, key, request_id)
+            simulation.advance(0.1)
+        assert simulation.permitted[key] == [1]
+        assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
+
+    def test_copy_is_dropped_with_the_connection_over_which_it_came(self) -> None:
+        """The other replica restarts and connects again before the old link is known to be broken.
+
+        It then begins a new record, which the copy of its old one does not belong to.
+        """
+        simulation = paired_simulation()
+        simulation.start("b")
+        simulation.run_for(5.0)
+        key = make_key(simulation.wall_ms)
+        simulation.restore_link()
+        simulation.deliver("b")
+        simulation.deliver("a")
+        simulation.deliver("a")
+        simulation.now += 6.0
+        simulation.request_permit("a", key, 1)
+        assert isinstance(simulation.replies[1], FencePermitted)
+        simulation.linked = False
+        simulation.in_flight.clear()
+        simulation.start("a")
+        simulation.restore_link()
+        simulation.run_for(10.0)
+        for request_id, name in ((2, "b"), (3, "a")):
+            simulation.request_permit(name, key, request_id)
+            simulation.advance(0.1)
+        assert simulation.permitted[key] == [1]
+        assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
+
+    def test_copy_without_the_latest_permits_is_not_used(self) -> None:
+        """A replica that permitted a key after it sent a copy sends another one before it pairs."""
+        simulation = paired_simulation()
+        simulation.start("b")
+        simulation.run_for(5.0)
+        alone = simulation.replicas["a"]
+        alone.on_linked()
+        joining = FenceState("r", FenceRole.JOINING.value, 0)
+        (sync,) = alone.on_state(joining, simulation.now)
+        assert isinstance(sync, Send) and isinstance(sync.msg, FenceSync)
+        received = FenceJoined("r", 2, sync.msg.sync)
+        simulation.perform("a", alone.on_joined(received, simulation.now))
+        simulation.now += 6.0
+        simulation.request_permit("a", make_key(simulation.wall_ms), 1)
+        assert isinstance(simulation.replies[1], FencePermitted)
+        alone.on_state(joining, simulation.now)
+        simulation.complete_kv_call(0)
+        assert not simulation.pending_calls
+
+
 def request_from_both(simulation: FenceSimulation, rng: random.Random, keys: list[str]) -> None:
     """Request a permit for the same recent key from each replica, in a random order."""
     if rng.random() < 0.5 or not keys:
@@ -411,6 +688,38 @@
         simulation.run_for(rng.choice((1.0, 20.0)))
 
 
+def restart_both(simulation: FenceSimulation, rng: random.Random) -> None:
+    """Restart both replicas, which may try to continue alone before they are linked again."""
+    for name in REPLICA_NAMES:
+        simulation.start(name)
+    for seconds in (0.0, rng.choice((0.0, 20.0))):
+        simulation.now += seconds
+        for name in rng.sample(REPLICA_NAMES, 2):
+            simulation.perform(name, simulation.replicas[name].on_tick(simulation.now))
+    deliver_some(simulation, rng, 6)
+    simulation.restore_link()
+    deliver_some(simulation, rng, 12)
+
+
+def slow_random_step(simulation: SlowSimulation, rng: random.Random, keys: list[str]) -> None:
+    """Apply one random event, which may change who learns of failures and reaches the service."""
+    draw = rng.random()
+    if draw < 0.04:
+        # Only "b" may be unaware: "a" opens the links, and does so after it has noticed the break.
+        simulation.unaware = rng.choice(("", "b"))
+    elif draw < 0.06:
+        simulation.unreachable_from ^= {rng.choice(REPLICA_NAMES)}
+    elif draw < 0.10:
+        simulation.cut_link()
+        simulation.restore_link()
+    elif draw < 0.12:
+        restart_both(simulation, rng)
+    elif draw < 0.40:
+        deliver_some(simulation, rng, 12)
+    else:
+        random_step(simulation, rng, keys)
+
+
 class TestRandom:
     """Random sequences of failures and requests."""
 
@@ -467,3 +776,36 @@
             simulation.cut_link()
             simulation.run_for(10.0)
         assert len(simulation.permitted[key]) <= 1
+
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=300, deadline=None, derandomize=True, database=None)
+    def test_each_key_is_permitted_at_most_once_with_late_responses(self, seed: int) -> None:
+        """A late response or a link that was replaced unnoticed does not permit a key twice."""
+        rng = random.Random(seed)
+        simulation = SlowSimulation()
+        paired_simulation(simulation)
+        keys: list[str] = []
+        for _ in range(150):
+            slow_random_step(simulation, rng, keys)
+            assert all(len(set(requests)) <= 1 for requests in simulation.permitted.values())
+            assert not simulation.permitted_unnamed
+
+    @given(st.integers(0, 2**32))
+    @settings(max_examples=100, deadline=None, derandomize=True, database=None)
+    def test_permits_keys_again_after_late_responses(self, seed: int) -> None:
+        """Once responses are in time, both replicas are paired and permit new keys again."""
+        rng = random.Random(seed)
+        simulation = SlowSimulation()
+        paired_simulation(simulation)
+        for _ in range(80):
+            slow_random_step(simulation, rng, [])
+        simulation.kv_available = True
+        simulation.lose_kv_responses = False
+        simulation.unreachable_from.clear()
+        simulation.restore_link()
+        simulation.run_for(60.0)
+        assert {replica.role for replica in simulation.replicas.values()} == {FenceRole.PAIRED}
+        request_id = len(simulation.key_of_request) + 1
+        simulation.request_permit("a", make_key(simulation.wall_ms, salt=999), request_id)
+        simulation.advance(0.1)
+        assert isinstance(simulation.replies[request_id], FencePermitted)
