Bound the debt of account buckets to what the limits leave for it

What callers saw: an account used more than its limit while instances could not reach its allocators.

Cause: a request larger than a bucket's burst was granted when the bucket was full and left any debt. The quarter of the spare tokens kept for such requests (975 here) covers one debt; each of the four instances that used their local bucket of 97.5 tokens granted a request of 900, a debt of 802 each. The local bucket was also divided by the instances that have a record now, not by those that may still use their part.

Ruled out: two allocators at once. In the traced window the first allocator granted 8,100 tokens and the second 1,800, as they may.

Change: only the first allocator's bucket may have a debt, of at most that quarter. What neither the burst nor this debt covers is saved up while the bucket stays full. A request larger than a local or standby part is left to the first allocator (NOT_ALLOCATOR). Local parts are divided by Membership.fleet_size and used under may_use_equal_share.

Why it holds: in any window a bucket grants at most rate x window + burst + debt, see the docstring of TokenBucket and the new property test of a single bucket; the parts with the debt sum to what is allowed (TestPools).

--- a/src/crankhinge/decisions/_quota.py
+++ b/src/crankhinge/decisions/_quota.py
@@ -6,7 +6,8 @@
 respond: the second instance in the order allocates a part of it, and each instance has a small
 local part. So the sum over all instances never exceeds what is allowed, whichever instances can
 reach each other, and no agreement between instances is needed. Below the limit no request is
-refused while the first or the second instance responds.
+refused while the first or the second instance responds. A request that is larger than a bucket is
+granted only if the parts of all instances cover it; docs/design/account-recovery.md has the sums.
 
 The operators count the tokens of a request in a window if the request was sent and ran within that
 window. The tokens are allocated after the request was sent and before it runs, so no more tokens
@@ -23,13 +24,16 @@
 from crankhinge.decisions._membership import Membership
 from crankhinge.decisions._unresponsive import UnresponsivePeers
 
+# Seconds over which use is summed unless the settings say otherwise.
+DEFAULT_WINDOW_S = 8.0
 # Share of the allowed tokens that the first instance may allocate at most: it allocates the
 # account's rate and burst, but the other instances need some tokens as well.
 MAX_MAIN_SHARE = 0.8
-# Shares of the remaining tokens for the second instance, and for all instances together as their
-# local parts. The rest is kept for single requests that are larger than a bucket.
+# Shares of the remaining tokens for the second instance, for all instances together as their local
+# parts, and for the debt of the first instance's bucket after a request larger than its burst.
 STANDBY_SHARE = 0.5
 LOCAL_SHARE = 0.25
+DEBT_SHARE = 0.25
 # Share of a window's tokens that may be allocated at once; the rest becomes available over time.
 BURST_SHARE = 0.5
 # Unanswered requests in a row after which an instance is skipped.
@@ -51,7 +55,7 @@
         slack: further allowed excess, in tokens.
     """
 
-    window_s: float = 8.0
+    window_s: float = DEFAULT_WINDOW_S
     overrun: float = 0.0
     slack: float = 0.0
 
@@ -70,6 +74,7 @@
             main=TokenLimit(main_share * limit.per_s, main_share * limit.burst),
             standby=self._rate_and_burst(STANDBY_SHARE * spare),
             local=self._rate_and_burst(LOCAL_SHARE * spare / instances),
+            main_debt=DEBT_SHARE * spare,
         )
 
     def _rate_and_burst(self, tokens: float) -> TokenLimit:
@@ -85,43 +90,65 @@
         main: for the first instance in the account's order.
         standby: for the second instance.
         local: for the local bucket of each instance.
+        main_debt: largest debt of the first instance's bucket, in tokens, that was not saved up
+            while the bucket was full.
     """
 
     main: TokenLimit
     standby: TokenLimit
     local: TokenLimit
+    main_debt: float
 
 
 class TokenBucket:
     """A token bucket that starts empty, since earlier use is unknown.
 
+    A request larger than the burst leaves a debt. In no window may a bucket grant more than its
+    rate yields in the window, plus the burst and the permitted debt. So the part of the request
+    that neither the burst nor the permitted debt covers has to be saved up: the bucket stays full,
+    without a grant, for as long as the rate takes to yield that part.
+
     Args:
         now: when it begins to fill, by the runtime's clock in seconds.
+        window_s: seconds over which use is summed.
 
     Attributes:
-        level: tokens in it at the last request; negative after a request larger than the burst.
+        level: tokens in it at the last request; negative while in debt.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, now: float, window_s: float = DEFAULT_WINDOW_S) -> None:
         self.level = 0.0
+        self._window_s = window_s
+        # Tokens that the rate yielded while the bucket was full, since the last grant.
+        self._saved = 0.0
         self._refilled_at = now
         self._queue_until = now
 
-    def take(self, tokens: float, limit: TokenLimit, now: float) -> float:
+    def can_ever_grant(self, tokens: float, limit: TokenLimit, max_debt: float = 0.0) -> bool:
+        """Whether the bucket can grant a request of this size, now or later."""
+        return tokens <= limit.burst + max_debt + limit.per_s * self._window_s
+
+    def take(self, tokens: float, limit: TokenLimit, now: float, max_debt: float = 0.0) -> float:
         """Take *tokens*; return 0, or the seconds after which to retry if they are not available.
 
-        A request larger than the burst is admitted when the bucket is full, and leaves a negative
-        level.
+        Args:
+            tokens: tokens to take.
+            limit: rate and burst of this bucket.
+            now: time of the runtime's clock in seconds.
+            max_debt: tokens that a request larger than the burst may take before they are yielded.
         """
         self._refill(limit, now)
         needed = min(tokens, limit.burst)
-        if self.level >= needed > 0:
+        to_save = max(0.0, tokens - limit.burst - max_debt)
+        if self.level >= needed > 0 and self._saved >= to_save:
             self.level -= tokens
+            self._saved = 0.0
             return 0.0
-        if limit.per_s <= 0 or limit.burst <= 0:
+        if limit.per_s <= 0 or limit.burst <= 0 or not self.can_ever_grant(tokens, limit, max_debt):
             return MAX_RETRY_AFTER_S
         # Requests that were refused earlier are retried before this one.
-        available_in_s = max(now + (needed - self.level) / limit.per_s, self._queue_until)
+        missing = max(0.0, needed - self.level) + max(0.0, to_save - self._saved)
+        available_in_s = max(now + missing / limit.per_s, self._queue_until)
         self._queue_until = min(available_in_s + tokens / limit.per_s, now + MAX_RETRY_AFTER_S)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, available_in_s - now))
 
@@ -132,7 +159,10 @@
     def _refill(self, limit: TokenLimit, now: float) -> None:
         """Add the tokens that the rate yielded since the last refill, up to the burst."""
         passed = max(0.0, now - self._refilled_at)
-        self.level = min(limit.burst, self.level + passed * limit.per_s)
+        level = self.level + passed * limit.per_s
+        self.level = min(limit.burst, level)
+        overflow = max(0.0, level - limit.burst)
+        self._saved = min(limit.per_s * self._window_s, self._saved + overflow)
         self._refilled_at = max(self._refilled_at, now)
 
 
@@ -221,7 +251,7 @@
 
     def allocate_local(self, account: Account, tokens: float, now: float) -> QuotaDecision:
         """Allocate tokens for a request that arrived here while no allocator responds."""
-        if not self._membership.has_counted_instances(now):
+        if not self._membership.may_use_equal_share(now):
             return NOT_ALLOCATOR
         return self._take_from(_Role.LOCAL, account, tokens, now)
 
@@ -240,21 +270,25 @@
         role = _Role.LOCAL if local else self._role_for(account.name, now)
         bucket = account_buckets.buckets.get(role) if account_buckets else None
         if bucket is not None and account.limit is not None:
-            bucket.put_back(tokens, self._limit_of(role, account.limit))
+            bucket.put_back(tokens, self._limit_of(role, account.limit)[0])
 
     def _take_from(self, role: _Role, account: Account, tokens: float, now: float) -> QuotaDecision:
         assert account.limit is not None
         bucket = self._bucket(account.name, role, now)
-        after_s = bucket.take(tokens, self._limit_of(role, account.limit), now)
+        limit, max_debt = self._limit_of(role, account.limit)
+        if role is not _Role.MAIN and not bucket.can_ever_grant(tokens, limit):
+            # Only the first instance can decide on a request that is larger than this part.
+            return NOT_ALLOCATOR
+        after_s = bucket.take(tokens, limit, now, max_debt)
         outcome = QuotaOutcome.OVER_LIMIT if after_s else QuotaOutcome.GRANTED
         return QuotaDecision(outcome, after_s, bucket.level)
 
-    def _limit_of(self, role: _Role, limit: TokenLimit) -> TokenLimit:
-        """Return the rate and burst of this instance's bucket for *role*."""
-        pools = self._bounds.pools(limit, len(self._membership))
-        return {_Role.MAIN: pools.main, _Role.STANDBY: pools.standby, _Role.LOCAL: pools.local}[
-            role
-        ]
+    def _limit_of(self, role: _Role, limit: TokenLimit) -> tuple[TokenLimit, float]:
+        """Return the rate and burst of this instance's bucket for *role*, and its largest debt."""
+        pools = self._bounds.pools(limit, self._membership.fleet_size)
+        if role is _Role.MAIN:
+            return pools.main, pools.main_debt
+        return (pools.standby if role is _Role.STANDBY else pools.local), 0.0
 
     def _role_for(self, account: str, now: float) -> _Role:
         """Return what this instance is for an account now."""
@@ -281,7 +315,7 @@
                 if role is _Role.LOCAL
                 else max(self._started_at, self._membership.changed_at)
             )
-            account_buckets.buckets[role] = TokenBucket(min(since, now))
+            account_buckets.buckets[role] = TokenBucket(min(since, now), self._bounds.window_s)
         return account_buckets.buckets[role]
 
 
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -3,13 +3,23 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crankhinge.decisions import Account, QuotaBounds, TokenBucket, TokenLimit
+from crankhinge.decisions import (
+    NOT_ALLOCATOR,
+    Account,
+    Membership,
+    QuotaAllocator,
+    QuotaBounds,
+    QuotaOutcome,
+    TokenBucket,
+    TokenLimit,
+)
 from member_fleet import SIMULATION_SETTINGS, schedule_fault
 from quota_fleet import QuotaFleet
 
@@ -37,7 +47,7 @@
         """In one window, the main, the standby and all local pools may all be used up."""
         pools = bounds.pools(limit, instances)
         each = [pools.main, pools.standby, *([pools.local] * instances)]
-        total = sum(pool.per_s * bounds.window_s + pool.burst for pool in each)
+        total = sum(pool.per_s * bounds.window_s + pool.burst for pool in each) + pools.main_debt
         assert total <= bounds.allowed_in_window(limit) * 1.000001
 
     def test_main_pool_has_the_full_rate_where_there_is_slack(self) -> None:
@@ -63,10 +73,67 @@
     def test_full_bucket_admits_request_larger_than_its_burst(self) -> None:
         """Such a request puts the bucket into debt; otherwise it would never be admitted."""
         bucket = TokenBucket(0.0)
-        assert bucket.take(1500.0, LIMIT, 5.0) == 0.0
+        assert bucket.take(1500.0, LIMIT, 5.0, max_debt=500.0) == 0.0
         assert bucket.take(100.0, LIMIT, 5.4) > 0.0
         assert bucket.take(100.0, LIMIT, 5.7) == 0.0
 
+    def test_request_beyond_the_permitted_debt_needs_saved_tokens(self) -> None:
+        """Without the wait, a window that ends with the request would have more than its part."""
+        bucket = TokenBucket(0.0)
+        assert bucket.take(1500.0, LIMIT, 1.3, max_debt=0.0) == pytest.approx(0.2)
+        assert bucket.take(1500.0, LIMIT, 1.5, max_debt=0.0) == 0.0
+
+    @given(
+        st.lists(st.tuples(st.floats(0.0, 3.0), st.floats(1.0, 12_000.0)), min_size=1, max_size=40),
+        st.sampled_from([0.0, 500.0, 3_000.0]),
+    )
+    def test_no_window_has_more_than_rate_burst_and_debt(
+        self, requests: list[tuple[float, float]], max_debt: float
+    ) -> None:
+        """Requests of any size, also larger than the burst, stay within the bucket's part."""
+        bucket, now = TokenBucket(0.0, 8.0), 0.0
+        granted: list[tuple[float, float]] = []
+        for wait_s, tokens in requests:
+            now += wait_s
+            if bucket.take(tokens, LIMIT, now, max_debt) == 0.0:
+                granted.append((now, tokens))
+        allowed = LIMIT.per_s * 8.0 + LIMIT.burst + max_debt
+        for end, _ in granted:
+            used = sum(tokens for at, tokens in granted if end - 8.0 <= at <= end)
+            assert used <= allowed * 1.000001
+
+
+class TestLocalPart:
+    """The local part of an instance while neither allocator of the account responds."""
+
+    @staticmethod
+    def make_allocator(count: int) -> QuotaAllocator:
+        """Return the allocator of an instance that counts this many instances."""
+        membership = Membership("n0", 0.0)
+        membership.set_lease_end(math.inf)
+        membership.join(
+            {f"n{number}": f"n{number}:1" for number in range(count)}, 0.0, resumed=True
+        )
+        return QuotaAllocator(name="n0", membership=membership, bounds=BOUNDS, now=0.0)
+
+    def test_request_larger_than_the_local_part_is_not_granted(self) -> None:
+        """Else each instance would grant one such request, in total more than is allowed."""
+        allocator = self.make_allocator(INSTANCES)
+        assert allocator.allocate_local(ACCOUNT, 900, 7.0) == NOT_ALLOCATOR
+
+    def test_request_within_the_local_part_is_granted(self) -> None:
+        """Each of five instances may use 195 tokens in a window of 8 s."""
+        allocator = self.make_allocator(INSTANCES)
+        decision = allocator.allocate_local(ACCOUNT, 90, 7.5)
+        assert decision.outcome is QuotaOutcome.GRANTED
+
+    def test_instance_that_is_gone_still_counts(self) -> None:
+        """It may be cut off from the store only, and still use its local part."""
+        allocator = self.make_allocator(INSTANCES)
+        allocator._membership.apply_records({"n0": "n0:1"}, 100.0)
+        assert len(allocator._membership) == 1
+        assert allocator.allocate_local(ACCOUNT, 300, 107.5) == NOT_ALLOCATOR
+
 
 def send_evenly(
     fleet: QuotaFleet, *, per_s: float, tokens: int, until: float, begin: float = 4.0
@@ -189,7 +256,15 @@
         faults=st.lists(fault, max_size=12),
         seed=st.integers(0, 10_000),
         loss=st.sampled_from([0.0, 0.03, 0.3]),
-        bounds_and_tokens=st.sampled_from([(BOUNDS, 100), (BOUNDS, 900), (STRICT_BOUNDS, 100)]),
+        bounds_and_tokens=st.sampled_from(
+            [
+                (BOUNDS, 100),
+                (BOUNDS, 900),
+                (BOUNDS, 2_500),
+                (STRICT_BOUNDS, 100),
+                (STRICT_BOUNDS, 900),
+            ]
+        ),
     )
     def test_limit_holds_under_cuts_losses_freezes_and_restarts(
         self,
@@ -285,6 +360,6 @@
     while when < until:
         # Each caller keeps its connection to one instance, so the instances get uneven loads.
         bucket = buckets[min(rng.randrange(instances), rng.randrange(instances))]
-        refused += bucket.take(tokens, share, when) > 0.0
+        refused += bucket.take(tokens, share, when, max_debt=tokens) > 0.0
         when += tokens / 60_000.0
     return refused
