Count instances without a record when a limit is divided equally

What callers saw: a server got more requests than it advertises.

Cause: an instance that cannot reach the store uses its equal share for up to 114 s after its last read, but its record lapses after 6.5 s. An instance that joins after that and finds no other record counts a fleet of one, beside another that counts a fleet of one.

Ruled out: no share without a record. A wait of two minutes after each start loses it in ordinary operation.

Change: each instance keeps a fleet entry in the store with a lease of 120 s, renewed every 20 s. It uses its share only while the entry surely exists, and writes it while its record exists. An instance that joins reads the records, then the entries; it counts each entry for 120 s, and announces itself to their instances. It waits with its own share until each has acknowledged, has renewed its record long after the join, or has lost its right (120 s). An instance that had an entry need not wait, since all count it. A stopped instance shortens its entry to the duration of the shares it has leased out, so a rolling replacement under new names does not wait.

Cost: at a start one range read, one lease and one write; then a renewal in 20 s beside ten of the record.

--- a/src/crankhinge/adapters/__init__.py
+++ b/src/crankhinge/adapters/__init__.py
@@ -20,7 +20,7 @@
 from crankhinge.adapters._instances import Instance, InstanceList
 from crankhinge.adapters._keyvalue import KeyValueStore, StoredValue
 from crankhinge.adapters._order_lease import OrderLease, OrderLeaseStore
-from crankhinge.adapters._registry import InstanceRecord, InstanceRegistry, RecordLease
+from crankhinge.adapters._registry import FleetEntry, InstanceRecord, InstanceRegistry, RecordLease
 from crankhinge.adapters._service import PlainService, ServiceResponse
 from crankhinge.adapters._source import (
     ConfigUpdate,
@@ -40,6 +40,7 @@
     "EngineFailed",
     "EngineLoad",
     "EngineState",
+    "FleetEntry",
     "HistoryLost",
     "Instance",
     "InstanceList",
--- a/src/crankhinge/adapters/_registry.py
+++ b/src/crankhinge/adapters/_registry.py
@@ -1,6 +1,7 @@
 """Registry in which each instance publishes a record of itself for the other instances.
 
 The record holds its address, its measurements, and the quarantines and server limits it knows of.
+A fleet entry, which lasts longer, shows that the instance may still use its share of common limits.
 """
 
 from __future__ import annotations
@@ -33,6 +34,20 @@
     limited: Mapping[str, float] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class FleetEntry:
+    """Long-lived entry by which instances that join count an instance without a record.
+
+    Attributes:
+        peer: ``host:port`` at which the instance receives peer messages; empty if it receives none.
+        unused_after_s: seconds from the write after which the instance's share is unused; None
+            unless the instance was stopped.
+    """
+
+    peer: str
+    unused_after_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class RecordLease:
     """Lease under which an instance record is stored.
@@ -76,3 +91,18 @@
         Args:
             allow_stale: accept records that may be several seconds old; such a read costs less.
         """
+
+    @abc.abstractmethod
+    async def read_fleet_entries(self) -> dict[str, FleetEntry]:
+        """Return the fleet entries of all instances by instance name; never a stale read."""
+
+    @abc.abstractmethod
+    async def write_fleet_entry(self, name: str, entry: FleetEntry) -> float:
+        """Write the fleet entry of the instance *name*; it ends early if it has `unused_after_s`.
+
+        Returns the time on the runtime's clock, in seconds, until which the entry certainly exists.
+        """
+
+    @abc.abstractmethod
+    async def renew_fleet_entry(self) -> float | None:
+        """Renew the fleet entry; return until when it certainly exists, None if it has expired."""
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -39,6 +39,8 @@
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms_for
 from crankhinge.decisions._member_limits import MemberLimits
 from crankhinge.decisions._membership import (
+    FLEET_ENTRY_LEASE_S,
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
     JOIN_ANNOUNCEMENT_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
     RECORD_LEASE_S,
@@ -109,6 +111,8 @@
 __all__ = [
     "DEFAULT_FIRST_EVENT_S",
     "DEFAULT_SERVICE_S",
+    "FLEET_ENTRY_LEASE_S",
+    "FLEET_ENTRY_RENEWAL_INTERVAL_S",
     "FULL",
     "JOIN_ANNOUNCEMENT_INTERVAL_S",
     "LATE_VALUE",
--- a/src/crankhinge/decisions/_membership.py
+++ b/src/crankhinge/decisions/_membership.py
@@ -19,6 +19,11 @@
 An instance that restarts within its lease takes over its record by a conditional write. If its
 previous incarnation could coordinate, the other instances have counted the name all the time, and
 it coordinates at once.
+
+An instance without a record may still use its equal share of a common limit: it may be cut off
+from the store only. Therefore each instance also keeps a fleet entry in the store, which outlives
+its record by minutes. An instance that joins counts the instances that have a fleet entry. It uses
+its share once each of them knows of it, or has no right to a share any more.
 """
 
 from __future__ import annotations
@@ -47,6 +52,11 @@
 # share. An instance stops using its own share when its last read of the records is older than this
 # time minus MAX_STALE_READ_S.
 FLEET_RETENTION_S = 120.0
+# Seconds that a fleet entry lasts without renewal, and seconds between its renewals. An instance
+# uses its equal share only while its entry certainly exists, so it may do so for the difference at
+# least while the store does not respond.
+FLEET_ENTRY_LEASE_S = FLEET_RETENTION_S
+FLEET_ENTRY_RENEWAL_INTERVAL_S = 20.0
 # Seconds between join announcements to instances that have not acknowledged one.
 JOIN_ANNOUNCEMENT_INTERVAL_S = 0.5
 
@@ -73,6 +83,11 @@
         # The same, including this instance and instances that are gone by now.
         self._last_seen: dict[str, float] = {name: float("inf")}
         self._unacknowledged: set[str] = set()
+        # Instances that may use their equal share without counting this one: their addresses, and
+        # until when they may. Also the instances that have confirmed that they count it.
+        self._uninformed: dict[str, tuple[str, float]] = {}
+        self._informed: set[str] = set()
+        self._entry_until = float("-inf")
         self._read_at = float("-inf")
         self._lease_until = float("-inf")
         self._joined_at: float | None = None
@@ -88,7 +103,9 @@
     @property
     def unacknowledged_addresses(self) -> Sequence[str]:
         """Datagram addresses of the instances that have not acknowledged the join announcement."""
-        return [self._addresses[name] for name in self._unacknowledged if self._addresses.get(name)]
+        addresses = {name: address for name, (address, _) in self._uninformed.items()}
+        addresses.update((name, self._addresses.get(name, "")) for name in self._unacknowledged)
+        return [address for address in addresses.values() if address]
 
     def peer_address(self, name: str) -> str:
         """Return the datagram address of an instance; empty if it has none."""
@@ -119,9 +136,53 @@
                 the other instances have counted all the time.
         """
         self._joined_at = now
+        if not resumed:
+            self._informed.clear()
         self.apply_records(addresses, now)
         self._unacknowledged = set() if resumed else set(self._addresses) - {self._name}
 
+    def enter_fleet(
+        self,
+        addresses: Mapping[str, str],
+        now: float,
+        *,
+        until: float,
+        returned: bool,
+        leaving: Mapping[str, float] | None = None,
+    ) -> None:
+        """Apply a read of the fleet entries that was sent after this instance joined.
+
+        Args:
+            addresses: datagram address of each instance that has a fleet entry, by name; from a
+                read that is not stale.
+            now: when the read was sent, by the runtime's clock in seconds.
+            until: time until which the entry of this instance certainly exists.
+            returned: whether this instance already had an entry, so that the others count it.
+            leaving: for each instance that was stopped, the seconds after which its share is
+                unused; None for no such instances.
+        """
+        others = {name: peer for name, peer in addresses.items() if name != self._name}
+        for name in others:
+            self._last_seen[name] = max(now, self._last_seen.get(name, now))
+        self._entry_until = until
+        if returned:
+            self._uninformed = {}
+            return
+        known = {name: peer for name, peer in self._addresses.items() if name != self._name}
+        self._uninformed = {
+            name: (peer, now + (leaving or {}).get(name, FLEET_ENTRY_LEASE_S))
+            for name, peer in (others | known).items()
+            if name not in self._informed
+        }
+
+    def leave_fleet(self) -> None:
+        """Stop using the equal share, because this instance was told to stop."""
+        self._entry_until = float("-inf")
+
+    def set_entry_end(self, until: float) -> None:
+        """Set the time until which this instance's fleet entry certainly exists."""
+        self._entry_until = until
+
     def apply_records(self, addresses: Mapping[str, str], now: float) -> None:
         """Apply a later read of the records.
 
@@ -142,16 +203,39 @@
             {**peers, **{name: peer for name, peer in addresses.items() if peer}}, now
         )
         self._unacknowledged &= set(self._addresses)
+        self._drop_informed(addresses, now)
         self._read_at = now
 
     def record_joined(self, name: str, address: str, now: float) -> None:
         """Record that an instance has joined, and its datagram address."""
         self._seen_at[name] = self._last_seen[name] = now
         self._set_addresses({**self._addresses, name: address}, now)
+        # It announces itself to the instances that it counts.
+        self._record_informed(name)
 
     def record_acknowledged(self, name: str) -> None:
         """Record that an instance has acknowledged the join announcement of this one."""
         self._unacknowledged.discard(name)
+        self._record_informed(name)
+
+    def _record_informed(self, name: str) -> None:
+        self._informed.add(name)
+        self._uninformed.pop(name, None)
+
+    def _drop_informed(self, records: Iterable[str], now: float) -> None:
+        """Drop the instances that must have read this one's record by now, or have no right left.
+
+        A record that still exists this long after the join shows that its instance has reached the
+        store since, and so has read the records again.
+        """
+        self._uninformed = {
+            name: (peer, until) for name, (peer, until) in self._uninformed.items() if until > now
+        }
+        if self._joined_at is None:
+            return
+        if now - self._joined_at > MAX_STALE_READ_S + RECORD_LEASE_S + self.max_read_age_s:
+            for name in records:
+                self._uninformed.pop(name, None)
 
     def may_coordinate(self, now: float) -> bool:
         """Whether this instance may act as the first instance of a key."""
@@ -177,9 +261,15 @@
         )
 
     def may_use_equal_share(self, now: float) -> bool:
-        """Whether this instance may use its equal share of a common limit."""
+        """Whether this instance may use its equal share of a common limit.
+
+        That is so while the instances that join count this one by its fleet entry, and once all
+        instances that may use a share count this one.
+        """
         return (
             self.has_counted_instances(now)
+            and now < self._entry_until
+            and all(until <= now for _, until in self._uninformed.values())
             and now - self._read_at <= FLEET_RETENTION_S - MAX_STALE_READ_S
         )
 
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -258,7 +258,10 @@
     supervisor.add("limits", permits.log_use)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
-    await run_until_first_ends(supervisor.run, partial(_drain_when_stopping, stopping, gateway))
+    await run_until_first_ends(
+        supervisor.run,
+        partial(_drain_when_stopping, stopping, gateway, record_sync, shared_limits),
+    )
     log.info("stopped")
 
 
@@ -282,9 +285,16 @@
     backends.record_order(message.server, message.phase, until, by_peer=True)
 
 
-async def _drain_when_stopping(stopping: curio.Event, gateway: Gateway) -> None:
+async def _drain_when_stopping(
+    stopping: curio.Event,
+    gateway: Gateway,
+    record_sync: InstanceRecordSync,
+    shared_limits: SharedLimits,
+) -> None:
     await stopping.wait()
+    leave = await curio.spawn(record_sync.leave_fleet, shared_limits.lease_s, daemon=True)
     await gateway.drain()
+    await leave.cancel()
 
 
 def run(argv: list[str] | None, *, make_platform: MakePlatform) -> int:
--- a/src/crankhinge/gateway/_record_sync.py
+++ b/src/crankhinge/gateway/_record_sync.py
@@ -12,8 +12,9 @@
 
 import curio
 
-from crankhinge.adapters import InstanceRecord, InstanceRegistry, RecordLease
+from crankhinge.adapters import FleetEntry, InstanceRecord, InstanceRegistry, RecordLease
 from crankhinge.decisions import (
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
     Membership,
     PoolLoads,
@@ -76,6 +77,10 @@
         self._membership = membership
         self._joined = False
         self._lease_renewed_at = float("-inf")
+        self._lease_expires_at = float("-inf")
+        self._entered = False
+        self._is_leaving = False
+        self._entry_renewed_at = float("-inf")
         self._registry = registry
         self._meters = meters
         self._quarantine = quarantine
@@ -146,6 +151,12 @@
             await self._record_lease(await self._registry.renew())
         if not self._joined:
             await self._join(None, resumed=False)
+        elif self._is_leaving:
+            return
+        elif not self._entered:
+            await self._enter_fleet()
+        elif await curio.clock() - self._entry_renewed_at >= FLEET_ENTRY_RENEWAL_INTERVAL_S:
+            await self._renew_fleet_entry()
 
     async def _record_lease(self, lease: RecordLease | None) -> None:
         """Record how long the lease holds.
@@ -157,6 +168,7 @@
             self._log.info("note_gone")
             return
         self._lease_renewed_at = await curio.clock()
+        self._lease_expires_at = lease.expires_at
         self._membership.set_lease_end(lease.expires_at)
         if lease.may_have_lapsed:
             self._joined = False
@@ -177,7 +189,61 @@
         await self._apply_records(records)
         if self._name in records:
             self._membership.join(_addresses(records), sent_at, resumed=resumed)
-            self._joined = True
+            self._joined, self._entered = True, False
+            await self._enter_fleet()
+
+    async def _enter_fleet(self) -> None:
+        """Count the instances that have a fleet entry, and write the entry of this one.
+
+        An instance that joins reads the records first and then the entries. So the entry has to be
+        written while the record of this instance exists.
+        """
+        if self._is_leaving:
+            return
+        sent_at = await curio.clock()
+        entries = await self._registry.read_fleet_entries()
+        own_entry = entries.pop(self._name, None)
+        until = await self._registry.write_fleet_entry(self._name, FleetEntry(self._address))
+        if await curio.clock() >= self._lease_expires_at:
+            self._joined = False
+            return
+        self._entry_renewed_at = sent_at
+        self._membership.enter_fleet(
+            {name: entry.peer for name, entry in entries.items()},
+            sent_at,
+            until=until,
+            returned=own_entry is not None and own_entry.unused_after_s is None,
+            leaving={
+                name: entry.unused_after_s
+                for name, entry in entries.items()
+                if entry.unused_after_s is not None
+            },
+        )
+        self._entered = True
+
+    async def leave_fleet(self, unused_after_s: float) -> None:
+        """Stop using this instance's share, so that its successors need not wait for its end.
+
+        Args:
+            unused_after_s: seconds after which no other instance uses the share either.
+        """
+        self._is_leaving = True
+        self._membership.leave_fleet()
+        try:
+            await self._registry.write_fleet_entry(
+                self._name, FleetEntry(self._address, unused_after_s)
+            )
+        except KeyValueUnavailable as exc:
+            self._log.info("note_unknown", why=exc.detail)
+
+    async def _renew_fleet_entry(self) -> None:
+        sent_at = await curio.clock()
+        until = await self._registry.renew_fleet_entry()
+        if until is None:
+            self._entered = False
+            return
+        self._entry_renewed_at = sent_at
+        self._membership.set_entry_end(until)
 
     async def refresh_membership(self) -> None:
         """Read the records at intervals to learn which instances exist, until cancelled."""
--- a/tests/member_fleet.py
+++ b/tests/member_fleet.py
@@ -12,7 +12,13 @@
 
 from hypothesis import HealthCheck, Phase, settings
 
-from crankhinge.decisions import JOIN_ANNOUNCEMENT_INTERVAL_S, RECORD_LEASE_S, Membership
+from crankhinge.decisions import (
+    FLEET_ENTRY_LEASE_S,
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
+    JOIN_ANNOUNCEMENT_INTERVAL_S,
+    RECORD_LEASE_S,
+    Membership,
+)
 
 # For tests that draw random faults. A failing case is reported as it was drawn, because shrinking
 # it takes minutes.
@@ -38,6 +44,8 @@
     pending: dict[int, Callable[[Any], None]] = field(default_factory=dict)
     has_record: bool = False
     joined: bool = False
+    is_announcing: bool = False
+    entry_renewed_at: float | None = None
     is_reading: bool = False
     published_ready: bool = False
 
@@ -70,11 +78,14 @@
         self.cuts: set[frozenset[str]] = set()
         self.frozen: set[str] = set()
         self._rng = random.Random(seed)
+        # Separate, so that the calls for fleet entries change no other delay of a seed.
+        self._entry_rng = random.Random(seed)
         self._loss = loss
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._request_numbers = itertools.count()
         self._records: dict[str, _Record] = {}
+        self._entry_ends: dict[str, float] = {}
         self._record_history: list[tuple[float, dict[str, str]]] = []
         self._held_actions: dict[str, list[Callable[[], None]]] = {}
         self._save_records()
@@ -206,6 +217,8 @@
                 node.membership.set_lease_end(sent_at + RECORD_LEASE_S)
             if node.has_record and not node.joined:
                 self._read_and_join(node, resumed=False)
+            elif node.joined:
+                self._update_entry(node)
             self._schedule(node, self._rng.uniform(0.9, 1.2), lambda: self._renew_lease(node))
 
         self._call_store(node, done, operation)
@@ -216,6 +229,8 @@
     def _read_and_join(self, node: NodeT, *, resumed: bool) -> None:
         def done(names: dict[str, str], sent_at: float) -> None:
             node.membership.join(names, sent_at, resumed=resumed)
+            node.entry_renewed_at = None
+            self._update_entry(node)
             if not node.joined:
                 node.joined = True
                 self._announce_join(node)
@@ -225,6 +240,71 @@
 
         self._call_store(node, done, self._live_addresses)
 
+    def _update_entry(self, node: NodeT) -> None:
+        """Write or renew the fleet entry of an instance, whichever is due."""
+        if node.entry_renewed_at is None:
+            self._enter_fleet(node)
+        elif self.now - node.entry_renewed_at >= FLEET_ENTRY_RENEWAL_INTERVAL_S:
+            self._renew_entry(node)
+
+    def _enter_fleet(self, node: NodeT) -> None:
+        """Read the fleet entries, then write the one of this instance."""
+
+        def done(names: set[str], read_at: float) -> None:
+            def written(in_time: bool, sent_at: float) -> None:
+                if not in_time or not node.joined:
+                    node.joined = False
+                    return
+                node.entry_renewed_at = sent_at
+                node.membership.enter_fleet(
+                    {name: name for name in names},
+                    read_at,
+                    until=sent_at + FLEET_ENTRY_LEASE_S,
+                    returned=node.name in names,
+                )
+                self._announce_join(node)
+
+            self._call_store_for_entry(node, written, lambda: self._write_entry(node.name))
+
+        self._call_store_for_entry(node, done, self._live_entries)
+
+    def _write_entry(self, name: str) -> bool:
+        """Write a fleet entry; return whether the instance has a record."""
+        self._entry_ends[name] = self.now + FLEET_ENTRY_LEASE_S
+        return self._live_record(name) is not None
+
+    def _renew_entry(self, node: NodeT) -> None:
+        def renew() -> bool:
+            exists = node.name in self._live_entries()
+            if exists:
+                self._write_entry(node.name)
+            return exists
+
+        def done(exists: bool, sent_at: float) -> None:
+            node.entry_renewed_at = sent_at if exists else None
+            if exists:
+                node.membership.set_entry_end(sent_at + FLEET_ENTRY_LEASE_S)
+
+        self._call_store_for_entry(node, done, renew)
+
+    def _call_store_for_entry(
+        self, node: NodeT, done: Callable[[Any, float], None], operation: Callable[[], Any]
+    ) -> None:
+        """Run an operation on fleet entries; it is tried again with the next lease renewal."""
+        sent_at = self.now
+        if frozenset((node.name, "store")) in self.cuts:
+            return
+
+        def arrive() -> None:
+            answer = operation()
+            delay = self._entry_rng.uniform(*STORE_CALL_S)
+            self._schedule(node, delay, lambda: done(answer, sent_at))
+
+        self.at(self.now + self._entry_rng.uniform(*STORE_CALL_S), arrive)
+
+    def _live_entries(self) -> set[str]:
+        return {name for name, end in self._entry_ends.items() if end > self.now}
+
     def _live_addresses(self) -> dict[str, str]:
         return {name: name for name, record in self._records.items() if record.lease_end > self.now}
 
@@ -263,11 +343,19 @@
         self.at(self.now + delay, arrive)
 
     def _announce_join(self, node: NodeT) -> None:
+        if not node.is_announcing:
+            node.is_announcing = True
+            self._send_announcements(node)
+
+    def _send_announcements(self, node: NodeT) -> None:
         names = node.membership.unacknowledged_addresses
+        node.is_announcing = bool(names)
         for name in names:
             self._send(node, name, lambda other: self._receive_join(other, node.name))
         if names:
-            self._schedule(node, JOIN_ANNOUNCEMENT_INTERVAL_S, lambda: self._announce_join(node))
+            self._schedule(
+                node, JOIN_ANNOUNCEMENT_INTERVAL_S, lambda: self._send_announcements(node)
+            )
 
     def _receive_join(self, other: NodeT, name: str) -> None:
         other.membership.record_joined(name, name, self.now)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from crankhinge.decisions import Membership
+import math
+
+from crankhinge.decisions import FLEET_ENTRY_LEASE_S, Membership
 
 ADDRESSES = {"here": "h:1", "there": "t:1"}
 
@@ -84,3 +86,75 @@
     def test_instance_counts_itself(self) -> None:
         """An instance is in its own order before it has read any record."""
         assert Membership("here", 0.0).rank_instances("red") == ["here"]
+
+
+class TestMayUseEqualShare:
+    """When an instance may use its equal share of a limit, and how many instances it counts."""
+
+    @staticmethod
+    def make_entered(*names: str, returned: bool = False, **options: float) -> Membership:
+        """Return the membership of "here", which found only fleet entries, all without records."""
+        membership = Membership("here", 0.0)
+        membership.set_lease_end(math.inf)
+        membership.join({"here": "h:1"}, 10.0, resumed=False)
+        membership.enter_fleet(
+            {name: f"{name}:1" for name in names},
+            10.0,
+            until=math.inf,
+            returned=returned,
+            leaving=options,
+        )
+        return membership
+
+    def test_no_share_is_used_before_the_fleet_entry_exists(self) -> None:
+        """An instance that joins then could not count this one once its record has lapsed."""
+        membership = make_joined(resumed=True)
+        assert not membership.may_use_equal_share(15.0)
+
+    def test_lapsed_instance_counts_by_its_fleet_entry(self) -> None:
+        """Each of the two would otherwise use the whole limit."""
+        assert self.make_entered("lapsed").fleet_size == 2
+
+    def test_share_waits_until_the_lapsed_instance_knows_of_this_one(self) -> None:
+        """Until then, the lapsed instance may count itself only."""
+        membership = self.make_entered("lapsed")
+        assert not membership.may_use_equal_share(20.0)
+        assert membership.unacknowledged_addresses == ["lapsed:1"]
+        membership.record_acknowledged("lapsed")
+        assert membership.may_use_equal_share(20.0)
+
+    def test_share_waits_no_longer_than_the_lapsed_instance_may_use_its_own(self) -> None:
+        """The lapsed instance may be gone for good."""
+        membership = self.make_entered("lapsed")
+        for now in range(15, 130, 5):
+            membership.apply_records({"here": "h:1"}, float(now))
+            assert not membership.may_use_equal_share(float(now))
+        membership.apply_records({"here": "h:1"}, 10.0 + FLEET_ENTRY_LEASE_S)
+        assert membership.may_use_equal_share(10.0 + FLEET_ENTRY_LEASE_S)
+
+    def test_share_does_not_wait_for_a_stopped_instance(self) -> None:
+        """In a rolling replacement under new names no share would be used for two minutes."""
+        membership = self.make_entered("stopped", stopped=2.4)
+        assert not membership.may_use_equal_share(12.3)
+        assert membership.may_use_equal_share(12.5)
+        assert membership.fleet_size == 2
+
+    def test_restarted_instance_need_not_wait(self) -> None:
+        """All instances that may use a share have counted its name all the time."""
+        assert self.make_entered("lapsed", returned=True).may_use_equal_share(10.1)
+
+    def test_instance_that_renews_its_record_must_have_read_that_of_this_one(self) -> None:
+        """Datagrams between the two instances may be lost for as long as both run."""
+        membership = self.make_entered("there")
+        for now in (13.0, 16.0, 19.0, 22.0, 25.0, 28.0, 30.0):
+            membership.apply_records(ADDRESSES, now)
+            assert not membership.may_use_equal_share(now)
+        membership.apply_records(ADDRESSES, 30.1)
+        assert membership.may_use_equal_share(30.1)
+
+    def test_no_share_is_used_after_the_fleet_entry_may_have_ended(self) -> None:
+        """An instance that joins from then on does not count this one."""
+        membership = self.make_entered()
+        membership.set_entry_end(40.0)
+        assert membership.may_use_equal_share(39.9)
+        assert not membership.may_use_equal_share(40.0)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -111,7 +111,9 @@
 
         async def run_when_ready() -> None:
             self.membership.set_lease_end(math.inf)
-            self.membership.join({"here": ""}, await curio.clock(), resumed=True)
+            now = await curio.clock()
+            self.membership.join({"here": ""}, now, resumed=True)
+            self.membership.enter_fleet({}, now, until=math.inf, returned=True)
             await curio.sleep(FLEET_READY_S)
             signals = ResponseSignals(False, False, None, advertises_limit=True, limit_per_s=2.0)
             await self.limit_updates.on_signals(SERVER, signals, sent_at=0.0, succeeded=True)
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -114,6 +114,7 @@
         membership.join(
             {f"n{number}": f"n{number}:1" for number in range(count)}, 0.0, resumed=True
         )
+        membership.enter_fleet({}, 0.0, until=math.inf, returned=True)
         return QuotaAllocator(name="n0", membership=membership, bounds=BOUNDS, now=0.0)
 
     def test_request_larger_than_the_local_part_is_not_granted(self) -> None:
--- a/tests/test_record_sync.py
+++ b/tests/test_record_sync.py
@@ -7,8 +7,15 @@
 
 import curio
 
-from crankhinge.adapters import InstanceRecord, InstanceRegistry, RecordLease
-from crankhinge.decisions import RECORD_LEASE_S, Membership, WorkloadMeter, WorkloadStats
+from crankhinge.adapters import FleetEntry, InstanceRecord, InstanceRegistry, RecordLease
+from crankhinge.decisions import (
+    FLEET_ENTRY_LEASE_S,
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
+    RECORD_LEASE_S,
+    Membership,
+    WorkloadMeter,
+    WorkloadStats,
+)
 from crankhinge.errors import KeyValueUnavailable
 from crankhinge.gateway._record_sync import (
     MAX_REWRITE_INTERVAL_S,
@@ -31,6 +38,8 @@
     def __init__(self) -> None:
         self.records: list[InstanceRecord] = []
         self.renewals = 0
+        self.entries: dict[str, FleetEntry] = {}
+        self.entry_expired = False
         self.is_unavailable = False
 
     @property
@@ -70,6 +79,19 @@
             "third": InstanceRecord("127.0.0.1:9", {}),
         }
 
+    async def read_fleet_entries(self) -> dict[str, FleetEntry]:
+        """Return the fleet entries that were written."""
+        return dict(self.entries)
+
+    async def write_fleet_entry(self, name: str, entry: FleetEntry) -> float:
+        """Store a fleet entry."""
+        self.entries[name], self.entry_expired = entry, False
+        return await curio.clock() + FLEET_ENTRY_LEASE_S
+
+    async def renew_fleet_entry(self) -> float | None:
+        """Extend the lease of the fleet entry, unless it has expired."""
+        return None if self.entry_expired else await curio.clock() + FLEET_ENTRY_LEASE_S
+
 
 class Instance:
     """A workload meter and the task that publishes its statistics.
@@ -200,6 +222,46 @@
         instance.run(scenario)
 
 
+class TestFleetEntry:
+    """The entry by which instances that join count this one, even without its record."""
+
+    def test_entry_is_written_when_the_instance_joins(self) -> None:
+        """The instance may use its share only after that."""
+        instance = Instance()
+
+        async def scenario() -> None:
+            await curio.sleep(1.5)
+            assert instance.registry.entries == {"here": FleetEntry("127.0.0.1:7")}
+
+        instance.run(scenario)
+
+    def test_expired_entry_is_written_again(self) -> None:
+        """The store may have been unreachable for longer than the lease of the entry."""
+        instance = Instance()
+
+        async def scenario() -> None:
+            await curio.sleep(1.5)
+            instance.registry.entry_expired = True
+            instance.registry.entries.clear()
+            await curio.sleep(FLEET_ENTRY_RENEWAL_INTERVAL_S + 3.0)
+            assert instance.registry.entries == {"here": FleetEntry("127.0.0.1:7")}
+
+        instance.run(scenario)
+
+    def test_stopped_instance_says_when_its_share_is_unused(self) -> None:
+        """Its successors need not wait until its entry would have expired."""
+        instance = Instance()
+
+        async def scenario() -> None:
+            await curio.sleep(1.5)
+            await instance.record_sync.leave_fleet(2.4)
+            await curio.sleep(FLEET_ENTRY_RENEWAL_INTERVAL_S + 3.0)
+            assert instance.registry.entries == {"here": FleetEntry("127.0.0.1:7", 2.4)}
+            assert not instance.membership.may_use_equal_share(await curio.clock())
+
+        instance.run(scenario)
+
+
 class TestCombinedStatistics:
     """The statistics of all instances together."""
 
--- a/tests/test_registry.py
+++ b/tests/test_registry.py
@@ -7,7 +7,7 @@
 import curio
 import pytest
 
-from crankhinge.adapters import InstanceRecord
+from crankhinge.adapters import FleetEntry, InstanceRecord
 from crankhinge.errors import KeyValueUnavailable
 from crankhinge.runtime import get_log, run_until_first_ends
 from crankhinge_platform.registry import PlatformInstanceRegistry
@@ -36,6 +36,48 @@
     run_virtual(main, settle_s=0.003)
 
 
+class TestFleetEntries:
+    """Entries that outlive the record of their instance."""
+
+    def test_entry_outlives_the_record(self) -> None:
+        """Instances that join count an instance that is cut off from the store."""
+
+        async def scenario(store: FakeStore, registry: PlatformInstanceRegistry) -> None:
+            await registry.publish("here", RECORD)
+            assert await registry.write_fleet_entry("here", FleetEntry("10.0.0.1:7380")) > 100.0
+            assert await registry.renew_fleet_entry() is not None
+            await store.end_leases()
+            assert await registry.renew_fleet_entry() is None
+            assert await registry.read_fleet_entries() == {}
+            await registry.write_fleet_entry("here", FleetEntry("10.0.0.1:7380"))
+            assert await registry.read_all() == {}
+            assert await registry.read_fleet_entries() == {"here": FleetEntry("10.0.0.1:7380")}
+
+        run_scenario(scenario)
+
+    def test_entry_of_a_stopped_instance_has_a_short_lease(self) -> None:
+        """Nobody counts the instance longer than its share may be in use."""
+
+        async def scenario(store: FakeStore, registry: PlatformInstanceRegistry) -> None:
+            await registry.write_fleet_entry("here", FleetEntry("10.0.0.1:7380"))
+            sent_at = await curio.clock()
+            until = await registry.write_fleet_entry("here", FleetEntry("10.0.0.1:7380", 2.4))
+            assert until == pytest.approx(sent_at + 2.4)
+            entries = await registry.read_fleet_entries()
+            assert entries["here"].unused_after_s == 2.4
+
+        run_scenario(scenario)
+
+    def test_unreadable_entry_counts(self) -> None:
+        """Its instance may use its share all the same."""
+
+        async def scenario(store: FakeStore, registry: PlatformInstanceRegistry) -> None:
+            await store.put("crankhinge/fleet/odd", [1])
+            assert await registry.read_fleet_entries() == {"odd": FleetEntry("")}
+
+        run_scenario(scenario)
+
+
 class TestLease:
     """The lease of a record, whose renewal costs a tenth of granting a new one."""
 
--- a/tests/test_shared_limits.py
+++ b/tests/test_shared_limits.py
@@ -198,6 +198,7 @@
     membership = Membership(name, now)
     membership.set_lease_end(math.inf)
     membership.join({each: f"{each}:1" for each in INSTANCE_NAMES}, now, resumed=True)
+    membership.enter_fleet({}, now, until=math.inf, returned=True)
     shared = SharedLimits(name=name, membership=membership, incarnation=incarnation, now=now)
     shared.advertised.record_limit(SERVER, LIMIT_PER_S, now)
     return shared
@@ -391,6 +392,25 @@
         check = self.test_limit_holds_under_cuts_losses_freezes_and_restarts.hypothesis.inner_test
         check(self, faults, seed=2129, loss=0.0, instances=3, per_s=LIMIT_PER_S, within_s=0.0)
 
+    @pytest.mark.parametrize("is_cut", [False, True])
+    def test_limit_holds_while_a_new_instance_joins_beside_a_lapsed_one(self, is_cut: bool) -> None:
+        """The first cannot reach the store; the second starts later, and may not reach the first.
+
+        Without a count of lapsed instances each uses the whole limit: 32 requests in 4 s.
+        """
+        fleet = LimitFleet(2, LIMIT_PER_S, late=True)
+        fleet.start(["n0"])
+        fleet.run(5.0)
+        schedule_fault(fleet, "store", 5.0, 60.0, "n0", "n0")
+        if is_cut:
+            schedule_fault(fleet, "cut", 5.0, 60.0, "n0", "n1")
+        fleet.at(15.0, lambda: fleet.start(["n1"]))
+        send_evenly(fleet, per_s=40.0, begin=0.5, until=RUN_S)
+        fleet.run(RUN_S + 2)
+        assert fleet.max_requests_in_window() <= max_allowed_in_window(LIMIT_PER_S)
+        # What the two may use together is used all the time.
+        assert fleet.arrived(10.0, RUN_S) >= 0.9 * LIMIT_PER_S * (RUN_S - 10.0)
+
     @pytest.mark.parametrize("instances", [68, 300])
     def test_limit_holds_in_large_fleets(self, instances: int) -> None:
         """A third of the instances is cut off from the rest, a tenth freezes, a tenth restarts."""
