Serve what accounts are owed at once after a loss of all instances

What callers saw: after all instances were killed, requests below the limit were refused for seconds: 429, since buckets start empty, and 503, since no instance could decide while all joined.

Cause: use before a restart is unknown. Instances that were asked before they had returned were also skipped for 1 to 16 s, and an instance that takes over its record did not say that it is back.

Change: the first instance of an account has a start allowance of a quarter of what the operators allow beyond rate and burst, at most once in a window over all instances. The fleet entry in the store tells whether an instance may use it. In its first 2 s an instance asks again for up to 0.8 s and skips no instance; one that returns announces itself. A stopped instance keeps its entry, and says there when its share is unused.

Ruled out: full buckets at each start; recent use in the records, which are written up to 30 s apart; an allowance for whoever is first.

Why it holds: docs/design/account-recovery.md.

--- a/src/crankhinge/adapters/_registry.py
+++ b/src/crankhinge/adapters/_registry.py
@@ -41,11 +41,13 @@
     Attributes:
         peer: ``host:port`` at which the instance receives peer messages; empty if it receives none.
         unused_after_s: seconds from the write after which the instance's share is unused; None
-            unless the instance was stopped.
+            unless the instance was told to stop.
+        start_allowance: whether the next incarnation of the instance may use start allowances.
     """
 
     peer: str
     unused_after_s: float | None = None
+    start_allowance: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,7 +100,7 @@
 
     @abc.abstractmethod
     async def write_fleet_entry(self, name: str, entry: FleetEntry) -> float:
-        """Write the fleet entry of the instance *name*; it ends early if it has `unused_after_s`.
+        """Write the fleet entry of the instance *name*.
 
         Returns the time on the runtime's clock, in seconds, until which the entry certainly exists.
         """
--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -44,12 +44,15 @@
     JOIN_ANNOUNCEMENT_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
     RECORD_LEASE_S,
+    START_ALLOWANCE_S,
     Membership,
 )
 from crankhinge.decisions._permit_pool import PERMIT_TRANSIT_S, PermitDecision, PermitPool
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._quarantine import Quarantine, QuarantineUpdate
 from crankhinge.decisions._quota import (
+    DECISION_RETRY_S,
+    DEFAULT_WINDOW_S,
     NOT_ALLOCATOR,
     QuotaAllocator,
     QuotaBounds,
@@ -109,8 +112,10 @@
 from crankhinge.decisions._work_queue import WorkQueue
 
 __all__ = [
+    "DECISION_RETRY_S",
     "DEFAULT_FIRST_EVENT_S",
     "DEFAULT_SERVICE_S",
+    "DEFAULT_WINDOW_S",
     "FLEET_ENTRY_LEASE_S",
     "FLEET_ENTRY_RENEWAL_INTERVAL_S",
     "FULL",
@@ -127,6 +132,7 @@
     "RECORD_LEASE_S",
     "RETRY_OF_LONGEST_WAIT",
     "RETRY_OF_SHORTEST_FIRST_WAIT",
+    "START_ALLOWANCE_S",
     "WAIT_COST_PER_S",
     "Account",
     "Accounts",
--- a/src/crankhinge/decisions/_membership.py
+++ b/src/crankhinge/decisions/_membership.py
@@ -57,6 +57,10 @@
 # least while the store does not respond.
 FLEET_ENTRY_LEASE_S = FLEET_RETENTION_S
 FLEET_ENTRY_RENEWAL_INTERVAL_S = 20.0
+# Seconds after its start for which an instance expects that the other ones may be starting, too.
+SETTLING_S = 2.0
+# Seconds after its start for which a restarted instance may use start allowances.
+START_ALLOWANCE_S = 2.0
 # Seconds between join announcements to instances that have not acknowledged one.
 JOIN_ANNOUNCEMENT_INTERVAL_S = 0.5
 
@@ -74,6 +78,7 @@
 
     def __init__(self, name: str, now: float) -> None:
         self.changed_at = now
+        self._started_at = now
         self._name = name
         self._addresses: dict[str, str] = {}
         self._rankings: dict[str, list[str]] = {}
@@ -83,11 +88,16 @@
         # The same, including this instance and instances that are gone by now.
         self._last_seen: dict[str, float] = {name: float("inf")}
         self._unacknowledged: set[str] = set()
+        # Instances that count this one all the time, but may not know yet that it has returned.
+        self._to_notify: set[str] = set()
         # Instances that may use their equal share without counting this one: their addresses, and
         # until when they may. Also the instances that have confirmed that they count it.
         self._uninformed: dict[str, tuple[str, float]] = {}
         self._informed: set[str] = set()
         self._entry_until = float("-inf")
+        # The instances that had fleet entries when the start allowances of this one began.
+        self._allowance_names: frozenset[str] | None = None
+        self._allowance_began_at = now
         self._read_at = float("-inf")
         self._lease_until = float("-inf")
         self._joined_at: float | None = None
@@ -104,7 +114,8 @@
     def unacknowledged_addresses(self) -> Sequence[str]:
         """Datagram addresses of the instances that have not acknowledged the join announcement."""
         addresses = {name: address for name, (address, _) in self._uninformed.items()}
-        addresses.update((name, self._addresses.get(name, "")) for name in self._unacknowledged)
+        for name in self._unacknowledged | self._to_notify:
+            addresses[name] = self._addresses.get(name, "")
         return [address for address in addresses.values() if address]
 
     def peer_address(self, name: str) -> str:
@@ -139,7 +150,9 @@
         if not resumed:
             self._informed.clear()
         self.apply_records(addresses, now)
-        self._unacknowledged = set() if resumed else set(self._addresses) - {self._name}
+        others = set(self._addresses) - {self._name}
+        self._unacknowledged = set() if resumed else others
+        self._to_notify = others if resumed else set()
 
     def enter_fleet(
         self,
@@ -149,6 +162,7 @@
         until: float,
         returned: bool,
         leaving: Mapping[str, float] | None = None,
+        start_allowance: bool = False,
     ) -> None:
         """Apply a read of the fleet entries that was sent after this instance joined.
 
@@ -160,11 +174,15 @@
             returned: whether this instance already had an entry, so that the others count it.
             leaving: for each instance that was stopped, the seconds after which its share is
                 unused; None for no such instances.
+            start_allowance: whether the earlier entry of this instance permitted start allowances,
+                and no longer does.
         """
         others = {name: peer for name, peer in addresses.items() if name != self._name}
         for name in others:
             self._last_seen[name] = max(now, self._last_seen.get(name, now))
         self._entry_until = until
+        if start_allowance:
+            self._allowance_names, self._allowance_began_at = frozenset(self._last_seen), now
         if returned:
             self._uninformed = {}
             return
@@ -203,6 +221,7 @@
             {**peers, **{name: peer for name, peer in addresses.items() if peer}}, now
         )
         self._unacknowledged &= set(self._addresses)
+        self._to_notify &= set(addresses)
         self._drop_informed(addresses, now)
         self._read_at = now
 
@@ -220,6 +239,7 @@
 
     def _record_informed(self, name: str) -> None:
         self._informed.add(name)
+        self._to_notify.discard(name)
         self._uninformed.pop(name, None)
 
     def _drop_informed(self, records: Iterable[str], now: float) -> None:
@@ -237,6 +257,14 @@
             for name in records:
                 self._uninformed.pop(name, None)
 
+    def is_settling(self, now: float) -> bool:
+        """Whether this instance has just started, so that other instances may be starting, too."""
+        return now - self._started_at < SETTLING_S
+
+    def is_entering(self, now: float) -> bool:
+        """Whether this instance has just started and has not read the fleet entries yet."""
+        return self.is_settling(now) and self._entry_until == float("-inf")
+
     def may_coordinate(self, now: float) -> bool:
         """Whether this instance may act as the first instance of a key."""
         if self._joined_at is None or now >= self._lease_until:
@@ -273,6 +301,28 @@
             and now - self._read_at <= FLEET_RETENTION_S - MAX_STALE_READ_S
         )
 
+    def first_counted(self, key: str, now: float) -> str | None:
+        """Return the first instance of *key* among those with fleet entries, also if it is away.
+
+        Returns None while this instance, which has just started, has not read the entries.
+        """
+        return None if self.is_entering(now) else rank_by_key(key.encode(), self._last_seen)[0]
+
+    def start_allowance_until(self, key: str, now: float) -> float | None:
+        """Return until when a start allowance for *key* can be used; None if there is none.
+
+        Of the instances that had a fleet entry when this one started, it is the first in the order
+        of the key, so no other one has an allowance for the key at the same time. An allowance that
+        was not asked for in time is part of the burst and the savings, unless another instance may
+        have been the first since.
+        """
+        if self._allowance_names is None:
+            return None
+        until = self._allowance_began_at + START_ALLOWANCE_S
+        if now >= until and self.changed_at > self._allowance_began_at:
+            return None
+        return until if rank_by_key(key.encode(), self._allowance_names)[0] == self._name else None
+
     @property
     def fleet_size(self) -> int:
         """Upper bound of the number of instances that use their equal share."""
--- a/src/crankhinge/decisions/_quota.py
+++ b/src/crankhinge/decisions/_quota.py
@@ -7,7 +7,10 @@
 local part. So the sum over all instances never exceeds what is allowed, whichever instances can
 reach each other, and no agreement between instances is needed. Below the limit no request is
 refused while the first or the second instance responds. A request that is larger than a bucket is
-granted only if the parts of all instances cover it; docs/design/account-recovery.md has the sums.
+granted from tokens saved for it; docs/design/account-recovery.md has the sums.
+
+After a restart buckets start empty, since the use before is unknown. The first instance of an
+account then has a start allowance, at most once in a window over all instances.
 
 The operators count the tokens of a request in a window if the request was sent and ran within that
 window. The tokens are allocated after the request was sent and before it runs, so no more tokens
@@ -30,14 +33,20 @@
 # account's rate and burst, but the other instances need some tokens as well.
 MAX_MAIN_SHARE = 0.8
 # Shares of the remaining tokens for the second instance, for all instances together as their local
-# parts, and for the debt of the first instance's bucket after a request larger than its burst.
+# parts, for what the first instance saves for requests larger than its burst, and for its start
+# allowance. They sum to one.
 STANDBY_SHARE = 0.5
-LOCAL_SHARE = 0.25
-DEBT_SHARE = 0.25
+LOCAL_SHARE = 0.15
+SAVED_SHARE = 0.1
+START_SHARE = 0.25
 # Share of a window's tokens that may be allocated at once; the rest becomes available over time.
 BURST_SHARE = 0.5
 # Unanswered requests in a row after which an instance is skipped.
 MAX_MISSES = 1
+# While the fleet starts, a request that the first instance of its account has not decided is asked
+# again at this interval, for at most this long, in seconds.
+DECISION_RETRY_S = 0.05
+MAX_DECISION_WAIT_S = 0.8
 # Longest retry delay in seconds. Refused callers get increasing delays up to this, so that they
 # retry one after the other.
 MAX_RETRY_AFTER_S = 5.0
@@ -74,7 +83,8 @@
             main=TokenLimit(main_share * limit.per_s, main_share * limit.burst),
             standby=self._rate_and_burst(STANDBY_SHARE * spare),
             local=self._rate_and_burst(LOCAL_SHARE * spare / instances),
-            main_debt=DEBT_SHARE * spare,
+            saved=SAVED_SHARE * spare,
+            start=START_SHARE * spare,
         )
 
     def _rate_and_burst(self, tokens: float) -> TokenLimit:
@@ -82,6 +92,14 @@
         return TokenLimit((1.0 - BURST_SHARE) * tokens / self.window_s, BURST_SHARE * tokens)
 
 
+class _Role(enum.Enum):
+    """What an instance is for an account: first allocator, second allocator, or neither."""
+
+    MAIN = "main"
+    STANDBY = "standby"
+    LOCAL = "own"
+
+
 @dataclass(frozen=True, slots=True)
 class QuotaPools:
     """The rate and burst of each bucket among which an account's allowed tokens are divided.
@@ -90,64 +108,70 @@
         main: for the first instance in the account's order.
         standby: for the second instance.
         local: for the local bucket of each instance.
-        main_debt: largest debt of the first instance's bucket, in tokens, that was not saved up
-            while the bucket was full.
+        saved: most tokens that the first instance saves for requests larger than its burst.
+        start: tokens of the first instance's start allowance.
     """
 
     main: TokenLimit
     standby: TokenLimit
     local: TokenLimit
-    main_debt: float
+    saved: float
+    start: float
+
+    def limit_of(self, role: _Role) -> TokenLimit:
+        """Return the rate and burst of the bucket for a role."""
+        return {_Role.MAIN: self.main, _Role.STANDBY: self.standby, _Role.LOCAL: self.local}[role]
 
 
 class TokenBucket:
     """A token bucket that starts empty, since earlier use is unknown.
 
-    A request larger than the burst leaves a debt. In no window may a bucket grant more than its
-    rate yields in the window, plus the burst and the permitted debt. So the part of the request
-    that neither the burst nor the permitted debt covers has to be saved up: the bucket stays full,
-    without a grant, for as long as the rate takes to yield that part.
+    Beside the burst it has two stores. Tokens that the rate yields while the bucket is full are
+    saved for requests larger than the burst. A start allowance can be used by any request for a
+    short time; what is left then goes into burst and savings. There is no debt, because an instance
+    that takes over would not know of it. So in any window, restarts included, the grants stay
+    within rate times window, burst, savings and one start allowance.
 
     Args:
         now: when it begins to fill, by the runtime's clock in seconds.
-        window_s: seconds over which use is summed.
 
     Attributes:
-        level: tokens in it at the last request; negative while in debt.
+        level: tokens in it at the last request, without savings and allowance.
     """
 
-    def __init__(self, now: float, window_s: float = DEFAULT_WINDOW_S) -> None:
+    def __init__(self, now: float) -> None:
         self.level = 0.0
-        self._window_s = window_s
-        # Tokens that the rate yielded while the bucket was full, since the last grant.
         self._saved = 0.0
+        self._allowance = 0.0
+        self._allowance_until = now
         self._refilled_at = now
         self._queue_until = now
 
-    def can_ever_grant(self, tokens: float, limit: TokenLimit, max_debt: float = 0.0) -> bool:
-        """Whether the bucket can grant a request of this size, now or later."""
-        return tokens <= limit.burst + max_debt + limit.per_s * self._window_s
+    def add_allowance(self, tokens: float, until: float) -> None:
+        """Add tokens that can be used until a time of the runtime's clock."""
+        self._allowance, self._allowance_until = tokens, until
 
-    def take(self, tokens: float, limit: TokenLimit, now: float, max_debt: float = 0.0) -> float:
+    def take(self, tokens: float, limit: TokenLimit, now: float, max_saved: float = 0.0) -> float:
         """Take *tokens*; return 0, or the seconds after which to retry if they are not available.
 
         Args:
             tokens: tokens to take.
             limit: rate and burst of this bucket.
             now: time of the runtime's clock in seconds.
-            max_debt: tokens that a request larger than the burst may take before they are yielded.
+            max_saved: most tokens that are saved for requests larger than the burst.
         """
-        self._refill(limit, now)
-        needed = min(tokens, limit.burst)
-        to_save = max(0.0, tokens - limit.burst - max_debt)
-        if self.level >= needed > 0 and self._saved >= to_save:
-            self.level -= tokens
-            self._saved = 0.0
+        self._refill(limit, now, max_saved)
+        from_saved = max(0.0, min(self._saved, tokens - limit.burst))
+        missing = tokens - self.level - self._allowance - from_saved
+        if missing <= 0 and limit.burst > 0:
+            self._saved -= from_saved
+            from_level = min(self.level, tokens - from_saved)
+            self.level -= from_level
+            self._allowance = max(0.0, self._allowance - (tokens - from_saved - from_level))
             return 0.0
-        if limit.per_s <= 0 or limit.burst <= 0 or not self.can_ever_grant(tokens, limit, max_debt):
+        if limit.per_s <= 0 or tokens > limit.burst + max_saved:
             return MAX_RETRY_AFTER_S
         # Requests that were refused earlier are retried before this one.
-        missing = max(0.0, needed - self.level) + max(0.0, to_save - self._saved)
         available_in_s = max(now + missing / limit.per_s, self._queue_until)
         self._queue_until = min(available_in_s + tokens / limit.per_s, now + MAX_RETRY_AFTER_S)
         return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, available_in_s - now))
@@ -156,13 +180,14 @@
         """Put back the tokens of a request that did not run."""
         self.level = min(limit.burst, self.level + tokens)
 
-    def _refill(self, limit: TokenLimit, now: float) -> None:
-        """Add the tokens that the rate yielded since the last refill, up to the burst."""
+    def _refill(self, limit: TokenLimit, now: float, max_saved: float) -> None:
+        """Add the tokens that the rate yielded since the last refill, up to burst and savings."""
         passed = max(0.0, now - self._refilled_at)
         level = self.level + passed * limit.per_s
+        if now >= self._allowance_until:
+            level, self._allowance = level + self._allowance, 0.0
         self.level = min(limit.burst, level)
-        overflow = max(0.0, level - limit.burst)
-        self._saved = min(limit.per_s * self._window_s, self._saved + overflow)
+        self._saved = min(max_saved, self._saved + level - self.level)
         self._refilled_at = max(self._refilled_at, now)
 
 
@@ -198,14 +223,6 @@
 NOT_ALLOCATOR = QuotaDecision(QuotaOutcome.NOT_ALLOCATOR)
 
 
-class _Role(enum.Enum):
-    """What an instance is for an account: first allocator, second allocator, or neither."""
-
-    MAIN = "main"
-    STANDBY = "standby"
-    LOCAL = "own"
-
-
 @dataclass
 class _AccountBuckets:
     """The buckets of one account, by the role in which this instance takes tokens from them.
@@ -214,10 +231,12 @@
         buckets: the buckets that were created.
         role: the last role that this instance had as an allocator of the account; LOCAL before
             that.
+        had_allowance: whether this instance has used its start allowance for the account.
     """
 
     buckets: dict[_Role, TokenBucket] = field(default_factory=dict)
     role: _Role = _Role.LOCAL
+    had_allowance: bool = False
 
 
 class QuotaAllocator:
@@ -270,25 +289,37 @@
         role = _Role.LOCAL if local else self._role_for(account.name, now)
         bucket = account_buckets.buckets.get(role) if account_buckets else None
         if bucket is not None and account.limit is not None:
-            bucket.put_back(tokens, self._limit_of(role, account.limit)[0])
+            bucket.put_back(tokens, self._pools(account.limit).limit_of(role))
 
     def _take_from(self, role: _Role, account: Account, tokens: float, now: float) -> QuotaDecision:
         assert account.limit is not None
         bucket = self._bucket(account.name, role, now)
-        limit, max_debt = self._limit_of(role, account.limit)
-        if role is not _Role.MAIN and not bucket.can_ever_grant(tokens, limit):
+        pools = self._pools(account.limit)
+        limit = pools.limit_of(role)
+        if role is not _Role.MAIN and tokens > limit.burst:
             # Only the first instance can decide on a request that is larger than this part.
             return NOT_ALLOCATOR
-        after_s = bucket.take(tokens, limit, now, max_debt)
+        if role is _Role.MAIN:
+            self._add_start_allowance(account.name, bucket, pools, now)
+        after_s = bucket.take(tokens, limit, now, pools.saved if role is _Role.MAIN else 0.0)
+        if after_s and role is _Role.MAIN and self._membership.is_entering(now):
+            # The start allowance is not known yet.
+            return NOT_ALLOCATOR
         outcome = QuotaOutcome.OVER_LIMIT if after_s else QuotaOutcome.GRANTED
         return QuotaDecision(outcome, after_s, bucket.level)
 
-    def _limit_of(self, role: _Role, limit: TokenLimit) -> tuple[TokenLimit, float]:
-        """Return the rate and burst of this instance's bucket for *role*, and its largest debt."""
-        pools = self._bounds.pools(limit, self._membership.fleet_size)
-        if role is _Role.MAIN:
-            return pools.main, pools.main_debt
-        return (pools.standby if role is _Role.STANDBY else pools.local), 0.0
+    def _pools(self, limit: TokenLimit) -> QuotaPools:
+        return self._bounds.pools(limit, self._membership.fleet_size)
+
+    def _add_start_allowance(
+        self, account: str, bucket: TokenBucket, pools: QuotaPools, now: float
+    ) -> None:
+        """Add the start allowance to the first instance's bucket, once after a restart."""
+        until = self._membership.start_allowance_until(account, now)
+        account_buckets = self._accounts[account]
+        if until is not None and not account_buckets.had_allowance:
+            account_buckets.had_allowance = True
+            bucket.add_allowance(pools.start, until)
 
     def _role_for(self, account: str, now: float) -> _Role:
         """Return what this instance is for an account now."""
@@ -315,7 +346,7 @@
                 if role is _Role.LOCAL
                 else max(self._started_at, self._membership.changed_at)
             )
-            account_buckets.buckets[role] = TokenBucket(min(since, now), self._bounds.window_s)
+            account_buckets.buckets[role] = TokenBucket(min(since, now))
         return account_buckets.buckets[role]
 
 
@@ -340,8 +371,32 @@
             if name == self._name or not self._unresponsive.is_skipped(name, now)
         ]
 
+    def should_ask_again(
+        self, outcome: QuotaOutcome, allocator: str, account: str, waited_s: float, now: float
+    ) -> bool:
+        """Whether to ask again, because the first instance of the account may be starting.
+
+        Args:
+            outcome: outcome of the last request for the tokens.
+            allocator: the instance that decided; empty for none or the local part.
+            account: name of the account.
+            waited_s: seconds since the caller's request arrived.
+            now: time of the runtime's clock in seconds.
+        """
+        return (
+            outcome is not QuotaOutcome.GRANTED
+            and waited_s < MAX_DECISION_WAIT_S
+            and self._membership.is_settling(now)
+            and allocator != self._membership.first_counted(account, now)
+        )
+
     def record_unresponsive(self, name: str, now: float) -> None:
-        """Record that an instance did not respond."""
+        """Record that an instance did not respond.
+
+        While the fleet starts, it is not skipped: it may respond a moment later.
+        """
+        if self._membership.is_settling(now):
+            return
         self._unresponsive.record_unresponsive(name, now)
 
     def record_response(self, name: str) -> None:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -209,6 +209,7 @@
         limit_updates=limit_updates,
         log=log,
         rng=rng,
+        quota_window_s=settings.quota_bounds.window_s,
     )
     role_controller = RoleController(
         name=settings.name,
--- a/src/crankhinge/gateway/_quota.py
+++ b/src/crankhinge/gateway/_quota.py
@@ -7,6 +7,7 @@
 import curio
 
 from crankhinge.decisions import (
+    DECISION_RETRY_S,
     NOT_ALLOCATOR,
     Account,
     Membership,
@@ -82,13 +83,27 @@
         if account is None or account.limit is None:
             return
         tokens = account.cost(relay.request.max_total_tokens)
+        while True:
+            requested, decision = await self._ask_allocators(account, tokens)
+            now = await curio.clock()
+            waited_s = now - relay.started_at
+            if now >= relay.deadline or not self._client.should_ask_again(
+                decision.outcome, requested.allocator, account.name, waited_s, now
+            ):
+                break
+            await curio.sleep(DECISION_RETRY_S)
+        self._apply_decision(relay, requested, decision)
+
+    async def _ask_allocators(
+        self, account: Account, tokens: int
+    ) -> tuple[TokenGrant, QuotaDecision]:
+        """Return the decision of the first allocator that responds, or about the local part."""
         for allocator in self._client.allocators(account.name, await curio.clock()):
             decision = await self._request_from(allocator, account, tokens)
             if decision is not None and decision.outcome is not QuotaOutcome.NOT_ALLOCATOR:
-                self._apply_decision(relay, TokenGrant(allocator, account, tokens), decision)
-                return
+                return TokenGrant(allocator, account, tokens), decision
         decision = self._allocator.allocate_local(account, tokens, await curio.clock())
-        self._apply_decision(relay, TokenGrant("", account, tokens), decision)
+        return TokenGrant("", account, tokens), decision
 
     def _apply_decision(self, relay: Relay, requested: TokenGrant, decision: QuotaDecision) -> None:
         allocator_name = requested.allocator or "own"
--- a/src/crankhinge/gateway/_record_sync.py
+++ b/src/crankhinge/gateway/_record_sync.py
@@ -14,8 +14,11 @@
 
 from crankhinge.adapters import FleetEntry, InstanceRecord, InstanceRegistry, RecordLease
 from crankhinge.decisions import (
+    DEFAULT_WINDOW_S,
+    FLEET_ENTRY_LEASE_S,
     FLEET_ENTRY_RENEWAL_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
+    START_ALLOWANCE_S,
     Membership,
     PoolLoads,
     WorkloadMeter,
@@ -70,6 +73,7 @@
         limit_updates: LimitUpdates,
         log: Any,
         rng: random.Random,
+        quota_window_s: float = DEFAULT_WINDOW_S,
     ) -> None:
         self._name = name
         self._address = address
@@ -80,6 +84,11 @@
         self._lease_expires_at = float("-inf")
         self._entered = False
         self._is_leaving = False
+        # When the present run of this instance's fleet entry began, and whether the entry permits
+        # the next incarnation start allowances.
+        self._entered_at = float("-inf")
+        self._permits_allowance = False
+        self._allowance_rest_s = quota_window_s + START_ALLOWANCE_S
         self._entry_renewed_at = float("-inf")
         self._registry = registry
         self._meters = meters
@@ -155,6 +164,12 @@
             return
         elif not self._entered:
             await self._enter_fleet()
+        elif self._may_permit_allowance(await curio.clock()):
+            until = await self._registry.write_fleet_entry(
+                self._name, FleetEntry(self._address, start_allowance=True)
+            )
+            self._permits_allowance = True
+            self._membership.set_entry_end(until)
         elif await curio.clock() - self._entry_renewed_at >= FLEET_ENTRY_RENEWAL_INTERVAL_S:
             await self._renew_fleet_entry()
 
@@ -200,6 +215,7 @@
         """
         if self._is_leaving:
             return
+        is_restart = self._entered_at == float("-inf")
         sent_at = await curio.clock()
         entries = await self._registry.read_fleet_entries()
         own_entry = entries.pop(self._name, None)
@@ -208,11 +224,13 @@
             self._joined = False
             return
         self._entry_renewed_at = sent_at
+        self._permits_allowance, self._entered_at = False, await curio.clock()
         self._membership.enter_fleet(
             {name: entry.peer for name, entry in entries.items()},
             sent_at,
             until=until,
-            returned=own_entry is not None and own_entry.unused_after_s is None,
+            returned=own_entry is not None,
+            start_allowance=is_restart and own_entry is not None and own_entry.start_allowance,
             leaving={
                 name: entry.unused_after_s
                 for name, entry in entries.items()
@@ -231,11 +249,25 @@
         self._membership.leave_fleet()
         try:
             await self._registry.write_fleet_entry(
-                self._name, FleetEntry(self._address, unused_after_s)
+                self._name,
+                FleetEntry(self._address, unused_after_s, start_allowance=self._permits_allowance),
             )
         except KeyValueUnavailable as exc:
             self._log.info("note_unknown", why=exc.detail)
 
+    def _may_permit_allowance(self, now: float) -> bool:
+        """Whether the fleet entry should permit the next incarnation start allowances now.
+
+        Two start allowances for one account must be further apart than the window over which use
+        is summed. Entries have to exist all that time.
+        """
+        return (
+            not self._permits_allowance
+            and now - self._entry_renewed_at <= FLEET_ENTRY_LEASE_S / 2
+            and now - self._entered_at >= self._allowance_rest_s
+            and self._allowance_rest_s <= FLEET_ENTRY_LEASE_S / 2
+        )
+
     async def _renew_fleet_entry(self) -> None:
         sent_at = await curio.clock()
         until = await self._registry.renew_fleet_entry()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,7 +4,7 @@
 
 import math
 
-from crankhinge.decisions import FLEET_ENTRY_LEASE_S, Membership
+from crankhinge.decisions import FLEET_ENTRY_LEASE_S, Membership, rank_by_key
 
 ADDRESSES = {"here": "h:1", "there": "t:1"}
 
@@ -49,6 +49,13 @@
         """The record never expired, so the other instances never stopped counting it."""
         assert make_joined(resumed=True).may_coordinate(10.0)
 
+    def test_restarted_instance_announces_itself_although_it_may_coordinate(self) -> None:
+        """The others may skip it for up to 16 s because it did not respond to them."""
+        membership = make_joined(resumed=True)
+        assert membership.unacknowledged_addresses == ["t:1"]
+        membership.record_acknowledged("there")
+        assert membership.unacknowledged_addresses == []
+
     def test_instance_stops_coordinating_when_its_lease_may_have_ended(self) -> None:
         """Another instance coordinates as soon as it reads that the record is gone."""
         membership = make_joined(resumed=True)
@@ -158,3 +165,42 @@
         membership.set_entry_end(40.0)
         assert membership.may_use_equal_share(39.9)
         assert not membership.may_use_equal_share(40.0)
+
+
+class TestStartAllowance:
+    """For which keys a restarted instance has a start allowance."""
+
+    @staticmethod
+    def make_restarted() -> Membership:
+        """Return the membership of "here", which restarted at 10 s; "away" has only an entry."""
+        membership = make_joined(resumed=True)
+        membership.enter_fleet(
+            {"here": "h:1", "there": "t:1", "away": "a:1"},
+            10.0,
+            until=math.inf,
+            returned=True,
+            start_allowance=True,
+        )
+        return membership
+
+    def test_only_the_first_of_all_instances_with_entries_has_one(self) -> None:
+        """Another one may have had its own a moment ago, and be gone again."""
+        membership = self.make_restarted()
+        keys = [f"k{number}" for number in range(100)]
+        names = ["here", "there", "away"]
+        for key in keys:
+            is_first = rank_by_key(key.encode(), names)[0] == "here"
+            assert (membership.start_allowance_until(key, 10.5) == 12.0) is is_first
+
+    def test_unused_one_is_lost_when_the_instances_change(self) -> None:
+        """Another instance may have been the first and allocated tokens since."""
+        membership = self.make_restarted()
+        key = next(
+            f"k{number}"
+            for number in range(100)
+            if membership.start_allowance_until(f"k{number}", 10.5) is not None
+        )
+        assert membership.start_allowance_until(key, 50.0) == 12.0
+        membership.record_joined("new", "n:1", 11.0)
+        assert membership.start_allowance_until(key, 11.5) == 12.0
+        assert membership.start_allowance_until(key, 50.0) is None
