--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -39,15 +39,20 @@
 from crankhinge.decisions._mechanisms import FULL, NAIVE, POLICIES, Mechanisms, mechanisms_for
 from crankhinge.decisions._member_limits import MemberLimits
 from crankhinge.decisions._membership import (
+    FLEET_ENTRY_LEASE_S,
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
     JOIN_ANNOUNCEMENT_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
     RECORD_LEASE_S,
+    START_ALLOWANCE_S,
     Membership,
 )
 from crankhinge.decisions._permit_pool import PERMIT_TRANSIT_S, PermitDecision, PermitPool
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._quarantine import Quarantine, QuarantineUpdate
 from crankhinge.decisions._quota import (
+    DECISION_RETRY_S,
+    DEFAULT_WINDOW_S,
     NOT_ALLOCATOR,
     QuotaAllocator,
     QuotaBounds,
@@ -107,8 +112,12 @@
 from crankhinge.decisions._work_queue import WorkQueue
 
 __all__ = [
+    "DECISION_RETRY_S",
     "DEFAULT_FIRST_EVENT_S",
     "DEFAULT_SERVICE_S",
+    "DEFAULT_WINDOW_S",
+    "FLEET_ENTRY_LEASE_S",
+    "FLEET_ENTRY_RENEWAL_INTERVAL_S",
     "FULL",
     "JOIN_ANNOUNCEMENT_INTERVAL_S",
     "LATE_VALUE",
@@ -123,6 +132,7 @@
     "RECORD_LEASE_S",
     "RETRY_OF_LONGEST_WAIT",
     "RETRY_OF_SHORTEST_FIRST_WAIT",
+    "START_ALLOWANCE_S",
     "WAIT_COST_PER_S",
     "Account",
     "Accounts",
--- a/src/crankhinge/decisions/_membership.py
+++ b/src/crankhinge/decisions/_membership.py
@@ -19,6 +19,11 @@
 An instance that restarts within its lease takes over its record by a conditional write. If its
 previous incarnation could coordinate, the other instances have counted the name all the time, and
 it coordinates at once.
+
+An instance without a record may still use its equal share of a common limit: it may be cut off
+from the store only. Therefore each instance also keeps a fleet entry in the store, which outlives
+its record by minutes. An instance that joins counts the instances that have a fleet entry. It uses
+its share once each of them knows of it, or has no right to a share any more.
 """
 
 from __future__ import annotations
@@ -47,6 +52,15 @@
 # share. An instance stops using its own share when its last read of the records is older than this
 # time minus MAX_STALE_READ_S.
 FLEET_RETENTION_S = 120.0
+# Seconds that a fleet entry lasts without renewal, and seconds between its renewals. An instance
+# uses its equal share only while its entry certainly exists, so it may do so for the difference at
+# least while the store does not respond.
+FLEET_ENTRY_LEASE_S = FLEET_RETENTION_S
+FLEET_ENTRY_RENEWAL_INTERVAL_S = 20.0
+# Seconds after its start for which an instance expects that the other ones may be starting, too.
+SETTLING_S = 2.0
+# Seconds after its start for which a restarted instance may use start allowances.
+START_ALLOWANCE_S = 2.0
 # Seconds between join announcements to instances that have not acknowledged one.
 JOIN_ANNOUNCEMENT_INTERVAL_S = 0.5
 
@@ -64,6 +78,7 @@
 
     def __init__(self, name: str, now: float) -> None:
         self.changed_at = now
+        self._started_at = now
         self._name = name
         self._addresses: dict[str, str] = {}
         self._names_at: dict[str, str] = {}
@@ -74,6 +89,16 @@
         # The same, including this instance and instances that are gone by now.
         self._last_seen: dict[str, float] = {name: float("inf")}
         self._unacknowledged: set[str] = set()
+        # Instances that count this one all the time, but may not know yet that it has returned.
+        self._to_notify: set[str] = set()
+        # Instances that may use their equal share without counting this one: their addresses, and
+        # until when they may. Also the instances that have confirmed that they count it.
+        self._uninformed: dict[str, tuple[str, float]] = {}
+        self._informed: set[str] = set()
+        self._entry_until = float("-inf")
+        # The instances that had fleet entries when the start allowances of this one began.
+        self._allowance_names: frozenset[str] | None = None
+        self._allowance_began_at = now
         self._read_at = float("-inf")
         self._lease_until = float("-inf")
         self._joined_at: float | None = None
@@ -89,7 +114,10 @@
     @property
     def unacknowledged_addresses(self) -> Sequence[str]:
         """Datagram addresses of the instances that have not acknowledged the join announcement."""
-        return [self._addresses[name] for name in self._unacknowledged if self._addresses.get(name)]
+        addresses = {name: address for name, (address, _) in self._uninformed.items()}
+        for name in self._unacknowledged | self._to_notify:
+            addresses[name] = self._addresses.get(name, "")
+        return [address for address in addresses.values() if address]
 
     def peer_address(self, name: str) -> str:
         """Return the datagram address of an instance; empty if it has none."""
@@ -124,8 +152,59 @@
                 the other instances have counted all the time.
         """
         self._joined_at = now
+        if not resumed:
+            self._informed.clear()
         self.apply_records(addresses, now)
-        self._unacknowledged = set() if resumed else set(self._addresses) - {self._name}
+        others = set(self._addresses) - {self._name}
+        self._unacknowledged = set() if resumed else others
+        self._to_notify = others if resumed else set()
+
+    def enter_fleet(
+        self,
+        addresses: Mapping[str, str],
+        now: float,
+        *,
+        until: float,
+        returned: bool,
+        leaving: Mapping[str, float] | None = None,
+        start_allowance: bool = False,
+    ) -> None:
+        """Apply a read of the fleet entries that was sent after this instance joined.
+
+        Args:
+            addresses: datagram address of each instance that has a fleet entry, by name; from a
+                read that is not stale.
+            now: when the read was sent, by the runtime's clock in seconds.
+            until: time until which the entry of this instance certainly exists.
+            returned: whether this instance already had an entry, so that the others count it.
+            leaving: for each instance that was stopped, the seconds after which its share is
+                unused; None for no such instances.
+            start_allowance: whether the earlier entry of this instance permitted start allowances,
+                and no longer does.
+        """
+        others = {name: peer for name, peer in addresses.items() if name != self._name}
+        for name in others:
+            self._last_seen[name] = max(now, self._last_seen.get(name, now))
+        self._entry_until = until
+        if start_allowance:
+            self._allowance_names, self._allowance_began_at = frozenset(self._last_seen), now
+        if returned:
+            self._uninformed = {}
+            return
+        known = {name: peer for name, peer in self._addresses.items() if name != self._name}
+        self._uninformed = {
+            name: (peer, now + (leaving or {}).get(name, FLEET_ENTRY_LEASE_S))
+            for name, peer in (others | known).items()
+            if name not in self._informed
+        }
+
+    def leave_fleet(self) -> None:
+        """Stop using the equal share, because this instance was told to stop."""
+        self._entry_until = float("-inf")
+
+    def set_entry_end(self, until: float) -> None:
+        """Set the time until which this instance's fleet entry certainly exists."""
+        self._entry_until = until
 
     def apply_records(self, addresses: Mapping[str, str], now: float) -> None:
         """Apply a later read of the records.
@@ -147,16 +226,49 @@
             {**peers, **{name: peer for name, peer in addresses.items() if peer}}, now
         )
         self._unacknowledged &= set(self._addresses)
+        self._to_notify &= set(addresses)
+        self._drop_informed(addresses, now)
         self._read_at = now
 
     def record_joined(self, name: str, address: str, now: float) -> None:
         """Record that an instance has joined, and its datagram address."""
         self._seen_at[name] = self._last_seen[name] = now
         self._set_addresses({**self._addresses, name: address}, now)
+        # It announces itself to the instances that it counts.
+        self._record_informed(name)
 
     def record_acknowledged(self, name: str) -> None:
         """Record that an instance has acknowledged the join announcement of this one."""
         self._unacknowledged.discard(name)
+        self._record_informed(name)
+
+    def _record_informed(self, name: str) -> None:
+        self._informed.add(name)
+        self._to_notify.discard(name)
+        self._uninformed.pop(name, None)
+
+    def _drop_informed(self, records: Iterable[str], now: float) -> None:
+        """Drop the instances that must have read this one's record by now, or have no right left.
+
+        A record that still exists this long after the join shows that its instance has reached the
+        store since, and so has read the records again.
+        """
+        self._uninformed = {
+            name: (peer, until) for name, (peer, until) in self._uninformed.items() if until > now
+        }
+        if self._joined_at is None:
+            return
+        if now - self._joined_at > MAX_STALE_READ_S + RECORD_LEASE_S + self.max_read_age_s:
+            for name in records:
+                self._uninformed.pop(name, None)
+
+    def is_settling(self, now: float) -> bool:
+        """Whether this instance has just started, so that other instances may be starting, too."""
+        return now - self._started_at < SETTLING_S
+
+    def is_entering(self, now: float) -> bool:
+        """Whether this instance has just started and has not read the fleet entries yet."""
+        return self.is_settling(now) and self._entry_until == float("-inf")
 
     def may_coordinate(self, now: float) -> bool:
         """Whether this instance may act as the first instance of a key."""
@@ -182,12 +294,40 @@
         )
 
     def may_use_equal_share(self, now: float) -> bool:
-        """Whether this instance may use its equal share of a common limit."""
+        """Whether this instance may use its equal share of a common limit.
+
+        That is so while the instances that join count this one by its fleet entry, and once all
+        instances that may use a share count this one.
+        """
         return (
             self.has_counted_instances(now)
+            and now < self._entry_until
+            and all(until <= now for _, until in self._uninformed.values())
             and now - self._read_at <= FLEET_RETENTION_S - MAX_STALE_READ_S
         )
 
+    def first_counted(self, key: str, now: float) -> str | None:
+        """Return the first instance of *key* among those with fleet entries, also if it is away.
+
+        Returns None while this instance, which has just started, has not read the entries.
+        """
+        return None if self.is_entering(now) else rank_by_key(key.encode(), self._last_seen)[0]
+
+    def start_allowance_until(self, key: str, now: float) -> float | None:
+        """Return until when a start allowance for *key* can be used; None if there is none.
+
+        Of the instances that had a fleet entry when this one started, it is the first in the order
+        of the key, so no other one has an allowance for the key at the same time. An allowance that
+        was not asked for in time is part of the burst and the savings, unless another instance may
+        have been the first since.
+        """
+        if self._allowance_names is None:
+            return None
+        until = self._allowance_began_at + START_ALLOWANCE_S
+        if now >= until and self.changed_at > self._allowance_began_at:
+            return None
+        return until if rank_by_key(key.encode(), self._allowance_names)[0] == self._name else None
+
     @property
     def fleet_size(self) -> int:
         """Upper bound of the number of instances that use their equal share."""
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -259,6 +259,7 @@
         limit_updates=limit_updates,
         log=log,
         rng=rng,
+        quota_window_s=settings.quota_bounds.window_s,
     )
     role_controller = RoleController(
         name=settings.name,
@@ -315,7 +316,10 @@
     supervisor.add("runs", placement.run)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
-    await run_until_first_ends(supervisor.run, partial(_drain_when_stopping, stopping, gateway))
+    await run_until_first_ends(
+        supervisor.run,
+        partial(_drain_when_stopping, stopping, gateway, record_sync, shared_limits),
+    )
     log.info("stopped")
 
 
@@ -339,9 +343,16 @@
     backends.record_order(message.server, message.phase, until, by_peer=True)
 
 
-async def _drain_when_stopping(stopping: curio.Event, gateway: Gateway) -> None:
+async def _drain_when_stopping(
+    stopping: curio.Event,
+    gateway: Gateway,
+    record_sync: InstanceRecordSync,
+    shared_limits: SharedLimits,
+) -> None:
     await stopping.wait()
+    leave = await curio.spawn(record_sync.leave_fleet, shared_limits.lease_s, daemon=True)
     await gateway.drain()
+    await leave.cancel()
 
 
 def run(argv: list[str] | None, *, make_platform: MakePlatform) -> int:
