Stand-in engine: move runs to another engine

Cause: moves of runs can only be tested against an engine that takes part in them.

Change: the stand-in decode engine responds to kv-move as published: it copies a run, with `last` stops it first, and keeps the memory under a handle that is used at most once, at the target or at the source. A copy occupies memory and a slot at the target until it is used, freed or lapses. Its report states when a leaving engine ends. The fault `move_mutes` loses responses of moves.

--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -17,6 +17,7 @@
         garbles: share of responses that break off in the middle.
         refuses: share of requests that the server refuses before they run.
         slow: factor by which every duration is multiplied.
+        move_mutes: share of calls to move a run that take effect but get no response.
         rest_s: backoff in seconds that the server asks for when it refuses a request; 0 for none.
         limit: limit in requests per second that the server advertises, as text; empty for none.
     """
@@ -28,6 +29,7 @@
     slow: float = 1.0
     limit: str = ""
     rest_s: float = 0.0
+    move_mutes: float = 0.0
 
 
 @dataclass
@@ -37,15 +39,23 @@
     Attributes:
         runs: memory of requests in progress, by run.
         holds: reserved memory, by reservation id.
-        handles: KV caches of prompts that wait to be fetched, by KV handle.
+        handles: KV caches of prompts and of stopped runs that wait to be fetched, by KV handle.
+        copies: copies of other engines' runs, by location.
     """
 
     runs: dict[str, int] = field(default_factory=dict)
     holds: dict[str, int] = field(default_factory=dict)
     handles: dict[str, int] = field(default_factory=dict)
+    copies: dict[str, int] = field(default_factory=dict)
 
     @property
     def used(self) -> int:
         """Sum of all tokens in use."""
-        in_use = itertools.chain(self.runs.values(), self.holds.values(), self.handles.values())
-        return sum(in_use)
+        return sum(
+            itertools.chain(
+                self.runs.values(),
+                self.holds.values(),
+                self.handles.values(),
+                self.copies.values(),
+            )
+        )
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -19,6 +19,13 @@
 
 from crankhinge.errors import BadHttp, HttpClosed, KeyValueUnavailable
 from crankhinge.http import Exchange, HttpClient, HttpRequest
+from crankhinge_standins._replica_moves import (
+    COPY_PATH,
+    DROP_PATH,
+    USE_PATH,
+    DecodeRun,
+    RunMoves,
+)
 from crankhinge_standins._replica_state import KvMemory, ReplicaFaults
 from crankhinge_standins._web import Recorder, reply, serve
 
@@ -66,7 +73,8 @@
     """One incarnation of a backend server.
 
     Each row in the file of records has one of these kinds: ``born`` (start of the server),
-    ``arrival`` (of a request), ``run`` (start of a run), ``told`` (response with a leaving or
+    ``arrival`` (of a request), ``run`` (start of a run), ``continued`` (a moved run goes on here),
+    ``stopped`` (a run has ended here to be moved), ``told`` (response with a leaving or
     backoff signal), ``order`` (to change the role), ``leaves`` (shutdown announced) and ``left``
     (drain over).
 
@@ -112,8 +120,10 @@
         self._place = place
         self._log = log
         self._memory = KvMemory()
+        self._moves = RunMoves(self._memory, KV_HANDLE_TTL_S)
         self._rng = random.Random(self.ident)
         self._leaving = False
+        self._leaves_at: float | None = None
         self._switching_role = False
         self._heartbeat_numbers = itertools.count(1)
         self._id_numbers = itertools.count(1)
@@ -171,7 +181,9 @@
         while not await announce():
             await curio.sleep(SIDE_CALL_TIMEOUT_S / 4)
         self._recorder.write(kind="leaves", server=self.ident)
-        await curio.sleep(DRAIN_S + self._rng.uniform(0.0, MAX_EXTRA_DRAIN_S))
+        drain_s = DRAIN_S + self._rng.uniform(0.0, MAX_EXTRA_DRAIN_S)
+        self._leaves_at = await curio.clock() + drain_s
+        await curio.sleep(drain_s)
         await self._remove_entry()
         self._recorder.write(kind="left", server=self.ident, running=self._running)
 
@@ -190,6 +202,8 @@
             await exchange.respond_with_fields(421, [("x-instance-id", self.ident)], b"")
         elif req.path.startswith("/v1/"):
             await self._handle_side_call(exchange)
+        elif req.path.startswith("/engines/"):
+            await self._handle_engine_call(exchange)
         else:
             await self._run_or_refuse(exchange)
 
@@ -209,9 +223,10 @@
         )
         is_prefill = req.headers.get("x-stage") == "prefill"
         role_fits = (self._role == "prefill") == is_prefill
-        full = (
-            self._running >= SLOTS or self._switching_role or self._by_chance(self.faults.refuses)
-        )
+        # The copy of a run occupies a slot, which its run takes over.
+        is_copied = req.headers.get("kv-from", "") in self._memory.copies
+        free_slots = SLOTS - self._running - len(self._memory.copies) + is_copied
+        full = free_slots <= 0 or self._switching_role or self._by_chance(self.faults.refuses)
         if not role_fits or full:
             await self._refuse(exchange, NO_CAPACITY_STATUS if role_fits else 421)
             return
@@ -230,11 +245,11 @@
         """Return True with the probability *share*, and False otherwise."""
         return self._rng.random() < share
 
-    def _record_run(self, req: HttpRequest) -> str:
+    def _record_run(self, req: HttpRequest, kind: str = "run") -> str:
         ident = req.headers["x-request-id"]
         after = req.headers.get("last-event-id", "")
         self._recorder.write(
-            kind="run", server=self.ident, service=self._service, request=ident, after=after
+            kind=kind, server=self.ident, service=self._service, request=ident, after=after
         )
         return ident
 
@@ -314,30 +329,61 @@
         req = exchange.req
         prompt, _, max_answer = req.headers["x-token-count"].partition(",")
         tokens = int(prompt) + int(max_answer)
-        run = f"r{next(self._id_numbers)}"
+        number = f"r{next(self._id_numbers)}"
         held = self._memory.holds.pop(req.headers.get("hold", ""), 0)
-        if self._memory.used + max(tokens, held) > MAX_KV_TOKENS:
+        location = req.headers.get("kv-from", "")
+        # The copy of a moved run becomes the memory of the run.
+        copied = self._moves.release(location)
+        own_handle = location.removeprefix(f"{self._advertised_address}/")
+        kept = self._memory.handles.get(own_handle, 0)
+        if self._memory.used - kept + max(tokens, held) > MAX_KV_TOKENS:
             await self._refuse(exchange, NO_CAPACITY_STATUS)
             return
-        self._memory.runs[run] = max(tokens, held)
+        self._memory.runs[number] = max(tokens, held)
+        moved = bool(copied) or location.startswith(f"{self._advertised_address}/")
         try:
-            if "kv-from" in req.headers and not await self._fetch_kv_cache(req.headers["kv-from"]):
+            if location and not await self._fetch_kv_cache(location, has_copy=bool(copied)):
                 await self._refuse(exchange, NO_CAPACITY_STATUS)
                 return
-            if "kv-from" not in req.headers:
+            if not location:
                 await curio.sleep(int(prompt) * PREFILL_TOKEN_S * 2 * self.faults.slow)
-            ident = self._record_run(req)
+            ident = self._record_run(req, kind="continued" if moved else "run")
+            run = DecodeRun(ident, max(tokens, held))
+            await self._stream_run(exchange, run)
+        finally:
+            del self._memory.runs[number]
+
+    async def _stream_run(self, exchange: Exchange, run: DecodeRun) -> None:
+        """Send the events of a run until its end, its stop, or the caller's disconnect."""
+        # Two requests may have equal ids; only the newer one can then be moved.
+        self._moves.runs[run.ident] = run
+        try:
             async with curio.TaskGroup(wait=any) as group:
-                writer = await group.spawn(self._stream_events, exchange, ident)
+                writer = await group.spawn(self._stream_events, exchange, run)
                 await group.spawn(exchange.wait_for_disconnect)
-            if group.completed is not writer or not writer.result:
+                await group.spawn(run.stopping.wait)
+            run.completed = group.completed is writer and bool(writer.result)
+            if not run.completed:
                 raise HttpClosed("the caller disconnected, or the response was broken off")
         finally:
-            del self._memory.runs[run]
-
-    async def _fetch_kv_cache(self, at: str) -> bool:
-        """Fetch the KV cache of a prompt from the location *at*; return whether this succeeded."""
+            if self._moves.runs.get(run.ident) is run:
+                del self._moves.runs[run.ident]
+            if run.stopping.is_set() and not run.completed:
+                self._recorder.write(kind="stopped", server=self.ident, request=run.ident)
+            await run.stopped.set()
+
+    async def _fetch_kv_cache(self, at: str, *, has_copy: bool) -> bool:
+        """Fetch a KV cache from the location *at*; return whether this succeeded.
+
+        Args:
+            at: location of the KV cache of a prompt or of a run.
+            has_copy: whether this engine has the copy of a run with that location.
+        """
         where, _, handle = at.partition("/")
+        if where == self._advertised_address:
+            return await self._moves.use_at_source(where, handle)
+        if has_copy:
+            return await self._moves.use_copy(at)
         host, _, port = where.rpartition(":")
         client = HttpClient(host, int(port))
         try:
@@ -351,21 +397,21 @@
             await client.close()
         return bool(resp.status == 200)
 
-    async def _stream_events(self, exchange: Exchange, ident: str) -> bool:
+    async def _stream_events(self, exchange: Exchange, run: DecodeRun) -> bool:
         """Send the events that the caller lacks; return whether the caller got all of them.
 
         Returns False instead of raising an exception if the caller closed its connection, because
         curio logs every task that raises.
         """
         try:
-            return await self._send_events(exchange, ident)
+            return await self._send_events(exchange, run)
         except HttpClosed:
             return False
 
-    async def _send_events(self, exchange: Exchange, ident: str) -> bool:
-        events = make_events(ident)
-        begin = int(exchange.req.headers.get("last-event-id") or "0")
-        await exchange.start_with_fields(200, self._make_response_fields(ident))
+    async def _send_events(self, exchange: Exchange, run: DecodeRun) -> bool:
+        events = make_events(run.ident)
+        begin = run.made = int(exchange.req.headers.get("last-event-id") or "0")
+        await exchange.start_with_fields(200, self._make_response_fields(run.ident))
         break_at = self._rng.randrange(len(events)) if self._by_chance(self.faults.garbles) else -1
         for number, event in enumerate(events[begin:], start=begin):
             await curio.sleep(EVENT_INTERVAL_S * self.faults.slow)
@@ -373,6 +419,7 @@
                 await exchange.write(event[: len(event) // 2])
                 return False
             await exchange.write(event)
+            run.made = number + 1
         await exchange.finish()
         return True
 
@@ -385,20 +432,52 @@
             self._memory.holds.pop(name, None)
             await reply(exchange, {})
         elif req.path.startswith("/v1/kv-handle/"):
-            known = self._memory.handles.pop(name, None) is not None
+            known = await self._moves.drop(self._advertised_address, name)
+            known = self._memory.handles.pop(name, None) is not None or known
             await reply(exchange, {}, 200 if known else 404)
+        elif req.path == "/v1/kv-move":
+            await self._move_run(exchange, msgspec.json.decode(req.body))
         elif req.path == "/v1/report":
-            report = {
+            report: dict[str, Any] = {
                 "phase": self._role,
                 "sequence": self._order_count,
                 "busy": self._switching_role,
             }
+            if self._leaves_at is not None:
+                report["leaves_ms"] = round(max(0.0, self._leaves_at - await curio.clock()) * 1000)
             await reply(exchange, {**report, "kv_used": self._memory.used})
         elif req.path == "/v1/order":
             await self._handle_order(exchange, msgspec.json.decode(req.body))
         else:
             await reply(exchange, {}, 404)
 
+    async def _move_run(self, exchange: Exchange, order: dict[str, Any]) -> None:
+        """Copy a run to another engine, and stop it if this is the last call."""
+        status, answer = await self._moves.copy(
+            self._advertised_address, order["id"], order["target_version"], last=order["last"]
+        )
+        if self._by_chance(self.faults.move_mutes):
+            raise HttpClosed("response lost on purpose")
+        await reply(exchange, answer, status)
+
+    async def _handle_engine_call(self, exchange: Exchange) -> None:
+        """Respond to another engine that copies a run here, continues one there, or frees one."""
+        path = exchange.req.path
+        if path.startswith(COPY_PATH):
+            copied = await self._moves.keep(
+                path.removeprefix(COPY_PATH),
+                msgspec.json.decode(exchange.req.body)["tokens"],
+                MAX_KV_TOKENS - self._memory.used if self._role == "decode" else 0,
+                has_slot=self._running + len(self._memory.copies) < SLOTS,
+            )
+            await reply(exchange, {}, 200 if copied else NO_CAPACITY_STATUS)
+        elif path.startswith(USE_PATH):
+            may_use = self._moves.use(path.removeprefix(USE_PATH))
+            await reply(exchange, {}, 200 if may_use else NO_CAPACITY_STATUS)
+        else:
+            self._moves.release(path.removeprefix(DROP_PATH))
+            await reply(exchange, {})
+
     async def _reserve(self, exchange: Exchange, request: dict[str, Any]) -> None:
         """Reserve KV memory for a later request; the reservation expires after its TTL."""
         if self._role != "decode" or self._memory.used + request["tokens"] > MAX_KV_TOKENS:
