Move a running stream to another engine

Cause: a run that was placed badly, or whose engine leaves, stays where it is until it is preempted or cut.

Change: RunMigrator.move copies a run, stops it with a second call, and the task that relays the stream sends the same request to the target with the location of the copy and the last event id, else to the source. Handover is the state that both share: the mover makes the calls, the relaying task alone reads the source and continues the run. Neither the retry budget nor the number of servers of the route is charged. The memory counts at the engine where the run is, and the placement coordinator is told. A coordinator's RunMoveOrder starts a move. LeavingRuns moves the runs that would not end before their leaving engine does.

Why it holds: the target is asked only after the source has confirmed the stop or closed the stream without its end, and a handle is used at most once.

--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -319,7 +319,9 @@
         for listener in self.listeners:
             await listener.on_signals(server, signals, sent_at=sent_at, succeeded=succeeded)
 
-    async def side_call(self, server: Server, call: SideCall) -> Response | None:
+    async def side_call(
+        self, server: Server, call: SideCall, *, timeout_s: float = SIDE_CALL_TIMEOUT_S
+    ) -> Response | None:
         """Make a side call; return None if the server gives no valid response in time.
 
         The listeners are notified of the signals in the response.
@@ -328,9 +330,7 @@
         headers = self.dialect.side_call_fields(server.name)
         sent_at = await curio.clock()
         try:
-            resp: Response = await curio.timeout_after(
-                SIDE_CALL_TIMEOUT_S, _call, client, call, headers
-            )
+            resp: Response = await curio.timeout_after(timeout_s, _call, client, call, headers)
         except (HttpClosed, BadHttp, curio.TaskTimeout) as exc:
             self._metrics.count("side_calls_failed")
             self._log.info(
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -48,6 +48,8 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
+from crankhinge.gateway.migration._leaving import LeavingRuns
+from crankhinge.gateway.migration._migrator import RunMigrator
 from crankhinge.gateway.placement._client import MAX_MISSES as MAX_PLACEMENT_MISSES
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.gateway.placement._engines import PlacementEngines
@@ -195,6 +197,16 @@
         metrics=metrics,
         rng=rng,
     )
+    migrator = RunMigrator(
+        backends=backends,
+        running=running,
+        authenticator=authenticator,
+        quarantine=quarantine,
+        permits=permits,
+        log=log,
+    )
+    placement.move_run = migrator.move
+    leaving_runs = LeavingRuns(backends=backends, running=running, migrator=migrator, log=log)
     selector = ServerSelector(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
@@ -312,6 +324,7 @@
     supervisor.add("limits", permits.log_use)
     supervisor.add("placement", placement_service.run)
     supervisor.add("runs", placement.run)
+    supervisor.add("moves", leaving_runs.run)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
     await run_until_first_ends(supervisor.run, partial(_drain_when_stopping, stopping, gateway))
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import curio
@@ -19,6 +19,7 @@
     ReservationQueue,
     ReservationRequest,
     Server,
+    ServerStats,
     WorkloadMeter,
     engines_to_try,
     retry_delay_s,
@@ -81,6 +82,7 @@
         attempt: how a coordinator granted the place; None if the engine was asked directly.
         run: the run as it is reported to the coordinator of the engine; None if it is not.
         stream: the last attempt that used the reservation; None before.
+        stats: statistics of the engine at which the memory is counted.
     """
 
     server: Server
@@ -90,6 +92,7 @@
     attempt: PlacementAttempt | None = None
     run: PlacedRun | None = None
     stream: RunningStream | None = None
+    stats: ServerStats = field(default_factory=ServerStats)
 
 
 class Reservations:
@@ -141,15 +144,15 @@
             ServersRest: all engines are in backoff for longer than the request may wait.
         """
         reservation = await self._reserve_engine(relay, extra_tokens, avoid)
-        stats = self._backends.stats(reservation.server.incarnation_id)
-        stats.reserved_tokens += reservation.tokens
+        reservation.stats = self._backends.stats(reservation.server.incarnation_id)
+        reservation.stats.reserved_tokens += reservation.tokens
         try:
             reservation.run = await self._placement.record_started(
                 relay, reservation.server, reservation.attempt, extra_tokens
             )
             yield reservation
         finally:
-            stats.reserved_tokens -= reservation.tokens
+            reservation.stats.reserved_tokens -= reservation.tokens
             if reservation.run is not None:
                 await self._placement.record_ended(reservation.run, reservation.stream)
             elif reservation.attempt is not None:
@@ -159,6 +162,12 @@
                 call = self._backends.dialect.release_reservation_call(reservation.reservation_id)
                 await self._backends.side_call_in_background(reservation.server, call)
 
+    def transfer(self, reservation: Reservation, server: Server) -> None:
+        """Count the memory of a run that has moved at the engine where it is now."""
+        reservation.stats.reserved_tokens -= reservation.tokens
+        reservation.stats = self._backends.stats(server.incarnation_id)
+        reservation.stats.reserved_tokens += reservation.tokens
+
     async def _reserve_engine(
         self, relay: Relay, extra_tokens: int, avoid: frozenset[str]
     ) -> Reservation:
--- a/src/crankhinge/gateway/_running_streams.py
+++ b/src/crankhinge/gateway/_running_streams.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterator
+from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 
 from crankhinge.decisions import Server
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._request import Relay
+from crankhinge.gateway.migration._handover import Handover
+from crankhinge.http import ClientStream
 
 
 @dataclass(eq=False)
@@ -25,8 +27,12 @@
             attempts.
         started_at: when the attempt began, on the runtime's clock.
         events_before: number of events that earlier attempts sent.
-        movable: whether another engine may continue the run.
         completed: whether the whole answer was sent.
+        connection: the response of the engine while its events are relayed; None before its head
+            has arrived and after its end.
+        is_writing: whether events are being sent to the caller, which may be slow to take them.
+        handover: the move in progress; None without one.
+        on_moved: called with the engine at which the run continues after a move.
     """
 
     run_id: str
@@ -36,14 +42,29 @@
     prompt_tokens: int
     started_at: float
     events_before: int = 0
-    movable: bool = False
     completed: bool = False
+    connection: ClientStream | None = None
+    is_writing: bool = False
+    handover: Handover | None = None
+    on_moved: Callable[[Server], Awaitable[None]] | None = None
 
     @property
     def made_events(self) -> int:
         """Number of events that this attempt has sent."""
         return self.events.event_count - self.events_before
 
+    @property
+    def movable(self) -> bool:
+        """Whether the run may be moved to another engine now."""
+        engine = self.relay.service.engine
+        return (
+            engine is not None
+            and engine.moves
+            and self.connection is not None
+            and self.handover is None
+            and bool(self.relay.request.request_id)
+        )
+
     @property
     def made_tokens(self) -> int:
         """Number of tokens in the events that this attempt has sent."""
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -8,6 +8,7 @@
 
 import enum
 from collections.abc import Mapping
+from functools import partial
 from typing import Any
 
 import curio
@@ -34,6 +35,7 @@
 from crankhinge.gateway._reservations import Reservation, Reservations
 from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
+from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.http import ClientStream, ConnectFailed
 
@@ -46,6 +48,8 @@
     UNREACHABLE = "unreached"
     EXCLUDED = "barred"
     BROKEN = "broken"
+    # The engine closed the stream while the run was being moved; the run may continue from a copy.
+    HANDED_OVER = "handed_over"
 
 
 class StreamRunner:
@@ -234,10 +238,15 @@
             + events.event_count * engine.tokens_per_event,
             started_at=await curio.clock(),
             events_before=events.event_count,
+            on_moved=partial(self._on_moved, reservation),
         )
         reservation.stream = stream
-        with self._running.track(stream):
-            end, why = await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+        try:
+            with self._running.track(stream):
+                end, why = await self._run_at_engine(relay, reservation, kv_cache, events, budget)
+        finally:
+            if stream.handover is not None:
+                await stream.handover.finish(MoveOutcome.ENDED)
         stream.completed = end is _AttemptEnd.COMPLETED
         return end, why
 
@@ -251,7 +260,7 @@
     ) -> tuple[_AttemptEnd, str]:
         server = reservation.server
         params = await self._attempt_params(relay, reservation, kv_cache, events)
-        end, why = await self._attempt(relay, server, params, events)
+        end, why = await self._attempt(relay, server, params, events, reservation.stream)
         if end is _AttemptEnd.EXCLUDED:
             # Nothing was sent. The reservation gets its id back so that it is released, and the KV
             # cache is freed.
@@ -273,7 +282,7 @@
             "writer_reads", request=relay.request.request_id, server=server.incarnation_id, why=why
         )
         params = await self._attempt_params(relay, reservation, None, events)
-        return await self._attempt(relay, server, params, events)
+        return await self._attempt(relay, server, params, events, reservation.stream)
 
     async def _attempt_params(
         self,
@@ -297,35 +306,128 @@
         )
 
     async def _attempt(
-        self, relay: Relay, server: Server, params: AttemptParams, events: EventSplitter
+        self,
+        relay: Relay,
+        server: Server,
+        params: AttemptParams,
+        events: EventSplitter,
+        stream: RunningStream | None = None,
     ) -> tuple[_AttemptEnd, str]:
+        """Run the request at a server, and at the engines that its run is moved to."""
         relay.sent_to.append(server.incarnation_id)
         relay.log_fields["server"] = server.incarnation_id
+        started_at, events_before = await curio.clock(), events.event_count
+        end, why = await self._send(relay, server, params, events, stream)
+        while end is _AttemptEnd.HANDED_OVER:
+            assert stream is not None
+            end, why = await self._continue_moved(relay, stream, events, why)
+        if end is _AttemptEnd.EXCLUDED:
+            relay.sent_to.pop()
+        elif end is _AttemptEnd.COMPLETED:
+            self._record_answer(
+                relay, events.event_count - events_before, await curio.clock() - started_at
+            )
+        return end, why
+
+    async def _send(
+        self,
+        relay: Relay,
+        server: Server,
+        params: AttemptParams,
+        events: EventSplitter,
+        stream: RunningStream | None,
+    ) -> tuple[_AttemptEnd, str]:
+        """Send the request to one server and relay its response."""
         try:
-            async with self._attempts.open(relay, server, params) as stream:
-                signals = self._backends.dialect.parse_signals(stream.status, stream.headers)
+            async with self._attempts.open(relay, server, params) as response:
+                signals = self._backends.dialect.parse_signals(response.status, response.headers)
                 if signals.not_run:
-                    body = await stream.read_all()
-                    return _AttemptEnd.REFUSED, f"status {stream.status} {body[:80]!r}"
+                    body = await response.read_all()
+                    return _AttemptEnd.REFUSED, f"status {response.status} {body[:80]!r}"
                 relay.may_have_run = True
-                started_at, events_before = await curio.clock(), events.event_count
-                await self._relay_response(relay, stream, events)
-                self._record_answer(
-                    relay, events.event_count - events_before, await curio.clock() - started_at
-                )
+                if await self._relay_response(relay, response, events, server, stream):
+                    # The source closed the stream as it was asked to, which is no failure of it.
+                    return _AttemptEnd.HANDED_OVER, "the run was stopped to move it"
                 self._backends.stats(server.incarnation_id).breaker.record_success()
                 return _AttemptEnd.COMPLETED, ""
         except ConnectFailed as exc:
             return _AttemptEnd.UNREACHABLE, exc.detail
         except ServerBarred as exc:
-            relay.sent_to.pop()
             return _AttemptEnd.EXCLUDED, exc.detail
         except CallerGone:
             raise
         except (HttpClosed, BadHttp) as exc:
             relay.may_have_run = True
+            handover = stream.handover if stream is not None else None
+            if (
+                handover is not None
+                and handover.cache_handle
+                and handover.source.incarnation_id == server.incarnation_id
+            ):
+                return _AttemptEnd.HANDED_OVER, exc.detail
             return _AttemptEnd.BROKEN, exc.detail
 
+    async def _continue_moved(
+        self, relay: Relay, stream: RunningStream, events: EventSplitter, why: str
+    ) -> tuple[_AttemptEnd, str]:
+        """Continue a run from the copy of its memory, at the target or else at the source.
+
+        It is the same run, so neither the retry budget nor the route's number of servers is
+        charged. A handle is used at most once, so that an engine that fails without a response
+        cannot have the run in progress when the other one accepts it.
+        """
+        handover = stream.handover
+        assert handover is not None
+        events.drop_remainder()
+        location = self._backends.dialect.kv_cache_location(
+            handover.source.host, handover.source.port, handover.cache_handle
+        )
+        for server in handover.engines_to_continue():
+            params = AttemptParams(
+                server.name,
+                await relay.remaining_s(),
+                kv_cache_location=location,
+                last_event_id=events.last_id,
+            )
+            end, why = await self._send(relay, server, params, events, stream)
+            if handover.is_finished:
+                return end, why
+            self._log.info(
+                "run_not_continued",
+                request=relay.request.request_id,
+                run=stream.run_id,
+                server=server.incarnation_id,
+                cause=end.value,
+                why=why,
+            )
+        await self._finish_handover(stream, MoveOutcome.BROKEN)
+        return _AttemptEnd.BROKEN, why
+
+    async def _record_continued(self, relay: Relay, stream: RunningStream, server: Server) -> None:
+        """Record that an engine has accepted a moved run."""
+        handover = stream.handover
+        assert handover is not None
+        returned = server is handover.source
+        if not returned:
+            relay.sent_to[-1] = server.incarnation_id
+            relay.log_fields["server"] = server.incarnation_id
+            relay.log_fields["moves"] = relay.log_fields.get("moves", 0) + 1
+            stream.server = server
+            if stream.on_moved is not None:
+                await stream.on_moved(server)
+        await self._finish_handover(stream, MoveOutcome.RETURNED if returned else MoveOutcome.MOVED)
+
+    async def _finish_handover(self, stream: RunningStream, outcome: MoveOutcome) -> None:
+        handover, stream.handover = stream.handover, None
+        assert handover is not None
+        await handover.finish(outcome)
+
+    async def _on_moved(self, reservation: Reservation, server: Server) -> None:
+        """Count the memory of a moved run at its new engine, and report the move."""
+        self._reservations.transfer(reservation, server)
+        if reservation.stream is not None:
+            await self._placement.record_moved(reservation.stream)
+
     def _record_answer(self, relay: Relay, events: int, duration_s: float) -> None:
         engine = relay.service.engine
         if engine is not None and events:
@@ -339,26 +441,72 @@
         relay.record_event(now)
 
     async def _relay_response(
-        self, relay: Relay, stream: ClientStream, events: EventSplitter
-    ) -> None:
+        self,
+        relay: Relay,
+        response: ClientStream,
+        events: EventSplitter,
+        server: Server,
+        stream: RunningStream | None,
+    ) -> bool:
+        """Relay a response to the caller; return whether its engine stopped the run to move it."""
         exchange = relay.exchange
-        if stream.status != 200:
+        if response.status != 200:
             # The server responded with an error, whose body has no events.
-            body = await stream.read_all()
-            fields = self._backends.dialect.response_fields(stream.fields)
+            body = await response.read_all()
+            fields = self._backends.dialect.response_fields(response.fields)
             if exchange.response_started:
-                raise HttpClosed(f"resumed stream was refused (status {stream.status})")
-            await exchange.respond_with_fields(stream.status, fields, body)
-            relay.log_fields["status"] = stream.status
-            return
+                raise HttpClosed(f"resumed stream was refused (status {response.status})")
+            await exchange.respond_with_fields(response.status, fields, body)
+            relay.log_fields["status"] = response.status
+            return False
         if not exchange.response_started:
-            fields = self._backends.dialect.response_fields(stream.fields)
-            await exchange.start_with_fields(stream.status, fields)
-        while chunk := await stream.next_chunk():
-            complete = events.feed(chunk)
-            if complete:
-                self._record_event(relay, await curio.clock())
-                await exchange.write(complete)
+            fields = self._backends.dialect.response_fields(response.fields)
+            await exchange.start_with_fields(response.status, fields)
+        if stream is None:
+            await self._relay_events(relay, response, events, None)
+        else:
+            if stream.handover is not None:
+                await self._record_continued(relay, stream, server)
+            stream.connection = response
+            try:
+                if await self._relay_events(relay, response, events, stream):
+                    return True
+            finally:
+                stream.connection = None
         if events.remainder:
             await exchange.write(events.remainder)
         await exchange.finish()
+        return False
+
+    async def _relay_events(
+        self,
+        relay: Relay,
+        response: ClientStream,
+        events: EventSplitter,
+        stream: RunningStream | None,
+    ) -> bool:
+        """Relay events until their end; return whether the engine stopped the run to move it."""
+        while True:
+            try:
+                chunk = await response.next_chunk()
+            except HttpClosed:
+                handover = stream.handover if stream is not None else None
+                if handover is None:
+                    raise
+                await handover.on_source_closed()
+                if handover.source_stopped:
+                    return True
+                raise
+            if not chunk:
+                return False
+            complete = events.feed(chunk)
+            if complete:
+                self._record_event(relay, await curio.clock())
+                if stream is None:
+                    await relay.exchange.write(complete)
+                    continue
+                stream.is_writing = True
+                try:
+                    await relay.exchange.write(complete)
+                finally:
+                    stream.is_writing = False
--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import abc
+import contextlib
+import socket
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -251,6 +253,14 @@
         reusable = done and self._request_sent and not self._h11.trailing_data[0]
         await self._owner.release_connection(self._sock, reusable=reusable, headers=self.headers)
 
+    def shut_down(self) -> None:
+        """End the connection, so that a task that waits for the next chunk gets HttpClosed.
+
+        Data that has arrived already can still be read.
+        """
+        with contextlib.suppress(OSError):
+            self._sock._socket.shutdown(socket.SHUT_RDWR)
+
     async def abort(self) -> None:
         """Close the connection, whatever state the request and the response are in."""
         await self._owner.release_connection(self._sock, reusable=False, headers=self.headers)
--- a/src/crankhinge_standins/operator.py
+++ b/src/crankhinge_standins/operator.py
@@ -33,15 +33,18 @@
     return {**defaults, **overrides}
 
 
-def engine_capacity(*, slots: int, kv_tokens: int) -> JsonObject:
-    """Return the capacity of each engine of a service."""
-    return {
+def engine_capacity(*, slots: int, kv_tokens: int, moves: bool = False) -> JsonObject:
+    """Return the capacity of each engine of a service, and whether runs can be moved."""
+    capacity: JsonObject = {
         "slots": slots,
         "kv_tokens": kv_tokens,
         "stride": 10,
         "handle_ttl_s": 0.5,
         "hold_ms": 2000.0,
     }
+    if moves:
+        capacity.update(moves=True, kv_token_bytes=18432.0, link_mbps=2.2e6)
+    return capacity
 
 
 def service(name: str, capacity: JsonObject | None = None) -> JsonObject:
--- /dev/null
+++ b/tests/test_migration.py
@@ -0,0 +1,555 @@
+"""Tests of moves of runs between engines; each failure of a move has its own test."""
+
+from __future__ import annotations
+
+import curio
+import msgspec
+import pytest
+
+from crankhinge.errors import HttpClosed
+from crankhinge.gateway.migration import MoveOutcome
+from crankhinge.http import Exchange
+from crankhinge_standins.replica import EVENT_INTERVAL_S, KV_HANDLE_TTL_S
+from moving_engines import (
+    ANSWER,
+    EVENTS,
+    IDENT,
+    MoveHarness,
+    MovingEngine,
+    die,
+    mute,
+    obey,
+    obey_and_mute,
+)
+
+WHOLE = (200, ANSWER, "")
+
+
+async def refuse(engine: MovingEngine, exchange: Exchange) -> None:
+    """Refuse a request and state that it was not run."""
+    await engine._refuse(exchange, 503)
+
+
+async def crash(engine: MovingEngine, exchange: Exchange) -> None:
+    """End the engine's process."""
+    await engine.crash()
+
+
+def assert_broken_off(result: tuple[int, bytes, str]) -> None:
+    """Check that the caller got whole events in order, and then an error."""
+    status, body, error = result
+    assert status == 200
+    assert error
+    assert ANSWER.startswith(body)
+    assert body.endswith(b"\n\n")
+    assert body != ANSWER
+
+
+class TestMove:
+    """A run is moved and its caller sees one stream."""
+
+    def test_caller_sees_each_event_once_and_one_head(self) -> None:
+        """The stream continues at the target; the move costs neither an attempt nor the budget."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+            assert await harness.move() is MoveOutcome.MOVED
+            assert harness.stream.server.name == target.ident
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            assert source.move_calls == [False, True]
+            await curio.sleep(0.01)
+            assert harness.gateway.logs.matching("event=run_move_started", f"request={IDENT}")
+            assert harness.gateway.logs.matching("event=run_moved", f"request={IDENT}")
+            [answered] = harness.gateway.logs.matching("event=answered", f"request={IDENT}")
+            assert "sent=1" in answered
+            assert "moves=1" in answered
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_event_that_is_cut_by_the_stop_is_sent_once(self) -> None:
+        """The part of an event is dropped, and the target sends the event again."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            harness.source.fragment = True
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+
+        harness.run(scenario)
+
+    @pytest.mark.parametrize("events", [0.0, 0.5, 1.0, 7.3, 15.9])
+    def test_run_is_moved_there_and_back(self, events: float) -> None:
+        """A run may be moved again, at any time after its response has begun."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(events=events)
+            source = harness.source
+            assert await harness.move() is MoveOutcome.MOVED
+            await curio.sleep(EVENT_INTERVAL_S)
+            assert await harness.move() is MoveOutcome.MOVED
+            assert harness.source is source
+            assert await caller.join() == WHOLE
+            assert len(harness.work.starts[IDENT]) == 3
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_memory_is_counted_at_the_engine_where_the_run_is(self) -> None:
+        """The choice of engines would otherwise avoid the source and overload the target."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            assert harness.migrator is not None
+            stats = [
+                harness.migrator._backends.stats(harness.server_of(engine).incarnation_id)
+                for engine in (harness.source, harness.target)
+            ]
+            before = [stat.reserved_tokens for stat in stats]
+            assert await harness.move() is MoveOutcome.MOVED
+            assert [stat.reserved_tokens for stat in stats] == before[::-1]
+            await caller.join()
+            assert [stat.reserved_tokens for stat in stats] == [0, 0]
+
+        harness.run(scenario)
+
+    def test_stop_is_no_failure_of_the_source(self) -> None:
+        """The source must not be avoided, nor suspected of a crash, since it did as it was asked."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            assert harness.migrator is not None
+            backends = harness.migrator._backends
+            stats = backends.stats(harness.server_of(harness.source).incarnation_id)
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+            assert (stats.failure_share, stats.open_requests) == (0.0, 0)
+            assert not harness.gateway.logs.matching("event=request_cut")
+
+        harness.run(scenario)
+
+    def test_moved_run_uses_the_copy_and_not_the_cache_of_the_prompt(self) -> None:
+        """Kv-From names the prompt engine in the first attempt, and the source in the second."""
+        harness = MoveHarness()
+        prompt_engine = harness.gateway.add_replica("i-r", "llm", "prefill")
+        locations = []
+
+        async def record(engine: MovingEngine, exchange: Exchange) -> None:
+            locations.append(exchange.req.headers["kv-from"])
+            await super(MovingEngine, engine)._run_decode(exchange)
+
+        for engine in harness.engines:
+            engine.on_continue = record
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.stream.server
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+            assert locations[0] == f"127.0.0.1:{prompt_engine.port}/h1"
+            assert locations[1].startswith(f"{source.host}:{source.port}/m")
+            assert prompt_engine.side_calls == ["DELETE /v1/kv-handle/h1"]
+
+        harness.run(scenario)
+
+    def test_nothing_is_moved_without_moves_in_the_configuration(self) -> None:
+        """A deployment without moves is served as before."""
+        harness = MoveHarness(moves=False)
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            assert not harness.stream.movable
+            assert await harness.move() is MoveOutcome.NOT_MOVABLE
+            source.leave()
+            assert await caller.join() == WHOLE
+            assert source.move_calls == []
+
+        harness.run(scenario)
+
+
+class TestRunGoesOnAtSource:
+    """Failures after which the source goes on as if nothing had been tried."""
+
+    def test_no_room_at_the_target(self) -> None:
+        """A target without room refuses the first call."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            harness.target.occupy()
+            assert await harness.move() is MoveOutcome.NO_ROOM
+            assert harness.stream.movable
+            assert await caller.join() == WHOLE
+            assert source.move_calls == [False]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_no_answer_to_the_first_call(self) -> None:
+        """The copy is freed, although only a repeated call tells its handle."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(events=0.5)
+            source = harness.source
+            source.first = obey_and_mute
+            source.faults.slow = 5.0
+
+            async def recover() -> None:
+                await curio.sleep(0.1)
+                source.first = obey
+
+            await curio.spawn(recover, daemon=True)
+            assert await harness.move() is MoveOutcome.NO_ANSWER
+            assert source.move_calls == [False, False]
+            await curio.sleep(0.05)
+            assert source.freed == ["m1"]
+            assert harness.target.held == 0
+            source.faults.slow = 1.0
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_first_call_is_lost(self) -> None:
+        """Without any answer there is nothing to free, and the run goes on."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(events=0.5)
+            harness.source.first = mute
+            harness.source.faults.slow = 5.0
+            assert await harness.move() is MoveOutcome.NO_ANSWER
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_last_call_is_lost(self) -> None:
+        """The source still sends, so the run is not continued elsewhere, and the copy is freed."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(events=0.5)
+            source, target = harness.source, harness.target
+            source.last = mute
+            source.faults.slow = 5.0
+            assert await harness.move() is MoveOutcome.NO_ANSWER
+            await curio.sleep(0.05)
+            assert source.freed == ["m1"]
+            assert target.held == 0
+            source.faults.slow = 1.0
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_second_mover_gives_up(self) -> None:
+        """An engine answers 409 to the second; this instance declines a second move by itself."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            run, source = harness.stream, harness.source
+            source._moves.runs[IDENT].moving = True
+            assert await harness.move() is MoveOutcome.IN_PROGRESS
+            source._moves.runs[IDENT].moving = False
+            first = await curio.spawn(harness.move)
+            await curio.sleep(0)
+            assert run.handover is not None
+            assert await harness.move() is MoveOutcome.NOT_MOVABLE
+            assert await first.join() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_conflict_at_the_last_call_frees_the_copy(self) -> None:
+        """Another mover began between the calls; its copy is not this one."""
+        harness = MoveHarness()
+
+        async def conflict(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+            await exchange.respond(409, b"{}")
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            source.last = conflict
+            assert await harness.move() is MoveOutcome.IN_PROGRESS
+            await curio.sleep(0.01)
+            assert source.freed == ["m1"]
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_target_that_cannot_be_reached(self) -> None:
+        """The source has no path to the target, so the run never stops."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            target = harness.target
+            server = harness.server_of(target)
+            await target._crashed.set()
+            await curio.sleep(0.001)
+            assert harness.migrator is not None
+            assert await harness.migrator.move(harness.stream, server) is MoveOutcome.NO_ROOM
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+
+class TestRunContinuesFromCopy:
+    """Failures after which another engine, or the source, continues the run."""
+
+    def test_no_answer_to_the_last_call_but_the_source_has_stopped(self) -> None:
+        """The source's stream is closed without its end, so the target continues the run."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+            source.last = obey_and_mute
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_target_without_room_at_the_last_call(self) -> None:
+        """The source has stopped the run and takes it back with the handle of the refusal."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+
+            async def lose_copy(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+                target._moves.release(f"{source._advertised_address}/m1")
+                target.occupy()
+                await obey(engine, exchange, order)  # type: ignore[arg-type]
+
+            source.last = lose_copy
+            assert await harness.move() is MoveOutcome.RETURNED
+            assert harness.stream.server.name == source.ident
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_target_refuses_the_request(self) -> None:
+        """A refusal has not used the handle, so the source continues the run."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+            target.on_continue = refuse
+            assert await harness.move() is MoveOutcome.RETURNED
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, source.ident]
+            assert target.held == 0
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_target_dies_before_it_continues_the_run(self) -> None:
+        """The source keeps the memory until the target has asked for it."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+            target.on_continue = crash
+            assert await harness.move() is MoveOutcome.RETURNED
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_source_breaks_the_stream_off_between_the_calls(self) -> None:
+        """The copy of the first call is enough to continue the run at the target."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source, target = harness.source, harness.target
+
+            async def break_off(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+                await source._moves.runs[IDENT].stopping.set()
+                await exchange.wait_for_disconnect()
+
+            source.last = break_off
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+
+class TestBrokenStream:
+    """Failures after which only a resumable route may start again."""
+
+    @pytest.mark.parametrize("path", ["/stream/a", "/resumed/a"])
+    @pytest.mark.parametrize("call", ["first", "last"])
+    def test_source_dies(self, path: str, call: str) -> None:
+        """No engine can vouch for the copy of a dead source; the answer is made again or cut."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(path)
+            source, target = harness.source, harness.target
+            setattr(source, call, die)
+            assert await harness.move() in (MoveOutcome.BROKEN, MoveOutcome.ENDED)
+            result = await caller.join()
+            if path == "/resumed/a":
+                assert result == WHOLE
+                assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            else:
+                assert_broken_off(result)
+                assert harness.work.starts[IDENT] == [source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    @pytest.mark.parametrize("path", ["/stream/a", "/resumed/a"])
+    def test_suspension_until_the_handle_has_expired(self, path: str) -> None:
+        """Both engines refuse the handle and have not run the request."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(path)
+            source = harness.source
+            migrator = harness.migrator
+            assert migrator is not None
+            side_call = migrator._backends.side_call
+
+            async def suspended(server: object, call: object, **options: object) -> object:
+                response = await side_call(server, call, **options)  # type: ignore[arg-type]
+                if b'"last":true' in getattr(call, "body", b""):
+                    await curio.sleep(KV_HANDLE_TTL_S + 0.2)
+                return response
+
+            migrator._backends.side_call = suspended  # type: ignore[method-assign, assignment]
+            assert await harness.move() is MoveOutcome.BROKEN
+            result = await caller.join()
+            if path == "/resumed/a":
+                assert result == WHOLE
+                assert len(harness.work.starts[IDENT]) == 2
+            else:
+                assert_broken_off(result)
+                assert harness.work.starts[IDENT] == [source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_both_engines_refuse(self) -> None:
+        """On a route that is not repeatable the stream is cut, and nothing runs twice."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            for engine in harness.engines:
+                engine.on_continue = refuse
+            assert await harness.move() is MoveOutcome.BROKEN
+            assert_broken_off(await caller.join())
+            assert harness.work.starts[IDENT] == [source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+
+class TestEndDuringMove:
+    """The run or its caller ends while the run is being moved."""
+
+    @pytest.mark.parametrize("call", ["first", "last"])
+    def test_run_ends_while_a_call_is_in_progress(self, call: str) -> None:
+        """The answer is whole, and the copy is freed."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(events=len(EVENTS) - 3.5)
+            source = harness.source
+
+            async def wait_for_end(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+                if call == "first":
+                    await engine.copy_run(order)  # type: ignore[arg-type]
+                await curio.sleep(5 * EVENT_INTERVAL_S)
+                if call == "first":
+                    await exchange.respond(200, b'{"kv_handle": "m1", "made": 1}')
+                else:
+                    await exchange.respond(404, b"{}")
+
+            setattr(source, call, wait_for_end)
+            assert await harness.move() is MoveOutcome.ENDED
+            assert await caller.join() == WHOLE
+            await curio.sleep(0.01)
+            assert source.freed == ["m1"]
+            assert [engine.held for engine in harness.engines] == [0, 0]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    @pytest.mark.parametrize("call", ["first", "last"])
+    def test_caller_leaves_while_a_call_is_in_progress(self, call: str) -> None:
+        """Both ends of the copy are freed at once, not when they lapse."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+
+            async def slow(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+                status, answer = await engine.copy_run(order)  # type: ignore[arg-type]
+                await curio.sleep(0.1)
+                await exchange.respond(status, msgspec.json.encode(answer))
+
+            setattr(source, call, slow)
+            mover = await curio.spawn(harness.move)
+            await curio.sleep(0.05)
+            await caller.cancel()
+            assert await mover.join() is MoveOutcome.ENDED
+            await curio.sleep(0.05)
+            assert [engine.held for engine in harness.engines] == [0, 0]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_caller_leaves_while_the_target_is_asked(self) -> None:
+        """The target's copy and the source's memory are freed at once."""
+        harness = MoveHarness()
+
+        async def wait(engine: MovingEngine, exchange: Exchange) -> None:
+            await exchange.wait_for_disconnect()
+            raise HttpClosed("gone")
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            harness.target.on_continue = wait
+            mover = await curio.spawn(harness.move)
+            await curio.sleep(0.1)
+            assert [engine.held > 0 for engine in harness.engines] == [True, True]
+            await caller.cancel()
+            assert await mover.join() is MoveOutcome.ENDED
+            await curio.sleep(0.05)
+            assert [engine.held for engine in harness.engines] == [0, 0]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
