Tests of moves from leaving engines and at a coordinator's order

Cause: the moves that an owner starts by itself, and those that a coordinator asks for, had no tests. A malformed chunk during a move counted as a closed stream, so that the target could be asked while a call was still in progress.

Change: only a stream that the source has closed is continued from the copy; a malformed one is a broken stream as before.

--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -52,6 +52,10 @@
     HANDED_OVER = "handed_over"
 
 
+class _SourceClosed(HttpClosed):
+    """An engine closed the stream of a run that may continue from a copy of its memory."""
+
+
 class StreamRunner:
     """Runs requests whose answer is a stream of events.
 
@@ -356,15 +360,10 @@
             return _AttemptEnd.EXCLUDED, exc.detail
         except CallerGone:
             raise
+        except _SourceClosed as exc:
+            return _AttemptEnd.HANDED_OVER, exc.detail
         except (HttpClosed, BadHttp) as exc:
             relay.may_have_run = True
-            handover = stream.handover if stream is not None else None
-            if (
-                handover is not None
-                and handover.cache_handle
-                and handover.source.incarnation_id == server.incarnation_id
-            ):
-                return _AttemptEnd.HANDED_OVER, exc.detail
             return _AttemptEnd.BROKEN, exc.detail
 
     async def _continue_moved(
@@ -489,14 +488,17 @@
         while True:
             try:
                 chunk = await response.next_chunk()
-            except HttpClosed:
+            except HttpClosed as exc:
                 handover = stream.handover if stream is not None else None
-                if handover is None:
+                if stream is None or handover is None:
                     raise
                 await handover.on_source_closed()
+                # The mover may have given up meanwhile; the stream has then broken as any other.
+                if stream.handover is not handover:
+                    raise
                 if handover.source_stopped:
                     return True
-                raise
+                raise _SourceClosed(exc.detail) from exc
             if not chunk:
                 return False
             complete = events.feed(chunk)
--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -182,17 +182,18 @@
 
 
 class MoveHarness:
-    """A gateway with two decode engines, and a mover that a test starts.
+    """A gateway with decode engines, and a mover that a test starts.
 
     Args:
         moves: whether the service's configuration has moves.
+        engines: number of engines.
     """
 
-    def __init__(self, *, moves: bool = True) -> None:
+    def __init__(self, *, moves: bool = True, engines: int = 2) -> None:
         self.gateway = GatewayHarness()
         self.work = Work()
         self.engines = [
-            MovingEngine(self.work, self.gateway.store.port, free_port()) for _ in range(2)
+            MovingEngine(self.work, self.gateway.store.port, free_port()) for _ in range(engines)
         ]
         self.migrator: RunMigrator | None = None
         capacity = operator.engine_capacity(slots=8, kv_tokens=10000, moves=moves)
@@ -240,7 +241,7 @@
 
     @property
     def target(self) -> MovingEngine:
-        """The engine that does not run the stream."""
+        """The first engine that does not run the stream."""
         return next(e for e in self.engines if e.ident != self.stream.server.name)
 
     def server_of(self, engine: MovingEngine) -> Server:
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import socket
+
 import curio
 import msgspec
 import pytest
 
 from crankhinge.errors import HttpClosed
 from crankhinge.gateway.migration import MoveOutcome
+from crankhinge.gateway.placement._messages import GroupKey, RunMoveOrder, to_counter
 from crankhinge.http import Exchange
 from crankhinge_standins.replica import EVENT_INTERVAL_S, KV_HANDLE_TTL_S
 from moving_engines import (
@@ -21,6 +24,7 @@
     obey,
     obey_and_mute,
 )
+from platform_fakes import HOST
 
 WHOLE = (200, ANSWER, "")
 
@@ -120,7 +124,7 @@
         harness.run(scenario)
 
     def test_stop_is_no_failure_of_the_source(self) -> None:
-        """The source must not be avoided, nor suspected of a crash, since it did as it was asked."""
+        """The source did as it was asked: it must not be avoided, nor suspected of a crash."""
         harness = MoveHarness()
 
         async def scenario() -> None:
@@ -553,3 +557,122 @@
             await harness.assert_all_free()
 
         harness.run(scenario)
+
+
+class TestLeavingEngine:
+    """An engine announces its shutdown while it runs requests."""
+
+    def test_run_that_would_not_end_in_time_is_moved(self) -> None:
+        """The caller gets the whole answer; without the move it would be cut at the shutdown."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(x_deadline_ms="20000")
+            source, target = harness.source, harness.target
+            source.faults.slow = 15.0
+            source.leave()
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            [moved] = harness.gateway.logs.matching("event=run_moved")
+            assert f"request={IDENT}" in moved
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_run_that_ends_in_time_stays(self) -> None:
+        """A move has a price, and the engine serves on for two seconds or more."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(x_token_count="100,200")
+            source = harness.source
+            source.leave()
+            assert await caller.join() == WHOLE
+            assert source.move_calls == []
+            assert not harness.gateway.logs.matching("event=run_move_started")
+
+        harness.run(scenario)
+
+    def test_next_engine_is_tried_if_one_has_no_room(self) -> None:
+        """An instance knows only the memory of its own runs, so its first choice may be full."""
+        harness = MoveHarness(engines=4)
+
+        async def scenario() -> None:
+            caller = await harness.begin(x_deadline_ms="20000")
+            source = harness.source
+            others = [engine for engine in harness.engines if engine is not source]
+            for engine in others[:-1]:
+                engine.occupy()
+            source.faults.slow = 15.0
+            source.leave()
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, others[-1].ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_run_without_a_target_is_tried_again(self) -> None:
+        """Memory becomes free before the engine has gone."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin(x_deadline_ms="20000")
+            source, target = harness.source, harness.target
+            target.occupy()
+            source.faults.slow = 15.0
+            source.leave()
+            await curio.sleep(1.0)
+            assert not harness.gateway.logs.matching("event=run_moved")
+            target._memory.holds.pop("other")
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+
+        harness.run(scenario)
+
+
+class TestOrderOfCoordinator:
+    """A coordinator asks the owner of a run to move it."""
+
+    @staticmethod
+    def send(harness: MoveHarness, counter: int, source: str, target: str) -> None:
+        """Send an order to the gateway as its coordinator does."""
+        order = RunMoveOrder(GroupKey("llm", 0), counter, source, target)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(msgspec.msgpack.encode(order), (HOST, harness.gateway.peer_port))
+
+    def test_run_is_moved_to_the_engine_of_the_order(self) -> None:
+        """A duplicate of the order, which comes too late, moves nothing."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            run = harness.stream
+            source, target = harness.source, harness.target
+            ids = [harness.server_of(engine).incarnation_id for engine in (source, target)]
+            self.send(harness, to_counter(run.run_id), ids[0], ids[1])
+            await curio.sleep(3 * EVENT_INTERVAL_S)
+            assert harness.source is target
+            self.send(harness, to_counter(run.run_id), ids[0], ids[1])
+            assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident, target.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_order_about_an_unknown_run_or_engine_is_ignored(self) -> None:
+        """The run may have ended, and its coordinator may know an engine that has gone."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            run = harness.stream
+            source = harness.source
+            ids = [harness.server_of(e).incarnation_id for e in (source, harness.target)]
+            counter = to_counter(run.run_id)
+            self.send(harness, counter + 1, ids[0], ids[1])
+            self.send(harness, counter, ids[0], "i-gone")
+            self.send(harness, counter, ids[1], ids[0])
+            assert await caller.join() == WHOLE
+            assert source.move_calls == []
+
+        harness.run(scenario)
