--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -258,6 +258,25 @@
 
         harness.run(scenario)
 
+    def test_caller_does_not_read(self) -> None:
+        """A run is not stopped while nothing would read the end of its stream."""
+        harness = MoveHarness()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            source.faults.slow = 10.0
+            await curio.sleep(2 * EVENT_INTERVAL_S)
+            harness.stream.is_writing = True
+            assert await harness.move() is MoveOutcome.NOT_MOVABLE
+            await curio.sleep(0.01)
+            assert (source.move_calls, source.freed) == ([False], ["m1"])
+            source.faults.slow = 1.0
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
     def test_second_mover_gives_up(self) -> None:
         """An engine answers 409 to the second; this instance declines a second move by itself."""
         harness = MoveHarness()
@@ -636,7 +655,7 @@
     @staticmethod
     def send(harness: MoveHarness, counter: int, source: str, target: str) -> None:
         """Send an order to the gateway as its coordinator does."""
-        order = RunMoveOrder(GroupKey("llm", 0), counter, source, target)
+        order = RunMoveOrder(GroupKey("llm", 0).id, counter, source, target)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
             sock.sendto(msgspec.msgpack.encode(order), (HOST, harness.gateway.peer_port))
 
