Soak: engines are emptied, and moved runs are checked

Change: the episode empty-engine slows a decode engine down and stops it, in half of the cases with a fifth of the responses to moves lost. Engines record where a run begins, continues and ends, and the checker demands that a moved run is in progress at one engine at a time. A random test of several moves with failures. The first call waits longer where the copy takes longer over the link.

--- a/src/crankhinge/gateway/migration/_migrator.py
+++ b/src/crankhinge/gateway/migration/_migrator.py
@@ -19,6 +19,9 @@
 # Seconds to wait for the response to the first call. It is shorter than the validity of a handle,
 # so that a repeated call finds the copy of a call whose response was lost.
 FIRST_CALL_TIMEOUT_S = 0.3
+# The time that the copy itself takes over the link is added this many times: a copy to another zone
+# takes twice as long, and the engine may have another copy to make first.
+COPY_TIME_FACTOR = 4.0
 # Seconds to wait for the response to the last call. The run may be stopped meanwhile, and a run may
 # stand still for 0.4 s at most.
 LAST_CALL_TIMEOUT_S = 0.4
@@ -227,7 +230,14 @@
         call = dialect.copy_run_call(
             run.relay.request.request_id, target.host, target.port, last=last
         )
-        timeout_s = LAST_CALL_TIMEOUT_S if last else FIRST_CALL_TIMEOUT_S
+        if last:
+            # Only what is new since the first call is copied.
+            timeout_s = LAST_CALL_TIMEOUT_S
+        else:
+            engine = run.relay.service.engine
+            assert engine is not None
+            tokens = run.prompt_tokens + run.made_tokens
+            timeout_s = FIRST_CALL_TIMEOUT_S + COPY_TIME_FACTOR * engine.copy_s(tokens)
         resp = await self._backends.side_call(handover.source, call, timeout_s=timeout_s)
         if resp is None:
             return None
--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -27,6 +27,7 @@
 )
 from crankhinge_soak._history import FAULT_RECOVERY_S, History
 from crankhinge_soak._load import ObservedRequest
+from crankhinge_soak._moves_check import check_moves
 from crankhinge_soak._signals_check import check_backoffs, check_leaving_signals
 from crankhinge_soak._verdict import Verdict, make_verdict
 
@@ -75,6 +76,7 @@
         "a server gets no more than it says it takes": _check_server_limits,
         "a server that says it leaves gets no new work": check_leaving_signals,
         "a server that wants rest gets it": check_backoffs,
+        "a moved run works on one engine at a time": check_moves,
     }
     return [make_verdict(name, *run_check(history)) for name, run_check in checks.items()]
 
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -32,6 +32,13 @@
 # Faults of a server: shares of its runs and responses, and a factor on its durations.
 SERVER_FAULTS = {"errors": 0.5, "resets": 0.5, "garbles": 0.4, "refuses": 0.6, "slow": 8.0}
 NO_SERVER_FAULTS = {"errors": 0.0, "resets": 0.0, "garbles": 0.0, "refuses": 0.0, "slow": 1.0}
+# Factor on the durations of an engine that is emptied: its streams then take 0.8 to 4 seconds, so
+# that many would not end before the engine does, 2 to 3.5 seconds after its announcement.
+EMPTIED_SLOW = 8.0
+# Minimum and maximum time for which streams collect on that engine before it begins to leave.
+EMPTIED_LOAD_S = (0.3, 1.0)
+# Share of responses to moves that are lost on the way from engines while one is emptied.
+LOST_MOVES_SHARE = 0.2
 # Limits, in requests per second, that a server advertises.
 ADVERTISED_LIMITS = ("0.5", "2", "5")
 # Minimum and maximum time for which a server advertises a limit or asks for backoff. The checker
@@ -221,6 +228,21 @@
         silent = self._by_chance(SILENT_LEAVE_SHARE)
         await self._stop(place.name, lambda: self._fleet.start_server(place, silent_leave=silent))
 
+    async def _empty_engine(self) -> None:
+        """Slow a decode engine down and stop it, so that its runs are moved to the others."""
+        engines = [place for place in self._fleet.places if place.role == "decode"]
+        place = self._rng.choice(engines)
+        lose = self._by_chance(0.5)
+        load_s = self._rng.uniform(*EMPTIED_LOAD_S)
+        async with self._claimed_for_fault(place.name, "stop", planned=True) as claimed:
+            if not claimed:
+                return
+            faults = {"slow": EMPTIED_SLOW, "move_mutes": LOST_MOVES_SHARE if lose else 0.0}
+            await self._fleet.set_faults(place.port, **faults)
+            await curio.sleep(load_s)
+            await self._terminate(place.name)
+            self._fleet.start_server(place)
+
     async def _pause(self, name: str) -> None:
         async with self._claimed_for_fault(name, "pause") as claimed:
             if claimed:
@@ -383,6 +405,7 @@
     "kill-server": FaultInjector._kill_server,
     "stop-server": FaultInjector._stop_server,
     "pause-server": FaultInjector._pause_server,
+    "empty-engine": FaultInjector._empty_engine,
     "harm-server": FaultInjector._fail_server,
     "limit-server": FaultInjector._limit_server,
     "rest-server": FaultInjector._back_off_server,
--- a/src/crankhinge_soak/_history.py
+++ b/src/crankhinge_soak/_history.py
@@ -52,6 +52,8 @@
         self.by_ident = {seen.ident: seen for seen in self.seen}
         self.runs = self._by_request("run")
         self.arrivals = self._by_request("arrival")
+        self.continued = self._by_request("continued")
+        self.ended = self._by_request("ended")
 
     def _by_request(self, kind: str) -> dict[str, list[dict[str, Any]]]:
         table: dict[str, list[dict[str, Any]]] = {}
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -74,9 +74,9 @@
 
     Each row in the file of records has one of these kinds: ``born`` (start of the server),
     ``arrival`` (of a request), ``run`` (start of a run), ``continued`` (a moved run goes on here),
-    ``stopped`` (a run has ended here to be moved), ``told`` (response with a leaving or
-    backoff signal), ``order`` (to change the role), ``leaves`` (shutdown announced) and ``left``
-    (drain over).
+    ``ended`` (a decode engine's run has ended, or was stopped to be moved), ``told`` (response with
+    a leaving or backoff signal), ``order`` (to change the role), ``leaves`` (shutdown announced)
+    and ``left`` (drain over).
 
     Args:
         host: address to listen on.
@@ -368,8 +368,10 @@
         finally:
             if self._moves.runs.get(run.ident) is run:
                 del self._moves.runs[run.ident]
-            if run.stopping.is_set() and not run.completed:
-                self._recorder.write(kind="stopped", server=self.ident, request=run.ident)
+            stopped = run.stopping.is_set() and not run.completed
+            self._recorder.write(
+                kind="ended", server=self.ident, request=run.ident, stopped=stopped
+            )
             await run.stopped.set()
 
     async def _fetch_kv_cache(self, at: str, *, has_copy: bool) -> bool:
--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -17,7 +17,7 @@
 from crankhinge.gateway._running_streams import RunningStream
 from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.migration._migrator import RunMigrator
-from crankhinge.http import Exchange
+from crankhinge.http import Exchange, HttpRequest
 from crankhinge.runtime import get_log, run_until_first_ends
 from crankhinge_standins import operator
 from crankhinge_standins._replica_moves import DecodeRun
@@ -98,6 +98,8 @@
         fragment: whether a stopped run sends a part of its next event.
         move_calls: the calls to move runs that it received: whether each was the last.
         freed: handles that were freed.
+        begun: number of runs that it began and did not continue from a copy.
+        is_dead: whether its process has ended.
     """
 
     def __init__(self, work: Work, store_port: int, port: int) -> None:
@@ -120,6 +122,7 @@
         self.fragment = False
         self.move_calls: list[bool] = []
         self.freed: list[str] = []
+        self.begun = 0
         self.is_dead = False
         self._work = work
         self._crashed = curio.Event()
@@ -153,6 +156,10 @@
             self.freed.append(exchange.req.path.rpartition("/")[2])
         await super()._handle_side_call(exchange)
 
+    def _record_run(self, req: HttpRequest, kind: str = "run") -> str:
+        self.begun += kind == "run"
+        return super()._record_run(req, kind)
+
     async def _run_decode(self, exchange: Exchange) -> None:
         if "kv-from" in exchange.req.headers and self.on_continue is not None:
             await self.on_continue(self, exchange)
@@ -187,9 +194,10 @@
     Args:
         moves: whether the service's configuration has moves.
         engines: number of engines.
+        link_mbps: rate of the engines' links in the configuration.
     """
 
-    def __init__(self, *, moves: bool = True, engines: int = 2) -> None:
+    def __init__(self, *, moves: bool = True, engines: int = 2, link_mbps: float = 2.2e6) -> None:
         self.gateway = GatewayHarness()
         self.work = Work()
         self.engines = [
@@ -197,6 +205,7 @@
         ]
         self.migrator: RunMigrator | None = None
         capacity = operator.engine_capacity(slots=8, kv_tokens=10000, moves=moves)
+        capacity["link_mbps"] = link_mbps
         self._services = [operator.service("llm", capacity)]
 
     def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import socket
 
 import curio
@@ -123,6 +124,25 @@
 
         harness.run(scenario)
 
+    def test_copy_over_a_slow_link_is_waited_for(self) -> None:
+        """At 100 Mbit/s, 100 tokens of 18.432 KB take 0.15 s, which the call needs in addition."""
+        harness = MoveHarness(link_mbps=100.0)
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            source.faults.slow = 10.0
+
+            async def slow(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+                await curio.sleep(0.5)
+                await obey(engine, exchange, order)  # type: ignore[arg-type]
+
+            source.first = slow
+            assert await harness.move() is MoveOutcome.MOVED
+            assert await caller.join() == WHOLE
+
+        harness.run(scenario)
+
     def test_stop_is_no_failure_of_the_source(self) -> None:
         """The source did as it was asked: it must not be avoided, nor suspected of a crash."""
         harness = MoveHarness()
@@ -301,9 +321,6 @@
         """Another mover began between the calls; its copy is not this one."""
         harness = MoveHarness()
 
-        async def conflict(engine: MovingEngine, exchange: Exchange, order: object) -> None:
-            await exchange.respond(409, b"{}")
-
         async def scenario() -> None:
             caller = await harness.begin()
             source = harness.source
@@ -578,6 +595,73 @@
         harness.run(scenario)
 
 
+async def conflict(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+    """Respond that another call copies the run."""
+    await exchange.respond(409, b"{}")
+
+
+async def fail(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+    """Respond with a status that the call does not have."""
+    await exchange.respond(500, b"{}")
+
+
+async def obey_late(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+    """Copy the run after the mover has given up."""
+    await curio.sleep(0.45)
+    await obey(engine, exchange, order)  # type: ignore[arg-type]
+
+
+async def accept(engine: MovingEngine, exchange: Exchange) -> None:
+    """Run the request."""
+    await super(MovingEngine, engine)._run_decode(exchange)
+
+
+class TestRandomFailures:
+    """Several moves with failures drawn at random."""
+
+    @pytest.mark.parametrize("seed", range(60))
+    @pytest.mark.parametrize("path", ["/stream/a", "/resumed/a"])
+    def test_stream_is_whole_or_cut_after_a_whole_event(self, seed: int, path: str) -> None:
+        """No event is lost, doubled or out of order, and each attempt runs at one engine."""
+        rng = random.Random(seed)
+        harness = MoveHarness(engines=3)
+        calls = (*[obey] * 9, mute, obey_and_mute, die, conflict, fail, obey_late)
+
+        async def move_at_random() -> None:
+            for _ in range(rng.randint(1, 3)):
+                await curio.sleep(rng.uniform(0.0, 0.3))
+                if not harness.migrator or not len(harness.migrator._running):
+                    return
+                for engine in harness.engines:
+                    engine.first, engine.last = rng.choice(calls), rng.choice(calls)
+                    engine.on_continue = rng.choice((accept, accept, refuse, crash))
+                    engine.fragment = rng.random() < 0.5
+                run = harness.stream
+                others = [e for e in harness.engines if e.ident != run.server.name]
+                assert harness.migrator is not None
+                await harness.migrator.move(run, harness.server_of(rng.choice(others)))
+
+        async def scenario() -> None:
+            for engine in harness.engines:
+                engine.faults.slow = 3.0
+            caller = await harness.begin(path, events=rng.uniform(0.0, 5.0))
+            mover = await curio.spawn(move_at_random)
+            if rng.random() < 0.2:
+                await curio.sleep(rng.uniform(0.0, 0.6))
+                await caller.cancel()
+            else:
+                status, body, error = await caller.join()
+                assert status == 200
+                assert body == ANSWER if not error else ANSWER.startswith(body)
+                assert body == b"" or body.endswith(b"\n\n")
+            await mover.join()
+            await harness.assert_all_free()
+            begun = sum(engine.begun for engine in harness.engines)
+            assert begun <= (2 if path == "/resumed/a" else 1)
+
+        harness.run(scenario)
+
+
 class TestLeavingEngine:
     """An engine announces its shutdown while it runs requests."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -212,6 +212,20 @@
             "rows": [server_row("run", f"q{n}", T0 + n) for n in range(1, 6)],
         },
     ),
+    "a moved run at two engines": (
+        "a moved run works on one engine at a time",
+        {
+            "rows": [
+                server_row("run", "q1"),
+                server_row("continued", "q1", T0 + 0.1, server="i-2"),
+                server_row("ended", "q1", T0 + 0.2),
+            ]
+        },
+    ),
+    "a moved run that began nowhere": (
+        "a moved run works on one engine at a time",
+        {"rows": [server_row("continued", "q1")]},
+    ),
     "memory that stays in use": ("no engine memory stays tied", {"held": {"llm-decode-0": 300}}),
     "one fencing token of two instances": (
         "orders come from one holder of a right",
@@ -230,6 +244,18 @@
 }
 
 
+def test_moved_run_that_was_stopped_first_violates_no_invariant() -> None:
+    """A continued run is no second run of a request that may run once."""
+    rows = [
+        server_row("arrival", "q1"),
+        server_row("run", "q1"),
+        server_row("ended", "q1", T0 + 0.1),
+        server_row("continued", "q1", T0 + 0.11, server="i-2"),
+        server_row("ended", "q1", T0 + 0.2, server="i-2"),
+    ]
+    assert violated_invariants(valid_history(rows=rows)) == []
+
+
 @pytest.mark.parametrize("fault", FAULTS)
 def test_checker_reports_the_violated_invariant(fault: str) -> None:
     """The parameter names a fault; the checker must report the invariant that FAULTS lists."""
