--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -8,13 +8,13 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field, replace
 from typing import Any
 
 import curio
 
-from crankhinge.decisions import EngineLimits, Membership
+from crankhinge.decisions import EngineLimits, Membership, Server
 from crankhinge.decisions.coordination import CoordinatorOrder
 from crankhinge.decisions.placement import (
     RUN_EXPIRY_S,
@@ -28,6 +28,7 @@
 from crankhinge.gateway._discovery import Discovery
 from crankhinge.gateway.placement._engines import PlacementEngines
 from crankhinge.gateway.placement._messages import (
+    CoordinatorLeaving,
     GroupKey,
     PlacementAsk,
     PlacementGrant,
@@ -53,8 +54,8 @@
 # Seconds between checks of what changes only with time: waiting requests become late, engines that
 # refused a reservation are tried again, and owners fall silent.
 TICK_S = 0.05
-# Seconds between updates of a group's engines from the list of servers.
-ENGINES_INTERVAL_S = 0.25
+# Seconds between checks of a group that need not be done at once.
+CHECK_INTERVAL_S = 0.25
 # Seconds without a message after which an instance forgets a group that it coordinates first, or as
 # the standby. The standby's knowledge is complete only while the owners report to it, so it begins
 # anew after two reports are missing.
@@ -64,9 +65,14 @@
 # the runs of that time, so it decides nothing until all owners have reported.
 SUSPENDED_S = 1.0
 # Seconds between messages to an instance that reports no runs, that the service is coordinated, and
-# the number of such messages per round of ENGINES_INTERVAL_S.
+# the number of such messages per round of CHECK_INTERVAL_S.
 INFORM_INTERVAL_S = 5.0
 INFORMED_PER_ROUND = 6
+# Seconds between messages to the owners of runs that this instance is stopping, and seconds after
+# the first of them from which the standby has their reports and decides instead. An instance serves
+# for at least 2.5 s after it began to stop.
+LEAVING_INTERVAL_S = 0.5
+HANDOVER_S = 2.0
 # Runs whose details are requested in one datagram, so that the response fits in a few.
 MAX_UNKNOWN_RUNS = 64
 # Time in seconds for which the parts of a complete report may arrive one after the other.
@@ -115,7 +121,8 @@
         key: the group.
         coordinator: the decisions.
         used_at: when another instance, or this one as a client, last sent a message about it.
-        engines_at: when its engines were last updated.
+        checked_at: when it was last checked.
+        engines: its engines as the decisions know them, and their limits.
         runs: the runs by run id, waiting ones included.
         reports: the newest complete report of each owner.
         addresses: ``host:port`` of each owner, as its last message showed it.
@@ -126,7 +133,8 @@
     key: GroupKey
     coordinator: PlacementCoordinator
     used_at: float
-    engines_at: float = float("-inf")
+    checked_at: float = float("-inf")
+    engines: tuple[list[Server], EngineLimits] | None = None
     runs: dict[str, _KnownRun] = field(default_factory=dict)
     reports: dict[str, _PartialReport] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -151,6 +159,9 @@
         log: log for events.
         metrics: registry for counters.
         rng: source of random choices.
+
+    Attributes:
+        is_stopping: whether this instance is stopping.
     """
 
     def __init__(
@@ -165,6 +176,7 @@
         metrics: Metrics,
         rng: random.Random,
     ) -> None:
+        self.is_stopping: Callable[[], bool] = lambda: False
         self._order = order
         self._membership = membership
         self._engines = engines
@@ -175,6 +187,8 @@
         self._rng = rng
         self._groups: dict[int, _Group] = {}
         self._checked_at = float("inf")
+        self._stopping_since: float | None = None
+        self._leaving_sent_at = float("-inf")
         transport.add_handler(PlacementAsk, self._on_ask)
         transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
         transport.add_handler(RunChanges, self._on_changes)
@@ -205,7 +219,8 @@
         decision = NOT_COORDINATOR
         if group is not None:
             group.record_sender(owner, sender, now)
-        if group is not None and now >= group.ready_at:
+            self._update_engines(group, now)
+        if group is not None and self._may_decide(group, now):
             need = message.to_request(owner)
             if message.full:
                 self._log.info("placement_no_room", run=need.run_id, server=message.full)
@@ -343,7 +358,7 @@
 
     async def _push(self, group: _Group, now: float) -> None:
         """Send the decisions about waiting requests that were made since the last call."""
-        if now < group.ready_at:
+        if not self._may_decide(group, now):
             return
         for need, decision in group.coordinator.grants(now):
             known = group.runs.get(need.run_id)
@@ -364,7 +379,7 @@
             await self._transport.reply(address, message)
 
     async def _send_moves(self, group: _Group, now: float) -> None:
-        if now < group.ready_at:
+        if not self._may_decide(group, now):
             return
         for move in group.coordinator.moves(now):
             counter = to_counter(move.run_id)
@@ -375,14 +390,17 @@
     async def run(self) -> None:
         """Check what changes with time, until cancelled."""
         while True:
-            await curio.sleep(TICK_S)
+            interval_s = TICK_S if self._groups else CHECK_INTERVAL_S
+            await curio.sleep(interval_s)
             now = await curio.clock()
-            self._detect_suspension(now)
+            self._detect_suspension(now, interval_s)
+            if self.is_stopping():
+                await self._hand_over(now)
             for group in list(self._groups.values()):
                 await self._check(group, now)
 
-    def _detect_suspension(self, now: float) -> None:
-        late_s = now - self._checked_at - TICK_S
+    def _detect_suspension(self, now: float, interval_s: float) -> None:
+        late_s = now - self._checked_at - interval_s
         if late_s > SUSPENDED_S and self._groups:
             self._log.info("placement_suspended", late_s=round(late_s, 2))
             for group in self._groups.values():
@@ -398,12 +416,12 @@
             del self._groups[key.id]
             self._log.info("placement_ended", service=key.service, group=key.group)
             return
-        if now - group.engines_at >= ENGINES_INTERVAL_S:
-            limits = self._limits(key)
-            if limits is None:
-                del self._groups[key.id]
-                return
-            self._set_engines(group, limits, now)
+        if self._limits(key) is None:
+            del self._groups[key.id]
+            return
+        if now - group.checked_at >= CHECK_INTERVAL_S:
+            group.checked_at = now
+            self._update_engines(group, now)
             group.coordinator.expire(now)
             for run_id, known in list(group.runs.items()):
                 if now - known.seen_at > RUN_EXPIRY_S:
@@ -414,6 +432,17 @@
         if group.coordinator.waiting_requests:
             await self._push(group, now)
 
+    async def _hand_over(self, now: float) -> None:
+        """Have the owners report to the standby, before this instance stops."""
+        if self._stopping_since is None:
+            self._stopping_since = now
+        if now - self._leaving_sent_at < LEAVING_INTERVAL_S:
+            return
+        self._leaving_sent_at = now
+        for group_id, group in list(self._groups.items()):
+            for address in list(group.addresses.values()):
+                await self._transport.reply(address, CoordinatorLeaving(group_id))
+
     async def _inform(self, group: _Group, now: float) -> None:
         """Tell instances that report no runs that the service is coordinated.
 
@@ -452,7 +481,7 @@
                 return None
             coordinator = PlacementCoordinator(rng=self._rng, now=now)
             group = self._groups[group_id] = _Group(key, coordinator, now)
-            self._set_engines(group, limits, now)
+            self._update_engines(group, now)
             self._log.info(
                 "placement_began",
                 service=key.service,
@@ -463,6 +492,13 @@
         group.used_at = now
         return group
 
+    def _may_decide(self, group: _Group, now: float) -> bool:
+        """Whether this instance decides now: it was not suspended, and has not handed over."""
+        has_handed_over = (
+            self._stopping_since is not None and now - self._stopping_since >= HANDOVER_S
+        )
+        return now >= group.ready_at and not has_handed_over
+
     def _services(self) -> list[str]:
         config = self._discovery.config
         if config is None:
@@ -474,10 +510,15 @@
         service = config.services.get(key.service) if config is not None else None
         return None if service is None else service.engine
 
-    def _set_engines(self, group: _Group, limits: EngineLimits, now: float) -> None:
-        group.engines_at = now
+    def _update_engines(self, group: _Group, now: float) -> None:
+        """Apply the engines of the list of servers, if they have changed."""
+        limits = self._limits(group.key)
+        if limits is None:
+            return
         members = self._engines.members(group.key.service, group.key.group, now)
-        group.coordinator.set_engines(members, limits, now)
+        if group.engines != (members, limits):
+            group.engines = members, limits
+            group.coordinator.set_engines(members, limits, now)
 
     def _log_decision(
         self,
