Test of moves by a coordinator and by owners at once

Cause: only single moves were tested with whole gateways.

Change: two gateways, one of which coordinates, and four engines, two of which leave within 0.3 s while 16 streams run.

--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -13,7 +13,8 @@
 from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.placement._messages import GroupKey, RunMoveOrder, to_counter
 from crankhinge.http import Exchange
-from crankhinge_standins.replica import EVENT_INTERVAL_S, KV_HANDLE_TTL_S
+from crankhinge_standins import replica
+from crankhinge_standins.replica import EVENT_INTERVAL_S, KV_HANDLE_TTL_S, make_events
 from moving_engines import (
     ANSWER,
     EVENTS,
@@ -733,6 +734,58 @@
         harness.run(scenario)
 
 
+class TestFleet:
+    """Two gateways, one of which coordinates, and engines that leave one after the other."""
+
+    def test_all_streams_are_whole_while_engines_leave(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The coordinator and the owners may both want to move a run; it is moved by one.
+
+        Without moves, the engines would cut the streams that last longer than their drain.
+        """
+        monkeypatch.setattr(replica, "DRAIN_S", 1.0)
+        monkeypatch.setattr(replica, "MAX_EXTRA_DRAIN_S", 0.0)
+        harness = MoveHarness(engines=4)
+        other = harness.gateway.add_gateway("g2")
+        idents = [ident for ident in (f"s{n}" for n in range(400)) if len(make_events(ident)) > 15]
+        tokens = {"x_token_count": "100,900", "length_hint": "600"}
+
+        async def call(number: int) -> tuple[int, bytes]:
+            gateway = (harness.gateway, other)[number % 2]
+            response = await gateway.open(
+                idents[number], "/stream/a", new_connection=True, **tokens
+            )
+            body = await response.read_all()
+            await response.close()
+            return response.status, body
+
+        async def scenario() -> None:
+            # These requests show both gateways that answers are long.
+            for number in range(24):
+                assert (await call(number))[0] == 200
+            assert harness.gateway.logs.matching("event=placement_switched", "coordinated=true")
+            await curio.sleep(2.5)
+            for engine in harness.engines:
+                engine.faults.slow = 7.0
+            callers = [await curio.spawn(call, number) for number in range(24, 40)]
+            await curio.sleep(1.0)
+            for engine in harness.engines[:2]:
+                engine.leave()
+                await curio.sleep(0.3)
+            for number, caller in enumerate(callers, start=24):
+                answer = b"".join(make_events(idents[number]))
+                assert await caller.join() == (200, answer)
+            logs = [*harness.gateway.logs.lines, *other.logs.lines]
+            moved = [line for line in logs if "event=run_moved " in line]
+            assert moved
+            begun = sum(engine.begun for engine in harness.engines)
+            assert begun == 40
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+
 class TestOrderOfCoordinator:
     """A coordinator asks the owner of a run to move it."""
 
