--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -204,6 +204,7 @@
         quarantine=quarantine,
         permits=permits,
         log=log,
+        metrics=metrics,
     )
     placement.move_run = migrator.move
     leaving_runs = LeavingRuns(backends=backends, running=running, migrator=migrator, log=log)
--- a/src/crankhinge/gateway/migration/_migrator.py
+++ b/src/crankhinge/gateway/migration/_migrator.py
@@ -15,6 +15,7 @@
 from crankhinge.gateway._quarantine import QuarantineService
 from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway.migration._handover import Handover, MoveOutcome
+from crankhinge.runtime import Metrics
 
 # Seconds to wait for the response to the first call. It is shorter than the validity of a handle,
 # so that a repeated call finds the copy of a call whose response was lost.
@@ -53,6 +54,7 @@
         quarantine: refuses requests that servers were running when they crashed.
         permits: gets permits to send requests to servers that advertise a limit.
         log: log for events.
+        metrics: registry for counters.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         quarantine: QuarantineService,
         permits: Permits,
         log: Any,
+        metrics: Metrics,
     ) -> None:
         self._backends = backends
         self._running = running
@@ -71,6 +74,7 @@
         self._quarantine = quarantine
         self._permits = permits
         self._log = log
+        self._metrics = metrics
 
     async def move(self, run: RunningStream, target: Server) -> MoveOutcome:
         """Move a run to another engine; return how that ended.
@@ -100,6 +104,7 @@
             if outcome not in (MoveOutcome.MOVED, MoveOutcome.RETURNED) and handover.cache_handle:
                 call = self._backends.dialect.free_kv_cache_call(handover.cache_handle)
                 await self._backends.side_call_in_background(handover.source, call)
+        self._metrics.count(f"run_moves.{outcome.value}")
         took_ms = round((await curio.clock() - started_at) * 1000)
         if outcome is MoveOutcome.MOVED:
             self._log.info(
