Measure the pace of answers from the response head again

Cause: since streams can be moved, the measured duration of an answer also contained the wait for the response head. The expected service time of an 800-token answer was 32 s where the head took 2 s, and requests were refused.

Change: each part of an answer is measured from the head of the engine that made it to its end; the parts of a moved answer are added.

Why it holds: test_role_controller.py, test_migration.py and test_gateway.py pass.

--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -8,6 +8,7 @@
 
 import enum
 from collections.abc import Mapping
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -52,6 +53,19 @@
     HANDED_OVER = "handed_over"
 
 
+@dataclass
+class _Segments:
+    """The parts of an answer that were relayed from one engine each.
+
+    Attributes:
+        events: number of events.
+        duration_s: seconds from each response head to the end of its part.
+    """
+
+    events: int = 0
+    duration_s: float = 0.0
+
+
 class _SourceClosed(HttpClosed):
     """An engine closed the stream of a run that may continue from a copy of its memory."""
 
@@ -320,17 +334,15 @@
         """Run the request at a server, and at the engines that its run is moved to."""
         relay.sent_to.append(server.incarnation_id)
         relay.log_fields["server"] = server.incarnation_id
-        started_at, events_before = await curio.clock(), events.event_count
-        end, why = await self._send(relay, server, params, events, stream)
+        segments = _Segments()
+        end, why = await self._send(relay, server, params, events, segments, stream)
         while end is _AttemptEnd.HANDED_OVER:
             assert stream is not None
-            end, why = await self._continue_moved(relay, stream, events, why)
+            end, why = await self._continue_moved(relay, stream, events, segments, why)
         if end is _AttemptEnd.EXCLUDED:
             relay.sent_to.pop()
         elif end is _AttemptEnd.COMPLETED:
-            self._record_answer(
-                relay, events.event_count - events_before, await curio.clock() - started_at
-            )
+            self._record_answer(relay, segments.events, segments.duration_s)
         return end, why
 
     async def _send(
@@ -339,6 +351,7 @@
         server: Server,
         params: AttemptParams,
         events: EventSplitter,
+        segments: _Segments,
         stream: RunningStream | None,
     ) -> tuple[_AttemptEnd, str]:
         """Send the request to one server and relay its response."""
@@ -349,7 +362,11 @@
                     body = await response.read_all()
                     return _AttemptEnd.REFUSED, f"status {response.status} {body[:80]!r}"
                 relay.may_have_run = True
-                if await self._relay_response(relay, response, events, server, stream):
+                started_at, events_before = await curio.clock(), events.event_count
+                is_stopped = await self._relay_response(relay, response, events, server, stream)
+                segments.events += events.event_count - events_before
+                segments.duration_s += await curio.clock() - started_at
+                if is_stopped:
                     # The source closed the stream as it was asked to, which is no failure of it.
                     return _AttemptEnd.HANDED_OVER, "the run was stopped to move it"
                 self._backends.stats(server.incarnation_id).breaker.record_success()
@@ -367,7 +384,12 @@
             return _AttemptEnd.BROKEN, exc.detail
 
     async def _continue_moved(
-        self, relay: Relay, stream: RunningStream, events: EventSplitter, why: str
+        self,
+        relay: Relay,
+        stream: RunningStream,
+        events: EventSplitter,
+        segments: _Segments,
+        why: str,
     ) -> tuple[_AttemptEnd, str]:
         """Continue a run from the copy of its memory, at the target or else at the source.
 
@@ -388,7 +410,7 @@
                 kv_cache_location=location,
                 last_event_id=events.last_id,
             )
-            end, why = await self._send(relay, server, params, events, stream)
+            end, why = await self._send(relay, server, params, events, segments, stream)
             if handover.is_finished:
                 return end, why
             self._log.info(
