Placement: an engine that keeps refusing is asked less and less

Cause: each report of a run on an engine forgot its refusals, so the pause after one never grew. Change: only a grant that was taken up does. Holds: test_engine_that_keeps_refusing_is_asked_less_and_less fails without the change (0.3 s where 0.4 s is due); tests/test_placement.py and tests/test_placement_load.py pass (40).

--- a/src/crankhinge/decisions/placement/_group.py
+++ b/src/crankhinge/decisions/placement/_group.py
@@ -171,7 +171,8 @@
         reserved = known.reserved_tokens if known is not None else 0
         if report.run_id in self._moves and report.engine == self._moves[report.run_id][0].target:
             self.end_move(report.run_id, now, has_failed=False)
-        engine.refusals = 0
+        if known is not None and known.is_grant:
+            engine.refusals = 0
         self.add_run(Run(report, owner, now, growth, reserved, is_grant=False), now)
 
     def _measure_pace(
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Iterable
 from dataclasses import replace
@@ -206,6 +207,22 @@
         [(_, third)] = coordinator.grants(2 * REFUSAL_PAUSE_S + 0.1)
         assert third.outcome is GRANTED
 
+    def test_engine_that_keeps_refusing_is_asked_less_and_less(self) -> None:
+        """Each refusal costs a round trip, also while runs on the engine are reported."""
+        coordinator, asked = ready_coordinator(), []
+        coordinator.request(NEED, 0.0)
+        for tick in range(250):
+            now = 0.01 + tick * 0.01
+            if coordinator.request(NEED, now).outcome is GRANTED:
+                asked.append(now)
+                coordinator.engine_refused(NEED.run_id, "e0", now)
+            coordinator.report("x", [report_of("x/1")], [], now, complete=True)
+            coordinator.grants(now)
+        pauses = [later - now for now, later in itertools.pairwise(asked)]
+        assert len(pauses) >= 3
+        for refusals, pause_s in enumerate(pauses):
+            assert pause_s >= REFUSAL_PAUSE_S * 2**refusals
+
     def test_waiting_request_is_granted_when_a_run_ends(self) -> None:
         """A request must not wait longer than the run in its way."""
         coordinator = ready_coordinator()
