--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 from collections.abc import Iterable
 from dataclasses import replace
@@ -206,6 +207,22 @@
         [(_, third)] = coordinator.grants(2 * REFUSAL_PAUSE_S + 0.1)
         assert third.outcome is GRANTED
 
+    def test_engine_that_keeps_refusing_is_asked_less_and_less(self) -> None:
+        """Each refusal costs a round trip, also while runs on the engine are reported."""
+        coordinator, asked = ready_coordinator(), []
+        coordinator.request(NEED, 0.0)
+        for tick in range(250):
+            now = 0.01 + tick * 0.01
+            if coordinator.request(NEED, now).outcome is GRANTED:
+                asked.append(now)
+                coordinator.engine_refused(NEED.run_id, "e0", now)
+            coordinator.report("x", [report_of("x/1")], [], now, complete=True)
+            coordinator.grants(now)
+        pauses = [later - now for now, later in itertools.pairwise(asked)]
+        assert len(pauses) >= 3
+        for refusals, pause_s in enumerate(pauses):
+            assert pause_s >= REFUSAL_PAUSE_S * 2**refusals
+
     def test_waiting_request_is_granted_when_a_run_ends(self) -> None:
         """A request must not wait longer than the run in its way."""
         coordinator = ready_coordinator()
@@ -224,7 +241,7 @@
 
     def first_granted(self, *needs: PlacementRequest) -> str:
         """Return which of the waiting requests gets the memory of runs that end."""
-        coordinator = ready_coordinator([engine(number) for number in range(8)])
+        coordinator = ready_coordinator([engine(number) for number in range(16)])
         fill(coordinator, 0.0, account="big")
         for need in needs:
             assert coordinator.request(need, 0.0).outcome is WAITING
@@ -246,7 +263,7 @@
 
     def test_late_request_is_not_passed_for_ever(self) -> None:
         """Under a steady load of first attempts, late requests must get their turn."""
-        coordinator = ready_coordinator([engine(number) for number in range(8)])
+        coordinator = ready_coordinator([engine(number) for number in range(16)])
         fill(coordinator, 0.0)
         late = replace(NEED, run_id="late", target_left_s=-0.1)
         assert coordinator.request(late, 0.0).outcome is WAITING
@@ -265,10 +282,10 @@
 
     def test_promised_return_takes_its_place(self) -> None:
         """A caller that comes back when it was told must not be passed by others again."""
-        coordinator = ready_coordinator([engine(number) for number in range(4)])
+        coordinator = ready_coordinator([engine(number) for number in range(16)])
         fill(coordinator, 0.0)
         refused: list[PlacementDecision] = []
-        for number in range(20):
+        for number in range(60):
             need = replace(NEED, run_id=f"b/{number}", account="b")
             decision = coordinator.request(need, 0.0)
             refused += [decision] if decision.outcome is REFUSED else []
@@ -276,20 +293,20 @@
         assert len(delays) > 3
         assert delays[:3] == sorted(set(delays[:3]))
         now = delays[0]
-        for number in range(20):
+        for number in range(60):
             coordinator.withdraw(f"b/{number}", now)
         fill(coordinator, now)
         retry = replace(NEED, run_id="b/retry", account="b", is_retry=True, target_left_s=-4.0)
         other = replace(retry, run_id="c/retry", account="c")
         for need in (other, replace(NEED, run_id="d/first", account="d"), retry):
             coordinator.request(need, now)
-        ended = [f"a/fill0.0.{number}" for number in range(20)]
+        ended = [f"a/fill0.0.{number}" for number in range(40)]
         coordinator.report("a", [], ended, now, complete=False)
         assert coordinator.grants(now)[0][0].run_id == "b/retry"
 
     def test_flood_does_not_delay_the_promises_of_others(self) -> None:
         """A flood of one account must not make the retries of another wait behind its own."""
-        coordinator = ready_coordinator()
+        coordinator = ready_coordinator([engine(number) for number in range(16)])
         fill(coordinator, 0.0)
         delays: dict[str, list[float]] = {"flood": [], "other": []}
         for number in range(30):
