Placement: engines to avoid are named to the coordinator although not listed here

Engines to avoid are named first now, and quick repeats pause as after refusals. The new test fails on the old code.

--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -252,7 +252,11 @@
     def choose_group(
         self, service: str, now: float, model: str, avoid: frozenset[str], tried: frozenset[int]
     ) -> tuple[GroupKey, tuple[str, ...]] | None:
-        """Return a group to ask, and its engines that must not be used; None if there is none."""
+        """Return a group to ask, and its engines that must not be used; None if there is none.
+
+        The engines in *avoid* are named even if this instance lists them no more: the coordinator
+        may still list them, and would grant them again.
+        """
         groups = self._engines.groups(service)
         usable = self._engines.usable(service, now, model, avoid)
         group = groups.choose(self._rng, usable=usable, tried=tried)
@@ -261,9 +265,9 @@
         unusable = sorted(
             server.incarnation_id
             for server in self._engines.members(service, group, now)
-            if server.incarnation_id not in usable
+            if server.incarnation_id not in usable and server.incarnation_id not in avoid
         )
-        return GroupKey(service, group), tuple(unusable[:MAX_AVOIDED])
+        return GroupKey(service, group), (*sorted(avoid), *unusable)[:MAX_AVOIDED]
 
     def new_ask(
         self,
@@ -653,8 +657,8 @@
         elif self._asked is not None:
             key, ask = self._asked
             self._asked = key, msgspec.structs.replace(ask, full=engine)
-            if self._refusals >= MAX_QUICK_REFUSALS:
-                await curio.sleep(REFUSED_PAUSE_S)
+        if self._refusals >= MAX_QUICK_REFUSALS:
+            await curio.sleep(REFUSED_PAUSE_S)
 
     async def withdraw(self) -> None:
         """Tell the coordinator that the request needs no place any more."""
--- a/tests/test_placement_coordination.py
+++ b/tests/test_placement_coordination.py
@@ -157,6 +157,24 @@
 
         fleet.run(scenario)
 
+    def test_engine_that_only_the_coordinator_still_lists_is_not_granted_again(self) -> None:
+        """An instance whose list was newer asked 2,000 times a second for the same engine."""
+        fleet = PlacementFleet()
+
+        async def scenario() -> None:
+            await fleet.warm_up()
+            attempt, decision = await fleet.place(fleet.owner)
+            assert decision is not None
+            fleet.owner.backends._servers._remove(decision.engine)
+            await attempt.engine_refused(decision.engine, avoid=True)
+            for _ in range(5):
+                again = await attempt.next_decision(await deadline())
+                assert again is not None
+                assert again.engine != decision.engine
+                await attempt.engine_refused(again.engine, avoid=False)
+
+        fleet.run(scenario)
+
     def test_runs_are_known_with_account_and_length(self) -> None:
         """The order of waiting requests depends on the accounts of the runs in progress."""
         fleet = PlacementFleet()
