Test of a malformed stream during a move

Cause: nothing guarded that only a closed stream counts as a stop.

Change: the source garbles its stream while the last call is in progress.

Why it holds: the stream is cut, and no engine is asked to continue it; tests/test_migration.py passes.

--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -100,6 +100,7 @@
         freed: handles that were freed.
         begun: number of runs that it began and did not continue from a copy.
         is_dead: whether its process has ended.
+        exchange: the last request that it ran.
     """
 
     def __init__(self, work: Work, store_port: int, port: int) -> None:
@@ -124,6 +125,7 @@
         self.freed: list[str] = []
         self.begun = 0
         self.is_dead = False
+        self.exchange: Exchange | None = None
         self._work = work
         self._crashed = curio.Event()
 
@@ -167,6 +169,7 @@
         await super()._run_decode(exchange)
 
     async def _stream_run(self, exchange: Exchange, run: DecodeRun) -> None:
+        self.exchange = exchange
         with self._work.recorded(run.ident, self.ident):
             try:
                 await super()._stream_run(exchange, run)
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -500,6 +500,26 @@
 
         harness.run(scenario)
 
+    def test_malformed_stream_is_no_proof_of_a_stop(self) -> None:
+        """The call that stops the run is still in progress, so no engine is asked meanwhile."""
+        harness = MoveHarness()
+
+        async def garble(engine: MovingEngine, exchange: Exchange, order: object) -> None:
+            assert engine.exchange is not None
+            await engine.exchange._conn.send(b"no chunk\r\n")
+            await exchange.wait_for_disconnect()
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            source.last = garble
+            assert await harness.move() is MoveOutcome.ENDED
+            assert_broken_off(await caller.join())
+            assert harness.work.starts[IDENT] == [source.ident]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
     def test_both_engines_refuse(self) -> None:
         """On a route that is not repeatable the stream is cut, and nothing runs twice."""
         harness = MoveHarness()
