--- a/src/crankhinge/decisions/coordination/_groups.py
+++ b/src/crankhinge/decisions/coordination/_groups.py
@@ -29,15 +29,11 @@
     def __init__(self, engines: Iterable[Server]) -> None:
         known = list(engines)
         self._count = 1 if len(known) <= MAX_SINGLE_GROUP else -(-len(known) // ENGINES_PER_GROUP)
-        names = [str(group) for group in range(self._count)]
         members: dict[int, list[Server]] = {}
         self._group_of: dict[str, int] = {}
+        self._assigned: dict[str, int] = {}
         for server in known:
-            group = (
-                0
-                if self._count == 1
-                else int(rank_by_key(server.incarnation_id.encode(), names)[0])
-            )
+            group = self.assign(server.incarnation_id)
             members.setdefault(group, []).append(server)
             self._group_of[server.incarnation_id] = group
         self._members: Mapping[int, Sequence[Server]] = members
@@ -49,6 +45,15 @@
         """Return the engines of a group."""
         return self._members.get(group, ())
 
+    def assign(self, incarnation_id: str) -> int:
+        """Return the group to which any engine belongs, also one that is not among the given."""
+        if self._count == 1:
+            return 0
+        if incarnation_id not in self._assigned:
+            names = [str(group) for group in range(self._count)]
+            self._assigned[incarnation_id] = int(rank_by_key(incarnation_id.encode(), names)[0])
+        return self._assigned[incarnation_id]
+
     def group_of(self, incarnation_id: str) -> int | None:
         """Return the group of an engine; None if the engine is unknown."""
         return self._group_of.get(incarnation_id)
--- a/src/crankhinge/decisions/placement/__init__.py
+++ b/src/crankhinge/decisions/placement/__init__.py
@@ -6,6 +6,7 @@
     WARM_UP_S,
     PlacementCoordinator,
 )
+from crankhinge.decisions.placement._prefill import PrefillOutcome
 from crankhinge.decisions.placement._types import (
     PlacementDecision,
     PlacementOutcome,
@@ -22,6 +23,7 @@
     "PlacementDecision",
     "PlacementOutcome",
     "PlacementRequest",
+    "PrefillOutcome",
     "RunMove",
     "RunReport",
 ]
--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -30,6 +30,7 @@
     Waiting,
     order_key,
 )
+from crankhinge.decisions.placement._prefill import PrefillBooks, PrefillOutcome
 from crankhinge.decisions.placement._types import (
     PlacementDecision,
     PlacementOutcome,
@@ -93,6 +94,7 @@
         self._keys: list[tuple[float, ...]] = []
         self._decided: dict[str, _Decided] = {}
         self._ended: dict[str, float] = {}
+        self._prefills = PrefillBooks(rng)
         self._promises = Promises()
         self._arrivals = ArrivalRate(now)
 
@@ -124,6 +126,24 @@
         """
         self._group.set_engines(engines, limits, now)
 
+    def set_prefill_engines(self, engines: Iterable[Server]) -> None:
+        """Set the prefill engines that process the prompts of the group's runs."""
+        self._prefills.set_engines(engines)
+
+    def report_prefill(
+        self, run_id: str, engine: str, duration_s: float, outcome: PrefillOutcome, now: float
+    ) -> None:
+        """Apply an owner's report of how the processing of a prompt ended.
+
+        Args:
+            run_id: the run.
+            engine: incarnation id of the prefill engine.
+            duration_s: seconds from when the prompt was sent.
+            outcome: how it ended.
+            now: time of the runtime's clock in seconds.
+        """
+        self._prefills.record_result(run_id, engine, duration_s, outcome, now)
+
     def request(self, need: PlacementRequest, now: float) -> PlacementDecision:
         """Decide about a request; asking again for the same run returns its present state."""
         if not self.is_ready(now) or not self._group.engines:
@@ -154,6 +174,7 @@
         if decided is None or decided.decision.engine != engine:
             return
         del self._decided[run_id]
+        self._prefills.cancel(run_id, now)
         self._group.remove_run(run_id)
         self._group.record_refusal(engine, decided.decision.reserve_tokens, now)
         self._waiting[run_id] = decided.waiting
@@ -212,6 +233,7 @@
             if now - at <= ENDED_EXPIRY_S:
                 break
             del self._ended[run_id]
+        self._prefills.expire(now)
         self._promises.expire(now)
         self._group.expire_moves(now)
 
@@ -365,10 +387,18 @@
         )
         engine.ramp_grants += 1
         self._group.add_run(Run(report, need.owner, now, growth, reserve, is_grant=True), now)
-        return PlacementDecision(PlacementOutcome.GRANTED, report.engine, reserve)
+        reader = self._prefills.choose(need.run_id, need.prompt_tokens, engine.server.zone, now)
+        return PlacementDecision(
+            PlacementOutcome.GRANTED,
+            report.engine,
+            reserve,
+            reader=reader.engine,
+            is_reader_idle=reader.is_idle,
+        )
 
     def _end(self, run_id: str, now: float) -> None:
         self._group.end_move(run_id, now, has_failed=False)
+        self._prefills.cancel(run_id, now)
         self._group.remove_run(run_id)
         self._waiting.pop(run_id, None)
         self._decided.pop(run_id, None)
--- /dev/null
+++ b/src/crankhinge/decisions/placement/_prefill.py
@@ -0,0 +1,260 @@
+"""Which prefill engine processes the prompt of a run, from the work that was assigned before.
+
+The books of the coordinator hold the work in progress of each prefill engine: the prompts that it
+assigned, in this order, each with its predicted end. An engine processes one prompt after another.
+"""
+
+from __future__ import annotations
+
+import enum
+import random
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from crankhinge.decisions._servers import Server
+
+# Weight of the newest sample in the speed of an engine: about ten prompts, a few seconds of the
+# load of an engine, determine it.
+EWMA_WEIGHT = 0.1
+# A sample counts as at most this many times the speed known so far, and at least as its inverse.
+# The prompt may have waited behind work that the books do not know, or been cached by the engine.
+MAX_SAMPLE_RATIO = 2.0
+# Assumed seconds per prompt token until an engine of the group was measured.
+DEFAULT_TOKEN_S = 2e-5
+# Half-life in seconds of what an engine's own speed differs from the mean speed, while it is not
+# measured. An engine that was slow gets few prompts, so its recovery would not be noticed.
+SPEED_HALF_LIFE_S = 20.0
+# Cost factor of an engine in another availability zone than the decode engine, which fetches the
+# KV cache from it.
+OTHER_ZONE_FACTOR = 1.05
+# Ends closer than this share of the work are equal: which of them is earlier is noise.
+EQUAL_SHARE = 0.03
+# Seconds after its predicted end for which work without a result is kept in the books. Until then,
+# the engine seems to be slower than predicted and is not measured; afterwards, the report is lost.
+LOST_REPORT_S = 0.3
+# Share of its work as which overdue work counts at most. Counted for as long as it is overdue, a
+# loss of three in four reports made the prompts wait four times as long.
+OVERDUE_SHARE = 0.25
+# Seconds for which an engine that failed is avoided, doubled with each further failure in a row.
+# All instances ask for an engine here, so a few failures in this time are all that it costs.
+AVOID_S = 2.0
+MAX_AVOID_S = 16.0
+
+
+class PrefillOutcome(enum.IntEnum):
+    """How the processing of a prompt ended."""
+
+    DONE = 0
+    FAILED = 1
+    TIMED_OUT = 2
+    NOT_SENT = 3
+
+
+@dataclass(frozen=True, slots=True)
+class PrefillChoice:
+    """The engine that processes a prompt.
+
+    Attributes:
+        engine: its incarnation id; empty if none is known.
+        is_idle: whether it has no other work, so that the duration is that of the work.
+    """
+
+    engine: str = ""
+    is_idle: bool = False
+
+
+@dataclass(slots=True)
+class _Work:
+    """A prompt that an engine was assigned."""
+
+    tokens: int
+    work_s: float
+    ends_at: float
+    found_idle: bool
+
+
+@dataclass
+class _PrefillEngine:
+    """A prefill engine.
+
+    Attributes:
+        server: its entry in the list of servers.
+        token_s: measured seconds per prompt token; 0 before the first measurement.
+        measured_at: when it was last measured.
+        works: its prompts by run id, in the order of their assignment.
+        avoided_until: time before which it gets no prompt, after a failure.
+        failures: failures in a row.
+    """
+
+    server: Server
+    token_s: float = 0.0
+    measured_at: float = 0.0
+    works: dict[str, _Work] = field(default_factory=dict)
+    avoided_until: float = float("-inf")
+    failures: int = 0
+
+    def free_in_s(self, now: float) -> float:
+        """Return the seconds until its work ends.
+
+        Work that is overdue counts for a little while, so that an engine that is done is preferred.
+        """
+        self.expire(now)
+        if not self.works:
+            return 0.0
+        first, last = next(iter(self.works.values())), next(reversed(self.works.values()))
+        overdue_s = max(0.0, now - first.ends_at)
+        return max(0.0, last.ends_at - now) + min(overdue_s, OVERDUE_SHARE * first.work_s)
+
+    def expire(self, now: float) -> None:
+        """Remove work whose result is overdue, since its report was lost."""
+        for run_id, work in list(self.works.items()):
+            if now - work.ends_at > LOST_REPORT_S:
+                del self.works[run_id]
+
+    def may_start(self, now: float) -> bool:
+        """Whether it may get a prompt; after a failure it gets one at a time until one is done."""
+        return now >= self.avoided_until and not (self.failures and self.works)
+
+    def assign(self, run_id: str, tokens: int, work_s: float, now: float) -> bool:
+        """Add a prompt to its work; return whether it had none."""
+        is_idle = not self.works
+        begins_at = max([now, *(work.ends_at for work in self.works.values())])
+        self.works[run_id] = _Work(tokens, work_s, begins_at + work_s, is_idle)
+        return is_idle
+
+    def remove(self, run_id: str, now: float) -> _Work | None:
+        """Remove a prompt; those behind it are predicted to end earlier or later than before."""
+        if run_id not in self.works:
+            return None
+        was_first = next(iter(self.works)) == run_id
+        removed = self.works.pop(run_id)
+        # The first prompt is being processed since the one before it ended.
+        free_at = now if was_first else 0.0
+        for work in self.works.values():
+            work.ends_at = free_at + work.work_s if free_at else work.ends_at
+            free_at = work.ends_at
+        return removed
+
+    def record_speed(self, token_s: float, known_token_s: float, now: float) -> None:
+        """Record the measured seconds per token of a prompt that found the engine idle."""
+        if known_token_s:
+            token_s = max(token_s, known_token_s / MAX_SAMPLE_RATIO)
+            token_s = min(token_s, known_token_s * MAX_SAMPLE_RATIO)
+            token_s = known_token_s + EWMA_WEIGHT * (token_s - known_token_s)
+        self.token_s, self.measured_at = token_s, now
+
+    def record_failure(self, now: float) -> None:
+        """Record that it failed to process a prompt."""
+        if now < self.avoided_until:
+            # The failures of prompts that were sent before are one failure.
+            return
+        self.avoided_until = now + min(MAX_AVOID_S, AVOID_S * 2.0**self.failures)
+        self.failures = min(10, self.failures + 1)
+
+
+class PrefillBooks:
+    """The work in progress of the prefill engines of a group.
+
+    Args:
+        rng: chooses among engines of about equal cost.
+    """
+
+    def __init__(self, rng: random.Random) -> None:
+        self._rng = rng
+        self._engines: dict[str, _PrefillEngine] = {}
+        self._where: dict[str, str] = {}
+
+    def set_engines(self, engines: Iterable[Server]) -> None:
+        """Set the engines; the work of engines that are gone is forgotten."""
+        known = self._engines
+        self._engines = {}
+        for server in engines:
+            engine = known.get(server.incarnation_id) or _PrefillEngine(server)
+            engine.server = server
+            self._engines[server.incarnation_id] = engine
+
+    def mean_token_s(self) -> float:
+        """Return the mean measured seconds per prompt token of the engines."""
+        measured = [engine.token_s for engine in self._engines.values() if engine.token_s]
+        return sum(measured) / len(measured) if measured else DEFAULT_TOKEN_S
+
+    def token_s(self, engine_id: str, now: float) -> float:
+        """Return the expected seconds per prompt token of an engine."""
+        engine, mean = self._engines[engine_id], self.mean_token_s()
+        if not engine.token_s:
+            return mean
+        weight = 0.5 ** ((now - engine.measured_at) / SPEED_HALF_LIFE_S)
+        return float(mean + weight * (engine.token_s - mean))
+
+    def choose(self, run_id: str, tokens: int, zone: str, now: float) -> PrefillChoice:
+        """Assign a prompt to the engine that is predicted to be done with it first.
+
+        Args:
+            run_id: the run.
+            tokens: tokens of its prompt.
+            zone: availability zone of the decode engine, which fetches the KV cache.
+            now: time of the runtime's clock in seconds.
+        """
+        self.cancel(run_id, now)
+        best: tuple[float, str, float] | None = None
+        for engine_id, engine in self._engines.items():
+            free_s = engine.free_in_s(now)
+            if not engine.may_start(now):
+                continue
+            work_s = tokens * self.token_s(engine_id, now)
+            factor = 1.0 if engine.server.zone == zone else OTHER_ZONE_FACTOR
+            cost = free_s + work_s * (factor + EQUAL_SHARE * self._rng.random())
+            if best is None or cost < best[0]:
+                best = cost, engine_id, work_s
+        if best is None:
+            return PrefillChoice()
+        _, engine_id, work_s = best
+        self._where[run_id] = engine_id
+        return PrefillChoice(
+            engine_id, self._engines[engine_id].assign(run_id, tokens, work_s, now)
+        )
+
+    def cancel(self, run_id: str, now: float) -> None:
+        """Remove the prompt of a run that has ended or needs no prefill engine any more."""
+        engine = self._engines.get(self._where.pop(run_id, ""))
+        if engine is not None:
+            engine.remove(run_id, now)
+
+    def record_result(
+        self, run_id: str, engine_id: str, duration_s: float, outcome: PrefillOutcome, now: float
+    ) -> None:
+        """Record how the processing of a prompt ended.
+
+        Args:
+            run_id: the run.
+            engine_id: the engine, which its owner may have chosen itself.
+            duration_s: seconds from when the prompt was sent.
+            outcome: how it ended.
+            now: time of the runtime's clock in seconds.
+        """
+        engine = self._engines.get(engine_id)
+        if engine is None:
+            return
+        known_token_s = self.token_s(engine_id, now) if engine.token_s else 0.0
+        work = None
+        if self._where.get(run_id) == engine_id:
+            del self._where[run_id]
+            work = engine.remove(run_id, now)
+        if outcome is PrefillOutcome.DONE:
+            engine.failures, engine.avoided_until = 0, now
+            if work is not None and work.found_idle and work.tokens > 0:
+                engine.record_speed(duration_s / work.tokens, known_token_s, now)
+        elif outcome is PrefillOutcome.FAILED or (
+            # A prompt whose turn had not come by the books says nothing about the engine.
+            outcome is PrefillOutcome.TIMED_OUT and (work is None or now >= work.ends_at)
+        ):
+            engine.record_failure(now)
+
+    def expire(self, now: float) -> None:
+        """Forget the work whose reports were lost."""
+        for engine in self._engines.values():
+            engine.expire(now)
+        for run_id, engine_id in list(self._where.items()):
+            known = self._engines.get(engine_id)
+            if known is None or run_id not in known.works:
+                del self._where[run_id]
--- a/src/crankhinge/decisions/placement/_types.py
+++ b/src/crankhinge/decisions/placement/_types.py
@@ -64,12 +64,18 @@
         engine: incarnation id of the engine, if granted.
         reserve_tokens: tokens to reserve at the engine, if granted.
         retry_after_s: seconds after which the caller should return, if refused.
+        reader: incarnation id of the prefill engine that processes the prompt, if granted; empty if
+            the coordinator knows none.
+        is_reader_idle: whether the prefill engine has no other work, so that the time that it takes
+            is that of the work.
     """
 
     outcome: PlacementOutcome
     engine: str = ""
     reserve_tokens: int = 0
     retry_after_s: float = 0.0
+    reader: str = ""
+    is_reader_idle: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/gateway/_prompt_processor.py
+++ b/src/crankhinge/gateway/_prompt_processor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from crankhinge.adapters import AttemptParams
 from crankhinge.decisions import EngineRole, RetryBudget, Server
+from crankhinge.decisions.placement import PrefillOutcome
 from crankhinge.errors import BackendFailed, BadHttp, HttpClosed, Quarantined, ServerBarred
 from crankhinge.gateway._attempts import Attempts
 from crankhinge.gateway._backends import Backends
@@ -31,6 +33,25 @@
 DOUBTFUL_FAILURE_SHARE = 0.25
 DOUBTFUL_RESPONSE_S = 0.75
 
+# Receives the incarnation id of a prompt engine, the seconds that it took, and the outcome.
+PromptReport = Callable[[str, float, PrefillOutcome], Awaitable[None]]
+
+
+@dataclass(frozen=True)
+class PromptPlan:
+    """How the prompt of a request is processed whose service is coordinated.
+
+    Attributes:
+        reader: incarnation id of the prompt engine that the coordinator chose; empty if none.
+        report: is told the outcome of each attempt; None if it is of no use.
+    """
+
+    reader: str = ""
+    report: PromptReport | None = None
+
+
+UNCOORDINATED = PromptPlan()
+
 
 @dataclass(frozen=True)
 class PromptKvCache:
@@ -67,7 +88,9 @@
         self._quarantine = quarantine
         self._log = log
 
-    async def process(self, relay: Relay, zone: str, budget: RetryBudget) -> PromptKvCache | None:
+    async def process(
+        self, relay: Relay, zone: str, budget: RetryBudget, plan: PromptPlan = UNCOORDINATED
+    ) -> PromptKvCache | None:
         """Return the KV cache of the request's prompt; None if no prompt engine processed it.
 
         Without the KV cache, the decode engine processes the prompt itself, which takes that engine
@@ -77,8 +100,10 @@
             relay: the request.
             zone: availability zone of the engine that will fetch the KV cache.
             budget: retry budget of the service.
+            plan: what a coordinator decided about the prompt.
         """
         tried: frozenset[str] = frozenset()
+        named = await self._named_server(relay, plan)
         deadline = min(await curio.clock() + MAX_PROMPT_S, relay.deadline)
         why = "tried_enough"
         while len(tried) < MAX_PROMPT_ATTEMPTS:
@@ -86,17 +111,22 @@
             if deadline - now < MIN_PROMPT_S:
                 why = "no_time"
                 break
-            server = await self._selector.select(
-                relay, avoid=tried, role=EngineRole.PREFILL, zone=zone
-            )
+            server, is_named = named, named is not None
+            named = None
+            if server is None:
+                server = await self._selector.select(
+                    relay, avoid=tried, role=EngineRole.PREFILL, zone=zone
+                )
             if server is None:
                 why = "no_reader"
                 break
-            if not self._may_attempt(server, budget, is_repeat=bool(tried)):
+            # The coordinator avoids engines that failed for any instance, so the one that it named
+            # is not doubtful, and few attempts at it fail.
+            if not is_named and not self._may_attempt(server, budget, is_repeat=bool(tried)):
                 why = "budget_spent"
                 break
             tried |= {server.incarnation_id}
-            kv_cache = await self._attempt(relay, server, deadline, budget)
+            kv_cache = await self._attempt(relay, server, deadline, budget, plan)
             if kv_cache is not None:
                 return kv_cache
         self._log.info(
@@ -104,6 +134,22 @@
         )
         return None
 
+    async def _named_server(self, relay: Relay, plan: PromptPlan) -> Server | None:
+        """Return the engine that the coordinator chose; None if it cannot be used."""
+        if not plan.reader:
+            return None
+        server = self._backends.get(plan.reader)
+        is_usable = server is not None and server.role is EngineRole.PREFILL
+        if server is not None and is_usable and not server.serves_model(relay.request.model):
+            # The coordinator does not know the model, and the engine is not at fault.
+            await _report(plan, plan.reader, 0.0, PrefillOutcome.NOT_SENT)
+            return None
+        if server is None or not is_usable or not await self._selector.may_send(relay, server):
+            self._log.info("reader_unusable", request=relay.request.request_id, server=plan.reader)
+            await _report(plan, plan.reader, 0.0, PrefillOutcome.FAILED)
+            return None
+        return server
+
     def _may_attempt(self, server: Server, budget: RetryBudget, *, is_repeat: bool) -> bool:
         """Return whether the budget allows an attempt at an engine.
 
@@ -124,9 +170,23 @@
         )
 
     async def _attempt(
-        self, relay: Relay, server: Server, deadline: float, budget: RetryBudget
+        self,
+        relay: Relay,
+        server: Server,
+        deadline: float,
+        budget: RetryBudget,
+        plan: PromptPlan,
     ) -> PromptKvCache | None:
+        """Send the prompt to an engine; report the outcome, unless the caller leaves meanwhile."""
         started_at = await curio.clock()
+        kv_cache, outcome = await self._try_engine(relay, server, started_at, deadline, budget)
+        took_s = await curio.clock() - started_at
+        await _report(plan, server.incarnation_id, took_s, outcome)
+        return kv_cache
+
+    async def _try_engine(
+        self, relay: Relay, server: Server, started_at: float, deadline: float, budget: RetryBudget
+    ) -> tuple[PromptKvCache | None, PrefillOutcome]:
         timeout_s = deadline - started_at
         params = AttemptParams(server.name, timeout_s, prompt_only=True)
         stats = self._backends.stats(server.incarnation_id)
@@ -136,17 +196,19 @@
             )
         except (ConnectFailed, Quarantined, ServerBarred) as exc:
             self._log_failed(relay, server, exc.code, exc.detail)
-            return None
+            # A quarantined prompt says nothing about the engine.
+            is_quarantined = isinstance(exc, Quarantined)
+            return None, PrefillOutcome.NOT_SENT if is_quarantined else PrefillOutcome.FAILED
         except (HttpClosed, BadHttp, BackendFailed) as exc:
             budget.charge_retry()
             self._log_failed(relay, server, exc.code, exc.detail)
-            return None
+            return None, PrefillOutcome.FAILED
         except curio.TaskTimeout:
             budget.charge_retry()
             stats.record_failure(await curio.clock())
             stats.record_duration(timeout_s)
             self._log_failed(relay, server, "silent", f"no response in {timeout_s:.2f} s")
-            return None
+            return None, PrefillOutcome.TIMED_OUT
         if relay.prompt_processed:
             # Each processing of the prompt after the first counts as a retry.
             budget.charge_retry()
@@ -155,7 +217,7 @@
         duration_s = await curio.clock() - started_at
         stats.record_success(duration_s)
         relay.log_fields.update(reader=server.incarnation_id, read_ms=round(duration_s * 1000))
-        return PromptKvCache(server, cache_handle, duration_s)
+        return PromptKvCache(server, cache_handle, duration_s), PrefillOutcome.DONE
 
     async def _send(self, relay: Relay, server: Server, params: AttemptParams) -> str:
         async with self._attempts.open(relay, server, params) as stream:
@@ -178,3 +240,10 @@
         """Free a KV cache that no engine will fetch."""
         call = self._backends.dialect.free_kv_cache_call(kv_cache.cache_handle)
         await self._backends.side_call_in_background(kv_cache.server, call)
+
+
+async def _report(
+    plan: PromptPlan, engine: str, duration_s: float, outcome: PrefillOutcome
+) -> None:
+    if plan.report is not None:
+        await plan.report(engine, duration_s, outcome)
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -82,6 +82,9 @@
         attempt: how a coordinator granted the place; None if the engine was asked directly.
         run: the run as it is reported to the coordinator of the engine; None if it is not.
         stream: the last attempt that used the reservation; None before.
+        reader: incarnation id of the prefill engine that a coordinator chose; empty if it chose
+            none.
+        is_reader_idle: whether that engine had no other work.
     """
 
     server: Server
@@ -91,6 +94,8 @@
     attempt: PlacementAttempt | None = None
     run: PlacedRun | None = None
     stream: RunningStream | None = None
+    reader: str = ""
+    is_reader_idle: bool = False
 
 
 class Reservations:
@@ -370,6 +375,8 @@
         relay.log_fields.update(run=attempt.run_id, held=tokens)
         reservation = await self._record_reserved(search, server, reservation_id)
         reservation.attempt = attempt
+        reservation.reader = decision.reader
+        reservation.is_reader_idle = decision.is_reader_idle
         return reservation
 
     async def _wait_for_round(self, search: _Search) -> None:
--- a/src/crankhinge/gateway/_server_selector.py
+++ b/src/crankhinge/gateway/_server_selector.py
@@ -58,6 +58,20 @@
             if server is None or await self._permits.try_get_permit(relay, server):
                 return server
 
+    async def may_send(self, relay: Relay, server: Server) -> bool:
+        """Whether the request may be sent to a given server now; gets the permit for it.
+
+        Args:
+            relay: the request.
+            server: the server.
+        """
+        now = await curio.clock()
+        return (
+            self._backends.accepts_work(server.incarnation_id, now)
+            and self._backends.stats(server.incarnation_id).breaker.allows_request(now)
+            and await self._permits.try_get_permit(relay, server)
+        )
+
     async def wait_for_server(
         self,
         relay: Relay,
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -14,6 +14,7 @@
 
 from crankhinge.adapters import AttemptParams
 from crankhinge.decisions import EngineLimits, RetryBudget, Server, WorkloadMeter, retry_delay_s
+from crankhinge.decisions.placement import PrefillOutcome
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
@@ -28,7 +29,12 @@
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._permits import Permits
-from crankhinge.gateway._prompt_processor import PromptKvCache, PromptProcessor
+from crankhinge.gateway._prompt_processor import (
+    UNCOORDINATED,
+    PromptKvCache,
+    PromptPlan,
+    PromptProcessor,
+)
 from crankhinge.gateway._quarantine import QuarantineService
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._reservations import Reservation, Reservations
@@ -209,11 +215,23 @@
             request.expected_answer_tokens or request.max_answer_tokens, request.max_answer_tokens
         )
         meter.record_admission(reservation.tokens / engine.kv_tokens, likely_tokens)
-        kv_cache = await self._prompt_processor.process(relay, reservation.server.zone, budget)
+        kv_cache = await self._prompt_processor.process(
+            relay, reservation.server.zone, budget, self._prompt_plan(relay, reservation)
+        )
         if kv_cache is not None:
             meter.record_prompt(request.prompt_tokens, kv_cache.duration_s)
         return kv_cache
 
+    def _prompt_plan(self, relay: Relay, reservation: Reservation) -> PromptPlan:
+        run = reservation.run
+        if run is None or not self._placement.is_coordinated(relay.service):
+            return UNCOORDINATED
+
+        async def report(engine: str, duration_s: float, outcome: PrefillOutcome) -> None:
+            await self._placement.record_prefill(run, engine, duration_s, outcome)
+
+        return PromptPlan(reservation.reader, report)
+
     async def _track_at_engine(
         self,
         relay: Relay,
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -13,7 +13,7 @@
 
 from crankhinge.decisions import ReservationRequest, Server, Service
 from crankhinge.decisions.coordination import CoordinatorOrder
-from crankhinge.decisions.placement import PlacementDecision, PlacementOutcome
+from crankhinge.decisions.placement import PlacementDecision, PlacementOutcome, PrefillOutcome
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
 from crankhinge.gateway._request import Relay
@@ -30,6 +30,7 @@
     PlacementReply,
     PlacementSwitched,
     PlacementWithdrawal,
+    PrefillEnded,
     RunChanges,
     RunDetails,
     RunDetailsRequest,
@@ -69,6 +70,10 @@
 # Engines that a request names as unusable, so that it fits in one datagram.
 MAX_AVOIDED = 20
 REFUSED_PAUSE_S = 0.05
+# Share of the processed prompts that is reported where a service has several groups of engines: a
+# coordinator may receive 10 KB/s, of which it needs 9.8 without them. Without a report, the work of
+# a prompt ends at its predicted end. Failures are always reported.
+REPORTED_PREFILL_SHARE = 0.25
 
 MoveHandler = Callable[[RunningStream, Server], Awaitable[Any]]
 
@@ -474,6 +479,32 @@
             changes = RunChanges(run.key.id, completed=(state,))
         await self._tell(run.key, changes)
 
+    async def record_prefill(
+        self, run: PlacedRun, engine: str, duration_s: float, outcome: PrefillOutcome
+    ) -> None:
+        """Report how the processing of a run's prompt ended.
+
+        Args:
+            run: the run.
+            engine: incarnation id of the prefill engine.
+            duration_s: seconds from when the prompt was sent.
+            outcome: how it ended.
+        """
+        key = run.key
+        if not self._is_on(key.service):
+            return
+        is_sampled = self._rng.random() < REPORTED_PREFILL_SHARE
+        if (
+            outcome is PrefillOutcome.DONE
+            and len(self._engines.groups(key.service)) > 1
+            and not is_sampled
+        ):
+            return
+        message = PrefillEnded(
+            key.id, run.details.counter, engine_hash(engine), to_ms(duration_s), outcome
+        )
+        await self._tell(key, message)
+
     async def record_moved(self, stream: RunningStream) -> None:
         """Report where a run continues after an attempt to move it."""
         run = self._runs.get(to_counter(stream.run_id))
--- a/src/crankhinge/gateway/placement/_engines.py
+++ b/src/crankhinge/gateway/placement/_engines.py
@@ -63,6 +63,15 @@
                 members.append(server)
         return members
 
+    def readers(self, service: str, group: int, now: float) -> list[Server]:
+        """Return the prefill engines of a group that accept prompts."""
+        groups = self.groups(service)
+        return [
+            server
+            for server in self._backends.eligible_servers(service, now, EngineRole.PREFILL)
+            if groups.assign(server.incarnation_id) == group
+        ]
+
     def usable(self, service: str, now: float, model: str, avoid: frozenset[str]) -> frozenset[str]:
         """Return the incarnation ids of the engines that a request of this instance may use.
 
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -18,6 +18,7 @@
     PlacementDecision,
     PlacementOutcome,
     PlacementRequest,
+    PrefillOutcome,
     RunReport,
 )
 
@@ -139,6 +140,8 @@
         engine: incarnation id of the engine, if granted.
         reserve_tokens: tokens to reserve at the engine, if granted.
         after_ms: milliseconds after which the caller should retry, if refused.
+        reader: incarnation id of the prefill engine, if granted; empty if none is known.
+        is_reader_idle: whether the prefill engine has no other work.
     """
 
     counter: int
@@ -146,12 +149,19 @@
     engine: str = ""
     reserve_tokens: int = 0
     after_ms: int = 0
+    reader: str = ""
+    is_reader_idle: bool = False
 
     @property
     def decision(self) -> PlacementDecision:
         """The decision."""
         return PlacementDecision(
-            self.outcome, self.engine, self.reserve_tokens, self.after_ms / 1000
+            self.outcome,
+            self.engine,
+            self.reserve_tokens,
+            self.after_ms / 1000,
+            self.reader,
+            self.is_reader_idle,
         )
 
 
@@ -262,6 +272,26 @@
     aborted: tuple[int, ...] = ()
 
 
+class PrefillEnded(msgspec.Struct, frozen=True, array_like=True, tag="pf"):
+    """How the processing of a run's prompt at a prefill engine ended.
+
+    The coordinator knows the tokens of the prompt from the request.
+
+    Attributes:
+        group_id: id of the group of the run's decode engine.
+        counter: counter of the run.
+        engine_hash: :func:`engine_hash` of the prefill engine.
+        duration_ms: milliseconds from when the prompt was sent.
+        outcome: how it ended.
+    """
+
+    group_id: int
+    counter: int
+    engine_hash: int
+    duration_ms: int
+    outcome: PrefillOutcome
+
+
 # Number of different numbers of complete reports, and how far a report may be behind the newest
 # one: a report that is further behind is from a later incarnation of its owner, which began anew.
 NUMBERS = 1 << 16
@@ -352,4 +382,5 @@
     | RunMoveOrder
     | PlacementSwitched
     | CoordinatorLeaving
+    | PrefillEnded
 )
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -36,6 +36,7 @@
     PlacementReply,
     PlacementSwitched,
     PlacementWithdrawal,
+    PrefillEnded,
     RunChanges,
     RunDetails,
     RunDetailsRequest,
@@ -123,6 +124,7 @@
         used_at: when another instance, or this one as a client, last sent a message about it.
         checked_at: when it was last checked.
         engines: its engines as the decisions know them, and their limits.
+        readers: its prefill engines as the decisions know them.
         runs: the runs by run id, waiting ones included.
         reports: the newest complete report of each owner.
         addresses: ``host:port`` of each owner, as its last message showed it.
@@ -135,6 +137,7 @@
     used_at: float
     checked_at: float = float("-inf")
     engines: tuple[list[Server], EngineLimits] | None = None
+    readers: list[Server] = field(default_factory=list)
     runs: dict[str, _KnownRun] = field(default_factory=dict)
     reports: dict[str, _PartialReport] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -193,6 +196,7 @@
         transport.add_handler(PlacementWithdrawal, self._on_withdrawal)
         transport.add_handler(RunChanges, self._on_changes)
         transport.add_handler(RunsComplete, self._on_complete)
+        transport.add_handler(PrefillEnded, self._on_prefill_ended)
 
     @property
     def run_count(self) -> int:
@@ -284,6 +288,21 @@
         await self._ask_details(group, sender, unknown)
         await self._push(group, now)
 
+    async def _on_prefill_ended(self, message: PrefillEnded, sender: str) -> None:
+        group = self._groups.get(message.group_id)
+        if group is None:
+            return
+        run_id = to_run_id(self._transport.name_of(sender), message.counter)
+        for server in group.readers:
+            if engine_hash(server.incarnation_id) == message.engine_hash:
+                group.coordinator.report_prefill(
+                    run_id,
+                    server.incarnation_id,
+                    message.duration_ms / 1000,
+                    message.outcome,
+                    await curio.clock(),
+                )
+
     def _apply_states(
         self, group: _Group, owner: str, states: Iterable[RunState], now: float
     ) -> tuple[list[RunReport], list[int]]:
@@ -519,6 +538,10 @@
         if group.engines != (members, limits):
             group.engines = members, limits
             group.coordinator.set_engines(members, limits, now)
+        readers = self._engines.readers(group.key.service, group.key.group, now)
+        if group.readers != readers:
+            group.readers = readers
+            group.coordinator.set_prefill_engines(readers)
 
     def _log_decision(
         self,
@@ -540,7 +563,12 @@
             "waited_ms": to_ms(now - (known.since if known.asked_at is None else known.asked_at)),
         }
         if decision.outcome is PlacementOutcome.GRANTED:
-            fields.update(server=decision.engine, tokens=decision.reserve_tokens)
+            fields.update(
+                server=decision.engine,
+                tokens=decision.reserve_tokens,
+                reader=decision.reader,
+                reader_idle=decision.is_reader_idle,
+            )
         elif decision.outcome is PlacementOutcome.REFUSED:
             fields["back_ms"] = to_ms(decision.retry_after_s)
             is_late = fields["waited_ms"] > fields["target_ms"]
@@ -574,6 +602,8 @@
         decision.engine,
         decision.reserve_tokens,
         to_ms(decision.retry_after_s),
+        decision.reader,
+        decision.is_reader_idle,
     )
 
 
--- a/tests/test_placement_messages.py
+++ b/tests/test_placement_messages.py
@@ -9,10 +9,15 @@
 
 from crankhinge.decisions import EngineRole, Membership, Server
 from crankhinge.decisions.coordination import CoordinatorOrder, EngineGroups
-from crankhinge.decisions.placement import PlacementOutcome
+from crankhinge.decisions.placement import PlacementOutcome, PrefillOutcome
 from crankhinge.gateway._peer_messages import EngineOrdered, PeerMessage, decode_message
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
-from crankhinge.gateway.placement._client import MAX_AVOIDED, REPORT_INTERVAL_S, split_report
+from crankhinge.gateway.placement._client import (
+    MAX_AVOIDED,
+    REPORT_INTERVAL_S,
+    REPORTED_PREFILL_SHARE,
+    split_report,
+)
 from crankhinge.gateway.placement._messages import (
     NUMBERS,
     CoordinatorLeaving,
@@ -23,6 +28,7 @@
     PlacementReply,
     PlacementSwitched,
     PlacementWithdrawal,
+    PrefillEnded,
     RunChanges,
     RunDetails,
     RunDetailsRequest,
@@ -54,7 +60,8 @@
     is_retry=False,
     zone="zone-a",
 )
-REPLY = PlacementReply(COUNTER, PlacementOutcome.GRANTED, ENGINE, 6300, 0)
+REPLY = PlacementReply(COUNTER, PlacementOutcome.GRANTED, ENGINE, 6300, 0, ENGINE, True)
+PREFILLED = PrefillEnded(KEY.id, COUNTER, 65_535, 1900, PrefillOutcome.TIMED_OUT)
 DETAILS = RunDetails(
     *(COUNTER, 8000, ENGINE, 5200, 4400, 8190, 1),
     *("customer-00042", "streams-large", 12_000, 300, True),
@@ -77,6 +84,7 @@
     RunMoveOrder(KEY.id, COUNTER, ENGINE, ENGINE),
     PlacementSwitched("llm-large"),
     CoordinatorLeaving(KEY.id),
+    PREFILLED,
 ]
 
 
@@ -147,12 +155,13 @@
 MAX_BYTES_PER_S = 10_000
 
 
-def received_per_s(engines: int, owners: int) -> float:
+def received_per_s(engines: int, owners: int, *, is_single: bool) -> float:
     """Return the bytes per second that the coordinator of a group receives.
 
     Args:
         engines: number of engines of the group.
         owners: number of instances that have runs on them.
+        is_single: whether the service has no other group.
     """
     streams_per_s = STREAMS_PER_ENGINE_S * engines
     runs = RUNS_PER_ENGINE * engines
@@ -160,7 +169,8 @@
     run_bytes = size(RunsComplete(KEY.id, 60_000, 0, 1, (STATE,))) - empty_report
     # One stream in five waits and asks again, twice on average.
     asks = 1.0 + 0.2 * 2.0
-    per_stream = asks * size(ASK) + size(STARTED) + size(ENDED)
+    prompts = 1.0 if is_single else REPORTED_PREFILL_SHARE
+    per_stream = asks * size(ASK) + size(STARTED) + size(ENDED) + prompts * size(PREFILLED)
     reports = min(owners, runs) * empty_report + runs * run_bytes
     return streams_per_s * per_stream + reports / REPORT_INTERVAL_S
 
@@ -175,7 +185,7 @@
 
     def test_single_group_of_deployment_n(self) -> None:
         """25 instances and 23 engines have one coordinator for all engines."""
-        cost = received_per_s(23, 25)
+        cost = received_per_s(23, 25, is_single=True)
         print(f"coordinator of 23 engines and 25 instances: {cost:.0f} B/s received")
         assert cost < MAX_BYTES_PER_S
 
@@ -194,13 +204,16 @@
         answered: Counter[str] = Counter()
         for group in range(len(groups)):
             first = order.ranked(str(GroupKey("llm-large", group)))[0]
-            received[first] += round(received_per_s(len(groups.members(group)), instances))
-            answered[first] += round(answered_per_s(len(groups.members(group))))
+            members = len(groups.members(group))
+            received[first] += round(received_per_s(members, instances, is_single=False))
+            answered[first] += round(answered_per_s(members))
         # What every instance sends: reports of its share of the runs, and its requests.
         streams_per_s = STREAMS_PER_ENGINE_S * engines / instances
         runs = RUNS_PER_ENGINE * engines / instances
         report = size(RunsComplete(KEY.id, 60_000, 0, 1, (STATE,)))
-        sent = streams_per_s * (1.4 * size(ASK) + size(STARTED) + size(ENDED)) + runs * report
+        prefilled = REPORTED_PREFILL_SHARE * size(PREFILLED)
+        per_stream = 1.4 * size(ASK) + size(STARTED) + size(ENDED) + prefilled
+        sent = streams_per_s * per_stream + runs * report
         informed = size(PlacementSwitched("llm-large")) * INFORMED_PER_ROUND / CHECK_INTERVAL_S
         busiest = max(received.values())
         print(
--- /dev/null
+++ b/tests/test_prefill_choice.py
@@ -0,0 +1,338 @@
+"""Tests of the choice of the engine that processes a prompt, by the work assigned before."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections import defaultdict
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import pytest
+
+from crankhinge.decisions import EngineRole, Server, ServerStats, pick_server
+from crankhinge.decisions.placement import PrefillOutcome
+from crankhinge.decisions.placement._prefill import (
+    AVOID_S,
+    LOST_REPORT_S,
+    OTHER_ZONE_FACTOR,
+    SPEED_HALF_LIFE_S,
+    PrefillBooks,
+)
+
+TOKENS = 5000
+# Seconds per token of an engine, and seconds for a prompt of TOKENS.
+TOKEN_S = 1.8e-5
+WORK_S = TOKENS * TOKEN_S
+DONE, FAILED, TIMED_OUT = (
+    PrefillOutcome.DONE,
+    PrefillOutcome.FAILED,
+    PrefillOutcome.TIMED_OUT,
+)
+
+
+def reader(number: int, zone: str = "z1") -> Server:
+    """Return a prefill engine."""
+    return Server(f"r{number}", "llm", "h", 9, zone, EngineRole.PREFILL, 16, False, 1)
+
+
+def measured_books(*servers: Server, slow: tuple[str, ...] = ()) -> PrefillBooks:
+    """Return books at time 0 in which each engine has been measured once.
+
+    Args:
+        servers: the engines.
+        slow: incarnation ids of those that take twice as long.
+    """
+    books = PrefillBooks(random.Random(1))
+    books.set_engines(servers)
+    chosen = {
+        f"m{n}": books.choose(f"m{n}", TOKENS, "z1", -0.09).engine for n in range(len(servers))
+    }
+    assert sorted(chosen.values()) == sorted(server.incarnation_id for server in servers)
+    for run_id, engine in chosen.items():
+        work_s = WORK_S * (2.0 if engine in slow else 1.0)
+        books.record_result(run_id, engine, work_s, DONE, 0.0)
+    return books
+
+
+class TestChoice:
+    """Which engine gets a prompt."""
+
+    def test_prompts_of_all_instances_are_spread(self) -> None:
+        """Instances that choose for themselves send several prompts to one idle engine."""
+        books = measured_books(*map(reader, range(4)))
+        chosen = [books.choose(f"q{n}", TOKENS, "z1", 0.0) for n in range(8)]
+        engines = [choice.engine for choice in chosen]
+        assert len(set(engines[:4])) == len(set(engines[4:])) == 4
+        assert [choice.is_idle for choice in chosen] == [True] * 4 + [False] * 4
+
+    def test_earliest_end_counts_not_the_fewest_prompts(self) -> None:
+        """An engine with one long prompt is busy for longer than one with two short ones."""
+        books = measured_books(reader(0), reader(1))
+        long_one = books.choose("q0", 10 * TOKENS, "z1", 0.0).engine
+        others = {books.choose(f"q{n}", TOKENS, "z1", 0.0).engine for n in range(1, 5)}
+        assert others == {"r0", "r1"} - {long_one}
+
+    def test_slower_engine_gets_fewer_prompts(self) -> None:
+        """By their number alone, half of the prompts would go to an engine of half the speed."""
+        books = measured_books(reader(0), reader(1), slow=("r1",))
+        chosen = [books.choose(f"q{n}", TOKENS, "z1", 0.0).engine for n in range(12)]
+        assert chosen.count("r1") == 4
+
+    def test_zone_of_the_decode_engine_decides_between_equal_engines_only(self) -> None:
+        """Crossing zones costs a few percent of the work, waiting costs more."""
+        books = measured_books(reader(0, "z1"), reader(1, "z2"))
+        chosen = [books.choose(f"q{n}", TOKENS, "z2", 0.0).engine for n in range(2)]
+        assert chosen == ["r1", "r0"]
+        assert OTHER_ZONE_FACTOR < 1.1
+
+    def test_no_engine_is_chosen_without_one(self) -> None:
+        """The owner then chooses for itself."""
+        books = PrefillBooks(random.Random(1))
+        assert books.choose("q", TOKENS, "z1", 0.0).engine == ""
+
+    def test_asking_again_for_a_run_does_not_count_its_prompt_twice(self) -> None:
+        """A request whose decode engine had no room is granted another one."""
+        books = measured_books(reader(0))
+        books.choose("q", TOKENS, "z1", 0.0)
+        assert books.choose("q", TOKENS, "z1", 0.01).is_idle
+
+    def test_withdrawn_prompt_costs_the_others_nothing(self) -> None:
+        """A caller that is gone would otherwise keep an engine busy in the books."""
+        books = measured_books(reader(0))
+        books.choose("q0", TOKENS, "z1", 0.0)
+        books.cancel("q0", 0.01)
+        assert books.choose("q1", TOKENS, "z1", 0.02).is_idle
+
+    def test_result_corrects_the_ends_of_the_prompts_behind(self) -> None:
+        """Errors of predictions must not add up over a queue."""
+        books = measured_books(reader(0))
+        for number in range(3):
+            books.choose(f"q{number}", TOKENS, "z1", 0.0)
+        books.record_result("q0", "r0", 0.5, DONE, 0.5)
+        free_s = books._engines["r0"].free_in_s(0.5)
+        assert free_s == pytest.approx(2 * WORK_S)
+
+
+class TestSpeed:
+    """What counts as the speed of an engine."""
+
+    def test_waiting_is_not_measured_as_work(self) -> None:
+        """Counted as work, a queue makes its engine seem slow and the split change."""
+        books = measured_books(reader(0))
+        for number in range(5):
+            books.choose(f"q{number}", TOKENS, "z1", 0.0)
+        for number in range(5):
+            end = (number + 1) * WORK_S
+            books.record_result(f"q{number}", "r0", end, DONE, end)
+        assert books.token_s("r0", 0.0) == pytest.approx(TOKEN_S)
+
+    def test_work_behind_an_overdue_prompt_is_not_measured(self) -> None:
+        """The engine may still process the prompt whose result is missing."""
+        books = measured_books(reader(0))
+        books.choose("q0", TOKENS, "z1", 0.0)
+        now = WORK_S + LOST_REPORT_S / 2
+        assert not books.choose("q1", TOKENS, "z1", now).is_idle
+
+    def test_one_prompt_that_waited_for_unknown_work_changes_little(self) -> None:
+        """Instances that have no coordinator for a moment choose for themselves."""
+        books = measured_books(reader(0))
+        books.choose("q0", TOKENS, "z1", 0.0)
+        books.record_result("q0", "r0", 10 * WORK_S, DONE, 10 * WORK_S)
+        assert books.token_s("r0", 0.0) < 1.15 * TOKEN_S
+
+    def test_slow_engine_that_recovers_is_tried_again(self) -> None:
+        """It gets no prompt while others are idle, so nothing would show its recovery."""
+        books = measured_books(reader(0), reader(1), slow=("r1",))
+        later = 6 * SPEED_HALF_LIFE_S
+        chosen = {books.choose(f"q{n}", TOKENS, "z1", later + n).engine for n in range(20)}
+        assert chosen == {"r0", "r1"}
+
+
+class TestFailures:
+    """What the books do if an engine or a report is lost."""
+
+    def test_lost_report_ends_by_itself(self) -> None:
+        """An engine must not seem busy for ever."""
+        books = measured_books(reader(0))
+        books.choose("q0", TOKENS, "z1", 0.0)
+        assert books._engines["r0"].free_in_s(WORK_S) == pytest.approx(0.0)
+        later = WORK_S + LOST_REPORT_S + 0.01
+        assert books.choose("q1", TOKENS, "z1", later).is_idle
+        books.expire(later + WORK_S + LOST_REPORT_S + 0.01)
+        assert not books._where
+
+    def test_engine_that_stalls_gets_fewer_prompts_before_it_fails(self) -> None:
+        """Until a time limit passes, only the missing result shows that it stalls."""
+        books = measured_books(reader(0), reader(1))
+        stalled = books.choose("q0", TOKENS, "z1", 0.0).engine
+        now = 2 * WORK_S
+        chosen = [books.choose(f"q{n}", TOKENS, "z1", now).engine for n in range(1, 3)]
+        assert chosen[0] != stalled
+
+    @pytest.mark.parametrize("outcome", [FAILED, TIMED_OUT])
+    def test_engine_that_failed_is_avoided_for_longer_each_time(
+        self, outcome: PrefillOutcome
+    ) -> None:
+        """The prompts of all instances must not fail one after the other."""
+        books = measured_books(reader(0))
+        now = 0.0
+        for pause_s in (AVOID_S, 2 * AVOID_S, 4 * AVOID_S):
+            assert books.choose("q", TOKENS, "z1", now).engine == "r0"
+            now += WORK_S
+            books.record_result("q", "r0", WORK_S, outcome, now)
+            assert books.choose("other", TOKENS, "z1", now + 0.9 * pause_s).engine == ""
+            now += pause_s
+
+    def test_engine_gets_one_prompt_at_a_time_after_a_failure(self) -> None:
+        """Whether it works again costs one prompt, not those of all instances."""
+        books = measured_books(reader(0))
+        books.record_result("other", "r0", 0.0, FAILED, 0.0)
+        assert books.choose("q0", TOKENS, "z1", AVOID_S).engine == "r0"
+        assert books.choose("q1", TOKENS, "z1", AVOID_S).engine == ""
+        books.record_result("q0", "r0", WORK_S, DONE, AVOID_S + WORK_S)
+        for number in range(2, 4):
+            assert books.choose(f"q{number}", TOKENS, "z1", AVOID_S + WORK_S).engine == "r0"
+
+    def test_prompt_that_timed_out_in_a_queue_is_no_failure(self) -> None:
+        """Under overload, avoiding engines would make it worse."""
+        books = measured_books(reader(0))
+        for number in range(30):
+            books.choose(f"q{number}", TOKENS, "z1", 0.0)
+        books.record_result("q29", "r0", 1.0, TIMED_OUT, 1.0)
+        assert books.choose("q30", TOKENS, "z1", 1.0).engine == "r0"
+
+    def test_engine_that_left_or_changed_its_role_gets_no_prompt(self) -> None:
+        """Its work is forgotten; a result that arrives late changes nothing."""
+        books = measured_books(reader(0), reader(1))
+        chosen = {books.choose(f"q{n}", TOKENS, "z1", 0.0).engine: f"q{n}" for n in range(2)}
+        books.set_engines([reader(1)])
+        books.record_result(chosen["r0"], "r0", WORK_S, DONE, 0.1)
+        books.expire(0.1)
+        assert books.choose("q2", TOKENS, "z1", 0.1).engine == "r1"
+
+
+# Load: 25 instances and 8 engines, two of which take 1.5 times as long; a burst of twice the rate.
+INSTANCES, ENGINES = 25, 8
+SLOW_ENGINES, SLOW_FACTOR = (0, 1), 1.5
+RATE, BURST_FROM, BURST_TO, END = 32.0, 20.0, 25.0, 60.0
+# Seconds from the grant to the arrival of the prompt, for the reservation, and from the end of the
+# work to the report at the coordinator.
+LEAD_S, REPORT_S = (0.002, 0.008), 0.002
+
+
+@dataclass
+class Prompt:
+    """A prompt of the load."""
+
+    run_id: str
+    owner: int
+    tokens: int
+
+
+Assign = Callable[[Prompt, float], str]
+End = Callable[[Prompt, str, float, float], None]
+
+
+def waits(seed: int, assign: Assign, end: End) -> list[float]:
+    """Return the seconds that each prompt waited at its engine; engines take one at a time.
+
+    Args:
+        seed: seed of the load.
+        assign: returns the engine of a prompt that is sent now.
+        end: is told when the owner has the result: prompt, engine, duration, time.
+    """
+    rng = random.Random(seed)
+    number = itertools.count()
+    events: list[tuple[float, int, str, Prompt, str, float]] = []
+    at = 0.0
+    while at < END:
+        at += rng.expovariate(RATE * (2.0 if BURST_FROM <= at < BURST_TO else 1.0))
+        tokens = 200 + rng.randint(4000, 6000)
+        count = next(number)
+        prompt = Prompt(f"q{count}", rng.randrange(INSTANCES), tokens)
+        heapq.heappush(events, (at, count, "sent", prompt, "", 0.0))
+    free_at: defaultdict[str, float] = defaultdict(float)
+    waited = []
+    while events:
+        now, _, kind, prompt, engine, sent_at = heapq.heappop(events)
+        if kind == "sent":
+            engine = assign(prompt, now)
+            arrives_at = now + rng.uniform(*LEAD_S)
+            heapq.heappush(events, (arrives_at, next(number), "arrived", prompt, engine, now))
+        elif kind == "arrived":
+            factor = SLOW_FACTOR if int(engine[1:]) in SLOW_ENGINES else 1.0
+            begins_at = max(now, free_at[engine])
+            waited.append(begins_at - now)
+            free_at[engine] = begins_at + prompt.tokens * TOKEN_S * factor
+            heapq.heappush(
+                events, (free_at[engine] + REPORT_S, next(number), "ended", prompt, engine, now)
+            )
+        else:
+            end(prompt, engine, now - sent_at, now)
+    return waited
+
+
+def own_measurements(seed: int) -> list[float]:
+    """Return the waits if each instance chooses by its own measurements."""
+    rng = random.Random(seed)
+    servers = [reader(number) for number in range(ENGINES)]
+    stats: defaultdict[tuple[int, str], ServerStats] = defaultdict(ServerStats)
+
+    def assign(prompt: Prompt, now: float) -> str:
+        server = pick_server(
+            servers, lambda engine: stats[prompt.owner, engine], zone="z1", now=now, rng=rng
+        )
+        assert server is not None
+        stats[prompt.owner, server.incarnation_id].open_requests += 1
+        return server.incarnation_id
+
+    def end(prompt: Prompt, engine: str, took_s: float, now: float) -> None:
+        known = stats[prompt.owner, engine]
+        known.open_requests -= 1
+        known.record_success(took_s)
+
+    return waits(seed, assign, end)
+
+
+def by_coordinator(seed: int, lost_reports: float = 0.0) -> list[float]:
+    """Return the waits if one coordinator chooses, and a share of the reports is lost."""
+    books = PrefillBooks(random.Random(seed))
+    books.set_engines(reader(number) for number in range(ENGINES))
+    rng = random.Random(seed)
+
+    def assign(prompt: Prompt, now: float) -> str:
+        return books.choose(prompt.run_id, prompt.tokens, "z1", now).engine
+
+    def end(prompt: Prompt, engine: str, took_s: float, now: float) -> None:
+        if rng.random() >= lost_reports:
+            books.record_result(prompt.run_id, engine, took_s, DONE, now)
+
+    return waits(seed, assign, end)
+
+
+def quantile(values: list[float], share: float) -> float:
+    """Return the value below which a share of *values* lies."""
+    return sorted(values)[int(share * len(values))]
+
+
+class TestLoad:
+    """How long prompts wait for their engines."""
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_coordinator_shortens_the_waits(self, seed: int) -> None:
+        """Prompts wait for an engine while others are idle if each instance chooses."""
+        own = quantile(own_measurements(seed), 0.9)
+        placed = quantile(by_coordinator(seed), 0.9)
+        print(f"seed {seed}: 90th percentile of the wait {own:.3f} s, coordinated {placed:.3f} s")
+        # Half of a prompt's work: the target leaves time for it, but not for several prompts.
+        assert placed < WORK_S / 2
+        assert placed < own / 3
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_lost_reports_cost_little(self, seed: int) -> None:
+        """In a service of many groups, only a part of the results is reported."""
+        placed = quantile(by_coordinator(seed, lost_reports=0.75), 0.9)
+        print(f"seed {seed}: 90th percentile of the wait {placed:.3f} s with a quarter of reports")
+        assert placed < WORK_S / 2
--- /dev/null
+++ b/tests/test_prefill_flow.py
@@ -0,0 +1,165 @@
+"""Tests of prompts of coordinated services in whole gateways: who processes them, and failures."""
+
+from __future__ import annotations
+
+import json
+import re
+from collections import Counter
+
+import curio
+import pytest
+
+from crankhinge.http import Exchange
+from platform_fakes import FakeReplica
+from test_placement_flow import LONG_ANSWER, SHORT_ANSWER, PlacedFleet
+
+# Seconds that an engine takes for a prompt; it processes one at a time.
+PROMPT_S = 0.1
+
+
+class OneAtATime:
+    """Processes the prompts of a prefill engine one after the other."""
+
+    def __init__(self) -> None:
+        self._lock = curio.Lock()
+        self.prompt_s = PROMPT_S
+
+    async def __call__(self, replica: FakeReplica, exchange: Exchange) -> None:
+        """Respond with the handle of the KV cache."""
+        async with self._lock:
+            await curio.sleep(self.prompt_s)
+        body = json.dumps({"kv_handle": f"h{len(replica.arrivals)}", "tokens": 1, "version": 1})
+        fields = [("x-request-id", exchange.req.headers["x-request-id"]), *replica.signal_fields]
+        await exchange.respond_with_fields(200, fields, body.encode())
+
+
+class PrefillFleet(PlacedFleet):
+    """Gateways, decode engines and prefill engines of one service."""
+
+    def __init__(self, gateways: int = 4, readers: int = 4) -> None:
+        super().__init__(gateways=gateways, engines=6)
+        self.handlers = [OneAtATime() for _ in range(readers)]
+        self.readers = [
+            self.first.add_replica(f"i-r{n}", "llm", "prefill", prefill_handler=handler)
+            for n, handler in enumerate(self.handlers)
+        ]
+
+    async def warm_up(self) -> None:
+        """Switch placement on, and forget what happened meanwhile."""
+        await super().warm_up()
+        self.statuses.clear()
+        for engine in (*self.engines, *self.readers):
+            engine.arrivals.clear()
+
+    def prompt_counts(self) -> Counter[str]:
+        """Return how many prompts each prefill engine got."""
+        return Counter({reader.incarnation_id: len(reader.arrivals) for reader in self.readers})
+
+    def prompt_ms(self, prefix: str) -> list[int]:
+        """Return how long the prompts of the requests took, in milliseconds."""
+        lines = self.logged("event=answered ", f"request={prefix}")
+        found = [re.search(r"read_ms=(\d+)", line) for line in lines]
+        return [int(match[1]) for match in found if match]
+
+    def decoded_alone(self) -> int:
+        """Return how many requests had their prompt processed by the decode engine."""
+        return sum(
+            "kv-from" not in arrival.headers
+            for engine in self.engines
+            for arrival in engine.arrivals
+        )
+
+
+def test_prompts_go_to_the_engines_that_the_coordinator_names() -> None:
+    """Gateways that choose for themselves send several prompts to one engine."""
+    fleet = PrefillFleet()
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        for _ in range(6):
+            # One prompt for each engine at the same time.
+            await fleet.send(4, 0.0, f"q{len(fleet.statuses)}-", LONG_ANSWER)
+            await curio.sleep(0.5)
+        await curio.sleep(2.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200] * 24
+    assert set(fleet.prompt_counts().values()) == {6}
+    assert fleet.decoded_alone() == 0
+    times = fleet.prompt_ms("q")
+    print("prompt times in ms:", Counter(times))
+    assert len(times) == 24
+    assert max(times) < 1.5 * PROMPT_S * 1000
+
+
+def test_named_engine_that_fails_is_replaced_and_then_avoided() -> None:
+    """A failure at one gateway must not be repeated by each of the others."""
+    fleet = PrefillFleet()
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        fleet.readers[0].prefill_handler = None
+        fleet.readers[0].refuses_prefill = True
+        await fleet.send(40, 0.05, "q", LONG_ANSWER)
+        await curio.sleep(2.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200] * 40
+    assert fleet.decoded_alone() == 0
+    # Two seconds of load, and two seconds of avoidance after the first failure.
+    assert fleet.prompt_counts()["i-r0"] <= 2
+
+
+@pytest.mark.parametrize("change", ["leaving", "decode"])
+def test_engine_that_leaves_or_changes_its_role_is_not_named(change: str) -> None:
+    """The coordinator learns both from the list of servers, as all instances do."""
+    fleet = PrefillFleet()
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        if change == "leaving":
+            await fleet.readers[0].publish_entry(state="draining")
+        else:
+            await fleet.readers[0].publish_entry(phase="decode")
+        await curio.sleep(1.5)
+        fleet.readers[0].arrivals.clear()
+        await fleet.send(24, 0.05, "q", LONG_ANSWER)
+        await curio.sleep(2.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200] * 24
+    assert not [arrival for arrival in fleet.readers[0].arrivals if "x-stage" in arrival.headers]
+
+
+def test_requests_without_a_coordinator_choose_the_prefill_engine_themselves() -> None:
+    """Nothing depends on the coordinator."""
+    fleet = PrefillFleet(gateways=3)
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        [coordinator] = [
+            gateway for gateway in fleet.gateways if gateway.logs.matching("first=true")
+        ]
+        fleet.gateways.remove(coordinator)
+        await curio.spawn(coordinator.kill_gateway, daemon=True)
+        await fleet.send(30, 0.1, "q", LONG_ANSWER)
+        await curio.sleep(3.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200] * 30
+    assert fleet.decoded_alone() == 0
+    assert sum(fleet.prompt_counts().values()) == 30
+
+
+def test_uncoordinated_prompts_are_not_reported() -> None:
+    """Below the threshold, everything stays as it was, and no datagram is sent."""
+    fleet = PrefillFleet(gateways=2)
+
+    async def scenario() -> None:
+        await curio.sleep(5.0)
+        await fleet.send(20, 0.1, "q", SHORT_ANSWER)
+        await curio.sleep(2.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200] * 20
+    assert not fleet.logged("event=placement")
