Prompts may take as long as their reservation lasts

A prompt was abandoned after 1.00 s, and then processed a second time by the decode engine, although its reservation lasted for 2 s. Where placement is coordinated, the time for all attempts is now 0.9 of the reservation's duration, counted from when the memory was reserved. Elsewhere it stays 1.00 s.

Figures, whole gateways in virtual time, reservations of 2 s: a prompt of 1.5 s was processed twice, now once; one that never ends is abandoned after 1.8 s (1.0 s before) and its request still reaches the decode engine with its reservation.

An engine counts as slow from three quarters of the limit on, as before.

--- a/src/crankhinge/gateway/_prompt_processor.py
+++ b/src/crankhinge/gateway/_prompt_processor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -21,17 +22,21 @@
 
 # Attempts to process the prompt of one request: the first, and a second if a server failed.
 MAX_PROMPT_ATTEMPTS = 2
-# Seconds that all attempts for one request may take. After that time the first event of the request
-# is late in any case and its reservation is about to lapse, so the decode engine may as well
-# process the prompt itself.
+# Seconds that all attempts for one request may take, where placement is not coordinated. After that
+# time the first event of the request is late in any case and its reservation is about to lapse, so
+# the decode engine may as well process the prompt itself.
 MAX_PROMPT_S = 1.0
+# Where placement is coordinated, they may take this share of the time for which the reservation at
+# the decode engine lasts. A prompt that is abandoned earlier is processed twice. The rest, 0.2 s of
+# 2 s, is for a busy instance to send the request to the decode engine.
+RESERVATION_SHARE = 0.9
 # With fewer seconds left no attempt is started: a prompt of 3,000 tokens takes 0.1 s without load.
 MIN_PROMPT_S = 0.1
-# A prompt engine is doubtful above this share of failures, or above this mean response time in
-# seconds, which is three quarters of MAX_PROMPT_S. A doubtful engine is tried only while the
+# A prompt engine is doubtful above this share of failures, or if its mean response time is above
+# this share of the time that all attempts may take. A doubtful engine is tried only while the
 # budget allows a retry; otherwise the decode engine processes the prompt, which is no retry.
 DOUBTFUL_FAILURE_SHARE = 0.25
-DOUBTFUL_RESPONSE_S = 0.75
+DOUBTFUL_RESPONSE_SHARE = 0.75
 
 # Receives the incarnation id of a prompt engine, the seconds that it took, and the outcome.
 PromptReport = Callable[[str, float, PrefillOutcome], Awaitable[None]]
@@ -44,10 +49,29 @@
     Attributes:
         reader: incarnation id of the prompt engine that the coordinator chose; empty if none.
         report: is told the outcome of each attempt; None if it is of no use.
+        max_s: seconds that all attempts may take.
+        deadline: time on the runtime's clock by which the prompt must be processed.
     """
 
     reader: str = ""
     report: PromptReport | None = None
+    max_s: float = MAX_PROMPT_S
+    deadline: float = math.inf
+
+    @classmethod
+    def within_reservation(
+        cls, reserved_at: float, duration_s: float, reader: str, report: PromptReport | None
+    ) -> PromptPlan:
+        """Return the plan of a prompt that is processed while its reservation lasts.
+
+        Args:
+            reserved_at: when the memory was reserved, on the runtime's clock.
+            duration_s: seconds for which the reservation lasts.
+            reader: incarnation id of the prompt engine that the coordinator chose.
+            report: is told the outcome of each attempt.
+        """
+        max_s = RESERVATION_SHARE * duration_s
+        return cls(reader, report, max_s, reserved_at + max_s)
 
 
 UNCOORDINATED = PromptPlan()
@@ -104,7 +128,7 @@
         """
         tried: frozenset[str] = frozenset()
         named = await self._named_server(relay, plan)
-        deadline = min(await curio.clock() + MAX_PROMPT_S, relay.deadline)
+        deadline = min(await curio.clock() + plan.max_s, plan.deadline, relay.deadline)
         why = "tried_enough"
         while len(tried) < MAX_PROMPT_ATTEMPTS:
             now = await curio.clock()
@@ -122,7 +146,7 @@
                 break
             # The coordinator avoids engines that failed for any instance, so the one that it named
             # is not doubtful, and few attempts at it fail.
-            if not is_named and not self._may_attempt(server, budget, is_repeat=bool(tried)):
+            if not is_named and not self._may_attempt(server, budget, plan, is_repeat=bool(tried)):
                 why = "budget_spent"
                 break
             tried |= {server.incarnation_id}
@@ -150,23 +174,24 @@
             return None
         return server
 
-    def _may_attempt(self, server: Server, budget: RetryBudget, *, is_repeat: bool) -> bool:
+    def _may_attempt(
+        self, server: Server, budget: RetryBudget, plan: PromptPlan, *, is_repeat: bool
+    ) -> bool:
         """Return whether the budget allows an attempt at an engine.
 
         An attempt that an engine refuses counts as a retry. While the budget is in debt, not even a
         reliable engine is tried. Otherwise each of many instances would have to be refused before
         it knows that the engine is overloaded, and each of these refusals counts as a retry.
         """
-        if is_repeat or self._is_doubtful(server):
+        if is_repeat or self._is_doubtful(server, DOUBTFUL_RESPONSE_SHARE * plan.max_s):
             return budget.allows_retry()
         return not budget.in_debt
 
-    def _is_doubtful(self, server: Server) -> bool:
+    def _is_doubtful(self, server: Server, max_response_s: float) -> bool:
         """Return whether an attempt at an engine is likely to fail, and so to count as a retry."""
         stats = self._backends.stats(server.incarnation_id)
         return (
-            stats.failure_share > DOUBTFUL_FAILURE_SHARE
-            or stats.mean_response_s > DOUBTFUL_RESPONSE_S
+            stats.failure_share > DOUBTFUL_FAILURE_SHARE or stats.mean_response_s > max_response_s
         )
 
     async def _attempt(
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -216,21 +216,26 @@
         )
         meter.record_admission(reservation.tokens / engine.kv_tokens, likely_tokens)
         kv_cache = await self._prompt_processor.process(
-            relay, reservation.server.zone, budget, self._prompt_plan(relay, reservation)
+            relay, reservation.server.zone, budget, self._prompt_plan(relay, reservation, engine)
         )
         if kv_cache is not None:
             meter.record_prompt(request.prompt_tokens, kv_cache.duration_s)
         return kv_cache
 
-    def _prompt_plan(self, relay: Relay, reservation: Reservation) -> PromptPlan:
-        run = reservation.run
-        if run is None or not self._placement.is_coordinated(relay.service):
+    def _prompt_plan(
+        self, relay: Relay, reservation: Reservation, engine: EngineLimits
+    ) -> PromptPlan:
+        run, reserved_at = reservation.run, relay.reserved_at
+        if reserved_at is None or not self._placement.is_coordinated(relay.service):
             return UNCOORDINATED
 
-        async def report(engine: str, duration_s: float, outcome: PrefillOutcome) -> None:
-            await self._placement.record_prefill(run, engine, duration_s, outcome)
+        async def report(server: str, duration_s: float, outcome: PrefillOutcome) -> None:
+            if run is not None:
+                await self._placement.record_prefill(run, server, duration_s, outcome)
 
-        return PromptPlan(reservation.reader, report)
+        return PromptPlan.within_reservation(
+            reserved_at, engine.max_reservation_s, reservation.reader, report
+        )
 
     async def _track_at_engine(
         self,
--- a/tests/test_prefill_flow.py
+++ b/tests/test_prefill_flow.py
@@ -163,3 +163,57 @@
     fleet.run(scenario)
     assert fleet.statuses == [200] * 20
     assert not fleet.logged("event=placement")
+
+
+def test_slow_prompt_is_not_abandoned_while_its_reservation_lasts() -> None:
+    """A prompt abandoned after 1.00 s was processed a second time, by the decode engine."""
+    fleet = PrefillFleet(readers=1)
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        fleet.handlers[0].prompt_s = 1.5
+        await fleet.send(1, 0.0, "q", LONG_ANSWER)
+        await curio.sleep(4.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200]
+    assert fleet.decoded_alone() == 0
+    assert fleet.prompt_ms("q") == [1500]
+
+
+def test_prompt_is_abandoned_before_its_reservation_lapses() -> None:
+    """The request must reach the decode engine while its memory is reserved."""
+    fleet = PrefillFleet(readers=1)
+    began_at: list[float] = []
+
+    async def scenario() -> None:
+        await fleet.warm_up()
+        fleet.handlers[0].prompt_s = 5.0
+        began_at.append(await curio.clock())
+        await fleet.send(1, 0.0, "q", LONG_ANSWER)
+        await curio.sleep(6.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200]
+    assert fleet.decoded_alone() == 1
+    [arrival] = [arrival for engine in fleet.engines for arrival in engine.arrivals]
+    assert "hold" in arrival.headers
+    assert 1.5 < arrival.arrived_at - began_at[0] < 2.0
+
+
+def test_uncoordinated_prompt_is_abandoned_after_a_second() -> None:
+    """Below the threshold, everything stays as it was."""
+    fleet = PrefillFleet(gateways=1, readers=1)
+    began_at: list[float] = []
+
+    async def scenario() -> None:
+        await curio.sleep(5.0)
+        fleet.handlers[0].prompt_s = 1.5
+        began_at.append(await curio.clock())
+        await fleet.send(1, 0.0, "q", SHORT_ANSWER)
+        await curio.sleep(4.0)
+
+    fleet.run(scenario)
+    assert fleet.statuses == [200]
+    [arrival] = [arrival for engine in fleet.engines for arrival in engine.arrivals]
+    assert 1.0 <= arrival.arrived_at - began_at[0] < 1.1
