Measure prefill work from prompts that found their engine idle

The split of the engines follows from the seconds of prefill per request, which each instance estimated from the durations of its prompts, waits included: the estimate rose in each burst, the split changed, and each change costs an engine 6 s. A coordinator knows which prompts found their engine idle and says so in the grant; only these count where a coordinator named the engine. Prompts whose engine the instance chose itself count as before, so that the work is known without a coordinator, too.

--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -180,7 +180,8 @@
     The duration of a prefill is the sum of a wait, a fixed part that does not keep the engine busy,
     and a part for each prompt token. Fast prefills did not wait, so the time by which a fast long
     one exceeds a fast short one is the cost of its additional tokens. The very fastest are skipped,
-    since their prompts were cached.
+    since their prompts were cached. Where a coordinator chooses the engines, only prompts that it
+    assigned to an engine without other work count for the work per token.
 
     The cost of decoding is computed from all admitted requests and the time per token of the
     completed answers: the answers that complete first are the short ones, and measuring only those
@@ -206,12 +207,21 @@
         """Number of completed answers."""
         return self._answers
 
-    def record_prompt(self, tokens: int, took_s: float) -> None:
-        """Record that a prompt of *tokens* tokens was processed in *took_s* seconds."""
+    def record_prompt(self, tokens: int, took_s: float, *, may_have_waited: bool = False) -> None:
+        """Record that a prompt was processed.
+
+        Args:
+            tokens: its length.
+            took_s: seconds that it took, including its wait.
+            may_have_waited: whether a coordinator, which knows the work of the engines, did not
+                find the engine idle. Such a prompt says nothing about the work per token.
+        """
         self._prefills += 1
         step = max(EWMA_WEIGHT, 1.0 / self._prefills)
         self._mean_tokens += step * (tokens - self._mean_tokens)
         self._mean_prefill_s += step * (took_s - self._mean_prefill_s)
+        if may_have_waited:
+            return
         self._length_classes.add(tokens, took_s)
         self._newest_prefills.append((tokens, took_s))
 
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -219,7 +219,14 @@
             relay, reservation.server.zone, budget, self._prompt_plan(relay, reservation, engine)
         )
         if kv_cache is not None:
-            meter.record_prompt(request.prompt_tokens, kv_cache.duration_s)
+            found_idle = (
+                reservation.is_reader_idle and kv_cache.server.incarnation_id == reservation.reader
+            )
+            meter.record_prompt(
+                request.prompt_tokens,
+                kv_cache.duration_s,
+                may_have_waited=bool(reservation.reader) and not found_idle,
+            )
         return kv_cache
 
     def _prompt_plan(
--- a/tests/test_prefill_choice.py
+++ b/tests/test_prefill_choice.py
@@ -11,7 +11,14 @@
 
 import pytest
 
-from crankhinge.decisions import EngineRole, Server, ServerStats, pick_server
+from crankhinge.decisions import (
+    EngineRole,
+    Server,
+    ServerStats,
+    WorkloadMeter,
+    combined_loads,
+    pick_server,
+)
 from crankhinge.decisions.placement import PrefillOutcome
 from crankhinge.decisions.placement._prefill import (
     AVOID_S,
@@ -229,9 +236,12 @@
     run_id: str
     owner: int
     tokens: int
+    found_idle: bool = False
 
 
 Assign = Callable[[Prompt, float], str]
+# Receives a prompt and how long it took, and the time.
+Record = Callable[[Prompt, float, float], None]
 End = Callable[[Prompt, str, float, float], None]
 
 
@@ -274,7 +284,7 @@
     return waited
 
 
-def own_measurements(seed: int) -> list[float]:
+def own_measurements(seed: int, record: Record = lambda *_: None) -> list[float]:
     """Return the waits if each instance chooses by its own measurements."""
     rng = random.Random(seed)
     servers = [reader(number) for number in range(ENGINES)]
@@ -292,22 +302,28 @@
         known = stats[prompt.owner, engine]
         known.open_requests -= 1
         known.record_success(took_s)
+        record(prompt, took_s, now)
 
     return waits(seed, assign, end)
 
 
-def by_coordinator(seed: int, lost_reports: float = 0.0) -> list[float]:
+def by_coordinator(
+    seed: int, record: Record = lambda *_: None, lost_reports: float = 0.0
+) -> list[float]:
     """Return the waits if one coordinator chooses, and a share of the reports is lost."""
     books = PrefillBooks(random.Random(seed))
     books.set_engines(reader(number) for number in range(ENGINES))
     rng = random.Random(seed)
 
     def assign(prompt: Prompt, now: float) -> str:
-        return books.choose(prompt.run_id, prompt.tokens, "z1", now).engine
+        choice = books.choose(prompt.run_id, prompt.tokens, "z1", now)
+        prompt.found_idle = choice.is_idle
+        return choice.engine
 
     def end(prompt: Prompt, engine: str, took_s: float, now: float) -> None:
         if rng.random() >= lost_reports:
             books.record_result(prompt.run_id, engine, took_s, DONE, now)
+        record(prompt, took_s, now)
 
     return waits(seed, assign, end)
 
@@ -336,3 +352,45 @@
         placed = quantile(by_coordinator(seed, lost_reports=0.75), 0.9)
         print(f"seed {seed}: 90th percentile of the wait {placed:.3f} s with a quarter of reports")
         assert placed < WORK_S / 2
+
+
+class WorkSeries:
+    """The work per request that the split uses, each second.
+
+    Args:
+        idle_only: whether only prompts that found their engine idle count.
+    """
+
+    def __init__(self, *, idle_only: bool) -> None:
+        self._idle_only = idle_only
+        self._meters = [WorkloadMeter() for _ in range(INSTANCES)]
+        self._next_at = 5.0
+        self.values: list[float] = []
+
+    def record(self, prompt: Prompt, took_s: float, now: float) -> None:
+        """Record a prompt; add a value to the series once a second."""
+        meter = self._meters[prompt.owner]
+        meter.record_admission(0.1, 1000)
+        meter.record_answer(1000, 1.0)
+        waited = self._idle_only and not prompt.found_idle
+        meter.record_prompt(prompt.tokens, took_s, may_have_waited=waited)
+        if now >= self._next_at:
+            self._next_at += 1.0
+            known = [stats for meter in self._meters if (stats := meter.stats()) is not None]
+            loads = combined_loads(known)
+            assert loads is not None
+            self.values.append(loads.prompt_s)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_work_per_request_does_not_follow_the_waits(seed: int) -> None:
+    """Each time it seemed to rise in a burst, the split changed, which cost an engine 6 s."""
+    own, placed = WorkSeries(idle_only=False), WorkSeries(idle_only=True)
+    own_measurements(seed, own.record)
+    by_coordinator(seed, placed.record)
+    for name, values in (("own", own.values), ("coordinated", placed.values)):
+        print(f"seed {seed}, {name}: {min(values):.4f} to {max(values):.4f} s of work a request")
+    # 5,200 tokens on average, of which a quarter of the engines take 1.5 times as long.
+    least = 5200 * TOKEN_S
+    assert 0.95 * least <= min(placed.values)
+    assert max(placed.values) <= 1.2 * least
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -85,6 +85,34 @@
         # An answer holds a tenth of the memory for some 0.3 s of prefill and 3 s of decoding.
         assert 0.31 < loads.answer_s < 0.35
 
+    def test_prompt_that_may_have_waited_says_nothing_about_the_work(self) -> None:
+        """If all prompts of a burst wait, even the fastest of them seem slow."""
+        meter = WorkloadMeter()
+        for _ in range(10):
+            meter.record_admission(0.1, 1000)
+            meter.record_answer(1000, 1.0)
+            meter.record_prompt(5000, 0.1)
+        before = meter.loads()
+        for _ in range(40):
+            meter.record_prompt(5000, 0.5, may_have_waited=True)
+        after, stats = meter.loads(), meter.stats()
+        assert before is not None
+        assert after is not None
+        assert stats is not None
+        assert after.prompt_s == pytest.approx(before.prompt_s)
+        # The memory is reserved during the wait, too.
+        assert stats.read_s > 0.3
+        assert after.answer_s > before.answer_s
+
+    def test_waits_alone_give_no_loads(self) -> None:
+        """Without a prompt that found its engine idle, the work per token is unknown."""
+        meter = WorkloadMeter()
+        for _ in range(20):
+            meter.record_admission(0.1, 1000)
+            meter.record_answer(1000, 1.0)
+            meter.record_prompt(5000, 0.5, may_have_waited=True)
+        assert meter.loads() is None
+
     def test_cached_prompts_do_not_hide_the_work(self) -> None:
         """One prompt in ten is cached; its 0.01 s must not make the others look cheap."""
         rng = random.Random(7)
