--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -48,6 +48,8 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
+from crankhinge.gateway.migration._leaving import LeavingRuns
+from crankhinge.gateway.migration._migrator import RunMigrator
 from crankhinge.gateway.placement._client import MAX_MISSES as MAX_PLACEMENT_MISSES
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.gateway.placement._engines import PlacementEngines
@@ -195,6 +197,17 @@
         metrics=metrics,
         rng=rng,
     )
+    migrator = RunMigrator(
+        backends=backends,
+        running=running,
+        authenticator=authenticator,
+        quarantine=quarantine,
+        permits=permits,
+        log=log,
+        metrics=metrics,
+    )
+    placement.move_run = migrator.move
+    leaving_runs = LeavingRuns(backends=backends, running=running, migrator=migrator, log=log)
     selector = ServerSelector(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
@@ -259,6 +272,7 @@
         limit_updates=limit_updates,
         log=log,
         rng=rng,
+        quota_window_s=settings.quota_bounds.window_s,
     )
     role_controller = RoleController(
         name=settings.name,
@@ -313,9 +327,13 @@
     supervisor.add("limits", permits.log_use)
     supervisor.add("placement", placement_service.run)
     supervisor.add("runs", placement.run)
+    supervisor.add("moves", leaving_runs.run)
     supervisor.add("calls", CallLog(platform.source, log).run)
     log.info("started", listen=settings.listen, zone=settings.zone, source=settings.source)
-    await run_until_first_ends(supervisor.run, partial(_drain_when_stopping, stopping, gateway))
+    await run_until_first_ends(
+        supervisor.run,
+        partial(_drain_when_stopping, stopping, gateway, record_sync, shared_limits),
+    )
     log.info("stopped")
 
 
@@ -339,9 +357,16 @@
     backends.record_order(message.server, message.phase, until, by_peer=True)
 
 
-async def _drain_when_stopping(stopping: curio.Event, gateway: Gateway) -> None:
+async def _drain_when_stopping(
+    stopping: curio.Event,
+    gateway: Gateway,
+    record_sync: InstanceRecordSync,
+    shared_limits: SharedLimits,
+) -> None:
     await stopping.wait()
+    leave = await curio.spawn(record_sync.leave_fleet, shared_limits.lease_s, daemon=True)
     await gateway.drain()
+    await leave.cancel()
 
 
 def run(argv: list[str] | None, *, make_platform: MakePlatform) -> int:
--- a/src/crankhinge/gateway/_record_sync.py
+++ b/src/crankhinge/gateway/_record_sync.py
@@ -12,9 +12,13 @@
 
 import curio
 
-from crankhinge.adapters import InstanceRecord, InstanceRegistry, RecordLease
+from crankhinge.adapters import FleetEntry, InstanceRecord, InstanceRegistry, RecordLease
 from crankhinge.decisions import (
+    DEFAULT_WINDOW_S,
+    FLEET_ENTRY_LEASE_S,
+    FLEET_ENTRY_RENEWAL_INTERVAL_S,
     LEASE_RENEWAL_INTERVAL_S,
+    START_ALLOWANCE_S,
     Membership,
     PoolLoads,
     WorkloadMeter,
@@ -69,6 +73,7 @@
         limit_updates: LimitUpdates,
         log: Any,
         rng: random.Random,
+        quota_window_s: float = DEFAULT_WINDOW_S,
     ) -> None:
         self._name = name
         self._address = address
@@ -76,6 +81,15 @@
         self._membership = membership
         self._joined = False
         self._lease_renewed_at = float("-inf")
+        self._lease_expires_at = float("-inf")
+        self._entered = False
+        self._is_leaving = False
+        # When the present run of this instance's fleet entry began, and whether the entry permits
+        # the next incarnation start allowances.
+        self._entered_at = float("-inf")
+        self._permits_allowance = False
+        self._allowance_rest_s = quota_window_s + START_ALLOWANCE_S
+        self._entry_renewed_at = float("-inf")
         self._registry = registry
         self._meters = meters
         self._quarantine = quarantine
@@ -146,6 +160,18 @@
             await self._record_lease(await self._registry.renew())
         if not self._joined:
             await self._join(None, resumed=False)
+        elif self._is_leaving:
+            return
+        elif not self._entered:
+            await self._enter_fleet()
+        elif self._may_permit_allowance(await curio.clock()):
+            until = await self._registry.write_fleet_entry(
+                self._name, FleetEntry(self._address, start_allowance=True)
+            )
+            self._permits_allowance = True
+            self._membership.set_entry_end(until)
+        elif await curio.clock() - self._entry_renewed_at >= FLEET_ENTRY_RENEWAL_INTERVAL_S:
+            await self._renew_fleet_entry()
 
     async def _record_lease(self, lease: RecordLease | None) -> None:
         """Record how long the lease holds.
@@ -157,6 +183,7 @@
             self._log.info("note_gone")
             return
         self._lease_renewed_at = await curio.clock()
+        self._lease_expires_at = lease.expires_at
         self._membership.set_lease_end(lease.expires_at)
         if lease.may_have_lapsed:
             self._joined = False
@@ -177,7 +204,78 @@
         await self._apply_records(records)
         if self._name in records:
             self._membership.join(_addresses(records), sent_at, resumed=resumed)
-            self._joined = True
+            self._joined, self._entered = True, False
+            await self._enter_fleet()
+
+    async def _enter_fleet(self) -> None:
+        """Count the instances that have a fleet entry, and write the entry of this one.
+
+        An instance that joins reads the records first and then the entries. So the entry has to be
+        written while the record of this instance exists.
+        """
+        if self._is_leaving:
+            return
+        is_restart = self._entered_at == float("-inf")
+        sent_at = await curio.clock()
+        entries = await self._registry.read_fleet_entries()
+        own_entry = entries.pop(self._name, None)
+        until = await self._registry.write_fleet_entry(self._name, FleetEntry(self._address))
+        if await curio.clock() >= self._lease_expires_at:
+            self._joined = False
+            return
+        self._entry_renewed_at = sent_at
+        self._permits_allowance, self._entered_at = False, await curio.clock()
+        self._membership.enter_fleet(
+            {name: entry.peer for name, entry in entries.items()},
+            sent_at,
+            until=until,
+            returned=own_entry is not None,
+            start_allowance=is_restart and own_entry is not None and own_entry.start_allowance,
+            leaving={
+                name: entry.unused_after_s
+                for name, entry in entries.items()
+                if entry.unused_after_s is not None
+            },
+        )
+        self._entered = True
+
+    async def leave_fleet(self, unused_after_s: float) -> None:
+        """Stop using this instance's share, so that its successors need not wait for its end.
+
+        Args:
+            unused_after_s: seconds after which no other instance uses the share either.
+        """
+        self._is_leaving = True
+        self._membership.leave_fleet()
+        try:
+            await self._registry.write_fleet_entry(
+                self._name,
+                FleetEntry(self._address, unused_after_s, start_allowance=self._permits_allowance),
+            )
+        except KeyValueUnavailable as exc:
+            self._log.info("note_unknown", why=exc.detail)
+
+    def _may_permit_allowance(self, now: float) -> bool:
+        """Whether the fleet entry should permit the next incarnation start allowances now.
+
+        Two start allowances for one account must be further apart than the window over which use
+        is summed. Entries have to exist all that time.
+        """
+        return (
+            not self._permits_allowance
+            and now - self._entry_renewed_at <= FLEET_ENTRY_LEASE_S / 2
+            and now - self._entered_at >= self._allowance_rest_s
+            and self._allowance_rest_s <= FLEET_ENTRY_LEASE_S / 2
+        )
+
+    async def _renew_fleet_entry(self) -> None:
+        sent_at = await curio.clock()
+        until = await self._registry.renew_fleet_entry()
+        if until is None:
+            self._entered = False
+            return
+        self._entry_renewed_at = sent_at
+        self._membership.set_entry_end(until)
 
     async def refresh_membership(self) -> None:
         """Read the records at intervals to learn which instances exist, until cancelled."""
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
 
 import curio
@@ -19,6 +19,7 @@
     ReservationQueue,
     ReservationRequest,
     Server,
+    ServerStats,
     WorkloadMeter,
     engines_to_try,
     retry_delay_s,
@@ -85,6 +86,7 @@
         reader: incarnation id of the prefill engine that a coordinator chose; empty if it chose
             none.
         is_reader_idle: whether that engine had no other work.
+        stats: statistics of the engine at which the memory is counted.
     """
 
     server: Server
@@ -96,6 +98,7 @@
     stream: RunningStream | None = None
     reader: str = ""
     is_reader_idle: bool = False
+    stats: ServerStats = field(default_factory=ServerStats)
 
 
 class Reservations:
@@ -147,15 +150,15 @@
             ServersRest: all engines are in backoff for longer than the request may wait.
         """
         reservation = await self._reserve_engine(relay, extra_tokens, avoid)
-        stats = self._backends.stats(reservation.server.incarnation_id)
-        stats.reserved_tokens += reservation.tokens
+        reservation.stats = self._backends.stats(reservation.server.incarnation_id)
+        reservation.stats.reserved_tokens += reservation.tokens
         try:
             reservation.run = await self._placement.record_started(
                 relay, reservation.server, reservation.attempt, extra_tokens
             )
             yield reservation
         finally:
-            stats.reserved_tokens -= reservation.tokens
+            reservation.stats.reserved_tokens -= reservation.tokens
             self._forecasts[relay.service.name].record_released(reservation.forecast_number)
             if reservation.reservation_id:
                 call = self._backends.dialect.release_reservation_call(reservation.reservation_id)
@@ -165,6 +168,12 @@
             elif reservation.attempt is not None:
                 await reservation.attempt.withdraw()
 
+    def transfer(self, reservation: Reservation, server: Server) -> None:
+        """Count the memory of a run that has moved at the engine where it is now."""
+        reservation.stats.reserved_tokens -= reservation.tokens
+        reservation.stats = self._backends.stats(server.incarnation_id)
+        reservation.stats.reserved_tokens += reservation.tokens
+
     async def _reserve_engine(
         self, relay: Relay, extra_tokens: int, avoid: frozenset[str]
     ) -> Reservation:
