Prefill books: stalled, slow and returning engines

* An engine that stalls got prompts until the first of them ran out of time, after 1.8 s.
Three prompts in a row without a result now count as a failure, where owners report all results.
* A prompt that took more than 0.3 s longer than predicted counted as lost, so that an engine that had become several times slower was never measured.
Results up to 3 s late count for the speed.
* A result of a prompt that was sent before a failure ended the avoidance of its engine; an engine that changes its role still ends earlier prompts.
* An engine that was not listed for a moment lost its measured speed.
* The mean speed counted old measurements in full, so that a slow engine that had recovered never came to equal the others.
They are weighted by their age.

--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -126,9 +126,14 @@
         """
         self._group.set_engines(engines, limits, now)
 
-    def set_prefill_engines(self, engines: Iterable[Server]) -> None:
-        """Set the prefill engines that process the prompts of the group's runs."""
-        self._prefills.set_engines(engines)
+    def set_prefill_engines(self, engines: Iterable[Server], *, all_reported: bool) -> None:
+        """Set the prefill engines that process the prompts of the group's runs.
+
+        Args:
+            engines: the engines.
+            all_reported: whether owners report all prompts, and not only a part of them.
+        """
+        self._prefills.set_engines(engines, all_reported=all_reported)
 
     def report_prefill(
         self, run_id: str, engine: str, duration_s: float, outcome: PrefillOutcome, now: float
--- a/src/crankhinge/decisions/placement/_prefill.py
+++ b/src/crankhinge/decisions/placement/_prefill.py
@@ -21,9 +21,10 @@
 MAX_SAMPLE_RATIO = 2.0
 # Assumed seconds per prompt token until an engine of the group was measured.
 DEFAULT_TOKEN_S = 2e-5
-# Half-life in seconds of what an engine's own speed differs from the mean speed, while it is not
-# measured. An engine that was slow gets few prompts, so its recovery would not be noticed.
-SPEED_HALF_LIFE_S = 20.0
+# Half-life in seconds of the weight of a measured speed against those of the other engines. An
+# engine that was slow gets few prompts, so its recovery would not be noticed.
+SPEED_HALF_LIFE_S = 10.0
+MAX_HALF_LIVES = 100.0
 # Cost factor of an engine in another availability zone than the decode engine, which fetches the
 # KV cache from it.
 OTHER_ZONE_FACTOR = 1.05
@@ -32,6 +33,13 @@
 # Seconds after its predicted end for which work without a result is kept in the books. Until then,
 # the engine seems to be slower than predicted and is not measured; afterwards, the report is lost.
 LOST_REPORT_S = 0.3
+# Prompts in a row without a result after which an engine counts as failed. An engine that stalls
+# would otherwise get prompts until the first of them runs out of time, after 1.8 s of 2 s. The
+# reports of one instance that is lost or slow do not make so many.
+MAX_UNREPORTED = 3
+# Seconds after its predicted end until which a result still counts for the speed. An engine that
+# takes several times as long as predicted would otherwise never be measured.
+LATE_RESULT_S = 3.0
 # Share of its work as which overdue work counts at most. Counted for as long as it is overdue, a
 # loss of three in four reports made the prompts wait four times as long.
 OVERDUE_SHARE = 0.25
@@ -39,6 +47,9 @@
 # All instances ask for an engine here, so a few failures in this time are all that it costs.
 AVOID_S = 2.0
 MAX_AVOID_S = 16.0
+# Number of engines that are gone whose speed and failures are kept. An engine is not listed while
+# it asks for a backoff, for seconds, or has the other role.
+MAX_GONE = 64
 
 
 class PrefillOutcome(enum.IntEnum):
@@ -82,6 +93,8 @@
         token_s: measured seconds per prompt token; 0 before the first measurement.
         measured_at: when it was last measured.
         works: its prompts by run id, in the order of their assignment.
+        late: prompts by run id that are not counted as work any more, but may still have a result.
+        unreported: prompts in a row that became late.
         avoided_until: time before which it gets no prompt, after a failure.
         failures: failures in a row.
     """
@@ -90,6 +103,8 @@
     token_s: float = 0.0
     measured_at: float = 0.0
     works: dict[str, _Work] = field(default_factory=dict)
+    late: dict[str, _Work] = field(default_factory=dict)
+    unreported: int = 0
     avoided_until: float = float("-inf")
     failures: int = 0
 
@@ -97,34 +112,58 @@
         """Return the expected seconds per prompt token, given the mean of all engines."""
         if not self.token_s:
             return mean_token_s
-        weight: float = 0.5 ** ((now - self.measured_at) / SPEED_HALF_LIFE_S)
-        return mean_token_s + weight * (self.token_s - mean_token_s)
+        return mean_token_s + self.weight(now) * (self.token_s - mean_token_s)
+
+    def weight(self, now: float) -> float:
+        """Return the weight of its measured speed, from 0 to 1."""
+        half_lives = (now - self.measured_at) / SPEED_HALF_LIFE_S
+        weight: float = 0.5 ** min(MAX_HALF_LIVES, max(0.0, half_lives))
+        return weight
 
     def free_in_s(self, now: float) -> float:
         """Return the seconds until its work ends.
 
         Work that is overdue counts for a little while, so that an engine that is done is preferred.
         """
-        self.expire(now)
         if not self.works:
             return 0.0
         first, last = next(iter(self.works.values())), next(reversed(self.works.values()))
         overdue_s = max(0.0, now - first.ends_at)
         return max(0.0, last.ends_at - now) + min(overdue_s, OVERDUE_SHARE * first.work_s)
 
-    def expire(self, now: float) -> None:
-        """Remove work whose result is overdue, since its report was lost."""
+    def expire(self, now: float, *, all_reported: bool) -> None:
+        """Remove work whose result is overdue: its report was lost, or the engine is stalled.
+
+        Args:
+            now: time of the runtime's clock in seconds.
+            all_reported: whether owners report all results, so that missing ones show a stall.
+        """
         for run_id, work in list(self.works.items()):
             if now - work.ends_at > LOST_REPORT_S:
-                del self.works[run_id]
+                self.late[run_id] = self.works.pop(run_id)
+                self.unreported += 1
+        if all_reported and self.unreported >= MAX_UNREPORTED:
+            self.unreported = 0
+            self.record_failure(now)
+        for run_id, work in list(self.late.items()):
+            if now - work.ends_at > LATE_RESULT_S:
+                del self.late[run_id]
+
+    def forget_work(self) -> None:
+        """Forget all prompts."""
+        self.works.clear()
+        self.late.clear()
+        self.unreported = 0
 
     def may_start(self, now: float) -> bool:
         """Whether it may get a prompt; after a failure it gets one at a time until one is done."""
         return now >= self.avoided_until and not (self.failures and self.works)
 
-    def assign(self, run_id: str, tokens: int, work_s: float, now: float) -> bool:
-        """Add a prompt to its work; return whether it had none."""
-        is_idle = not self.works
+    def assign(
+        self, run_id: str, tokens: int, work_s: float, now: float, *, all_reported: bool
+    ) -> bool:
+        """Add a prompt to its work; return whether it is certain that it had none."""
+        is_idle = not self.works and not (all_reported and self.late)
         begins_at = max([now, *(work.ends_at for work in self.works.values())])
         self.works[run_id] = _Work(tokens, work_s, begins_at + work_s, is_idle)
         return is_idle
@@ -132,7 +171,7 @@
     def remove(self, run_id: str, now: float) -> _Work | None:
         """Remove a prompt; those behind it are predicted to end earlier or later than before."""
         if run_id not in self.works:
-            return None
+            return self.late.pop(run_id, None)
         was_first = next(iter(self.works)) == run_id
         removed = self.works.pop(run_id)
         # The first prompt is being processed since the one before it ended.
@@ -169,25 +208,44 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._engines: dict[str, _PrefillEngine] = {}
+        self._gone: dict[str, _PrefillEngine] = {}
+        self._all_reported = True
         self._where: dict[str, str] = {}
 
-    def set_engines(self, engines: Iterable[Server]) -> None:
-        """Set the engines; the work of engines that are gone is forgotten."""
-        known = self._engines
-        self._engines = {}
-        for server in engines:
-            engine = known.get(server.incarnation_id) or _PrefillEngine(server)
-            engine.server = server
-            self._engines[server.incarnation_id] = engine
+    def set_engines(self, engines: Iterable[Server], *, all_reported: bool = True) -> None:
+        """Set the engines; the work of engines that are gone is forgotten.
 
-    def mean_token_s(self) -> float:
-        """Return the mean measured seconds per prompt token of the engines."""
-        measured = [engine.token_s for engine in self._engines.values() if engine.token_s]
-        return sum(measured) / len(measured) if measured else DEFAULT_TOKEN_S
+        Args:
+            engines: the engines.
+            all_reported: whether owners report all results, and not only a part of them.
+        """
+        self._all_reported = all_reported
+        servers = {server.incarnation_id: server for server in engines}
+        for engine_id in [known for known in self._engines if known not in servers]:
+            gone = self._gone[engine_id] = self._engines.pop(engine_id)
+            gone.forget_work()
+        for engine_id in list(self._gone)[:-MAX_GONE]:
+            del self._gone[engine_id]
+        for engine_id, server in servers.items():
+            if engine_id not in self._engines:
+                engine = self._gone.pop(engine_id, None) or _PrefillEngine(server)
+                self._engines[engine_id] = engine
+            self._engines[engine_id].server = server
+
+    def mean_token_s(self, now: float) -> float:
+        """Return the mean measured seconds per prompt token, weighted by their age."""
+        rows = [
+            (engine.weight(now), engine.token_s)
+            for engine in self._engines.values()
+            if engine.token_s
+        ]
+        if not rows:
+            return DEFAULT_TOKEN_S
+        return sum(weight * token_s for weight, token_s in rows) / sum(row[0] for row in rows)
 
     def token_s(self, engine_id: str, now: float) -> float:
         """Return the expected seconds per prompt token of an engine."""
-        return self._engines[engine_id].expected_token_s(self.mean_token_s(), now)
+        return self._engines[engine_id].expected_token_s(self.mean_token_s(now), now)
 
     def choose(self, run_id: str, tokens: int, zone: str, now: float) -> PrefillChoice:
         """Assign a prompt to the engine that is predicted to be done with it first.
@@ -200,23 +258,24 @@
         """
         self.cancel(run_id, now)
         best: tuple[float, str, float] | None = None
-        mean_token_s = self.mean_token_s()
+        mean_token_s = self.mean_token_s(now)
         for engine_id, engine in self._engines.items():
-            free_s = engine.free_in_s(now)
+            engine.expire(now, all_reported=self._all_reported)
             if not engine.may_start(now):
                 continue
             work_s = tokens * engine.expected_token_s(mean_token_s, now)
             factor = 1.0 if engine.server.zone == zone else OTHER_ZONE_FACTOR
-            cost = free_s + work_s * (factor + EQUAL_SHARE * self._rng.random())
+            cost = engine.free_in_s(now) + work_s * (factor + EQUAL_SHARE * self._rng.random())
             if best is None or cost < best[0]:
                 best = cost, engine_id, work_s
         if best is None:
             return PrefillChoice()
         _, engine_id, work_s = best
         self._where[run_id] = engine_id
-        return PrefillChoice(
-            engine_id, self._engines[engine_id].assign(run_id, tokens, work_s, now)
+        is_idle = self._engines[engine_id].assign(
+            run_id, tokens, work_s, now, all_reported=self._all_reported
         )
+        return PrefillChoice(engine_id, is_idle)
 
     def cancel(self, run_id: str, now: float) -> None:
         """Remove the prompt of a run that has ended or needs no prefill engine any more."""
@@ -244,8 +303,11 @@
         if self._where.get(run_id) == engine_id:
             del self._where[run_id]
             work = engine.remove(run_id, now)
+        engine.unreported = 0
         if outcome is PrefillOutcome.DONE:
-            engine.failures, engine.avoided_until = 0, now
+            if now >= engine.avoided_until:
+                # A prompt that was sent before the failure does not show that it is over.
+                engine.failures = 0
             if work is not None and work.found_idle and work.tokens > 0:
                 engine.record_speed(duration_s / work.tokens, known_token_s, now)
         elif outcome is PrefillOutcome.FAILED or (
@@ -257,8 +319,8 @@
     def expire(self, now: float) -> None:
         """Forget the work whose reports were lost."""
         for engine in self._engines.values():
-            engine.expire(now)
+            engine.expire(now, all_reported=self._all_reported)
         for run_id, engine_id in list(self._where.items()):
             known = self._engines.get(engine_id)
-            if known is None or run_id not in known.works:
+            if known is None or not (run_id in known.works or run_id in known.late):
                 del self._where[run_id]
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -582,7 +582,8 @@
         readers = self._engines.readers(group.key.service, group.key.group, now)
         if group.readers != readers:
             group.readers = readers
-            group.coordinator.set_prefill_engines(readers)
+            is_single = len(self._engines.groups(group.key.service)) == 1
+            group.coordinator.set_prefill_engines(readers, all_reported=is_single)
 
     def _log_decision(
         self,
