Merge the choice of prefill engines by the coordinator

Callers waited for prompts that queued at one prefill engine while others were idle, since each instance chose by its own measurements; the split of the engines swung with the wait.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -106,6 +106,7 @@
     WorkloadMeter,
     WorkloadStats,
     combined_loads,
+    mean_run_tokens,
     wanted_prompt_engines,
 )
 from crankhinge.decisions._token_bucket import MAX_RETRY_AFTER_S, TokenBucket
@@ -225,6 +226,7 @@
     "engines_to_try",
     "fingerprint",
     "idle_connection_limit",
+    "mean_run_tokens",
     "mechanisms_for",
     "pick_server",
     "rank_by_key",
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -15,7 +15,15 @@
 import curio
 
 from crankhinge.adapters import AttemptParams
-from crankhinge.decisions import EngineLimits, RetryBudget, Server, WorkloadMeter, retry_delay_s
+from crankhinge.decisions import (
+    EngineLimits,
+    RetryBudget,
+    Server,
+    WorkloadMeter,
+    mean_run_tokens,
+    retry_delay_s,
+)
+from crankhinge.decisions.placement import PrefillOutcome
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
@@ -30,7 +38,12 @@
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._events import EventSplitter
 from crankhinge.gateway._permits import Permits
-from crankhinge.gateway._prompt_processor import PromptKvCache, PromptProcessor
+from crankhinge.gateway._prompt_processor import (
+    UNCOORDINATED,
+    PromptKvCache,
+    PromptPlan,
+    PromptProcessor,
+)
 from crankhinge.gateway._quarantine import QuarantineService
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._reservations import Reservation, Reservations
@@ -230,12 +243,41 @@
         likely_tokens = min(
             request.expected_answer_tokens or request.max_answer_tokens, request.max_answer_tokens
         )
-        meter.record_admission(reservation.tokens / engine.kv_tokens, likely_tokens)
-        kv_cache = await self._prompt_processor.process(relay, reservation.server.zone, budget)
+        tokens = float(reservation.tokens)
+        if self._placement.is_coordinated(relay.service):
+            # The coordinator plans with the memory over time, so the split must not count the
+            # whole answer from the start.
+            tokens = mean_run_tokens(reservation.tokens, likely_tokens)
+        meter.record_admission(tokens / engine.kv_tokens, likely_tokens)
+        kv_cache = await self._prompt_processor.process(
+            relay, reservation.server.zone, budget, self._prompt_plan(relay, reservation, engine)
+        )
         if kv_cache is not None:
-            meter.record_prompt(request.prompt_tokens, kv_cache.duration_s)
+            found_idle = (
+                reservation.is_reader_idle and kv_cache.server.incarnation_id == reservation.reader
+            )
+            meter.record_prompt(
+                request.prompt_tokens,
+                kv_cache.duration_s,
+                may_have_waited=bool(reservation.reader) and not found_idle,
+            )
         return kv_cache
 
+    def _prompt_plan(
+        self, relay: Relay, reservation: Reservation, engine: EngineLimits
+    ) -> PromptPlan:
+        run, reserved_at = reservation.run, relay.reserved_at
+        if reserved_at is None or not self._placement.is_coordinated(relay.service):
+            return UNCOORDINATED
+
+        async def report(server: str, duration_s: float, outcome: PrefillOutcome) -> None:
+            if run is not None:
+                await self._placement.record_prefill(run, server, duration_s, outcome)
+
+        return PromptPlan.within_reservation(
+            reserved_at, engine.max_reservation_s, reservation.reader, report
+        )
+
     async def _track_at_engine(
         self,
         relay: Relay,
--- a/src/crankhinge/gateway/placement/_service.py
+++ b/src/crankhinge/gateway/placement/_service.py
@@ -37,6 +37,7 @@
     PlacementReply,
     PlacementSwitched,
     PlacementWithdrawal,
+    PrefillEnded,
     RunChanges,
     RunDetails,
     RunDetailsRequest,
@@ -79,7 +80,7 @@
 # Time in seconds for which the parts of a complete report may arrive one after the other.
 MAX_REPORT_S = 1.0
 
-M = TypeVar("M", PlacementWithdrawal, RunChanges, RunsComplete)
+M = TypeVar("M", PlacementWithdrawal, PrefillEnded, RunChanges, RunsComplete)
 
 NOT_COORDINATOR = PlacementDecision(PlacementOutcome.NOT_COORDINATOR)
 
@@ -126,6 +127,7 @@
         used_at: when another instance, or this one as a client, last sent a message about it.
         checked_at: when it was last checked.
         engines: its engines as the decisions know them, and their limits.
+        readers: its prefill engines as the decisions know them.
         runs: the runs by run id, waiting ones included.
         reports: the newest complete report of each owner.
         addresses: ``host:port`` of each owner, as its last message showed it.
@@ -138,6 +140,7 @@
     used_at: float
     checked_at: float = float("-inf")
     engines: tuple[list[Server], EngineLimits] | None = None
+    readers: list[Server] = field(default_factory=list)
     runs: dict[str, _KnownRun] = field(default_factory=dict)
     reports: dict[str, _PartialReport] = field(default_factory=dict)
     addresses: dict[str, str] = field(default_factory=dict)
@@ -196,6 +199,7 @@
         transport.add_handler(PlacementWithdrawal, partial(self._guarded, self._on_withdrawal))
         transport.add_handler(RunChanges, partial(self._guarded, self._on_changes))
         transport.add_handler(RunsComplete, partial(self._guarded, self._on_complete))
+        transport.add_handler(PrefillEnded, partial(self._guarded, self._on_prefill_ended))
 
     @property
     def run_count(self) -> int:
@@ -313,6 +317,21 @@
         await self._ask_details(group, sender, unknown)
         await self._push(group, now)
 
+    async def _on_prefill_ended(self, message: PrefillEnded, sender: str) -> None:
+        group = self._groups.get(message.group_id)
+        if group is None:
+            return
+        run_id = to_run_id(self._transport.name_of(sender), message.counter)
+        for server in group.readers:
+            if engine_hash(server.incarnation_id) == message.engine_hash:
+                group.coordinator.report_prefill(
+                    run_id,
+                    server.incarnation_id,
+                    message.duration_ms / 1000,
+                    message.outcome,
+                    await curio.clock(),
+                )
+
     def _apply_states(
         self, group: _Group, owner: str, states: Iterable[RunState], now: float
     ) -> tuple[list[RunReport], list[int]]:
@@ -454,6 +473,7 @@
         if now - group.checked_at >= CHECK_INTERVAL_S:
             group.checked_at = now
             self._update_engines(group, now)
+            self._update_readers(group, now)
             group.coordinator.expire(now)
             for run_id, known in list(group.runs.items()):
                 if now - known.seen_at > RUN_EXPIRY_S:
@@ -514,6 +534,7 @@
             coordinator = PlacementCoordinator(rng=self._rng, now=now)
             group = self._groups[group_id] = _Group(key, coordinator, now)
             self._update_engines(group, now)
+            self._update_readers(group, now)
             self._log.info(
                 "placement_began",
                 service=key.service,
@@ -552,6 +573,18 @@
             group.engines = members, limits
             group.coordinator.set_engines(members, limits, now)
 
+    def _update_readers(self, group: _Group, now: float) -> None:
+        """Apply the prefill engines of the list of servers, if they have changed.
+
+        This is not done for each request, since it scans all servers. An instance that is named an
+        engine which it cannot use chooses another one.
+        """
+        readers = self._engines.readers(group.key.service, group.key.group, now)
+        if group.readers != readers:
+            group.readers = readers
+            is_single = len(self._engines.groups(group.key.service)) == 1
+            group.coordinator.set_prefill_engines(readers, all_reported=is_single)
+
     def _log_decision(
         self,
         need: PlacementRequest,
@@ -572,7 +605,12 @@
             "waited_ms": to_ms(now - (known.since if known.asked_at is None else known.asked_at)),
         }
         if decision.outcome is PlacementOutcome.GRANTED:
-            fields.update(server=decision.engine, tokens=decision.reserve_tokens)
+            fields.update(
+                server=decision.engine,
+                tokens=decision.reserve_tokens,
+                reader=decision.reader,
+                reader_idle=decision.is_reader_idle,
+            )
         elif decision.outcome is PlacementOutcome.REFUSED:
             fields["back_ms"] = to_ms(decision.retry_after_s)
             is_late = fields["waited_ms"] > fields["target_ms"]
@@ -606,6 +644,8 @@
         decision.engine,
         decision.reserve_tokens,
         to_ms(decision.retry_after_s),
+        decision.reader,
+        decision.is_reader_idle,
     )
 
 
