Moves: engines that leave are emptied only where placement is coordinated

Parts of this round are to act only where a service uses coordinated placement, so the owner's own moves do so too.

--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -207,7 +207,13 @@
         metrics=metrics,
     )
     placement.move_run = migrator.move
-    leaving_runs = LeavingRuns(backends=backends, running=running, migrator=migrator, log=log)
+    leaving_runs = LeavingRuns(
+        backends=backends,
+        running=running,
+        migrator=migrator,
+        is_active=placement.is_coordinated,
+        log=log,
+    )
     selector = ServerSelector(backends, permits)
     common: dict[str, Any] = {
         "backends": backends,
--- a/src/crankhinge/gateway/migration/_leaving.py
+++ b/src/crankhinge/gateway/migration/_leaving.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Any
 
 import curio
 
-from crankhinge.decisions import EngineRole, Server
+from crankhinge.decisions import EngineRole, Server, Service
 from crankhinge.decisions.migration import MoveTarget, RunProgress, ordered_targets, runs_to_move
 from crankhinge.errors import BadHttp
 from crankhinge.gateway._backends import Backends
@@ -45,15 +46,23 @@
         backends: the backend servers.
         running: registry of the streams that run at engines.
         migrator: moves a run.
+        is_active: returns whether the runs of a service are moved away.
         log: log for events.
     """
 
     def __init__(
-        self, *, backends: Backends, running: RunningStreams, migrator: RunMigrator, log: Any
+        self,
+        *,
+        backends: Backends,
+        running: RunningStreams,
+        migrator: RunMigrator,
+        is_active: Callable[[Service], bool],
+        log: Any,
     ) -> None:
         self._backends = backends
         self._running = running
         self._migrator = migrator
+        self._is_active = is_active
         self._log = log
         self._being_emptied: set[str] = set()
 
@@ -67,6 +76,7 @@
                     stream.movable
                     and engine.incarnation_id not in self._being_emptied
                     and self._backends.is_leaving(engine.incarnation_id)
+                    and self._is_active(stream.relay.service)
                 ):
                     self._being_emptied.add(engine.incarnation_id)
                     await curio.spawn(self._empty, engine, daemon=True)
--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -16,6 +16,7 @@
 from crankhinge.gateway import _program
 from crankhinge.gateway._running_streams import RunningStream
 from crankhinge.gateway.migration import MoveOutcome
+from crankhinge.gateway.migration._leaving import LeavingRuns
 from crankhinge.gateway.migration._migrator import RunMigrator
 from crankhinge.http import Exchange, HttpRequest
 from crankhinge.runtime import get_log, run_until_first_ends
@@ -198,9 +199,19 @@
         moves: whether the service's configuration has moves.
         engines: number of engines.
         link_mbps: rate of the engines' links in the configuration.
+        active: whether leaving engines are emptied although the few short answers of a test need
+            no coordinator.
     """
 
-    def __init__(self, *, moves: bool = True, engines: int = 2, link_mbps: float = 2.2e6) -> None:
+    def __init__(
+        self,
+        *,
+        moves: bool = True,
+        engines: int = 2,
+        link_mbps: float = 2.2e6,
+        active: bool = True,
+    ) -> None:
+        self.active = active
         self.gateway = GatewayHarness()
         self.work = Work()
         self.engines = [
@@ -220,6 +231,13 @@
                 super().__init__(**parts)
                 harness.migrator = self
 
+        class ActiveLeavingRuns(LeavingRuns):
+            def __init__(self, **parts: Any) -> None:
+                is_active = parts.pop("is_active")
+                super().__init__(
+                    **parts, is_active=lambda service: harness.active or is_active(service)
+                )
+
         async def run_when_ready() -> None:
             while await self.gateway.get_readiness() != 200:
                 await curio.sleep(0.05)
@@ -234,7 +252,10 @@
 
         handler = signal.getsignal(signal.SIGTERM)
         try:
-            with mock.patch.object(_program, "RunMigrator", RecordedMigrator):
+            with (
+                mock.patch.object(_program, "RunMigrator", RecordedMigrator),
+                mock.patch.object(_program, "LeavingRuns", ActiveLeavingRuns),
+            ):
                 run_virtual(run_all)
         finally:
             signal.signal(signal.SIGTERM, handler)
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -717,6 +717,22 @@
 
         harness.run(scenario)
 
+    def test_run_stays_if_its_service_is_not_coordinated(self) -> None:
+        """Services with short answers are served as without moves, at no cost of a report."""
+        harness = MoveHarness(active=False)
+
+        async def scenario() -> None:
+            caller = await harness.begin(x_deadline_ms="20000")
+            source = harness.source
+            source.faults.slow = 15.0
+            source.leave()
+            await curio.sleep(1.0)
+            assert not harness.gateway.logs.matching("event=engine_leaves")
+            assert source.move_calls == []
+            await caller.cancel()
+
+        harness.run(scenario)
+
     def test_next_engine_is_tried_if_one_has_no_room(self) -> None:
         """An instance knows only the memory of its own runs, so its first choice may be full."""
         harness = MoveHarness(engines=4)
