--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -63,7 +63,7 @@
 # How far the use of the account may exceed the limit in any window of QUOTA_WINDOW_S seconds: by a
 # share of rate and burst, plus a number of tokens.
 QUOTA_WINDOW_S, QUOTA_OVERRUN_SHARE, QUOTA_SLACK_TOKENS = 8, 0.1, 4000
-ENGINE_CAPACITY = operator.engine_capacity(slots=8, kv_tokens=12000, moves=True)
+ENGINE_CAPACITY = operator.engine_capacity(slots=8, kv_tokens=9000, moves=True)
 
 
 def version_path(version: int) -> str:
--- a/src/crankhinge_soak/_load.py
+++ b/src/crankhinge_soak/_load.py
@@ -207,7 +207,7 @@
             if leaves_early
             else CALLER_DEADLINE_S + DEADLINE_SLACK_S
         )
-        prompt_tokens, answer_tokens = rng.randint(100, 3000), rng.randint(50, 300)
+        prompt_tokens, answer_tokens = rng.randint(100, 3000), rng.randint(400, 1200)
         headers = {
             "host": "h.example",
             "x-request-id": seen.ident,
