Bound what an instance buffers for callers and servers that read slowly

What callers saw: on an instance with 200 callers that read nothing of answers of 4 MB, the median time of 50 callers that read rose from 3 ms to 2.8 s, and the process took 1,590 MB (the smallest instances have 88 MB). 100 request bodies of 1 MB to a server that read nothing took 226 MB, and all of them were sent to that server.

Cause: a plain answer was read completely whatever its size and however slowly its caller read. Nothing bounded the bytes of all connections together, the kernel's buffers, or the request bodies in progress at one server.

Ruled out: waiting for memory before reading an answer (delays callers that read, since nothing shows yet who is slow); dropping the largest or the newest (size and age do not show slowness); refusing request bodies while unread answers fill the bound (a burst of callers that read nothing then refuses those that read).

Change, only with the new setting memory_mb: a pool counts request bodies, answers being read, and what blocked callers hold. Answers above the bound of a connection, or while half of the instance's bound is in use, are passed on while they are read. A piece of an answer that is still being read must be accepted within 2 s, before the server cuts it off. At the instance's bound, connections without progress for the longest time are reset; request bodies get 503 and a retry delay only while none can be had. The end is logged as slow_reader_dropped and is no fault of the server. A server with unread bytes gets no more bodies above its bound; other servers get the requests. The platform's template fills memory_mb from limits.memory_mb.

Why it holds: every byte that a connection buffers is counted until the end of its request, a property test checks the counts for random orders of events, and a caller that accepts data is never the one without progress for longest.

--- a/src/crankhinge/burn/_caller_value.py
+++ b/src/crankhinge/burn/_caller_value.py
@@ -53,7 +53,9 @@
 
 # Events with which gateways log the end of a request. Entries log no event `broken_off`; the error
 # budgets are computed from their logs.
-_END_EVENTS = frozenset({"answered", "request_failed", "broken_off", "caller_gone"})
+_END_EVENTS = frozenset(
+    {"answered", "request_failed", "broken_off", "caller_gone", "slow_reader_dropped"}
+)
 
 CostFraction = Annotated[float, msgspec.Meta(ge=0, le=10)]
 
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -111,6 +111,13 @@
     status = 413
 
 
+class OutOfBuffers(BadHttp):
+    """This instance has no memory for the body of a request; nothing was run."""
+
+    code = "out-of-buffers"
+    status = 503
+
+
 class HttpClosed(CrankhingeError):
     """The other end closed the HTTP connection."""
 
@@ -123,6 +130,12 @@
     code = "caller-gone"
 
 
+class SlowReader(CallerGone):
+    """The caller read its response too slowly, so its connection was dropped."""
+
+    code = "slow-reader"
+
+
 class RequestError(CrankhingeError):
     """A caller's request is refused before any work was done for it."""
 
@@ -207,6 +220,13 @@
     status = 503
 
 
+class ServerReadsSlowly(ServerBarred):
+    """A backend server has not read earlier request bodies; the request was not sent to it."""
+
+    code = "server-reads-slowly"
+    status = 503
+
+
 class LimitReached(RequestError):
     """The client account has reached its limit of requests or tokens; nothing was run."""
 
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -10,7 +10,13 @@
 
 from crankhinge.adapters import AttemptParams
 from crankhinge.decisions import Server
-from crankhinge.errors import BadHttp, CallerGone, HttpClosed, ServerBarred
+from crankhinge.errors import (
+    BadHttp,
+    CallerGone,
+    HttpClosed,
+    ServerBarred,
+    ServerReadsSlowly,
+)
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._crashes import CrashDetector
@@ -64,7 +70,8 @@
             BadCredentials: the caller's key was revoked meanwhile.
             ConfigTooOld: this instance can no longer tell whether the key is valid.
             Quarantined: servers crashed meanwhile while they ran this request.
-            ServerBarred: nothing was sent, since the server is excluded or at its limit.
+            ServerBarred: nothing was sent, since the server is excluded, at its limit, or has not
+                read earlier requests.
             ConnectFailed: nothing was sent to this server. If another server responds at its
                 address, that other server did not execute the request.
             HttpClosed: the connection ended; the request may have been executed.
@@ -81,6 +88,8 @@
         reason = self._backends.exclusion_reason(server, started_at)
         if reason is not None:
             raise ServerBarred(f"{server.incarnation_id}: {reason.value}")
+        if self._backends.is_behind(server.incarnation_id):
+            raise ServerReadsSlowly(f"{server.incarnation_id} has not read earlier requests")
         # This is the last check, since it uses the permit up: if a later check stopped the request,
         # no other request could use that permit.
         permit = await self._permits.use_permit(relay, server)
@@ -111,6 +120,12 @@
             completed = True
         except CallerGone:
             raise
+        except ServerReadsSlowly:
+            # The server fell behind while the connection was established.
+            stats.record_refusal(await curio.clock())
+            if permit is not None:
+                relay.permits[server.incarnation_id] = permit
+            raise
         except (HttpClosed, BadHttp) as exc:
             stats.record_failure(await curio.clock())
             if isinstance(exc, ConnectFailed) and permit is not None:
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -27,7 +27,7 @@
 )
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.gateway._signal_listener import SignalListener
-from crankhinge.http import HttpClient, Response
+from crankhinge.http import BufferLimits, HttpClient, Response
 from crankhinge.runtime import Metrics
 
 # A connection within an availability zone is established in a millisecond. A lost first packet is
@@ -48,6 +48,7 @@
         metrics: registry for counters.
         rng: source of the random choices between equal servers.
         idle_limit: returns the number of idle connections to keep to each server of a service.
+        buffer_limits: bounds on the request bodies in progress at each server; None for no bound.
 
     Attributes:
         listeners: notified of the signals in the head of each server response.
@@ -65,6 +66,7 @@
         metrics: Metrics,
         rng: random.Random,
         idle_limit: Callable[[str], int] = lambda service: MAX_IDLE_CONNECTIONS,
+        buffer_limits: BufferLimits | None = None,
     ) -> None:
         self.dialect = dialect
         self.rng = rng
@@ -73,6 +75,7 @@
         self._servers = servers
         self._zone = zone
         self._idle_limit = idle_limit
+        self._buffer_limits = buffer_limits
         self._log = log
         self._metrics = metrics
         self._clients: dict[str, HttpClient] = {}
@@ -89,7 +92,10 @@
         """Return the HTTP client with the connections to a server; create it if there is none."""
         if server.incarnation_id not in self._clients:
             self._clients[server.incarnation_id] = HttpClient(
-                server.host, server.port, connect_timeout_s=CONNECT_TIMEOUT_S
+                server.host,
+                server.port,
+                connect_timeout_s=CONNECT_TIMEOUT_S,
+                buffer_limits=self._buffer_limits,
             )
         client = self._clients[server.incarnation_id]
         client.pool_size = self._idle_limit(server.service)
@@ -149,12 +155,23 @@
         model: str = "",
         avoid: frozenset[str] = frozenset(),
     ) -> list[Server]:
-        """Return the available servers that are not in backoff.
+        """Return the available servers that are not in backoff and have read what they were sent.
 
         :meth:`available_servers` includes servers in backoff, since they accept requests again
         after a short time. Servers at their advertised limit are included here, too.
         """
-        return self.without_backoff(self.available_servers(service, now, role, model, avoid), now)
+        available = self.available_servers(service, now, role, model, avoid)
+        if self._buffer_limits is not None:
+            available = [srv for srv in available if not self.is_behind(srv.incarnation_id)]
+        return self.without_backoff(available, now)
+
+    def is_behind(self, incarnation_id: str) -> bool:
+        """Return whether a server reads slowly and may be sent no request until it has caught up.
+
+        Only what this instance sent to it counts.
+        """
+        client = self._clients.get(incarnation_id)
+        return client is not None and client.is_behind
 
     def without_backoff(self, servers: list[Server], now: float) -> list[Server]:
         """Return those of *servers* that are not in backoff."""
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -16,6 +16,7 @@
     HttpClosed,
     NotReady,
     Outcome,
+    OutOfBuffers,
     Stopping,
 )
 from crankhinge.gateway._admission import Admission
@@ -27,7 +28,7 @@
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._settings import GatewaySettings
 from crankhinge.gateway._stream import StreamRunner
-from crankhinge.http import Exchange, HttpLimits, serve_http
+from crankhinge.http import BufferPool, Drop, Exchange, HttpLimits, serve_http
 from crankhinge.runtime import split_host_port
 from crankhinge.runtime._prometheus import PrometheusMetrics
 
@@ -62,6 +63,7 @@
         streams: runs requests whose answer is a stream.
         log: log for events.
         metrics: registry for counters and durations.
+        pool: bounds what is buffered for callers; None for no bound.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         streams: StreamRunner,
         log: Any,
         metrics: PrometheusMetrics,
+        pool: BufferPool | None = None,
     ) -> None:
         self._settings = settings
         self._discovery = discovery
@@ -90,6 +93,7 @@
         self._streams = streams
         self._log = log
         self._metrics = metrics
+        self._pool = pool
         self._open_requests = 0
         self._draining = False
         self._stopped_accepting = curio.Event()
@@ -107,6 +111,7 @@
             limits=self._caller_limits,
             is_closing=lambda: self._draining,
             stop_accepting=self._stopped_accepting,
+            pool=self._pool,
         )
 
     def _caller_limits(self) -> HttpLimits:
@@ -165,7 +170,10 @@
             await curio.sleep(DRAIN_POLL_S)
 
     async def refuse_malformed(self, exchange: Exchange, exc: BadHttp) -> None:
-        """Respond to bytes that are no valid HTTP request."""
+        """Respond to bytes that are no valid HTTP request, or whose body there is no memory for."""
+        if isinstance(exc, OutOfBuffers):
+            await self._send_error(exchange, self._dialect.parse_request(exchange.req), None, exc)
+            return
         self._metrics.count("bad_http")
         self._log.warning("request_malformed", why=exc.detail, status=exc.status)
         await exchange.respond(exc.status, _error_body(exc, Outcome.NOT_RUN))
@@ -212,6 +220,10 @@
             await group.spawn(exchange.wait_for_disconnect)
         if group.completed is work:
             return bool(work.result)
+        drop = _drop_of(exchange)
+        if drop is not None:
+            await self._log_slow_reader(request, relay, drop)
+            raise HttpClosed("caller reads too slowly")
         self._metrics.count("callers_gone")
         await _record_duration(relay)
         self._log.info(
@@ -219,6 +231,21 @@
         )
         raise HttpClosed("caller disconnected")
 
+    async def _log_slow_reader(
+        self, request: RelayRequest, relay: Relay | None, drop: Drop
+    ) -> None:
+        """Log that a caller's connection was dropped; once, whichever task notices it."""
+        if drop.logged:
+            return
+        drop.logged = True
+        self._metrics.count("slow_readers_dropped")
+        log_fields: dict[str, Any] = {}
+        if relay is not None:
+            await _record_duration(relay)
+            log_fields.update(relay.log_fields, route=relay.route.name)
+        log_fields.update(drop.log_fields())
+        self._log.warning("slow_reader_dropped", request=request.request_id, **log_fields)
+
     async def _respond(self, relay: Relay) -> bool:
         """Run one request; return whether the caller got a complete response."""
         try:
@@ -243,9 +270,14 @@
             await group.spawn(self._cancelling.wait)
         if group.completed is work:
             error: CrankhingeError | None = work.result
-            if error is not None:
+            if error is None:
+                return
+            try:
                 raise error
-            return
+            finally:
+                # The traceback refers to this frame. If the frame also referred to the error, what
+                # is buffered for the caller would stay in memory until a garbage collection.
+                del error, work, group
         # A server that received the request may still execute it.
         relay.may_have_run = relay.may_have_run or bool(relay.sent_to)
         raise Stopping("this instance is stopping", retry_after_s=STOPPING_RETRY_S)
@@ -292,6 +324,10 @@
         Returns:
             Whether the caller got a complete response.
         """
+        drop = _drop_of(exchange)
+        if drop is not None:
+            await self._log_slow_reader(request, relay, drop)
+            return False
         may_have_run = relay is not None and relay.may_have_run
         outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
         status = exc.status
@@ -328,6 +364,11 @@
         return True
 
 
+def _drop_of(exchange: Exchange) -> Drop | None:
+    """Return why the caller's connection was dropped; None if it was not."""
+    return None if exchange.buffers is None else exchange.buffers.dropped
+
+
 async def _record_duration(relay: Relay) -> None:
     """Record how long this instance has handled the request."""
     relay.log_fields["took_ms"] = round((await curio.clock() - relay.started_at) * 1000)
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -1,11 +1,13 @@
 """Runs requests whose answer is a single response.
 
-The response is read completely before the caller gets any of it.
+The response is read completely before the caller gets any of it. Only a response that exceeds what
+the instance may buffer is passed on while it is read.
 """
 
 from __future__ import annotations
 
 from collections import defaultdict
+from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from typing import Any
 
@@ -23,6 +25,7 @@
 from crankhinge.errors import (
     BackendFailed,
     BadHttp,
+    CallerGone,
     CrankhingeError,
     DeadlinePassed,
     HttpClosed,
@@ -34,7 +37,7 @@
 from crankhinge.gateway._backends import Backends
 from crankhinge.gateway._request import Relay
 from crankhinge.gateway._server_selector import ServerSelector
-from crankhinge.http import ConnectFailed
+from crankhinge.http import ClientStream, ConnectFailed, HttpSilent
 
 # Seconds after which a caller should retry if no server is available. Within this time a busy
 # service completes some of the requests in its queue.
@@ -49,15 +52,28 @@
 # A request waits for an overloaded service only as long as the time until its deadline is at least
 # this many times the response time of the idle service.
 SERVICE_TIME_FACTOR = 3.0
+# Share of the bound on all buffers above which no more of a response is held. The rest is for
+# request bodies, which cannot be passed on in parts.
+HELD_RESPONSE_SHARE = 0.5
 
 
 @dataclass(frozen=True)
 class ServerResponse:
-    """A complete response of a server."""
+    """A response of a server.
+
+    Attributes:
+        status: its status.
+        fields: its header fields.
+        body: its complete body; empty if *rest* is not None.
+        rest: provides the body if the instance may not buffer it; else None.
+        is_sent: whether the caller was sent the response already.
+    """
 
     status: int
     fields: list[tuple[str, str]]
     body: bytes
+    rest: ClientStream | None = None
+    is_sent: bool = False
 
 
 class PlainRunner:
@@ -96,6 +112,8 @@
         """
         response = await self._get_response(relay)
         relay.log_fields["status"] = response.status
+        if response.is_sent:
+            return
         fields = self._backends.dialect.response_fields(response.fields)
         await relay.exchange.respond_with_fields(response.status, fields, response.body)
 
@@ -128,7 +146,11 @@
                 return result
             if failed is not None:
                 return failed
-            raise result
+            try:
+                raise result
+            finally:
+                # The traceback refers to this frame, which must not refer to the error in turn.
+                del result
 
     async def _attempt(
         self, relay: Relay
@@ -256,7 +278,8 @@
     def _may_retry(self, relay: Relay, result: ServerResponse | CrankhingeError) -> bool:
         """Return whether the request may be sent to another server after *result*."""
         if isinstance(result, ServerResponse):
-            return result.status >= 500 and relay.route.repeatable and relay.may_try_another
+            may_repeat = relay.route.repeatable and not result.is_sent
+            return result.status >= 500 and may_repeat and relay.may_try_another
         return relay.may_try_another and relay.may_retry and not isinstance(result, NoBackend)
 
     async def _attempt_at(self, relay: Relay, server: Server) -> ServerResponse | CrankhingeError:
@@ -279,9 +302,15 @@
         )
         started_at = await curio.clock()
         try:
-            result: ServerResponse | CrankhingeError = await curio.timeout_after(
-                timeout_s, self._send, relay, server, remaining_s
-            )
+            async with AsyncExitStack() as stack:
+                result: ServerResponse | CrankhingeError = await curio.timeout_after(
+                    timeout_s, self._send, relay, server, remaining_s, stack
+                )
+                if isinstance(result, ServerResponse) and result.rest is not None:
+                    await self._record_response(relay, server, result.status, started_at)
+                    result = await self._pass_on(relay, result, result.rest)
+        except CallerGone:
+            raise
         except ConnectFailed as exc:
             self._log_failed_attempt(relay, server, "unreached", exc.detail)
             return exc
@@ -291,23 +320,32 @@
         except (HttpClosed, BadHttp) as exc:
             relay.may_have_run = True
             self._log_failed_attempt(relay, server, "broken", exc.detail)
+            if relay.exchange.response_started:
+                raise HttpClosed(f"broken off: {exc.detail}") from exc
             return BackendFailed(exc.detail)
         except curio.TaskTimeout:
             relay.may_have_run = True
             stats.record_failure(await curio.clock())
             self._log_failed_attempt(relay, server, "silent", f"no response in {timeout_s:.3f} s")
             return DeadlinePassed(f"no response in {timeout_s:.3f} s")
-        if isinstance(result, ServerResponse):
-            relay.may_have_run = True
-            duration_s = await curio.clock() - started_at
-            stats.record_success(duration_s)
-            self._congestion[relay.service.name].record_response(
-                duration_s, relay.route.target_s, started_at + duration_s
-            )
-            if result.status >= 500:
-                stats.record_failure(started_at + duration_s)
+        if isinstance(result, ServerResponse) and not result.is_sent:
+            await self._record_response(relay, server, result.status, started_at)
         return result
 
+    async def _record_response(
+        self, relay: Relay, server: Server, status: int, started_at: float
+    ) -> None:
+        """Record that a server responded, before the caller's time to read is added."""
+        relay.may_have_run = True
+        stats = self._backends.stats(server.incarnation_id)
+        duration_s = await curio.clock() - started_at
+        stats.record_success(duration_s)
+        self._congestion[relay.service.name].record_response(
+            duration_s, relay.route.target_s, started_at + duration_s
+        )
+        if status >= 500:
+            stats.record_failure(started_at + duration_s)
+
     def _log_failed_attempt(self, relay: Relay, server: Server, outcome: str, why: str) -> None:
         self._log.info(
             "leg_failed",
@@ -319,36 +357,92 @@
         )
 
     async def _send(
-        self, relay: Relay, server: Server, remaining_s: float
+        self, relay: Relay, server: Server, remaining_s: float, stack: AsyncExitStack
     ) -> ServerResponse | CrankhingeError:
+        """Send the request and read the response, as far as it may be buffered.
+
+        The connection is closed, or kept for another request, when *stack* is.
+        """
         params = AttemptParams(server.name, remaining_s)
-        async with self._attempts.open(relay, server, params) as stream:
-            body = await stream.read_all()
-            signals = self._backends.dialect.parse_signals(stream.status, stream.headers)
-            if not signals.not_run:
-                return ServerResponse(stream.status, stream.fields, body)
-            now = await curio.clock()
-            if signals.backoff_s is None:
-                # A backoff concerns only this server, so it does not change the congestion window
-                # of the whole service.
-                self._congestion[relay.service.name].record_refusal(now)
-            # Without this record, a server that refuses at once would look least busy and get most
-            # of the next requests.
-            self._backends.stats(server.incarnation_id).record_refusal(now)
-            server_retry_after_s = signals.retry_after_s
-            self._log_failed_attempt(
-                relay,
-                server,
-                "refused",
-                f"status {stream.status}, retry after {server_retry_after_s} s",
-            )
-            # The retry delay in the response holds only for this server. Other servers may accept
-            # the request sooner.
-            end = self._selector.backoff_end(relay, now, avoid=frozenset(), max_wait_s=float("inf"))
-            retry_after_s = (
-                end - now if end is not None else self._retry_after_s(relay.service.name, now)
-            )
-            return Overloaded(f"{server.incarnation_id} refused", retry_after_s=retry_after_s)
+        stream = await stack.enter_async_context(self._attempts.open(relay, server, params))
+        body = await self._read(relay, stream)
+        signals = self._backends.dialect.parse_signals(stream.status, stream.headers)
+        if not signals.not_run:
+            rest = stream if body is None else None
+            return ServerResponse(stream.status, stream.fields, body or b"", rest)
+        now = await curio.clock()
+        if signals.backoff_s is None:
+            # A backoff concerns only this server, so it does not change the congestion window
+            # of the whole service.
+            self._congestion[relay.service.name].record_refusal(now)
+        # Without this record, a server that refuses at once would look least busy and get most
+        # of the next requests.
+        self._backends.stats(server.incarnation_id).record_refusal(now)
+        server_retry_after_s = signals.retry_after_s
+        self._log_failed_attempt(
+            relay,
+            server,
+            "refused",
+            f"status {stream.status}, retry after {server_retry_after_s} s",
+        )
+        # The retry delay in the response holds only for this server. Other servers may accept
+        # the request sooner.
+        end = self._selector.backoff_end(relay, now, avoid=frozenset(), max_wait_s=float("inf"))
+        retry_after_s = (
+            end - now if end is not None else self._retry_after_s(relay.service.name, now)
+        )
+        return Overloaded(f"{server.incarnation_id} refused", retry_after_s=retry_after_s)
+
+    async def _read(self, relay: Relay, stream: ClientStream) -> bytes | None:
+        """Return the body; None if it exceeds what the instance may buffer."""
+        buffers = relay.exchange.buffers
+        if buffers is None:
+            return await stream.read_all()
+        limit_bytes = buffers.max_connection_bytes
+        body_bytes = 0
+        declared_bytes = _declared_length(stream)
+
+        def accepts(chunk_bytes: int) -> bool:
+            nonlocal body_bytes
+            body_bytes += chunk_bytes
+            if max(body_bytes, declared_bytes) > limit_bytes:
+                return False
+            return buffers.try_hold(chunk_bytes, share=HELD_RESPONSE_SHARE)
+
+        return await stream.read_all_while(accepts)
+
+    async def _pass_on(
+        self, relay: Relay, response: ServerResponse, rest: ClientStream
+    ) -> ServerResponse:
+        """Send the caller a response while its body is read from the server.
+
+        Raises:
+            CallerGone: the caller disconnected or reads too slowly.
+            HttpClosed: the server ended the response, or sent nothing until the deadline.
+        """
+        exchange = relay.exchange
+        fields = self._backends.dialect.response_fields(response.fields)
+        declared_bytes = _declared_length(rest)
+        if declared_bytes:
+            fields = [*fields, ("content-length", str(declared_bytes))]
+        await exchange.start_with_fields(response.status, fields)
+        silence_s = max(0.0, await relay.remaining_s())
+        while True:
+            try:
+                chunk = await curio.timeout_after(silence_s, rest.next_chunk)
+            except curio.TaskTimeout as exc:
+                raise HttpSilent(f"received nothing for {silence_s:.3f} s") from exc
+            if not chunk:
+                break
+            await exchange.write(chunk)
+        await exchange.finish()
+        return ServerResponse(response.status, response.fields, b"", is_sent=True)
+
+
+def _declared_length(stream: ClientStream) -> int:
+    """Return the length of a response's body in bytes; 0 if the response does not state it."""
+    length = stream.headers.get("content-length", "")
+    return int(length) if length.isascii() and length.isdigit() else 0
 
 
 def _max_queue_wait_s(request: ReservationRequest) -> float:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -46,6 +46,7 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
+from crankhinge.http import BufferLimits, BufferPool
 from crankhinge.runtime import (
     LineSink,
     Supervisor,
@@ -109,6 +110,10 @@
     platform = make_platform(settings, log)
     dialect = platform.dialect
     discovery = Discovery(platform.source, settings.freshness_bounds, log, rng)
+    buffer_limits = (
+        None if settings.memory_mb is None else BufferLimits.from_memory(settings.memory_mb)
+    )
+    pool = None if buffer_limits is None else BufferPool(buffer_limits)
     now = await curio.clock()
     membership = Membership(settings.name, now)
     backends = Backends(
@@ -119,6 +124,7 @@
         metrics=metrics,
         rng=rng,
         idle_limit=partial(_idle_limit, discovery, membership),
+        buffer_limits=buffer_limits,
     )
     authenticator = Authenticator(discovery)
     discovery.on_server_gone.append(backends.remove_server)
@@ -195,6 +201,7 @@
         streams=StreamRunner(**common, permits=permits, quarantine=quarantine, meters=meters),
         log=log,
         metrics=metrics,
+        pool=pool,
     )
     status = StatusPages(
         settings=settings, discovery=discovery, gateway=gateway, log=log, metrics=metrics
@@ -238,6 +245,8 @@
     metrics.set_gauge_function(
         "servers_resting", lambda: backends.count_excluded(ExclusionReason.BACKOFF, steady_s())
     )
+    if pool is not None:
+        metrics.set_gauge_function("buffered_bytes", lambda: pool.held_bytes)
     metrics.set_gauge_function("servers_known", lambda: len(list(discovery.servers.all())))
     metrics.set_gauge_function("servers_doubted", lambda: len(discovery.servers.suspects()))
     metrics.set_gauge_function("source_bytes", lambda: platform.source.received_bytes)
--- a/src/crankhinge/gateway/_settings.py
+++ b/src/crankhinge/gateway/_settings.py
@@ -38,6 +38,8 @@
         order_lease_s: seconds that the order lease lasts without renewal.
         peer: ``host:port`` (UDP) for messages of other instances; empty for none.
         statsd: ``host:port`` of the statsd server; empty for none.
+        memory_mb: memory limit of this process in MB, from which the bounds on buffers for slow
+            callers and servers derive; None for no bounds.
     """
 
     name: str
@@ -59,6 +61,7 @@
     order_lease_s: Seconds = 3.0
     peer: str = ""
     statsd: str = ""
+    memory_mb: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
     @property
     def quota_bounds(self) -> QuotaBounds:
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -3,6 +3,7 @@
 In the client, "server" is the other end of a connection; in the server, it is the "caller".
 """
 
+from crankhinge.http._buffers import BufferLimits, BufferPool, ConnectionBuffers, Drop
 from crankhinge.http._client import (
     AnswerTooLong,
     ConnectFailed,
@@ -17,9 +18,13 @@
 
 __all__ = [
     "AnswerTooLong",
+    "BufferLimits",
+    "BufferPool",
     "ClientStream",
     "ConnectFailed",
     "ConnectRefused",
+    "ConnectionBuffers",
+    "Drop",
     "Exchange",
     "HttpClient",
     "HttpLimits",
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -10,8 +10,10 @@
 
 import curio
 
-from crankhinge.errors import CrankhingeError, HttpClosed
+from crankhinge.errors import CrankhingeError, HttpClosed, ServerReadsSlowly
+from crankhinge.http._buffers import PIECE_BYTES, SOCKET_BUFFER_BYTES, BufferLimits
 from crankhinge.http._client_stream import (
+    MAX_RECV_BYTES,
     ClientStream,
     ConnectionOwner,
     HeaderFields,
@@ -109,8 +111,11 @@
         port: TCP port of the server.
         pool_size: largest number of idle connections that are kept.
         connect_timeout_s: seconds within which a connection must be established.
+        buffer_limits: bounds on the request bodies in progress; None for no bound.
 
     Attributes:
+        unsent_bytes: bytes of requests that the server has not accepted yet.
+        pending_bytes: bytes of request bodies to which there is no response yet.
         opened_connections: number of connections opened so far.
         pool_size: largest number of idle connections; a new value applies to connections that are
             released later.
@@ -125,19 +130,28 @@
         *,
         pool_size: int = DEFAULT_POOL_SIZE,
         connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        buffer_limits: BufferLimits | None = None,
     ) -> None:
         self.host = host
         self.port = port
         self.opened_connections = 0
         self.received_bytes = 0
         self.reused_receives = 0
+        self.unsent_bytes = 0
+        self.pending_bytes = 0
+        self._buffer_limits = buffer_limits
         self.pool_size = pool_size
         self._connect_timeout_s = connect_timeout_s
         self._idle: list[_IdleConnection] = []
 
     async def _connect(self) -> Any:
         try:
-            sock = await open_tcp(self.host, self.port, self._connect_timeout_s)
+            sock = await open_tcp(
+                self.host,
+                self.port,
+                self._connect_timeout_s,
+                buffer_bytes=SOCKET_BUFFER_BYTES if self._buffer_limits is not None else None,
+            )
         except ConnectionRefusedError as exc:
             raise ConnectRefused(f"{self.host}:{self.port}: {exc}") from exc
         except OSError as exc:
@@ -181,6 +195,19 @@
         self.received_bytes += size
         self.reused_receives += reused
 
+    def record_unsent(self, size: int) -> None:
+        """Count *size* more, or fewer, bytes that the server has not accepted."""
+        self.unsent_bytes += size
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the server reads slowly and has as many request bodies as it may be sent."""
+        return (
+            self._buffer_limits is not None
+            and self.unsent_bytes > 0
+            and self.pending_bytes >= self._buffer_limits.server_bytes
+        )
+
     async def release_connection(
         self, sock: Any, *, reusable: bool, headers: Mapping[str, str]
     ) -> None:
@@ -217,6 +244,7 @@
             ConnectFailed: nothing was sent.
             HttpClosed: the connection ended, but the request may have arrived.
             BadHttp: the response is malformed.
+            ServerReadsSlowly: nothing was sent, since too much that was sent earlier is unread.
         """
         head = {"host": f"{self.host}:{self.port}", **(headers or {})}
         head["content-length"] = str(len(body))
@@ -255,10 +283,21 @@
         if sock is None:
             sock = await self._connect()
         stream = ClientStream(
-            self, sock, reused=reused, is_own_response=is_own_response, timeouts=timeouts
+            self,
+            sock,
+            reused=reused,
+            is_own_response=is_own_response,
+            timeouts=timeouts,
+            max_recv_bytes=MAX_RECV_BYTES if self._buffer_limits is None else PIECE_BYTES,
         )
+        if self.is_behind:
+            # Nothing else runs between this check and the first write, so the server is sent at
+            # most one body above the bound.
+            await sock.close()
+            raise ServerReadsSlowly(f"{self.host}:{self.port} has not read earlier requests")
         started_at = steady_s()
         reused_receives = self.reused_receives
+        self.pending_bytes += len(body)
         try:
             await stream.send(method, target, fields, body)
         except BaseException as exc:
@@ -276,6 +315,8 @@
                 # since its start work. Those last used earlier may have failed like this one.
                 await self._close_last_used_before(started_at)
             raise
+        finally:
+            self.pending_bytes -= len(body)
         return stream
 
     async def call(
--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -51,6 +51,10 @@
     def record_received(self, size: int, *, reused: bool) -> None:
         """Record *size* bytes received on a connection, and whether the connection was reused."""
 
+    @abc.abstractmethod
+    def record_unsent(self, size: int) -> None:
+        """Record *size* more, or fewer, bytes of requests that the server has not accepted."""
+
     @abc.abstractmethod
     async def release_connection(
         self, sock: Any, *, reusable: bool, headers: Mapping[str, str]
@@ -74,6 +78,7 @@
         is_own_response: returns whether a response with the given headers belongs to this request;
             None accepts any. A server may send a late response to an earlier request first.
         timeouts: limits on the wait for the response; None waits until the task is cancelled.
+        max_recv_bytes: largest piece that is received at once.
 
     Attributes:
         reused: whether the connection carried an earlier request.
@@ -91,12 +96,17 @@
         reused: bool = False,
         is_own_response: ResponseMatcher | None = None,
         timeouts: ResponseTimeouts | None = None,
+        max_recv_bytes: int = MAX_RECV_BYTES,
     ) -> None:
+        self._max_recv_bytes = max_recv_bytes
         self._owner = owner
         self._sock = sock
         self._is_own_response = is_own_response
         self._timeouts = timeouts
         self._received_bytes = 0
+        self._unsent_bytes = 0
+        # A part of the body that was read and put back.
+        self._unread = b""
         self._deadline: float | None = None
         self._reached_eof = False
         self._h11 = h11.Connection(h11.CLIENT)
@@ -117,7 +127,16 @@
         out = self._encode(request, body)
         sent_bytes = self._send_without_waiting(out)
         if sent_bytes < len(out):
-            await self._send_while_reading(memoryview(out)[sent_bytes:], request, body)
+            # The encoded request is not kept if what remains of it is a part of the body: it would
+            # hold the body a second time.
+            head_bytes = len(out) - len(body)
+            is_plain_body = out.endswith(body)
+            if is_plain_body and sent_bytes >= head_bytes:
+                rest = memoryview(body)[sent_bytes - head_bytes :]
+            else:
+                rest = memoryview(out)[sent_bytes:]
+            del out
+            await self._send_while_reading(rest, request, body)
             return
         self._request_sent = True
         await self._read_head(request, body)
@@ -144,15 +163,23 @@
         that sends everything first would wait forever. The connection is not reused unless the
         complete request was sent.
         """
+        self._owner.record_unsent(len(rest))
+        self._unsent_bytes = len(rest)
         writer = await curio.spawn(self._send_remaining, rest)
         try:
             await self._read_head(request, body)
         finally:
             await writer.cancel()
+            self._owner.record_unsent(-self._unsent_bytes)
+            self._unsent_bytes = 0
 
     async def _send_remaining(self, rest: memoryview) -> None:
         try:
-            await self._sock.sendall(rest)
+            while rest:
+                sent = await self._sock.send(rest)
+                rest = rest[sent:]
+                self._unsent_bytes -= sent
+                self._owner.record_unsent(-sent)
         except OSError:
             # The task that reads the response reports how the connection ended.
             return
@@ -210,7 +237,7 @@
 
     async def _receive_with_timeout(self) -> bytes:
         if self._timeouts is None:
-            data: bytes = await self._sock.recv(MAX_RECV_BYTES)
+            data: bytes = await self._sock.recv(self._max_recv_bytes)
             return data
         now = await curio.clock()
         if self._deadline is None:
@@ -218,7 +245,7 @@
         wait_s = self._timeouts.next_byte_s if self._received_bytes else self._timeouts.first_byte_s
         wait_s = max(0.0, min(wait_s, self._deadline - now))
         try:
-            data = await curio.timeout_after(wait_s, self._sock.recv, MAX_RECV_BYTES)
+            data = await curio.timeout_after(wait_s, self._sock.recv, self._max_recv_bytes)
         except curio.TaskTimeout as exc:
             why = f"received nothing for {wait_s:.3f} s after {self._received_bytes} bytes"
             raise HttpSilent(why) from exc
@@ -231,6 +258,9 @@
             HttpClosed: the connection ended before the body did.
             BadHttp: the framing of the body is invalid.
         """
+        if self._unread:
+            chunk, self._unread = self._unread, b""
+            return chunk
         event = await self._next_event()
         if isinstance(event, h11.Data):
             return bytes(event.data)
@@ -245,6 +275,22 @@
             body += chunk
         return bytes(body)
 
+    async def read_all_while(self, accepts: Callable[[int], bool]) -> bytes | None:
+        """Return the rest of the body, or None once a chunk is not accepted.
+
+        What was read until then remains to be read.
+
+        Args:
+            accepts: whether a chunk of the given size may be added to those read before.
+        """
+        body = bytearray()
+        while chunk := await self.next_chunk():
+            body += chunk
+            if not accepts(len(chunk)):
+                self._unread = bytes(body)
+                return None
+        return bytes(body)
+
     async def close(self) -> None:
         """Return the connection to its owner, which closes it unless it can be reused."""
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -4,15 +4,31 @@
 
 import os
 import socket
+import struct
 from collections.abc import Awaitable, Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import curio
 import h11
 
-from crankhinge.errors import BadHttp, BodyTooLarge, CallerGone, HttpClosed
-from crankhinge.runtime import send_all, serve_tcp
+from crankhinge.errors import (
+    BadHttp,
+    BodyTooLarge,
+    CallerGone,
+    HttpClosed,
+    OutOfBuffers,
+    SlowReader,
+)
+from crankhinge.http._buffers import (
+    KERNEL_BUFFER_BYTES,
+    MIN_STALL_S,
+    SOCKET_BUFFER_BYTES,
+    UNREAD_TIMEOUT_S,
+    BufferPool,
+    ConnectionBuffers,
+)
+from crankhinge.runtime import send_all, serve_tcp, steady_s
 
 MAX_RECV_BYTES = 65536
 # How long, and how many bytes, the rest of a refused request is read before its connection closes.
@@ -20,6 +36,11 @@
 MAX_LINGER_BYTES = 16 * 1024 * 1024
 # How many bytes of later requests are buffered while the server responds to one.
 MAX_PIPELINED_BYTES = 256 * 1024
+# Seconds after which a caller should retry if there was no memory for its request. Memory becomes
+# free within MIN_STALL_S if connections are stalled, and else when requests end.
+NO_MEMORY_RETRY_S = 0.5
+# SO_LINGER with a time of 0: closing the connection discards what is unsent and resets it.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 HeaderFields = Iterable[tuple[str, str]]
 
@@ -118,11 +139,11 @@
     async def start_with_fields(self, status: int, fields: HeaderFields) -> None:
         """Send the head of a streamed response with the given header fields."""
         self.response_started = True
-        await self._conn.send(self._conn.encode_fields(status, fields))
+        await self._conn.send(self._conn.encode_fields(status, fields), is_partial=True)
 
     async def write(self, chunk: bytes) -> None:
         """Send one chunk of a streamed response."""
-        await self._conn.send(self._conn.encode(h11.Data(data=chunk)))
+        await self._conn.send(self._conn.encode(h11.Data(data=chunk)), is_partial=True)
 
     async def finish(self) -> None:
         """End a streamed response."""
@@ -141,6 +162,11 @@
         """Whether the caller has closed its end of the connection; checked without waiting."""
         return self._conn.is_disconnected()
 
+    @property
+    def buffers(self) -> ConnectionBuffers | None:
+        """What is buffered for the caller's connection; None if that is not bounded."""
+        return self._conn.buffers
+
     @property
     def conn(self) -> object:
         """The caller's connection; requests on the same connection share this object."""
@@ -148,9 +174,29 @@
 
 
 class _ServerConnection:
-    """A connection from a caller."""
+    """A connection from a caller.
+
+    Args:
+        sock: the connection.
+        limits: limits on the caller.
+        is_closing: whether the next response closes the connection.
+        pool: counts what is buffered; None if that is not bounded.
+
+    Attributes:
+        buffers: what is buffered for this connection; None if that is not bounded.
+        refused_head: the request whose body was refused for lack of memory, without the body.
+    """
 
-    def __init__(self, sock: Any, limits: HttpLimits, is_closing: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        sock: Any,
+        limits: HttpLimits,
+        is_closing: Callable[[], bool],
+        pool: BufferPool | None = None,
+    ) -> None:
+        self.buffers = ConnectionBuffers(pool, self._reset) if pool is not None else None
+        self.refused_head: HttpRequest | None = None
+        self._pool = pool
         self._sock = sock
         self._fd = sock.fileno()
         self._limits = limits
@@ -173,7 +219,8 @@
     def encode(self, event: Any) -> bytes:
         return self._h11.send(event) or b""
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, *, is_partial: bool = False) -> None:
+        """Send *data*; *is_partial* if the rest of the response is still read from a server."""
         # The kernel nearly always accepts all data at once, so this path sets no timer.
         try:
             sent_bytes = os.write(self._fd, data)
@@ -182,7 +229,63 @@
         except OSError as exc:
             raise CallerGone(str(exc)) from exc
         if sent_bytes < len(data):
-            await self._send_remaining(memoryview(data)[sent_bytes:])
+            rest = memoryview(data)[sent_bytes:]
+            if self._pool is not None and self.buffers is not None:
+                await self._send_bounded(rest, self._pool, self.buffers, is_partial)
+            else:
+                await self._send_remaining(rest)
+
+    async def _send_bounded(
+        self, data: memoryview, pool: BufferPool, buffers: ConnectionBuffers, is_partial: bool
+    ) -> None:
+        """Send *data* while the caller accepts it in time and the instance has memory for it.
+
+        A part of a response must be accepted within UNREAD_TIMEOUT_S, since the server cuts off an
+        answer that nobody reads. A complete response is sent as long as the caller accepts some of
+        it every ``send_timeout_s``.
+        """
+        # The caller accepts nothing because the kernel's send buffer is full. While this waits, the
+        # receive buffer of the connection to the server fills up as well.
+        size = len(data) + KERNEL_BUFFER_BYTES * (2 if is_partial else 1)
+        timeout_s = UNREAD_TIMEOUT_S if is_partial else self._limits.send_timeout_s
+        waits_since = steady_s()
+        buffers.hold(size)
+        buffers.record_stalled()
+        try:
+            while data:
+                waited_s = steady_s() - waits_since
+                if waited_s >= timeout_s:
+                    buffers.drop(f"unread for {timeout_s} s", waited_s)
+                pool.make_room()
+                if buffers.dropped is not None:
+                    raise SlowReader(buffers.dropped.why)
+                try:
+                    sent = await curio.timeout_after(
+                        min(MIN_STALL_S, timeout_s - waited_s), self._sock.send, data
+                    )
+                except curio.TaskTimeout:
+                    continue
+                data = data[sent:]
+                buffers.record_stalled()
+                if not is_partial:
+                    waits_since = steady_s()
+        except OSError as exc:
+            if buffers.dropped is not None:
+                raise SlowReader(buffers.dropped.why) from exc
+            raise CallerGone(str(exc)) from exc
+        finally:
+            buffers.record_resumed()
+            buffers.release(size)
+
+    def _reset(self) -> None:
+        """Discard what is unsent and wake up the tasks that use the connection."""
+        try:
+            sock = self._sock._socket
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sock.shutdown(socket.SHUT_RDWR)
+        except OSError:
+            # The caller has closed the connection at the same moment.
+            return
 
     async def _send_remaining(self, data: memoryview) -> None:
         try:
@@ -228,12 +331,21 @@
         if self._h11.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self.send(self.encode(continue_response))
-        body = await self._read_body()
-        fields = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
-        method = head.method.decode("ascii")
-        return HttpRequest(method, head.target.decode("latin-1"), dict(fields), body, fields)
+        try:
+            body = await self._read_body()
+        except OutOfBuffers:
+            self.refused_head = _to_request(head, b"")
+            raise
+        return _to_request(head, body)
 
     async def _read_body(self) -> bytes:
+        try:
+            return await self._read_body_parts()
+        finally:
+            if self.buffers is not None:
+                self.buffers.record_resumed()
+
+    async def _read_body_parts(self) -> bytes:
         body = bytearray()
         while True:
             event = await self._next_event()
@@ -241,7 +353,16 @@
                 return bytes(body)
             if not isinstance(event, h11.Data):
                 raise HttpClosed("connection closed before the end of the request body")
+            if self.buffers is not None and not self.buffers.try_hold(len(event.data)):
+                # The traceback of the exception refers to what was read.
+                body.clear()
+                raise OutOfBuffers(
+                    "no memory for the request body", retry_after_s=NO_MEMORY_RETRY_S
+                )
             body += event.data
+            if self.buffers is not None and self._h11.their_state is h11.SEND_BODY:
+                # A caller that sends nothing more holds memory, too.
+                self.buffers.record_stalled(is_reading=True)
             if len(body) > self._limits.max_body_bytes:
                 raise BodyTooLarge(f"request body is over {self._limits.max_body_bytes} bytes")
 
@@ -262,6 +383,8 @@
                 return
             if not data:
                 return
+            if self.buffers is not None and not self.buffers.try_hold(len(data)):
+                pipelined_bytes = MAX_PIPELINED_BYTES
             pipelined_bytes += len(data)
             self._h11.receive_data(data)
         # From here the server reads no more from the caller until it has sent the response.
@@ -295,6 +418,12 @@
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
 
+def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
+    fields = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
+    method = head.method.decode("ascii")
+    return HttpRequest(method, head.target.decode("latin-1"), dict(fields), body, fields)
+
+
 Handler = Callable[[Exchange], Awaitable[None]]
 MalformedRequestHandler = Callable[[Exchange, BadHttp], Awaitable[None]]
 
@@ -309,6 +438,7 @@
     limits: HttpLimits | Callable[[], HttpLimits] | None = None,
     is_closing: Callable[[], bool] = lambda: False,
     stop_accepting: curio.Event | None = None,
+    pool: BufferPool | None = None,
 ) -> None:
     """Serve HTTP requests until cancelled.
 
@@ -321,13 +451,19 @@
         limits: limits on callers; a callable is called for each new connection.
         is_closing: while it returns true, each response closes its connection.
         stop_accepting: when set, the server accepts no more connections.
+        pool: bounds what is buffered for callers; None for no bound.
     """
 
     async def serve_connection(sock: Any, _addr: Any) -> None:
         current = limits() if callable(limits) else limits or HttpLimits()
-        await _serve_connection(
-            _ServerConnection(sock, current, is_closing), current, handler, on_malformed
-        )
+        if pool is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SOCKET_BUFFER_BYTES)
+        conn = _ServerConnection(sock, current, is_closing, pool)
+        await _serve_connection(conn, current, handler, on_malformed)
+        drop = conn.buffers.dropped if conn.buffers is not None else None
+        if drop is not None and not drop.logged:
+            # The request was not complete, so the handler does not know of it.
+            log.warning("slow_reader_dropped", **drop.log_fields())
 
     await serve_tcp(host, port, serve_connection, log=log, stop_accepting=stop_accepting)
 
@@ -339,28 +475,45 @@
     on_malformed: MalformedRequestHandler,
 ) -> None:
     reused = False
+    has_unread_input = False
     try:
         while True:
             await curio.timeout_after(limits.idle_timeout_s, conn.wait_for_first_byte)
             req = await curio.timeout_after(limits.read_timeout_s, conn.read_request)
             if req is None:
                 return
-            await handler(Exchange(conn, req, connection_reused=reused))
+            exchange = Exchange(conn, req, connection_reused=reused)
+            try:
+                await handler(exchange)
+            finally:
+                # Errors and the frames of their tracebacks refer to each other, so that the body of
+                # a failed request would stay in memory until the next full garbage collection.
+                exchange.req = req = replace(req, body=b"")
+                if conn.buffers is not None:
+                    conn.buffers.release_all()
             reused = True
             if not conn.start_next_cycle():
                 return
     except BadHttp as exc:
-        if conn.can_respond():
+        is_dropped = conn.buffers is not None and conn.buffers.dropped is not None
+        if conn.can_respond() and not is_dropped:
             await _respond_to_malformed(conn, exc, on_malformed)
-            await conn.drain_after_refusal()
+            has_unread_input = True
     except (HttpClosed, curio.TaskTimeout, h11.LocalProtocolError):
         return
+    finally:
+        if conn.buffers is not None:
+            conn.buffers.release_all()
+    if has_unread_input:
+        # The exception is gone by now, and with it the part of the body that was read.
+        await conn.drain_after_refusal()
 
 
 async def _respond_to_malformed(
     conn: _ServerConnection, exc: BadHttp, on_malformed: MalformedRequestHandler
 ) -> None:
     try:
-        await on_malformed(Exchange(conn, HttpRequest("", "", {}, b"")), exc)
+        head = conn.refused_head or HttpRequest("", "", {}, b"")
+        await on_malformed(Exchange(conn, head), exc)
     except (HttpClosed, h11.LocalProtocolError):
         return
--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -83,9 +83,14 @@
             log.error("connection_crashed", peer=str(addr), kind=type(exc).__name__, why=str(exc))
 
 
-async def open_tcp(host: str, port: int, timeout_s: float) -> Any:
+async def open_tcp(
+    host: str, port: int, timeout_s: float, *, buffer_bytes: int | None = None
+) -> Any:
     """Connect to an IP address and return the socket.
 
+    *buffer_bytes* is the size of the socket's send and receive buffers; by default, the kernel
+    adapts them.
+
     curio's own function resolves the host name on a thread for each connection, which is needless
     here because all addresses are numeric.
 
@@ -94,6 +99,10 @@
     """
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     sock = curio.socket.socket(family, socket.SOCK_STREAM)
+    if buffer_bytes is not None:
+        # This takes full effect only before the connection is established.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, buffer_bytes)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, buffer_bytes)
     try:
         await curio.timeout_after(timeout_s, sock.connect, (host, port))
     except curio.TaskTimeout as exc:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -86,6 +86,15 @@
             spent += budget.try_retry()
         assert 20 <= spent <= 50
 
+    def test_memory_limit_of_the_deployment_is_optional(self) -> None:
+        """Without it, buffers are not bounded, as in deployments that state no limit."""
+        template = (ROOT / "deploy" / "gateway.toml.template").read_text()
+        values = {**TEMPLATE_VALUES, "limits": {"memory_mb": 128}}
+        for filled, memory_mb in ((values, 128), (TEMPLATE_VALUES, None)):
+            text = fill_template(template, filled)
+            settings = msgspec.convert(tomllib.loads(text), GatewaySettings)
+            assert settings.memory_mb == memory_mb
+
     def test_metrics_address_matches_the_settings(self) -> None:
         """The platform reads metrics from the port and path that the deploy file states."""
         deploy = tomllib.loads((ROOT / "deploy" / "system.toml").read_text())
