The soak has callers that read nothing, and checks the instances' memory

What callers saw: nothing new; the soak could not show that callers that read nothing fill an instance's memory.

Change: four callers of the soak ask for 8 MB on a route that may run once and read nothing. Instances have memory_mb = 128. A new promise, "callers that read nothing fill no memory", demands that no instance exceeds it.

Why it holds: these callers' requests are judged by the other promises as well, so a repeat of a request that was dropped would break "no request runs more often than allowed".

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -13,6 +13,7 @@
 
 from crankhinge_soak._faults import InjectedFault
 from crankhinge_soak._fleet import (
+    GATEWAY_MEMORY_MB,
     LIMIT_BURST_TOKENS,
     LIMIT_TOKENS_PER_S,
     LIMITED_ACCOUNT,
@@ -75,6 +76,7 @@
         "a server gets no more than it says it takes": _check_server_limits,
         "a server that says it leaves gets no new work": check_leaving_signals,
         "a server that wants rest gets it": check_backoffs,
+        "callers that read nothing fill no memory": _check_memory,
     }
     return [make_verdict(name, *run_check(history)) for name, run_check in checks.items()]
 
@@ -296,6 +298,17 @@
     return len(history.troubles), history.exits
 
 
+def _check_memory(history: History) -> tuple[int, list[str]]:
+    """Check that no instance exceeds its memory limit while callers read nothing."""
+    ran = [seen for seen in history.seen if seen.is_unread and seen.ident in history.runs]
+    cases = [
+        f"{name}: {peak_mb:.0f} MB, limit {GATEWAY_MEMORY_MB} MB"
+        for name, peak_mb in history.peak_memory.items()
+        if peak_mb > GATEWAY_MEMORY_MB
+    ]
+    return len(ran), cases
+
+
 def _check_accounts(history: History) -> tuple[int, list[str]]:
     """Check that servers receive the account of each request, and never its API key."""
     cases = []
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -31,6 +31,8 @@
 HEARTBEAT_S = 0.4
 # Maximum number of seconds for which a gateway drains after SIGTERM.
 DRAIN_S = 8
+# Memory limit of each instance in MB, that of the smallest instances of most deployments.
+GATEWAY_MEMORY_MB = 128
 # Seconds for which the store remembers changes; the store of the users' platform remembers 20.
 STORE_HISTORY_S = 6.0
 # The path from the store to the last instance carries this many bytes a second (5 Mbit/s). The
@@ -187,6 +189,17 @@
         procs = {gw.name: self.procs.get(gw.name) for gw in self.gateways}
         return [name for name, proc in procs.items() if proc and proc.poll() is not None]
 
+    def read_peak_memory(self) -> dict[str, float]:
+        """Return the largest resident memory of each running instance in MB, from proc(5)."""
+        peaks = {}
+        for gateway in self.gateways:
+            proc = self.procs.get(gateway.name)
+            if proc is not None and proc.poll() is None:
+                status = Path(f"/proc/{proc.pid}/status").read_text()
+                [kb] = [row.split()[1] for row in status.splitlines() if row.startswith("VmHWM:")]
+                peaks[gateway.name] = int(kb) / 1024
+        return peaks
+
     def is_listening(self, gateway: Gateway) -> bool:
         """Whether an instance has started and accepts connections."""
         try:
@@ -212,6 +225,7 @@
             f'peer = "{HOST}:{gateway.peer_port}"',
             f'source = "{HOST}:{gateway.store_proxy.port}"',
             f"drain_s = {DRAIN_S}",
+            f"memory_mb = {GATEWAY_MEMORY_MB}",
             f"revoke_s = {REVOKE_S}",
             f"quota_window_s = {QUOTA_WINDOW_S}",
             f"quota_overrun = {QUOTA_OVERRUN_SHARE}",
--- a/src/crankhinge_soak/_history.py
+++ b/src/crankhinge_soak/_history.py
@@ -35,6 +35,7 @@
         calm_from: time from which no fault was active.
         exits: processes under test that exited by themselves.
         revoked: time at which each key was revoked.
+        peak_memory: largest memory of each instance in MB, since its last start.
     """
 
     seen: list[ObservedRequest]
@@ -47,6 +48,7 @@
     calm_from: float
     exits: list[str]
     revoked: dict[str, float] = field(default_factory=dict)
+    peak_memory: dict[str, float] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.by_ident = {seen.ident: seen for seen in self.seen}
--- a/src/crankhinge_soak/_load.py
+++ b/src/crankhinge_soak/_load.py
@@ -4,10 +4,12 @@
 
 import itertools
 import random
+import socket
 import time
 from dataclasses import dataclass
 
 import curio
+import curio.socket
 
 from crankhinge.errors import BadHttp, CrankhingeError, HttpClosed
 from crankhinge.http import HttpClient
@@ -25,9 +27,14 @@
     Gateway,
     version_path,
 )
-from crankhinge_standins.replica import make_body, make_events
+from crankhinge_standins.replica import LARGE_BODY_PREFIX, make_body, make_events
 
 CALLER_COUNT = 12
+# Callers that read nothing of a large response, the size of their receive buffers, and the maximum
+# time after which they leave. An instance ends their requests after 2 s.
+SLOW_READER_COUNT = 4
+SLOW_READER_BUFFER_BYTES = 4096
+MAX_SLOW_READER_S = 4.0
 # Share of streams among the requests.
 STREAM_SHARE = 0.4
 # Share of requests whose callers disconnect before the response ends.
@@ -72,6 +79,7 @@
         account: client account of the request.
         key: API key of the request.
         tokens: tokens that the request counts against its account's limit.
+        is_unread: whether the caller read nothing.
     """
 
     ident: str
@@ -88,6 +96,7 @@
     made_by_gateway: bool = False
     caller_left: bool = False
     failure: str = ""
+    is_unread: bool = False
 
 
 @dataclass(frozen=True)
@@ -139,6 +148,9 @@
                 await group.spawn(self._probe_config, gateway)
             for number in range(CALLER_COUNT):
                 await group.spawn(self._run_caller, random.Random(f"{self._seed}-{number}"))
+            for number in range(SLOW_READER_COUNT):
+                rng = random.Random(f"{self._seed}-slow-{number}")
+                await group.spawn(self._run_slow_reader, rng)
 
     async def _poll_readiness(self, gateway: Gateway) -> None:
         """Count an instance's consecutive failed readiness checks, as a load balancer does."""
@@ -186,6 +198,41 @@
                     break
             await client.close()
 
+    async def _run_slow_reader(self, rng: random.Random) -> None:
+        """Send requests with a large response one after another, and read nothing."""
+        while not self._stopped:
+            gateway = self._pick_gateway(rng)
+            ident = self._make_ident(f"{LARGE_BODY_PREFIX}q")
+            seen = ObservedRequest(
+                ident, ONCE_PATH, gateway.name, time.time(), caller_left=True, is_unread=True
+            )
+            seen.key = self._fleet.keys[-1]
+            self.seen.append(seen)
+            try:
+                await self._send_without_reading(gateway, seen, MAX_SLOW_READER_S * rng.random())
+            except OSError as exc:
+                # The instance is down, or has dropped the connection.
+                seen.failure = str(exc)
+                await curio.sleep(MAX_CALLER_PAUSE_S)
+            seen.ended = time.time()
+
+    async def _send_without_reading(
+        self, gateway: Gateway, seen: ObservedRequest, duration_s: float
+    ) -> None:
+        """Send a request and keep its connection for *duration_s* seconds.
+
+        The connection does not go through the caller's proxy, which would read the response.
+        """
+        async with curio.socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_READER_BUFFER_BYTES)
+            await sock.connect((HOST, gateway.port))
+            await sock.sendall(
+                f"POST {seen.path}x HTTP/1.1\r\nhost: h.example\r\nx-request-id: {seen.ident}\r\n"
+                f"x-deadline-ms: {CALLER_DEADLINE_S * 1000:.0f}\r\n"
+                f"authorization: Bearer {seen.key}\r\ncontent-length: 0\r\n\r\n".encode()
+            )
+            await curio.sleep(duration_s)
+
     def _draw_request(self, gateway: Gateway, rng: random.Random) -> ObservedRequest:
         is_stream = rng.random() < STREAM_SHARE
         path = rng.choice(STREAM_PATHS if is_stream else (ONCE_PATH, SAFE_PATH))
--- a/src/crankhinge_soak/main.py
+++ b/src/crankhinge_soak/main.py
@@ -101,6 +101,7 @@
         calm_from=calm_from,
         exits=faults.exits + fleet.ended_gateways(),
         revoked=fleet.revoked,
+        peak_memory=fleet.read_peak_memory(),
     )
 
 
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -25,6 +25,8 @@
 # KV memory of an engine in tokens, and maximum number of requests in progress on any server.
 MAX_KV_TOKENS = 12000
 SLOTS = 8
+# Prefix of the ids of plain requests with a large response, and its size.
+LARGE_BODY_PREFIX, LARGE_BODY_BYTES = "large-", 8_000_000
 # Maximum duration of a plain call, in seconds.
 MAX_WORK_S = 0.05
 # Seconds to prefill one token.
@@ -58,6 +60,8 @@
 
 def make_body(ident: str) -> bytes:
     """Return the body of the response to the plain request *ident*, equal on all servers."""
+    if ident.startswith(LARGE_BODY_PREFIX):
+        return b"x" * LARGE_BODY_BYTES
     seed = zlib.crc32(ident.encode())
     return f"{ident}:{seed:08x}:".encode() + b"x" * (seed % 3000)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,10 @@
         "whole answer to its own request",
         {"seen": [answered_request("q1", made_by_gateway=True)]},
     ),
+    "an instance above its memory limit": (
+        "callers that read nothing fill no memory",
+        {"peak_memory": {"gateway-0": 300.0}},
+    ),
     "two runs of what may run once": (
         "no request runs more often than allowed",
         {"rows": [server_row("run", "q1"), server_row("run", "q1", server="i-2")]},
