--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -55,6 +55,7 @@
 from crankhinge.gateway.placement._engines import PlacementEngines
 from crankhinge.gateway.placement._service import PlacementService
 from crankhinge.gateway.placement._transport import PlacementTransport
+from crankhinge.http import BufferLimits, BufferPool
 from crankhinge.runtime import (
     LineSink,
     Supervisor,
@@ -120,6 +121,10 @@
     platform = make_platform(settings, log)
     dialect = platform.dialect
     discovery = Discovery(platform.source, settings.freshness_bounds, log, rng)
+    buffer_limits = (
+        None if settings.memory_mb is None else BufferLimits.from_memory(settings.memory_mb)
+    )
+    pool = None if buffer_limits is None else BufferPool(buffer_limits)
     now = await curio.clock()
     membership = Membership(settings.name, now)
     backends = Backends(
@@ -130,6 +135,7 @@
         metrics=metrics,
         rng=rng,
         idle_limit=partial(_idle_limit, discovery, membership),
+        buffer_limits=buffer_limits,
     )
     authenticator = Authenticator(discovery)
     discovery.on_server_gone.append(backends.remove_server)
@@ -263,6 +269,7 @@
         ),
         log=log,
         metrics=metrics,
+        pool=pool,
     )
     placement_service.is_stopping = lambda: gateway.is_draining
     status = StatusPages(
@@ -308,6 +315,8 @@
     metrics.set_gauge_function(
         "servers_resting", lambda: backends.count_excluded(ExclusionReason.BACKOFF, steady_s())
     )
+    if pool is not None:
+        metrics.set_gauge_function("buffered_bytes", lambda: pool.held_bytes)
     metrics.set_gauge_function("servers_known", lambda: len(list(discovery.servers.all())))
     metrics.set_gauge_function("servers_doubted", lambda: len(discovery.servers.suspects()))
     metrics.set_gauge_function("source_bytes", lambda: platform.source.received_bytes)
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -272,7 +272,7 @@
 
         async def report(server: str, duration_s: float, outcome: PrefillOutcome) -> None:
             if run is not None:
-                await self._placement.record_prefill(run, server, duration_s, outcome)
+                await self._placement.record_prompt_processed(run, server, duration_s, outcome)
 
         return PromptPlan.within_reservation(
             reserved_at, engine.max_reservation_s, reservation.reader, report
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -483,7 +483,7 @@
             changes = RunChanges(run.key.id, completed=(state,))
         await self._tell(run.key, changes)
 
-    async def record_prefill(
+    async def record_prompt_processed(
         self, run: PlacedRun, engine: str, duration_s: float, outcome: PrefillOutcome
     ) -> None:
         """Report how the processing of a run's prompt ended.
--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -13,6 +13,7 @@
 
 from crankhinge_soak._faults import InjectedFault
 from crankhinge_soak._fleet import (
+    GATEWAY_MEMORY_MB,
     LIMIT_BURST_TOKENS,
     LIMIT_TOKENS_PER_S,
     LIMITED_ACCOUNT,
@@ -77,6 +78,7 @@
         "a server that says it leaves gets no new work": check_leaving_signals,
         "a server that wants rest gets it": check_backoffs,
         "a moved run works on one engine at a time": check_moves,
+        "callers that read nothing fill no memory": _check_memory,
     }
     return [make_verdict(name, *run_check(history)) for name, run_check in checks.items()]
 
@@ -298,6 +300,17 @@
     return len(history.troubles), history.exits
 
 
+def _check_memory(history: History) -> tuple[int, list[str]]:
+    """Check that no instance exceeds its memory limit while callers read nothing."""
+    ran = [seen for seen in history.seen if seen.is_unread and seen.ident in history.runs]
+    cases = [
+        f"{name}: {peak_mb:.0f} MB, limit {GATEWAY_MEMORY_MB} MB"
+        for name, peak_mb in history.peak_memory.items()
+        if peak_mb > GATEWAY_MEMORY_MB
+    ]
+    return len(ran), cases
+
+
 def _check_accounts(history: History) -> tuple[int, list[str]]:
     """Check that servers receive the account of each request, and never its API key."""
     cases = []
