--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -83,7 +83,7 @@
         attempt: how a coordinator granted the place; None if the engine was asked directly.
         run: the run as it is reported to the coordinator of the engine; None if it is not.
         stream: the last attempt that used the reservation; None before.
-        reader: incarnation id of the prefill engine that a coordinator chose; empty if it chose
+        reader: incarnation id of the prompt engine that a coordinator chose; empty if it chose
             none.
         is_reader_idle: whether that engine had no other work.
         stats: statistics of the engine at which the memory is counted.
