Prefill engines may process prompts concurrently; with long waits the decode engine does it

Cause: the books took the first of several concurrent prompts for lost reports after 0.3 s, counted the engines as idle or failed, and no prompt went to a decode engine any more. Prompts stay in the books until all work of the engine should have ended, unless reports are being lost; with a wait of more than three times its work, a prompt is left to the decode engine.

--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -396,7 +396,13 @@
         )
         engine.ramp_grants += 1
         self._group.add_run(Run(report, need.owner, now, growth, reserve, is_grant=True), now)
-        reader = self._prefills.choose(need.run_id, need.prompt_tokens, engine.server.zone, now)
+        reader = self._prefills.choose(
+            need.run_id,
+            need.prompt_tokens,
+            engine.server.zone,
+            now,
+            decode_engine=report.engine,
+        )
         return PlacementDecision(
             PlacementOutcome.GRANTED,
             report.engine,
--- a/src/crankhinge/decisions/placement/_prefill.py
+++ b/src/crankhinge/decisions/placement/_prefill.py
@@ -1,7 +1,9 @@
 """Which prefill engine processes the prompt of a run, from the work that was assigned before.
 
 The books of the coordinator hold the work in progress of each prefill engine: the prompts that it
-assigned, in this order, each with its predicted end. An engine processes one prompt after another.
+assigned, in this order, each with its predicted end if the engine processes one after another. An
+engine may also process them concurrently: then the first of several ends later than predicted, but
+the last does not.
 """
 
 from __future__ import annotations
@@ -28,11 +30,27 @@
 # Cost factor of an engine in another availability zone than the decode engine, which fetches the
 # KV cache from it.
 OTHER_ZONE_FACTOR = 1.05
+# With a wait of more than this many times its work, the decode engine processes a prompt itself. It
+# does so at half the pace, so the first event would be sooner from twice the work on; the rest is
+# for the runs that it slows down meanwhile.
+MAX_WAIT_WORKS = 3.0
 # Ends closer than this share of the work are equal: which of them is earlier is noise.
 EQUAL_SHARE = 0.03
-# Seconds after its predicted end for which work without a result is kept in the books. Until then,
-# the engine seems to be slower than predicted and is not measured; afterwards, the report is lost.
+# Seconds after the predicted end of all work of an engine for which work without a result is kept
+# in the books. Until then, the engine seems to be slower than predicted and is not measured;
+# afterwards, the report is lost. Counted from its own predicted end, the first of several prompts
+# that are processed concurrently would be taken for lost.
 LOST_REPORT_S = 0.3
+# Seconds after its own predicted end for which work is kept at most, while other work follows. An
+# instance gives a prompt up after 1.8 s.
+MAX_OVERDUE_S = 2.0
+# Share of results that arrive, as a moving average, below which an engine's missing results are
+# taken for lost reports and not for prompts that are processed concurrently.
+MIN_REPORTED_SHARE = 0.7
+REPORTED_WEIGHT = 0.1
+# Share of its work as which overdue work counts at most where reports are lost. Counted for as long
+# as it is overdue, a loss of three in four reports made the prompts wait four times as long.
+OVERDUE_SHARE = 0.25
 # Prompts in a row without a result after which an engine counts as failed. An engine that stalls
 # would otherwise get prompts until the first of them runs out of time, after 1.8 s of 2 s. The
 # reports of one instance that is lost or slow do not make so many.
@@ -40,9 +58,6 @@
 # Seconds after its predicted end until which a result still counts for the speed. An engine that
 # takes several times as long as predicted would otherwise never be measured.
 LATE_RESULT_S = 3.0
-# Share of its work as which overdue work counts at most. Counted for as long as it is overdue, a
-# loss of three in four reports made the prompts wait four times as long.
-OVERDUE_SHARE = 0.25
 # Share of its work as which work counts at least, as long as there is no result. Without it, an
 # engine that was about to be done was preferred to an idle one that is a few percent slower.
 BUSY_SHARE = 0.1
@@ -69,7 +84,8 @@
     """The engine that processes a prompt.
 
     Attributes:
-        engine: its incarnation id; empty if none is known.
+        engine: its incarnation id; the decode engine's own if all prefill engines have too much
+            work; empty if none is known.
         is_idle: whether it has no other work, so that the duration is that of the work.
     """
 
@@ -98,6 +114,7 @@
         works: its prompts by run id, in the order of their assignment.
         late: prompts by run id that are not counted as work any more, but may still have a result.
         unreported: prompts in a row that became late.
+        reported_share: moving average of the share of prompts whose result arrived.
         avoided_until: time before which it gets no prompt, after a failure.
         failures: failures in a row.
     """
@@ -108,6 +125,7 @@
     works: dict[str, _Work] = field(default_factory=dict)
     late: dict[str, _Work] = field(default_factory=dict)
     unreported: int = 0
+    reported_share: float = 1.0
     avoided_until: float = float("-inf")
     failures: int = 0
 
@@ -123,19 +141,34 @@
         weight: float = 0.5 ** min(MAX_HALF_LIVES, max(0.0, half_lives))
         return weight
 
+    @property
+    def is_reported(self) -> bool:
+        """Whether its results arrive, so that missing ones show that it still works on them."""
+        return self.reported_share >= MIN_REPORTED_SHARE
+
+    def record_reported(self, arrived: bool) -> None:
+        """Record whether the result of a prompt arrived in time."""
+        self.reported_share += REPORTED_WEIGHT * (float(arrived) - self.reported_share)
+
     def free_in_s(self, now: float) -> float:
-        """Return the predicted seconds until its work ends."""
+        """Return the predicted seconds until its work ends.
+
+        If the first prompt is overdue, all behind it are assumed to end as much later, up to the
+        time that processing all of them concurrently would add.
+        """
         if not self.works:
             return 0.0
-        return max(0.0, next(reversed(self.works.values())).ends_at - now)
+        first = next(iter(self.works.values()))
+        last = next(reversed(self.works.values()))
+        most = len(self.works) - 1 if self.is_reported else OVERDUE_SHARE
+        overdue_s = min(max(0.0, now - first.ends_at), most * first.work_s)
+        return max(0.0, last.ends_at + overdue_s - now)
 
-    def uncertainty_s(self, now: float) -> float:
-        """Return the seconds by which its work may end later; 0 if it has none."""
+    def wait_s(self, now: float) -> float:
+        """Return the seconds that another prompt is expected to wait; 0 if it has no work."""
         if not self.works:
             return 0.0
-        first = next(iter(self.works.values()))
-        overdue_s = min(now - first.ends_at, OVERDUE_SHARE * first.work_s)
-        return max(overdue_s, BUSY_SHARE * first.work_s)
+        return max(self.free_in_s(now), BUSY_SHARE * next(iter(self.works.values())).work_s)
 
     def expire(self, now: float, *, all_reported: bool) -> None:
         """Remove work whose result is overdue: its report was lost, or the engine is stalled.
@@ -144,10 +177,13 @@
             now: time of the runtime's clock in seconds.
             all_reported: whether owners report all results, so that missing ones show a stall.
         """
+        all_end_at = max((work.ends_at for work in self.works.values()), default=now)
         for run_id, work in list(self.works.items()):
-            if now - work.ends_at > LOST_REPORT_S:
+            end = all_end_at if self.is_reported else work.ends_at
+            if now - end > LOST_REPORT_S or now - work.ends_at > MAX_OVERDUE_S:
                 self.late[run_id] = self.works.pop(run_id)
                 self.unreported += 1
+                self.record_reported(False)
         if all_reported and self.unreported >= MAX_UNREPORTED:
             self.unreported = 0
             self.record_failure(now)
@@ -253,7 +289,9 @@
         """Return the expected seconds per prompt token of an engine."""
         return self._engines[engine_id].expected_token_s(self.mean_token_s(now), now)
 
-    def choose(self, run_id: str, tokens: int, zone: str, now: float) -> PrefillChoice:
+    def choose(
+        self, run_id: str, tokens: int, zone: str, now: float, *, decode_engine: str = ""
+    ) -> PrefillChoice:
         """Assign a prompt to the engine that is predicted to be done with it first.
 
         Args:
@@ -261,6 +299,8 @@
             tokens: tokens of its prompt.
             zone: availability zone of the decode engine, which fetches the KV cache.
             now: time of the runtime's clock in seconds.
+            decode_engine: incarnation id of the decode engine; empty if it cannot process the
+                prompt.
         """
         self.cancel(run_id, now)
         best: tuple[float, str, float] | None = None
@@ -271,13 +311,14 @@
                 continue
             work_s = tokens * engine.expected_token_s(mean_token_s, now)
             factor = 1.0 if engine.server.zone == zone else OTHER_ZONE_FACTOR
-            cost = engine.free_in_s(now) + engine.uncertainty_s(now)
-            cost += work_s * (factor + EQUAL_SHARE * self._rng.random())
+            cost = engine.wait_s(now) + work_s * (factor + EQUAL_SHARE * self._rng.random())
             if best is None or cost < best[0]:
                 best = cost, engine_id, work_s
         if best is None:
             return PrefillChoice()
         _, engine_id, work_s = best
+        if decode_engine and self._engines[engine_id].wait_s(now) > MAX_WAIT_WORKS * work_s:
+            return PrefillChoice(decode_engine)
         self._where[run_id] = engine_id
         is_idle = self._engines[engine_id].assign(
             run_id, tokens, work_s, now, all_reported=self._all_reported
@@ -311,6 +352,7 @@
             del self._where[run_id]
             work = engine.remove(run_id, now)
         engine.unreported = 0
+        engine.record_reported(True)
         if outcome is PrefillOutcome.DONE:
             if now >= engine.avoided_until:
                 # A prompt that was sent before the failure does not show that it is over.
--- a/src/crankhinge/gateway/_prompt_processor.py
+++ b/src/crankhinge/gateway/_prompt_processor.py
@@ -47,7 +47,8 @@
     """How the prompt of a request is processed whose service is coordinated.
 
     Attributes:
-        reader: incarnation id of the prompt engine that the coordinator chose; empty if none.
+        reader: incarnation id of the engine that the coordinator chose, which may be the decode
+            engine; empty if it chose none.
         report: is told the outcome of each attempt; None if it is of no use.
         max_s: seconds that all attempts may take.
         deadline: time on the runtime's clock by which the prompt must be processed.
@@ -126,6 +127,11 @@
             budget: retry budget of the service.
             plan: what a coordinator decided about the prompt.
         """
+        if self._is_left_to_decode_engine(plan):
+            self._log.info(
+                "not_read_apart", request=relay.request.request_id, tried=0, why="readers_busy"
+            )
+            return None
         tried: frozenset[str] = frozenset()
         named = await self._named_server(relay, plan)
         deadline = min(await curio.clock() + plan.max_s, plan.deadline, relay.deadline)
@@ -158,6 +164,11 @@
         )
         return None
 
+    def _is_left_to_decode_engine(self, plan: PromptPlan) -> bool:
+        """Return whether the coordinator named a decode engine, which has less work."""
+        server = self._backends.get(plan.reader) if plan.reader else None
+        return server is not None and server.role is EngineRole.DECODE
+
     async def _named_server(self, relay: Relay, plan: PromptPlan) -> Server | None:
         """Return the engine that the coordinator chose; None if it cannot be used."""
         if not plan.reader:
--- a/tests/test_prefill_choice.py
+++ b/tests/test_prefill_choice.py
@@ -194,6 +194,29 @@
         assert not books._where
         assert not books._engines["r0"].late
 
+    def test_concurrent_prompts_are_not_taken_for_lost_reports(self) -> None:
+        """Six prompts that an engine processes concurrently all end late; it was then avoided."""
+        books = measured_books(reader(0))
+        for number in range(6):
+            books.choose(f"q{number}", TOKENS, "z1", 0.0)
+        now = WORK_S + LOST_REPORT_S + 0.05
+        books.expire(now)
+        engine = books._engines["r0"]
+        assert len(engine.works) == 6
+        assert engine.may_start(now)
+        assert engine.free_in_s(now) == pytest.approx(5 * WORK_S)
+
+    def test_decode_engine_processes_a_prompt_that_would_wait_long(self) -> None:
+        """With all prefill engines at their limit, prompts waited for a second each."""
+        books = measured_books(reader(0))
+        chosen = [
+            books.choose(f"q{number}", TOKENS, "z1", 0.0, decode_engine="d0").engine
+            for number in range(8)
+        ]
+        assert chosen[:4] == ["r0"] * 4
+        assert chosen[5:] == ["d0"] * 3
+        assert books.choose("q9", TOKENS, "z1", 5 * WORK_S, decode_engine="d0").engine == "r0"
+
     def test_late_results_show_that_an_engine_has_become_slow(self) -> None:
         """An engine that takes several times as long as predicted would never be measured."""
         books, now = measured_books(reader(0)), 0.0
