Log how a server framed its stream and what was left of an unfinished event

The lines about a stream's end did not tell whether the body ended with its connection or with its last chunk, nor whether bytes of an unfinished event were relayed. Both are needed to tell the hypotheses of the broken-off streams apart. No decision changes.

--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -525,6 +525,7 @@
         if not exchange.response_started:
             fields = self._backends.dialect.response_fields(response.fields)
             await exchange.start_with_fields(response.status, fields)
+        relay.log_fields["framing"] = response.framing.value
         if stream is None:
             await self._relay_events(relay, response, events, None)
         else:
@@ -537,6 +538,7 @@
             finally:
                 stream.connection = None
         if events.remainder:
+            relay.log_fields["unfinished_bytes"] = len(events.remainder)
             await exchange.write(events.remainder)
         await exchange.finish()
         return False
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -11,7 +11,12 @@
     HttpClient,
     Response,
 )
-from crankhinge.http._client_stream import ClientStream, HttpSilent, ResponseTimeouts
+from crankhinge.http._client_stream import (
+    BodyFraming,
+    ClientStream,
+    HttpSilent,
+    ResponseTimeouts,
+)
 from crankhinge.http._retry_after import parse_retry_after
 from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
 from crankhinge.http._sse import SseParser, encode_sse_event
@@ -19,6 +24,7 @@
 __all__ = [
     "PIECE_BYTES",
     "AnswerTooLong",
+    "BodyFraming",
     "BufferLimits",
     "BufferPool",
     "ClientStream",
--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -4,6 +4,7 @@
 
 import abc
 import contextlib
+import enum
 import socket
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
@@ -16,10 +17,27 @@
 
 MAX_RECV_BYTES = 65536
 
+CONTENT_LENGTH = "content-length"
+TRANSFER_ENCODING = "transfer-encoding"
+
 ResponseMatcher = Callable[[Mapping[str, str]], bool]
 HeaderFields = Iterable[tuple[str, str]]
 
 
+class BodyFraming(enum.Enum):
+    """What marks the end of a response body (RFC 9112, section 6.3). The values are logged.
+
+    Attributes:
+        LENGTH: the header states the length.
+        CHUNKED: the last chunk is the end.
+        CONNECTION: the body ends with the connection, so an early close looks like its end.
+    """
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+
+
 @dataclass(frozen=True)
 class ResponseTimeouts:
     """Limits in seconds on the wait for a response.
@@ -251,6 +269,15 @@
             raise HttpSilent(why) from exc
         return data
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What marks the end of the body."""
+        if TRANSFER_ENCODING in self.headers:
+            return BodyFraming.CHUNKED
+        if CONTENT_LENGTH in self.headers:
+            return BodyFraming.LENGTH
+        return BodyFraming.CONNECTION
+
     async def next_chunk(self) -> bytes:
         """Return the next chunk of the body, or empty bytes at its end.
 
