Streams: an answer that ends inside an event was broken off

Cause: the end of the body was taken for the end of the answer, whatever marked it. Without a length or chunks a body ends with its connection, so the FIN of a crashed server looks like the end, and what was left of an unfinished event was written to the caller before the answer was finished.

Now such a stream is an attempt that the server broke off: it counts as the server's failure and as a possible crash, it is resumed where the route allows that, and otherwise the caller's connection breaks off. The same holds for a connection that closes before the first event. Streams that end after an event, or with a comment, and bodies of other content types are relayed as before.

--- a/src/crankhinge/gateway/_events.py
+++ b/src/crankhinge/gateway/_events.py
@@ -2,7 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+
 EVENT_END = b"\n\n"
+COMMENT_START = b":"
+EVENT_STREAM_TYPE = "text/event-stream"
+
+
+def is_event_stream(headers: Mapping[str, str]) -> bool:
+    """Return whether a response is an event stream; one without a content type counts as one.
+
+    Args:
+        headers: header fields of the response by name in lower case.
+    """
+    media_type = headers.get("content-type", EVENT_STREAM_TYPE).partition(";")[0]
+    return media_type.strip().lower() == EVENT_STREAM_TYPE
 
 
 class EventSplitter:
@@ -40,6 +54,17 @@
         """Discard an unfinished event; the server that resumes the stream sends it again."""
         self._remainder = b""
 
+    @property
+    def ends_inside_event(self) -> bool:
+        """Whether the bytes after the last complete event are part of another event.
+
+        Complete comment lines and blank lines belong to no event.
+        """
+        *lines, unfinished_line = self._remainder.split(b"\n")
+        return bool(unfinished_line) or any(
+            line and not line.startswith(COMMENT_START) for line in lines
+        )
+
     @property
     def remainder(self) -> bytes:
         """Bytes that follow the last complete event."""
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -36,7 +36,7 @@
 )
 from crankhinge.gateway._attempts import Attempts
 from crankhinge.gateway._backends import Backends
-from crankhinge.gateway._events import EventSplitter
+from crankhinge.gateway._events import EventSplitter, is_event_stream
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._prompt_processor import (
     UNCOORDINATED,
@@ -51,7 +51,7 @@
 from crankhinge.gateway._server_selector import ServerSelector
 from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.placement._client import PlacementClient
-from crankhinge.http import ClientStream, ConnectFailed
+from crankhinge.http import BodyFraming, ClientStream, ConnectFailed
 
 
 class _AttemptEnd(enum.Enum):
@@ -539,6 +539,8 @@
                 stream.connection = None
         if events.remainder:
             relay.log_fields["unfinished_bytes"] = len(events.remainder)
+        _check_end(relay, response, events)
+        if events.remainder:
             await exchange.write(events.remainder)
         await exchange.finish()
         return False
@@ -578,3 +580,19 @@
                     await relay.exchange.write(complete)
                 finally:
                     stream.is_writing = False
+
+
+def _check_end(relay: Relay, response: ClientStream, events: EventSplitter) -> None:
+    """Check that the events of a response whose body has ended are complete.
+
+    Raises:
+        HttpClosed: the server broke the stream off: inside an event, or before any event if only
+            the end of the connection marks the end of the body.
+    """
+    if not is_event_stream(response.headers):
+        return
+    if events.ends_inside_event:
+        raise HttpClosed("the stream ended inside an event")
+    has_events = events.event_count or relay.request.last_event_id
+    if response.framing is BodyFraming.CONNECTION and not has_events:
+        raise HttpClosed("connection closed before the first event")
