HTTP server: a broken-off response to an HTTP/1.0 caller ends with a reset

Found in looking for the cause of the broken-off streams elsewhere: the gateway's own response to a caller that speaks HTTP/1.0 has no chunks, so the close of the connection marks its end, and a stream that broke off looked complete. Such a response now ends with a reset; all others close as before.

--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -206,6 +206,8 @@
         self._fd = sock.fileno()
         self._limits = limits
         self._is_closing = is_closing
+        # Whether the response in progress has neither a length nor chunks.
+        self._ends_with_connection = False
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
 
     def encode_head(self, status: int, headers: Mapping[str, str]) -> bytes:
@@ -219,6 +221,8 @@
         head = list(fields)
         if self._is_closing():
             head.append(("connection", "close"))
+        has_length = any(name.lower() == "content-length" for name, _ in head)
+        self._ends_with_connection = self._h11.their_http_version == b"1.0" and not has_length
         return self.encode(h11.Response(status_code=status, headers=head))
 
     def encode(self, event: Any) -> bytes:
@@ -419,6 +423,11 @@
             return True
         return False
 
+    def reset_if_incomplete(self) -> None:
+        """Make the close of the connection reset it if it would complete a broken-off response."""
+        if self._ends_with_connection and self._h11.our_state is h11.SEND_BODY:
+            self._sock._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+
     def can_respond(self) -> bool:
         return self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
 
@@ -507,6 +516,7 @@
     except (HttpClosed, curio.TaskTimeout, h11.LocalProtocolError):
         return
     finally:
+        conn.reset_if_incomplete()
         if conn.buffers is not None:
             conn.buffers.release_all()
     if has_unread_input:
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import curio
 import pytest
 
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import BodyFraming, Exchange
-from platform_fakes import FakeReplica, GatewayHarness, make_events, respond_stream, route
+from platform_fakes import HOST, FakeReplica, GatewayHarness, make_events, respond_stream, route
 from raw_responses import End, send_raw
 from virtual_time import run_virtual
 
@@ -162,3 +163,36 @@
         json_field = (("content-type", "application/json"),)
         ending = Ending(b'{"a": 1}', framing=framing, fields=json_field)
         assert read_answer(ending, "/stream/a") == (b'{"a": 1}', True)
+
+
+class TestCallerWithoutChunks:
+    """A caller that speaks HTTP/1.0 takes the end of the connection for the end of the answer."""
+
+    @pytest.mark.parametrize(
+        ("body", "expected"), [(WHOLE, (WHOLE, True)), (INSIDE_EVENT, (None, False))]
+    )
+    def test_broken_stream_ends_with_a_reset(
+        self, body: bytes, expected: tuple[bytes | None, bool]
+    ) -> None:
+        """Only a complete answer ends with the connection closed in order."""
+        harness = make_harness(Ending(body))
+        answers: list[tuple[bytes | None, bool]] = []
+
+        async def scenario() -> None:
+            sock = await curio.open_connection(HOST, harness.port)
+            await sock.sendall(
+                b"POST /stream/a HTTP/1.0\r\nhost: h.example\r\nx-request-id: q1\r\n"
+                b"x-deadline-ms: 4000\r\nx-token-count: 100,50\r\ncontent-length: 0\r\n\r\n"
+            )
+            received = b""
+            try:
+                while data := await sock.recv(4096):
+                    received += data
+            except ConnectionResetError:
+                answers.append((None, False))
+            else:
+                answers.append((received.partition(b"\r\n\r\n")[2], True))
+            await sock.close()
+
+        run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
+        assert answers == [expected]
