Event streams: lines may end with CR or CRLF

An event was complete only after two line feeds. A stream whose lines end with CR or CRLF was held back until its end, could not be resumed, and would now be taken for one that ended inside an event, so that a whole answer would reach its caller broken. Both use one pattern for the end of an event (WHATWG HTML, section 9.2.6).

--- a/src/crankhinge/gateway/_events.py
+++ b/src/crankhinge/gateway/_events.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Mapping
 
-EVENT_END = b"\n\n"
+from crankhinge.http import SSE_EVENT_END
+
+LINE_ENDS = (b"\n", b"\r")
 COMMENT_START = b":"
 EVENT_STREAM_TYPE = "text/event-stream"
 
@@ -38,13 +40,13 @@
     def feed(self, chunk: bytes) -> bytes:
         """Return the complete events that *chunk* finishes; keep the bytes after them."""
         data = self._remainder + chunk
-        end = data.rfind(EVENT_END)
-        if end < 0:
+        ends = [match.end() for match in SSE_EVENT_END.finditer(data)]
+        if not ends:
             self._remainder = data
             return b""
-        complete, self._remainder = data[: end + len(EVENT_END)], data[end + len(EVENT_END) :]
-        self.event_count += complete.count(EVENT_END)
-        for line in reversed(complete.split(b"\n")):
+        complete, self._remainder = data[: ends[-1]], data[ends[-1] :]
+        self.event_count += len(ends)
+        for line in reversed(complete.splitlines()):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
                 break
@@ -60,12 +62,14 @@
 
         Complete comment lines and blank lines belong to no event.
         """
-        *lines, unfinished_line = self._remainder.split(b"\n")
-        return bool(unfinished_line) or any(
-            line and not line.startswith(COMMENT_START) for line in lines
-        )
+        lines = self._remainder.splitlines(keepends=True)
+        return any(not line.endswith(LINE_ENDS) or not _is_comment_or_blank(line) for line in lines)
 
     @property
     def remainder(self) -> bytes:
         """Bytes that follow the last complete event."""
         return self._remainder
+
+
+def _is_comment_or_blank(line: bytes) -> bool:
+    return line.startswith(COMMENT_START) or not line.strip()
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -19,10 +19,11 @@
 )
 from crankhinge.http._retry_after import parse_retry_after
 from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
-from crankhinge.http._sse import SseParser, encode_sse_event
+from crankhinge.http._sse import SSE_EVENT_END, SseParser, encode_sse_event
 
 __all__ = [
     "PIECE_BYTES",
+    "SSE_EVENT_END",
     "AnswerTooLong",
     "BodyFraming",
     "BufferLimits",
--- /dev/null
+++ b/tests/test_events.py
@@ -0,0 +1,94 @@
+"""Tests of the splitting of event streams at the ends of their events."""
+
+from __future__ import annotations
+
+import pytest
+
+from crankhinge.gateway._events import EventSplitter, is_event_stream
+from crankhinge.http import SseParser
+
+LINE_ENDS = [b"\n", b"\r\n", b"\r"]
+EVENTS = [b"id: 1", b"data: a", b"", b"id: 2", b"data: b", b"data: c", b""]
+
+
+def encode(lines: list[bytes], line_end: bytes) -> bytes:
+    """Return lines with the given line ends."""
+    return b"".join(line + line_end for line in lines)
+
+
+class TestEventSplitter:
+    """Complete events are relayed at once, and an unfinished one is told from the end."""
+
+    @pytest.mark.parametrize("line_end", LINE_ENDS)
+    @pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+    def test_events_are_complete_whatever_ends_their_lines(
+        self, line_end: bytes, size: int
+    ) -> None:
+        """Also if a chunk ends between a carriage return and its line feed."""
+        stream = encode(EVENTS, line_end)
+        events = EventSplitter()
+        relayed = b"".join(
+            events.feed(stream[at : at + size]) for at in range(0, len(stream), size)
+        )
+        assert relayed + events.remainder == stream
+        assert (events.event_count, events.last_id) == (2, "2")
+        assert not events.ends_inside_event
+
+    @pytest.mark.parametrize("line_end", LINE_ENDS)
+    def test_each_cut_inside_an_event_is_noticed(self, line_end: bytes) -> None:
+        """A stream ends between two events only where a blank line has ended the first."""
+        stream = encode(EVENTS, line_end)
+        first_event = encode(EVENTS[:3], line_end)
+        between = {0, len(first_event), len(stream)}
+        if line_end == b"\r\n":
+            # The carriage return alone ends the blank line.
+            between |= {len(first_event) - 1, len(stream) - 1}
+        for size in range(len(stream) + 1):
+            events = EventSplitter()
+            events.feed(stream[:size])
+            assert events.ends_inside_event is (size not in between), stream[:size]
+
+    @pytest.mark.parametrize(
+        ("remainder", "unfinished"),
+        [(b"\n", False), (b": comment\n", False), (b": comm", True), (b"\n: c\nid: 3\n", True)],
+    )
+    def test_comments_and_blank_lines_are_no_event(
+        self, remainder: bytes, unfinished: bool
+    ) -> None:
+        """They may follow the last event; a line that is cut is never taken for one of them."""
+        events = EventSplitter()
+        events.feed(encode(EVENTS, b"\n") + remainder)
+        assert events.ends_inside_event is unfinished
+
+
+class TestIsEventStream:
+    """Only event streams have events that can be unfinished."""
+
+    @pytest.mark.parametrize(
+        ("headers", "expected"),
+        [
+            ({}, True),
+            ({"content-type": "Text/Event-Stream; charset=utf-8"}, True),
+            ({"content-type": "application/json"}, False),
+        ],
+    )
+    def test_content_type_decides(self, headers: dict[str, str], expected: bool) -> None:
+        """Parameters and upper case make no difference."""
+        assert is_event_stream(headers) is expected
+
+
+class TestSseParser:
+    """The data of the events of an engine's completion."""
+
+    @pytest.mark.parametrize("line_end", LINE_ENDS)
+    @pytest.mark.parametrize("size", [1, 2, 3, 1000])
+    def test_data_is_the_same_whatever_ends_its_lines(self, line_end: bytes, size: int) -> None:
+        """Otherwise the mark of the last event is not recognized, and a whole answer fails."""
+        stream = encode([b"data: a", b"", b"data: [DONE]", b""], line_end)
+        parser = SseParser()
+        data = [
+            event
+            for at in range(0, len(stream), size)
+            for event in parser.feed(stream[at : at + size])
+        ]
+        assert data == [b"a", b"[DONE]"]
