Log the software versions of servers and which attempt a caller resumes

No line told the version of a server, that of the server at which a stream runs, or what a caller's request takes up. These are needed to tell streams that callers take up at another version from those that an instance resumes.

--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -25,6 +25,8 @@
             not say.
         last_event_id: id of the last stream event that the caller received; empty if it received
             none.
+        resumes: id of the caller's attempt that brought the first event of the stream that this
+            request takes up; empty if it begins a stream or the caller does not say.
         model: name of the requested model; empty if the caller names none.
         api_key: key of the client account; empty if the caller sent none.
     """
@@ -35,6 +37,7 @@
     max_answer_tokens: int = 0
     expected_answer_tokens: int = 0
     last_event_id: str = ""
+    resumes: str = ""
     model: str = ""
     api_key: str = field(default="", repr=False)
 
--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -51,6 +51,7 @@
             long as the entry does not lapse.
         models: names of the models it serves; empty when its entry names none, and then it serves
             any model.
+        version: version of its software, not of its models; empty when its entry has none.
         started_ms: start time in milliseconds since the Unix epoch; 0 when its entry has none.
         incarnation_id: identifies this incarnation. All state about a server is kept under this id,
             so that nothing learned about an earlier incarnation is applied to a later one.
@@ -67,6 +68,7 @@
     heartbeat: int
     entry_created: int = 0
     models: frozenset[str] = frozenset()
+    version: str = ""
     started_ms: int = 0
     incarnation_id: str = field(init=False)
 
--- a/src/crankhinge/gateway/_discovery.py
+++ b/src/crankhinge/gateway/_discovery.py
@@ -195,6 +195,7 @@
                 at=f"{server.host}:{server.port}",
                 phase=server.role.value,
                 leaving=server.leaving,
+                version=server.version,
                 beat=server.heartbeat,
             )
         for incarnation_id in change.restarted:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -140,6 +140,10 @@
             most=relay.request.max_answer_tokens,
             likely=relay.request.expected_answer_tokens,
         )
+        if relay.request.last_event_id:
+            relay.log_fields.update(
+                resumes=relay.request.resumes, resumed_after=relay.request.last_event_id
+            )
         try:
             await curio.timeout_after(
                 max(0.001, await relay.remaining_s()), self._run, relay, budget
@@ -178,6 +182,7 @@
                 events=events.event_count,
                 cause=end.value,
                 why=why,
+                version=relay.log_fields.get("version", ""),
             )
 
     def _to_error(self, relay: Relay, end: _AttemptEnd, why: str) -> Exception:
@@ -375,7 +380,7 @@
     ) -> tuple[_AttemptEnd, str]:
         """Run the request at a server, and at the engines that its run is moved to."""
         relay.sent_to.append(server.incarnation_id)
-        relay.log_fields["server"] = server.incarnation_id
+        relay.log_fields.update(server=server.incarnation_id, version=server.version)
         segments = _Segments()
         end, why = await self._send(relay, server, params, events, segments, stream)
         while end is _AttemptEnd.HANDED_OVER:
@@ -473,7 +478,7 @@
         returned = server is handover.source
         if not returned:
             relay.sent_to[-1] = server.incarnation_id
-            relay.log_fields["server"] = server.incarnation_id
+            relay.log_fields.update(server=server.incarnation_id, version=server.version)
             relay.log_fields["moves"] = relay.log_fields.get("moves", 0) + 1
             stream.server = server
             stream.may_be_stopped = False
