--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -244,6 +244,7 @@
         ignores_side_calls: whether side calls get no response.
         report_delay_s: seconds until it responds to a request for its state.
         sequence: sequence number of its last entry.
+        version: software version in its entry.
         start_time_ms: start time in its entry; None to leave it out.
         advertised_limit: value of its limit header in requests per second; None for no header.
         leaving: whether its responses announce that it is leaving.
@@ -273,6 +274,7 @@
     report_delay_s: float = 0.0
     sequence: int = 1
     models: tuple[str, ...] = ()
+    version: str = "v1"
     start_time_ms: int | None = None
     advertised_limit: str | None = None
     leaving: bool = False
@@ -289,7 +291,7 @@
             "service": self.service,
             "address": f"{HOST}:{self.port}",
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 64,
             "state": state,
             "cold_remaining_ms": 0,
--- /dev/null
+++ b/tests/test_server_versions.py
@@ -0,0 +1,189 @@
+"""Streams go on only at servers of the software version that began them."""
+
+from __future__ import annotations
+
+import curio
+import pytest
+
+from version_fleet import EVENT_INTERVAL_S, CallerStream, VersionFleet
+
+TWO_VERSIONS = {"v1": 2, "v1.1": 4}
+
+
+class TestResumedByInstance:
+    """The instance resumes a broken stream within one answer."""
+
+    def test_stream_continues_at_the_version_that_began_it(self) -> None:
+        """Most other servers run another version; whole streams earn the budget to resume."""
+        fleet = VersionFleet(instances=1, engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(12)]
+
+        async def scenario() -> None:
+            for number, stream in enumerate(streams):
+                for other in range(8):
+                    await fleet.attempt(
+                        CallerStream(), fleet.harness, f"o{number}-{other}", "/resumed/a"
+                    )
+                await fleet.attempt(stream, fleet.harness, f"q{number}", "/resumed/cut")
+
+        fleet.run(scenario)
+        assert all(stream.is_whole for stream in streams)
+
+    def test_stream_without_a_server_of_its_version_is_broken_off(self) -> None:
+        """The last other server of the version is gone."""
+        fleet = VersionFleet(instances=1, engines={"v1": 1, "v1.1": 3})
+        stream = CallerStream()
+
+        async def scenario() -> None:
+            await fleet.prefer("v1")
+            task = await curio.spawn(
+                fleet.attempt, stream, fleet.harness, "q1", "/resumed/cut", daemon=True
+            )
+            await curio.sleep(0.5 * EVENT_INTERVAL_S)
+            for engine in fleet.of_version("v1.1"):
+                engine.free_reservations = 100
+            await task.join()
+
+        fleet.run(scenario)
+        assert (stream.versions, stream.complete) == ({"v1"}, False)
+
+
+class TestTakenUpByCaller:
+    """The caller takes a broken stream up at another instance."""
+
+    @pytest.mark.parametrize("path", ["/taken/cut", "/plain/cut"])
+    def test_stream_continues_at_the_version_that_began_it(self, path: str) -> None:
+        """The other instance did not relay its beginning."""
+        fleet = VersionFleet(engines=TWO_VERSIONS, plain=TWO_VERSIONS)
+        streams: list[CallerStream] = []
+
+        async def scenario() -> None:
+            for number in range(20):
+                streams.append(await fleet.begin_and_take_up(number, path))
+
+        fleet.run(scenario)
+        assert all(stream.is_whole for stream in streams)
+        assert {frozenset(stream.versions) for stream in streams} == {
+            frozenset({"v1"}),
+            frozenset({"v1.1"}),
+        }
+
+    @pytest.mark.parametrize("instance", [0, 1])
+    def test_stream_of_a_killed_instance_continues_at_its_version(self, instance: int) -> None:
+        """It is taken up at the restarted instance or at another one."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(12)]
+
+        async def scenario() -> None:
+            tasks = [
+                await curio.spawn(
+                    fleet.attempt, stream, fleet.harness, f"q{number}", "/taken/a", daemon=True
+                )
+                for number, stream in enumerate(streams)
+            ]
+            await curio.sleep(4.5 * EVENT_INTERVAL_S)
+            await fleet.harness.kill_gateway()
+            for task in tasks:
+                await task.join()
+            assert not any(stream.complete for stream in streams)
+            for number, stream in enumerate(streams):
+                if stream.body:
+                    await fleet.take_up(
+                        stream,
+                        fleet.gateways[instance],
+                        f"r{number}",
+                        "/taken/a",
+                        begun_as=f"q{number}",
+                    )
+
+        fleet.run(scenario)
+        taken_up = [stream for stream in streams if stream.body]
+        assert len(taken_up) == len(streams)
+        assert all(stream.is_whole for stream in taken_up)
+
+    def test_second_take_up_names_the_attempt_that_began_the_stream(self) -> None:
+        """An attempt between the first and the last one changes nothing."""
+        fleet = VersionFleet(engines={"v1": 2, "v1.1": 6})
+        streams: list[CallerStream] = []
+
+        async def scenario() -> None:
+            await fleet.prefer("v1")
+            for number in range(6):
+                stream = await fleet.begin_and_take_up(number, "/taken/cut")
+                first, *rest = stream.body.partition(b"id: 5")
+                assert rest
+                stream.body = first
+                streams.append(stream)
+            await fleet.accept_all()
+            for number, stream in enumerate(streams):
+                await fleet.take_up(
+                    stream, fleet.gateways[2], f"s{number}", "/taken/cut", begun_as=f"q{number}"
+                )
+
+        fleet.run(scenario)
+        assert all(stream.is_whole and stream.versions == {"v1"} for stream in streams)
+
+
+class TestRefusedTakeUp:
+    """A stream that cannot go on at its version is refused, and the refusal is true."""
+
+    def test_stream_whose_version_is_gone_is_refused_at_once(self) -> None:
+        """The rollout has replaced all servers of the version."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        stream = CallerStream()
+        took_s: list[float] = []
+
+        async def scenario() -> None:
+            await fleet.prefer("v1")
+            await fleet.attempt(stream, fleet.harness, "q1", "/taken/cut")
+            for engine in fleet.of_version("v1"):
+                await fleet.harness.store.remove(f"servers/{engine.incarnation_id}")
+            await fleet.accept_all()
+            began_at = await curio.clock()
+            await fleet.take_up(stream, fleet.gateways[1], "r1", "/taken/cut", begun_as="q1")
+            took_s.append(await curio.clock() - began_at)
+
+        fleet.run(scenario)
+        assert (stream.status, stream.versions) == (503, {"v1"})
+        assert "retry-after" in (stream.fields or {})
+        assert not any("r1" in engine.executed_ids for engine in fleet.engines)
+        assert took_s[0] < 0.5
+
+    def test_stream_that_no_instance_knows_is_refused_while_versions_mix(self) -> None:
+        """Its version cannot be told, so no server may continue it."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        stream = CallerStream(body=b"id: 3\ndata: v1\n\n")
+
+        async def scenario() -> None:
+            await fleet.take_up(stream, fleet.harness, "r1", "/taken/a", begun_as="unknown")
+
+        fleet.run(scenario)
+        assert (stream.status, stream.versions) == (503, {"v1"})
+        assert not any(engine.executed_ids for engine in fleet.engines)
+
+
+class TestUnknownStream:
+    """Streams of which no instance knows the beginning, while nothing can be mixed."""
+
+    def test_unknown_stream_goes_on_while_one_version_serves(self) -> None:
+        """There is no other version that could have begun it."""
+        fleet = VersionFleet(engines={"v1": 3})
+        stream = CallerStream(body=b"id: 3\ndata: v1\n\n")
+
+        async def scenario() -> None:
+            await curio.sleep(60.0)
+            await fleet.take_up(stream, fleet.harness, "r1", "/taken/a", begun_as="unknown")
+
+        fleet.run(scenario)
+        assert (stream.status, stream.complete, stream.last_event_id) == (200, True, "8")
+
+    def test_stream_goes_on_if_its_caller_does_not_say_who_began_it(self) -> None:
+        """Callers of other deployments name no attempt."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        stream = CallerStream(body=b"id: 3\ndata: v1\n\n")
+
+        async def scenario() -> None:
+            await fleet.attempt(stream, fleet.harness, "r1", "/taken/a", last_event_id="3")
+
+        fleet.run(scenario)
+        assert (stream.status, stream.complete) == (200, True)
