Plain servers: a stream that goes on starts after the last event

Found while testing streams that callers take up. A stream of a plain service that was resumed, by the instance or by its caller, was sent on without Last-Event-Id, so that it began anew and its caller got the events before the break twice. Streams of engines had the id.

test_stream_end: four of the six cases of /again/ failed before (a stream that broke before its first event begins anew rightly).

--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -206,9 +206,8 @@
             )
         if server is None:
             raise self._to_error(relay, _AttemptEnd.UNREACHABLE, "no server is available")
-        return await self._attempt(
-            relay, server, AttemptParams(server.name, await relay.remaining_s()), events
-        )
+        params = AttemptParams(server.name, await relay.remaining_s(), last_event_id=events.last_id)
+        return await self._attempt(relay, server, params, events)
 
     async def _run_at_engines(
         self, relay: Relay, events: EventSplitter, budget: RetryBudget
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -14,6 +14,8 @@
 STREAM = route("r-stream", "/stream/", "streaming", "llm")
 RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
 PLAIN_STREAM = route("r-plain", "/plain/", "streaming", "plain")
+PLAIN_RESUMED = route("r-pr", "/again/", "streaming", "plain", max_attempts=2, resumable=True)
+ROUTES = (STREAM, RESUMED, PLAIN_STREAM, PLAIN_RESUMED)
 TOKEN_HEADERS = {"x_token_count": "100,50", "length_hint": "40"}
 WHOLE = make_events(1, 5)
 INSIDE_FIRST_EVENT = b"id: 1\nda"
@@ -80,7 +82,7 @@
             answers.append((body, True))
         await response.abort()
 
-    run_virtual(harness.run, scenario, STREAM, RESUMED, PLAIN_STREAM, settle_s=0.003)
+    run_virtual(harness.run, scenario, *ROUTES, settle_s=0.003)
     [answer] = answers
     return answer
 
@@ -129,11 +131,14 @@
         ending = Ending(make_events(1, 2), framing=framing, end=End.SILENT, missing_bytes=9)
         assert read_answer(ending, "/stream/a") == (make_events(1, 2), False)
 
+    @pytest.mark.parametrize("path", ["/resumed/a", "/again/a"])
     @pytest.mark.parametrize("cut", CUT_BODIES)
-    def test_resumable_stream_continues_after_its_last_complete_event(self, cut: str) -> None:
+    def test_resumable_stream_continues_after_its_last_complete_event(
+        self, cut: str, path: str
+    ) -> None:
         """The caller gets one whole stream, although the first server broke off inside an event."""
         ending = Ending(CUT_BODIES[cut])
-        assert read_answer(ending, "/resumed/a") == (WHOLE, True)
+        assert read_answer(ending, path) == (WHOLE, True)
         complete_events = CUT_BODIES[cut].count(b"\n\n")
         assert ending.last_event_ids == ["", str(complete_events) if complete_events else ""]
 
