Streams go on only at the software version that began them

Cause: the version in a server's entry was not read, so no choice of a server asked for it, and an instance at which a stream is taken up could not know who began it. The class: a property of the run that only the instance which began it knows, and that ends with it.

Now a stream is bound to the version of the server whose head goes to its caller. Direct reservation, plain servers, coordinated placement and both kinds of moves choose only servers of that version, and the one place through which all requests pass checks it again. The version of a stream that callers may take up goes to two other instances before the first event does; an instance asks three for the attempt that Resumes names. If none knows it, the stream goes on only if one version alone can have begun it, which the records in the store show also after all instances were killed; else it is refused as not run.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -109,6 +109,12 @@
     mean_run_tokens,
     wanted_prompt_engines,
 )
+from crankhinge.decisions._stream_versions import (
+    MAX_STREAM_S,
+    ServiceVersions,
+    StreamVersions,
+    stream_key,
+)
 from crankhinge.decisions._token_bucket import MAX_RETRY_AFTER_S, TokenBucket
 from crankhinge.decisions._work_queue import WorkQueue
 
@@ -125,6 +131,7 @@
     "LEASE_RENEWAL_INTERVAL_S",
     "MAX_IDLE_CONNECTIONS",
     "MAX_RETRY_AFTER_S",
+    "MAX_STREAM_S",
     "MIN_ANSWERS_TO_GROW_PREFILL",
     "MIN_FIRST_ATTEMPTS",
     "NAIVE",
@@ -207,6 +214,7 @@
     "ServerListChange",
     "ServerStats",
     "Service",
+    "ServiceVersions",
     "ServiceWeight",
     "ShareLease",
     "SharedLimits",
@@ -214,6 +222,7 @@
     "SlotGrant",
     "SlotRequest",
     "SlotTable",
+    "StreamVersions",
     "SwapRecord",
     "TokenBucket",
     "TokenLimit",
@@ -233,6 +242,7 @@
     "release_rollout",
     "retry_delay_s",
     "stream_event_timeout_s",
+    "stream_key",
     "to_recorded_response",
     "tokens_to_reserve",
     "try_acquire_rollout",
--- a/src/crankhinge/decisions/_servers.py
+++ b/src/crankhinge/decisions/_servers.py
@@ -81,6 +81,10 @@
         """Orders the entries of one name: by start time, then by heartbeat counter."""
         return self.started_ms, self.heartbeat
 
+    def has_version(self, version: str) -> bool:
+        """Whether its software has *version*; an empty *version* stands for any."""
+        return not version or self.version == version
+
     def serves_model(self, model: str) -> bool:
         """Whether the server serves *model*; an empty *model* stands for any model."""
         return not model or not self.models or model in self.models
--- a/src/crankhinge/decisions/placement/_coordinator.py
+++ b/src/crankhinge/decisions/placement/_coordinator.py
@@ -347,6 +347,7 @@
                 demand < engine.memory.rejected_tokens
                 and engine.may_start(group.limits.slots, now)
                 and engine_id not in need.avoid
+                and engine.server.has_version(need.version)
             ):
                 token_s = engine.pace.token_s or mean_token_s
                 cost = placement_cost(
--- a/src/crankhinge/decisions/placement/_moves.py
+++ b/src/crankhinge/decisions/placement/_moves.py
@@ -118,6 +118,8 @@
     for engine in engines:
         if engine is source or engine.moves or not engine.may_start(limits.slots, now):
             continue
+        if not engine.server.has_version(source.server.version):
+            continue
         is_near = engine.server.zone == source.server.zone
         cost_s = MOVE_COST_S * (1.0 if is_near else OTHER_ZONE_MOVE_FACTOR)
         profile = engine.memory.profile
--- a/src/crankhinge/decisions/placement/_types.py
+++ b/src/crankhinge/decisions/placement/_types.py
@@ -27,6 +27,7 @@
         zone: availability zone of the owner.
         avoid: incarnation ids of engines that must not be used.
         max_pause_s: longest pause between events that counts as in time; 0 for no bound.
+        version: software version that the engine must have; empty for any.
     """
 
     run_id: str
@@ -44,6 +45,7 @@
     zone: str
     avoid: tuple[str, ...] = ()
     max_pause_s: float = 0.0
+    version: str = ""
 
 
 class PlacementOutcome(enum.Enum):
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -213,6 +213,13 @@
     status = 503
 
 
+class StreamVersionUnknown(CrankhingeError):
+    """No instance knows which software version began a stream; the request was not sent."""
+
+    code = "stream-version-unknown"
+    status = 503
+
+
 class ServersRest(ServerBarred):
     """All backend servers are in backoff, which they asked for; the request was not sent."""
 
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -70,8 +70,8 @@
             BadCredentials: the caller's key was revoked meanwhile.
             ConfigTooOld: this instance can no longer tell whether the key is valid.
             Quarantined: servers crashed meanwhile while they ran this request.
-            ServerBarred: nothing was sent, since the server is excluded, at its limit, or has not
-                read earlier requests.
+            ServerBarred: nothing was sent, since the server is excluded, at its limit, has not read
+                earlier requests, or has another software version than the stream.
             ConnectFailed: nothing was sent to this server. If another server responds at its
                 address, that other server did not execute the request.
             HttpClosed: the connection ended; the request may have been executed.
@@ -86,6 +86,8 @@
         await self._quarantine.admit(relay, work_key, started_at)
         # The reservation may be seconds old, since the prompt was processed elsewhere meanwhile.
         reason = self._backends.exclusion_reason(server, started_at)
+        if not params.prompt_only and not server.has_version(relay.version):
+            raise ServerBarred(f"{server.incarnation_id} does not have version {relay.version}")
         if reason is not None:
             raise ServerBarred(f"{server.incarnation_id}: {reason.value}")
         if self._backends.is_behind(server.incarnation_id):
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -115,9 +115,12 @@
         role: EngineRole | None = None,
         model: str = "",
         avoid: frozenset[str] = frozenset(),
+        version: str = "",
     ) -> list[Server]:
         """Return the servers of a service that accept new work for a model, now or soon.
 
+        If *version* is not empty, only servers with this software version are returned.
+
         Servers that are in backoff or at their advertised limit are included. Servers that carry
         out an order to change their role are included only if there is no other server.
 
@@ -142,8 +145,12 @@
         ]
         available = confirmed if len(confirmed) >= len(available) - len(confirmed) else available
         return (
-            [server for server in available if server.incarnation_id not in avoid]
-            if avoid
+            [
+                server
+                for server in available
+                if server.incarnation_id not in avoid and server.has_version(version)
+            ]
+            if avoid or version
             else available
         )
 
@@ -154,13 +161,14 @@
         role: EngineRole | None = None,
         model: str = "",
         avoid: frozenset[str] = frozenset(),
+        version: str = "",
     ) -> list[Server]:
         """Return the available servers that are not in backoff and have read what they were sent.
 
         :meth:`available_servers` includes servers in backoff, since they accept requests again
         after a short time. Servers at their advertised limit are included here, too.
         """
-        available = self.available_servers(service, now, role, model, avoid)
+        available = self.available_servers(service, now, role, model, avoid, version)
         if self._buffer_limits is not None:
             available = [srv for srv in available if not self.is_behind(srv.incarnation_id)]
         return self.without_backoff(available, now)
@@ -294,6 +302,7 @@
         avoid: frozenset[str],
         zone: str = "",
         model: str = "",
+        version: str = "",
     ) -> Server | None:
         """Return the server with the least expected wait; None if there is none.
 
@@ -304,9 +313,10 @@
             avoid: incarnation ids of servers that must not be chosen.
             zone: the availability zone to prefer; empty for this instance's own.
             model: the model that the server must serve; empty for any.
+            version: the software version that the server must have; empty for any.
         """
         return pick_server(
-            self.eligible_servers(service, now, role, model),
+            self.eligible_servers(service, now, role, model, version=version),
             self.stats,
             zone=zone or self._zone,
             now=now,
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from crankhinge.decisions import ClockStamp, EngineRole, QuotaOutcome, ShareLease
+from crankhinge.gateway._stream_version_messages import StreamVersionMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
 
 
@@ -271,14 +272,14 @@
     | PermitReturn
 )
 # The first byte of an encoded message is below this if the message is a map, as the messages of
-# this module are. Messages about placement are arrays: they are sent most often, and the names of
-# their fields would take more bytes than their values.
+# this module are. Messages about placement and about the versions of streams are arrays: they are
+# sent most often, and the names of their fields would take more bytes than their values.
 _FIRST_ARRAY_BYTE = 0x90
 _map_decoder = msgspec.msgpack.Decoder(PeerMessage)
-_array_decoder = msgspec.msgpack.Decoder(PlacementMessage)
+_array_decoder = msgspec.msgpack.Decoder(PlacementMessage | StreamVersionMessage)
 
 
-def decode_message(data: bytes) -> PeerMessage | PlacementMessage:
+def decode_message(data: bytes) -> PeerMessage | PlacementMessage | StreamVersionMessage:
     """Return the message that a datagram contains.
 
     Raises:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -18,6 +18,7 @@
     ExclusionReason,
     Membership,
     RetryBudget,
+    ServiceVersions,
     SharedLimits,
     WorkloadMeter,
     idle_connection_limit,
@@ -48,6 +49,7 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
+from crankhinge.gateway._stream_versions import StreamVersionService
 from crankhinge.gateway.migration._leaving import LeavingRuns
 from crankhinge.gateway.migration._migrator import RunMigrator
 from crankhinge.gateway.placement._client import MAX_MISSES as MAX_PLACEMENT_MISSES
@@ -203,6 +205,15 @@
         metrics=metrics,
         rng=rng,
     )
+    service_versions = ServiceVersions(now)
+    stream_versions = StreamVersionService(
+        name=settings.name,
+        membership=membership,
+        discovery=discovery,
+        service_versions=service_versions,
+        messenger=messenger,
+        log=log,
+    )
     migrator = RunMigrator(
         backends=backends,
         running=running,
@@ -266,6 +277,7 @@
             meters=meters,
             running=running,
             placement=placement,
+            stream_versions=stream_versions,
         ),
         log=log,
         metrics=metrics,
@@ -283,6 +295,8 @@
         meters=meters,
         quarantine=quarantine,
         limit_updates=limit_updates,
+        service_versions=service_versions,
+        servers=discovery.servers,
         log=log,
         rng=rng,
         quota_window_s=settings.quota_bounds.window_s,
@@ -308,6 +322,7 @@
         "config_version", lambda: discovery.config.version if discovery.config else 0
     )
     metrics.set_gauge_function("requests_quarantined", quarantine.__len__)
+    metrics.set_gauge_function("streams_remembered", stream_versions.__len__)
     metrics.set_gauge_function("servers_limited", limit_updates.__len__)
     metrics.set_gauge_function(
         "servers_leaving", lambda: backends.count_excluded(ExclusionReason.LEAVING, steady_s())
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -8,7 +8,7 @@
 import curio
 
 from crankhinge.adapters import RelayRequest
-from crankhinge.decisions import Account, Route, Service
+from crankhinge.decisions import Account, EngineRole, Route, Service
 from crankhinge.http import Exchange
 
 # Prefix of a work key that stands for the processing of a request's prompt by a prompt engine.
@@ -68,6 +68,7 @@
         sent_to: incarnation ids of the decode engines or plain servers that were tried, including
             the current one. Prompt engines and unreachable servers are not included.
         unreachable: incarnation ids of servers that could not be reached; they received nothing.
+        version: software version that the servers of the stream must have; empty for any.
         may_have_run: whether a server may have executed the request.
         prompt_processed: whether a prompt engine processed the prompt.
         reserved_at: when a decode engine granted the reservation; None before.
@@ -91,6 +92,7 @@
     is_retry: bool = False
     sent_to: list[str] = field(default_factory=list)
     unreachable: list[str] = field(default_factory=list)
+    version: str = ""
     may_have_run: bool = False
     prompt_processed: bool = False
     reserved_at: float | None = None
@@ -116,6 +118,13 @@
             return self.route.rank
         return self.account.rank
 
+    def required_version(self, role: EngineRole | None) -> str:
+        """Return the software version that servers of a role must have; empty for any.
+
+        A prompt may be processed at any version: only the events of a stream must not be mixed.
+        """
+        return "" if role is EngineRole.PREFILL else self.version
+
     def work_key(self, *, prompt_only: bool) -> str:
         """Return a key that is equal for all attempts at the same work.
 
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -285,7 +285,12 @@
                 "cannot complete in time", retry_after_s=retry_delay_s(self._backends.rng)
             )
         decode_engines = self._backends.available_servers(
-            relay.service.name, now, EngineRole.DECODE, relay.request.model, search.avoid
+            relay.service.name,
+            now,
+            EngineRole.DECODE,
+            relay.request.model,
+            search.avoid,
+            relay.version,
         )
         if not decode_engines:
             self._log_refused(search, "no_writer", now - search.started_at)
@@ -365,7 +370,11 @@
         """Reserve memory on the granted engine; return None if it grants none."""
         relay = search.relay
         server = self._backends.get(decision.engine)
-        if server is None or not self._backends.accepts_work(decision.engine, await curio.clock()):
+        if (
+            server is None
+            or not server.has_version(relay.version)
+            or not self._backends.accepts_work(decision.engine, await curio.clock())
+        ):
             await attempt.engine_refused(decision.engine, avoid=True)
             return None
         if not await self._permits.try_get_permit(relay, server):
@@ -456,7 +465,7 @@
         relay, now = search.relay, await curio.clock()
         service, model = relay.service.name, relay.request.model
         decode_engines = self._backends.eligible_servers(
-            service, now, EngineRole.DECODE, model, search.avoid
+            service, now, EngineRole.DECODE, model, search.avoid, relay.version
         )
         at_limit = self._backends.servers_at_limit(decode_engines, now)
         return at_limit[0] if at_limit and len(at_limit) == len(decode_engines) else None
--- a/src/crankhinge/gateway/_server_selector.py
+++ b/src/crankhinge/gateway/_server_selector.py
@@ -51,6 +51,7 @@
                 avoid=avoid,
                 zone=zone,
                 model=relay.request.model,
+                version=relay.required_version(role),
             )
             # If no permit is granted for a server, the server counts as at its limit and the next
             # turn of this loop selects another one. So requests above the limit of one server go to
@@ -144,7 +145,10 @@
             return None
         service, model = relay.service.name, relay.request.model
         end = self._backends.backoff_end(
-            self._backends.available_servers(service, now, role, model, avoid), now
+            self._backends.available_servers(
+                service, now, role, model, avoid, relay.required_version(role)
+            ),
+            now,
         )
         if end is not None and end - now > max_wait_s:
             retry_after_s = (end - now) * self._backends.rng.uniform(*BACKOFF_JITTER)
@@ -156,5 +160,7 @@
     ) -> list[Server]:
         now = await curio.clock()
         service, model = relay.service.name, relay.request.model
-        eligible = self._backends.eligible_servers(service, now, role, model, avoid)
+        eligible = self._backends.eligible_servers(
+            service, now, role, model, avoid, relay.required_version(role)
+        )
         return self._backends.servers_at_limit(eligible, now)
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -49,6 +49,7 @@
 from crankhinge.gateway._reservations import Reservation, Reservations
 from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
+from crankhinge.gateway._stream_versions import StreamVersionService
 from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.http import BodyFraming, ClientStream, ConnectFailed
@@ -97,6 +98,7 @@
         meters: measures the cost of each service's requests, by service name.
         running: registry of the streams that run at engines.
         placement: asks coordinators for places on engines.
+        stream_versions: finds and records the software versions that began streams.
     """
 
     def __init__(
@@ -112,8 +114,10 @@
         meters: Mapping[str, WorkloadMeter],
         running: RunningStreams,
         placement: PlacementClient,
+        stream_versions: StreamVersionService,
     ) -> None:
         self._backends = backends
+        self._stream_versions = stream_versions
         self._selector = selector
         self._attempts = attempts
         self._budget_of = budget_of
@@ -155,6 +159,7 @@
 
     async def _run(self, relay: Relay, budget: RetryBudget) -> None:
         events = EventSplitter(relay.request.last_event_id)
+        relay.version = await self._stream_versions.find(relay)
         while True:
             if relay.service.engine is None:
                 end, why = await self._run_at_plain_server(relay, events)
@@ -529,6 +534,9 @@
             return False
         if not exchange.response_started:
             fields = self._backends.dialect.response_fields(response.fields)
+            # The version is recorded first: the caller may lose the stream with its first event.
+            relay.version = server.version
+            await self._stream_versions.record_began(relay, server)
             await exchange.start_with_fields(response.status, fields)
         relay.log_fields["framing"] = response.framing.value
         if stream is None:
--- a/src/crankhinge/gateway/migration/_leaving.py
+++ b/src/crankhinge/gateway/migration/_leaving.py
@@ -150,6 +150,7 @@
             EngineRole.DECODE,
             relay.request.model,
             frozenset({stream.server.incarnation_id}),
+            relay.version,
         )
         # An engine that has just refused a reservation has no room for a copy either.
         with_room = [
--- a/src/crankhinge/gateway/migration/_migrator.py
+++ b/src/crankhinge/gateway/migration/_migrator.py
@@ -147,6 +147,7 @@
             or target.service != relay.service.name
             or target.role is not EngineRole.DECODE
             or not target.serves_model(relay.request.model)
+            or not target.has_version(relay.version)
         ):
             return "target cannot run the request"
         reason = self._backends.exclusion_reason(target, now)
--- a/src/crankhinge/gateway/placement/_client.py
+++ b/src/crankhinge/gateway/placement/_client.py
@@ -255,22 +255,25 @@
         return PlacementAttempt(self, relay, need, extra_tokens, avoid, now)
 
     def choose_group(
-        self, service: str, now: float, model: str, avoid: frozenset[str], tried: frozenset[int]
+        self, relay: Relay, now: float, avoid: frozenset[str], tried: frozenset[int]
     ) -> tuple[GroupKey, tuple[str, ...]] | None:
         """Return a group to ask, and its engines that must not be used; None if there is none.
 
         The engines in *avoid* are named even if this instance lists them no more: the coordinator
         may still list them, and would grant them again.
         """
+        service = relay.service.name
         groups = self._engines.groups(service)
-        usable = self._engines.usable(service, now, model, avoid)
+        usable = self._engines.usable(service, now, relay.request.model, avoid, relay.version)
         group = groups.choose(self._rng, usable=usable, tried=tried)
         if group is None:
             return None
         unusable = sorted(
             server.incarnation_id
             for server in self._engines.members(service, group, now)
-            if server.incarnation_id not in usable and server.incarnation_id not in avoid
+            if server.incarnation_id not in usable
+            and server.incarnation_id not in avoid
+            and server.has_version(relay.version)
         )
         return GroupKey(service, group), (*sorted(avoid), *unusable)[:MAX_AVOIDED]
 
@@ -301,6 +304,7 @@
             is_retry=need.is_retry,
             zone=self._zone,
             avoid=avoid,
+            version=relay.version,
         )
 
     async def ask(
@@ -662,9 +666,7 @@
 
     async def _new_ask(self) -> bool:
         relay, now = self._relay, await curio.clock()
-        chosen = self._client.choose_group(
-            relay.service.name, now, relay.request.model, self._avoid, self._tried
-        )
+        chosen = self._client.choose_group(relay, now, self._avoid, self._tried)
         if chosen is None or len(self._tried) >= MAX_GROUPS:
             return False
         key, unusable = chosen
--- a/src/crankhinge/gateway/placement/_engines.py
+++ b/src/crankhinge/gateway/placement/_engines.py
@@ -72,12 +72,16 @@
             if groups.assign(server.incarnation_id) == group
         ]
 
-    def usable(self, service: str, now: float, model: str, avoid: frozenset[str]) -> frozenset[str]:
+    def usable(
+        self, service: str, now: float, model: str, avoid: frozenset[str], version: str = ""
+    ) -> frozenset[str]:
         """Return the incarnation ids of the engines that a request of this instance may use.
 
         Engines in backoff, and those whose circuit breaker is open here, are not included.
         """
-        servers = self._backends.eligible_servers(service, now, EngineRole.DECODE, model, avoid)
+        servers = self._backends.eligible_servers(
+            service, now, EngineRole.DECODE, model, avoid, version
+        )
         return frozenset(
             server.incarnation_id
             for server in servers
--- a/src/crankhinge/gateway/placement/_messages.py
+++ b/src/crankhinge/gateway/placement/_messages.py
@@ -91,6 +91,7 @@
         zone: availability zone of the owner.
         avoid: incarnation ids of engines that must not be used.
         full: incarnation id of the granted engine, if it had no room itself; empty otherwise.
+        version: software version that the engine must have; empty for any.
     """
 
     group_id: int
@@ -109,6 +110,7 @@
     zone: str
     avoid: tuple[str, ...] = ()
     full: str = ""
+    version: str = ""
 
     def to_request(self, owner: str) -> PlacementRequest:
         """Return the request as the decisions take it."""
@@ -128,6 +130,7 @@
             zone=self.zone,
             avoid=self.avoid,
             max_pause_s=self.pause_ms / 1000,
+            version=self.version,
         )
 
 
--- a/src/crankhinge_standins/main.py
+++ b/src/crankhinge_standins/main.py
@@ -43,6 +43,7 @@
     replica.add_argument("--record", default="")
     replica.add_argument("--beat-s", type=float, default=1.2)
     replica.add_argument("--place", default="", help="name of the place where the server runs")
+    replica.add_argument("--version", default="v1", help="version of the server's software")
     replica.add_argument("--silent-leave", action="store_true")
     for kind in (service, platform, store, replica):
         kind.add_argument("--host", default="127.0.0.1")
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -94,6 +94,7 @@
         silent_leave: whether the server removes its entry at SIGTERM without announcing its
             shutdown.
         place: name of the place where the server runs, the same for each incarnation there.
+        version: version of its software, in its entry.
         log: log for unexpected failures.
     """
 
@@ -111,6 +112,7 @@
         silent_leave: bool,
         place: str,
         log: Any,
+        version: str = "v1",
     ) -> None:
         self.ident = f"i-{secrets.token_hex(4)}"
         self.faults = ReplicaFaults()
@@ -122,6 +124,7 @@
         self._heartbeat_s = beat_s
         self._silent_leave = silent_leave
         self._place = place
+        self.version = version
         self._log = log
         self._memory = KvMemory()
         self._moves = RunMoves(self._memory, KV_HANDLE_TTL_S)
@@ -137,7 +140,9 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM has arrived and the drain is over."""
-        self._recorder.write(kind="born", server=self.ident, place=self._place)
+        self._recorder.write(
+            kind="born", server=self.ident, place=self._place, version=self.version
+        )
         async with curio.TaskGroup(wait=any) as group:
             await group.spawn(serve, self._host, self._port, self._handle, self.faults, self._log)
             await group.spawn(self._refresh_entry)
@@ -155,6 +160,7 @@
             "service": self._service,
             "address": self._advertised_address,
             "zone": "z1",
+            "version": self.version,
             "slots": SLOTS,
             "state": "draining" if self._leaving else "ready",
             "sequence": next(self._heartbeat_numbers),
--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -4,7 +4,7 @@
 
 import signal
 from collections import defaultdict
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any
 from unittest import mock
@@ -204,6 +204,7 @@
         active: whether leaving engines are emptied although the few short answers of a test need
             no coordinator.
         framed: whether the engines' streams have chunks; without, they end with their connection.
+        versions: software version of each engine; all are equal by default.
     """
 
     def __init__(
@@ -214,6 +215,7 @@
         link_mbps: float = 2.2e6,
         active: bool = True,
         framed: bool = True,
+        versions: Sequence[str] = (),
     ) -> None:
         self.active = active
         self.gateway = GatewayHarness()
@@ -221,6 +223,8 @@
         self.engines = [
             MovingEngine(self.work, self.gateway.store.port, free_port()) for _ in range(engines)
         ]
+        for engine, version in zip(self.engines, versions, strict=False):
+            engine.version = version
         for engine in self.engines:
             engine.faults.unframed = 0.0 if framed else 1.0
         self.migrator: RunMigrator | None = None
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -62,6 +62,7 @@
         request=SimpleNamespace(request_id="q"),
         log_fields={},
         account_name=None,
+        version="",
         trial_work="",
         work_key=lambda *, prompt_only: "f",
     )
@@ -101,8 +102,9 @@
             lambda attempt: attempt.backends.exclusions.record_backoff("i-1", math.inf),
             lambda attempt: attempt.backends.record_replaced(attempt.server),
             lambda attempt: attempt.backends._servers.apply_list([], 1.0, was_unreachable=False),
+            lambda attempt: setattr(attempt.relay, "version", "v9"),
         ],
-        ids=["leaving", "backoff", "replaced", "gone"],
+        ids=["leaving", "backoff", "replaced", "gone", "other_version"],
     )
     def test_request_is_not_sent(self, exclude: Callable[[Any], object]) -> None:
         """The sender gets an error and chooses another server."""
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -710,6 +710,46 @@
         harness.run(scenario)
 
 
+class TestOtherVersion:
+    """A run may continue only at an engine of the software version that began it."""
+
+    def test_run_is_not_moved_to_another_version(self) -> None:
+        """The only other engine runs another version: the run stays where it is."""
+        harness = MoveHarness(versions=("v1", "v1.1"))
+
+        async def scenario() -> None:
+            caller = await harness.begin()
+            source = harness.source
+            assert await harness.move() is MoveOutcome.NOT_MOVABLE
+            assert source.move_calls == []
+            assert await caller.join() == WHOLE
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+    def test_run_of_a_leaving_engine_is_moved_to_its_own_version(self) -> None:
+        """Two of the three other engines run another version."""
+        harness = MoveHarness(engines=4, versions=("v1", "v1.1", "v1.1", "v1"))
+
+        async def scenario() -> None:
+            for engine in harness.engines:
+                if engine.version != "v1":
+                    engine.occupy()
+            caller = await harness.begin(x_deadline_ms="20000")
+            for engine in harness.engines:
+                engine._memory.holds.pop("other", None)
+            source = harness.source
+            source.faults.slow = 15.0
+            source.leave()
+            assert await caller.join() == WHOLE
+            started = harness.work.starts[IDENT]
+            versions = {engine.ident: engine.version for engine in harness.engines}
+            assert [versions[ident] for ident in started] == ["v1", "v1"]
+            await harness.assert_all_free()
+
+        harness.run(scenario)
+
+
 class TestRandomFailures:
     """Several moves with failures drawn at random."""
 
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -103,7 +103,9 @@
         self.limit_updates, self.permits = limits.limit_updates, limits.permits
         self.relay = cast(
             Relay,
-            SimpleNamespace(permits={}, request=SimpleNamespace(request_id="q"), log_fields={}),
+            SimpleNamespace(
+                permits={}, request=SimpleNamespace(request_id="q"), log_fields={}, version=""
+            ),
         )
 
     def run(self, scenario: Callable[[], Awaitable[None]]) -> None:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -374,6 +374,38 @@
         assert pace.pause_s(12, 63) == pytest.approx(2 * 63 * (0.0005 + 0.00015 * 12), rel=0.25)
 
 
+class TestVersions:
+    """Streams that are bound to a software version."""
+
+    def test_engine_of_another_version_is_not_granted(self) -> None:
+        """The engine of the version is the fuller one; a new stream goes to the other one."""
+        old, new = replace(engine(0), version="v1"), replace(engine(1), version="v1.1")
+        coordinator = ready_coordinator([old, new])
+        for number in range(3):
+            bound = replace(NEED, run_id=f"a/{number}", version="v1")
+            assert coordinator.request(bound, 0.0).engine == "e0"
+        free = replace(NEED, run_id="a/free")
+        assert coordinator.request(free, 0.0).engine == "e1"
+
+    def test_stream_without_an_engine_of_its_version_is_not_granted(self) -> None:
+        """It waits or is refused; no other engine gets it."""
+        coordinator = ready_coordinator([replace(engine(0), version="v1.1")])
+        decision = coordinator.request(replace(NEED, version="v1"), 0.0)
+        assert decision.outcome is not GRANTED
+
+    def test_runs_of_a_leaving_engine_move_to_its_version_only(self) -> None:
+        """The empty engine of another version gets none of them."""
+        engines = [replace(engine(0), version="v1"), replace(engine(1), version="v1.1")]
+        for versions, target in (("v1", "e2"), ("v1.1", None)):
+            coordinator = ready_coordinator([*engines, replace(engine(2), version=versions)])
+            coordinator.report("a", [report_of("a/1")], [], 0.1, complete=True)
+            leaving = replace(engines[0], leaving=True)
+            others = [engines[1], replace(engine(2), version=versions)]
+            coordinator.set_engines([leaving, *others], LIMITS, 0.2)
+            moves = coordinator.moves(RAMP_S + 1.0)
+            assert [move.target for move in moves] == ([target] if target else [])
+
+
 class TestMoves:
     """Which run leaves an engine."""
 
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -5,7 +5,7 @@
 import curio
 import pytest
 
-from version_fleet import EVENT_INTERVAL_S, CallerStream, VersionFleet
+from version_fleet import EVENT_INTERVAL_S, CallerStream, VersionFleet, lost_datagrams
 
 TWO_VERSIONS = {"v1": 2, "v1.1": 4}
 
@@ -20,7 +20,7 @@
 
         async def scenario() -> None:
             for number, stream in enumerate(streams):
-                for other in range(8):
+                for other in range(16):
                     await fleet.attempt(
                         CallerStream(), fleet.harness, f"o{number}-{other}", "/resumed/a"
                     )
@@ -39,7 +39,8 @@
             task = await curio.spawn(
                 fleet.attempt, stream, fleet.harness, "q1", "/resumed/cut", daemon=True
             )
-            await curio.sleep(0.5 * EVENT_INTERVAL_S)
+            while not fleet.of_version("v1")[0].executed_ids:
+                await curio.sleep(0.1 * EVENT_INTERVAL_S)
             for engine in fleet.of_version("v1.1"):
                 engine.free_reservations = 100
             await task.join()
@@ -85,6 +86,7 @@
             await fleet.harness.kill_gateway()
             for task in tasks:
                 await task.join()
+            await curio.sleep(1.0)
             assert not any(stream.complete for stream in streams)
             for number, stream in enumerate(streams):
                 if stream.body:
@@ -101,6 +103,36 @@
         assert len(taken_up) == len(streams)
         assert all(stream.is_whole for stream in taken_up)
 
+    @pytest.mark.parametrize("loss", [0.0, 0.3])
+    def test_stream_of_two_killed_instances_continues_at_its_version(self, loss: float) -> None:
+        """The one that began it and another one are killed; datagrams are lost."""
+        fleet = VersionFleet(instances=5, engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(30)]
+
+        async def scenario() -> None:
+            tasks = [
+                await curio.spawn(
+                    fleet.attempt, stream, fleet.harness, f"q{number}", "/taken/a", daemon=True
+                )
+                for number, stream in enumerate(streams)
+            ]
+            await curio.sleep(4.5 * EVENT_INTERVAL_S)
+            for gateway in fleet.gateways[:2]:
+                await gateway.kill_gateway()
+            for task in tasks:
+                await task.join()
+            for number, stream in enumerate(streams):
+                gateway = fleet.gateways[2 + number % 3]
+                begun_as = f"q{number}"
+                await fleet.take_up(stream, gateway, f"r{number}", "/taken/a", begun_as=begun_as)
+
+        with lost_datagrams(loss):
+            fleet.run(scenario)
+        assert all(len(stream.versions) == 1 for stream in streams)
+        went_on = sum(stream.is_whole for stream in streams)
+        # Of the streams that are taken up, half as many as of new ones have to go on.
+        assert went_on >= (len(streams) if not loss else 0.5 * len(streams))
+
     def test_second_take_up_names_the_attempt_that_began_the_stream(self) -> None:
         """An attempt between the first and the last one changes nothing."""
         fleet = VersionFleet(engines={"v1": 2, "v1.1": 6})
@@ -177,6 +209,45 @@
         fleet.run(scenario)
         assert (stream.status, stream.complete, stream.last_event_id) == (200, True, "8")
 
+    @pytest.mark.parametrize(("engines", "status"), [({"v1": 3}, 200), (TWO_VERSIONS, 503)])
+    def test_stream_is_taken_up_after_all_instances_were_killed(
+        self, engines: dict[str, int], status: int
+    ) -> None:
+        """The records in the store show whether versions mixed before."""
+        fleet = VersionFleet(engines=engines)
+        stream = CallerStream()
+
+        async def scenario() -> None:
+            await fleet.attempt(stream, fleet.harness, "q1", "/taken/cut")
+            for gateway in fleet.gateways:
+                await gateway.kill_gateway()
+            await curio.sleep(1.0)
+            await fleet.take_up(stream, fleet.gateways[1], "r1", "/taken/cut", begun_as="q1")
+
+        fleet.run(scenario)
+        assert (stream.status, len(stream.versions)) == (status, 1)
+        ran = [engine for engine in fleet.engines if "r1" in engine.executed_ids]
+        assert len(ran) == (1 if status == 200 else 0)
+
+    def test_version_that_has_just_gone_may_have_begun_an_unknown_stream(self) -> None:
+        """All servers of the old version are gone when the instances are killed."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        stream = CallerStream()
+
+        async def scenario() -> None:
+            await fleet.prefer("v1")
+            await fleet.attempt(stream, fleet.harness, "q1", "/taken/cut")
+            for engine in fleet.of_version("v1"):
+                await fleet.harness.store.remove(f"servers/{engine.incarnation_id}")
+            await fleet.accept_all()
+            for gateway in fleet.gateways:
+                await gateway.kill_gateway()
+            await curio.sleep(1.0)
+            await fleet.take_up(stream, fleet.gateways[1], "r1", "/taken/cut", begun_as="q1")
+
+        fleet.run(scenario)
+        assert (stream.status, stream.versions) == (503, {"v1"})
+
     def test_stream_goes_on_if_its_caller_does_not_say_who_began_it(self) -> None:
         """Callers of other deployments name no attempt."""
         fleet = VersionFleet(engines=TWO_VERSIONS)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+import random
+from collections.abc import Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
+from unittest import mock
 
 import curio
 
 from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.gateway._peer_messenger import PeerMessenger
 from crankhinge.http import ClientStream, Exchange
 from platform_fakes import FakeReplica, GatewayHarness, route
 from virtual_time import run_virtual
@@ -19,7 +23,7 @@
 PLAIN = route("r-plain", "/plain/", "streaming", "plain", max_attempts=1, resumable=True)
 ONCE = route("r-once", "/once/", "streaming", "llm")
 ROUTES = (TAKEN_UP, RESUMED, PLAIN, ONCE)
-TOKEN_HEADERS = {"x_token_count": "100,50", "length_hint": "40"}
+TOKEN_HEADERS = {"x_token_count": "100,50", "length_hint": "40", "x_deadline_ms": "14000"}
 # Seconds after which the instances know each other.
 FLEET_READY_S = 8.0
 EVENTS = 8
@@ -29,6 +33,19 @@
 EVENTS_BEFORE_CUT = 2
 
 
+@contextmanager
+def lost_datagrams(share: float) -> Iterator[None]:
+    """Lose a share of the datagrams between instances inside the context."""
+    rng, send = random.Random(5), PeerMessenger.send
+
+    async def send_or_lose(messenger: PeerMessenger, address: str, message: Any) -> None:
+        if rng.random() >= share:
+            await send(messenger, address, message)
+
+    with mock.patch.object(PeerMessenger, "send", send_or_lose):
+        yield
+
+
 def make_event(number: int, version: str) -> bytes:
     """Return an event that names the version of the server that made it."""
     return b"id: %d\ndata: %s\n\n" % (number, version.encode())
