Soak: unframed streams that break off, and servers of two software versions

The soak had neither answers whose end is that of their connection nor servers of several versions, and its callers never took a stream up. The stand-in server now knows both; unframed streams hold their last byte back, so that a killed server leaves an unfinished event. Callers take broken streams up at other instances, and a new invariant asks that a stream has one version.

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -79,6 +79,7 @@
         "a server that wants rest gets it": check_backoffs,
         "a moved run works on one engine at a time": check_moves,
         "callers that read nothing fill no memory": _check_memory,
+        "a stream goes on at the version that began it": _check_stream_versions,
     }
     return [make_verdict(name, *run_check(history)) for name, run_check in checks.items()]
 
@@ -300,6 +301,23 @@
     return len(history.troubles), history.exits
 
 
+def _check_stream_versions(history: History) -> tuple[int, list[str]]:
+    """Check that no stream has events of two software versions, over a caller's attempts."""
+    versions = {row["server"]: row.get("version", "") for row in history.rows if "place" in row}
+    resumed = [
+        seen
+        for seen in history.seen
+        if seen.resumes or len({row["server"] for row in history.runs.get(seen.ident, ())}) > 1
+    ]
+    cases = [
+        f"{seen.ident} by {seen.gateway}, begun as {seen.begun_as}: {sorted(seen.versions)}, "
+        f"ran at {[versions.get(row['server']) for row in history.runs.get(seen.ident, ())]}"
+        for seen in history.seen
+        if len(seen.versions) > 1
+    ]
+    return len(resumed), cases
+
+
 def _check_memory(history: History) -> tuple[int, list[str]]:
     """Check that no instance exceeds its memory limit while callers read nothing."""
     ran = [seen for seen in history.seen if seen.is_unread and seen.ident in history.runs]
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -14,7 +14,7 @@
 
 import curio
 
-from crankhinge_soak._fleet import Fleet, Gateway, Place
+from crankhinge_soak._fleet import SERVER_VERSIONS, Fleet, Gateway, Place
 from crankhinge_soak._proxy import PathFault, Proxy
 
 # An episode injects one fault, or several that belong together. Minimum and maximum time between
@@ -30,8 +30,18 @@
 # Maximum duration of a planned stop.
 STOP_TIMEOUT_S = 12.0
 # Faults of a server: shares of its runs and responses, and a factor on its durations.
-SERVER_FAULTS = {"errors": 0.5, "resets": 0.5, "garbles": 0.4, "refuses": 0.6, "slow": 8.0}
-NO_SERVER_FAULTS = {"errors": 0.0, "resets": 0.0, "garbles": 0.0, "refuses": 0.0, "slow": 1.0}
+SERVER_FAULTS = {
+    "errors": 0.5,
+    "resets": 0.5,
+    "garbles": 0.4,
+    "refuses": 0.6,
+    "slow": 8.0,
+    "unframed": 0.7,
+}
+NO_SERVER_FAULTS = {**dict.fromkeys(SERVER_FAULTS, 0.0), "slow": 1.0}
+# Faults of all decode engines while streams break. Callers take up the streams that their instance
+# may not resume again.
+BROKEN_STREAM_FAULTS = {"garbles": 0.4, "unframed": 0.5}
 # Factor on the durations of an engine that is emptied: its streams then take 0.8 to 4 seconds, so
 # that many would not end before the engine does, 2 to 3.5 seconds after its announcement.
 EMPTIED_SLOW = 8.0
@@ -54,6 +64,7 @@
 # Each share makes a variant occur now and then:
 # - SERIES_SHARE: episodes that run as a series;
 # - SILENT_LEAVE_SHARE: planned stops of servers without an announcement;
+# - OTHER_VERSION_SHARE: planned stops of servers that another software version replaces;
 # - UNREADABLE_SETTINGS_SHARE: reloads of settings that can't be parsed;
 # - PATH_RESET_SHARE, PATH_MUTE_SHARE: path faults that reset or mute the connections;
 # - STORE_LAPSE_SHARE: store outages in which entries and leases expire;
@@ -63,6 +74,7 @@
 # - WHOLE_SERVICE_SHARE: advertised limits and backoffs that come from all servers of a service.
 SERIES_SHARE = 0.4
 SILENT_LEAVE_SHARE = 0.3
+OTHER_VERSION_SHARE = 0.5
 UNREADABLE_SETTINGS_SHARE = 0.4
 PATH_RESET_SHARE = 0.3
 PATH_MUTE_SHARE = 0.25
@@ -226,6 +238,8 @@
     async def _stop_server(self) -> None:
         place = self._pick_place()
         silent = self._by_chance(SILENT_LEAVE_SHARE)
+        if self._by_chance(OTHER_VERSION_SHARE):
+            place.version = self._rng.choice(SERVER_VERSIONS)
         await self._stop(place.name, lambda: self._fleet.start_server(place, silent_leave=silent))
 
     async def _empty_engine(self) -> None:
@@ -291,6 +305,18 @@
         await self._wait_and_end(record)
         await self._fleet.set_faults(place.port, **NO_SERVER_FAULTS)
 
+    async def _break_streams(self) -> None:
+        """Break off a share of all streams, many of which have neither a length nor chunks."""
+        engines = [place for place in self._fleet.places if place.role == "decode"]
+        records = [self._record_fault("broken-streams", place.name) for place in engines]
+        for place in engines:
+            await self._fleet.set_faults(place.port, **BROKEN_STREAM_FAULTS)
+        await curio.sleep(self._rng.uniform(*FAULT_DURATION_S))
+        for place in engines:
+            await self._fleet.set_faults(place.port, **NO_SERVER_FAULTS)
+        for record in records:
+            record.ended = time.time()
+
     def _expand_to_service(self, place: Place) -> list[Place]:
         """Return the server's place, or in a share of cases all places of its service."""
         same_service = [each for each in self._fleet.places if each.service == place.service]
@@ -407,6 +433,7 @@
     "pause-server": FaultInjector._pause_server,
     "empty-engine": FaultInjector._empty_engine,
     "harm-server": FaultInjector._fail_server,
+    "break-streams": FaultInjector._break_streams,
     "limit-server": FaultInjector._limit_server,
     "rest-server": FaultInjector._back_off_server,
     "path-store": FaultInjector._fail_store_path,
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -25,8 +25,11 @@
     ("plain-a", "", 2),
     ("plain-b", "", 2),
     ("llm", "prefill", 2),
-    ("llm", "decode", 3),
+    ("llm", "decode", 4),
 )
+# Software versions of the servers of a group, in turn. A server may start with another one after a
+# planned stop.
+SERVER_VERSIONS = ("v1", "v2")
 # Seconds between two heartbeats of a backend server.
 HEARTBEAT_S = 0.4
 # Maximum number of seconds for which a gateway drains after SIGTERM.
@@ -106,6 +109,7 @@
         role: engine role of each incarnation at its start; empty for a plain service.
         port: port of the server.
         proxy: path to the server from gateways and other servers.
+        version: software version of the next incarnation.
     """
 
     name: str
@@ -113,6 +117,7 @@
     role: str
     port: int
     proxy: Proxy
+    version: str
 
 
 @dataclass
@@ -156,7 +161,9 @@
             for number in range(count):
                 port = next(ports)
                 name = f"{service}-{role or 'one'}-{number}"
-                self.places.append(Place(name, service, role, port, Proxy(next(ports), port)))
+                version = SERVER_VERSIONS[number % len(SERVER_VERSIONS)]
+                proxy = Proxy(next(ports), port)
+                self.places.append(Place(name, service, role, port, proxy, version))
 
     def proxies(self) -> list[Proxy]:
         """Return the proxies of all paths."""
@@ -180,7 +187,7 @@
         args = ["replica", "--port", str(place.port), "--shown", f"{HOST}:{place.proxy.port}"]
         args += ["--service", place.service, "--phase", place.role, "--beat-s", str(HEARTBEAT_S)]
         args += ["--store", f"{HOST}:{self.store_port}", "--record", str(self.record_file)]
-        args += ["--place", place.name]
+        args += ["--place", place.name, "--version", place.version]
         args += ["--silent-leave"] if silent_leave else []
         self.run(place.name, "crankhinge_standins.main", *args)
 
--- a/src/crankhinge_soak/_load.py
+++ b/src/crankhinge_soak/_load.py
@@ -6,7 +6,7 @@
 import random
 import socket
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import curio
 import curio.socket
@@ -20,7 +20,7 @@
     PLAIN_REQUEST_TOKENS,
     RESUMED_PATH,
     SAFE_PATH,
-    STREAM_PATH,
+    SERVER_VERSIONS,
     STREAM_PATHS,
     UNLIMITED_ACCOUNT,
     Fleet,
@@ -30,6 +30,9 @@
 from crankhinge_standins.replica import LARGE_BODY_PREFIX, make_body, make_events
 
 CALLER_COUNT = 12
+# Attempts at which a caller takes a broken stream up before it gives up.
+MAX_TAKE_UPS = 2
+EVENT_END = b"\n\n"
 # Callers that read nothing of a large response, the size of their receive buffers, and the maximum
 # time after which they leave. An instance ends their requests after 2 s.
 SLOW_READER_COUNT = 4
@@ -80,6 +83,9 @@
         key: API key of the request.
         tokens: tokens that the request counts against its account's limit.
         is_unread: whether the caller read nothing.
+        resumes: id of the attempt that began the stream; empty unless this one takes it up.
+        received: body of the stream so far, that of the earlier attempts included.
+        versions: software versions of which the stream's events are; several if it is mixed.
     """
 
     ident: str
@@ -97,6 +103,14 @@
     caller_left: bool = False
     failure: str = ""
     is_unread: bool = False
+    resumes: str = ""
+    received: bytes = b""
+    versions: frozenset[str] = frozenset()
+
+    @property
+    def begun_as(self) -> str:
+        """Id of the attempt that began the stream."""
+        return self.resumes or self.ident
 
 
 @dataclass(frozen=True)
@@ -193,11 +207,34 @@
                 seen = self._draw_request(gateway, rng)
                 self.seen.append(seen)
                 await self._send_request(client, seen, rng)
+                await self._take_up(seen, rng)
                 await curio.sleep(MAX_CALLER_PAUSE_S * rng.random())
                 if self._stopped or not seen.complete:
                     break
             await client.close()
 
+    async def _take_up(self, seen: ObservedRequest, rng: random.Random) -> None:
+        """Take a resumable stream that broke off up, each time at an instance of the balancer."""
+        for _ in range(MAX_TAKE_UPS):
+            is_broken = not (seen.complete or seen.caller_left) and seen.received
+            if seen.path != RESUMED_PATH or not is_broken or self._stopped:
+                return
+            await curio.sleep(MAX_CALLER_PAUSE_S * rng.random())
+            gateway = self._pick_gateway(rng)
+            seen = replace(
+                seen,
+                ident=self._make_ident("q"),
+                gateway=gateway.name,
+                sent=time.time(),
+                status=0,
+                failure="",
+                resumes=seen.begun_as,
+                received=_whole_events(seen.received),
+            )
+            self.seen.append(seen)
+            client = HttpClient(HOST, gateway.caller_proxy.port, pool_size=0)
+            await self._send_request(client, seen, rng)
+
     async def _run_slow_reader(self, rng: random.Random) -> None:
         """Send requests with a large response one after another, and read nothing."""
         while not self._stopped:
@@ -270,6 +307,9 @@
                     "length-hint": str(answer_tokens // 2),
                 }
             )
+        if seen.resumes:
+            last_event_id = seen.received.count(EVENT_END)
+            headers.update({"resumes": seen.resumes, "last-event-id": str(last_event_id)})
         try:
             await curio.timeout_after(timeout_s, self._exchange, client, seen, headers)
         except curio.TaskTimeout:
@@ -289,25 +329,41 @@
         try:
             seen.status = stream.status
             seen.made_by_gateway = "x-server-seal" not in stream.headers
-            received = bytearray()
-            expected = _make_expected_body(seen)
+            expected = _make_expected_bodies(seen)
             while chunk := await stream.next_chunk():
-                received += chunk
-                if seen.status == 200 and not expected.startswith(bytes(received)):
+                if seen.status == 200:
                     # Wrong bytes count even if the response never ends.
-                    seen.body_correct = False
+                    seen.received += chunk
+                    seen.body_correct &= any(body.startswith(seen.received) for body in expected)
             seen.complete = ended = True
-            seen.body_correct = seen.body_correct and (
-                seen.status != 200 or bytes(received) == expected
-            )
+            seen.body_correct &= seen.status != 200 or seen.received in expected
         finally:
+            seen.versions = _find_versions(seen)
             await (stream.close() if ended else stream.abort())
 
 
-def _make_expected_body(seen: ObservedRequest) -> bytes:
-    if seen.path in (STREAM_PATH, RESUMED_PATH):
-        return b"".join(make_events(seen.ident))
-    return make_body(seen.ident)
+def _make_expected_bodies(seen: ObservedRequest) -> list[bytes]:
+    """Return the whole bodies that servers of each software version would send."""
+    if seen.path in STREAM_PATHS:
+        return [b"".join(make_events(seen.begun_as, version)) for version in SERVER_VERSIONS]
+    return [make_body(seen.ident)]
+
+
+def _whole_events(received: bytes) -> bytes:
+    """Return what was received without an unfinished event."""
+    return received[: received.rfind(EVENT_END) + len(EVENT_END)] if EVENT_END in received else b""
+
+
+def _find_versions(seen: ObservedRequest) -> frozenset[str]:
+    """Return the software versions that made the events of a stream."""
+    if seen.path not in STREAM_PATHS:
+        return frozenset()
+    received = set(_whole_events(seen.received).split(EVENT_END)) - {b""}
+    by_version = {
+        version: {event.removesuffix(EVENT_END) for event in make_events(seen.begun_as, version)}
+        for version in SERVER_VERSIONS
+    }
+    return frozenset(version for version, events in by_version.items() if events & received)
 
 
 async def _get_status(client: HttpClient, target: str, *, ident: str = "") -> int:
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -16,6 +16,7 @@
         resets: share of runs whose connection closes before the response.
         garbles: share of responses that break off in the middle.
         unframed: share of streams with neither a length nor chunks.
+        cut_between_events: whether a stream with neither may break off between two events.
         refuses: share of requests that the server refuses before they run.
         slow: factor by which every duration is multiplied.
         move_mutes: share of calls to move a run that take effect but get no response.
@@ -27,6 +28,7 @@
     resets: float = 0.0
     garbles: float = 0.0
     unframed: float = 0.0
+    cut_between_events: bool = False
     refuses: float = 0.0
     slow: float = 1.0
     limit: str = ""
--- a/src/crankhinge_standins/_web.py
+++ b/src/crankhinge_standins/_web.py
@@ -29,23 +29,31 @@
 
     Args:
         exchange: the request.
+        holds_byte: whether the last byte is held back until more follows, so that the body ends
+            inside an event if the process ends.
     """
 
-    def __init__(self, exchange: Exchange) -> None:
+    def __init__(self, exchange: Exchange, *, holds_byte: bool = False) -> None:
         self._exchange = exchange
+        self._holds_byte = holds_byte
+        self._held = b""
 
     async def start_with_fields(self, status: int, fields: list[tuple[str, str]]) -> None:
         """Send the head of the response."""
         head = [("connection", "close"), *fields]
         lines = "".join(f"{name}: {value}\r\n" for name, value in head)
-        await self.write(f"HTTP/1.1 {status} \r\n{lines}\r\n".encode("latin-1"))
+        await self._exchange.write_raw(f"HTTP/1.1 {status} \r\n{lines}\r\n".encode("latin-1"))
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body."""
-        await self._exchange.write_raw(chunk)
+        data, self._held = self._held + chunk, b""
+        if self._holds_byte:
+            data, self._held = data[:-1], data[-1:]
+        await self._exchange.write_raw(data)
 
     async def finish(self) -> None:
-        """Do nothing: the server closes the connection, since no framed response was sent."""
+        """Send what was held back; the server closes the connection after the request."""
+        await self._exchange.write_raw(self._held)
 
 
 class FaultSettings(msgspec.Struct):
--- a/src/crankhinge_standins/main.py
+++ b/src/crankhinge_standins/main.py
@@ -11,7 +11,7 @@
 from crankhinge.runtime import get_log
 from crankhinge_standins.engine import EngineConfig, StandinEngine
 from crankhinge_standins.platform import StandinPlatform
-from crankhinge_standins.replica import StandinReplica
+from crankhinge_standins.replica import DEFAULT_VERSION, StandinReplica
 from crankhinge_standins.service import StandinService
 from crankhinge_standins.store import StandinStore
 
@@ -43,7 +43,9 @@
     replica.add_argument("--record", default="")
     replica.add_argument("--beat-s", type=float, default=1.2)
     replica.add_argument("--place", default="", help="name of the place where the server runs")
-    replica.add_argument("--version", default="v1", help="version of the server's software")
+    replica.add_argument(
+        "--version", default=DEFAULT_VERSION, help="version of the server's software"
+    )
     replica.add_argument("--silent-leave", action="store_true")
     for kind in (service, platform, store, replica):
         kind.add_argument("--host", default="127.0.0.1")
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -53,14 +53,18 @@
 SIGTERM_POLL_S = 0.05
 # Status of a refusal for lack of capacity.
 NO_CAPACITY_STATUS = 503
+DEFAULT_VERSION = "v1"
 ORDER_FIELDS = ("opcode", "holder", "fencing_token")
 
 
-def make_events(ident: str) -> list[bytes]:
-    """Return the events of the response to the stream request *ident*, equal on all servers."""
+def make_events(ident: str, version: str = DEFAULT_VERSION) -> list[bytes]:
+    """Return the events of the response to the stream request *ident*.
+
+    They are equal on all servers of a software version; their number is the same at any version.
+    """
     count = 5 + zlib.crc32(ident.encode()) % 20
     return [
-        b"id: %d\ndata: %08x\n\n" % (n, zlib.crc32(f"{ident}:{n}".encode()))
+        b"id: %d\ndata: %08x\n\n" % (n, zlib.crc32(f"{version}:{ident}:{n}".encode()))
         for n in range(1, count + 1)
     ]
 
@@ -112,7 +116,7 @@
         silent_leave: bool,
         place: str,
         log: Any,
-        version: str = "v1",
+        version: str = DEFAULT_VERSION,
     ) -> None:
         self.ident = f"i-{secrets.token_hex(4)}"
         self.faults = ReplicaFaults()
@@ -359,7 +363,10 @@
                 await curio.sleep(int(prompt) * PREFILL_TOKEN_S * 2 * self.faults.slow)
             ident = self._record_run(req, kind="continued" if moved else "run")
             is_unframed = self._by_chance(self.faults.unframed)
-            response = UnframedResponse(exchange) if is_unframed else exchange
+            holds_byte = not self.faults.cut_between_events
+            response = (
+                UnframedResponse(exchange, holds_byte=holds_byte) if is_unframed else exchange
+            )
             run = DecodeRun(ident, max(tokens, held), response)
             await self._stream_run(exchange, run)
         finally:
@@ -423,7 +430,9 @@
             return False
 
     async def _send_events(self, exchange: Exchange, run: DecodeRun) -> bool:
-        events = make_events(run.ident)
+        # A stream that a caller takes up is the one that an earlier attempt began.
+        begun_as = exchange.req.headers.get("resumes") or run.ident
+        events = make_events(begun_as, self.version)
         begin = run.made = int(exchange.req.headers.get("last-event-id") or "0")
         response = run.response
         await response.start_with_fields(200, self._make_response_fields(run.ident))
--- a/tests/moving_engines.py
+++ b/tests/moving_engines.py
@@ -227,6 +227,7 @@
             engine.version = version
         for engine in self.engines:
             engine.faults.unframed = 0.0 if framed else 1.0
+            engine.faults.cut_between_events = True
         self.migrator: RunMigrator | None = None
         capacity = operator.engine_capacity(slots=8, kv_tokens=10000, moves=moves)
         capacity["link_mbps"] = link_mbps
--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -722,7 +722,8 @@
             source = harness.source
             assert await harness.move() is MoveOutcome.NOT_MOVABLE
             assert source.move_calls == []
-            assert await caller.join() == WHOLE
+            answer = b"".join(make_events(IDENT, source.version))
+            assert await caller.join() == (200, answer, "")
             await harness.assert_all_free()
 
         harness.run(scenario)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,10 @@
         "whole answer to its own request",
         {"seen": [answered_request("q1", made_by_gateway=True)]},
     ),
+    "a stream of two versions": (
+        "a stream goes on at the version that began it",
+        {"seen": [answered_request("q1", path="/resumed/", versions=frozenset({"v1", "v2"}))]},
+    ),
     "an instance above its memory limit": (
         "callers that read nothing fill no memory",
         {"peak_memory": {"gateway-0": 300.0}},
@@ -468,6 +472,17 @@
         assert report.requests > 100
         assert report.faults
 
+    def test_short_run_of_broken_streams_violates_no_invariant(self) -> None:
+        """Callers take up streams while engines break them off and instances are killed."""
+        report = run_seed(2, 6.0, kinds=("break-streams", "kill-gateway", "stop-server"))
+        assert [verdict for verdict in report.verdicts if verdict.broken] == []
+        [taken_up] = [
+            verdict.tested
+            for verdict in report.verdicts
+            if verdict.promise == "a stream goes on at the version that began it"
+        ]
+        assert taken_up > 0
+
     def test_unknown_kind_of_fault_is_rejected(self, capsys: pytest.CaptureFixture[str]) -> None:
         """The exit status is 2, and the message lists the kinds of faults that exist."""
         with pytest.raises(SystemExit) as caught:
