Streams: a framed answer without a content type is whole as its framing says

The check for unfinished events took a framed body without a content type for an event stream, so that a whole answer of another kind would have reached its caller broken. tests/test_callers.py failed on it in a run of all tests. Such a body is now judged by its framing alone; one that declares an event stream is still broken off if it ends inside an event, and so is an undeclared one that ends with its connection, where nothing else shows whether it is complete.

--- a/src/crankhinge/gateway/_events.py
+++ b/src/crankhinge/gateway/_events.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-
 from crankhinge.http import SSE_EVENT_END
 
 LINE_ENDS = (b"\n", b"\r")
@@ -11,14 +9,9 @@
 EVENT_STREAM_TYPE = "text/event-stream"
 
 
-def is_event_stream(headers: Mapping[str, str]) -> bool:
-    """Return whether a response is an event stream; one without a content type counts as one.
-
-    Args:
-        headers: header fields of the response by name in lower case.
-    """
-    media_type = headers.get("content-type", EVENT_STREAM_TYPE).partition(";")[0]
-    return media_type.strip().lower() == EVENT_STREAM_TYPE
+def is_event_stream(content_type: str) -> bool:
+    """Return whether a content type, parameters included, is that of an event stream."""
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
 
 
 class EventSplitter:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -624,14 +624,19 @@
 def _check_end(relay: Relay, response: ClientStream, events: EventSplitter) -> None:
     """Check that the events of a response whose body has ended are complete.
 
+    A body that states no content type is taken for events only if nothing else shows whether it is
+    complete.
+
     Raises:
         HttpClosed: the server broke the stream off: inside an event, or before any event if only
             the end of the connection marks the end of the body.
     """
-    if not is_event_stream(response.headers):
+    ends_with_connection = response.framing is BodyFraming.CONNECTION
+    content_type = response.headers.get("content-type")
+    has_events = ends_with_connection if content_type is None else is_event_stream(content_type)
+    if not has_events:
         return
     if events.ends_inside_event:
         raise HttpClosed("the stream ended inside an event")
-    has_events = events.event_count or relay.request.last_event_id
-    if response.framing is BodyFraming.CONNECTION and not has_events:
+    if ends_with_connection and not (events.event_count or relay.request.last_event_id):
         raise HttpClosed("connection closed before the first event")
