Split routes: a stream that is taken up goes on at the service that began it

Found in looking for the cause of the mixed streams elsewhere: an instance at which a caller takes a stream up drew the service anew where a route is split, so the stream could go on at a server of another service that happens to have the same version. Holders now keep the service beside the version. If the route does not lead to it any more, the request is refused as not run.

test_server_versions::TestSplitRoute: both cases failed before.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -109,10 +109,12 @@
     mean_run_tokens,
     wanted_prompt_engines,
 )
-from crankhinge.decisions._stream_versions import (
+from crankhinge.decisions._stream_origins import (
     MAX_STREAM_S,
     ServiceVersions,
-    StreamVersions,
+    StreamOrigin,
+    StreamOrigins,
+    service_number,
     stream_key,
 )
 from crankhinge.decisions._token_bucket import MAX_RETRY_AFTER_S, TokenBucket
@@ -222,7 +224,8 @@
     "SlotGrant",
     "SlotRequest",
     "SlotTable",
-    "StreamVersions",
+    "StreamOrigin",
+    "StreamOrigins",
     "SwapRecord",
     "TokenBucket",
     "TokenLimit",
@@ -241,6 +244,7 @@
     "rank_by_key",
     "release_rollout",
     "retry_delay_s",
+    "service_number",
     "stream_event_timeout_s",
     "stream_key",
     "to_recorded_response",
--- a/src/crankhinge/decisions/_stream_versions.py
+++ b/src/crankhinge/decisions/_stream_origins.py
@@ -1,14 +1,15 @@
-"""The software versions that began streams, and those that served each service lately."""
+"""What began streams, and the software versions that served each service lately."""
 
 from __future__ import annotations
 
 import hashlib
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
 
 from crankhinge.decisions._servers import Server
 
-# Seconds for which the version of a stream is remembered at the most; callers wait no longer.
+# Seconds for which the origin of a stream is remembered at the most; callers wait no longer.
 MAX_STREAM_S = 60.0
 # Streams that are remembered, some 200 bytes each. At the planned size an instance has to remember
 # 1,650 if no caller states its deadline.
@@ -24,19 +25,37 @@
     return int.from_bytes(hashlib.blake2b(text, digest_size=8).digest(), "big")
 
 
-class StreamVersions:
-    """Versions of the streams that this instance began, or holds for other instances."""
+def service_number(name: str) -> int:
+    """Return a number of 32 bits for a service."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+@dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """What began a stream.
+
+    Attributes:
+        service: :func:`service_number` of the service.
+        version: software version of the server; empty if its entry has none.
+    """
+
+    service: int
+    version: str
+
+
+class StreamOrigins:
+    """Origins of the streams that this instance began, or holds for other instances."""
 
     def __init__(self) -> None:
-        self._streams: dict[int, tuple[str, float]] = {}
+        self._streams: dict[int, tuple[StreamOrigin, float]] = {}
 
     def __len__(self) -> int:
         return len(self._streams)
 
-    def record(self, key: int, version: str, lifetime_s: float, now: float) -> None:
-        """Remember the version of a stream for *lifetime_s* seconds, MAX_STREAM_S at the most."""
+    def record(self, key: int, origin: StreamOrigin, lifetime_s: float, now: float) -> None:
+        """Remember the origin of a stream for *lifetime_s* seconds, MAX_STREAM_S at the most."""
         self._streams.pop(key, None)
-        self._streams[key] = version, now + min(lifetime_s, MAX_STREAM_S)
+        self._streams[key] = origin, now + min(lifetime_s, MAX_STREAM_S)
         self._drop_oldest(now)
 
     def _drop_oldest(self, now: float) -> None:
@@ -46,10 +65,10 @@
                 return
             del self._streams[oldest]
 
-    def version(self, key: int, now: float) -> str | None:
-        """Return the version that began a stream; None if it is not known."""
-        version, until = self._streams.get(key, ("", now))
-        return version if until > now else None
+    def get(self, key: int, now: float) -> StreamOrigin | None:
+        """Return the origin of a stream; None if it is not known."""
+        known = self._streams.get(key)
+        return known[0] if known is not None and known[1] > now else None
 
 
 class ServiceVersions:
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -213,10 +213,17 @@
     status = 503
 
 
-class StreamVersionUnknown(CrankhingeError):
-    """No instance knows which software version began a stream; the request was not sent."""
+class StreamOriginUnknown(CrankhingeError):
+    """No instance knows what began the stream that a request takes up; it was not sent."""
 
-    code = "stream-version-unknown"
+    code = "stream-origin-unknown"
+    status = 503
+
+
+class StreamOriginGone(CrankhingeError):
+    """The route does not lead to the service that began the stream; the request was not sent."""
+
+    code = "stream-origin-gone"
     status = 503
 
 
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from crankhinge.decisions import ClockStamp, EngineRole, QuotaOutcome, ShareLease
-from crankhinge.gateway._stream_version_messages import StreamVersionMessage
+from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
 
 
@@ -272,14 +272,14 @@
     | PermitReturn
 )
 # The first byte of an encoded message is below this if the message is a map, as the messages of
-# this module are. Messages about placement and about the versions of streams are arrays: they are
+# this module are. Messages about placement and about the origins of streams are arrays: they are
 # sent most often, and the names of their fields would take more bytes than their values.
 _FIRST_ARRAY_BYTE = 0x90
 _map_decoder = msgspec.msgpack.Decoder(PeerMessage)
-_array_decoder = msgspec.msgpack.Decoder(PlacementMessage | StreamVersionMessage)
+_array_decoder = msgspec.msgpack.Decoder(PlacementMessage | StreamOriginMessage)
 
 
-def decode_message(data: bytes) -> PeerMessage | PlacementMessage | StreamVersionMessage:
+def decode_message(data: bytes) -> PeerMessage | PlacementMessage | StreamOriginMessage:
     """Return the message that a datagram contains.
 
     Raises:
--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -15,7 +15,7 @@
 import msgspec
 
 from crankhinge.gateway._peer_messages import PeerMessage, decode_message
-from crankhinge.gateway._stream_version_messages import StreamVersionMessage
+from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
 from crankhinge.runtime import split_host_port
 
@@ -74,7 +74,7 @@
             await handler(message, f"{sender[0]}:{sender[1]}")
 
     async def send(
-        self, address: str, message: PeerMessage | PlacementMessage | StreamVersionMessage
+        self, address: str, message: PeerMessage | PlacementMessage | StreamOriginMessage
     ) -> None:
         """Send a message to one instance."""
         if self._sock is None:
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -49,7 +49,7 @@
 from crankhinge.gateway._source_watcher import SourceWatcher
 from crankhinge.gateway._status import StatusPages
 from crankhinge.gateway._stream import StreamRunner
-from crankhinge.gateway._stream_versions import StreamVersionService
+from crankhinge.gateway._stream_origins import StreamOriginService
 from crankhinge.gateway.migration._leaving import LeavingRuns
 from crankhinge.gateway.migration._migrator import RunMigrator
 from crankhinge.gateway.placement._client import MAX_MISSES as MAX_PLACEMENT_MISSES
@@ -206,7 +206,7 @@
         rng=rng,
     )
     service_versions = ServiceVersions(now)
-    stream_versions = StreamVersionService(
+    stream_origins = StreamOriginService(
         name=settings.name,
         membership=membership,
         discovery=discovery,
@@ -277,7 +277,7 @@
             meters=meters,
             running=running,
             placement=placement,
-            stream_versions=stream_versions,
+            stream_origins=stream_origins,
         ),
         log=log,
         metrics=metrics,
@@ -322,7 +322,7 @@
         "config_version", lambda: discovery.config.version if discovery.config else 0
     )
     metrics.set_gauge_function("requests_quarantined", quarantine.__len__)
-    metrics.set_gauge_function("streams_remembered", stream_versions.__len__)
+    metrics.set_gauge_function("streams_remembered", stream_origins.__len__)
     metrics.set_gauge_function("servers_limited", limit_updates.__len__)
     metrics.set_gauge_function(
         "servers_leaving", lambda: backends.count_excluded(ExclusionReason.LEAVING, steady_s())
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -49,7 +49,7 @@
 from crankhinge.gateway._reservations import Reservation, Reservations
 from crankhinge.gateway._running_streams import RunningStream, RunningStreams
 from crankhinge.gateway._server_selector import ServerSelector
-from crankhinge.gateway._stream_versions import StreamVersionService
+from crankhinge.gateway._stream_origins import StreamOriginService
 from crankhinge.gateway.migration import MoveOutcome
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.http import BodyFraming, ClientStream, ConnectFailed
@@ -98,7 +98,7 @@
         meters: measures the cost of each service's requests, by service name.
         running: registry of the streams that run at engines.
         placement: asks coordinators for places on engines.
-        stream_versions: finds and records the software versions that began streams.
+        stream_origins: finds and records what began streams.
     """
 
     def __init__(
@@ -114,10 +114,10 @@
         meters: Mapping[str, WorkloadMeter],
         running: RunningStreams,
         placement: PlacementClient,
-        stream_versions: StreamVersionService,
+        stream_origins: StreamOriginService,
     ) -> None:
         self._backends = backends
-        self._stream_versions = stream_versions
+        self._stream_origins = stream_origins
         self._selector = selector
         self._attempts = attempts
         self._budget_of = budget_of
@@ -136,6 +136,7 @@
         Raises:
             CrankhingeError: the request failed; HttpClosed if the response had begun.
         """
+        await self._stream_origins.bind(relay)
         budget: RetryBudget = self._budget_of(relay.service.name)
         budget.record_first_attempt()
         self._placement.record_request(relay)
@@ -159,7 +160,6 @@
 
     async def _run(self, relay: Relay, budget: RetryBudget) -> None:
         events = EventSplitter(relay.request.last_event_id)
-        relay.version = await self._stream_versions.find(relay)
         while True:
             if relay.service.engine is None:
                 end, why = await self._run_at_plain_server(relay, events)
@@ -534,9 +534,9 @@
             return False
         if not exchange.response_started:
             fields = self._backends.dialect.response_fields(response.fields)
-            # The version is recorded first: the caller may lose the stream with its first event.
+            # The origin is recorded first: the caller may lose the stream with its first event.
             relay.version = server.version
-            await self._stream_versions.record_began(relay, server)
+            await self._stream_origins.record_began(relay, server)
             await exchange.start_with_fields(response.status, fields)
         relay.log_fields["framing"] = response.framing.value
         if stream is None:
--- a/src/crankhinge/gateway/_stream_versions.py
+++ b/src/crankhinge/gateway/_stream_origins.py
@@ -1,7 +1,7 @@
-"""Keeps the software version that began each stream, so that it goes on at no other version.
+"""Keeps what began each stream, so that it goes on at the same service and software version.
 
 A caller may take a broken stream up at any instance, and names the attempt that began it. The
-instance that begins a stream tells its version to the first two instances in the order of that
+instance that begins a stream tells its origin to the first two other instances in the order of that
 attempt. The instance at which the stream is taken up asks them.
 """
 
@@ -18,22 +18,25 @@
     MAX_STREAM_S,
     Membership,
     Server,
+    Service,
     ServiceVersions,
-    StreamVersions,
+    StreamOrigin,
+    StreamOrigins,
+    service_number,
     stream_key,
 )
-from crankhinge.errors import StreamVersionUnknown
+from crankhinge.errors import StreamOriginGone, StreamOriginUnknown
 from crankhinge.gateway._discovery import Discovery
 from crankhinge.gateway._peer_messenger import PeerMessenger
 from crankhinge.gateway._peer_requests import RESPONSE_TIMEOUT_S
 from crankhinge.gateway._request import Relay
-from crankhinge.gateway._stream_version_messages import (
+from crankhinge.gateway._stream_origin_messages import (
     StreamBegan,
-    StreamVersionRequest,
-    StreamVersionResponse,
+    StreamOriginRequest,
+    StreamOriginResponse,
 )
 
-# Instances that are told the version of a stream: one of them may be gone or miss the message.
+# Instances that are told the origin of a stream: one of them may be gone or miss the message.
 HOLDERS = 2
 # Instances that are asked for it. The instance that began the stream may be among the first, and an
 # instance that joined or left meanwhile moves the others by a place.
@@ -45,35 +48,35 @@
 REQUEST_ROUNDS = 2
 # Seconds since the last response about the list of servers up to which the list shows all versions.
 MAX_LIST_AGE_S = 5.0
-# Seconds after which a caller may try again to take up a stream whose version no instance knows: an
-# instance that knows it may have been out of reach.
-UNKNOWN_RETRY_S = 0.5
+# Seconds after which a caller may try again to take a stream up that was refused: an instance that
+# knows it may have been out of reach.
+REFUSED_RETRY_S = 0.5
 
 
 class _Lookup:
-    """Collects the responses of the instances that were asked for a version."""
+    """Collects the responses of the instances that were asked for an origin."""
 
     def __init__(self, addresses: frozenset[str]) -> None:
         self.unanswered = set(addresses)
-        self.version: str | None = None
+        self.origin: StreamOrigin | None = None
         self.source = ""
         self._ended = curio.Event()
 
-    async def record(self, version: str | None, sender: str) -> None:
+    async def record(self, origin: StreamOrigin | None, sender: str) -> None:
         """Record a response."""
         self.unanswered.discard(sender)
-        if version is not None and self.version is None:
-            self.version, self.source = version, sender
-        if version is not None or not self.unanswered:
+        if origin is not None and self.origin is None:
+            self.origin, self.source = origin, sender
+        if origin is not None or not self.unanswered:
             await self._ended.set()
 
     async def wait(self) -> None:
-        """Wait until the version is known, or no instance knows it, or the time is over."""
+        """Wait until the origin is known, or no instance knows it, or the time is over."""
         await curio.ignore_after(RESPONSE_TIMEOUT_S, self._ended.wait)
 
 
-class StreamVersionService:
-    """Records the versions that begin streams, and finds that of a stream that is taken up.
+class StreamOriginService:
+    """Records what begins streams, and finds it when a stream is taken up.
 
     Args:
         name: name of this instance.
@@ -100,15 +103,15 @@
         self._service_versions = service_versions
         self._messenger = messenger
         self._log = log
-        self._streams = StreamVersions()
+        self._streams = StreamOrigins()
         self._numbers = itertools.count()
         # The first ASKED_INSTANCES instances of each group of streams, and for which members.
         self._first_instances: dict[int, Sequence[str]] = {}
         self._members_at = membership.changed_at
         self._lookups: dict[int, _Lookup] = {}
         messenger.add_handler(StreamBegan, self._on_began)
-        messenger.add_handler(StreamVersionRequest, self._on_request)
-        messenger.add_handler(StreamVersionResponse, self._on_response)
+        messenger.add_handler(StreamOriginRequest, self._on_request)
+        messenger.add_handler(StreamOriginResponse, self._on_response)
 
     def __len__(self) -> int:
         return len(self._streams)
@@ -116,10 +119,12 @@
     async def record_began(self, relay: Relay, server: Server) -> None:
         """Record the server that begins a stream, before its caller gets the first event.
 
-        Streams that no caller can take up elsewhere are not recorded.
+        Streams that no caller can take up elsewhere are not recorded, nor are those that may go on
+        at any server of the route.
         """
         request = relay.request
-        if not (server.version and relay.route.resumable and request.request_id):
+        is_bound = bool(server.version) or len(relay.route.split) > 1
+        if not (is_bound and relay.route.resumable and request.request_id):
             return
         if request.resumes:
             # The caller keeps naming the attempt that began the stream.
@@ -130,8 +135,10 @@
         if request.timeout_s is not None:
             left_s = min(left_s, relay.started_at + request.timeout_s - now)
         key = _key(relay, request.request_id)
-        self._streams.record(key, server.version, left_s, now)
-        message = StreamBegan(key, server.version, math.ceil(left_s))
+        message = StreamBegan(
+            key, service_number(server.service), server.version, math.ceil(left_s)
+        )
+        self._streams.record(key, message.origin, left_s, now)
         for address in self._other_addresses(key)[:HOLDERS]:
             await self._messenger.send(address, message)
 
@@ -148,76 +155,98 @@
         addresses = (self._membership.peer_address(name) for name in others)
         return [address for address in addresses if address]
 
-    async def find(self, relay: Relay) -> str:
-        """Return the version that began the stream that a request takes up; empty for any.
+    async def bind(self, relay: Relay) -> None:
+        """Bind a request that takes a stream up to the service and the version that began it.
 
         Raises:
-            StreamVersionUnknown: no instance knows it, and several versions may have begun it.
+            StreamOriginUnknown: no instance knows them, and several may have begun the stream.
+            StreamOriginGone: the route does not allow the service any more.
         """
         request = relay.request
         if not request.resumes:
-            return ""
-        version, source = await self._find_recorded(_key(relay, request.resumes))
-        if version is None and not request.last_event_id:
+            return
+        origin, source = await self._find_recorded(_key(relay, request.resumes))
+        if origin is None and not request.last_event_id:
             # The caller has no events, so the stream begins anew.
-            return ""
-        if version is None:
-            version, source = await self._infer(relay), "only"
+            return
+        if origin is None:
+            origin, source = await self._infer(relay), "only"
         self._log.info(
             "stream_taken_up",
             request=request.request_id,
             resumes=request.resumes,
             after=request.last_event_id,
-            version=version,
+            version=None if origin is None else origin.version,
             told_by=source,
         )
-        if version is None:
-            raise StreamVersionUnknown(
-                f"no instance knows which version began {request.resumes}",
-                retry_after_s=UNKNOWN_RETRY_S,
+        if origin is None:
+            raise StreamOriginUnknown(
+                f"no instance knows what began {request.resumes}", retry_after_s=REFUSED_RETRY_S
             )
-        return version
+        relay.service, relay.version = self._allowed_service(relay, origin), origin.version
+        relay.log_fields["service"] = relay.service.name
+
+    def _allowed_service(self, relay: Relay, origin: StreamOrigin) -> Service:
+        """Return the service that began a stream. Raises StreamOriginGone if it is not allowed."""
+        config = self._discovery.config
+        for share in relay.route.split:
+            service = config.services.get(share.service) if config is not None else None
+            if service is not None and service_number(service.name) == origin.service:
+                return service
+        raise StreamOriginGone(
+            f"route {relay.route.name} does not lead to the service that began the stream",
+            retry_after_s=REFUSED_RETRY_S,
+        )
 
-    async def _find_recorded(self, key: int) -> tuple[str | None, str]:
-        """Return the recorded version of a stream, and who knew it."""
-        version = self._streams.version(key, await curio.clock())
+    async def _find_recorded(self, key: int) -> tuple[StreamOrigin | None, str]:
+        """Return the recorded origin of a stream, and who knew it."""
+        origin = self._streams.get(key, await curio.clock())
         addresses = frozenset(self._other_addresses(key))
-        if version is not None or not addresses:
-            return version, "own"
+        if origin is not None or not addresses:
+            return origin, "own"
         number, lookup = next(self._numbers), _Lookup(addresses)
         self._lookups[number] = lookup
         try:
             for _ in range(REQUEST_ROUNDS):
                 for address in lookup.unanswered:
-                    await self._messenger.send(address, StreamVersionRequest(number, key))
+                    await self._messenger.send(address, StreamOriginRequest(number, key))
                 await lookup.wait()
-                if lookup.version is not None or not lookup.unanswered:
+                if lookup.origin is not None or not lookup.unanswered:
                     break
         finally:
             del self._lookups[number]
-        return lookup.version, self._membership.name_at(lookup.source)
+        return lookup.origin, self._membership.name_at(lookup.source)
 
-    async def _infer(self, relay: Relay) -> str | None:
-        """Return the only version that can have begun a stream; None if there may be several."""
+    async def _infer(self, relay: Relay) -> StreamOrigin | None:
+        """Return the only origin that a stream can have; None if there may be several."""
         now = await curio.clock()
         received_at = self._discovery.server_list_watcher.received_at
-        if received_at is None or now - received_at > MAX_LIST_AGE_S:
+        is_list_fresh = received_at is not None and now - received_at <= MAX_LIST_AGE_S
+        if not is_list_fresh or len(relay.route.split) > 1:
             return None
         self._service_versions.record_listed(self._discovery.servers.all(), now)
-        return self._service_versions.only_version(relay.service.name, now)
+        version = self._service_versions.only_version(relay.service.name, now)
+        if version is None:
+            return None
+        return StreamOrigin(service_number(relay.service.name), version)
 
     async def _on_began(self, message: StreamBegan, sender: str) -> None:
         now = await curio.clock()
-        self._streams.record(message.key, message.version, message.left_s, now)
-
-    async def _on_request(self, message: StreamVersionRequest, sender: str) -> None:
-        version = self._streams.version(message.key, await curio.clock())
-        await self._messenger.send(sender, StreamVersionResponse(message.number, version))
+        self._streams.record(message.key, message.origin, message.left_s, now)
+
+    async def _on_request(self, message: StreamOriginRequest, sender: str) -> None:
+        origin = self._streams.get(message.key, await curio.clock())
+        response = (
+            StreamOriginResponse(message.number, None)
+            if origin is None
+            else StreamOriginResponse(message.number, origin.service, origin.version)
+        )
+        await self._messenger.send(sender, response)
 
-    async def _on_response(self, message: StreamVersionResponse, sender: str) -> None:
+    async def _on_response(self, message: StreamOriginResponse, sender: str) -> None:
         lookup = self._lookups.get(message.number)
         if lookup is not None:
-            await lookup.record(message.version, sender)
+            await lookup.record(message.origin, sender)
 
 
 def _key(relay: Relay, request_id: str) -> int:
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -5,7 +5,14 @@
 import curio
 import pytest
 
-from version_fleet import EVENT_INTERVAL_S, CallerStream, VersionFleet, lost_datagrams
+from platform_fakes import make_config
+from version_fleet import (
+    EVENT_INTERVAL_S,
+    SPLIT,
+    CallerStream,
+    VersionFleet,
+    lost_datagrams,
+)
 
 TWO_VERSIONS = {"v1": 2, "v1.1": 4}
 
@@ -156,6 +163,58 @@
         assert all(stream.is_whole and stream.versions == {"v1"} for stream in streams)
 
 
+class TestSplitRoute:
+    """A route whose streams go to two services; servers of both have the same version."""
+
+    def test_stream_continues_at_the_service_that_began_it(self) -> None:
+        """The split is drawn for new streams only."""
+        fleet = VersionFleet(plain={"v1": 2}, fragile={"v1": 2})
+
+        async def scenario() -> None:
+            for number in range(20):
+                stream = await fleet.begin_and_take_up(number, "/split/cut")
+                assert stream.is_whole
+
+        fleet.run(scenario)
+        begun, taken_up = (
+            {
+                ident[1:]: server.service
+                for server in (*fleet.plain, *fleet.fragile)
+                for ident in server.executed_ids
+                if ident.startswith(kind)
+            }
+            for kind in ("q", "r")
+        )
+        assert set(begun.values()) == {"plain", "fragile"}
+        assert taken_up == begun
+
+    def test_stream_is_refused_if_its_service_may_not_run_it_any_more(self) -> None:
+        """A new configuration sends the route to the other service."""
+        fleet = VersionFleet(plain={"v1": 2}, fragile={"v1": 2})
+        streams: list[CallerStream] = []
+
+        async def scenario() -> None:
+            for number in range(6):
+                stream = CallerStream()
+                await fleet.attempt(stream, fleet.harness, f"q{number}", "/split/cut")
+                streams.append(stream)
+            only_plain = {**SPLIT, "traffic_split": [{"service": "plain", "weight": 1}]}
+            await fleet.harness.store.put("op/config", make_config(2, only_plain))
+            await curio.sleep(1.0)
+            for number, stream in enumerate(streams):
+                begun_as, gateway = f"q{number}", fleet.gateways[1]
+                await fleet.take_up(stream, gateway, f"r{number}", "/split/cut", begun_as=begun_as)
+
+        fleet.run(scenario)
+        begun_at_plain = {ident for server in fleet.plain for ident in server.executed_ids}
+        for number, stream in enumerate(streams):
+            went_on = f"q{number}" in begun_at_plain
+            assert stream.status == (200 if went_on else 503)
+        assert not any(
+            ident.startswith("r") for server in fleet.fragile for ident in server.executed_ids
+        )
+
+
 class TestRefusedTakeUp:
     """A stream that cannot go on at its version is refused, and the refusal is true."""
 
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_origins.py
@@ -1,14 +1,23 @@
-"""Tests of what is remembered of the software versions of streams and services."""
+"""Tests of what is remembered of the origins of streams and the versions of services."""
 
 from __future__ import annotations
 
-from crankhinge.decisions import EngineRole, Server, ServiceVersions, StreamVersions, stream_key
-from crankhinge.decisions._stream_versions import (
+from crankhinge.decisions import (
+    EngineRole,
+    Server,
+    ServiceVersions,
+    StreamOrigin,
+    StreamOrigins,
+    stream_key,
+)
+from crankhinge.decisions._stream_origins import (
     MAX_STREAM_S,
     MAX_STREAMS,
     VERSION_RETENTION_S,
 )
 
+V1, V2 = StreamOrigin(1, "v1"), StreamOrigin(1, "v2")
+
 
 def server(name: str, version: str) -> Server:
     """Return a server of the service "llm"."""
@@ -31,38 +40,35 @@
         assert stream_key("a", "h", "1") == stream_key("a", "h", "1") < 1 << 64
 
 
-class TestStreamVersions:
-    """The versions of streams are forgotten when no caller can take them up any more."""
+class TestStreamOrigins:
+    """The origins of streams are forgotten when no caller can take them up any more."""
 
-    def test_version_is_known_until_the_deadline_of_the_caller(self) -> None:
+    def test_origin_is_known_until_the_deadline_of_the_caller(self) -> None:
         """A stream without a deadline is remembered for MAX_STREAM_S seconds."""
-        streams = StreamVersions()
-        streams.record(1, "v1", 5.0, 0.0)
-        streams.record(2, "v2", 1e9, 0.0)
-        assert (streams.version(1, 4.9), streams.version(1, 5.0)) == ("v1", None)
-        assert (streams.version(2, MAX_STREAM_S - 0.1), streams.version(2, MAX_STREAM_S)) == (
-            "v2",
-            None,
-        )
-        assert streams.version(3, 0.0) is None
+        streams = StreamOrigins()
+        streams.record(1, V1, 5.0, 0.0)
+        streams.record(2, V2, 1e9, 0.0)
+        assert (streams.get(1, 4.9), streams.get(1, 5.0)) == (V1, None)
+        assert (streams.get(2, MAX_STREAM_S - 0.1), streams.get(2, MAX_STREAM_S)) == (V2, None)
+        assert streams.get(3, 0.0) is None
 
     def test_newer_stream_replaces_an_older_one_of_the_same_id(self) -> None:
         """The caller that resumes names the attempt that it made last."""
-        streams = StreamVersions()
-        streams.record(1, "v1", 5.0, 0.0)
-        streams.record(1, "v2", 5.0, 1.0)
-        assert streams.version(1, 2.0) == "v2"
+        streams = StreamOrigins()
+        streams.record(1, V1, 5.0, 0.0)
+        streams.record(1, V2, 5.0, 1.0)
+        assert streams.get(1, 2.0) == V2
 
     def test_memory_is_bounded(self) -> None:
         """Expired streams are dropped, and the oldest ones if there are too many."""
-        streams = StreamVersions()
+        streams = StreamOrigins()
         for key in range(1000):
-            streams.record(key, "v1", 1.0, 0.01 * key)
+            streams.record(key, V1, 1.0, 0.01 * key)
         assert len(streams) <= 101
         for key in range(MAX_STREAMS + 10):
-            streams.record(key, "v1", 50.0, 20.0)
+            streams.record(key, V1, 50.0, 20.0)
         assert len(streams) == MAX_STREAMS
-        assert streams.version(MAX_STREAMS + 9, 21.0) == "v1"
+        assert streams.get(MAX_STREAMS + 9, 21.0) == V1
 
 
 class TestServiceVersions:
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -21,8 +21,11 @@
 TAKEN_UP = route("r-taken", "/taken/", "streaming", "llm", max_attempts=1, resumable=True)
 RESUMED = route("r-resumed", "/resumed/", "streaming", "llm", max_attempts=2, resumable=True)
 PLAIN = route("r-plain", "/plain/", "streaming", "plain", max_attempts=1, resumable=True)
-ONCE = route("r-once", "/once/", "streaming", "llm")
-ROUTES = (TAKEN_UP, RESUMED, PLAIN, ONCE)
+SPLIT = {
+    **route("r-split", "/split/", "streaming", "", max_attempts=1, resumable=True),
+    "traffic_split": [{"service": "plain", "weight": 50}, {"service": "fragile", "weight": 50}],
+}
+ROUTES = (TAKEN_UP, RESUMED, PLAIN, SPLIT)
 TOKEN_HEADERS = {"x_token_count": "100,50", "length_hint": "40", "x_deadline_ms": "14000"}
 # Seconds after which the instances know each other.
 FLEET_READY_S = 8.0
@@ -106,6 +109,7 @@
         instances: number of instances.
         engines: number of decode engines of each version.
         plain: number of plain servers of each version.
+        fragile: number of servers of each version of a second plain service.
     """
 
     def __init__(
@@ -114,6 +118,7 @@
         instances: int = 3,
         engines: dict[str, int] | None = None,
         plain: dict[str, int] | None = None,
+        fragile: dict[str, int] | None = None,
     ) -> None:
         self.harness = GatewayHarness()
         others = [self.harness.add_gateway(f"g{number}") for number in range(1, instances)]
@@ -121,6 +126,7 @@
         self.harness.add_replica("i-r", "llm", "prefill")
         self.engines = self._add("llm", "decode", engines or {})
         self.plain = self._add("plain", "", plain or {})
+        self.fragile = self._add("fragile", "", fragile or {})
 
     def _add(self, service: str, role: str, counts: dict[str, int]) -> list[FakeReplica]:
         return [
