Roles: each software version keeps a decode engine while there is a choice

Found in walking through what a stream that goes on needs: engines change their role by how busy they are, so the last decode engine of a version could become a prefill engine while others could, and its streams, broken off or taken up, could then go on nowhere. Among the engines that may change, the last decode engine of a version now changes last, and a version without one gets one first.

test_split::TestOrderByVersions and a test of the controller; while one version serves, the order is as before.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -107,6 +107,7 @@
     WorkloadStats,
     combined_loads,
     mean_run_tokens,
+    order_by_versions,
     wanted_prompt_engines,
 )
 from crankhinge.decisions._stream_origins import (
@@ -240,6 +241,7 @@
     "idle_connection_limit",
     "mean_run_tokens",
     "mechanisms_for",
+    "order_by_versions",
     "pick_server",
     "rank_by_key",
     "release_rollout",
--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
+from crankhinge.decisions._servers import EngineRole, Server
+
 # Weight of the newest sample in a moving average: about fifty requests, a few seconds of traffic,
 # determine it. EWMA_SAMPLES is that number of requests.
 EWMA_WEIGHT = 0.02
@@ -385,3 +387,30 @@
         if loads.max_per_engine(best, total - best) <= current * (1 - MIN_GAIN)
         else prompt_engines
     )
+
+
+def order_by_versions(
+    engines: Sequence[Server], decode_engines: Iterable[Server], role: EngineRole
+) -> list[Server]:
+    """Return engines in the order in which they should change to a role.
+
+    A stream goes on only at a decode engine of the software version that began it. So the last
+    decode engine of a version changes after all others, and a version without one gets one first.
+
+    Args:
+        engines: the engines that may change, those that should change first at the front.
+        decode_engines: the present decode engines.
+        role: the role that they change to.
+    """
+    decoding = Counter(server.version for server in decode_engines)
+    remaining, ordered = list(engines), []
+    while remaining:
+        if role is EngineRole.PREFILL:
+            preferred = [server for server in remaining if decoding[server.version] > 1]
+        else:
+            preferred = [server for server in remaining if not decoding[server.version]]
+        engine = (preferred or remaining)[0]
+        decoding[engine.version] += -1 if role is EngineRole.PREFILL else 1
+        remaining.remove(engine)
+        ordered.append(engine)
+    return ordered
--- a/src/crankhinge/gateway/_role_controller.py
+++ b/src/crankhinge/gateway/_role_controller.py
@@ -20,6 +20,7 @@
     EngineRole,
     Server,
     Service,
+    order_by_versions,
     wanted_prompt_engines,
 )
 from crankhinge.errors import BadHttp, KeyValueUnavailable
@@ -193,6 +194,7 @@
         servers = pools.prompt_engines if role is EngineRole.DECODE else pools.decode_engines
         # Engines with the fewest open requests can change soonest.
         servers.sort(key=lambda server: self._backends.stats(server.incarnation_id).open_requests)
+        servers = order_by_versions(servers, pools.decode_engines, role)
         await self._order_change(servers, abs(wanted - split[0]), role)
 
     async def _order_change(self, servers: list[Server], count: int, role: EngineRole) -> None:
--- a/tests/test_role_controller.py
+++ b/tests/test_role_controller.py
@@ -87,6 +87,20 @@
 
         run_scenario(harness, scenario)
 
+    def test_version_without_a_decode_engine_gets_one_first(self) -> None:
+        """Of four prefill engines, one has the version of which no decode engine is left."""
+        harness = busy_harness(4, 2)
+        harness.replicas[2].version = "v2"
+
+        async def scenario() -> None:
+            await send_streams(harness)
+            await curio.sleep(4.0)
+            ordered = [replica for replica in harness.replicas if replica.orders]
+            assert [order["phase"] for order in harness.replicas[2].orders] == ["decode"]
+            assert len(ordered) == 2
+
+        run_scenario(harness, scenario)
+
     def test_no_order_while_another_instance_holds_the_lease(self) -> None:
         """The key of the order lease is taken in the store."""
         harness = busy_harness(4, 2)
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -10,16 +10,49 @@
 from hypothesis import strategies as st
 
 from crankhinge.decisions import (
+    EngineRole,
     PoolLoads,
+    Server,
     WorkloadMeter,
     combined_loads,
     mean_run_tokens,
+    order_by_versions,
     wanted_prompt_engines,
 )
 
 MANY_ANSWERS = 1000
 
 
+def engines(*versions: str) -> list[Server]:
+    """Return an engine of each version, named by their order."""
+    return [
+        Server(str(n), "llm", "h", 1, "z1", EngineRole.DECODE, 8, False, 1, version=version)
+        for n, version in enumerate(versions)
+    ]
+
+
+class TestOrderByVersions:
+    """Which engines change their role while several software versions serve."""
+
+    def test_last_decode_engine_of_a_version_changes_last(self) -> None:
+        """Otherwise the streams of that version could go on nowhere."""
+        decoding = engines("v1", "v2", "v2", "v2")
+        ordered = order_by_versions(decoding, decoding, EngineRole.PREFILL)
+        assert [server.name for server in ordered] == ["1", "2", "0", "3"]
+
+    def test_version_without_a_decode_engine_gets_one_first(self) -> None:
+        """The engine that is least busy is preferred only among those of one version."""
+        prefilling = engines("v2", "v1", "v1")
+        ordered = order_by_versions(prefilling, engines("v2"), EngineRole.DECODE)
+        assert [server.name for server in ordered] == ["1", "0", "2"]
+
+    @pytest.mark.parametrize("role", [EngineRole.PREFILL, EngineRole.DECODE])
+    def test_order_stays_while_one_version_serves(self, role: EngineRole) -> None:
+        """Engines without a version count as one version."""
+        decoding = engines("", "", "")
+        assert order_by_versions(decoding, decoding, role) == decoding
+
+
 class TestWantedPromptEngines:
     """How many engines should have the prefill role."""
 
