--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -746,6 +746,7 @@
             started = harness.work.starts[IDENT]
             versions = {engine.ident: engine.version for engine in harness.engines}
             assert [versions[ident] for ident in started] == ["v1", "v1"]
+            assert not harness.gateway.logs.matching("event=run_move_failed")
             await harness.assert_all_free()
 
         harness.run(scenario)
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -14,6 +14,7 @@
     lost_datagrams,
 )
 
+LONG = {"x_token_count": "1000,900", "length_hint": "500"}
 TWO_VERSIONS = {"v1": 2, "v1.1": 4}
 
 
@@ -163,6 +164,50 @@
         assert all(stream.is_whole and stream.versions == {"v1"} for stream in streams)
 
 
+class TestCoordinatedPlacement:
+    """The answers are so long that a coordinator places them."""
+
+    def test_coordinator_grants_engines_of_the_version_only(self) -> None:
+        """No grant of another version is turned down by the instance that asked."""
+        fleet = VersionFleet(instances=2, engines={"v1": 2, "v1.1": 6})
+        streams: list[CallerStream] = []
+
+        async def scenario() -> None:
+            for number in range(24):
+                gateway = fleet.gateways[number % 2]
+                await fleet.attempt(CallerStream(), gateway, f"w{number}", "/taken/a", **LONG)
+            await curio.sleep(3.0)
+            for number in range(10):
+                stream, begun_as = CallerStream(), f"q{number}"
+                await fleet.attempt(stream, fleet.harness, begun_as, "/taken/cut", **LONG)
+                last_event_id = stream.last_event_id
+                await fleet.attempt(
+                    stream,
+                    fleet.gateways[1],
+                    f"r{number}",
+                    "/taken/cut",
+                    resumes=begun_as,
+                    last_event_id=last_event_id,
+                    **LONG,
+                )
+                streams.append(stream)
+
+        fleet.run(scenario)
+        assert all(stream.is_whole for stream in streams)
+        granted = [
+            line
+            for gateway in fleet.gateways
+            for line in gateway.logs.matching("event=placement_granted")
+        ]
+        placed = [
+            line
+            for gateway in fleet.gateways
+            for line in gateway.logs.matching("event=place_taken", "run=")
+        ]
+        assert len(placed) >= 20
+        assert len(granted) == len(placed)
+
+
 class TestSplitRoute:
     """A route whose streams go to two services; servers of both have the same version."""
 
@@ -291,6 +336,7 @@
     def test_version_that_has_just_gone_may_have_begun_an_unknown_stream(self) -> None:
         """All servers of the old version are gone when the instances are killed."""
         fleet = VersionFleet(engines=TWO_VERSIONS)
+        fleet.prefill_engine.version = "v1.1"
         stream = CallerStream()
 
         async def scenario() -> None:
@@ -307,6 +353,20 @@
         fleet.run(scenario)
         assert (stream.status, stream.versions) == (503, {"v1"})
 
+    def test_instance_whose_list_is_old_does_not_know_the_only_version(self) -> None:
+        """A server of another version may have come since the store responded last."""
+        fleet = VersionFleet(engines={"v1": 3})
+        stream = CallerStream(body=b"id: 3\ndata: v1\n\n")
+
+        async def scenario() -> None:
+            await curio.sleep(60.0)
+            fleet.harness.store.down = True
+            await curio.sleep(6.0)
+            await fleet.take_up(stream, fleet.harness, "r1", "/taken/a", begun_as="unknown")
+
+        fleet.run(scenario)
+        assert (stream.status, stream.last_event_id) == (503, "3")
+
     def test_stream_goes_on_if_its_caller_does_not_say_who_began_it(self) -> None:
         """Callers of other deployments name no attempt."""
         fleet = VersionFleet(engines=TWO_VERSIONS)
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -123,7 +123,7 @@
         self.harness = GatewayHarness()
         others = [self.harness.add_gateway(f"g{number}") for number in range(1, instances)]
         self.gateways = [self.harness, *others]
-        self.harness.add_replica("i-r", "llm", "prefill")
+        self.prefill_engine = self.harness.add_replica("i-r", "llm", "prefill")
         self.engines = self._add("llm", "decode", engines or {})
         self.plain = self._add("plain", "", plain or {})
         self.fragile = self._add("fragile", "", fragile or {})
