--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -741,6 +741,8 @@
                 engine._memory.holds.pop("other", None)
             source = harness.source
             source.faults.slow = 15.0
+            # By then the engines of the other version count as having room again.
+            await curio.sleep(2.0)
             source.leave()
             assert await caller.join() == WHOLE
             started = harness.work.starts[IDENT]
