Origins of streams: a response while requests are sent does not fail the request

Found by reading. An instance that asked a second time which version began a stream went through the set of those that had not answered; an answer during a send changed the set, the request ended with RuntimeError, and its caller's connection closed without an answer.

test_stream_origins::TestLookup failed before with that error.

--- a/src/crankhinge/gateway/_stream_origins.py
+++ b/src/crankhinge/gateway/_stream_origins.py
@@ -208,7 +208,7 @@
         self._lookups[number] = lookup
         try:
             for _ in range(REQUEST_ROUNDS):
-                for address in lookup.unanswered:
+                for address in tuple(lookup.unanswered):
                     await self._messenger.send(address, StreamOriginRequest(number, key))
                 await lookup.wait()
                 if lookup.origin is not None or not lookup.unanswered:
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Any, cast
+
 from crankhinge.decisions import (
     EngineRole,
+    Membership,
     Server,
     ServiceVersions,
     StreamOrigin,
@@ -15,6 +18,11 @@
     MAX_STREAMS,
     VERSION_RETENTION_S,
 )
+from crankhinge.gateway._stream_origin_messages import StreamOriginResponse
+from crankhinge.gateway._stream_origins import StreamOriginService
+from crankhinge.runtime import get_log
+from platform_fakes import LogCapture
+from virtual_time import run_virtual
 
 V1, V2 = StreamOrigin(1, "v1"), StreamOrigin(1, "v2")
 
@@ -71,6 +79,55 @@
         assert streams.get(MAX_STREAMS + 9, 21.0) == V1
 
 
+class RespondingMessenger:
+    """Loses the first requests, and delivers a response while the next one is being sent.
+
+    Args:
+        lost: number of requests that are lost.
+    """
+
+    def __init__(self, lost: int) -> None:
+        self._handlers: dict[type, Any] = {}
+        self._lost = lost
+
+    def add_handler(self, kind: type, handler: Any) -> None:
+        """Register a handler."""
+        self._handlers[kind] = handler
+
+    async def send(self, address: str, message: Any) -> None:
+        """Lose a request, or respond to it at once."""
+        if self._lost:
+            self._lost -= 1
+            return
+        response = StreamOriginResponse(message.number, V1.service, V1.version)
+        await self._handlers[StreamOriginResponse](response, address)
+
+
+class TestLookup:
+    """An instance asks several others at once."""
+
+    def test_response_while_requests_are_sent_is_no_error(self) -> None:
+        """The instances that are left to ask change meanwhile."""
+        membership = Membership("a", 0.0)
+        membership.apply_records({name: f"{name}:1" for name in "abcd"}, 0.0)
+        service = StreamOriginService(
+            name="a",
+            membership=membership,
+            discovery=cast(Any, None),
+            service_versions=ServiceVersions(0.0),
+            messenger=cast(Any, RespondingMessenger(lost=3)),
+            log=get_log(program="t", stream=LogCapture()),
+        )
+        key = next(key for key in range(99) if len(service._other_addresses(key)) == 3)
+        found: list[StreamOrigin | None] = []
+
+        async def look_up() -> None:
+            found.append((await service._find_recorded(key))[0])
+
+        run_virtual(look_up)
+        assert found == [V1]
+
+
 class TestServiceVersions:
     """Which version must have begun a stream that no instance knows."""
 
