Origins of streams: one that begins anew is recorded under its own attempt

Found by reading. An attempt that names another one but has no events begins the stream anew, and is the one that its caller names when it takes the stream up. It was not recorded, so the stream was refused while versions mixed.

test_stream_that_begins_anew_can_be_taken_up_itself failed before.

--- a/src/crankhinge/gateway/_stream_origins.py
+++ b/src/crankhinge/gateway/_stream_origins.py
@@ -126,8 +126,8 @@
         is_bound = bool(server.version) or len(relay.route.split) > 1
         if not (is_bound and relay.route.resumable and request.request_id):
             return
-        if request.resumes:
-            # The caller keeps naming the attempt that began the stream.
+        if request.last_event_id:
+            # The caller keeps naming the attempt that brought the first event.
             return
         now = await curio.clock()
         # The route may allow an attempt less time than the caller has for all of them.
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -141,6 +141,22 @@
         # Of the streams that are taken up, half as many as of new ones have to go on.
         assert went_on >= (len(streams) if not loss else 0.5 * len(streams))
 
+    def test_stream_that_begins_anew_can_be_taken_up_itself(self) -> None:
+        """Its caller named an attempt that had brought no event."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(8)]
+
+        async def scenario() -> None:
+            for number, stream in enumerate(streams):
+                begun_as = f"q{number}"
+                await fleet.attempt(stream, fleet.harness, begun_as, "/taken/cut", resumes="none")
+                await fleet.take_up(
+                    stream, fleet.gateways[1], f"r{number}", "/taken/cut", begun_as=begun_as
+                )
+
+        fleet.run(scenario)
+        assert all(stream.is_whole for stream in streams)
+
     def test_second_take_up_names_the_attempt_that_began_the_stream(self) -> None:
         """An attempt between the first and the last one changes nothing."""
         fleet = VersionFleet(engines={"v1": 2, "v1.1": 6})
