Streams: a response to HEAD without a length is whole

The check for a connection that closes before the first event took it for a broken-off stream, although a response to HEAD has no body: its server counted as failing, and the request was sent to a second one.

test_response_to_head_request_is_whole failed before.

--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -634,7 +634,7 @@
     ends_with_connection = response.framing is BodyFraming.CONNECTION
     content_type = response.headers.get("content-type")
     has_events = ends_with_connection if content_type is None else is_event_stream(content_type)
-    if not has_events:
+    if not has_events or relay.exchange.req.method == "HEAD":
         return
     if events.ends_inside_event:
         raise HttpClosed("the stream ended inside an event")
--- a/tests/test_stream_end.py
+++ b/tests/test_stream_end.py
@@ -157,6 +157,20 @@
         assert read_answer(ending, path) == (WHOLE, True)
         assert len(ending.last_event_ids) == 1
 
+    def test_response_to_head_request_is_whole(self) -> None:
+        """It has no body, so its connection may close before any event; it is not repeated."""
+        ending = Ending(b"")
+        harness = make_harness(ending)
+
+        async def scenario() -> None:
+            response = await harness.open("q1", "/resumed/a", method="HEAD", **TOKEN_HEADERS)
+            await curio.sleep(0.5)
+            await response.abort()
+
+        run_virtual(harness.run, scenario, *ROUTES, settle_s=0.003)
+        assert len(ending.last_event_ids) == 1
+        assert harness.logs.matching("event=answered", "request=q1")
+
     @pytest.mark.parametrize("framing", BodyFraming)
     def test_comment_after_the_last_event_is_relayed(self, framing: BodyFraming) -> None:
         """A comment line is no event, so the stream does not end inside one."""
