--- a/tests/test_migration.py
+++ b/tests/test_migration.py
@@ -542,9 +542,10 @@
     """The run or its caller ends while the run is being moved."""
 
     @pytest.mark.parametrize("call", ["first", "last"])
-    def test_run_ends_while_a_call_is_in_progress(self, call: str) -> None:
-        """The answer is whole, and the copy is freed."""
-        harness = MoveHarness()
+    @pytest.mark.parametrize("framed", [True, False])
+    def test_run_ends_while_a_call_is_in_progress(self, framed: bool, call: str) -> None:
+        """The answer is whole, no engine continues it, and the copy is freed."""
+        harness = MoveHarness(framed=framed)
 
         async def scenario() -> None:
             caller = await harness.begin(events=len(EVENTS) - 3.5)
@@ -562,6 +563,7 @@
             setattr(source, call, wait_for_end)
             assert await harness.move() is MoveOutcome.ENDED
             assert await caller.join() == WHOLE
+            assert harness.work.starts[IDENT] == [source.ident]
             await curio.sleep(0.01)
             assert source.freed == ["m1"]
             assert [engine.held for engine in harness.engines] == [0, 0]
@@ -657,32 +659,6 @@
 
         harness.run(scenario)
 
-    @pytest.mark.parametrize("call", ["first", "last"])
-    def test_run_that_ends_during_a_call_is_whole(self, call: str) -> None:
-        """The end of the run itself is not taken for a stop, and no engine continues it."""
-        harness = MoveHarness(framed=False)
-
-        async def scenario() -> None:
-            caller = await harness.begin(events=len(EVENTS) - 3.5)
-            source = harness.source
-
-            async def wait_for_end(engine: MovingEngine, exchange: Exchange, order: object) -> None:
-                if call == "first":
-                    await engine.copy_run(order)  # type: ignore[arg-type]
-                await curio.sleep(5 * EVENT_INTERVAL_S)
-                if call == "first":
-                    await exchange.respond(200, b'{"kv_handle": "m1", "made": 1}')
-                else:
-                    await exchange.respond(404, b"{}")
-
-            setattr(source, call, wait_for_end)
-            assert await harness.move() is MoveOutcome.ENDED
-            assert await caller.join() == WHOLE
-            assert harness.work.starts[IDENT] == [source.ident]
-            await harness.assert_all_free()
-
-        harness.run(scenario)
-
     @pytest.mark.parametrize("path", ["/stream/a", "/resumed/a"])
     def test_stop_after_the_mover_gave_up_is_not_the_end_of_the_answer(self, path: str) -> None:
         """The source carries the last call out late; the stream is resumed or broken off."""
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -84,16 +84,7 @@
         streams = [CallerStream() for _ in range(12)]
 
         async def scenario() -> None:
-            tasks = [
-                await curio.spawn(
-                    fleet.attempt, stream, fleet.harness, f"q{number}", "/taken/a", daemon=True
-                )
-                for number, stream in enumerate(streams)
-            ]
-            await curio.sleep(4.5 * EVENT_INTERVAL_S)
-            await fleet.harness.kill_gateway()
-            for task in tasks:
-                await task.join()
+            await fleet.begin_and_kill(streams, fleet.gateways[:1])
             await curio.sleep(1.0)
             assert not any(stream.complete for stream in streams)
             for number, stream in enumerate(streams):
@@ -118,17 +109,7 @@
         streams = [CallerStream() for _ in range(30)]
 
         async def scenario() -> None:
-            tasks = [
-                await curio.spawn(
-                    fleet.attempt, stream, fleet.harness, f"q{number}", "/taken/a", daemon=True
-                )
-                for number, stream in enumerate(streams)
-            ]
-            await curio.sleep(4.5 * EVENT_INTERVAL_S)
-            for gateway in fleet.gateways[:2]:
-                await gateway.kill_gateway()
-            for task in tasks:
-                await task.join()
+            await fleet.begin_and_kill(streams, fleet.gateways[:2])
             for number, stream in enumerate(streams):
                 gateway = fleet.gateways[2 + number % 3]
                 begun_as = f"q{number}"
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import Awaitable, Callable, Iterator, Sequence
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -193,6 +193,22 @@
             stream, gateway, ident, path, resumes=begun_as, last_event_id=stream.last_event_id
         )
 
+    async def begin_and_kill(
+        self, streams: Sequence[CallerStream], killed: Sequence[GatewayHarness]
+    ) -> None:
+        """Begin streams at the first instance and kill instances before they end."""
+        tasks = [
+            await curio.spawn(
+                self.attempt, stream, self.harness, f"q{number}", "/taken/a", daemon=True
+            )
+            for number, stream in enumerate(streams)
+        ]
+        await curio.sleep(4.5 * EVENT_INTERVAL_S)
+        for gateway in killed:
+            await gateway.kill_gateway()
+        for task in tasks:
+            await task.join()
+
     async def begin_and_take_up(self, number: int, path: str) -> CallerStream:
         """Begin a stream that breaks off at one instance and take it up at the next one."""
         stream, count = CallerStream(), len(self.gateways)
