Log the parts of prompts

Requests under which servers crash are all different; what they share can't be seen in the logs. The adapter decodes the ids of a prompt's parts, and the line about the end of a request names up to eight of them.

--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -28,6 +28,8 @@
         resumes: id of the caller's attempt that brought the first event of the stream that this
             request takes up; empty if it begins a stream or the caller does not say.
         model: name of the requested model; empty if the caller names none.
+        prompt_parts: ids of the parts of the prompt, in order. The last part is the request's own
+            or its session's; requests share the others. Empty if the caller names no parts.
         api_key: key of the client account; empty if the caller sent none.
     """
 
@@ -39,6 +41,7 @@
     last_event_id: str = ""
     resumes: str = ""
     model: str = ""
+    prompt_parts: tuple[str, ...] = ()
     api_key: str = field(default="", repr=False)
 
     @property
--- a/src/crankhinge/gateway/_admission.py
+++ b/src/crankhinge/gateway/_admission.py
@@ -16,6 +16,8 @@
 
 # Seconds that a request may take if its caller sets no bound. The route may set a shorter one.
 DEFAULT_TIMEOUT_S = 60.0
+# Maximum number of parts of a prompt that a log line names.
+MAX_LOGGED_PARTS = 8
 # Seconds after which a caller should retry if this instance cannot serve requests yet.
 NOT_READY_RETRY_S = 0.5
 
@@ -88,6 +90,8 @@
             returned=relay.is_retry,
             kept=relay.exchange.connection_reused,
         )
+        if relay.request.prompt_parts:
+            relay.log_fields["parts"] = ",".join(relay.request.prompt_parts[:MAX_LOGGED_PARTS])
         if relay.route.max_pause_s:
             relay.log_fields["pause_ms"] = round(relay.route.max_pause_s * 1000)
         # Seconds since the last response about the list of servers. The list may still be current
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -23,6 +23,7 @@
 NAMES = (
     "x-request-id",
     "x-deadline-ms",
+    "x-prompt-prefix",
     "x-server-seal",
     "x-expect-instance",
     "x-not-executed",
@@ -49,6 +50,26 @@
     return HttpRequest("POST", "/a", dict(fields), b"", fields)
 
 
+class TestPromptParts:
+    """The parts of a prompt that a caller names."""
+
+    @pytest.mark.parametrize(
+        ("text", "parts"),
+        [
+            ("5c1e07a2:800,91BD3F06:410, e4402b7d:250", ("5c1e07a2", "91bd3f06", "e4402b7d")),
+            ("5c1e07a2", ("5c1e07a2",)),
+            (",:7,;,5c1e07a2:x:y,", (";", "5c1e07a2")),
+            ("", ()),
+        ],
+    )
+    def test_malformed_parts_do_not_fail_the_request(
+        self, text: str, parts: tuple[str, ...]
+    ) -> None:
+        """Servers read the list; what it means to them is theirs to check."""
+        parsed = PlatformDialect().parse_request(request(("x-prompt-prefix", text)))
+        assert parsed.prompt_parts == parts
+
+
 class TestFolder:
     """The names of the users' platform appear only in the folder ``platform``."""
 
