Quarantine of parts of prompts: a part under which servers crash is refused

What callers saw: each request that shared one part of its prompt with earlier ones crashed the engine that began to write its answer, one engine after the other, and cut one to nine streams of others with it.

Cause: crashes were counted under the request as a whole (caller, path, body). No two of the requests are alike, so each count ended at one.

Change: a crash is counted for each part but the last of the prompts that it cut as well. After the third crash the part is refused on every instance, before the prompt is processed anywhere. Sound requests share parts with the bad ones, so a part is barred only if no instance has seen a request with it served since the crashes: completed, or written on for longer than a second. An instance that has tells the one that counted, which ends the quarantine. Crashes within a second are one event for a part that was served before. Trials follow after 30, 120 and 480 s, then once a day; each reaches one server.

Why it holds: a part that crashes every server is never served, so nothing can end its quarantine but a trial.

--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -47,6 +47,7 @@
     START_ALLOWANCE_S,
     Membership,
 )
+from crankhinge.decisions._part_history import PartHistory, is_served_since
 from crankhinge.decisions._permit_pool import PERMIT_TRANSIT_S, PermitDecision, PermitPool
 from crankhinge.decisions._prefix import PrefixIndex
 from crankhinge.decisions._quarantine import Quarantine, QuarantineUpdate
@@ -119,6 +120,7 @@
     stream_key,
 )
 from crankhinge.decisions._token_bucket import MAX_RETRY_AFTER_S, TokenBucket
+from crankhinge.decisions._work_keys import is_part_key, part_keys, prompt_only_keys
 from crankhinge.decisions._work_queue import WorkQueue
 
 __all__ = [
@@ -183,6 +185,7 @@
     "MemberLimits",
     "Membership",
     "MemoryForecast",
+    "PartHistory",
     "PermitDecision",
     "PermitPool",
     "PoolLoads",
@@ -239,10 +242,14 @@
     "engines_to_try",
     "fingerprint",
     "idle_connection_limit",
+    "is_part_key",
+    "is_served_since",
     "mean_run_tokens",
     "mechanisms_for",
     "order_by_versions",
+    "part_keys",
     "pick_server",
+    "prompt_only_keys",
     "rank_by_key",
     "release_rollout",
     "retry_delay_s",
--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -1,10 +1,15 @@
-"""Requests that are kept away from servers because servers crashed while running them.
+"""Work that is kept away from servers because servers crashed while doing it.
 
-A crash ends all requests that the server runs, and it is unknown which of them caused it. A request
-that was running on ``MAX_CRASHES`` servers when they crashed is put in quarantine, which means that
-it is refused for a while. Then one attempt is let through as a trial: a response ends the
-quarantine, another crash begins a longer one. So a request that happened to run on those servers is
-served again soon, and a request that makes servers crash reaches fewer and fewer of them.
+The work is a request, whatever its attempt, or one part of a prompt, whatever the request. A crash
+ends all requests that the server runs, and it is unknown which of them, and which of their parts,
+caused it. Work that was in progress on ``MAX_CRASHES`` servers when they crashed is put in
+quarantine, which means that requests with it are refused for a while. Then one attempt is let
+through as a trial: a response ends the quarantine, another crash begins a longer one. So work that
+happened to run on those servers is done again soon, and work that makes servers crash reaches fewer
+and fewer of them.
+
+Most requests share parts with others, so a part is put in quarantine only if no request with it was
+served since the crashes.
 
 Crashes are identified by the incarnation ids of the servers, so a crash that is reported twice, by
 two instances or by a late message, counts once.
@@ -12,14 +17,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator, Mapping
+import itertools
+from collections.abc import Collection, Iterator, Mapping
 from dataclasses import dataclass, field
 
 from crankhinge.decisions._bounded import keep_newest
+from crankhinge.decisions._part_history import MAX_CRASHES, is_served_since
+from crankhinge.decisions._work_keys import is_part_key
 
-# Number of crashed servers after which the request that they ran is refused. The operators set this
-# bound.
-MAX_CRASHES = 3
 # Seconds from the crash that begins a quarantine to the trial. A request that only happened to run
 # on the crashed servers is refused for this time; callers wait 14 s for a stream. Each further
 # crash multiplies the time by QUARANTINE_GROWTH. With 10, 40 and 160 s, a request that crashes
@@ -28,21 +33,28 @@
 FIRST_QUARANTINE_S = 10.0
 QUARANTINE_GROWTH = 4.0
 MAX_QUARANTINE_S = 3600.0
+# The same for a part of a prompt, which many requests may have. Each trial begins the longer
+# quarantine at once, so that a trial without a result is not repeated within seconds. The operators
+# allow three requests with the part after the fifth crash, so there are three trials, after 30, 150
+# and 630 s, and then one a day.
+FIRST_PART_QUARANTINE_S = 30.0
+MAX_PART_TRIALS = 3
+MAX_PART_QUARANTINE_S = 86400.0
 # Duration of a trial in seconds; the next trial may begin only after it. The observed crashes came
 # 0.1 to 0.3 s after a request had reached its server; a busy server takes some seconds to process a
 # prompt.
 TRIAL_S = 5.0
 # Seconds for which crashes are remembered; the observed callers retried within 6 s.
 CRASH_RETENTION_S = 600.0
-# Maximum number of requests that are remembered after a crash, and of requests in quarantine: 0.9
-# MB in total when both tables are full (as measured by the interpreter). A server runs 64 requests
-# at once, so a request is dropped early only when 16 servers crash within CRASH_RETENTION_S.
-MAX_SUSPECTS = 1024
+# Maximum number of keys that are remembered after a crash, and of keys in quarantine. A server runs
+# 64 requests at once, each with some parts, so a key is dropped early only when 16 servers crash
+# within CRASH_RETENTION_S.
+MAX_SUSPECTS = 4096
 MAX_QUARANTINED = 256
-# Maximum number of crashes remembered for one request; with this many, its quarantine has the
-# maximum duration.
+# Maximum number of crashes remembered for one key; with this many, its quarantine has the maximum
+# duration.
 MAX_CRASHED_SERVERS = 8
-# Maximum number of requests in quarantine that an instance publishes in its record in the store;
+# Maximum number of keys in quarantine that an instance publishes in its record in the store;
 # they take at most 4 kB.
 MAX_PUBLISHED = 16
 # Seconds after the completion of a request during which its quarantine in an instance record is
@@ -53,51 +65,63 @@
 
 @dataclass
 class _Suspect:
-    """A request that was running when servers crashed.
+    """Work that was in progress when servers crashed.
 
     Attributes:
-        servers: incarnation ids of the crashed servers, the oldest first.
-        last_crash_at: when this instance learned of the last crash.
+        crashes: when this instance learned of each crash, by the incarnation id of the server; the
+            oldest first.
     """
 
-    servers: dict[str, None] = field(default_factory=dict)
-    last_crash_at: float = 0.0
+    crashes: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def last_crash_at(self) -> float:
+        """When this instance learned of the last crash."""
+        return max(self.crashes.values(), default=float("-inf"))
 
-    def add(self, servers: Iterable[str], now: float) -> bool:
-        """Add crashed servers; return whether any of them was unknown.
+    def add(self, crashes: Mapping[str, float]) -> bool:
+        """Add the times of crashes by server; return whether any of them was unknown.
 
         Only the ``MAX_CRASHED_SERVERS`` most recently added servers are kept.
         """
-        new = [server for server in servers if server not in self.servers]
-        self.servers.update(dict.fromkeys(new))
-        while len(self.servers) > MAX_CRASHED_SERVERS:
-            del self.servers[next(iter(self.servers))]
-        self.last_crash_at = now
+        new = {server: at for server, at in crashes.items() if server not in self.crashes}
+        self.crashes.update(new)
+        while len(self.crashes) > MAX_CRASHED_SERVERS:
+            del self.crashes[next(iter(self.crashes))]
         return bool(new)
 
+    def drop_before(self, at: float) -> None:
+        """Drop the crashes up to a time."""
+        self.crashes = {server: time for server, time in self.crashes.items() if time > at}
+
 
 @dataclass
 class _Quarantined(_Suspect):
-    """A request in quarantine.
+    """Work in quarantine.
 
     Attributes:
+        is_part: whether the work is a part of a prompt.
         trial_at: when a trial may begin.
+        trials: number of trials of a part.
         counted_here: whether this instance counted the crashes, and therefore publishes the
             quarantine in its instance record.
     """
 
+    is_part: bool = False
     trial_at: float = 0.0
+    trials: int = 0
     counted_here: bool = False
 
     @property
     def quarantine_s(self) -> float:
-        """Seconds from the last crash to the trial."""
-        return float(
-            min(
-                MAX_QUARANTINE_S,
-                FIRST_QUARANTINE_S * QUARANTINE_GROWTH ** (len(self.servers) - MAX_CRASHES),
-            )
-        )
+        """Seconds from the last crash, or from the beginning of a trial, to the next trial."""
+        failed_trials = max(len(self.crashes) - MAX_CRASHES, self.trials)
+        growth = QUARANTINE_GROWTH**failed_trials
+        if not self.is_part:
+            return float(min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * growth))
+        if failed_trials >= MAX_PART_TRIALS:
+            return MAX_PART_QUARANTINE_S
+        return float(FIRST_PART_QUARANTINE_S * growth)
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,18 +129,27 @@
     """A quarantine as sent between instances.
 
     Attributes:
-        fingerprint: fingerprint of the request.
-        servers: incarnation ids of the servers that crashed while running it.
+        key: key of the work.
+        servers: incarnation ids of the servers that crashed while doing it.
         left_s: seconds until the trial.
+        ages_s: seconds since each of the crashes, as far as they are known.
+        trials: number of trials of a part.
     """
 
-    fingerprint: str
+    key: str
     servers: tuple[str, ...]
     left_s: float
+    ages_s: tuple[float, ...] = ()
+    trials: int = 0
+
+    def crashes(self, now: float) -> dict[str, float]:
+        """Return when each server crashed, on the clock of this instance."""
+        ages_s = itertools.chain(self.ages_s, itertools.repeat(0.0))
+        return {server: now - age_s for server, age_s in zip(self.servers, ages_s, strict=False)}
 
 
 class Quarantine:
-    """The requests that are kept away from servers, as this instance knows them."""
+    """The work that is kept away from servers, as this instance knows it."""
 
     def __init__(self) -> None:
         self._suspects: dict[str, _Suspect] = {}
@@ -126,81 +159,112 @@
     def __len__(self) -> int:
         return len(self._quarantined)
 
-    def crash_count(self, fingerprint: str) -> int:
-        """Return how many servers are known to have crashed while running a request."""
-        suspect = self._quarantined.get(fingerprint) or self._suspects.get(fingerprint)
-        return len(suspect.servers) if suspect else 0
-
-    def is_quarantined(self, fingerprint: str) -> bool:
-        """Whether a request is in quarantine: refused, or due for a trial."""
-        return fingerprint in self._quarantined
-
-    def refusal_left_s(self, fingerprint: str, now: float) -> float:
-        """Return the seconds for which a request is still refused; 0 if the request may run."""
-        quarantined = self._quarantined.get(fingerprint)
+    @property
+    def part_count(self) -> int:
+        """Number of parts of prompts in quarantine."""
+        return sum(quarantined.is_part for quarantined in self._quarantined.values())
+
+    def crash_count(self, key: str) -> int:
+        """Return how many servers are known to have crashed while doing some work."""
+        return len(self.crashed_at(key))
+
+    def crashed_at(self, key: str) -> Collection[float]:
+        """Return when servers crashed while doing some work, as far as that is known."""
+        suspect = self._quarantined.get(key) or self._suspects.get(key)
+        return suspect.crashes.values() if suspect else ()
+
+    def is_quarantined(self, key: str) -> bool:
+        """Whether work is in quarantine: refused, or due for a trial."""
+        return key in self._quarantined
+
+    def refusal_left_s(self, key: str, now: float) -> float:
+        """Return the seconds for which work is still refused; 0 if it may be done."""
+        quarantined = self._quarantined.get(key)
         return max(0.0, quarantined.trial_at - now) if quarantined else 0.0
 
-    def record_crash(self, fingerprint: str, server: str, now: float) -> QuarantineUpdate | None:
-        """Record that a server crashed while it ran a request.
+    def record_crash(
+        self, key: str, server: str, now: float, *, served_at: float | None = None
+    ) -> QuarantineUpdate | None:
+        """Record that a server crashed while it did some work.
+
+        Args:
+            key: key of the work.
+            server: incarnation id of the server.
+            now: time of the runtime's clock in seconds.
+            served_at: when a request with the part that is the work was last served; None if that
+                is not known, or if the work is a whole request.
 
         Returns:
             The quarantine that this crash begins or extends; None if there is no quarantine or the
             crash was already counted.
         """
-        quarantined = self._quarantined.get(fingerprint)
+        quarantined = self._quarantined.get(key)
         if quarantined is not None:
-            if not quarantined.add((server,), now):
+            if not quarantined.add({server: now}):
                 return None
-            return self._extend(fingerprint, quarantined, now)
-        suspect = self._suspects.pop(fingerprint, None) or _Suspect()
-        if suspect.servers and now - suspect.last_crash_at > CRASH_RETENTION_S:
+            return self._extend(key, quarantined, now)
+        suspect = self._suspects.pop(key, None) or _Suspect()
+        if suspect.crashes and now - suspect.last_crash_at > CRASH_RETENTION_S:
             suspect = _Suspect()
-        suspect.add((server,), now)
-        if len(suspect.servers) < MAX_CRASHES:
-            keep_newest(self._suspects, fingerprint, suspect, MAX_SUSPECTS)
+        suspect.add({server: now})
+        if served_at is not None:
+            suspect.drop_before(served_at)
+        crashed_at = suspect.crashes.values()
+        if len(crashed_at) < MAX_CRASHES or is_served_since(crashed_at, served_at):
+            keep_newest(self._suspects, key, suspect, MAX_SUSPECTS)
             self._drop_old(now)
             return None
-        quarantined = _Quarantined(suspect.servers, now)
-        keep_newest(self._quarantined, fingerprint, quarantined, MAX_QUARANTINED)
-        return self._extend(fingerprint, quarantined, now)
+        quarantined = _Quarantined(suspect.crashes, is_part_key(key))
+        keep_newest(self._quarantined, key, quarantined, MAX_QUARANTINED)
+        return self._extend(key, quarantined, now)
 
-    def _extend(self, fingerprint: str, quarantined: _Quarantined, now: float) -> QuarantineUpdate:
-        """Refuse a request from now on, for longer the more servers crashed while running it.
+    def _extend(self, key: str, quarantined: _Quarantined, now: float) -> QuarantineUpdate:
+        """Refuse work from now on, for longer the more servers crashed while doing it.
 
         Return the update to send to the other instances.
         """
         quarantined.counted_here = True
         quarantined.trial_at = now + quarantined.quarantine_s
-        return QuarantineUpdate(fingerprint, tuple(quarantined.servers), quarantined.quarantine_s)
+        return _to_update(key, quarantined, now)
 
-    def begin_trial(self, fingerprint: str, now: float) -> QuarantineUpdate:
-        """Begin a trial of a request: the calling code lets one attempt through.
+    def begin_trial(self, key: str, now: float) -> QuarantineUpdate:
+        """Begin a trial of some work: the calling code lets one attempt through.
 
-        All other attempts are refused for ``TRIAL_S`` seconds. Return the update to send to the
-        other instances.
+        All other attempts are refused for ``TRIAL_S`` seconds, those with a part until its next
+        trial. Return the update to send to the other instances.
         """
-        quarantined = self._quarantined[fingerprint]
-        quarantined.trial_at = now + TRIAL_S
-        return QuarantineUpdate(fingerprint, tuple(quarantined.servers), TRIAL_S)
+        quarantined = self._quarantined[key]
+        if quarantined.is_part:
+            quarantined.trials += 1
+            quarantined.trial_at = now + quarantined.quarantine_s
+        else:
+            quarantined.trial_at = now + TRIAL_S
+        return _to_update(key, quarantined, now)
+
+    def to_update(self, key: str, now: float) -> QuarantineUpdate | None:
+        """Return the quarantine of some work as it is now; None if there is none."""
+        quarantined = self._quarantined.get(key)
+        return _to_update(key, quarantined, now) if quarantined else None
 
     def apply_update(self, update: QuarantineUpdate, now: float) -> bool:
         """Apply an update from another instance; return whether it reports an unknown crash."""
-        fingerprint = update.fingerprint
-        known = self._quarantined.get(fingerprint)
-        quarantined = known or _Quarantined()
-        is_new = quarantined.add(update.servers, now)
+        key = update.key
+        known = self._quarantined.get(key)
+        quarantined = known or _Quarantined(is_part=is_part_key(key))
+        is_new = quarantined.add(update.crashes(now))
+        quarantined.trials = max(quarantined.trials, update.trials)
         left_s = min(update.left_s, quarantined.quarantine_s)
         quarantined.trial_at = max(quarantined.trial_at, now + left_s)
         if known is None:
-            self._suspects.pop(fingerprint, None)
-            keep_newest(self._quarantined, fingerprint, quarantined, MAX_QUARANTINED)
+            self._suspects.pop(key, None)
+            keep_newest(self._quarantined, key, quarantined, MAX_QUARANTINED)
         return is_new
 
     def to_instance_record(self) -> Mapping[str, tuple[str, ...]]:
-        """Return the newest quarantines for this instance's record: servers by fingerprint."""
+        """Return the newest quarantines for this instance's record: servers by key."""
         own = [
-            (fingerprint, tuple(quarantined.servers))
-            for fingerprint, quarantined in self._quarantined.items()
+            (key, tuple(quarantined.crashes))
+            for key, quarantined in self._quarantined.items()
             if quarantined.counted_here
         ]
         return dict(own[-MAX_PUBLISHED:])
@@ -218,31 +282,31 @@
             now: time of the runtime's clock in seconds.
             own: whether an earlier incarnation of this instance wrote the record.
         """
-        for fingerprint, servers in published.items():
-            if now - self._completed_at.get(fingerprint, float("-inf")) < COMPLETED_RETENTION_S:
+        for key, servers in published.items():
+            if now - self._completed_at.get(key, float("-inf")) < COMPLETED_RETENTION_S:
                 continue
-            known = self._quarantined.get(fingerprint)
-            if known is not None and known.servers.keys() >= set(servers):
+            known = self._quarantined.get(key)
+            if known is not None and known.crashes.keys() >= set(servers):
                 continue
-            update = QuarantineUpdate(fingerprint, tuple(servers), MAX_QUARANTINE_S)
+            update = QuarantineUpdate(key, tuple(servers), MAX_PART_QUARANTINE_S)
             if self.apply_update(update, now):
-                self._quarantined[fingerprint].counted_here |= own
+                self._quarantined[key].counted_here |= own
                 yield update
 
-    def record_completed(self, fingerprint: str, now: float) -> int:
-        """Record that a server completed a request, which clears its crashes and its quarantine.
+    def record_completed(self, key: str, now: float) -> int:
+        """Record that a server completed some work, which clears its crashes and its quarantine.
 
         Return the number of crashes that were cleared.
         """
-        crashes = self.crash_count(fingerprint)
+        crashes = self.crash_count(key)
         if crashes:
-            self._suspects.pop(fingerprint, None)
-            self._quarantined.pop(fingerprint, None)
-            keep_newest(self._completed_at, fingerprint, now, MAX_SUSPECTS)
+            self._suspects.pop(key, None)
+            self._quarantined.pop(key, None)
+            keep_newest(self._completed_at, key, now, MAX_SUSPECTS)
         return crashes
 
     def _drop_old(self, now: float) -> None:
-        """Drop requests whose last crash or trial is more than ``CRASH_RETENTION_S`` ago.
+        """Drop work whose last crash or trial is long ago.
 
         The suspects are ordered by their last crash, so only the first of them are checked.
         """
@@ -251,6 +315,17 @@
             if now - self._suspects[oldest].last_crash_at <= CRASH_RETENTION_S:
                 break
             del self._suspects[oldest]
-        for fingerprint, quarantined in list(self._quarantined.items()):
-            if now - max(quarantined.last_crash_at, quarantined.trial_at) > CRASH_RETENTION_S:
-                del self._quarantined[fingerprint]
+        for key, quarantined in list(self._quarantined.items()):
+            unused_s = now - max(quarantined.last_crash_at, quarantined.trial_at)
+            if unused_s > (MAX_PART_QUARANTINE_S if quarantined.is_part else CRASH_RETENTION_S):
+                del self._quarantined[key]
+
+
+def _to_update(key: str, quarantined: _Quarantined, now: float) -> QuarantineUpdate:
+    return QuarantineUpdate(
+        key,
+        tuple(quarantined.crashes),
+        max(0.0, quarantined.trial_at - now),
+        tuple(now - at for at in quarantined.crashes.values()),
+        quarantined.trials,
+    )
--- a/src/crankhinge/gateway/_admission.py
+++ b/src/crankhinge/gateway/_admission.py
@@ -7,7 +7,14 @@
 import curio
 
 from crankhinge.adapters import RelayRequest
-from crankhinge.decisions import CallerRetryDetector, Route, RouteTable, Service, fingerprint
+from crankhinge.decisions import (
+    CallerRetryDetector,
+    Route,
+    RouteTable,
+    Service,
+    fingerprint,
+    part_keys,
+)
 from crankhinge.errors import NotReady, UnknownRoute
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._discovery import Discovery
@@ -61,6 +68,7 @@
         relay = Relay(exchange, request, route, service, config.version, started_at, deadline)
         relay.has_accounts, relay.account = config.accounts is not None, account
         relay.fingerprint = _fingerprint(relay, exchange.req)
+        relay.part_keys = part_keys(request.prompt_parts, at_engine=service.engine is not None)
         relay.is_retry = self._retry_detector.record_request(
             route.name, caller_timeout_s, connection_reused=exchange.connection_reused
         )
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -69,7 +69,8 @@
         Raises:
             BadCredentials: the caller's key was revoked meanwhile.
             ConfigTooOld: this instance can no longer tell whether the key is valid.
-            Quarantined: servers crashed meanwhile while they ran this request.
+            Quarantined: servers crashed meanwhile while they ran this request, or others that
+                share a part of its prompt.
             ServerBarred: nothing was sent, since the server is excluded, at its limit, has not read
                 earlier requests, or has another software version than the stream.
             ConnectFailed: nothing was sent to this server. If another server responds at its
@@ -82,8 +83,7 @@
         req = relay.exchange.req
         started_at = await curio.clock()
         self._authenticator.recheck(relay, started_at)
-        work_key = relay.work_key(prompt_only=params.prompt_only)
-        await self._quarantine.admit(relay, work_key, started_at)
+        await self._quarantine.admit(relay, started_at, prompt_only=params.prompt_only)
         # The reservation may be seconds old, since the prompt was processed elsewhere meanwhile.
         reason = self._backends.exclusion_reason(server, started_at)
         if not params.prompt_only and not server.has_version(relay.version):
@@ -100,6 +100,8 @@
         )
         stats.breaker.record_sent(started_at)
         stats.open_requests += 1
+        if not params.prompt_only:
+            relay.writing_since = None
         stream: ClientStream | None = None
         completed = False
         try:
@@ -134,8 +136,9 @@
                 relay.permits[server.incarnation_id] = permit
             if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
                 # The trial of a quarantined request ends here, whether or not the server crashed.
-                relay.trial_work = ""
-                await self._crashes.on_connection_ended(server, work_key)
+                relay.trial_work = frozenset()
+                keys = relay.work_keys(prompt_only=params.prompt_only)
+                await self._crashes.on_connection_ended(server, keys)
             raise
         finally:
             stats.open_requests -= 1
--- a/src/crankhinge/gateway/_crashes.py
+++ b/src/crankhinge/gateway/_crashes.py
@@ -28,7 +28,7 @@
 # another incarnation listens there already.
 ENTRY_LAPSE_S = 8.0
 
-# Called with a server that crashed and the fingerprints of the requests that it was running.
+# Called with a server that crashed and the keys of the work that it was doing.
 OnCrash = Callable[[Server, Collection[str]], Awaitable[None]]
 
 
@@ -38,12 +38,12 @@
 
     Attributes:
         server: the server.
-        fingerprints: fingerprints of the requests.
+        keys: keys of the work that the requests were.
         checked_at: when the server was last checked, on the runtime's clock.
     """
 
     server: Server
-    fingerprints: set[str]
+    keys: set[str]
     checked_at: float
 
 
@@ -65,14 +65,19 @@
         # Cut requests whose server may have crashed although the check found no crash.
         self._undecided: dict[str, _CutRequests] = {}
 
-    async def on_connection_ended(self, server: Server, fingerprint: str) -> None:
-        """Record that a request's connection to a server ended in the middle of the request."""
+    async def on_connection_ended(self, server: Server, keys: Collection[str]) -> None:
+        """Record that a request's connection to a server ended in the middle of the request.
+
+        Args:
+            server: the server.
+            keys: keys of the work that the request was.
+        """
         if self._backends.is_leaving(server.incarnation_id):
             return
         if server.incarnation_id in self._cut_requests:
-            self._cut_requests[server.incarnation_id].add(fingerprint)
+            self._cut_requests[server.incarnation_id].update(keys)
             return
-        self._cut_requests[server.incarnation_id] = {fingerprint}
+        self._cut_requests[server.incarnation_id] = set(keys)
         await curio.spawn(self._check_server, server, daemon=True)
 
     async def on_entry_gone(self, incarnation_id: str) -> None:
@@ -81,38 +86,34 @@
         if cut is None or self._backends.is_leaving(incarnation_id):
             return
         if await curio.clock() - cut.checked_at <= ENTRY_LAPSE_S:
-            await self._report_crash(cut.server, cut.fingerprints, "entry_gone")
+            await self._report_crash(cut.server, cut.keys, "entry_gone")
 
     async def _check_server(self, server: Server) -> None:
         await curio.sleep(CUTS_BATCH_S)
-        fingerprints = self._cut_requests.pop(server.incarnation_id)
+        keys = self._cut_requests.pop(server.incarnation_id)
         if not self._backends.is_listed(server.incarnation_id):
             # An instance that was suspended may learn of the removed entry and of the ended
             # connection at the same time, and handle the entry first.
-            await self._report_crash(server, fingerprints, "entry_gone")
+            await self._report_crash(server, keys, "entry_gone")
             return
         try:
             crashed = not await self._backends.client(server).is_listening()
         except ConnectFailed as exc:
             why = exc.detail
-            self._log.info(
-                "server_unreached", server=server.incarnation_id, cut=len(fingerprints), why=why
-            )
-            await self._wait_for_entry(server, fingerprints)
+            self._log.info("server_unreached", server=server.incarnation_id, cut=len(keys), why=why)
+            await self._wait_for_entry(server, keys)
             return
         if crashed:
-            await self._report_crash(server, fingerprints, "nobody_listens")
+            await self._report_crash(server, keys, "nobody_listens")
             return
-        self._log.info("server_lives", server=server.incarnation_id, cut=len(fingerprints))
-        await self._wait_for_entry(server, fingerprints)
+        self._log.info("server_lives", server=server.incarnation_id, cut=len(keys))
+        await self._wait_for_entry(server, keys)
 
-    async def _report_crash(self, server: Server, fingerprints: set[str], why: str) -> None:
-        self._log.info(
-            "server_crashed", server=server.incarnation_id, cut=len(fingerprints), why=why
-        )
-        await self._on_crash(server, fingerprints)
+    async def _report_crash(self, server: Server, keys: set[str], why: str) -> None:
+        self._log.info("server_crashed", server=server.incarnation_id, cut=len(keys), why=why)
+        await self._on_crash(server, keys)
 
-    async def _wait_for_entry(self, server: Server, fingerprints: set[str]) -> None:
+    async def _wait_for_entry(self, server: Server, keys: set[str]) -> None:
         """Keep cut requests until the server's entry lapses, which would show that it crashed."""
         now = await curio.clock()
         expired = [
@@ -124,5 +125,5 @@
             del self._undecided[incarnation_id]
         earlier = self._undecided.get(server.incarnation_id)
         if earlier is not None:
-            fingerprints = earlier.fingerprints | fingerprints
-        self._undecided[server.incarnation_id] = _CutRequests(server, fingerprints, now)
+            keys = earlier.keys | keys
+        self._undecided[server.incarnation_id] = _CutRequests(server, keys, now)
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -249,9 +249,10 @@
     async def _respond(self, relay: Relay) -> bool:
         """Run one request; return whether the caller got a complete response."""
         try:
-            self._quarantine.refuse_quarantined(relay.work_key(prompt_only=False), relay.started_at)
+            self._quarantine.refuse_quarantined(relay, relay.started_at)
             await self._limits.take_tokens(relay)
-            await self._run(relay)
+            with self._quarantine.part_evidence.track(relay):
+                await self._run(relay)
         except CrankhingeError as exc:
             # The tokens are returned before the response is sent, since the caller may use them for
             # its next request at once.
@@ -260,7 +261,7 @@
         await _record_duration(relay)
         self._log_end(relay)
         if relay.log_fields["status"] == HTTP_OK:
-            await self._quarantine.record_completed(relay, relay.work_key(prompt_only=False))
+            await self._quarantine.record_completed(relay, prompt_only=False)
         return True
 
     async def _run(self, relay: Relay) -> None:
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -100,7 +100,7 @@
 
     Attributes:
         server: incarnation id of the server.
-        fingerprints: fingerprints of the requests.
+        fingerprints: keys of the work that the server was doing.
     """
 
     server: str
@@ -108,29 +108,45 @@
 
 
 class QuarantineUpdateMessage(msgspec.Struct, frozen=True, tag="quarantine-begun"):
-    """The quarantine of a request began or was extended, or its trial began.
+    """The quarantine of some work began or was extended, or its trial began.
 
     Attributes:
-        fingerprint: fingerprint of the request.
-        servers: incarnation ids of the servers that crashed while they ran the request.
+        fingerprint: key of the work.
+        servers: incarnation ids of the servers that crashed while doing it.
         left_s: seconds until a trial, or the next trial, may begin.
+        ages_s: seconds since each of the crashes.
+        trials: number of trials of a part of a prompt.
     """
 
     fingerprint: str
     servers: tuple[str, ...]
     left_s: float
+    ages_s: tuple[float, ...] = ()
+    trials: int = 0
 
 
 class QuarantineEnded(msgspec.Struct, frozen=True, tag="quarantine-ended"):
-    """A server completed a request, which shows that the request does not crash servers.
+    """A server completed some work, which shows that the work does not crash servers.
 
     Attributes:
-        fingerprint: fingerprint of the request.
+        fingerprint: key of the work.
     """
 
     fingerprint: str
 
 
+class PartServed(msgspec.Struct, frozen=True, tag="part-served"):
+    """A server served a request with a part that the receiver has put in quarantine.
+
+    Attributes:
+        key: key of the part.
+        ago_s: seconds since then.
+    """
+
+    key: str
+    ago_s: float
+
+
 class LimitAdvertised(msgspec.Struct, frozen=True, tag="limit-named"):
     """A server advertised how many requests it accepts from all instances together.
 
@@ -264,6 +280,7 @@
     | ServerCrashed
     | QuarantineUpdateMessage
     | QuarantineEnded
+    | PartServed
     | LimitAdvertised
     | LimitWithdrawn
     | ServerLeaving
--- a/src/crankhinge/gateway/_program.py
+++ b/src/crankhinge/gateway/_program.py
@@ -322,6 +322,7 @@
         "config_version", lambda: discovery.config.version if discovery.config else 0
     )
     metrics.set_gauge_function("requests_quarantined", quarantine.__len__)
+    metrics.set_gauge_function("parts_quarantined", lambda: quarantine.part_count)
     metrics.set_gauge_function("streams_remembered", stream_origins.__len__)
     metrics.set_gauge_function("servers_limited", limit_updates.__len__)
     metrics.set_gauge_function(
--- a/src/crankhinge/gateway/_prompt_processor.py
+++ b/src/crankhinge/gateway/_prompt_processor.py
@@ -249,7 +249,7 @@
             # Each processing of the prompt after the first counts as a retry.
             budget.charge_retry()
         relay.prompt_processed = True
-        await self._quarantine.record_completed(relay, relay.work_key(prompt_only=True))
+        await self._quarantine.record_completed(relay, prompt_only=True)
         duration_s = await curio.clock() - started_at
         stats.record_success(duration_s)
         relay.log_fields.update(reader=server.incarnation_id, read_ms=round(duration_s * 1000))
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -8,11 +8,9 @@
 import curio
 
 from crankhinge.adapters import RelayRequest
-from crankhinge.decisions import Account, EngineRole, Route, Service
+from crankhinge.decisions import Account, EngineRole, Route, Service, prompt_only_keys
 from crankhinge.http import Exchange
 
-# Prefix of a work key that stands for the processing of a request's prompt by a prompt engine.
-PROMPT_ONLY_PREFIX = "r:"
 # A request fails when this many servers were unreachable for it. Each of them costs at most the
 # timeout of a connection.
 MAX_UNREACHABLE = 3
@@ -59,11 +57,12 @@
         started_at: when the request was read, on the runtime's clock.
         deadline: when the response must be complete, on the runtime's clock.
         fingerprint: equal for all attempts of a caller at the same request.
+        part_keys: keys of the parts of the prompt that other requests may have as well.
         account: account of the caller; None if the request needs no key.
         has_accounts: whether the configuration has accounts.
         grant: tokens that the request was granted; None if it costs none.
         permits: permits for servers that advertise limits, by incarnation id.
-        trial_work: key of the work that may run as the trial of a quarantine; empty for none.
+        trial_work: keys of the work that may run as the trial of a quarantine.
         is_retry: whether the request is probably a caller's retry after a refusal.
         sent_to: incarnation ids of the decode engines or plain servers that were tried, including
             the current one. Prompt engines and unreachable servers are not included.
@@ -73,6 +72,7 @@
         prompt_processed: whether a prompt engine processed the prompt.
         reserved_at: when a decode engine granted the reservation; None before.
         last_event_at: when the caller was last sent an event; None before the first.
+        writing_since: when the caller was sent the first event of the current attempt; None before.
         log_fields: fields of the log line about the end of the request.
     """
 
@@ -84,11 +84,12 @@
     started_at: float
     deadline: float
     fingerprint: str = ""
+    part_keys: tuple[str, ...] = ()
     account: Account | None = None
     has_accounts: bool = False
     grant: TokenGrant | None = None
     permits: dict[str, SendPermit] = field(default_factory=dict)
-    trial_work: str = ""
+    trial_work: frozenset[str] = frozenset()
     is_retry: bool = False
     sent_to: list[str] = field(default_factory=list)
     unreachable: list[str] = field(default_factory=list)
@@ -97,6 +98,7 @@
     prompt_processed: bool = False
     reserved_at: float | None = None
     last_event_at: float | None = None
+    writing_since: float | None = None
     log_fields: dict[str, Any] = field(default_factory=dict)
 
     async def remaining_s(self) -> float:
@@ -125,14 +127,14 @@
         """
         return "" if role is EngineRole.PREFILL else self.version
 
-    def work_key(self, *, prompt_only: bool) -> str:
-        """Return a key that is equal for all attempts at the same work.
+    def work_keys(self, *, prompt_only: bool) -> tuple[str, ...]:
+        """Return the keys under which a crash of a server during this work is counted.
 
         The work is the execution of the request or, with *prompt_only*, the processing of its
-        prompt by a prompt engine. These have different keys, since a prompt that crashes prompt
-        engines may well be processed by a decode engine.
+        prompt by a prompt engine.
         """
-        return f"{PROMPT_ONLY_PREFIX}{self.fingerprint}" if prompt_only else self.fingerprint
+        keys = (self.fingerprint, *self.part_keys)
+        return prompt_only_keys(keys) if prompt_only else keys
 
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller: when the first was, and the longest pause."""
@@ -142,6 +144,8 @@
             gap_ms = round((now - self.last_event_at) * 1000)
             self.log_fields["gap_ms"] = max(gap_ms, self.log_fields.get("gap_ms", 0))
         self.last_event_at = now
+        if self.writing_since is None:
+            self.writing_since = now
 
     def record_unreachable(self) -> bool:
         """Record that the last server was unreachable; return whether another may be tried."""
--- a/src/crankhinge/gateway/migration/_migrator.py
+++ b/src/crankhinge/gateway/migration/_migrator.py
@@ -157,7 +157,7 @@
             return "target changes its role"
         try:
             self._authenticator.recheck(relay, now)
-            self._quarantine.refuse_quarantined(relay.work_key(prompt_only=False), now)
+            self._quarantine.refuse_quarantined(relay, now)
         except CrankhingeError as exc:
             return exc.code
         return ""
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -2,15 +2,31 @@
 
 from __future__ import annotations
 
+import json
+import random
 from functools import partial
 from typing import Any
 
 import curio
+import curio.socket
+import msgspec
 import pytest
 
+from crankhinge.decisions._part_history import MAX_CRASHES, MAX_WRITING_S
+from crankhinge.decisions._quarantine import FIRST_PART_QUARANTINE_S
+from crankhinge.gateway._peer_messages import ServerCrashed
+from crankhinge.gateway._peer_messenger import PeerMessenger
 from crankhinge.http import Exchange
-from platform_fakes import FakeReplica, make_events, respond_ok, route
-from test_quarantine import TOKEN_HEADERS, Fleet
+from platform_fakes import (
+    HOST,
+    FakeReplica,
+    GatewayHarness,
+    make_events,
+    respond_ok,
+    respond_stream,
+    route,
+)
+from test_quarantine import PEER_MESSAGE_S, SERVER_RESTART_S, TOKEN_HEADERS, Fleet
 
 BAD_PART = "badbad00"
 FIRST_PART = "0f0f0f0f"
@@ -18,6 +34,13 @@
 # number of those that may reach servers later.
 CONTACT_S = 3.0
 MAX_LATE_REQUESTS = 3
+# Sound requests are served at least this often, as a share of how often they were before.
+LEAST_SOUND_SHARE = 0.5
+# Share of the datagrams that are lost.
+DATAGRAM_LOSS = 0.3
+# Seconds until an instance has written its record, and until the others have read it.
+STORE_WRITE_S = 1.5
+STORE_READ_S = 4.0
 # Crash after which CONTACT_S begins.
 COUNTED_CRASH = 5
 # Seconds for which the traffic lasts, until the first request with the part, and between two
@@ -128,6 +151,21 @@
                 await group.spawn(partial(self.send, path, parts, **options))
                 await curio.sleep(BAD_INTERVAL_S)
 
+    async def crash_servers(self, count: int) -> None:
+        """Send *count* requests with the part, each of which crashes a server."""
+        for _ in range(count):
+            assert await self.send("/stream/", POSITIONS["middle"]) == 0
+            await curio.sleep(PEER_MESSAGE_S)
+
+    def sound_share(self, since_s: float, until_s: float) -> float:
+        """Return the share of the sound requests sent in a time that were served."""
+        statuses = [
+            status
+            for sent_at, status in self.sound
+            if since_s <= sent_at - self.started_at < until_s
+        ]
+        return statuses.count(200) / len(statuses)
+
     def _bad_arrivals(self) -> list[float]:
         """Return when requests with the part reached servers, repeats included.
 
@@ -181,3 +219,208 @@
         traffic.fleet.run(scenario, *ROUTES)
         assert traffic.fleet.crash_count >= MAX_LATE_REQUESTS
         assert traffic.late_arrivals() <= MAX_LATE_REQUESTS
+
+    @pytest.mark.parametrize("instances", [2, 5])
+    def test_sound_requests_with_the_same_first_part_are_served(self, instances: int) -> None:
+        """They are in every crash as well, and would be refused with the part."""
+        traffic = PartTraffic(instances=instances)
+
+        async def scenario() -> None:
+            await traffic.run("/stream/", parts=POSITIONS["middle"])
+
+        traffic.fleet.run(scenario, *ROUTES)
+        # Later streams may still be in progress when the first server crashes.
+        before = traffic.sound_share(0.0, FIRST_BAD_S - EVENTS * EVENT_S)
+        assert before == 1.0
+        assert traffic.sound_share(FIRST_BAD_S + 5 * BAD_INTERVAL_S + 2 * CONTACT_S, TRAFFIC_S) > (
+            LEAST_SOUND_SHARE * before
+        )
+
+    def test_prompt_with_the_part_is_processed_by_no_engine(self) -> None:
+        """A prompt that is processed for a refused answer is wasted."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.crash_servers(3)
+            for replica in traffic.fleet.replicas:
+                replica.arrivals.clear()
+            assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert not any(replica.arrivals for replica in traffic.fleet.replicas)
+        assert json.loads(traffic.fleet.body)["outcome"] == "not-run"
+
+    def test_crashes_are_counted_for_all_accounts_together(self) -> None:
+        """Two accounts share the part, and each of their requests crashes a server."""
+        tenants = [{"name": "one", "api_keys": ["k1"]}, {"name": "two", "api_keys": ["k2"]}]
+        traffic = PartTraffic(tenants)
+        statuses = []
+
+        async def scenario() -> None:
+            for number in range(6):
+                key = f"Bearer k{number % 2 + 1}"
+                parts = POSITIONS["middle"]
+                statuses.append(await traffic.send("/stream/", parts, authorization=key))
+                await curio.sleep(PEER_MESSAGE_S)
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert statuses == [0] * 3 + [503] * 3
+
+    @pytest.mark.parametrize("seed", range(3))
+    def test_instances_learn_of_the_part_while_datagrams_are_lost(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Three in ten datagrams between instances are lost."""
+        rng = random.Random(seed)
+        send = PeerMessenger.send
+
+        async def send_some(self: PeerMessenger, address: str, message: Any) -> None:
+            if rng.random() > DATAGRAM_LOSS:
+                await send(self, address, message)
+
+        traffic = PartTraffic(instances=5)
+
+        async def scenario() -> None:
+            monkeypatch.setattr(PeerMessenger, "send", send_some)
+            await traffic.run("/stream/", parts=POSITIONS["middle"])
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert traffic.late_arrivals() <= MAX_LATE_REQUESTS
+        assert traffic.sound_share(TRAFFIC_S / 2, TRAFFIC_S) > LEAST_SOUND_SHARE
+
+    def test_instance_without_datagrams_learns_of_the_part_from_the_store(self) -> None:
+        """The instances that counted the crashes publish the part in their records."""
+        traffic = PartTraffic()
+        without_messages = traffic.fleet.harness.add_gateway("deaf")
+        without_messages.peer_port = 1
+
+        async def scenario() -> None:
+            await traffic.crash_servers(3)
+            await curio.sleep(STORE_READ_S)
+            traffic.fleet.gateways = [without_messages]
+            assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def test_killed_instances_learn_of_the_part_when_they_restart(self) -> None:
+        """All instances are killed, one after the other."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.crash_servers(3)
+            await curio.sleep(STORE_WRITE_S)
+            for gateway in traffic.fleet.gateways:
+                await gateway.kill_gateway()
+            await curio.sleep(PEER_MESSAGE_S)
+            for _ in range(2):
+                assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def test_mended_part_is_served_after_its_trial(self) -> None:
+        """One request with it is let through, and its response ends the quarantine everywhere."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.crash_servers(3)
+            for replica in traffic.fleet.replicas:
+                replica.handler = respond_stream if replica.role else respond_ok
+            assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+            await curio.sleep(FIRST_PART_QUARANTINE_S + len(traffic.fleet.gateways))
+            assert await traffic.send("/stream/", POSITIONS["middle"]) == 200
+            await curio.sleep(PEER_MESSAGE_S)
+            for _ in range(4):
+                assert await traffic.send("/stream/", POSITIONS["middle"]) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def test_trial_reaches_one_server(self) -> None:
+        """The route lets streams go on at a second engine, and prompts be processed apart."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.crash_servers(3)
+            await curio.sleep(FIRST_PART_QUARANTINE_S + len(traffic.fleet.gateways))
+            for replica in traffic.fleet.replicas:
+                replica.arrivals.clear()
+            for _ in range(6):
+                await traffic.send("/resumed/", POSITIONS["middle"])
+                await curio.sleep(PEER_MESSAGE_S)
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert sum(len(replica.arrivals) for replica in traffic.fleet.replicas) == 1
+
+
+class TestSharedPart:
+    """Servers crash by chance, and all requests share their parts."""
+
+    def test_crash_of_all_servers_bars_no_part(self) -> None:
+        """Nothing is served between the crashes, which are one event."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.send("/stream/", (FIRST_PART,))
+            async with curio.TaskGroup() as group:
+                for _ in range(24):
+                    await group.spawn(traffic.send, "/stream/", (FIRST_PART,))
+                await curio.sleep(3 * EVENT_S)
+                for replica in traffic.fleet.replicas:
+                    await replica.crashed.set()
+            await curio.sleep(2 * SERVER_RESTART_S)
+            for _ in range(4):
+                assert await traffic.send("/stream/", (FIRST_PART,)) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def test_part_that_other_servers_are_writing_on_is_not_barred(self) -> None:
+        """Three of six servers crash before any request with the part was ever completed."""
+        traffic = PartTraffic()
+        statuses: list[int] = []
+
+        async def send_one() -> None:
+            statuses.append(await traffic.send("/stream/", (FIRST_PART,)))
+
+        async def scenario() -> None:
+            async with curio.TaskGroup() as group:
+                for _ in range(24):
+                    await group.spawn(send_one)
+                await curio.sleep(MAX_WRITING_S + 2 * EVENT_S)
+                for replica in traffic.fleet.replicas[2:5]:
+                    await replica.crashed.set()
+                await curio.sleep(PEER_MESSAGE_S)
+                for _ in range(4):
+                    await group.spawn(send_one)
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert 503 not in statuses
+        assert statuses.count(200) > len(statuses) / 3
+
+    @pytest.mark.parametrize("part", [f"{number:08x}" for number in range(4)])
+    def test_quarantine_ends_if_another_instance_has_served_the_part(self, part: str) -> None:
+        """The instances that count the crashes serve no request with the part."""
+        traffic = PartTraffic(instances=5)
+
+        async def scenario() -> None:
+            first = traffic.fleet.gateways[0]
+            async with curio.TaskGroup() as group:
+                for _ in range(6):
+                    await group.spawn(traffic.send, "/stream/", (part,))
+                await curio.sleep(EVENT_S)
+            traffic.fleet.gateways = [first]
+            assert await traffic.send("/stream/", (part,)) == 200
+            servers = [f"i-x{number}" for number in range(MAX_CRASHES)]
+            for gateway in (first, *first.other_gateways):
+                for server in servers:
+                    await self._report_crash(gateway, server, f"p:{part}")
+            await curio.sleep(PEER_MESSAGE_S)
+            for gateway in (first, *first.other_gateways):
+                traffic.fleet.gateways = [gateway]
+                assert await traffic.send("/stream/", (part,)) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    async def _report_crash(self, gateway: GatewayHarness, server: str, key: str) -> None:
+        """Send an instance the report of another one that a server crashed."""
+        async with curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM) as sock:
+            data = msgspec.msgpack.encode(ServerCrashed(server, (key,)))
+            await sock.sendto(data, (HOST, gateway.peer_port))
--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -47,7 +47,9 @@
         assert quarantine.record_crash(REQUEST, "i-1", 0.0) is None
         assert quarantine.refusal_left_s(REQUEST, 0.0) == 0.0
         update = quarantine.record_crash(REQUEST, "i-2", 0.0)
-        assert update == QuarantineUpdate(REQUEST, ("i-0", "i-1", "i-2"), FIRST_QUARANTINE_S)
+        assert update == QuarantineUpdate(
+            REQUEST, ("i-0", "i-1", "i-2"), FIRST_QUARANTINE_S, ages_s=(0.0, 0.0, 0.0)
+        )
         assert quarantine.refusal_left_s(REQUEST, 1.0) == FIRST_QUARANTINE_S - 1.0
 
     def test_repeated_report_of_a_crash_counts_once(self) -> None:
