--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -120,7 +120,7 @@
     stream_key,
 )
 from crankhinge.decisions._token_bucket import MAX_RETRY_AFTER_S, TokenBucket
-from crankhinge.decisions._work_keys import is_part_key, part_keys, prompt_only_keys
+from crankhinge.decisions._work_keys import WorkKeys, is_part_key, part_keys, prompt_only_keys
 from crankhinge.decisions._work_queue import WorkQueue
 
 __all__ = [
@@ -233,6 +233,7 @@
     "SwapRecord",
     "TokenBucket",
     "TokenLimit",
+    "WorkKeys",
     "WorkQueue",
     "WorkRequest",
     "WorkloadMeter",
--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -9,7 +9,7 @@
 and fewer of them.
 
 Most requests share parts with others, so a part is put in quarantine only if no request with it was
-served since the crashes.
+served since the crashes, and if no single request explains all of them.
 
 Crashes are identified by the incarnation ids of the servers, so a crash that is reported twice, by
 two instances or by a late message, counts once.
@@ -70,9 +70,11 @@
     Attributes:
         crashes: when this instance learned of each crash, by the incarnation id of the server; the
             oldest first.
+        requests: the requests with the part that is the work, by the server that ran them.
     """
 
     crashes: dict[str, float] = field(default_factory=dict)
+    requests: dict[str, set[str]] = field(default_factory=dict)
 
     @property
     def last_crash_at(self) -> float:
@@ -87,13 +89,21 @@
         new = {server: at for server, at in crashes.items() if server not in self.crashes}
         self.crashes.update(new)
         while len(self.crashes) > MAX_CRASHED_SERVERS:
-            del self.crashes[next(iter(self.crashes))]
+            oldest = next(iter(self.crashes))
+            del self.crashes[oldest]
+            self.requests.pop(oldest, None)
         return bool(new)
 
     def drop_before(self, at: float) -> None:
         """Drop the crashes up to a time."""
         self.crashes = {server: time for server, time in self.crashes.items() if time > at}
 
+    @property
+    def is_explained_by_one_request(self) -> bool:
+        """Whether one request was running on each of the servers."""
+        running = [self.requests.get(server, set()) for server in self.crashes]
+        return bool(set.intersection(*running))
+
 
 @dataclass
 class _Quarantined(_Suspect):
@@ -183,7 +193,13 @@
         return max(0.0, quarantined.trial_at - now) if quarantined else 0.0
 
     def record_crash(
-        self, key: str, server: str, now: float, *, served_at: float | None = None
+        self,
+        key: str,
+        server: str,
+        now: float,
+        *,
+        requests: Collection[str] = (),
+        served_at: float | None = None,
     ) -> QuarantineUpdate | None:
         """Record that a server crashed while it did some work.
 
@@ -191,6 +207,7 @@
             key: key of the work.
             server: incarnation id of the server.
             now: time of the runtime's clock in seconds.
+            requests: the requests with the part that is the work; empty for a whole request.
             served_at: when a request with the part that is the work was last served; None if that
                 is not known, or if the work is a whole request.
 
@@ -207,14 +224,19 @@
         if suspect.crashes and now - suspect.last_crash_at > CRASH_RETENTION_S:
             suspect = _Suspect()
         suspect.add({server: now})
+        suspect.requests.setdefault(server, set()).update(requests)
         if served_at is not None:
             suspect.drop_before(served_at)
         crashed_at = suspect.crashes.values()
-        if len(crashed_at) < MAX_CRASHES or is_served_since(crashed_at, served_at):
+        if (
+            len(crashed_at) < MAX_CRASHES
+            or is_served_since(crashed_at, served_at)
+            or suspect.is_explained_by_one_request
+        ):
             keep_newest(self._suspects, key, suspect, MAX_SUSPECTS)
             self._drop_old(now)
             return None
-        quarantined = _Quarantined(suspect.crashes, is_part_key(key))
+        quarantined = _Quarantined(suspect.crashes, is_part=is_part_key(key))
         keep_newest(self._quarantined, key, quarantined, MAX_QUARANTINED)
         return self._extend(key, quarantined, now)
 
--- a/src/crankhinge/decisions/_work_keys.py
+++ b/src/crankhinge/decisions/_work_keys.py
@@ -8,7 +8,10 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
+
+# The keys of the work that a request is: its own key, then those of the parts of its prompt.
+WorkKeys = tuple[str, ...]
 
 # Prefix of keys of work that a prompt engine does for a decode engine.
 PROMPT_ONLY_PREFIX = "r:"
@@ -37,7 +40,7 @@
     return tuple(prefix + _bounded_id(part) for part in shared)
 
 
-def prompt_only_keys(keys: Iterable[str]) -> tuple[str, ...]:
+def prompt_only_keys(keys: WorkKeys) -> WorkKeys:
     """Return the keys of the processing of a prompt for the keys of the whole work."""
     return tuple(PROMPT_ONLY_PREFIX + key for key in keys)
 
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -137,8 +137,8 @@
             if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
                 # The trial of a quarantined request ends here, whether or not the server crashed.
                 relay.trial_work = frozenset()
-                keys = relay.work_keys(prompt_only=params.prompt_only)
-                await self._crashes.on_connection_ended(server, keys)
+                request = relay.work_keys(prompt_only=params.prompt_only)
+                await self._crashes.on_connection_ended(server, request)
             raise
         finally:
             stats.open_requests -= 1
--- a/src/crankhinge/gateway/_crashes.py
+++ b/src/crankhinge/gateway/_crashes.py
@@ -13,7 +13,7 @@
 
 import curio
 
-from crankhinge.decisions import Server
+from crankhinge.decisions import Server, WorkKeys
 from crankhinge.gateway._backends import Backends
 from crankhinge.http import ConnectFailed
 
@@ -28,8 +28,8 @@
 # another incarnation listens there already.
 ENTRY_LAPSE_S = 8.0
 
-# Called with a server that crashed and the keys of the work that it was doing.
-OnCrash = Callable[[Server, Collection[str]], Awaitable[None]]
+# Called with a server that crashed and the requests that it was running.
+OnCrash = Callable[[Server, Collection[WorkKeys]], Awaitable[None]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,12 +38,12 @@
 
     Attributes:
         server: the server.
-        keys: keys of the work that the requests were.
+        requests: the requests.
         checked_at: when the server was last checked, on the runtime's clock.
     """
 
     server: Server
-    keys: set[str]
+    requests: set[WorkKeys]
     checked_at: float
 
 
@@ -61,23 +61,18 @@
         self._on_crash = on_crash
         self._log = log
         # Cut requests by the incarnation id of the server that is about to be checked.
-        self._cut_requests: dict[str, set[str]] = {}
+        self._cut_requests: dict[str, set[WorkKeys]] = {}
         # Cut requests whose server may have crashed although the check found no crash.
         self._undecided: dict[str, _CutRequests] = {}
 
-    async def on_connection_ended(self, server: Server, keys: Collection[str]) -> None:
-        """Record that a request's connection to a server ended in the middle of the request.
-
-        Args:
-            server: the server.
-            keys: keys of the work that the request was.
-        """
+    async def on_connection_ended(self, server: Server, request: WorkKeys) -> None:
+        """Record that a request's connection to a server ended in the middle of the request."""
         if self._backends.is_leaving(server.incarnation_id):
             return
         if server.incarnation_id in self._cut_requests:
-            self._cut_requests[server.incarnation_id].update(keys)
+            self._cut_requests[server.incarnation_id].add(request)
             return
-        self._cut_requests[server.incarnation_id] = set(keys)
+        self._cut_requests[server.incarnation_id] = {request}
         await curio.spawn(self._check_server, server, daemon=True)
 
     async def on_entry_gone(self, incarnation_id: str) -> None:
@@ -86,34 +81,36 @@
         if cut is None or self._backends.is_leaving(incarnation_id):
             return
         if await curio.clock() - cut.checked_at <= ENTRY_LAPSE_S:
-            await self._report_crash(cut.server, cut.keys, "entry_gone")
+            await self._report_crash(cut.server, cut.requests, "entry_gone")
 
     async def _check_server(self, server: Server) -> None:
         await curio.sleep(CUTS_BATCH_S)
-        keys = self._cut_requests.pop(server.incarnation_id)
+        requests = self._cut_requests.pop(server.incarnation_id)
         if not self._backends.is_listed(server.incarnation_id):
             # An instance that was suspended may learn of the removed entry and of the ended
             # connection at the same time, and handle the entry first.
-            await self._report_crash(server, keys, "entry_gone")
+            await self._report_crash(server, requests, "entry_gone")
             return
         try:
             crashed = not await self._backends.client(server).is_listening()
         except ConnectFailed as exc:
             why = exc.detail
-            self._log.info("server_unreached", server=server.incarnation_id, cut=len(keys), why=why)
-            await self._wait_for_entry(server, keys)
+            self._log.info(
+                "server_unreached", server=server.incarnation_id, cut=len(requests), why=why
+            )
+            await self._wait_for_entry(server, requests)
             return
         if crashed:
-            await self._report_crash(server, keys, "nobody_listens")
+            await self._report_crash(server, requests, "nobody_listens")
             return
-        self._log.info("server_lives", server=server.incarnation_id, cut=len(keys))
-        await self._wait_for_entry(server, keys)
+        self._log.info("server_lives", server=server.incarnation_id, cut=len(requests))
+        await self._wait_for_entry(server, requests)
 
-    async def _report_crash(self, server: Server, keys: set[str], why: str) -> None:
-        self._log.info("server_crashed", server=server.incarnation_id, cut=len(keys), why=why)
-        await self._on_crash(server, keys)
+    async def _report_crash(self, server: Server, requests: set[WorkKeys], why: str) -> None:
+        self._log.info("server_crashed", server=server.incarnation_id, cut=len(requests), why=why)
+        await self._on_crash(server, requests)
 
-    async def _wait_for_entry(self, server: Server, keys: set[str]) -> None:
+    async def _wait_for_entry(self, server: Server, requests: set[WorkKeys]) -> None:
         """Keep cut requests until the server's entry lapses, which would show that it crashed."""
         now = await curio.clock()
         expired = [
@@ -125,5 +122,5 @@
             del self._undecided[incarnation_id]
         earlier = self._undecided.get(server.incarnation_id)
         if earlier is not None:
-            keys = earlier.keys | keys
-        self._undecided[server.incarnation_id] = _CutRequests(server, keys, now)
+            requests = earlier.requests | requests
+        self._undecided[server.incarnation_id] = _CutRequests(server, requests, now)
--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -100,11 +100,13 @@
 
     Attributes:
         server: incarnation id of the server.
-        fingerprints: keys of the work that the server was doing.
+        fingerprints: keys of the work that the server was doing. A key may occur several times.
+        requests: for each key of a part of a prompt, a tag of the request with it; otherwise empty.
     """
 
     server: str
     fingerprints: tuple[str, ...]
+    requests: tuple[str, ...] = ()
 
 
 class QuarantineUpdateMessage(msgspec.Struct, frozen=True, tag="quarantine-begun"):
--- a/src/crankhinge/gateway/_quarantine.py
+++ b/src/crankhinge/gateway/_quarantine.py
@@ -3,7 +3,7 @@
 An instance that notices a crash counts it for each request that the crash cut, and for each part of
 their prompts. It reports it to the first two instances in the order that depends on the key of the
 work. So a crash costs at most two datagrams for each of these keys, however many instances there
-are; one datagram holds up to 48 keys. An instance that has counted enough crashes puts the work in
+are; one datagram holds up to 40 keys. An instance that has counted enough crashes puts the work in
 quarantine and notifies all others. The instance that begins a trial notifies them as well.
 
 The instance that counts the crashes of a part knows only some of the requests with it. An instance
@@ -18,6 +18,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import defaultdict
 from collections.abc import Collection, Mapping
 from typing import Any
@@ -30,6 +31,7 @@
     Quarantine,
     QuarantineUpdate,
     Server,
+    WorkKeys,
     is_part_key,
     is_served_since,
 )
@@ -48,8 +50,10 @@
 
 # Instances to which the crashes of one key are reported: one of them may be gone or miss a message.
 COUNTING_INSTANCES = 2
-# Keys in one datagram: each takes up to 21 bytes, and a datagram has 1,200.
-MAX_KEYS_PER_MESSAGE = 48
+# Keys in one datagram: each takes up to 26 bytes with its tag, and a datagram has 1,200.
+MAX_KEYS_PER_MESSAGE = 40
+# Characters of a request's fingerprint that tell it from others with the same part.
+REQUEST_TAG_CHARS = 4
 # Seconds after which notifications about parts are repeated. With 3 in 10 datagrams lost, 3 in 100
 # instances miss all three; they read of the quarantine in the store.
 REPEAT_AFTER_S = (0.2, 0.8)
@@ -164,24 +168,34 @@
             self._log.info("quarantine_trial", request=relay.request.request_id, fingerprint=key)
             await self._announce(trial)
 
-    async def record_crash(self, server: Server, keys: Collection[str]) -> None:
+    async def record_crash(self, server: Server, requests: Collection[WorkKeys]) -> None:
         """Count a server's crash for the work that it did, and report it to other instances."""
-        by_instance: defaultdict[str, list[str]] = defaultdict(list)
-        for key in keys:
+        requests_by_key = _requests_by_key(requests)
+        by_instance: defaultdict[str, list[tuple[str, str]]] = defaultdict(list)
+        for key, tags in requests_by_key.items():
             for instance in self._membership.first_instances(key, COUNTING_INSTANCES):
-                by_instance[instance].append(key)
-            await self._count_crash(key, server.incarnation_id, "own")
+                by_instance[instance] += [(key, tag) for tag in sorted(tags) or [""]]
+            await self._count_crash(key, server.incarnation_id, tags, "own")
         by_instance.pop(self._name, None)
         for instance, cut in by_instance.items():
             address = self._membership.peer_address(instance)
             for first in range(0, len(cut) if address else 0, MAX_KEYS_PER_MESSAGE):
-                part = tuple(cut[first : first + MAX_KEYS_PER_MESSAGE])
-                await self._messenger.send(address, ServerCrashed(server.incarnation_id, part))
-
-    async def _count_crash(self, key: str, server: str, source: str) -> None:
+                part = cut[first : first + MAX_KEYS_PER_MESSAGE]
+                report = ServerCrashed(
+                    server.incarnation_id,
+                    tuple(key for key, _ in part),
+                    tuple(tag for _, tag in part),
+                )
+                await self._messenger.send(address, report)
+
+    async def _count_crash(
+        self, key: str, server: str, requests: Collection[str], source: str
+    ) -> None:
         served_at = self.part_evidence.served_at(key) if is_part_key(key) else None
         now = await curio.clock()
-        update = self._quarantine.record_crash(key, server, now, served_at=served_at)
+        update = self._quarantine.record_crash(
+            key, server, now, requests=requests, served_at=served_at
+        )
         self._log.info(
             "request_cut",
             fingerprint=key,
@@ -284,8 +298,12 @@
             await self._messenger.send_to_all(ended, fingerprint=ended.fingerprint)
 
     async def _on_server_crashed(self, message: ServerCrashed, sender: str) -> None:
-        for key in message.fingerprints:
-            await self._count_crash(key, message.server, sender)
+        tags_by_key: defaultdict[str, set[str]] = defaultdict(set)
+        tags = itertools.chain(message.requests, itertools.repeat(""))
+        for key, tag in zip(message.fingerprints, tags, strict=False):
+            tags_by_key[key] |= {tag} if tag else set()
+        for key, requests in tags_by_key.items():
+            await self._count_crash(key, message.server, requests, sender)
 
     async def _on_quarantine_update(self, message: QuarantineUpdateMessage, sender: str) -> None:
         update = QuarantineUpdate(
@@ -315,6 +333,16 @@
             )
 
 
+def _requests_by_key(requests: Collection[WorkKeys]) -> dict[str, set[str]]:
+    """Return the tags of the requests with each part; none for the key of a whole request."""
+    tags_by_key: defaultdict[str, set[str]] = defaultdict(set)
+    for request_key, *part_keys in requests:
+        tags_by_key[request_key] = set()
+        for key in part_keys:
+            tags_by_key[key].add(request_key[-REQUEST_TAG_CHARS:])
+    return dict(tags_by_key)
+
+
 def _to_message(update: QuarantineUpdate) -> QuarantineUpdateMessage:
     return QuarantineUpdateMessage(
         update.key, update.servers, update.left_s, update.ages_s, update.trials
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -8,7 +8,7 @@
 import curio
 
 from crankhinge.adapters import RelayRequest
-from crankhinge.decisions import Account, EngineRole, Route, Service, prompt_only_keys
+from crankhinge.decisions import Account, EngineRole, Route, Service, WorkKeys, prompt_only_keys
 from crankhinge.http import Exchange
 
 # A request fails when this many servers were unreachable for it. Each of them costs at most the
@@ -127,7 +127,7 @@
         """
         return "" if role is EngineRole.PREFILL else self.version
 
-    def work_keys(self, *, prompt_only: bool) -> tuple[str, ...]:
+    def work_keys(self, *, prompt_only: bool) -> WorkKeys:
         """Return the keys under which a crash of a server during this work is counted.
 
         The work is the execution of the request or, with *prompt_only*, the processing of its
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -408,10 +408,10 @@
                 await curio.sleep(EVENT_S)
             traffic.fleet.gateways = [first]
             assert await traffic.send("/stream/", (part,)) == 200
-            servers = [f"i-x{number}" for number in range(MAX_CRASHES)]
             for gateway in (first, *first.other_gateways):
-                for server in servers:
-                    await self._report_crash(gateway, server, f"p:{part}")
+                for number in range(MAX_CRASHES):
+                    crash = ServerCrashed(f"i-x{number}", (f"p:{part}",), (f"r{number}",))
+                    await self._send_report(gateway, crash)
             await curio.sleep(PEER_MESSAGE_S)
             for gateway in (first, *first.other_gateways):
                 traffic.fleet.gateways = [gateway]
@@ -419,8 +419,23 @@
 
         traffic.fleet.run(scenario, *ROUTES)
 
-    async def _report_crash(self, gateway: GatewayHarness, server: str, key: str) -> None:
+    async def _send_report(self, gateway: GatewayHarness, report: ServerCrashed) -> None:
         """Send an instance the report of another one that a server crashed."""
         async with curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM) as sock:
-            data = msgspec.msgpack.encode(ServerCrashed(server, (key,)))
-            await sock.sendto(data, (HOST, gateway.peer_port))
+            await sock.sendto(msgspec.msgpack.encode(report), (HOST, gateway.peer_port))
+
+    def test_parts_of_one_request_that_crashes_servers_are_not_barred(self) -> None:
+        """The request itself is in quarantine; another one with the same first part is served."""
+        traffic = PartTraffic()
+        statuses: list[int] = []
+
+        async def scenario() -> None:
+            for number in range(MAX_CRASHES + 1):
+                parts = f"{FIRST_PART}:1,{BAD_PART}:1,a:1"
+                send = partial(traffic.fleet.send, number, "/stream/", **TOKEN_HEADERS)
+                statuses.append(await send(x_prompt_prefix=parts))
+                await curio.sleep(PEER_MESSAGE_S)
+            assert statuses == [0] * MAX_CRASHES + [503]
+            assert await traffic.send("/stream/", (FIRST_PART,)) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -249,7 +249,7 @@
             for number in range(crashes):
                 server = Server(f"i-{number}", "s", "h", 1, "z", EngineRole.PLAIN, 64, False, 1)
                 await service.record_crash(
-                    server, [f"{request:016x}" for request in range(requests)]
+                    server, [(f"{request:016x}",) for request in range(requests)]
                 )
 
         run_virtual(run_crashes)
