--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -13,6 +13,8 @@
     FIRST_QUARANTINE_S,
     MAX_CRASHED_SERVERS,
     MAX_CRASHES,
+    MAX_PART_QUARANTINE_S,
+    MAX_PART_TRIALS,
     MAX_PUBLISHED,
     MAX_QUARANTINE_S,
     MAX_QUARANTINED,
@@ -27,6 +29,7 @@
 from virtual_time import run_virtual
 
 REQUEST = "f00d"
+PART = "p:5c1e07a2"
 
 
 def quarantine_after_three_crashes(now: float = 0.0) -> Quarantine:
@@ -118,6 +121,66 @@
         assert quarantine.record_crash(REQUEST, "i-9", FIRST_QUARANTINE_S) is None
 
 
+class TestPart:
+    """Quarantines of parts of prompts."""
+
+    def test_trials_after_the_fifth_crash_are_bounded(self) -> None:
+        """The operators allow three requests with a part after the fifth crash."""
+        quarantine = Quarantine()
+        for number in range(MAX_CRASHES):
+            quarantine.record_crash(PART, f"i-{number}", 0.0, requests=[f"r{number}"])
+        crashes, now, late_trials = MAX_CRASHES, 0.0, 0
+        while now < MAX_PART_QUARANTINE_S:
+            now += 1.0
+            if quarantine.refusal_left_s(PART, now) > 0:
+                continue
+            late_trials += crashes >= 5
+            quarantine.begin_trial(PART, now)
+            quarantine.record_crash(PART, f"i-{crashes}", now)
+            crashes += 1
+        assert crashes == MAX_CRASHES + MAX_PART_TRIALS
+        assert late_trials <= 3
+
+    def test_trials_without_a_result_are_bounded(self) -> None:
+        """A server may fall silent in a trial, so that no crash is noticed."""
+        quarantine = Quarantine()
+        for number in range(MAX_CRASHES):
+            quarantine.record_crash(PART, f"i-{number}", 0.0, requests=[f"r{number}"])
+        trials = 0
+        for now in range(int(MAX_PART_QUARANTINE_S)):
+            if quarantine.refusal_left_s(PART, float(now)) <= 0:
+                quarantine.begin_trial(PART, float(now))
+                trials += 1
+        assert trials == MAX_PART_TRIALS
+
+    def test_other_instances_count_the_trials(self) -> None:
+        """An update that is applied later does not begin the schedule anew."""
+        counting, other = Quarantine(), Quarantine()
+        for number in range(MAX_CRASHES):
+            counting.record_crash(PART, f"i-{number}", 0.0, requests=[f"r{number}"])
+        for _ in range(MAX_PART_TRIALS):
+            update = counting.begin_trial(PART, 0.0)
+        other.apply_update(update, 0.0)
+        assert other.refusal_left_s(PART, 0.0) == MAX_PART_QUARANTINE_S
+
+    def test_part_that_is_served_between_crashes_is_not_suspected(self) -> None:
+        """All requests of a route may share a part, so each crash cuts some with it."""
+        quarantine = Quarantine()
+        for number in range(50):
+            now, requests = 2.0 * number, [f"r{number}"]
+            update = quarantine.record_crash(
+                PART, f"i-{number}", now, requests=requests, served_at=now - 3.0
+            )
+            assert update is None
+
+    def test_crashes_of_one_request_do_not_bar_its_parts(self) -> None:
+        """Other requests that run on one of the servers may have the part as well."""
+        quarantine = Quarantine()
+        for number in range(2 * MAX_CRASHES):
+            requests = ["bad", f"sound-{number}"]
+            assert quarantine.record_crash(PART, f"i-{number}", 0.0, requests=requests) is None
+
+
 class TestUpdatesFromPeers:
     """Quarantines that other instances send in datagrams or publish in instance records."""
 
