Soak: requests that share a part of their prompts and crash engines

The stand-in engine ends its process when it begins to write on such a part, and is started again. Two invariants: few such requests reach engines after the fifth crash, and requests that share the other part are not refused.

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -29,6 +29,7 @@
 from crankhinge_soak._history import FAULT_RECOVERY_S, History
 from crankhinge_soak._load import ObservedRequest
 from crankhinge_soak._moves_check import check_moves
+from crankhinge_soak._parts_check import check_crash_parts, check_sound_parts
 from crankhinge_soak._signals_check import check_backoffs, check_leaving_signals
 from crankhinge_soak._verdict import Verdict, make_verdict
 
@@ -80,6 +81,8 @@
         "a moved run works on one engine at a time": check_moves,
         "callers that read nothing fill no memory": _check_memory,
         "a stream goes on at the version that began it": _check_stream_versions,
+        "a part that ends servers is kept from them": check_crash_parts,
+        "a part that ends no server is not refused": check_sound_parts,
     }
     return [make_verdict(name, *run_check(history)) for name, run_check in checks.items()]
 
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -16,6 +16,7 @@
 
 from crankhinge_soak._fleet import SERVER_VERSIONS, Fleet, Gateway, Place
 from crankhinge_soak._proxy import PathFault, Proxy
+from crankhinge_standins.replica import CRASH_PART_PREFIX
 
 # An episode injects one fault, or several that belong together. Minimum and maximum time between
 # the starts of two episodes.
@@ -49,6 +50,10 @@
 EMPTIED_LOAD_S = (0.3, 1.0)
 # Share of responses to moves that are lost on the way from engines while one is emptied.
 LOST_MOVES_SHARE = 0.2
+# Minimum and maximum time for which callers send requests with a part on which engines crash, and
+# seconds between checks of whether an engine has crashed.
+CRASH_PART_S = (8.0, 12.0)
+CRASH_POLL_S = 0.05
 # Limits, in requests per second, that a server advertises.
 ADVERTISED_LIMITS = ("0.5", "2", "5")
 # Minimum and maximum time for which a server advertises a limit or asks for backoff. The checker
@@ -132,6 +137,7 @@
     async def run(self, seconds: float) -> None:
         """Inject faults for about *seconds*, then wait until every fault has ended."""
         until = await curio.clock() + seconds
+        await curio.spawn(self._restart_crashed_engines, daemon=True)
         async with curio.TaskGroup() as group:
             for number in itertools.count():
                 if await curio.clock() >= until:
@@ -317,6 +323,32 @@
         for record in records:
             record.ended = time.time()
 
+    async def _send_crash_part(self) -> None:
+        """Let callers send requests that share a part on which engines crash."""
+        if not self._try_claim("crash-part"):
+            return
+        record = self._record_fault("crash-part", "callers")
+        self._fleet.crash_part = f"{CRASH_PART_PREFIX}{self._rng.getrandbits(32):08x}"
+        await curio.sleep(self._rng.uniform(*CRASH_PART_S))
+        self._fleet.crash_part = ""
+        record.ended = time.time()
+        self._claimed.discard("crash-part")
+
+    async def _restart_crashed_engines(self) -> None:
+        """Start engines again that have ended by themselves, each after some time."""
+        while True:
+            for place in self._fleet.places:
+                proc = self._fleet.procs.get(place.name)
+                if proc is not None and proc.poll() is not None and place.name not in self._claimed:
+                    await curio.spawn(self._restart_crashed, place, daemon=True)
+            await curio.sleep(CRASH_POLL_S)
+
+    async def _restart_crashed(self, place: Place) -> None:
+        async with self._claimed_for_fault(place.name, "crash") as claimed:
+            if claimed:
+                await curio.sleep(self._rng.uniform(*DOWNTIME_S))
+                self._fleet.start_server(place)
+
     def _expand_to_service(self, place: Place) -> list[Place]:
         """Return the server's place, or in a share of cases all places of its service."""
         same_service = [each for each in self._fleet.places if each.service == place.service]
@@ -434,6 +466,7 @@
     "empty-engine": FaultInjector._empty_engine,
     "harm-server": FaultInjector._fail_server,
     "break-streams": FaultInjector._break_streams,
+    "crash-part": FaultInjector._send_crash_part,
     "limit-server": FaultInjector._limit_server,
     "rest-server": FaultInjector._back_off_server,
     "path-store": FaultInjector._fail_store_path,
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -133,6 +133,7 @@
             version, and the service that plain calls go to.
         keys: keys of the account without a limit; all but the last are revoked.
         revoked: wall clock at which each key was revoked.
+        crash_part: part of prompts on which engines crash, which callers send now; empty for none.
     """
 
     logs_at: Path | None = None
@@ -142,6 +143,7 @@
     acknowledged: list[tuple[float, int, str]] = field(default_factory=list)
     keys: list[str] = field(default_factory=lambda: ["key-1"])
     revoked: dict[str, float] = field(default_factory=dict)
+    crash_part: str = ""
 
     def __post_init__(self) -> None:
         super().__init__(self.logs_at)
--- a/src/crankhinge_soak/_load.py
+++ b/src/crankhinge_soak/_load.py
@@ -38,6 +38,10 @@
 SLOW_READER_COUNT = 4
 SLOW_READER_BUFFER_BYTES = 4096
 MAX_SLOW_READER_S = 4.0
+# Part that the prompts of all streams share.
+SHARED_PART = "5ba4ed00"
+# Seconds between two requests with a part on which engines crash, while there is such a part.
+CRASHING_REQUEST_INTERVAL_S = 0.25
 # Share of streams among the requests.
 STREAM_SHARE = 0.4
 # Share of requests whose callers disconnect before the response ends.
@@ -86,6 +90,8 @@
         resumes: id of the attempt that began the stream; empty unless this one takes it up.
         received: body of the stream so far, that of the earlier attempts included.
         versions: software versions of which the stream's events are; several if it is mixed.
+        crash_part: part of the prompt on which engines crash; empty for none.
+        refusal: body of the instance's own response.
     """
 
     ident: str
@@ -106,6 +112,8 @@
     resumes: str = ""
     received: bytes = b""
     versions: frozenset[str] = frozenset()
+    crash_part: str = ""
+    refusal: bytes = b""
 
     @property
     def begun_as(self) -> str:
@@ -165,6 +173,7 @@
             for number in range(SLOW_READER_COUNT):
                 rng = random.Random(f"{self._seed}-slow-{number}")
                 await group.spawn(self._run_slow_reader, rng)
+            await group.spawn(self._run_crashing_caller, random.Random(f"{self._seed}-crash"))
 
     async def _poll_readiness(self, gateway: Gateway) -> None:
         """Count an instance's consecutive failed readiness checks, as a load balancer does."""
@@ -235,6 +244,22 @@
             client = HttpClient(HOST, gateway.caller_proxy.port, pool_size=0)
             await self._send_request(client, seen, rng)
 
+    async def _run_crashing_caller(self, rng: random.Random) -> None:
+        """Send requests that share a part on which engines crash, while there is one."""
+        while not self._stopped:
+            if self._fleet.crash_part:
+                await curio.spawn(self._send_crashing_request, rng, daemon=True)
+            await curio.sleep(CRASHING_REQUEST_INTERVAL_S)
+
+    async def _send_crashing_request(self, rng: random.Random) -> None:
+        gateway = self._pick_gateway(rng)
+        path = rng.choice(STREAM_PATHS)
+        seen = ObservedRequest(self._make_ident("q"), path, gateway.name, time.time())
+        seen.key, seen.crash_part = self._fleet.keys[-1], self._fleet.crash_part
+        self.seen.append(seen)
+        client = HttpClient(HOST, gateway.caller_proxy.port, pool_size=0)
+        await self._send_request(client, seen, rng)
+
     async def _run_slow_reader(self, rng: random.Random) -> None:
         """Send requests with a large response one after another, and read nothing."""
         while not self._stopped:
@@ -305,6 +330,7 @@
                     "x-model": "m",
                     "x-token-count": f"{prompt_tokens},{answer_tokens}",
                     "length-hint": str(answer_tokens // 2),
+                    "x-prompt-prefix": _make_prompt_parts(seen),
                 }
             )
         if seen.resumes:
@@ -323,7 +349,9 @@
     ) -> None:
         """Send a request and read the response, and compare it with what a server would send."""
         method = "GET" if seen.path == SAFE_PATH else "POST"
-        body = b"" if method == "GET" else b"b" * 200
+        # Attempts at one stream have the same body, and no two streams have.
+        text = seen.begun_as if seen.path in STREAM_PATHS else "b"
+        body = b"" if method == "GET" else text.encode().ljust(200)
         stream = await client.open(method, seen.path + "x", headers=headers, body=body)
         ended = False
         try:
@@ -335,6 +363,8 @@
                     # Wrong bytes count even if the response never ends.
                     seen.received += chunk
                     seen.body_correct &= any(body.startswith(seen.received) for body in expected)
+                elif seen.made_by_gateway:
+                    seen.refusal += chunk
             seen.complete = ended = True
             seen.body_correct &= seen.status != 200 or seen.received in expected
         finally:
@@ -342,6 +372,12 @@
             await (stream.close() if ended else stream.abort())
 
 
+def _make_prompt_parts(seen: ObservedRequest) -> str:
+    """Return the parts of a stream's prompt: shared ones, and its own."""
+    parts = [SHARED_PART, seen.crash_part, seen.begun_as]
+    return ",".join(f"{part}:100" for part in parts if part)
+
+
 def _make_expected_bodies(seen: ObservedRequest) -> list[bytes]:
     """Return the whole bodies that servers of each software version would send."""
     if seen.path in STREAM_PATHS:
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -7,12 +7,13 @@
 from __future__ import annotations
 
 import itertools
+import os
 import random
 import secrets
 import signal
 import zlib
 from types import FrameType
-from typing import Any
+from typing import Any, NoReturn
 
 import curio
 import msgspec
@@ -54,6 +55,8 @@
 # Status of a refusal for lack of capacity.
 NO_CAPACITY_STATUS = 503
 DEFAULT_VERSION = "v1"
+# Prefix of the ids of parts of prompts on which an engine crashes when it begins to write.
+CRASH_PART_PREFIX = "dead"
 ORDER_FIELDS = ("opcode", "holder", "fencing_token")
 
 
@@ -69,6 +72,16 @@
     ]
 
 
+def find_crash_part(req: HttpRequest) -> str:
+    """Return the part of a request's prompt on which engines crash; empty if there is none.
+
+    The last part is the request's own and crashes no engine.
+    """
+    names = req.headers.get("x-prompt-prefix", "").split(",")[:-1]
+    parts = [name.partition(":")[0] for name in names]
+    return next((part for part in parts if part.startswith(CRASH_PART_PREFIX)), "")
+
+
 def make_body(ident: str) -> bytes:
     """Return the body of the response to the plain request *ident*, equal on all servers."""
     if ident.startswith(LARGE_BODY_PREFIX):
@@ -82,9 +95,9 @@
 
     Each row in the file of records has one of these kinds: ``born`` (start of the server),
     ``arrival`` (of a request), ``run`` (start of a run), ``continued`` (a moved run goes on here),
-    ``ended`` (a decode engine's run has ended, or was stopped to be moved), ``told`` (response with
-    a leaving or backoff signal), ``order`` (to change the role), ``leaves`` (shutdown announced)
-    and ``left`` (drain over).
+    ``crashed`` (a part of a prompt ended the process), ``ended`` (a decode engine's run has ended,
+    or was stopped to be moved), ``told`` (response with a leaving or backoff signal), ``order`` (to
+    change the role), ``leaves`` (shutdown announced) and ``left`` (drain over).
 
     Args:
         host: address to listen on.
@@ -234,6 +247,7 @@
             account=req.headers.get("x-tenant", ""),
             key=req.headers.get("authorization", ""),
             limit=self.faults.limit,
+            crash_part=find_crash_part(req),
         )
         is_prefill = req.headers.get("x-stage") == "prefill"
         role_fits = (self._role == "prefill") == is_prefill
@@ -436,6 +450,9 @@
         begin = run.made = int(exchange.req.headers.get("last-event-id") or "0")
         response = run.response
         await response.start_with_fields(200, self._make_response_fields(run.ident))
+        if crash_part := find_crash_part(exchange.req):
+            await curio.sleep(EVENT_INTERVAL_S)
+            self._crash(crash_part)
         break_at = self._rng.randrange(len(events)) if self._by_chance(self.faults.garbles) else -1
         for number, event in enumerate(events[begin:], start=begin):
             await curio.sleep(EVENT_INTERVAL_S * self.faults.slow)
@@ -447,6 +464,11 @@
         await response.finish()
         return True
 
+    def _crash(self, part: str) -> NoReturn:
+        """End the process as a failure of its program does, without any clean-up."""
+        self._recorder.write(kind="crashed", server=self.ident, part=part)
+        os._exit(1)
+
     async def _handle_side_call(self, exchange: Exchange) -> None:
         req = exchange.req
         name = req.path.rpartition("/")[2]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -19,6 +19,7 @@
 from crankhinge_soak._fleet import LIMITED_ACCOUNT, UNLIMITED_ACCOUNT, Fleet
 from crankhinge_soak._history import History
 from crankhinge_soak._load import ObservedRequest, Probe
+from crankhinge_soak._parts_check import BARRING_CRASH, MAX_LATE_REQUESTS, MIN_SOUND
 from crankhinge_soak._proxy import PathFault, Proxy
 from crankhinge_soak.main import main, make_parser, run_seed, select_seeds
 
@@ -71,6 +72,33 @@
     assert violated_invariants(valid_history()) == []
 
 
+def crash_part_history(*, late: int, refused: int) -> dict[str, Any]:
+    """Return what a history holds in which a part of prompts has crashed five engines.
+
+    Args:
+        late: number of requests with it that reach engines too late.
+        refused: number of refused streams without it.
+    """
+    part = {"path": "/stream/", "crash_part": "dead0"}
+    with_part = [answered_request(f"c{n}", sent=T0 + 20, status=0, **part) for n in range(late + 1)]
+    without = [
+        answered_request(
+            f"s{n}", "/stream/", sent=T0 + 10, ended=T0 + 10, status=503,
+            made_by_gateway=True, refusal=b'{"error":"quarantined"}',
+        )
+        for n in range(refused)
+    ]  # fmt: skip
+    crashes = [{"kind": "crashed", "part": "dead0", "at": T0 + n} for n in range(5)]
+    arrivals = [server_row("arrival", f"c{n}", T0 + 20, crash_part="dead0") for n in range(late)]
+    return {"seen": with_part + without, "rows": crashes + arrivals}
+
+
+def test_history_with_few_late_requests_violates_no_invariant_about_parts() -> None:
+    """Three requests with the part may reach engines late, and few others may be refused."""
+    found = valid_history(**crash_part_history(late=MAX_LATE_REQUESTS, refused=MIN_SOUND - 1))
+    assert not [name for name in violated_invariants(found) if name.startswith("a part")]
+
+
 PLANNED_STOP = InjectedFault("stop", "gateway-0", T0 - 1, T0 + 5, planned=True)
 CUT_RESPONSE = {"status": 0, "complete": False, "failure": "closed: in mid-body", "ended": T0 + 1}
 SECOND_VERSION = (T0 + 10, 2, "plain-b")
@@ -248,6 +276,14 @@
         "served again once all is whole",
         {"seen": [answered_request("q1", status=503, made_by_gateway=True)], "rows": []},
     ),
+    "requests with a part after five crashes": (
+        "a part that ends servers is kept from them",
+        crash_part_history(late=MAX_LATE_REQUESTS + 1, refused=0),
+    ),
+    "refused requests that share another part": (
+        "a part that ends no server is not refused",
+        crash_part_history(late=0, refused=MIN_SOUND),
+    ),
     "an exit": ("no process ends by itself", {"exits": ["gateway-1"]}),
 }
 
@@ -483,6 +519,12 @@
         ]
         assert taken_up > 0
 
+    def test_short_run_of_crashing_engines_violates_no_invariant(self) -> None:
+        """Requests that share a part of their prompts crash engines while instances are killed."""
+        report = run_seed(4, 6.0, kinds=("crash-part", "kill-gateway"))
+        assert [verdict for verdict in report.verdicts if verdict.broken] == []
+        assert report.faults["crash"] >= BARRING_CRASH
+
     def test_unknown_kind_of_fault_is_rejected(self, capsys: pytest.CaptureFixture[str]) -> None:
         """The exit status is 2, and the message lists the kinds of faults that exist."""
         with pytest.raises(SystemExit) as caught:
