Explain: quarantines of the parts of a request's prompt; bounds of crash reports with parts

Crashes that are forgotten no longer leave the tags of their requests behind. Tables: 2,048 suspects, 3 MB when full (traced); datagrams of a crash stay at two a key, whatever the number of instances.

--- a/src/crankhinge/ctl/_explain.py
+++ b/src/crankhinge/ctl/_explain.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 
 from crankhinge.burn import parse_line
+from crankhinge.decisions import part_keys
 from crankhinge.errors import RequestNotFound, SettingsError
 
 # Keys that identify the origin or the type of a line. They are left out of the printed pairs.
@@ -62,7 +63,8 @@
         state: the last line of each kind of state event before the request.
         server_state: the last line about each server and aspect before the request, by server id
             and aspect (see ``_SERVER_STATE_EVENTS``).
-        quarantines: the last line about a quarantine before the request, by request fingerprint.
+        quarantines: the last line about a quarantine before the request, by the fingerprint of the
+            request or the key of a part of its prompt.
         lines: the lines about the request, including those of the instance that placed its runs,
             and later lines about the servers that it involves.
     """
@@ -142,6 +144,17 @@
     return {pairs[key] for pairs in log.lines for key in keys if key in pairs}
 
 
+def _work_keys(log: _RequestLog) -> set[str]:
+    """Return the fingerprint of the request, and the keys of the parts that its lines name."""
+    keys = {pairs.get("fingerprint", "") for pairs in log.lines}
+    for pairs in log.lines:
+        # The line names the last part as well, which has no key.
+        parts = (*pairs.get("parts", "").split(","), "")
+        for at_engine in (True, False):
+            keys |= set(part_keys(parts, at_engine=at_engine))
+    return keys
+
+
 def _render_log(name: str, log: _RequestLog) -> Iterator[str]:
     """Yield the lines of the report on one log.
 
@@ -156,9 +169,9 @@
         for aspect in dict.fromkeys(_SERVER_STATE_EVENTS.values()):
             if (server, aspect) in log.server_state:
                 yield _render_line("believed", start_s, log.server_state[server, aspect])
-    for fingerprint in sorted({pairs.get("fingerprint", "") for pairs in log.lines}):
-        if fingerprint in log.quarantines:
-            yield _render_line("believed", start_s, log.quarantines[fingerprint])
+    for key in sorted(_work_keys(log)):
+        if key in log.quarantines:
+            yield _render_line("believed", start_s, log.quarantines[key])
     for pairs in log.lines:
         yield _render_line("happened", start_s, pairs)
 
--- a/src/crankhinge/decisions/_part_history.py
+++ b/src/crankhinge/decisions/_part_history.py
@@ -13,7 +13,7 @@
 # Number of crashed servers after which a request or a part is suspected of having caused them. The
 # operators set this bound.
 MAX_CRASHES = 3
-# Maximum number of parts that are remembered, the most recently served ones: 0.9 MB.
+# Maximum number of parts that are remembered, the most recently served ones: 0.7 MB.
 MAX_SERVED_PARTS = 4096
 # Seconds for which a server that crashes because of a part writes at most on it. The observed
 # crashes came within 0.1 s.
--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -46,10 +46,11 @@
 TRIAL_S = 5.0
 # Seconds for which crashes are remembered; the observed callers retried within 6 s.
 CRASH_RETENTION_S = 600.0
-# Maximum number of keys that are remembered after a crash, and of keys in quarantine. A server runs
-# 64 requests at once, each with some parts, so a key is dropped early only when 16 servers crash
-# within CRASH_RETENTION_S.
-MAX_SUSPECTS = 4096
+# Maximum number of keys that are remembered after a crash, and of keys in quarantine: 3 MB in total
+# when both tables are full and each suspect ran on two crashed servers. A server runs 64 requests
+# at once, each with some parts, so a key is dropped early only when ten servers crash within
+# CRASH_RETENTION_S.
+MAX_SUSPECTS = 2048
 MAX_QUARANTINED = 256
 # Maximum number of crashes remembered for one key; with this many, its quarantine has the maximum
 # duration.
@@ -89,14 +90,17 @@
         new = {server: at for server, at in crashes.items() if server not in self.crashes}
         self.crashes.update(new)
         while len(self.crashes) > MAX_CRASHED_SERVERS:
-            oldest = next(iter(self.crashes))
-            del self.crashes[oldest]
-            self.requests.pop(oldest, None)
+            self._forget(next(iter(self.crashes)))
         return bool(new)
 
     def drop_before(self, at: float) -> None:
         """Drop the crashes up to a time."""
-        self.crashes = {server: time for server, time in self.crashes.items() if time > at}
+        for server in [server for server, time in self.crashes.items() if time <= at]:
+            self._forget(server)
+
+    def _forget(self, server: str) -> None:
+        del self.crashes[server]
+        self.requests.pop(server, None)
 
     @property
     def is_explained_by_one_request(self) -> bool:
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -112,6 +112,21 @@
             ("placement_granted", "g/5"),
         ]
 
+    def test_quarantine_of_a_part_of_the_prompt_is_shown(
+        self, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        """The request itself was never sent before, so its fingerprint leads to nothing."""
+        log = tmp_path / "gateway.log"
+        ts = "ts=2026-12-04T20:00:0"
+        log.write_text(
+            f"{ts}1Z event=request_quarantined fingerprint=p:bad crashes=3\n"
+            f"{ts}1Z event=request_quarantined fingerprint=p:other crashes=3\n"
+            f"{ts}2Z event=request_failed request=a fingerprint=f00d parts=5a,bad,own\n"
+        )
+        assert main(["explain", "a", str(log)]) == 0
+        believed = [line for line in capsys.readouterr().out.splitlines() if "believed" in line]
+        assert [line.split()[-2] for line in believed] == ["fingerprint=p:bad"]
+
     def test_unknown_request_exits_with_status_2(self, tmp_path: Path) -> None:
         """A log that does not exist has the same exit status as an unknown request id."""
         log = tmp_path / "gateway.log"
--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -4,6 +4,7 @@
 
 from typing import Any
 
+import msgspec
 import pytest
 
 from crankhinge.decisions import EngineRole, Membership, Quarantine, QuarantineUpdate, Server
@@ -22,14 +23,20 @@
     QUARANTINE_GROWTH,
     TRIAL_S,
 )
-from crankhinge.gateway._peer_messenger import PeerMessenger
-from crankhinge.gateway._quarantine import COUNTING_INSTANCES, QuarantineService
+from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES, PeerMessenger
+from crankhinge.gateway._quarantine import (
+    COUNTING_INSTANCES,
+    MAX_KEYS_PER_MESSAGE,
+    QuarantineService,
+)
 from crankhinge.runtime import Metrics, get_log
 from platform_fakes import LogCapture
 from virtual_time import run_virtual
 
 REQUEST = "f00d"
 PART = "p:5c1e07a2"
+# Size of the longest key of a part with the tag of its request, as encoded.
+MAX_KEY_BYTES = len(msgspec.msgpack.encode(["r:p:" + 16 * "f", "beef"]))
 
 
 def quarantine_after_three_crashes(now: float = 0.0) -> Quarantine:
@@ -288,12 +295,25 @@
         sent = self._count_datagrams(instances, requests=64, crashes=1)
         assert sent <= 64 * COUNTING_INSTANCES
 
+    def test_datagrams_of_parts_do_not_grow_with_instances(self) -> None:
+        """The instance that the most requests were cut at sends the most: two datagrams a key."""
+        parts = (PART, "p:a", "p:b")
+        few, many = (
+            self._count_datagrams(instances, requests=64, crashes=1, parts=parts)
+            for instances in (30, 300)
+        )
+        keys = 64 + len(parts)
+        assert few <= many <= COUNTING_INSTANCES * keys
+        assert MAX_KEYS_PER_MESSAGE * MAX_KEY_BYTES < MAX_DATAGRAM_BYTES
+
     def test_quarantine_is_sent_to_each_instance_once(self) -> None:
         """Only the instance that counted all three crashes sends the quarantine to the others."""
         sent = self._count_datagrams(300, requests=1, crashes=MAX_CRASHES)
         assert sent <= MAX_CRASHES * COUNTING_INSTANCES + 299
 
-    def _count_datagrams(self, instances: int, *, requests: int, crashes: int) -> int:
+    def _count_datagrams(
+        self, instances: int, *, requests: int, crashes: int, parts: tuple[str, ...] = ()
+    ) -> int:
         names = [f"g{number}" for number in range(instances)]
         peers = {name: f"10.0.0.1:{number + 1}" for number, name in enumerate(names)}
         membership = Membership("g0", 0.0)
@@ -312,7 +332,7 @@
             for number in range(crashes):
                 server = Server(f"i-{number}", "s", "h", 1, "z", EngineRole.PLAIN, 64, False, 1)
                 await service.record_crash(
-                    server, [(f"{request:016x}",) for request in range(requests)]
+                    server, [(f"{request:016x}", *parts) for request in range(requests)]
                 )
 
         run_virtual(run_crashes)
