--- a/tests/test_quarantine_series.py
+++ b/tests/test_quarantine_series.py
@@ -2,8 +2,8 @@
 
 A seed draws when callers send requests, to which instance, and which faults happen meanwhile:
 instances are killed and restart, datagrams between them are lost, the store is unreachable, servers
-are killed from outside. ``python tests/test_quarantine_series.py FIRST LAST`` runs a range of
-seeds.
+are killed from outside. ``python tests/test_quarantine_series.py FIRST LAST [parts]`` runs a range
+of seeds, with ``parts`` those of requests that share a part of their prompts.
 """
 
 from __future__ import annotations
@@ -49,8 +49,10 @@
     """The requests and faults that one seed draws, and what came of them.
 
     Attributes:
-        crashes: for each crashing request the times of its crashes on the virtual clock, and
-            whether the last fault of an instance or the store was over PROPAGATION_S before.
+        by_part: whether the requests that crash servers are all different and share a part of their
+            prompts; otherwise each is sent again and again.
+        crashes: for each crashing request or part the times of its crashes on the virtual clock,
+            and whether the last fault of an instance or the store was over PROPAGATION_S before.
         last_fault_at: when the last fault of an instance or the store happened.
         harmless_served: for each harmless request, whether it was served.
         quarantine_refusals: the number of harmless requests that were refused by a quarantine.
@@ -58,6 +60,7 @@
     """
 
     seed: int
+    by_part: bool = False
     crashes: dict[bytes, list[tuple[float, bool]]] = field(
         default_factory=lambda: defaultdict(list)
     )
@@ -93,12 +96,13 @@
         await self._serve_or_crash(replica, exchange, respond_stream)
 
     async def _serve_or_crash(self, replica: FakeReplica, exchange: Exchange, behave: Any) -> None:
-        body = exchange.req.body
-        if not body.startswith(b"crash"):
+        # With *by_part*, a number follows the name of the part.
+        name = exchange.req.body.partition(b"-")[0]
+        if not name.startswith(b"crash"):
             await behave(replica, exchange)
             return
         now = await curio.clock()
-        self.crashes[body].append((now, now - self.last_fault_at > PROPAGATION_S))
+        self.crashes[name].append((now, now - self.last_fault_at > PROPAGATION_S))
         await crash(replica, exchange)
 
     def run(self) -> None:
@@ -132,7 +136,11 @@
     async def _send(self, path: str, body: bytes) -> tuple[int, bytes]:
         self._request_count += 1
         gateway = self._rng.choice(self._gateways)
-        headers = TOKEN_HEADERS if path.startswith("/stream") else {}
+        headers = dict(TOKEN_HEADERS if path.startswith("/stream") else {})
+        if self.by_part:
+            name = body.partition(b"-")[0].decode()
+            parts = ["5a", name, "a1"] if name.startswith("crash") else ["5a", "a1"]
+            headers["x_prompt_prefix"] = ",".join([*parts, f"own{self._request_count}"])
         call = partial(
             gateway.call, f"q{self._request_count}", path, body=body, new_connection=True, **headers
         )
@@ -150,7 +158,8 @@
     async def _send_crashing(self, body: bytes, path: str, until: float) -> None:
         await curio.sleep(self._rng.uniform(0.0, 10.0))
         while await curio.clock() < until:
-            await self._send(path, body)
+            suffix = b"-%d" % self._request_count if self.by_part else b""
+            await self._send(path, body + suffix)
             await curio.sleep(self._rng.uniform(0.2, 4.0))
 
     async def _send_harmless(self, path: str, until: float) -> None:
@@ -217,22 +226,24 @@
 class TestFaultSeries:
     """Invariants that hold for any order of requests, crashes and other faults."""
 
-    @pytest.mark.parametrize("seed", range(3))
+    @pytest.mark.parametrize(
+        ("seed", "by_part"), [(0, False), (1, False), (2, False), (0, True), (1, True)]
+    )
     def test_crashing_requests_reach_few_servers_and_harmless_ones_are_served(
-        self, seed: int
+        self, seed: int, by_part: bool
     ) -> None:
-        """From 3 s after its third crash on, a request crashes at most three more servers."""
-        series = FaultSeries(seed)
+        """From 3 s after the third crash on, a request or a part crashes three servers at most."""
+        series = FaultSeries(seed, by_part)
         series.run()
         assert any(len(crashes) >= QUARANTINE_CRASHES for crashes in series.crashes.values())
         assert series.violations() == []
 
 
-def main(first: int, last: int) -> int:
+def main(first: int, last: int, *, by_part: bool) -> int:
     """Run the seeds *first* to *last* and print their results; return the exit status."""
     failed = 0
     for seed in range(first, last + 1):
-        series = FaultSeries(seed)
+        series = FaultSeries(seed, by_part)
         series.run()
         crashes = sorted(len(each) for each in series.crashes.values())
         served = f"{sum(series.harmless_served)}/{len(series.harmless_served)}"
@@ -253,4 +264,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2])))
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), by_part="parts" in sys.argv[3:]))
