--- a/src/crankhinge/decisions/__init__.py
+++ b/src/crankhinge/decisions/__init__.py
@@ -47,10 +47,14 @@
     START_ALLOWANCE_S,
     Membership,
 )
-from crankhinge.decisions._part_history import PartHistory, is_served_since
+from crankhinge.decisions._part_history import MAX_WRITING_S, PartHistory, is_served_since
 from crankhinge.decisions._permit_pool import PERMIT_TRANSIT_S, PermitDecision, PermitPool
 from crankhinge.decisions._prefix import PrefixIndex
-from crankhinge.decisions._quarantine import Quarantine, QuarantineUpdate
+from crankhinge.decisions._quarantine import (
+    COMPLETED_RETENTION_S,
+    Quarantine,
+    QuarantineUpdate,
+)
 from crankhinge.decisions._quota import (
     DECISION_RETRY_S,
     DEFAULT_WINDOW_S,
@@ -124,6 +128,7 @@
 from crankhinge.decisions._work_queue import WorkQueue
 
 __all__ = [
+    "COMPLETED_RETENTION_S",
     "DECISION_RETRY_S",
     "DEFAULT_FIRST_EVENT_S",
     "DEFAULT_SERVICE_S",
@@ -137,6 +142,7 @@
     "MAX_IDLE_CONNECTIONS",
     "MAX_RETRY_AFTER_S",
     "MAX_STREAM_S",
+    "MAX_WRITING_S",
     "MIN_ANSWERS_TO_GROW_PREFILL",
     "MIN_FIRST_ATTEMPTS",
     "NAIVE",
--- a/src/crankhinge/gateway/_part_evidence.py
+++ b/src/crankhinge/gateway/_part_evidence.py
@@ -5,8 +5,7 @@
 from collections.abc import Collection, Iterator
 from contextlib import contextmanager
 
-from crankhinge.decisions import PartHistory
-from crankhinge.decisions._part_history import MAX_WRITING_S
+from crankhinge.decisions import MAX_WRITING_S, PartHistory
 from crankhinge.gateway._request import Relay
 
 
--- a/src/crankhinge/gateway/_quarantine.py
+++ b/src/crankhinge/gateway/_quarantine.py
@@ -27,6 +27,7 @@
 
 from crankhinge.adapters import InstanceRecord
 from crankhinge.decisions import (
+    COMPLETED_RETENTION_S,
     Membership,
     Quarantine,
     QuarantineUpdate,
@@ -35,7 +36,6 @@
     is_part_key,
     is_served_since,
 )
-from crankhinge.decisions._quarantine import COMPLETED_RETENTION_S
 from crankhinge.errors import Quarantined
 from crankhinge.gateway._part_evidence import PartEvidence
 from crankhinge.gateway._peer_messages import (
@@ -181,11 +181,11 @@
         for instance, cut in by_instance.items():
             address = self._membership.peer_address(instance)
             for first in range(0, len(cut) if address else 0, MAX_KEYS_PER_MESSAGE):
-                part = cut[first : first + MAX_KEYS_PER_MESSAGE]
+                batch = cut[first : first + MAX_KEYS_PER_MESSAGE]
                 report = ServerCrashed(
                     server.incarnation_id,
-                    tuple(key for key, _ in part),
-                    tuple(tag for _, tag in part),
+                    tuple(key for key, _ in batch),
+                    tuple(tag for _, tag in batch),
                 )
                 await self._messenger.send(address, report)
 
