--- a/src/crankhinge/decisions/_part_history.py
+++ b/src/crankhinge/decisions/_part_history.py
@@ -15,8 +15,7 @@
 MAX_CRASHES = 3
 # Maximum number of parts that are remembered, the most recently served ones: 0.7 MB.
 MAX_SERVED_PARTS = 4096
-# Seconds for which a server that crashes because of a part writes at most on it. The observed
-# crashes came within 0.1 s.
+# A server that has been writing on a part for this many seconds does not crash because of it.
 MAX_WRITING_S = 1.0
 # Crashes of servers this many seconds apart or less are taken for one event, such as the failure of
 # a rack, if a part that servers crashed with had been served before.
--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -34,11 +34,12 @@
 QUARANTINE_GROWTH = 4.0
 MAX_QUARANTINE_S = 3600.0
 # The same for a part of a prompt, which many requests may have. Each trial begins the longer
-# quarantine at once, so that a trial without a result is not repeated within seconds. The operators
-# allow three requests with the part after the fifth crash, so there are three trials, after 30, 150
-# and 630 s, and then one a day.
+# quarantine at once, so that a trial without a result is not repeated within seconds. How many
+# servers crashed does not matter: one event may end many at once. The operators allow three
+# requests with the part after the fifth crash, so there are two trials, after 30 and 150 s, and
+# then one a day.
 FIRST_PART_QUARANTINE_S = 30.0
-MAX_PART_TRIALS = 3
+MAX_PART_TRIALS = 2
 MAX_PART_QUARANTINE_S = 86400.0
 # Duration of a trial in seconds; the next trial may begin only after it. The observed crashes came
 # 0.1 to 0.3 s after a request had reached its server; a busy server takes some seconds to process a
@@ -129,13 +130,12 @@
     @property
     def quarantine_s(self) -> float:
         """Seconds from the last crash, or from the beginning of a trial, to the next trial."""
-        failed_trials = max(len(self.crashes) - MAX_CRASHES, self.trials)
-        growth = QUARANTINE_GROWTH**failed_trials
         if not self.is_part:
+            growth = QUARANTINE_GROWTH ** (len(self.crashes) - MAX_CRASHES)
             return float(min(MAX_QUARANTINE_S, FIRST_QUARANTINE_S * growth))
-        if failed_trials >= MAX_PART_TRIALS:
+        if self.trials >= MAX_PART_TRIALS:
             return MAX_PART_QUARANTINE_S
-        return float(FIRST_PART_QUARANTINE_S * growth)
+        return float(FIRST_PART_QUARANTINE_S * QUARANTINE_GROWTH**self.trials)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -104,6 +104,7 @@
             relay.writing_since = None
         stream: ClientStream | None = None
         completed = False
+        may_have_arrived = True
         try:
             stream = await self._backends.client(server).open_with_fields(
                 req.method,
@@ -126,22 +127,25 @@
             raise
         except ServerReadsSlowly:
             # The server fell behind while the connection was established.
+            may_have_arrived = False
             stats.record_refusal(await curio.clock())
             if permit is not None:
                 relay.permits[server.incarnation_id] = permit
             raise
         except (HttpClosed, BadHttp) as exc:
             stats.record_failure(await curio.clock())
-            if isinstance(exc, ConnectFailed) and permit is not None:
+            may_have_arrived = not isinstance(exc, ConnectFailed)
+            if not may_have_arrived and permit is not None:
                 relay.permits[server.incarnation_id] = permit
-            if isinstance(exc, HttpClosed) and not isinstance(exc, ConnectFailed):
-                # The trial of a quarantined request ends here, whether or not the server crashed.
-                relay.trial_work = frozenset()
+            if may_have_arrived and isinstance(exc, HttpClosed):
                 request = relay.work_keys(prompt_only=params.prompt_only)
                 await self._crashes.on_connection_ended(server, request)
             raise
         finally:
             stats.open_requests -= 1
+            if may_have_arrived and not completed:
+                # A trial is not repeated, whether its server crashed or is silent.
+                relay.trial_work = frozenset()
             if stream is not None:
                 await (stream.close() if completed else stream.abort())
 
--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -11,6 +11,7 @@
 from crankhinge.decisions._quarantine import (
     COMPLETED_RETENTION_S,
     CRASH_RETENTION_S,
+    FIRST_PART_QUARANTINE_S,
     FIRST_QUARANTINE_S,
     MAX_CRASHED_SERVERS,
     MAX_CRASHES,
@@ -148,6 +149,13 @@
         assert crashes == MAX_CRASHES + MAX_PART_TRIALS
         assert late_trials <= 3
 
+    def test_many_crashes_at_once_bar_a_part_no_longer_than_three(self) -> None:
+        """The failure of a rack may end six servers with a part that was never served."""
+        quarantine = Quarantine()
+        for number in range(2 * MAX_CRASHES):
+            quarantine.record_crash(PART, f"i-{number}", 0.0, requests=[f"r{number}"])
+        assert quarantine.refusal_left_s(PART, 0.0) == FIRST_PART_QUARANTINE_S
+
     def test_trials_without_a_result_are_bounded(self) -> None:
         """A server may fall silent in a trial, so that no crash is noticed."""
         quarantine = Quarantine()
