Soak: a request cut by the crash of its own server is no fault of a planned stop

The checker goes by the server's record. Log lines about quarantines from records name the time that is left and not the maximum.

--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -316,8 +316,9 @@
                 continue
             update = QuarantineUpdate(key, tuple(servers), MAX_PART_QUARANTINE_S)
             if self.apply_update(update, now):
-                self._quarantined[key].counted_here |= own
-                yield update
+                quarantined = self._quarantined[key]
+                quarantined.counted_here |= own
+                yield _to_update(key, quarantined, now)
 
     def record_completed(self, key: str, now: float) -> int:
         """Record that a server completed some work, which clears its crashes and its quarantine.
--- a/src/crankhinge_soak/_history.py
+++ b/src/crankhinge_soak/_history.py
@@ -56,6 +56,9 @@
         self.arrivals = self._by_request("arrival")
         self.continued = self._by_request("continued")
         self.ended = self._by_request("ended")
+        self.crashed_at = {
+            row["server"]: row["at"] for row in self.rows if row["kind"] == "crashed"
+        }
 
     def _by_request(self, kind: str) -> dict[str, list[dict[str, Any]]]:
         table: dict[str, list[dict[str, Any]]] = {}
@@ -86,8 +89,14 @@
         return not stopped and not self.has_unplanned_fault(targets, begin, end)
 
     def reached_faulty_server(self, seen: ObservedRequest) -> bool:
-        """Whether a server that the request reached had a fault meanwhile, planned or not."""
-        names = {self.places.get(row["server"], "") for row in self.arrivals.get(seen.ident, ())}
+        """Whether a server that the request reached had a fault meanwhile, planned or not.
+
+        A server may have crashed some time before it is seen to have ended and restarted.
+        """
+        servers = {row["server"] for row in self.arrivals.get(seen.ident, ())}
+        if any(seen.sent <= self.crashed_at.get(name, 0.0) <= seen.ended for name in servers):
+            return True
+        names = {self.places.get(name, "") for name in servers}
         return bool(self.find_faults(names, seen.sent - FAULT_RECOVERY_S, seen.ended))
 
     def reached_killed_server(self, seen: ObservedRequest) -> bool:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -88,7 +88,9 @@
         )
         for n in range(refused)
     ]  # fmt: skip
-    crashes = [{"kind": "crashed", "part": "dead0", "at": T0 + n} for n in range(5)]
+    crashes = [
+        {"kind": "crashed", "part": "dead0", "server": f"i-c{n}", "at": T0 + n} for n in range(5)
+    ]
     arrivals = [server_row("arrival", f"c{n}", T0 + 20, crash_part="dead0") for n in range(late)]
     return {"seen": with_part + without, "rows": crashes + arrivals}
 
@@ -361,6 +363,18 @@
             invariant not in violated_invariants(valid_history(**changes, troubles=[injected]))
         ) is excuses
 
+    def test_planned_stop_may_lose_requests_of_a_server_that_crashes(self) -> None:
+        """The server recorded its crash; the soak sees its end only when it looks again."""
+        crash = {"kind": "crashed", "part": "dead0", "server": "i-1"}
+        for at, is_cut in ((T0 + 0.5, False), (T0 + 2, True)):
+            found = valid_history(
+                seen=[answered_request("q1", **CUT_RESPONSE)],
+                rows=[server_row("arrival", "q1"), {**crash, "at": at}],
+                troubles=[PLANNED_STOP],
+                calm_from=T0 + 9,
+            )
+            assert ("a planned stop cuts nothing" in violated_invariants(found)) is is_cut
+
     def test_planned_stop_may_lose_requests_that_a_killed_server_did_not_record(self) -> None:
         """The killed decode engine had the stream, but only the prefill engine recorded it."""
         stream = dataclasses.replace(answered_request("q1", "/stream/"), **CUT_RESPONSE)
