--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -5,13 +5,16 @@
 import curio
 import pytest
 
-from platform_fakes import make_config
+from crankhinge.gateway._peer_messenger import PeerMessenger
+from crankhinge.gateway._stream_origin_messages import StreamOriginResponse
+from platform_fakes import HOST, make_config
 from version_fleet import (
     EVENT_INTERVAL_S,
     SPLIT,
     CallerStream,
     VersionFleet,
     lost_datagrams,
+    silenced,
 )
 
 LONG = {"x_token_count": "1000,900", "length_hint": "500"}
@@ -161,6 +164,107 @@
         assert all(stream.is_whole and stream.versions == {"v1"} for stream in streams)
 
 
+class TestSilentInstances:
+    """Instances that run, but that others cannot reach, or that do not respond."""
+
+    def test_stream_of_an_instance_that_is_cut_off_continues_at_its_version(self) -> None:
+        """The holders remember what began it; half of the streams begin at either version."""
+        fleet = VersionFleet(instances=5, engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(12)]
+        cut_off = f"{HOST}:{fleet.harness.peer_port}"
+        is_cut = False
+
+        def is_silent(messenger: PeerMessenger, address: str, message: object) -> bool:
+            return is_cut and cut_off in (messenger._address, address)
+
+        async def scenario() -> None:
+            nonlocal is_cut
+            for number, stream in enumerate(streams):
+                await fleet.prefer(("v1", "v1.1")[number % 2])
+                await fleet.attempt(stream, fleet.harness, f"q{number}", "/taken/cut")
+            await fleet.accept_all()
+            is_cut = True
+            for number, stream in enumerate(streams):
+                gateway = fleet.gateways[1 + number % 4]
+                begun_as = f"q{number}"
+                await fleet.take_up(stream, gateway, f"r{number}", "/taken/cut", begun_as=begun_as)
+
+        with silenced(is_silent):
+            fleet.run(scenario)
+        assert all(stream.is_whole for stream in streams)
+        assert {version for stream in streams for version in stream.versions} == {"v1", "v1.1"}
+
+    def test_stream_whose_holders_are_silent_is_never_mixed(self) -> None:
+        """It goes on if the instance that began it is among those that are asked."""
+        fleet = VersionFleet(instances=5, engines=TWO_VERSIONS)
+        streams = {f"q{number}": CallerStream() for number in range(12)}
+        began = f"{HOST}:{fleet.harness.peer_port}"
+
+        def is_silent(messenger: PeerMessenger, address: str, message: object) -> bool:
+            is_response = isinstance(message, StreamOriginResponse)
+            return is_response and messenger._address != began
+
+        async def scenario() -> None:
+            await fleet.prefer("v1")
+            for ident, stream in streams.items():
+                await fleet.attempt(stream, fleet.harness, ident, "/taken/cut")
+            await fleet.accept_all()
+            for ident, stream in streams.items():
+                # Engines that break streams off are avoided for a while, so some do not begin.
+                if stream.body:
+                    taker, path = fleet.gateways[1], "/taken/cut"
+                    await fleet.take_up(stream, taker, f"r-{ident}", path, begun_as=ident)
+
+        with silenced(is_silent):
+            fleet.run(scenario)
+        taken_up = [stream for stream in streams.values() if stream.body]
+        assert all(stream.versions == {"v1"} for stream in taken_up)
+        assert all(stream.is_whole or stream.status == 503 for stream in taken_up)
+        assert any(stream.is_whole for stream in taken_up)
+
+    def test_stream_of_which_nobody_tells_is_refused_at_once(self) -> None:
+        """All other instances are silent, and the versions mix."""
+        fleet = VersionFleet(instances=5, engines=TWO_VERSIONS)
+        stream = CallerStream(body=b"id: 3\ndata: v1\n\n")
+        took_s: list[float] = []
+
+        async def scenario() -> None:
+            began_at = await curio.clock()
+            await fleet.take_up(stream, fleet.harness, "r1", "/taken/a", begun_as="unknown")
+            took_s.append(await curio.clock() - began_at)
+
+        with silenced(lambda _, __, message: isinstance(message, StreamOriginResponse)):
+            fleet.run(scenario)
+        assert (stream.status, stream.versions) == (503, {"v1"})
+        assert took_s[0] < 0.5
+        assert not any(engine.executed_ids for engine in fleet.engines)
+
+
+class TestRollout:
+    """Servers of one version leave one after the other while another version serves."""
+
+    def test_streams_are_taken_up_as_often_as_new_ones_are_served(self) -> None:
+        """Of the streams that are taken up, at least half as many go on as new ones are served."""
+        fleet = VersionFleet(engines={"v1": 4, "v1.1": 4})
+        taken_up: list[CallerStream] = []
+        new = [CallerStream() for _ in range(30)]
+
+        async def scenario() -> None:
+            for number in range(30):
+                if number % 10 == 9:
+                    leaving = fleet.of_version("v1")[number // 10]
+                    await fleet.harness.store.remove(f"servers/{leaving.incarnation_id}")
+                taken_up.append(await fleet.begin_and_take_up(number, "/taken/cut"))
+                gateway = fleet.gateways[number % 3]
+                await fleet.attempt(new[number], gateway, f"n{number}", "/taken/a")
+
+        fleet.run(scenario)
+        assert all(len(stream.versions) == 1 for stream in taken_up)
+        assert {version for stream in taken_up for version in stream.versions} == {"v1", "v1.1"}
+        served = sum(stream.is_whole for stream in new)
+        assert sum(stream.is_whole for stream in taken_up) >= 0.5 * served > 0
+
+
 class TestCoordinatedPlacement:
     """The answers are so long that a coordinator places them."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -539,6 +539,18 @@
         assert [verdict for verdict in report.verdicts if verdict.broken] == []
         assert report.faults["crash"] >= BARRING_CRASH
 
+    def test_short_run_of_frozen_instances_violates_no_invariant(self) -> None:
+        """Callers take up streams of instances that are frozen while engines break them off."""
+        report = run_seed(5, 6.0, kinds=("break-streams", "pause-gateway"))
+        assert [verdict for verdict in report.verdicts if verdict.broken] == []
+        [taken_up] = [
+            verdict.tested
+            for verdict in report.verdicts
+            if verdict.promise == "a stream goes on at the version that began it"
+        ]
+        assert taken_up > 0
+        assert report.faults["pause"] > 0
+
     def test_unknown_kind_of_fault_is_rejected(self, capsys: pytest.CaptureFixture[str]) -> None:
         """The exit status is 2, and the message lists the kinds of faults that exist."""
         with pytest.raises(SystemExit) as caught:
--- a/tests/version_fleet.py
+++ b/tests/version_fleet.py
@@ -49,6 +49,19 @@
         yield
 
 
+@contextmanager
+def silenced(is_silent: Callable[[PeerMessenger, str, Any], bool]) -> Iterator[None]:
+    """Lose the datagrams that *is_silent* selects by sender, address and message."""
+    send = PeerMessenger.send
+
+    async def send_unless_silent(messenger: PeerMessenger, address: str, message: Any) -> None:
+        if not is_silent(messenger, address, message):
+            await send(messenger, address, message)
+
+    with mock.patch.object(PeerMessenger, "send", send_unless_silent):
+        yield
+
+
 def make_event(number: int, version: str) -> bytes:
     """Return an event that names the version of the server that made it."""
     return b"id: %d\ndata: %s\n\n" % (number, version.encode())
