Tests of quarantined parts: answers of other instances and streams in progress, each alone

Two mechanisms hid each other: with the answer ignored, or without the repeated notification, a completed request cleared the part before the test looked. Both tests fail now when their mechanism is taken out.

--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -16,6 +16,7 @@
 from crankhinge.decisions._quarantine import FIRST_PART_QUARANTINE_S
 from crankhinge.gateway._peer_messages import ServerCrashed
 from crankhinge.gateway._peer_messenger import PeerMessenger
+from crankhinge.gateway._quarantine import REPEAT_AFTER_S
 from crankhinge.http import Exchange
 from platform_fakes import (
     HOST,
@@ -41,6 +42,8 @@
 # Seconds until an instance has written its record, and until the others have read it.
 STORE_WRITE_S = 1.5
 STORE_READ_S = 4.0
+# Seconds until instances have answered a notification, before it is repeated.
+ANSWER_S = 0.1
 # Crash after which CONTACT_S begins.
 COUNTED_CRASH = 5
 # Seconds for which the traffic lasts, until the first request with the part, and between two
@@ -52,6 +55,7 @@
 # A server crashes this long after it began to respond; a sound stream takes EVENTS times EVENT_S.
 CRASH_AFTER_S = 0.05
 EVENTS = 6
+LONG_EVENTS = 12
 EVENT_S = 0.3
 
 STREAM_ROUTE = route("r-stream", "/stream/", "streaming", "llm")
@@ -75,14 +79,14 @@
     return [part.partition(":")[0] for part in text.split(",")][:-1]
 
 
-async def write_or_crash(replica: FakeReplica, exchange: Exchange) -> None:
+async def write_or_crash(replica: FakeReplica, exchange: Exchange, *, events: int = EVENTS) -> None:
     """Write a stream, or crash shortly after its head if the prompt has the part."""
     first = int(exchange.req.headers.get("last-event-id", "0")) + 1
     await exchange.start_with_fields(200, replica.response_fields(exchange))
     if BAD_PART in shared_parts(exchange):
         await curio.sleep(CRASH_AFTER_S)
         await replica.crash()
-    for number in range(first, EVENTS + 1):
+    for number in range(first, events + 1):
         await exchange.write(make_events(number, number))
         await curio.sleep(EVENT_S)
     await exchange.finish()
@@ -420,17 +424,23 @@
     def test_quarantine_ends_when_servers_go_on_writing_on_the_part(self, instances: int) -> None:
         """Three servers crash just after the first requests with the part have begun."""
         traffic = PartTraffic(instances=instances)
+        for replica in traffic.fleet.replicas:
+            if replica.role == "decode":
+                replica.handler = partial(write_or_crash, events=LONG_EVENTS)
+
+        send = partial(traffic.send, "/stream/", (FIRST_PART,), x_deadline_ms="14000")
 
         async def scenario() -> None:
             async with curio.TaskGroup() as group:
                 for _ in range(24):
-                    await group.spawn(traffic.send, "/stream/", (FIRST_PART,))
+                    await group.spawn(send)
                 await curio.sleep(EVENT_S)
                 for replica in traffic.fleet.replicas[2:5]:
                     await replica.crashed.set()
                 await curio.sleep(PEER_MESSAGE_S)
-                assert await traffic.send("/stream/", (FIRST_PART,)) == 503
-            assert await traffic.send("/stream/", (FIRST_PART,)) == 200
+                assert await send() == 503
+                await curio.sleep(sum(REPEAT_AFTER_S))
+                assert await send() == 200
 
         traffic.fleet.run(scenario, *ROUTES)
 
@@ -447,10 +457,13 @@
                 for number in range(MAX_CRASHES):
                     crash = ServerCrashed(f"i-x{number}", (f"p:{part}",), (f"r{number}",))
                     await self._send_report(gateway, crash)
-            await curio.sleep(PEER_MESSAGE_S)
-            for gateway in (first, *first.other_gateways):
-                traffic.fleet.gateways = [gateway]
-                assert await traffic.send("/stream/", (part,)) == 200
+            await curio.sleep(ANSWER_S)
+            traffic.fleet.gateways = first.other_gateways
+            traffic.fleet.statuses.clear()
+            async with curio.TaskGroup() as group:
+                for _ in first.other_gateways:
+                    await group.spawn(traffic.send, "/stream/", (part,))
+            assert traffic.fleet.statuses == [200] * len(first.other_gateways)
 
         traffic.fleet.run(scenario, *ROUTES)
 
