--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -63,7 +63,7 @@
         log_fields={},
         account_name=None,
         version="",
-        trial_work="",
+        trial_work=frozenset(),
         work_keys=lambda *, prompt_only: ("f",),
     )
     quarantine = make_standalone_quarantine("g", log)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -217,7 +217,10 @@
         req = HttpRequest("GET", "/", {"x-request-id": "q"}, b"", (("x-request-id", "q"),))
         instance.relay.exchange = cast(Any, SimpleNamespace(req=req))
         instance.relay.__dict__.update(
-            account_name=None, log_fields={}, trial_work="", work_key=lambda *, prompt_only: "f"
+            account_name=None,
+            log_fields={},
+            trial_work=frozenset(),
+            work_keys=lambda *, prompt_only: ("f",),
         )
 
         async def scenario() -> None:
