Quarantine of parts: its end reaches every instance that learned of its begin

Cause, from its logs: the instance that counts the crashes of a part stood still for 0.6 s. Then it read the reports of the crashes, put the part in quarantine and notified all others, and read next that a request with the part was complete. That notice goes only to those that count and cleared the part there alone. Besides, the repeats of the end stopped at the next single crash, so one lost datagram had the same effect.

Now an instance that counts passes the end on if it had put the part in quarantine, and repeats it unless the part is in quarantine again. Each of the two tests failed without its half of the change (503 instead of 200).

--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -132,9 +132,12 @@
 
     Attributes:
         fingerprint: key of the work.
+        to_all: whether it is sent to all instances. Otherwise it is sent to those that count the
+            crashes, and the sender does not know of a quarantine.
     """
 
     fingerprint: str
+    to_all: bool = False
 
 
 class PartServed(msgspec.Struct, frozen=True, tag="part-served"):
--- a/src/crankhinge/gateway/_quarantine.py
+++ b/src/crankhinge/gateway/_quarantine.py
@@ -227,15 +227,12 @@
         if not crashes:
             return
         self._log.info("request_cleared", fingerprint=key, crashes=crashes, **log_fields)
-        ended = QuarantineEnded(key)
         if was_quarantined:
-            await self._messenger.send_to_all(ended, fingerprint=key)
-            if is_part_key(key):
-                await curio.spawn(self._repeat_ended, ended, daemon=True)
+            await self._announce_ended(key)
             return
         for instance in self._membership.first_instances(key, COUNTING_INSTANCES):
             if instance != self._name and (address := self._membership.peer_address(instance)):
-                await self._messenger.send(address, ended)
+                await self._messenger.send(address, QuarantineEnded(key))
 
     def to_instance_record(self) -> Mapping[str, tuple[str, ...]]:
         """Return what this instance publishes in its record in the store.
@@ -301,10 +298,16 @@
                 return
             await self._messenger.send_to_all(_to_message(update), fingerprint=update.key)
 
+    async def _announce_ended(self, key: str) -> None:
+        ended = QuarantineEnded(key, to_all=True)
+        await self._messenger.send_to_all(ended, fingerprint=key)
+        if is_part_key(key):
+            await curio.spawn(self._repeat_ended, ended, daemon=True)
+
     async def _repeat_ended(self, ended: QuarantineEnded) -> None:
         for delay_s in REPEAT_AFTER_S:
             await curio.sleep(delay_s)
-            if self._quarantine.crash_count(ended.fingerprint):
+            if self._quarantine.is_quarantined(ended.fingerprint):
                 return
             await self._messenger.send_to_all(ended, fingerprint=ended.fingerprint)
 
@@ -337,11 +340,16 @@
             await self._clear(message.key, now, told_by=sender)
 
     async def _on_quarantine_ended(self, message: QuarantineEnded, sender: str) -> None:
-        crashes = self._quarantine.record_completed(message.fingerprint, await curio.clock())
-        if crashes:
-            self._log.info(
-                "request_cleared", fingerprint=message.fingerprint, crashes=crashes, told_by=sender
-            )
+        key = message.fingerprint
+        was_quarantined = self._quarantine.is_quarantined(key)
+        crashes = self._quarantine.record_completed(key, await curio.clock())
+        if not crashes:
+            return
+        self._log.info("request_cleared", fingerprint=key, crashes=crashes, told_by=sender)
+        counts = self._name in self._membership.first_instances(key, COUNTING_INSTANCES)
+        if was_quarantined and counts and not message.to_all:
+            # This instance notified others of the quarantine while the message was on its way.
+            await self._announce_ended(key)
 
 
 def _requests_by_key(requests: Collection[WorkKeys]) -> dict[str, set[str]]:
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -12,11 +12,12 @@
 import msgspec
 import pytest
 
+from crankhinge.decisions import rank_by_key
 from crankhinge.decisions._part_history import MAX_CRASHES, MAX_WRITING_S
 from crankhinge.decisions._quarantine import FIRST_PART_QUARANTINE_S
-from crankhinge.gateway._peer_messages import ServerCrashed
+from crankhinge.gateway._peer_messages import QuarantineEnded, ServerCrashed
 from crankhinge.gateway._peer_messenger import PeerMessenger
-from crankhinge.gateway._quarantine import REPEAT_AFTER_S
+from crankhinge.gateway._quarantine import COUNTING_INSTANCES, REPEAT_AFTER_S
 from crankhinge.http import Exchange
 from platform_fakes import (
     HOST,
@@ -476,6 +477,64 @@
 
         traffic.fleet.run(scenario, *ROUTES)
 
+    def test_end_of_a_quarantine_reaches_instances_that_learned_of_its_begin(self) -> None:
+        """One of those that count reads at once that servers crashed and that one did not."""
+        traffic = PartTraffic(instances=3)
+        key = f"p:{FIRST_PART}"
+
+        async def scenario() -> None:
+            [counting, *_], others = self._split_by_counting(traffic, key)
+            await self._send_reports(counting, key)
+            await self._send_report(counting, QuarantineEnded(key))
+            await curio.sleep(ANSWER_S)
+            assert self._quarantines_of_parts(traffic)
+            traffic.fleet.gateways = others
+            assert await traffic.send("/stream/", (FIRST_PART,)) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def test_end_of_a_quarantine_is_repeated_though_a_server_crashes(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The first notifications about the end are lost."""
+        traffic = PartTraffic(instances=3)
+        key = f"p:{FIRST_PART}"
+        send = PeerMessenger.send
+        lost: list[Any] = []
+
+        async def send_most(self: PeerMessenger, address: str, message: Any) -> None:
+            if isinstance(message, QuarantineEnded) and len(lost) < len(traffic.fleet.gateways) - 1:
+                lost.append(message)
+            else:
+                await send(self, address, message)
+
+        async def scenario() -> None:
+            monkeypatch.setattr(PeerMessenger, "send", send_most)
+            [counting, *_], others = self._split_by_counting(traffic, key)
+            await self._send_reports(counting, key)
+            await self._send_report(counting, QuarantineEnded(key))
+            await self._send_report(counting, ServerCrashed("i-x", (key,), ("r",)))
+            await curio.sleep(ANSWER_S)
+            traffic.fleet.gateways = others
+            assert await traffic.send("/stream/", (FIRST_PART,)) == 503
+            await curio.sleep(sum(REPEAT_AFTER_S))
+            assert await traffic.send("/stream/", (FIRST_PART,)) == 200
+
+        traffic.fleet.run(scenario, *ROUTES)
+
+    def _split_by_counting(
+        self, traffic: PartTraffic, key: str
+    ) -> tuple[list[GatewayHarness], list[GatewayHarness]]:
+        """Return the instances that count the crashes of a key, and the others."""
+        by_name = {gateway.name: gateway for gateway in traffic.fleet.gateways}
+        ordered = [by_name[name] for name in rank_by_key(key.encode(), by_name)]
+        return ordered[:COUNTING_INSTANCES], ordered[COUNTING_INSTANCES:]
+
+    async def _send_reports(self, gateway: GatewayHarness, key: str) -> None:
+        """Report enough crashes to an instance for a quarantine."""
+        for number in range(MAX_CRASHES):
+            await self._send_report(gateway, ServerCrashed(f"i-x{number}", (key,), (f"r{number}",)))
+
     def _quarantines_of_parts(self, traffic: PartTraffic) -> list[str]:
         """Return the log lines of all instances about quarantines of parts."""
         return [
