Accept one connection a turn of the event loop

Callers on open connections waited as long as those of a burst of new connections: all of it was accepted at once and took turns with them.

--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -70,6 +70,9 @@
             await curio.sleep(ACCEPT_RETRY_DELAY_S)
             continue
         await group.spawn(_handle_connection, sock, addr, handler, log)
+        # All ready tasks run once between two accepted connections. Otherwise a burst of new
+        # connections would take turns with the requests on open ones, which wait for all of it.
+        await curio.sleep(0)
 
 
 async def _handle_connection(sock: Any, addr: Any, handler: ConnHandler, log: Any) -> None:
