Streams: expected answer times that refuse everything are measured again

Cause, from its logs: the instance was stopped for 4.4 s just after its start, so the first five answers seemed to take 4.5 s for some ten events. By that pace all others would exceed their deadlines. Only requests that are sent are measured, so nothing corrected this pace. The same holds if engines are slow for a while.

Now one request is sent after each second in which requests were refused and no answer was measured, with the expectations of an instance that has measured nothing; its times count half.

--- a/src/crankhinge/decisions/_split.py
+++ b/src/crankhinge/decisions/_split.py
@@ -15,6 +15,10 @@
 # Weight of the newest sample in a moving average: about fifty requests, a few seconds of traffic,
 # determine it. EWMA_SAMPLES is that number of requests.
 EWMA_WEIGHT = 0.02
+# While all requests are refused because their answers are expected to take too long, one of them is
+# sent after this many seconds without an answer, and its times have this weight.
+PROBE_INTERVAL_S = 1.0
+PROBE_WEIGHT = 0.5
 EWMA_SAMPLES = 50
 # Admitted requests and completed answers needed before any load is reported, and answers needed
 # before more engines are moved to prefill: a quiet moment right after a start must not undo a split
@@ -215,6 +219,27 @@
         self._mean_first_event_s = 0.0
         self._length_classes = _LengthClasses(MAX_CLASS_SAMPLES)
         self._newest_prefills: deque[tuple[int, float]] = deque(maxlen=MAX_PUBLISHED_PREFILLS)
+        self._is_probing = False
+        self._next_probe_at = 0.0
+        self._answers_before_probe = 0
+
+    def try_probe(self, now: float) -> bool:
+        """Return whether a request may be sent although its answer is expected to take too long.
+
+        Only answers are measured. If the expectation is wrong, because servers or this instance
+        itself stood still for a while, it would hold for as long as it refuses all requests.
+
+        Args:
+            now: time on the runtime's clock, in seconds.
+        """
+        if self._answers != self._answers_before_probe:
+            self._answers_before_probe = self._answers
+            self._next_probe_at = now + PROBE_INTERVAL_S
+        if now < self._next_probe_at:
+            return False
+        self._next_probe_at = now + PROBE_INTERVAL_S
+        self._is_probing = True
+        return True
 
     @property
     def completed_answers(self) -> int:
@@ -233,7 +258,7 @@
         self._prefills += 1
         step = max(EWMA_WEIGHT, 1.0 / self._prefills)
         self._mean_tokens += step * (tokens - self._mean_tokens)
-        self._mean_prefill_s += step * (took_s - self._mean_prefill_s)
+        self._mean_prefill_s += self._weight(self._prefills) * (took_s - self._mean_prefill_s)
         if may_have_waited:
             return
         self._length_classes.add(tokens, took_s)
@@ -254,14 +279,19 @@
     def record_answer(self, tokens: int, took_s: float) -> None:
         """Record an answer of *tokens* tokens that was decoded in *took_s* seconds."""
         self._answers += 1
-        step = max(EWMA_WEIGHT, 1.0 / self._answers)
-        self._mean_token_s += step * (took_s / max(1, tokens) - self._mean_token_s)
+        token_s = took_s / max(1, tokens)
+        self._mean_token_s += self._weight(self._answers) * (token_s - self._mean_token_s)
+        self._is_probing = False
 
     def record_first_event(self, took_s: float) -> None:
         """Record a first event that came *took_s* seconds after the reservation."""
         self._first_events += 1
-        step = max(EWMA_WEIGHT, 1.0 / self._first_events)
-        self._mean_first_event_s += step * (took_s - self._mean_first_event_s)
+        weight = self._weight(self._first_events)
+        self._mean_first_event_s += weight * (took_s - self._mean_first_event_s)
+
+    def _weight(self, samples: int) -> float:
+        """Return the weight of the newest of *samples* measured times."""
+        return max(PROBE_WEIGHT if self._is_probing else EWMA_WEIGHT, 1.0 / samples)
 
     @property
     def mean_first_event_s(self) -> float | None:
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 import curio
@@ -215,7 +215,7 @@
             relay_request.max_answer_tokens,
             engine.kv_tokens,
         )
-        return ReservationRequest(
+        request = ReservationRequest(
             tokens=tokens,
             # The target counts from when the request was read. A stream that is resumed at another
             # engine has had its first event, so its timeout counts from its last event.
@@ -228,6 +228,13 @@
             service_s=meter.expected_service_s(likely_tokens) or DEFAULT_SERVICE_S,
             first_event_s=meter.mean_first_event_s or DEFAULT_FIRST_EVENT_S,
         )
+        if request.max_wait_s >= 0:
+            return request
+        unmeasured = replace(
+            request, service_s=DEFAULT_SERVICE_S, first_event_s=DEFAULT_FIRST_EVENT_S
+        )
+        is_probe = unmeasured.max_wait_s >= 0 and meter.try_probe(now)
+        return unmeasured if is_probe else request
 
     async def _try_engines(
         self, search: _Search, engine: EngineLimits, queue: ReservationQueue
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -585,6 +585,40 @@
 
         run_scenario(harness, scenario)
 
+    def test_long_answers_are_served_again_soon_after_slow_ones(self) -> None:
+        """The first answers are slow; by their times, no other could be complete in time."""
+        harness = GatewayHarness()
+        harness.add_replica("i-r", "llm", "prefill")
+
+        async def respond_slowly(replica: FakeReplica, exchange: Exchange) -> None:
+            await exchange.start_with_fields(200, replica.response_fields(exchange))
+            await exchange.write(make_events(1, 1))
+            await curio.sleep(3.0)
+            await exchange.write(make_events(2, 5))
+            await exchange.finish()
+
+        decode_engine = harness.add_replica("i-w", "llm", "decode", handler=respond_slowly)
+        statuses = []
+
+        async def send(number: int) -> int:
+            headers = {"x_token_count": "100,800", "length_hint": "400"}
+            status, _, _ = await harness.call(f"q{number}", "/stream/a", **headers)
+            return int(status)
+
+        async def scenario() -> None:
+            slow = [await curio.spawn(send, number) for number in range(4)]
+            for task in slow:
+                await task.join()
+            decode_engine.handler = respond_stream
+            for number in range(4, 44):
+                statuses.append(await send(number))
+                await curio.sleep(0.25)
+
+        run_scenario(harness, scenario)
+        assert statuses[0] == 503
+        # Half of the ten seconds.
+        assert statuses[20:] == [200] * 20
+
     def test_hopeless_caller_retry_is_refused_at_once(self) -> None:
         """The only answer in progress takes long; its memory frees too late for the retry."""
         harness = GatewayHarness()
--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -294,6 +294,30 @@
         assert service_s is not None
         assert abs(service_s - 5.25) < 1e-9
 
+    def test_probe_is_sent_only_after_a_time_without_answers(self) -> None:
+        """While answers are measured, a request that is refused is refused for good reason."""
+        meter = WorkloadMeter()
+        for tenth in range(20):
+            meter.record_answer(100, 4.0)
+            assert not meter.try_probe(tenth / 10)
+        assert not meter.try_probe(2.8)
+        assert meter.try_probe(3.0)
+        assert not meter.try_probe(3.9)
+        assert meter.try_probe(4.0)
+
+    def test_answer_to_a_probe_corrects_the_expectation(self) -> None:
+        """Each of a few fast ones counts as much as all slow answers before it."""
+        meter = WorkloadMeter()
+        for _ in range(50):
+            meter.record_answer(100, 4.0)
+        meter.record_answer(100, 0.2)
+        assert (meter.expected_service_s(100) or 0.0) > 3.5
+        for now in (1.0, 2.0, 3.0):
+            meter.try_probe(now)
+            assert meter.try_probe(now + 1.0)
+            meter.record_answer(100, 0.2)
+        assert (meter.expected_service_s(100) or 9.0) < 0.8
+
 
 def test_mean_first_event_time_needs_several_samples() -> None:
     """A single sample may be an exception, so there is no mean before several were recorded."""
