--- a/tests/test_split.py
+++ b/tests/test_split.py
@@ -317,6 +317,8 @@
             assert meter.try_probe(now + 1.0)
             meter.record_answer(100, 0.2)
         assert (meter.expected_service_s(100) or 9.0) < 0.8
+        meter.record_answer(100, 4.0)
+        assert (meter.expected_service_s(100) or 9.0) < 0.9
 
 
 def test_mean_first_event_time_needs_several_samples() -> None:
