Tests of quarantined parts: who passes an end on, and the order of trials

Taken out by hand, these survived before: the mark of a notification to all, the condition that only counting instances pass an end on, and the delay between instances' trials.

--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -366,6 +366,26 @@
         traffic.fleet.run(scenario, *ROUTES)
         assert sum(len(replica.arrivals) for replica in traffic.fleet.replicas) == 1
 
+    def test_instances_may_begin_trials_one_after_the_other(self) -> None:
+        """Otherwise several begin one before they have heard of each other's."""
+        traffic = PartTraffic(instances=3)
+        key = f"p:{BAD_PART}"
+        send = partial(traffic.send, "/stream/", (BAD_PART,))
+
+        async def scenario() -> None:
+            for _ in range(MAX_CRASHES):
+                assert await send() == 0
+                await curio.sleep(PEER_MESSAGE_S)
+            by_name = {gateway.name: gateway for gateway in traffic.fleet.gateways}
+            first, *_, last = rank_by_key(key.encode(), by_name)
+            await curio.sleep(FIRST_PART_QUARANTINE_S)
+            traffic.fleet.gateways = [by_name[last]]
+            assert await send() == 503
+            traffic.fleet.gateways = [by_name[first]]
+            assert await send() == 0
+
+        traffic.fleet.run(scenario, *ROUTES)
+
     def test_trial_at_a_silent_server_is_not_repeated(self) -> None:
         """The route lets plain calls be sent to a second server after some time."""
         traffic = PartTraffic()
@@ -477,10 +497,13 @@
 
         traffic.fleet.run(scenario, *ROUTES)
 
-    def test_end_of_a_quarantine_reaches_instances_that_learned_of_its_begin(self) -> None:
+    def test_end_of_a_quarantine_reaches_instances_that_learned_of_its_begin(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
         """One of those that count reads at once that servers crashed and that one did not."""
         traffic = PartTraffic(instances=3)
         key = f"p:{FIRST_PART}"
+        sent = self._record_ends(monkeypatch)
 
         async def scenario() -> None:
             [counting, *_], others = self._split_by_counting(traffic, key)
@@ -488,11 +511,43 @@
             await self._send_report(counting, QuarantineEnded(key))
             await curio.sleep(ANSWER_S)
             assert self._quarantines_of_parts(traffic)
+            assert len(sent) == len(traffic.fleet.gateways) - 1
             traffic.fleet.gateways = others
             assert await traffic.send("/stream/", (FIRST_PART,)) == 200
 
         traffic.fleet.run(scenario, *ROUTES)
 
+    def test_end_of_a_quarantine_is_passed_on_only_by_instances_that_count(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """All instances may hold the quarantine, and each datagram would bring as many more."""
+        traffic = PartTraffic(instances=3)
+        key = f"p:{FIRST_PART}"
+        sent = self._record_ends(monkeypatch)
+
+        async def scenario() -> None:
+            counting, [other] = self._split_by_counting(traffic, key)
+            await self._send_reports(counting[0], key)
+            await curio.sleep(ANSWER_S)
+            await self._send_report(other, QuarantineEnded(key))
+            await curio.sleep(sum(REPEAT_AFTER_S))
+
+        traffic.fleet.run(scenario, *ROUTES)
+        assert not sent
+
+    def _record_ends(self, monkeypatch: pytest.MonkeyPatch) -> list[QuarantineEnded]:
+        """Return the list of the notifications that instances send about ends of quarantines."""
+        sent: list[QuarantineEnded] = []
+        send = PeerMessenger.send
+
+        async def record(self: PeerMessenger, address: str, message: Any) -> None:
+            if isinstance(message, QuarantineEnded):
+                sent.append(message)
+            await send(self, address, message)
+
+        monkeypatch.setattr(PeerMessenger, "send", record)
+        return sent
+
     def test_end_of_a_quarantine_is_repeated_though_a_server_crashes(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
