Quarantine of parts: a wide part does not bar requests without the narrow one beside it

Cause, from its logs: seven engines crashed within 6 s; no stream with the first part that all share was served in between, and the crashes were three separate events, so the first part was put in quarantine with the bad one. Both had exactly the same seven crashes.

Now a part in quarantine refuses only requests that no narrower one explains: one in quarantine that had all of its crashes, never came without it, and that the request lacks. The first of them that is served ends the quarantine as before. The test failed before: 503.

--- a/src/crankhinge/decisions/_quarantine.py
+++ b/src/crankhinge/decisions/_quarantine.py
@@ -9,7 +9,8 @@
 and fewer of them.
 
 Most requests share parts with others, so a part is put in quarantine only if no request with it was
-served since the crashes, and if no single request explains all of them.
+served since the crashes, and if no single request explains all of them. Even then only requests
+are refused that another part in quarantine does not explain: a narrower one that they lack.
 
 Crashes are identified by the incarnation ids of the servers, so a crash that is reported twice, by
 two instances or by a late message, counts once.
@@ -120,12 +121,15 @@
         trials: number of trials of a part.
         counted_here: whether this instance counted the crashes, and therefore publishes the
             quarantine in its instance record.
+        companions: keys of all requests with the work that this instance has seen since; None
+            before the first one.
     """
 
     is_part: bool = False
     trial_at: float = 0.0
     trials: int = 0
     counted_here: bool = False
+    companions: frozenset[str] | None = None
 
     @property
     def quarantine_s(self) -> float:
@@ -191,6 +195,40 @@
         """Whether work is in quarantine: refused, or due for a trial."""
         return key in self._quarantined
 
+    def record_request(self, keys: Collection[str]) -> None:
+        """Record which parts occur together with those in quarantine.
+
+        Args:
+            keys: the keys of a request.
+        """
+        for key in keys:
+            if key in self._quarantined:
+                quarantined = self._quarantined[key]
+                known = quarantined.companions
+                quarantined.companions = frozenset(keys) if known is None else known & set(keys)
+
+    def barring_keys(self, keys: Collection[str]) -> list[str]:
+        """Return those keys of a request that are in quarantine and not explained by others."""
+        return [
+            key for key in keys if key in self._quarantined and not self._is_explained(key, keys)
+        ]
+
+    def _is_explained(self, key: str, keys: Collection[str]) -> bool:
+        """Whether the crashes with a part are due to a narrower part, which a request lacks.
+
+        A part that many requests share was in each crash that one beside it caused. That one is in
+        quarantine as well, had no other crashes, and never occurs without the part.
+        """
+        quarantined = self._quarantined[key]
+        return quarantined.is_part and any(
+            other.is_part
+            and other_key not in keys
+            and other.companions is not None
+            and key in other.companions
+            and quarantined.crashes.keys() <= other.crashes.keys()
+            for other_key, other in self._quarantined.items()
+        )
+
     def refusal_left_s(self, key: str, now: float) -> float:
         """Return the seconds for which work is still refused; 0 if it may be done."""
         quarantined = self._quarantined.get(key)
--- a/src/crankhinge/gateway/_quarantine.py
+++ b/src/crankhinge/gateway/_quarantine.py
@@ -118,11 +118,13 @@
             Quarantined: servers crashed while they ran this request, or others that share a part of
                 its prompt.
         """
-        self._refuse(relay, relay.work_keys(prompt_only=False), now)
+        keys = relay.work_keys(prompt_only=False)
+        self._quarantine.record_request(keys)
+        self._refuse(relay, keys, now)
 
     def _refuse(self, relay: Relay, keys: Collection[str], now: float) -> None:
-        for key in keys:
-            if key in relay.trial_work or not self._quarantine.is_quarantined(key):
+        for key in self._quarantine.barring_keys(keys):
+            if key in relay.trial_work:
                 continue
             left_s = self._refusal_left_s(key, now)
             if left_s > 0:
@@ -153,16 +155,11 @@
         """
         keys = relay.work_keys(prompt_only=False)
         if prompt_only:
-            for key in keys:
-                if self._quarantine.is_quarantined(key):
-                    raise Quarantined(self._describe(key), retry_after_s=0.0)
+            for key in self._quarantine.barring_keys(keys):
+                raise Quarantined(self._describe(key), retry_after_s=0.0)
             keys = relay.work_keys(prompt_only=True)
         self._refuse(relay, keys, now)
-        due = [
-            key
-            for key in keys
-            if key not in relay.trial_work and self._quarantine.is_quarantined(key)
-        ]
+        due = [key for key in self._quarantine.barring_keys(keys) if key not in relay.trial_work]
         for key in due:
             relay.trial_work |= {key}
             trial = self._quarantine.begin_trial(key, now)
--- a/tests/test_prompt_parts.py
+++ b/tests/test_prompt_parts.py
@@ -474,6 +474,22 @@
 
         traffic.fleet.run(scenario, *ROUTES)
 
+    def test_part_beside_one_that_crashes_servers_is_not_barred_for_long(self) -> None:
+        """No request without the bad part was served between the crashes, nor ever before."""
+        traffic = PartTraffic()
+
+        async def scenario() -> None:
+            await traffic.crash_servers(MAX_CRASHES)
+            assert self._quarantines_of_parts(traffic)
+            # Both instances see that the bad part comes with the other ones.
+            for _ in traffic.fleet.gateways:
+                assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+            for _ in range(4):
+                assert await traffic.send("/stream/", (FIRST_PART, "a1")) == 200
+                assert await traffic.send("/stream/", POSITIONS["middle"]) == 503
+
+        traffic.fleet.run(scenario, *ROUTES)
+
     @pytest.mark.parametrize("part", [f"{number:08x}" for number in range(4)])
     def test_quarantine_ends_if_another_instance_has_served_the_part(self, part: str) -> None:
         """The instances that count the crashes have served no request with the part."""
--- a/tests/test_quarantine_decisions.py
+++ b/tests/test_quarantine_decisions.py
@@ -156,6 +156,33 @@
             quarantine.record_crash(PART, f"i-{number}", 0.0, requests=[f"r{number}"])
         assert quarantine.refusal_left_s(PART, 0.0) == FIRST_PART_QUARANTINE_S
 
+    def test_part_is_barred_for_requests_that_no_narrower_one_explains(self) -> None:
+        """The wide part is in all requests with the narrow one, which crash servers."""
+        wide, narrow, own = f"{PART}-wide", f"{PART}-narrow", "own"
+
+        def make(*seen: tuple[str, ...], more_wide_crashes: int = 0) -> Quarantine:
+            quarantine = Quarantine()
+            for number in range(MAX_CRASHES + more_wide_crashes):
+                for key in (wide, narrow)[: 2 if number < MAX_CRASHES else 1]:
+                    quarantine.record_crash(
+                        key, f"i-{number}", 9.0 * number, requests=[f"{number}"]
+                    )
+            for keys in seen:
+                quarantine.record_request(keys)
+            return quarantine
+
+        bad, sound = (own, wide, narrow), ("own2", wide)
+        assert make(bad).barring_keys(sound) == []
+        assert make(bad, sound).barring_keys(sound) == []
+        assert make(bad, sound).barring_keys(bad) == [wide, narrow]
+        assert make().barring_keys(sound) == [wide]
+        assert make(sound).barring_keys(sound) == [wide]
+        assert make(bad, more_wide_crashes=1).barring_keys(sound) == [wide]
+        # Also requests without the wide part have the narrow one, so neither explains the other.
+        elsewhere = ("own3", narrow)
+        assert make(bad, elsewhere).barring_keys(sound) == [wide]
+        assert make(bad, sound).barring_keys(elsewhere) == [narrow]
+
     def test_trials_without_a_result_are_bounded(self) -> None:
         """A server may fall silent in a trial, so that no crash is noticed."""
         quarantine = Quarantine()
