Tests: streams in two groups that the engines have memory for, and the engine that is asked first

It sent 14 streams at one moment to engines with memory for eight, and counted on all being granted because each was checked before any had reserved. One connection a turn, the instance refuses six, and too few are measured for an order.

--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -29,6 +29,7 @@
 
 ONCE = route("r-once", "/once/", "unsafe", "plain")
 STREAM = route("r-stream", "/stream/", "streaming", "llm")
+MAX_CALLS = 60
 TOKEN_HEADERS = {"x_token_count": "100,50", "length_hint": "40"}
 MEMORY_MB = 128.0
 # A body that an instance holds until it is whole, and one that it passes on as it comes.
@@ -123,13 +124,17 @@
         engine = harness.add_replica("i-w", "llm", "decode", handler=respond_stream)
 
         async def scenario() -> None:
-            for number in range(6):
+            # Either engine may be asked first.
+            for number in range(MAX_CALLS):
                 status, _, _ = await harness.call(f"q{number}", "/stream/a", **TOKEN_HEADERS)
                 assert status == 200
+                if "POST /v1/hold-take" in cut.side_calls:
+                    break
 
         run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
         assert "POST /v1/hold-take" in cut.side_calls
-        assert (len(cut.arrivals), len(engine.arrivals)) == (0, 6)
+        assert not cut.arrivals
+        assert engine.arrivals
 
 
 class TestCompletion:
--- a/tests/test_role_controller.py
+++ b/tests/test_role_controller.py
@@ -259,11 +259,13 @@
                     data = msgspec.msgpack.encode(message)
                     if notified:
                         await sock.sendto(data, (HOST, harness.peer_port))
-            async with curio.TaskGroup() as group:
-                for number in range(14):
-                    await group.spawn(
-                        partial(harness.call, f"q{number}", "/stream/a", **TOKEN_HEADERS)
-                    )
+            # The decode engines have memory for eight streams.
+            for first in (0, 7):
+                async with curio.TaskGroup() as group:
+                    for number in range(first, first + 7):
+                        await group.spawn(
+                            partial(harness.call, f"q{number}", "/stream/a", **TOKEN_HEADERS)
+                        )
             await curio.sleep(4.0)
             assert any(replica.orders for replica in harness.replicas) is not notified
 
