A stopping server handles the connections that wait to be accepted

Suspected cause, proved by the test for the server alone: connections that the kernel had established were not accepted yet, and closing the listener resets them; one accepted a turn, more of them wait.

--- a/src/crankhinge/runtime/_tcp.py
+++ b/src/crankhinge/runtime/_tcp.py
@@ -47,20 +47,40 @@
     async with listener, curio.TaskGroup() as group:
         accepting = await group.spawn(_accept_connections, listener, handler, log, group)
         if stop_accepting is not None:
-            await group.spawn(_close_when_stopped, stop_accepting, accepting, listener)
+            await group.spawn(
+                _close_when_stopped, stop_accepting, accepting, listener, handler, log, group
+            )
         async for task in group:
             task.joined = True
 
 
-async def _close_when_stopped(stop_accepting: curio.Event, accepting: Any, listener: Any) -> None:
+async def _close_when_stopped(
+    stop_accepting: curio.Event,
+    accepting: Any,
+    listener: Any,
+    handler: ConnHandler,
+    log: Any,
+    group: Any,
+) -> None:
     await stop_accepting.wait()
     await accepting.cancel()
+    await _accept_established(listener, handler, log, group)
     await listener.close()
     # The task group ends when its last task does. This task waits forever, so that the group stays
     # open until the server is cancelled.
     await curio.Event().wait()
 
 
+async def _accept_established(listener: Any, handler: ConnHandler, log: Any, group: Any) -> None:
+    """Accept the connections that wait in the kernel, which closing the listener would reset."""
+    while True:
+        try:
+            sock, addr = listener._socket.accept()
+        except OSError:
+            return
+        await group.spawn(_handle_connection, curio.io.Socket(sock), addr, handler, log)
+
+
 async def _accept_connections(listener: Any, handler: ConnHandler, log: Any, group: Any) -> None:
     while True:
         try:
