--- a/tests/test_gateway_process.py
+++ b/tests/test_gateway_process.py
@@ -4,6 +4,7 @@
 
 import os
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -59,6 +60,18 @@
             assert self.proc.poll() is None, self.out.read_text()
             time.sleep(0.05)
 
+    def wait_until_listening(self, port: int) -> None:
+        """Wait until the process accepts connections at a port, which it opens after it started."""
+        deadline = time.monotonic() + MAX_WAIT_S
+        while True:
+            try:
+                socket.create_connection((HOST, port)).close()
+            except ConnectionRefusedError:
+                assert time.monotonic() < deadline, self.out.read_text()
+                time.sleep(0.05)
+            else:
+                return
+
 
 @pytest.fixture
 def gateway(tmp_path: Path) -> Iterator[GatewayProcess]:
@@ -110,6 +123,7 @@
 
     def test_is_not_ready_before_a_configuration(self, gateway: GatewayProcess) -> None:
         """The load balancer's readiness check gets 503."""
+        gateway.wait_until_listening(gateway.ports[1])
         with pytest.raises(OSError, match="503"):
             http_json("GET", gateway.ports[1], "/readyz")
 
