Store data that is nested too deeply is left out

Cause: msgspec raises RecursionError for such data. It is neither a DecodeError nor a ValidationError, so it passed the handler that leaves an unreadable entry out, ended the task that watches the servers, and did so at each restart until the restart limit ended the process. The log shows it: child_failed child=servers kind=RecursionError, eleven times a life. Ruled out: the store and the connections to it (no source_lost), the other entries (served again without the entry).

--- /dev/null
+++ b/src/crankhinge/decoding.py
@@ -0,0 +1,79 @@
+"""Decodes data from outside the process: messages, stored items, files.
+
+Whatever the data is, a decoder returns a value of its type or raises :class:`Undecodable`. The
+libraries alone do not promise that: both msgspec and tomllib raise RecursionError for data that is
+nested too deeply, and tomllib raises a plain ValueError for an integer of thousands of digits.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from crankhinge.errors import Undecodable
+
+T = TypeVar("T")
+
+
+class JsonDecoder(Generic[T]):
+    """Decodes JSON.
+
+    Args:
+        model: type of the decoded values, for example a struct or a union of structs.
+    """
+
+    def __init__(self, model: Any) -> None:
+        self._decoder: msgspec.json.Decoder[T] = msgspec.json.Decoder(model)
+
+    def decode(self, data: bytes) -> T:
+        """Return the value in *data*. Raises Undecodable if there is none of the type."""
+        with _undecodable():
+            return self._decoder.decode(data)
+
+
+class MsgpackDecoder(Generic[T]):
+    """Decodes msgpack.
+
+    Args:
+        model: type of the decoded values, for example a struct or a union of structs.
+    """
+
+    def __init__(self, model: Any) -> None:
+        self._decoder: msgspec.msgpack.Decoder[T] = msgspec.msgpack.Decoder(model)
+
+    def decode(self, data: bytes) -> T:
+        """Return the value in *data*. Raises Undecodable if there is none of the type."""
+        with _undecodable():
+            return self._decoder.decode(data)
+
+
+def decode_json(data: bytes, model: type[T]) -> T:
+    """Return the value of type *model* in JSON *data*. Raises Undecodable if there is none."""
+    with _undecodable():
+        return msgspec.json.decode(data, type=model)
+
+
+def decode_toml(text: str, model: type[T]) -> T:
+    """Return the value of type *model* in TOML *text*. Raises Undecodable if there is none."""
+    with _undecodable("not TOML: "):
+        raw = tomllib.loads(text)
+    return convert(raw, model)
+
+
+def convert(raw: Any, model: type[T]) -> T:
+    """Return *raw*, made of plain types, as a *model*. Raises Undecodable if it is none."""
+    with _undecodable():
+        return msgspec.convert(raw, model)
+
+
+@contextmanager
+def _undecodable(prefix: str = "") -> Iterator[None]:
+    try:
+        yield
+    # The errors of msgspec and tomllib about invalid data, and UnicodeDecodeError, are ValueErrors.
+    except (ValueError, RecursionError) as exc:
+        raise Undecodable(f"{prefix}{exc}") from exc
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -84,6 +84,12 @@
     code = "key-value-unavailable"
 
 
+class Undecodable(CrankhingeError):
+    """Data from outside the process is not a value of the expected type."""
+
+    code = "undecodable"
+
+
 class WireError(CrankhingeError):
     """A peer sent bytes that are not a valid message of this protocol."""
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -98,6 +98,10 @@
         super().__init__(HOST, free_port(), history_s=history_s)
         self.refused_path = ""
 
+    async def put_data(self, key: str, data: bytes) -> None:
+        """Write bytes, which need not be JSON, as another writer may."""
+        await self._put_data(key, data, 0)
+
     async def _dispatch(self, method: str, path: str, query: Any, body: bytes) -> tuple[int, Any]:
         """Respond to a call; 503 if calls to its path are refused."""
         if path == self.refused_path:
--- /dev/null
+++ b/tests/test_decoding.py
@@ -0,0 +1,138 @@
+"""Tests that data of others which cannot be decoded is left out, and ends no task or process."""
+
+from __future__ import annotations
+
+import base64
+
+import curio
+import pytest
+
+from crankhinge.decoding import JsonDecoder, MsgpackDecoder, decode_json, decode_toml
+from crankhinge.errors import KeyValueUnavailable, Undecodable
+from crankhinge_platform.source import decode_config, decode_server
+from crankhinge_platform.store import Item, ItemResponse
+from platform_fakes import GatewayHarness, make_config, route
+from virtual_time import run_virtual
+
+PLAIN = route("r-once", "/once/", "unsafe", "plain")
+DEPTH = 2000
+NESTED_LISTS = b"[" * DEPTH + b"]" * DEPTH
+NESTED_JSON = b'{"notes":' + NESTED_LISTS + b"}"
+# A supervised task that fails at once each time ends the process within this many seconds.
+RESTART_LIMIT_S = 5.0
+
+
+class TestDecoders:
+    """The only error of the decoders, whatever the data is."""
+
+    @pytest.mark.parametrize(
+        "data", [NESTED_JSON, b"", b"[", b'"\xff"', b'"\\ud800"', b"9" * 5000, b"1e999", b"{}"]
+    )
+    def test_invalid_json_raises_undecodable(self, data: bytes) -> None:
+        """Data that is nested too deeply raised RecursionError."""
+        with pytest.raises(Undecodable):
+            decode_json(data, int)
+        with pytest.raises(Undecodable):
+            JsonDecoder(int).decode(data)
+
+    @pytest.mark.parametrize(
+        "data", [b"\x91" * DEPTH, b"", b"\xdd\xff\xff\xff\xff", b"\xa1\xff", b"\xd7" + b"\xff" * 9]
+    )
+    def test_invalid_msgpack_raises_undecodable(self, data: bytes) -> None:
+        """A length that the data does not have, a text that is not UTF-8, an invalid time."""
+        with pytest.raises(Undecodable):
+            MsgpackDecoder(list[str]).decode(data)
+        with pytest.raises(Undecodable):
+            MsgpackDecoder(object).decode(data)
+
+    @pytest.mark.parametrize(
+        "text", ["a=" + "[" * DEPTH + "]" * DEPTH, "a=" + "9" * 5000, "a=", "b=1", "a='x'"]
+    )
+    def test_invalid_toml_raises_undecodable(self, text: str) -> None:
+        """Among others: nested too deeply, and an integer of thousands of digits."""
+        with pytest.raises(Undecodable):
+            decode_toml(text, dict[str, list[int]])
+
+
+class TestEntries:
+    """Entries of servers that another writer left and that are nested too deeply."""
+
+    @pytest.mark.parametrize("at_start", [True, False])
+    def test_nested_entry_does_not_end_the_process(self, at_start: bool) -> None:
+        """The watcher failed at each read until the restart limit ended the whole process."""
+        harness = GatewayHarness()
+        first = harness.add_replica("i-1", "plain")
+        second = harness.add_replica("i-2", "plain")
+
+        async def scenario() -> None:
+            await harness.store.put_data("servers/nested", NESTED_JSON)
+            await curio.sleep(RESTART_LIMIT_S)
+            assert (await harness.call("a", "/once/a"))[0] == 200
+            await first.publish_entry("draining")
+            await second.publish_entry("draining")
+            await curio.sleep(2.0)
+            assert (await harness.call("b", "/once/a"))[0] == 503
+            await second.publish_entry()
+            await curio.sleep(2.0)
+            assert (await harness.call("c", "/once/a"))[0] == 200
+            assert "c" in second.executed_ids
+            assert not harness.logs.matching("event=child_failed")
+            assert len(harness.logs.matching("event=entry_unreadable", "servers/nested")) <= 2
+
+        async def run() -> None:
+            if at_start:
+                await harness.store.put_data("servers/nested", NESTED_JSON)
+            await harness.run(scenario, PLAIN)
+
+        run_virtual(run, settle_s=0.003)
+
+    def test_nested_configuration_leaves_the_previous_one_active(self) -> None:
+        """The next readable one is applied."""
+        harness = GatewayHarness()
+        harness.add_replica("i-1", "plain")
+
+        async def scenario() -> None:
+            await harness.store.put_data("op/config", NESTED_JSON)
+            await curio.sleep(RESTART_LIMIT_S)
+            assert (await harness.call("a", "/once/a"))[0] == 200
+            moved = {**PLAIN, "path_prefix": "/moved/"}
+            await harness.store.put("op/config", make_config(2, moved))
+            await curio.sleep(2.0)
+            assert (await harness.call("b", "/moved/a"))[0] == 200
+            assert not harness.logs.matching("event=child_failed")
+
+        run_virtual(harness.run, scenario, PLAIN, settle_s=0.003)
+
+    def test_nested_records_of_instances_do_not_end_the_process(self) -> None:
+        """Neither the record of an instance nor its fleet entry."""
+        harness = GatewayHarness()
+        harness.add_replica("i-1", "plain")
+
+        async def scenario() -> None:
+            await curio.sleep(RESTART_LIMIT_S)
+            assert (await harness.call("a", "/once/a"))[0] == 200
+            assert not harness.logs.matching("event=child_failed")
+            assert harness.logs.matching("event=note_unreadable", "crankhinge/work/other")
+
+        async def run() -> None:
+            for prefix in ("work", "fleet"):
+                await harness.store.put_data(f"crankhinge/{prefix}/other", NESTED_JSON)
+            await harness.run(scenario, PLAIN)
+
+        run_virtual(run, settle_s=0.003)
+
+    def test_values_that_are_not_base64_are_rejected(self) -> None:
+        """A text that is not ASCII raised another error than one with invalid characters."""
+        for value in ("é", "====", "a", "[]"):
+            with pytest.raises(KeyValueUnavailable):
+                decode_server(Item("servers/i-1", value=value))
+            with pytest.raises(KeyValueUnavailable):
+                decode_config(ItemResponse("op/config", value=value).value_bytes())
+
+    def test_nested_value_is_rejected_with_the_typed_error(self) -> None:
+        """The error that callers of these decoders handle."""
+        value = base64.b64encode(NESTED_JSON).decode()
+        with pytest.raises(KeyValueUnavailable):
+            decode_server(Item("servers/i-1", value=value))
+        with pytest.raises(KeyValueUnavailable):
+            decode_config(NESTED_JSON)
