Datagrams that are nested too deeply are dropped

What callers would see: as with an entry of the store that is nested too deeply, whole processes end with the requests in progress, here for datagrams of 1,200 bytes that anyone who reaches the port of an instance can send.

Cause: the same. msgspec raises RecursionError, which the messenger did not handle; eleven such datagrams within 30 s end the process by its restart limit.

Change: datagrams are decoded by crankhinge.decoding, whose one error the messenger handles: the datagram is logged and dropped.

The new test failed before (child_failed at each datagram). A test that named the two errors of msgspec names Undecodable now: that is the error the messenger handles, and the only one.

--- a/src/crankhinge/gateway/_peer_messages.py
+++ b/src/crankhinge/gateway/_peer_messages.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from crankhinge.decisions import ClockStamp, EngineRole, QuotaOutcome, ShareLease
+from crankhinge.decoding import MsgpackDecoder
 from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
 
@@ -297,15 +298,17 @@
 # this module are. Messages about placement and about the origins of streams are arrays: they are
 # sent most often, and the names of their fields would take more bytes than their values.
 _FIRST_ARRAY_BYTE = 0x90
-_map_decoder = msgspec.msgpack.Decoder(PeerMessage)
-_array_decoder = msgspec.msgpack.Decoder(PlacementMessage | StreamOriginMessage)
+_map_decoder: MsgpackDecoder[PeerMessage] = MsgpackDecoder(PeerMessage)
+_array_decoder: MsgpackDecoder[PlacementMessage | StreamOriginMessage] = MsgpackDecoder(
+    PlacementMessage | StreamOriginMessage
+)
 
 
 def decode_message(data: bytes) -> PeerMessage | PlacementMessage | StreamOriginMessage:
     """Return the message that a datagram contains.
 
     Raises:
-        msgspec.DecodeError, msgspec.ValidationError: the datagram contains no valid message.
+        Undecodable: the datagram contains no valid message.
     """
     is_map = not data or data[0] < _FIRST_ARRAY_BYTE
     return _map_decoder.decode(data) if is_map else _array_decoder.decode(data)
--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -14,6 +14,7 @@
 import curio.socket
 import msgspec
 
+from crankhinge.errors import Undecodable
 from crankhinge.gateway._peer_messages import PeerMessage, decode_message
 from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
@@ -62,8 +63,8 @@
         try:
             data, sender = await self._sock.recvfrom(MAX_DATAGRAM_BYTES)
             message = decode_message(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as exc:
-            self._log.info("notice_unreadable", peer=sender[0], why=str(exc))
+        except Undecodable as exc:
+            self._log.info("notice_unreadable", peer=sender[0], why=exc.detail)
             return
         except OSError as exc:
             # The network reports that nothing received an earlier datagram.
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,19 +5,24 @@
 import base64
 
 import curio
+import curio.socket
+import msgspec
 import pytest
 
 from crankhinge.decoding import JsonDecoder, MsgpackDecoder, decode_json, decode_toml
 from crankhinge.errors import KeyValueUnavailable, Undecodable
+from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
+from crankhinge.gateway.placement._messages import PlacementWithdrawal
 from crankhinge_platform.source import decode_config, decode_server
 from crankhinge_platform.store import Item, ItemResponse
-from platform_fakes import GatewayHarness, make_config, route
+from platform_fakes import HOST, GatewayHarness, make_config, route
 from virtual_time import run_virtual
 
 PLAIN = route("r-once", "/once/", "unsafe", "plain")
 DEPTH = 2000
 NESTED_LISTS = b"[" * DEPTH + b"]" * DEPTH
 NESTED_JSON = b'{"notes":' + NESTED_LISTS + b"}"
+NESTED_DATAGRAM_DEPTH = 1150
 # A supervised task that fails at once each time ends the process within this many seconds.
 RESTART_LIMIT_S = 5.0
 
@@ -54,6 +59,33 @@
             decode_toml(text, dict[str, list[int]])
 
 
+class TestPeerMessages:
+    """Datagrams that are nested too deeply, which anyone who reaches the port can send."""
+
+    def test_nested_datagrams_do_not_end_the_process(self) -> None:
+        """The task that receives failed at each until the restart limit ended the whole process."""
+        harness = GatewayHarness()
+        harness.add_replica("i-1", "plain")
+        known_type = msgspec.msgpack.encode({"type": "engine-ordered"})
+        in_unknown_field = b"\x82" + known_type[1:] + b"\xa1n" + b"\x91" * NESTED_DATAGRAM_DEPTH
+        placement = msgspec.msgpack.encode(PlacementWithdrawal(1, 1))
+        in_surplus_field = b"\x94" + placement[1:] + b"\x91" * NESTED_DATAGRAM_DEPTH
+
+        async def scenario() -> None:
+            sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM)
+            for _ in range(8):
+                for data in (in_unknown_field, in_surplus_field):
+                    assert len(data) <= MAX_DATAGRAM_BYTES
+                    await sock.sendto(data, (HOST, harness.peer_port))
+                await curio.sleep(0.7)
+            await sock.close()
+            assert (await harness.call("a", "/once/a"))[0] == 200
+            assert not harness.logs.matching("event=child_failed")
+            assert len(harness.logs.matching("event=notice_unreadable")) == 16
+
+        run_virtual(harness.run, scenario, PLAIN, settle_s=0.003)
+
+
 class TestEntries:
     """Entries of servers that another writer left and that are nested too deeply."""
 
--- a/tests/test_placement_messages.py
+++ b/tests/test_placement_messages.py
@@ -10,6 +10,7 @@
 from crankhinge.decisions import EngineRole, Membership, Server
 from crankhinge.decisions.coordination import CoordinatorOrder, EngineGroups
 from crankhinge.decisions.placement import PlacementOutcome, PrefillOutcome
+from crankhinge.errors import Undecodable
 from crankhinge.gateway._peer_messages import EngineOrdered, PeerMessage, decode_message
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
 from crankhinge.gateway.placement._client import (
@@ -112,8 +113,8 @@
 
     @pytest.mark.parametrize("data", [b"", b"\x90", b"\x91\xa2pa", b"\x93\xa2pr\x01\xa1x", b"\xc1"])
     def test_malformed_datagram_is_an_error_of_its_own_kind(self, data: bytes) -> None:
-        """The messenger logs these errors and goes on; any other would end it."""
-        with pytest.raises((msgspec.DecodeError, msgspec.ValidationError)):
+        """The messenger logs this error and goes on; any other would end it."""
+        with pytest.raises(Undecodable):
             decode_message(data)
 
     def test_run_ids_are_unique_among_instances_and_engines_among_a_group(self) -> None:
