Responses of backend servers that are nested too deeply are malformed responses

What callers would see: their connection closed without a response, if a server answers a call of the router's own (reservation, prompt, state, copy of a run) with JSON that is nested too deeply.

Cause: the same: RecursionError of msgspec, which no handler of responses expects.

Four of the new cases failed before with RecursionError: one for each parser.

--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -9,10 +9,12 @@
 import msgspec
 import pytest
 
+from crankhinge.adapters import CopyOutcome
 from crankhinge.decoding import JsonDecoder, MsgpackDecoder, decode_json, decode_toml
-from crankhinge.errors import KeyValueUnavailable, Undecodable
+from crankhinge.errors import BadHttp, KeyValueUnavailable, Undecodable
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
 from crankhinge.gateway.placement._messages import PlacementWithdrawal
+from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import decode_config, decode_server
 from crankhinge_platform.store import Item, ItemResponse
 from platform_fakes import HOST, GatewayHarness, make_config, route
@@ -86,6 +88,23 @@
         run_virtual(harness.run, scenario, PLAIN, settle_s=0.003)
 
 
+class TestResponses:
+    """Responses of backend servers to the router's own calls."""
+
+    @pytest.mark.parametrize(
+        "parse", ["parse_kv_cache_handle", "parse_reservation_id", "parse_engine_state"]
+    )
+    @pytest.mark.parametrize("body", [NESTED_JSON, b"", b"[]", b"{}", b'"\xff"'])
+    def test_undecodable_response_raises_the_typed_error(self, parse: str, body: bytes) -> None:
+        """Another error closed the caller's connection without a response."""
+        with pytest.raises(BadHttp):
+            getattr(PlatformDialect(), parse)(body)
+
+    def test_undecodable_copy_of_a_run_counts_as_failed(self) -> None:
+        """The run then goes on at its engine or ends there."""
+        assert PlatformDialect().parse_run_copy(200, NESTED_JSON).outcome is CopyOutcome.FAILED
+
+
 class TestEntries:
     """Entries of servers that another writer left and that are nested too deeply."""
 
