Data of the product's own protocols that is nested too deeply is refused

What callers would see: an entry that closes their connection in place of a 400, an agent whose link or rollout task ends, a command that ends with a traceback.

Change: request bodies, frames between entries and agents, bundles, envelopes, settings, records in the key-value service and responses of engines are decoded by crankhinge.decoding. The body of a request is encoded again for the engine, from more levels of calls than it was decoded in, so its depth has a limit of its own: without it, one that could just be decoded fails there.

Failed before: the nested frame, two bundles, the nested request bodies.

--- a/src/crankhinge/adapters/consul.py
+++ b/src/crankhinge/adapters/consul.py
@@ -12,11 +12,10 @@
 from typing import Any
 from urllib.parse import quote
 
-import msgspec
-
 from crankhinge.adapters._instances import Instance, InstanceList
 from crankhinge.adapters._keyvalue import KeyValueStore, StoredValue
-from crankhinge.errors import BadHttp, HttpClosed, KeyValueUnavailable
+from crankhinge.decoding import decode_json
+from crankhinge.errors import BadHttp, HttpClosed, KeyValueUnavailable, Undecodable
 from crankhinge.http import HttpClient, Response, ResponseTimeouts
 
 # Seconds until the first byte of a response, and between its pieces.
@@ -90,9 +89,9 @@
 
 def _decode_json(resp: Response) -> Any:
     try:
-        return msgspec.json.decode(resp.body)
-    except msgspec.DecodeError as exc:
-        raise KeyValueUnavailable(f"response is not JSON: {exc}") from exc
+        return decode_json(resp.body, object)
+    except Undecodable as exc:
+        raise KeyValueUnavailable(f"response is not JSON: {exc.detail}") from exc
 
 
 def _parse_value(resp: Response) -> StoredValue | None:
--- a/src/crankhinge/adapters/openai_engine.py
+++ b/src/crankhinge/adapters/openai_engine.py
@@ -21,7 +21,8 @@
     KvExpired,
     PrefillResult,
 )
-from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.decoding import JsonDecoder
+from crankhinge.errors import BadHttp, HttpClosed, Undecodable
 from crankhinge.http import ClientStream, ConnectFailed, HttpClient, SseParser
 
 HTTP_GONE = 410
@@ -58,8 +59,9 @@
     choices: list[_Choice] = []
 
 
-_chunk_decoder = msgspec.json.Decoder(_Chunk)
-_prefill_decoder = msgspec.json.Decoder(_PrefillResponse)
+_chunk_decoder: JsonDecoder[_Chunk] = JsonDecoder(_Chunk)
+_object_decoder: JsonDecoder[dict[str, Any]] = JsonDecoder(dict[str, Any])
+_prefill_decoder: JsonDecoder[_PrefillResponse] = JsonDecoder(_PrefillResponse)
 
 
 class OpenAiEngine(Engine):
@@ -77,7 +79,7 @@
         try:
             response_body = await stream.read_all()
             response = _prefill_decoder.decode(response_body)
-        except (HttpClosed, BadHttp, msgspec.DecodeError) as exc:
+        except (HttpClosed, BadHttp, Undecodable) as exc:
             raise EngineFailed(str(exc)) from exc
         finally:
             await stream.close()
@@ -90,7 +92,7 @@
     ) -> DecodeStream:
         """Request the answer as a stream, from the KV cache *kv_handle*."""
         params = {
-            **msgspec.json.decode(kv_handle),
+            **_decode_object(kv_handle),
             "do_remote_prefill": True,
             "do_remote_decode": False,
         }
@@ -177,8 +179,8 @@
     def _parse_event(self, event_data: bytes) -> list[str]:
         try:
             event = _chunk_decoder.decode(event_data)
-        except msgspec.DecodeError as exc:
-            raise EngineFailed(f"unreadable event: {exc}") from exc
+        except Undecodable as exc:
+            raise EngineFailed(f"unreadable event: {exc.detail}") from exc
         texts = []
         for choice in event.choices:
             text = (choice.delta.content or "") if choice.delta else choice.text
@@ -192,9 +194,16 @@
         await self._stream.close()
 
 
+def _decode_object(data: bytes) -> dict[str, Any]:
+    try:
+        return _object_decoder.decode(data)
+    except Undecodable as exc:
+        raise EngineFailed(f"not a JSON object: {exc.detail}", ran=False) from exc
+
+
 def _with_members(body: bytes, **more: object) -> bytes:
     """Return the JSON object *body* with the members *more* set."""
-    request_json = msgspec.json.decode(body)
+    request_json = _decode_object(body)
     request_json.update(more)
     return msgspec.json.encode(request_json)
 
--- a/src/crankhinge/agent/_adapter_loader.py
+++ b/src/crankhinge/agent/_adapter_loader.py
@@ -23,7 +23,8 @@
     release_rollout,
     try_acquire_rollout,
 )
-from crankhinge.errors import KeyValueUnavailable
+from crankhinge.decoding import decode_json
+from crankhinge.errors import KeyValueUnavailable, Undecodable
 from crankhinge.runtime import wall_ms
 
 # Prefix of the keys of rollout records in the key-value service.
@@ -145,9 +146,9 @@
         if value is None:
             return RolloutRecord(), 0
         try:
-            return msgspec.json.decode(value.data, type=RolloutRecord), value.index
-        except msgspec.DecodeError as exc:
-            raise KeyValueUnavailable(f"invalid rollout record: {exc}") from exc
+            return decode_json(value.data, RolloutRecord), value.index
+        except Undecodable as exc:
+            raise KeyValueUnavailable(f"invalid rollout record: {exc.detail}") from exc
 
     async def _acquire_turn(self) -> AcquiredRollout | None:
         """Add this agent to the pool's rollout record, or return None if it gets no turn now."""
--- a/src/crankhinge/agent/_fence_service.py
+++ b/src/crankhinge/agent/_fence_service.py
@@ -23,7 +23,8 @@
     Send,
     SwapRecord,
 )
-from crankhinge.errors import KeyValueUnavailable, LinkClosed, WireError
+from crankhinge.decoding import JsonDecoder
+from crankhinge.errors import KeyValueUnavailable, LinkClosed, Undecodable, WireError
 from crankhinge.peers import InstanceListCache
 from crankhinge.runtime import wall_ms
 from crankhinge.wire import (
@@ -52,6 +53,9 @@
 # Retry delay that entries are given while no replica can decide.
 RETRY_AFTER_S = 1.0
 
+# Epoch, holder and writer of a fence record.
+_record_decoder: JsonDecoder[tuple[int, str, int]] = JsonDecoder(tuple[int, str, int])
+
 LinkRunner = Callable[[Link], Awaitable[None]]
 
 
@@ -282,7 +286,7 @@
     if value is None:
         return None, 0
     try:
-        epoch, holder, writer = msgspec.json.decode(value.data, type=tuple[int, str, int])
-    except msgspec.DecodeError as exc:
-        raise KeyValueUnavailable(f"invalid fence record: {exc}") from exc
+        epoch, holder, writer = _record_decoder.decode(value.data)
+    except Undecodable as exc:
+        raise KeyValueUnavailable(f"invalid fence record: {exc.detail}") from exc
     return FenceRecord(epoch, holder, writer), value.index
--- a/src/crankhinge/config/_bundle.py
+++ b/src/crankhinge/config/_bundle.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import hashlib
-import tomllib
 from collections.abc import Iterable
 from typing import Annotated, Literal
 
 import msgspec
 
-from crankhinge.errors import BundleError
+from crankhinge.decoding import decode_toml
+from crankhinge.errors import BundleError, Undecodable
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -233,11 +233,9 @@
         BundleError: the text is not a valid bundle; the message names the key and the reason.
     """
     try:
-        bundle = msgspec.convert(tomllib.loads(text), Bundle)
-    except tomllib.TOMLDecodeError as exc:
-        raise BundleError(f"not TOML: {exc}") from exc
-    except msgspec.ValidationError as exc:
-        raise BundleError(str(exc)) from exc
+        bundle = decode_toml(text, Bundle)
+    except Undecodable as exc:
+        raise BundleError(exc.detail) from exc
     _check_names(bundle)
     _check_references(bundle)
     return bundle
--- a/src/crankhinge/config/_envelope.py
+++ b/src/crankhinge/config/_envelope.py
@@ -9,7 +9,8 @@
 from nacl.signing import SigningKey, VerifyKey
 
 from crankhinge.config._bundle import Bundle, parse_bundle
-from crankhinge.errors import BundleError
+from crankhinge.decoding import decode_json
+from crankhinge.errors import BundleError, Undecodable
 
 MAX_ENVELOPE_BYTES = 1_000_000
 _SIGNATURE_CONTEXT = b"crankhinge bundle 1\n"
@@ -41,9 +42,9 @@
     if len(data) > MAX_ENVELOPE_BYTES:
         raise BundleError(f"envelope has {len(data)} bytes; the maximum is {MAX_ENVELOPE_BYTES}")
     try:
-        return msgspec.json.decode(data, type=Envelope)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise BundleError(f"not a bundle envelope: {exc}") from exc
+        return decode_json(data, Envelope)
+    except Undecodable as exc:
+        raise BundleError(f"not a bundle envelope: {exc.detail}") from exc
 
 
 def sign_envelope(envelope: Envelope, partner: str, key: SigningKey) -> Envelope:
--- a/src/crankhinge/config/_publish.py
+++ b/src/crankhinge/config/_publish.py
@@ -10,7 +10,8 @@
 from crankhinge.adapters import KeyValueStore, StoredValue
 from crankhinge.config._envelope import verify_envelope
 from crankhinge.config._keeper import TrustedKeys
-from crankhinge.errors import BundleError, KeyValueUnavailable, PublishConflict
+from crankhinge.decoding import decode_json
+from crankhinge.errors import BundleError, KeyValueUnavailable, PublishConflict, Undecodable
 
 BUNDLE_KEY = "crankhinge/bundle"
 HISTORY_KEY = "crankhinge/history"
@@ -111,8 +112,8 @@
     if value is None:
         return []
     try:
-        return msgspec.json.decode(value.data, type=list[HistoryRow])
-    except msgspec.DecodeError:
+        return decode_json(value.data, list[HistoryRow])
+    except Undecodable:
         return []
 
 
--- a/src/crankhinge/decoding.py
+++ b/src/crankhinge/decoding.py
@@ -70,6 +70,28 @@
         return msgspec.convert(raw, model)
 
 
+def is_nested_deeper(value: Any, max_depth: int) -> bool:
+    """Return whether *value* has containers in more than *max_depth* levels.
+
+    A value that could be decoded may be nested too deeply to be encoded again, since the code that
+    encodes it may itself be called from more levels.
+    """
+    level = [value]
+    for _ in range(max_depth):
+        level = [inner for outer in level for inner in _inner_containers(outer)]
+        if not level:
+            return False
+    return True
+
+
+def _inner_containers(value: Any) -> list[Any]:
+    if isinstance(value, dict):
+        value = value.values()
+    elif not isinstance(value, list):
+        return []
+    return [inner for inner in value if isinstance(inner, dict | list)]
+
+
 @contextmanager
 def _undecodable(prefix: str = "") -> Iterator[None]:
     try:
--- a/src/crankhinge/entry/_requests.py
+++ b/src/crankhinge/entry/_requests.py
@@ -10,7 +10,14 @@
 import msgspec
 
 from crankhinge.config import BundleView, Member, Model
-from crankhinge.errors import BadCredentials, PromptTooLong, RequestError, UnknownModel
+from crankhinge.decoding import convert, decode_json, is_nested_deeper
+from crankhinge.errors import (
+    BadCredentials,
+    PromptTooLong,
+    RequestError,
+    Undecodable,
+    UnknownModel,
+)
 from crankhinge.http import HttpRequest
 
 CHAT_PATH = "/v1/chat/completions"
@@ -22,6 +29,8 @@
 MAX_RANK = 2
 DEFAULT_RANK = 1
 MAX_DEADLINE_S = 3600.0
+# Levels of arrays and objects in the body of a request, those of tools' schemas included.
+MAX_BODY_DEPTH = 64
 BEARER_PREFIX = "bearer "
 
 
@@ -169,10 +178,12 @@
     """
     options = parse_options(req.headers, member)
     try:
-        raw_body = msgspec.json.decode(req.body)
-        body = msgspec.convert(raw_body, _CompletionBody)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise RequestError(f"body: {exc}") from exc
+        raw_body = decode_json(req.body, dict[str, Any])
+        body = convert(raw_body, _CompletionBody)
+    except Undecodable as exc:
+        raise RequestError(f"body: {exc.detail}") from exc
+    if is_nested_deeper(raw_body, MAX_BODY_DEPTH):
+        raise RequestError(f"body: nested more than {MAX_BODY_DEPTH} levels deep")
     model = view.bundle.find_model(body.model)
     if model is None:
         raise UnknownModel(f"unknown model {body.model!r}")
--- a/src/crankhinge/runtime/_process.py
+++ b/src/crankhinge/runtime/_process.py
@@ -7,7 +7,6 @@
 import signal
 import socket
 import sys
-import tomllib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -18,7 +17,8 @@
 import msgspec
 
 from crankhinge import __version__
-from crankhinge.errors import CrankhingeError, SettingsError
+from crankhinge.decoding import decode_toml
+from crankhinge.errors import CrankhingeError, SettingsError, Undecodable
 from crankhinge.runtime._clock import use_steady_clock_in_curio
 from crankhinge.runtime._logs import get_log
 
@@ -40,15 +40,15 @@
             and the reason.
     """
     try:
-        raw_settings = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        text = Path(path).read_text(encoding="utf-8")
     except OSError as exc:
         raise SettingsError(f"{path}: cannot be read: {exc.strerror}") from exc
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as exc:
+    except UnicodeDecodeError as exc:
         raise SettingsError(f"{path}: not TOML: {exc}") from exc
     try:
-        return msgspec.convert(raw_settings, settings_type)
-    except msgspec.ValidationError as exc:
-        raise SettingsError(f"{path}: {exc}") from exc
+        return decode_toml(text, settings_type)
+    except Undecodable as exc:
+        raise SettingsError(f"{path}: {exc.detail}") from exc
 
 
 def run_process(
--- a/src/crankhinge/wire/_codec.py
+++ b/src/crankhinge/wire/_codec.py
@@ -10,7 +10,8 @@
 
 import msgspec
 
-from crankhinge.errors import WireError
+from crankhinge.decoding import MsgpackDecoder
+from crankhinge.errors import Undecodable, WireError
 from crankhinge.wire._messages import Message
 
 # Longest body of a frame, without the length prefix. A longer one is rejected before memory is
@@ -19,7 +20,7 @@
 _LENGTH_PREFIX = struct.Struct(">I")
 
 _encoder = msgspec.msgpack.Encoder()
-_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+_decoder: MsgpackDecoder[Message] = MsgpackDecoder(Message)
 
 
 def encode(msg: Message) -> bytes:
@@ -36,8 +37,8 @@
     """
     try:
         return _decoder.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        raise WireError(str(exc)) from exc
+    except Undecodable as exc:
+        raise WireError(exc.detail) from exc
 
 
 class FrameReader:
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -120,6 +120,8 @@
             ('\n[[services]]\nname = "s"\npath = "/s"\npool = "none"\n', "no pool"),
             ("\n[policy]\nwaste_weight = 2.0\n", "waste_weight"),
             ("\n[[", "not TOML"),
+            ("\na = " + "[" * 2000 + "]" * 2000, "not TOML"),
+            ("\na = " + "9" * 5000, "not TOML"),
         ],
     )
     def test_invalid_bundle_is_rejected_with_a_reason(self, extra: str, reason: str) -> None:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,5 +1,7 @@
 """Tests of the components of an entry, and of some decisions that it relies on."""
 
+from contextlib import nullcontext
+
 import curio
 import msgspec
 import pytest
@@ -8,7 +10,12 @@
 from crankhinge.decisions import Breaker, MemberLimits, RetryBudget, WorkQueue, WorkRequest
 from crankhinge.entry._mailboxes import LinkLost, Mailboxes
 from crankhinge.entry._progress import RequestIds, RequestProgress
-from crankhinge.entry._requests import authenticate, hash_prefix_blocks, parse_completion
+from crankhinge.entry._requests import (
+    MAX_BODY_DEPTH,
+    authenticate,
+    hash_prefix_blocks,
+    parse_completion,
+)
 from crankhinge.errors import BadCredentials, LinkClosed, RequestError, SlowCaller
 from crankhinge.http import HttpRequest
 from crankhinge.wire import Tokens
@@ -37,6 +44,10 @@
         ("body", "headers", "reason"),
         [
             (b"{", {}, "body"),
+            (b"[]", {}, "body"),
+            # Too deep to be decoded, and too deep to be encoded again.
+            (b'{"model":"m1","prompt":"x","a":' + b"[" * 2000 + b"]" * 2000 + b"}", {}, "body"),
+            (b'{"model":"m1","prompt":"x","a":' + b"[" * 500 + b"]" * 500 + b"}", {}, "nested"),
             ({"prompt": "x"}, {}, "model"),
             ({"model": "m1", "prompt": ""}, {}, "prompt"),
             ({"model": "m1", "prompt": "x", "n": 2}, {}, "n: only 1"),
@@ -54,6 +65,15 @@
         with pytest.raises(RequestError, match=reason):
             parse_completion(view, req, authenticate(view, req.headers))
 
+    def test_nested_body_is_accepted_up_to_its_limit(self) -> None:
+        """A tool's schema has more levels than a prompt; the body itself is the first level."""
+        view = make_view()
+        for depth, is_accepted in ((MAX_BODY_DEPTH - 1, True), (MAX_BODY_DEPTH, False)):
+            nested = b"[" * depth + b"]" * depth
+            req = make_req(b'{"model":"m1","prompt":"x","a":' + nested + b"}")
+            with nullcontext() if is_accepted else pytest.raises(RequestError):
+                parse_completion(view, req, authenticate(view, req.headers))
+
     def test_priority_is_limited_to_that_of_the_member(self) -> None:
         """A caller that asks for a more urgent priority class gets the one of its member."""
         view = make_view()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -35,6 +35,12 @@
         except CrankhingeError as exc:
             assert isinstance(exc, WireError)
 
+    def test_nested_frame_raises_wire_error(self) -> None:
+        """A surplus field that is nested too deeply raised RecursionError in the link's task."""
+        body = b"\x94" + encode(Heartbeat(1))[5:] + b"\x91" * 2000
+        with pytest.raises(WireError):
+            FrameReader().read_messages(len(body).to_bytes(4, "big") + body)
+
     def test_oversized_frame_is_rejected_by_its_length(self) -> None:
         """The frame is rejected before its body is received and uses memory."""
         with pytest.raises(WireError):
