A stream whose response is lost is not reported as not run

Cause: whether a request may have run was recorded where its attempt ended, by each way of ending that somebody thought of. The time-out of a whole stream cancels the attempt, which was none of them; the error then found may_have_run unset and a 504 of a request that did not run became a 503. The log shows it: code=deadline-passed sent=1 outcome=not-run. Ruled out: the retry (sent=1), the prompt engine (requests of plain services behind a streaming route fail alike).

Change: the HTTP client tells the attempt when the first byte is about to be sent. The request may have run from then on, until the head of a response says that it did not. That holds for an error, a time-out, a cancellation or a stop alike, and the places that set the flag by themselves are gone. The stop guessed from the list of tried servers, and so called requests unknown that were refused or never sent; they are not run now, and their callers are told when to come back.

Two attributes were added to the fake request of test_attempts.

--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -103,6 +103,7 @@
         if not params.prompt_only:
             relay.writing_since = None
         stream: ClientStream | None = None
+        ran_before = relay.may_have_run
         completed = False
         may_have_arrived = True
         try:
@@ -112,8 +113,11 @@
                 fields=dialect.attempt_fields(req, params, relay.account_name),
                 body=req.body,
                 is_own_response=_is_response_to(dialect, relay.request.request_id),
+                on_sending=None if params.prompt_only else relay.record_sending,
             )
             signals = dialect.parse_signals(stream.status, stream.headers)
+            if signals.not_run:
+                relay.may_have_run = ran_before
             if signals.wrong_server:
                 self._backends.record_replaced(server)
                 raise ConnectFailed(f"another server responds for {server.incarnation_id}")
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -279,8 +279,6 @@
                 # The traceback refers to this frame. If the frame also referred to the error, what
                 # is buffered for the caller would stay in memory until a garbage collection.
                 del error, work, group
-        # A server that received the request may still execute it.
-        relay.may_have_run = relay.may_have_run or bool(relay.sent_to)
         raise Stopping("this instance is stopping", retry_after_s=STOPPING_RETRY_S)
 
     async def _run_and_return_error(self, relay: Relay) -> CrankhingeError | None:
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -321,13 +321,11 @@
             relay.sent_to.pop()
             return exc
         except (HttpClosed, BadHttp) as exc:
-            relay.may_have_run = True
             self._log_failed_attempt(relay, server, "broken", exc.detail)
             if relay.exchange.response_started:
                 raise HttpClosed(f"broken off: {exc.detail}") from exc
             return BackendFailed(exc.detail)
         except curio.TaskTimeout:
-            relay.may_have_run = True
             stats.record_failure(await curio.clock())
             self._log_failed_attempt(relay, server, "silent", f"no response in {timeout_s:.3f} s")
             return DeadlinePassed(f"no response in {timeout_s:.3f} s")
@@ -339,7 +337,6 @@
         self, relay: Relay, server: Server, status: int, started_at: float
     ) -> None:
         """Record that a server responded, before the caller's time to read is added."""
-        relay.may_have_run = True
         stats = self._backends.stats(server.incarnation_id)
         duration_s = await curio.clock() - started_at
         stats.record_success(duration_s)
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -68,7 +68,9 @@
             the current one. Prompt engines and unreachable servers are not included.
         unreachable: incarnation ids of servers that could not be reached; they received nothing.
         version: software version that the servers of the stream must have; empty for any.
-        may_have_run: whether a server may have executed the request.
+        may_have_run: whether a server may have executed the request. It is set before the request
+            is sent and taken back if the response says that it did not run, so that it holds
+            however the attempt ends: by an error, a timeout or a cancellation.
         prompt_processed: whether a prompt engine processed the prompt.
         reserved_at: when a decode engine granted the reservation; None before.
         last_event_at: when the caller was last sent an event; None before the first.
@@ -136,6 +138,10 @@
         keys = (self.fingerprint, *self.part_keys)
         return prompt_only_keys(keys) if prompt_only else keys
 
+    def record_sending(self) -> None:
+        """Record that a server that may execute the request is now sent it."""
+        self.may_have_run = True
+
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller: when the first was, and the longest pause."""
         if self.last_event_at is None:
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -412,7 +412,6 @@
                 if signals.not_run:
                     body = await response.read_all()
                     return _AttemptEnd.REFUSED, f"status {response.status} {body[:80]!r}"
-                relay.may_have_run = True
                 started_at, events_before = await curio.clock(), events.event_count
                 is_stopped = await self._relay_response(relay, response, events, server, stream)
                 segments.events += events.event_count - events_before
@@ -431,7 +430,6 @@
         except _SourceClosed as exc:
             return _AttemptEnd.HANDED_OVER, exc.detail
         except (HttpClosed, BadHttp) as exc:
-            relay.may_have_run = True
             return _AttemptEnd.BROKEN, exc.detail
 
     async def _continue_moved(
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -4,7 +4,7 @@
 
 import re
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -265,6 +265,7 @@
         body: bytes = b"",
         new_connection: bool = False,
         is_own_response: ResponseMatcher | None = None,
+        on_sending: Callable[[], None] | None = None,
         timeouts: ResponseTimeouts | None = None,
     ) -> ClientStream:
         """Send a request with exactly the given header fields.
@@ -276,6 +277,7 @@
             fields: all header fields in order, including ``host`` and those that frame the body.
             is_own_response: returns whether a response with the given headers belongs to this
                 request; a response that does not is skipped.
+            on_sending: called just before the first byte is sent; until then nothing can arrive.
         """
         sock = None if new_connection else await self._pop_idle_connection()
         reused = sock is not None
@@ -292,6 +294,8 @@
         started_at = steady_s()
         reused_receives = self.reused_receives
         self.pending_bytes += len(body)
+        if on_sending is not None:
+            on_sending()
         try:
             await stream.send(method, target, fields, body)
         except BaseException as exc:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -64,6 +64,8 @@
         account_name=None,
         version="",
         trial_work=frozenset(),
+        may_have_run=False,
+        record_sending=lambda: None,
         work_keys=lambda *, prompt_only: ("f",),
     )
     quarantine = make_standalone_quarantine("g", log)
--- /dev/null
+++ b/tests/test_promises.py
@@ -0,0 +1,162 @@
+"""Tests that a caller is told "not run" only of requests that no server may have run."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+import curio
+import pytest
+
+from crankhinge.errors import HttpClosed
+from crankhinge.http import Exchange
+from platform_fakes import FakeReplica, GatewayHarness, RequestHandler, respond_stream, route
+from virtual_time import run_virtual
+
+TOKENS = {"x_token_count": "100,50", "length_hint": "40"}
+TIMEOUT_S = 4.0
+STREAM = route("r-stream", "/stream/", "streaming", "llm", timeout_ms=TIMEOUT_S * 1000)
+SPLIT_STREAM = {**STREAM, "max_attempts": 2}
+# A streaming route of a service without engines.
+PLAIN_STREAM = {**STREAM, "service": "plain"}
+ONCE = route("r-once", "/once/", "unsafe", "plain", timeout_ms=TIMEOUT_S * 1000)
+
+
+async def lose_response(_: FakeReplica, exchange: Exchange) -> None:
+    """Run the request without a response, until the connection is closed."""
+    await exchange.wait_for_disconnect()
+    raise HttpClosed("gone")
+
+
+async def refuse(_: FakeReplica, exchange: Exchange) -> None:
+    """State that the request was not run."""
+    id_field = ("x-request-id", exchange.req.headers["x-request-id"])
+    await exchange.respond_with_fields(503, [id_field, ("x-not-executed", "1")], b"full")
+
+
+async def refuse_without_end(_: FakeReplica, exchange: Exchange) -> None:
+    """State that the request was not run, in a response whose body never ends."""
+    id_field = ("x-request-id", exchange.req.headers["x-request-id"])
+    await exchange.start_with_fields(503, [id_field, ("x-not-executed", "1")])
+    await exchange.write(b"full")
+    await lose_response(_, exchange)
+
+
+def in_turn(*handlers: RequestHandler) -> Callable[[], RequestHandler]:
+    """Return a factory of one handler that uses *handlers* for the requests in order."""
+    left = list(handlers)
+
+    async def handle(replica: FakeReplica, exchange: Exchange) -> None:
+        await left.pop(0)(replica, exchange)
+
+    return lambda: handle
+
+
+async def check_outcome(harness: GatewayHarness, path: str, *, may_have_run: bool) -> None:
+    """Send a request and check status, retry delay and outcome of its error response."""
+    status, headers, body = await harness.call("q", path, x_deadline_ms="9000", **TOKENS)
+    outcome = json.loads(body)["outcome"]
+    if may_have_run:
+        assert (status, outcome) in [(502, "unknown"), (504, "unknown")]
+        assert "retry-after" not in headers
+    else:
+        assert (status, outcome) == (503, "not-run")
+        assert "retry-after" in headers
+
+
+class TestLostResponses:
+    """Requests whose response never comes, until the time-out of their route."""
+
+    @pytest.mark.parametrize(
+        ("stream_route", "service", "role"),
+        [(STREAM, "llm", "decode"), (PLAIN_STREAM, "plain", "")],
+        ids=["engine", "plain"],
+    )
+    @pytest.mark.parametrize("timeout_ms", [TIMEOUT_S * 1000, 20000.0])
+    def test_lost_stream_is_never_reported_as_not_run(
+        self, stream_route: dict[str, object], service: str, role: str, timeout_ms: float
+    ) -> None:
+        """Callers sent such a job again, and it ran a second time."""
+        harness = GatewayHarness()
+        server = harness.add_replica("i-1", service, role, handler=lose_response)
+
+        async def scenario() -> None:
+            await check_outcome(harness, "/stream/a", may_have_run=True)
+            assert server.executed_ids == ["q"]
+
+        run_virtual(
+            harness.run, scenario, {**stream_route, "timeout_ms": timeout_ms}, settle_s=0.003
+        )
+
+    @pytest.mark.parametrize("first", [refuse, lose_response])
+    def test_lost_stream_after_a_refusal_may_have_run(self, first: RequestHandler) -> None:
+        """The refusal of one engine says nothing about the other."""
+        harness = GatewayHarness()
+        handler = in_turn(first, lose_response)()
+        for name in ("i-1", "i-2"):
+            harness.add_replica(name, "llm", "decode", handler=handler)
+
+        async def scenario() -> None:
+            await check_outcome(harness, "/stream/a", may_have_run=True)
+
+        run_virtual(harness.run, scenario, SPLIT_STREAM, settle_s=0.003)
+
+
+class TestRefusals:
+    """Requests that their server refused as not run."""
+
+    @pytest.mark.parametrize("tested", [STREAM, PLAIN_STREAM, ONCE], ids=["llm", "plain", "once"])
+    @pytest.mark.parametrize("handler", [refuse, refuse_without_end])
+    def test_refused_request_is_reported_as_not_run(
+        self, tested: dict[str, object], handler: RequestHandler
+    ) -> None:
+        """The head of the response says so, whether or not its body is complete."""
+        harness = GatewayHarness()
+        role = "decode" if tested is STREAM else ""
+        harness.add_replica("i-1", "llm" if role else "plain", role, handler=handler)
+
+        async def scenario() -> None:
+            path = "/once/a" if tested is ONCE else "/stream/a"
+            await check_outcome(harness, path, may_have_run=False)
+
+        run_virtual(harness.run, scenario, tested, settle_s=0.003)
+
+    def test_stream_without_an_engine_is_reported_as_not_run(self) -> None:
+        """No connection to the engine was established, so nothing was sent."""
+        harness = GatewayHarness()
+        engine = harness.add_replica("i-1", "llm", "decode", handler=respond_stream)
+
+        async def scenario() -> None:
+            engine.free_reservations = 0
+            await check_outcome(harness, "/stream/a", may_have_run=False)
+            assert engine.executed_ids == []
+
+        run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
+
+
+class TestPlannedStop:
+    """Requests that a stopping instance ends itself."""
+
+    @pytest.mark.parametrize(
+        ("handler", "may_have_run"), [(lose_response, True), (refuse_without_end, False)]
+    )
+    @pytest.mark.parametrize("tested", [STREAM, ONCE], ids=["stream", "once"])
+    def test_stop_reports_whether_a_request_may_have_run(
+        self, tested: dict[str, object], handler: RequestHandler, may_have_run: bool
+    ) -> None:
+        """Only a request that was sent, and not refused, may have run."""
+        harness = GatewayHarness()
+        role = "decode" if tested is STREAM else ""
+        harness.add_replica("i-1", "llm" if role else "plain", role, handler=handler)
+        path = "/stream/a" if tested is STREAM else "/once/a"
+
+        async def scenario() -> None:
+            call = await curio.spawn(self._check, harness, path, may_have_run)
+            await curio.sleep(0.5)
+            await harness.stopping.set()
+            await call.join()
+
+        run_virtual(harness.run, scenario, {**tested, "timeout_ms": 60000}, settle_s=0.003)
+
+    async def _check(self, harness: GatewayHarness, path: str, may_have_run: bool) -> None:
+        await check_outcome(harness, path, may_have_run=may_have_run)
