--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -104,7 +104,13 @@
         self.relay = cast(
             Relay,
             SimpleNamespace(
-                permits={}, request=SimpleNamespace(request_id="q"), log_fields={}, version=""
+                permits={},
+                request=SimpleNamespace(request_id="q"),
+                log_fields={},
+                version="",
+                may_have_run=False,
+                sent_id_to=set(),
+                record_sending=lambda server, *, prompt_only: None,
             ),
         )
 
