A late copy of a response is never taken for the response to another request

Cause: a response without an id was accepted as that of any request. Calls of the router carry no id and share connections with requests, so the copy of a response to one, arriving while a stream waits, was taken for the stream's.

Change: a response without an id belongs to a request only on a new connection, which is then not reused. A response with the id of a request is not that of a call. A reservation that another request has is not used again.

The fake engines of the tests reused the names of reservations that were in use; they give each a name of its own now, and two tests name it.

--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -105,11 +105,20 @@
 
 @dataclass(frozen=True, slots=True)
 class SideCall:
-    """Call that the router itself makes to a backend server, such as one that reserves a slot."""
+    """Call that the router itself makes to a backend server, such as one that reserves a slot.
+
+    Attributes:
+        method: HTTP method.
+        target: path.
+        body: the complete body.
+        new_connection: whether the call must not share a connection with earlier ones, because a
+            late copy of the response to one of those would do harm if it were taken for its own.
+    """
 
     method: str
     target: str
     body: bytes = b""
+    new_connection: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/decisions/_server_stats.py
+++ b/src/crankhinge/decisions/_server_stats.py
@@ -61,6 +61,7 @@
         consecutive_refusals: refusals since the last success.
         is_replaced: whether another server has its address now.
         role_change: the last order to change its role that it is known to have accepted.
+        open_reservation_ids: ids of the reservations that requests have made there and not ended.
         breaker: its circuit breaker.
     """
 
@@ -73,6 +74,7 @@
     consecutive_refusals: int = 0
     is_replaced: bool = False
     role_change: RoleChange | None = None
+    open_reservation_ids: set[str] = field(default_factory=set)
     breaker: Breaker = field(default_factory=Breaker)
 
     def effective_role(self, listed_role: EngineRole, now: float) -> EngineRole:
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
-from typing import Any
+from functools import partial
 
 import curio
 
-from crankhinge.adapters import AttemptParams
+from crankhinge.adapters import AttemptParams, Dialect
 from crankhinge.decisions import Server
 from crankhinge.errors import (
     BadHttp,
@@ -23,7 +23,7 @@
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineService
 from crankhinge.gateway._request import Relay
-from crankhinge.http import ClientStream, ConnectFailed
+from crankhinge.http import ClientStream, ConnectFailed, ResponseMatcher
 
 # A response below this status means that the server executed the request successfully.
 SUCCESS_STATUS_END = 300
@@ -80,7 +80,7 @@
         """
         dialect = self._backends.dialect
         stats = self._backends.stats(server.incarnation_id)
-        req = relay.exchange.req
+        req, request_id = relay.exchange.req, relay.request.request_id
         started_at = await curio.clock()
         self._authenticator.recheck(relay, started_at)
         await self._quarantine.admit(relay, started_at, prompt_only=params.prompt_only)
@@ -112,9 +112,14 @@
                 req.target,
                 fields=dialect.attempt_fields(req, params, relay.account_name),
                 body=req.body,
-                is_own_response=_is_response_to(dialect, relay.request.request_id),
-                on_sending=None if params.prompt_only else relay.record_sending,
+                new_connection=not request_id or server.incarnation_id in relay.sent_id_to,
+                is_own_response=_is_response_to(dialect, request_id),
+                on_sending=partial(
+                    relay.record_sending, server.incarnation_id, prompt_only=params.prompt_only
+                ),
             )
+            if dialect.response_request_id(stream.headers) != request_id:
+                stream.prevent_reuse()
             signals = dialect.parse_signals(stream.status, stream.headers)
             if signals.not_run:
                 relay.may_have_run = ran_before
@@ -154,9 +159,15 @@
                 await (stream.close() if completed else stream.abort())
 
 
-def _is_response_to(dialect: Any, request_id: str) -> Any:
-    """Return a predicate on response headers: whether the response may belong to *request_id*.
+def _is_response_to(dialect: Dialect, request_id: str) -> ResponseMatcher:
+    """Return a predicate on responses: whether one belongs to the request *request_id*.
 
-    A response that names no request is accepted as well.
+    A server may send a second copy of a response, late. One that names no request is accepted only
+    if its connection is new: on a reused one it may be a copy of the response to a side call.
     """
-    return lambda headers: dialect.response_request_id(headers) in ("", request_id)
+
+    def is_own(headers: Mapping[str, str], reused: bool) -> bool:
+        response_id = dialect.response_request_id(headers)
+        return response_id == request_id or (not response_id and not reused)
+
+    return is_own
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import curio
@@ -357,7 +357,7 @@
         headers = self.dialect.side_call_fields(server.name)
         sent_at = await curio.clock()
         try:
-            resp: Response = await curio.timeout_after(timeout_s, _call, client, call, headers)
+            resp: Response = await curio.timeout_after(timeout_s, self._call, client, call, headers)
         except (HttpClosed, BadHttp, curio.TaskTimeout) as exc:
             self._metrics.count("side_calls_failed")
             self._log.info(
@@ -369,10 +369,20 @@
             await self.notify_listeners(server, signals, sent_at=sent_at, succeeded=False)
         return resp
 
+    async def _call(self, client: HttpClient, call: SideCall, headers: dict[str, str]) -> Response:
+        return await client.call(
+            call.method,
+            call.target,
+            headers=headers,
+            body=call.body,
+            new_connection=call.new_connection,
+            is_own_response=self._names_no_request,
+        )
+
+    def _names_no_request(self, headers: Mapping[str, str], reused: bool) -> bool:
+        """Return whether a response may belong to a side call, which carries no request id."""
+        return not self.dialect.response_request_id(headers)
+
     async def side_call_in_background(self, server: Server, call: SideCall) -> None:
         """Make a side call in the background and ignore its response."""
         await curio.spawn(self.side_call, server, call, daemon=True)
-
-
-async def _call(client: HttpClient, call: SideCall, headers: dict[str, str]) -> Response:
-    return await client.call(call.method, call.target, headers=headers, body=call.body)
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -67,6 +67,9 @@
         sent_to: incarnation ids of the decode engines or plain servers that were tried, including
             the current one. Prompt engines and unreachable servers are not included.
         unreachable: incarnation ids of servers that could not be reached; they received nothing.
+        sent_id_to: incarnation ids of all servers that received the request's id, with the prompt
+            alone included. The id does not tell their responses to it apart, so each further one is
+            awaited on a connection of its own.
         version: software version that the servers of the stream must have; empty for any.
         may_have_run: whether a server may have executed the request. It is set before the request
             is sent and taken back if the response says that it did not run, so that it holds
@@ -95,6 +98,7 @@
     is_retry: bool = False
     sent_to: list[str] = field(default_factory=list)
     unreachable: list[str] = field(default_factory=list)
+    sent_id_to: set[str] = field(default_factory=set)
     version: str = ""
     may_have_run: bool = False
     prompt_processed: bool = False
@@ -138,9 +142,11 @@
         keys = (self.fingerprint, *self.part_keys)
         return prompt_only_keys(keys) if prompt_only else keys
 
-    def record_sending(self) -> None:
-        """Record that a server that may execute the request is now sent it."""
-        self.may_have_run = True
+    def record_sending(self, incarnation_id: str, *, prompt_only: bool) -> None:
+        """Record that a server is now sent the request, or only its prompt."""
+        self.sent_id_to.add(incarnation_id)
+        if not prompt_only:
+            self.may_have_run = True
 
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller: when the first was, and the longest pause."""
--- a/src/crankhinge/gateway/_reservations.py
+++ b/src/crankhinge/gateway/_reservations.py
@@ -152,6 +152,8 @@
         reservation = await self._reserve_engine(relay, extra_tokens, avoid)
         reservation.stats = self._backends.stats(reservation.server.incarnation_id)
         reservation.stats.reserved_tokens += reservation.tokens
+        # A run may move to another engine, and its id is taken out when it is used.
+        open_ids, own_id = reservation.stats.open_reservation_ids, reservation.reservation_id
         try:
             reservation.run = await self._placement.record_started(
                 relay, reservation.server, reservation.attempt, extra_tokens
@@ -159,6 +161,7 @@
             yield reservation
         finally:
             reservation.stats.reserved_tokens -= reservation.tokens
+            open_ids.discard(own_id)
             self._forecasts[relay.service.name].record_released(reservation.forecast_number)
             if reservation.reservation_id:
                 call = self._backends.dialect.release_reservation_call(reservation.reservation_id)
@@ -529,12 +532,18 @@
             stats.record_no_capacity(now, self._backends.rng)
             return None
         try:
-            return dialect.parse_reservation_id(resp.body)
+            reservation_id = dialect.parse_reservation_id(resp.body)
         except BadHttp as exc:
             self._log.warning(
                 "reservation_unreadable", server=server.incarnation_id, why=exc.detail
             )
             return None
+        if reservation_id in stats.open_reservation_ids:
+            # A late copy of the response to an earlier call, whose reservation another request has.
+            self._log.info("reservation_repeated", server=server.incarnation_id, id=reservation_id)
+            return None
+        stats.open_reservation_ids.add(reservation_id)
+        return reservation_id
 
     def _log_reserved(self, relay: Relay, request: ReservationRequest, server: Server) -> None:
         stats = self._backends.stats(server.incarnation_id)
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -15,6 +15,7 @@
     BodyFraming,
     ClientStream,
     HttpSilent,
+    ResponseMatcher,
     ResponseTimeouts,
 )
 from crankhinge.http._retry_after import parse_retry_after
@@ -39,6 +40,7 @@
     "HttpRequest",
     "HttpSilent",
     "Response",
+    "ResponseMatcher",
     "ResponseTimeouts",
     "SseParser",
     "encode_sse_event",
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -226,6 +226,7 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         new_connection: bool = False,
+        is_own_response: ResponseMatcher | None = None,
         timeouts: ResponseTimeouts | None = None,
     ) -> ClientStream:
         """Send a request and return the response after reading its head, but not its body.
@@ -237,6 +238,7 @@
             body: the complete request body.
             new_connection: don't reuse an idle connection. The server may be closing an idle
                 connection, and then it is unknown whether the request arrived.
+            is_own_response: as for :meth:`open_with_fields`.
             timeouts: limits on the wait for the response; None waits without limit.
 
         Raises:
@@ -253,6 +255,7 @@
             fields=head.items(),
             body=body,
             new_connection=new_connection,
+            is_own_response=is_own_response,
             timeouts=timeouts,
         )
 
@@ -275,8 +278,8 @@
         Args:
             method, target, body, new_connection, timeouts: as for :meth:`open`.
             fields: all header fields in order, including ``host`` and those that frame the body.
-            is_own_response: returns whether a response with the given headers belongs to this
-                request; a response that does not is skipped.
+            is_own_response: returns whether a response belongs to this request; one that does not
+                is skipped.
             on_sending: called just before the first byte is sent; until then nothing can arrive.
         """
         sock = None if new_connection else await self._pop_idle_connection()
@@ -325,13 +328,15 @@
         headers: Mapping[str, str] | None = None,
         body: bytes = b"",
         new_connection: bool = False,
+        is_own_response: ResponseMatcher | None = None,
         timeouts: ResponseTimeouts | None = None,
         max_body_bytes: int | None = None,
     ) -> Response:
         """Send a request and return the complete response.
 
         Args:
-            method, target, headers, body, new_connection, timeouts: as for :meth:`open`.
+            method, target, headers, body, new_connection, is_own_response, timeouts: as for
+                :meth:`open`.
             max_body_bytes: longest response body that is accepted; None accepts any length.
 
         Raises:
@@ -344,6 +349,7 @@
             headers=headers,
             body=body,
             new_connection=new_connection,
+            is_own_response=is_own_response,
             timeouts=timeouts,
         )
         try:
--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -20,7 +20,9 @@
 CONTENT_LENGTH = "content-length"
 TRANSFER_ENCODING = "transfer-encoding"
 
-ResponseMatcher = Callable[[Mapping[str, str]], bool]
+# Takes the header fields of a response and whether its connection carried an earlier request;
+# returns whether the response belongs to the present one.
+ResponseMatcher = Callable[[Mapping[str, str], bool], bool]
 HeaderFields = Iterable[tuple[str, str]]
 
 
@@ -95,8 +97,8 @@
         owner: receives the connection after use.
         sock: the connection.
         reused: whether the connection carried an earlier request.
-        is_own_response: returns whether a response with the given headers belongs to this request;
-            None accepts any. A server may send a late response to an earlier request first.
+        is_own_response: returns whether a response belongs to this request; None accepts any. A
+            server may send a late response to an earlier request first.
         timeouts: limits on the wait for the response; None waits until the task is cancelled.
 
     Attributes:
@@ -129,6 +131,7 @@
         self._reached_eof = False
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
+        self._may_be_reused = True
         self.reused = reused
         self.status = 0
         self.headers: Mapping[str, str] = {}
@@ -211,7 +214,7 @@
             if not isinstance(event, h11.Response):
                 raise HttpClosed("connection closed before a response")
             headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
-            if self._is_own_response is None or self._is_own_response(headers):
+            if self._is_own_response is None or self._is_own_response(headers, self.reused):
                 self.status = event.status_code
                 self.headers = headers
                 self.fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
@@ -327,8 +330,13 @@
         """Return the connection to its owner, which closes it unless it can be reused."""
         done = self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE
         reusable = done and self._request_sent and not self._h11.trailing_data[0]
+        reusable = reusable and self._may_be_reused
         await self._owner.release_connection(self._sock, reusable=reusable, headers=self.headers)
 
+    def prevent_reuse(self) -> None:
+        """Close the connection after this response, also if it could carry another request."""
+        self._may_be_reused = False
+
     def shut_down(self) -> None:
         """End the connection, so that a task that waits for the next chunk gets HttpClosed.
 
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -238,6 +238,7 @@
         role: engine role, "prefill" or "decode"; empty for a plain server.
         handler: responds to a request that is executed.
         free_reservations: number of KV reservations that it still grants.
+        granted_reservations: number of KV reservations that it granted so far.
         arrivals: the requests that it received, except side calls.
         side_calls: method and path of each side call that it received.
         orders: the role orders that it received.
@@ -266,6 +267,7 @@
     role: str = ""
     handler: RequestHandler = respond_ok
     free_reservations: int = 100
+    granted_reservations: int = 0
     port: int = field(default_factory=free_port)
     arrivals: list[Arrival] = field(default_factory=list)
     side_calls: list[str] = field(default_factory=list)
@@ -402,8 +404,9 @@
                 await exchange.respond(503, b"{}")
                 return
             self.free_reservations -= 1
+            self.granted_reservations += 1
             await exchange.respond(
-                200, json.dumps({"hold": f"hold{self.free_reservations}"}).encode()
+                200, json.dumps({"hold": f"hold{self.granted_reservations}"}).encode()
             )
         elif exchange.req.path == "/v1/report":
             await curio.sleep(self.report_delay_s)
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -65,7 +65,8 @@
         version="",
         trial_work=frozenset(),
         may_have_run=False,
-        record_sending=lambda: None,
+        sent_id_to=set(),
+        record_sending=lambda server, *, prompt_only: None,
         work_keys=lambda *, prompt_only: ("f",),
     )
     quarantine = make_standalone_quarantine("g", log)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -511,7 +511,7 @@
             assert [a.headers["x-stage"] for a in prefill_engine.arrivals] == ["prefill"]
             [arrival] = decode_engine.arrivals
             assert arrival.headers["kv-from"] == f"127.0.0.1:{prefill_engine.port}/h1"
-            assert arrival.headers["hold"] == "hold99"
+            assert arrival.headers["hold"] == "hold1"
 
         run_scenario(harness, scenario)
 
@@ -659,7 +659,7 @@
             await curio.sleep(0.3)
             await task.cancel()
             await curio.sleep(0.3)
-            assert "DELETE /v1/hold-drop/hold99" in decode_engine.side_calls
+            assert "DELETE /v1/hold-drop/hold1" in decode_engine.side_calls
 
         run_scenario(harness, scenario)
 
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -66,7 +66,7 @@
         "/",
         fields=fields,
         body=body,
-        is_own_response=lambda headers: headers["x-id"] == request_id,
+        is_own_response=lambda headers, reused: headers["x-id"] == request_id,
     )
     try:
         return await stream.read_all(), stream.reused
