--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -226,7 +226,9 @@
             await reply(exchange, {"held": self._memory.used, "running": self._running})
             return
         if req.headers.get("x-expect-instance", self.ident) != self.ident:
-            await exchange.respond_with_fields(421, [("x-instance-id", self.ident)], b"")
+            id_field = ("x-request-id", req.headers.get("x-request-id", ""))
+            fields = [id_field, ("x-instance-id", self.ident)]
+            await exchange.respond_with_fields(421, fields, b"")
         elif req.path.startswith("/v1/"):
             await self._handle_side_call(exchange)
         elif req.path.startswith("/engines/"):
--- a/tests/platform_fakes.py
+++ b/tests/platform_fakes.py
@@ -378,7 +378,9 @@
             )
         )
         if req.headers.get("x-expect-instance") != self.incarnation_id:
-            await exchange.respond_with_fields(421, [("x-instance-id", self.incarnation_id)], b"")
+            id_field = ("x-request-id", req.headers.get("x-request-id", ""))
+            fields = [id_field, ("x-instance-id", self.incarnation_id)]
+            await exchange.respond_with_fields(421, fields, b"")
         elif "x-stage" in req.headers and self.prefill_handler is not None:
             await self.prefill_handler(self, exchange)
         elif "x-stage" in req.headers and self.refuses_prefill:
