Bytes without end from a server or the store end one attempt only

What callers would see: all others of the instance wait while one connection is read, since a task that always has something to read never waits; memory grows; and an event without its end costs the square of its length.

Change: bounds on informational heads, on responses to earlier requests, on bodies that are held, on refusals (whose head says all that matters) and on unfinished events, which count as buffered for their caller.

--- a/src/crankhinge/adapters/openai_engine.py
+++ b/src/crankhinge/adapters/openai_engine.py
@@ -59,6 +59,9 @@
     choices: list[_Choice] = []
 
 
+# Longest response of a prefill engine; it holds the parameters of the transfer.
+MAX_PREFILL_BYTES = 16 * 1024 * 1024
+
 _chunk_decoder: JsonDecoder[_Chunk] = JsonDecoder(_Chunk)
 _object_decoder: JsonDecoder[dict[str, Any]] = JsonDecoder(dict[str, Any])
 _prefill_decoder: JsonDecoder[_PrefillResponse] = JsonDecoder(_PrefillResponse)
@@ -77,7 +80,7 @@
         )
         stream = await self._open(path, request_body, request_id)
         try:
-            response_body = await stream.read_all()
+            response_body = await stream.read_all(MAX_PREFILL_BYTES)
             response = _prefill_decoder.decode(response_body)
         except (HttpClosed, BadHttp, Undecodable) as exc:
             raise EngineFailed(str(exc)) from exc
@@ -211,7 +214,7 @@
 async def _raise_for_status(stream: ClientStream) -> None:
     status = stream.status
     try:
-        text = (await stream.read_all())[:200].decode("utf-8", "replace")
+        text = (await stream.read_refusal())[:200].decode("utf-8", "replace")
     except (HttpClosed, BadHttp):
         text = ""
     finally:
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -110,6 +110,12 @@
     outcome = Outcome.NOT_RUN
 
 
+class EventTooLong(BadHttp):
+    """A server sent an event that is longer than the limit, or the end of one never came."""
+
+    code = "event-too-long"
+
+
 class BodyTooLarge(BadHttp):
     """The body or header block of an HTTP request is over the size limit."""
 
--- a/src/crankhinge/gateway/_backends.py
+++ b/src/crankhinge/gateway/_backends.py
@@ -35,6 +35,8 @@
 CONNECT_TIMEOUT_S = 0.35
 # Servers respond to a side call within milliseconds. It fails after this many seconds.
 SIDE_CALL_TIMEOUT_S = 0.6
+# The longest responses list the runs of an engine, some tens of bytes for each.
+MAX_SIDE_CALL_BYTES = 1024 * 1024
 
 
 class Backends:
@@ -377,6 +379,7 @@
             body=call.body,
             new_connection=call.new_connection,
             is_own_response=self._names_no_request,
+            max_body_bytes=MAX_SIDE_CALL_BYTES,
         )
 
     def _names_no_request(self, headers: Mapping[str, str], reused: bool) -> bool:
--- a/src/crankhinge/gateway/_events.py
+++ b/src/crankhinge/gateway/_events.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from crankhinge.http import SSE_EVENT_END
+from crankhinge.http import EventBuffer
 
 LINE_ENDS = (b"\n", b"\r")
 COMMENT_START = b":"
@@ -28,17 +28,19 @@
     def __init__(self, last_id: str = "") -> None:
         self.last_id = last_id
         self.event_count = 0
-        self._remainder = b""
+        self._buffer = EventBuffer()
 
     def feed(self, chunk: bytes) -> bytes:
-        """Return the complete events that *chunk* finishes; keep the bytes after them."""
-        data = self._remainder + chunk
-        ends = [match.end() for match in SSE_EVENT_END.finditer(data)]
-        if not ends:
-            self._remainder = data
+        """Return the complete events that *chunk* finishes; keep the bytes after them.
+
+        Raises:
+            EventTooLong: the unfinished event is over the limit.
+        """
+        events = self._buffer.feed(chunk)
+        if not events:
             return b""
-        complete, self._remainder = data[: ends[-1]], data[ends[-1] :]
-        self.event_count += len(ends)
+        complete = b"".join(events)
+        self.event_count += len(events)
         for line in reversed(complete.splitlines()):
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip().decode("latin-1")
@@ -47,7 +49,7 @@
 
     def drop_remainder(self) -> None:
         """Discard an unfinished event; the server that resumes the stream sends it again."""
-        self._remainder = b""
+        self._buffer.clear()
 
     @property
     def ends_inside_event(self) -> bool:
@@ -55,13 +57,18 @@
 
         Complete comment lines and blank lines belong to no event.
         """
-        lines = self._remainder.splitlines(keepends=True)
+        lines = self.remainder.splitlines(keepends=True)
         return any(not line.endswith(LINE_ENDS) or not _is_comment_or_blank(line) for line in lines)
 
     @property
     def remainder(self) -> bytes:
         """Bytes that follow the last complete event."""
-        return self._remainder
+        return self._buffer.unfinished
+
+    @property
+    def remainder_bytes(self) -> int:
+        """Number of bytes that follow the last complete event."""
+        return len(self._buffer)
 
 
 def _is_comment_or_blank(line: bytes) -> bool:
--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -18,7 +18,7 @@
 from crankhinge.gateway._peer_messages import PeerMessage, decode_message
 from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
-from crankhinge.runtime import split_host_port
+from crankhinge.runtime import Turns, split_host_port
 
 # Maximum size of a datagram in bytes, so that it fits in one packet.
 MAX_DATAGRAM_BYTES = 1200
@@ -56,8 +56,10 @@
         self._sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM)
         async with self._sock:
             self._sock.bind(split_host_port(self._address))
+            turns = Turns()
             while True:
                 await self._receive_one()
+                await turns.end_step()
 
     async def _receive_one(self) -> None:
         try:
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -395,6 +395,9 @@
 
     async def _read(self, relay: Relay, stream: ClientStream) -> bytes | None:
         """Return the body; None if it exceeds what the instance may buffer."""
+        signals = self._backends.dialect.parse_signals(stream.status, stream.headers)
+        if signals.not_run:
+            return await stream.read_refusal()
         buffers = relay.exchange.buffers
         if buffers is None:
             return await stream.read_all()
--- a/src/crankhinge/gateway/_prompt_processor.py
+++ b/src/crankhinge/gateway/_prompt_processor.py
@@ -22,6 +22,8 @@
 
 # Attempts to process the prompt of one request: the first, and a second if a server failed.
 MAX_PROMPT_ATTEMPTS = 2
+# Longest response with the handle of a KV cache.
+MAX_HANDLE_BYTES = 64 * 1024
 # Seconds that all attempts for one request may take, where placement is not coordinated. After that
 # time the first event of the request is late in any case and its reservation is about to lapse, so
 # the decode engine may as well process the prompt itself.
@@ -257,7 +259,7 @@
 
     async def _send(self, relay: Relay, server: Server, params: AttemptParams) -> str:
         async with self._attempts.open(relay, server, params) as stream:
-            body = await stream.read_all()
+            body = await stream.read_all(MAX_HANDLE_BYTES)
             if stream.status != 200:
                 self._backends.stats(server.incarnation_id).record_refusal(await curio.clock())
                 raise BackendFailed(f"prompt engine responded with status {stream.status}")
--- a/src/crankhinge/gateway/_stream.py
+++ b/src/crankhinge/gateway/_stream.py
@@ -29,6 +29,7 @@
     BadHttp,
     CallerGone,
     DeadlinePassed,
+    EventTooLong,
     HttpClosed,
     NoBackend,
     Overloaded,
@@ -54,6 +55,9 @@
 from crankhinge.gateway.placement._client import PlacementClient
 from crankhinge.http import BodyFraming, ClientStream, ConnectFailed
 
+# Longest error response of a server to a stream.
+MAX_ERROR_BYTES = 4 * 1024 * 1024
+
 
 class _AttemptEnd(enum.Enum):
     """How an attempt at a server ended."""
@@ -179,7 +183,7 @@
                 may_continue = relay.may_try_another and relay.may_retry and budget.try_retry()
             if not may_continue or await relay.remaining_s() <= 0:
                 raise self._to_error(relay, end, why)
-            events.drop_remainder()
+            _drop_remainder(relay, events)
             self._log.info(
                 "stream_again",
                 request=relay.request.request_id,
@@ -410,7 +414,7 @@
             async with self._attempts.open(relay, server, params) as response:
                 signals = self._backends.dialect.parse_signals(response.status, response.headers)
                 if signals.not_run:
-                    body = await response.read_all()
+                    body = await response.read_refusal()
                     return _AttemptEnd.REFUSED, f"status {response.status} {body[:80]!r}"
                 started_at, events_before = await curio.clock(), events.event_count
                 is_stopped = await self._relay_response(relay, response, events, server, stream)
@@ -448,7 +452,7 @@
         """
         handover = stream.handover
         assert handover is not None
-        events.drop_remainder()
+        _drop_remainder(relay, events)
         location = self._backends.dialect.kv_cache_location(
             handover.source.host, handover.source.port, handover.cache_handle
         )
@@ -523,7 +527,7 @@
         exchange = relay.exchange
         if response.status != 200:
             # The server responded with an error, whose body has no events.
-            body = await response.read_all()
+            body = await response.read_all(MAX_ERROR_BYTES)
             fields = self._backends.dialect.response_fields(response.fields)
             if exchange.response_started:
                 raise HttpClosed(f"resumed stream was refused (status {response.status})")
@@ -606,7 +610,7 @@
                 return response.framing is BodyFraming.CONNECTION and await self._is_stopped(
                     stream, "connection closed while the run was moved", may_be_whole=True
                 )
-            complete = events.feed(chunk)
+            complete = _feed(relay, events, chunk)
             if complete:
                 self._record_event(relay, await curio.clock())
                 if stream is None:
@@ -619,6 +623,30 @@
                     stream.is_writing = False
 
 
+def _feed(relay: Relay, events: EventSplitter, chunk: bytes) -> bytes:
+    """Return the events that *chunk* completes, and count the bytes of an unfinished one.
+
+    Raises:
+        EventTooLong: the unfinished event is over the limit, or this instance has no memory for it.
+    """
+    buffers = relay.exchange.buffers
+    if buffers is None:
+        return events.feed(chunk)
+    buffers.release(events.remainder_bytes)
+    complete = events.feed(chunk)
+    if events.remainder_bytes and not buffers.try_hold(events.remainder_bytes):
+        events.drop_remainder()
+        raise EventTooLong("no memory for an unfinished event")
+    return complete
+
+
+def _drop_remainder(relay: Relay, events: EventSplitter) -> None:
+    """Discard an unfinished event before the stream goes on at another server."""
+    if relay.exchange.buffers is not None:
+        relay.exchange.buffers.release(events.remainder_bytes)
+    events.drop_remainder()
+
+
 def _check_end(relay: Relay, response: ClientStream, events: EventSplitter) -> None:
     """Check that the events of a response whose body has ended are complete.
 
--- a/src/crankhinge/http/__init__.py
+++ b/src/crankhinge/http/__init__.py
@@ -5,13 +5,13 @@
 
 from crankhinge.http._buffers import PIECE_BYTES, BufferLimits, BufferPool, ConnectionBuffers, Drop
 from crankhinge.http._client import (
-    AnswerTooLong,
     ConnectFailed,
     ConnectRefused,
     HttpClient,
     Response,
 )
 from crankhinge.http._client_stream import (
+    AnswerTooLong,
     BodyFraming,
     ClientStream,
     HttpSilent,
@@ -20,11 +20,10 @@
 )
 from crankhinge.http._retry_after import parse_retry_after
 from crankhinge.http._server import Exchange, HttpLimits, HttpRequest, serve_http
-from crankhinge.http._sse import SSE_EVENT_END, SseParser, encode_sse_event
+from crankhinge.http._sse import EventBuffer, SseParser, encode_sse_event
 
 __all__ = [
     "PIECE_BYTES",
-    "SSE_EVENT_END",
     "AnswerTooLong",
     "BodyFraming",
     "BufferLimits",
@@ -34,6 +33,7 @@
     "ConnectRefused",
     "ConnectionBuffers",
     "Drop",
+    "EventBuffer",
     "Exchange",
     "HttpClient",
     "HttpLimits",
--- a/src/crankhinge/http/_client.py
+++ b/src/crankhinge/http/_client.py
@@ -10,9 +10,11 @@
 
 import curio
 
-from crankhinge.errors import CrankhingeError, HttpClosed, ServerReadsSlowly
+from crankhinge.errors import HttpClosed, ServerReadsSlowly
 from crankhinge.http._buffers import SOCKET_BUFFER_BYTES, BufferLimits
 from crankhinge.http._client_stream import (
+    MAX_HELD_BODY_BYTES,
+    AnswerTooLong,
     ClientStream,
     ConnectionOwner,
     HeaderFields,
@@ -84,12 +86,6 @@
 TIMEOUT_ERRORS = (HttpSilent, curio.TaskTimeout, curio.TimeoutCancellationError)
 
 
-class AnswerTooLong(CrankhingeError):
-    """The response body is longer than the calling code accepts; it was not read."""
-
-    code = "answer-too-long"
-
-
 class ConnectFailed(HttpClosed):
     """No connection was established, so nothing was sent."""
 
@@ -330,17 +326,18 @@
         new_connection: bool = False,
         is_own_response: ResponseMatcher | None = None,
         timeouts: ResponseTimeouts | None = None,
-        max_body_bytes: int | None = None,
+        max_body_bytes: int = MAX_HELD_BODY_BYTES,
     ) -> Response:
         """Send a request and return the complete response.
 
         Args:
             method, target, headers, body, new_connection, is_own_response, timeouts: as for
                 :meth:`open`.
-            max_body_bytes: longest response body that is accepted; None accepts any length.
+            max_body_bytes: longest response body that is accepted.
 
         Raises:
-            AnswerTooLong: the ``content-length`` of the response is over *max_body_bytes*.
+            AnswerTooLong: the response body has more than *max_body_bytes*. If its length is
+                stated, nothing of it was read.
             ConnectFailed, HttpClosed, BadHttp: as for :meth:`open`.
         """
         stream = await self.open(
@@ -354,11 +351,11 @@
         )
         try:
             length = int(stream.headers.get("content-length", 0))
-            if max_body_bytes is not None and length > max_body_bytes:
+            if length > max_body_bytes:
                 raise AnswerTooLong(
                     f"{length} bytes in the response body; at most {max_body_bytes} are accepted"
                 )
-            data = await stream.read_all()
+            data = await stream.read_all(max_body_bytes)
         finally:
             await stream.close()
         return Response(stream.status, stream.headers, data)
--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -14,8 +14,17 @@
 import h11
 
 from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.runtime import Turns
 
 MAX_RECV_BYTES = 65536
+# Bounds on what a server may send before its response, and on a response that is held as a whole.
+MAX_INFORMATIONAL_HEADS = 16
+MAX_EARLIER_RESPONSES = 8
+MAX_EARLIER_RESPONSE_BYTES = 4 * 1024 * 1024
+MAX_HELD_BODY_BYTES = 64 * 1024 * 1024
+# The body of a refusal is worth reading only to keep the connection.
+MAX_REFUSAL_BYTES = 64 * 1024
+REFUSAL_TIMEOUT_S = 0.25
 
 CONTENT_LENGTH = "content-length"
 TRANSFER_ENCODING = "transfer-encoding"
@@ -60,6 +69,12 @@
     total_s: float
 
 
+class AnswerTooLong(BadHttp):
+    """The response body is longer than the calling code accepts."""
+
+    code = "answer-too-long"
+
+
 class HttpSilent(HttpClosed):
     """The server sent nothing within a timeout; the connection was abandoned."""
 
@@ -132,6 +147,7 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._request_sent = False
         self._may_be_reused = True
+        self._turns = Turns()
         self.reused = reused
         self.status = 0
         self.headers: Mapping[str, str] = {}
@@ -207,10 +223,8 @@
         self._request_sent = True
 
     async def _read_head(self, request: Any, body: bytes) -> None:
-        while True:
-            event = await self._next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await self._next_event()
+        for _ in range(MAX_EARLIER_RESPONSES + 1):
+            event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise HttpClosed("connection closed before a response")
             headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
@@ -220,11 +234,23 @@
                 self.fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
                 return
             await self._skip_earlier_response(request, body)
+        raise BadHttp(f"more than {MAX_EARLIER_RESPONSES} responses to earlier requests")
+
+    async def _next_final_event(self) -> Any:
+        """Return the next event that is no informational response (RFC 9110, section 15.2)."""
+        for _ in range(MAX_INFORMATIONAL_HEADS + 1):
+            event = await self._next_event()
+            if not isinstance(event, h11.InformationalResponse):
+                return event
+        raise BadHttp(f"more than {MAX_INFORMATIONAL_HEADS} informational responses")
 
     async def _skip_earlier_response(self, request: Any, body: bytes) -> None:
         """Read a response to an earlier request to its end and prepare to parse the next one."""
-        while not isinstance(await self._next_event(), h11.EndOfMessage):
-            pass
+        size = 0
+        while not isinstance(event := await self._next_event(), h11.EndOfMessage):
+            size += len(event.data) if isinstance(event, h11.Data) else 0
+            if size > MAX_EARLIER_RESPONSE_BYTES:
+                raise BadHttp("a response to an earlier request does not end")
         if self._h11.their_state is not h11.DONE:
             raise HttpClosed("connection closed after a response to another request")
         rest = self._h11.trailing_data[0]
@@ -235,6 +261,7 @@
 
     async def _next_event(self) -> Any:
         while True:
+            await self._turns.end_step()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -254,6 +281,7 @@
         self._reached_eof = not data
         self._received_bytes += len(data)
         self._owner.record_received(len(data), reused=self.reused)
+        await self._turns.end_step(len(data))
         return data
 
     async def _receive_with_timeout(self) -> bytes:
@@ -299,11 +327,33 @@
             return b""
         raise HttpClosed("connection closed before the end of the body")
 
-    async def read_all(self) -> bytes:
-        """Return the rest of the body."""
+    async def read_all(self, max_bytes: int = MAX_HELD_BODY_BYTES) -> bytes:
+        """Return the rest of the body.
+
+        Raises:
+            AnswerTooLong: it has more than *max_bytes* bytes.
+            HttpClosed, BadHttp: as for :meth:`next_chunk`.
+        """
         body = bytearray()
         while chunk := await self.next_chunk():
             body += chunk
+            if len(body) > max_bytes:
+                raise AnswerTooLong(f"the response body has more than {max_bytes} bytes")
+        return bytes(body)
+
+    async def read_refusal(self) -> bytes:
+        """Return the body of a response that refuses the request, or what arrives of it in time.
+
+        If the body does not end soon, the connection is not reused.
+        """
+        body = bytearray()
+
+        async def read() -> None:
+            while len(body) <= MAX_REFUSAL_BYTES and (chunk := await self.next_chunk()):
+                body.extend(chunk)
+
+        with contextlib.suppress(HttpClosed, BadHttp):
+            await curio.ignore_after(REFUSAL_TIMEOUT_S, read)
         return bytes(body)
 
     def limit_pieces(self, size: int) -> None:
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -28,7 +28,7 @@
     BufferPool,
     ConnectionBuffers,
 )
-from crankhinge.runtime import send_all, serve_tcp, steady_s
+from crankhinge.runtime import Turns, send_all, serve_tcp, steady_s
 
 MAX_RECV_BYTES = 65536
 # How long, and how many bytes, the rest of a refused request is read before its connection closes.
@@ -208,6 +208,7 @@
         self._is_closing = is_closing
         # Whether the response in progress has neither a length nor chunks.
         self._ends_with_connection = False
+        self._turns = Turns()
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header_bytes)
 
     def encode_head(self, status: int, headers: Mapping[str, str]) -> bytes:
@@ -304,6 +305,7 @@
 
     async def _next_event(self) -> Any:
         while True:
+            await self._turns.end_step()
             try:
                 event = self._h11.next_event()
             except h11.RemoteProtocolError as exc:
@@ -321,6 +323,7 @@
         except OSError as exc:
             raise HttpClosed(str(exc)) from exc
         self._h11.receive_data(data)
+        await self._turns.end_step(len(data))
 
     async def wait_for_first_byte(self) -> None:
         """Wait until a byte of the next request has arrived or the caller has closed."""
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -14,6 +14,7 @@
     run_until_first_ends,
 )
 from crankhinge.runtime._tcp import open_tcp, send_all, serve_tcp
+from crankhinge.runtime._turns import Turns
 from crankhinge.runtime._wall import wall_ms
 
 __all__ = [
@@ -26,6 +27,7 @@
     "RestartLimitReached",
     "Seconds",
     "Supervisor",
+    "Turns",
     "get_log",
     "load_settings",
     "open_tcp",
