Header values that are not ASCII are passed on unchanged

Cause: fields are decoded to text as latin-1 and given to h11, which encodes text as ASCII. They are encoded as they were decoded now. The new test failed before with UnicodeEncodeError.

--- a/src/crankhinge/http/_client_stream.py
+++ b/src/crankhinge/http/_client_stream.py
@@ -14,6 +14,7 @@
 import h11
 
 from crankhinge.errors import BadHttp, HttpClosed
+from crankhinge.http._fields import decode_fields, encode_fields
 from crankhinge.runtime import Turns
 
 MAX_RECV_BYTES = 65536
@@ -160,7 +161,7 @@
             HttpClosed: the connection ended before the head; the request may have arrived.
             BadHttp: the received bytes are not an HTTP response.
         """
-        request = h11.Request(method=method, target=target, headers=list(headers))
+        request = h11.Request(method=method, target=target, headers=encode_fields(headers))
         out = self._encode(request, body)
         sent_bytes = self._send_without_waiting(out)
         if sent_bytes < len(out):
@@ -227,11 +228,12 @@
             event = await self._next_final_event()
             if not isinstance(event, h11.Response):
                 raise HttpClosed("connection closed before a response")
-            headers = {k.decode("latin-1"): v.decode("latin-1") for k, v in event.headers}
+            fields = decode_fields(event.headers)
+            headers = dict(fields)
             if self._is_own_response is None or self._is_own_response(headers, self.reused):
                 self.status = event.status_code
                 self.headers = headers
-                self.fields = [(k.decode("latin-1"), v.decode("latin-1")) for k, v in event.headers]
+                self.fields = fields
                 return
             await self._skip_earlier_response(request, body)
         raise BadHttp(f"more than {MAX_EARLIER_RESPONSES} responses to earlier requests")
--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -28,6 +28,7 @@
     BufferPool,
     ConnectionBuffers,
 )
+from crankhinge.http._fields import decode_fields, encode_fields
 from crankhinge.runtime import Turns, send_all, serve_tcp, steady_s
 
 MAX_RECV_BYTES = 65536
@@ -224,7 +225,7 @@
             head.append(("connection", "close"))
         has_length = any(name.lower() == "content-length" for name, _ in head)
         self._ends_with_connection = self._h11.their_http_version == b"1.0" and not has_length
-        return self.encode(h11.Response(status_code=status, headers=head))
+        return self.encode(h11.Response(status_code=status, headers=encode_fields(head)))
 
     def encode(self, event: Any) -> bytes:
         return self._h11.send(event) or b""
@@ -436,7 +437,7 @@
 
 
 def _to_request(head: h11.Request, body: bytes) -> HttpRequest:
-    fields = tuple((k.decode("latin-1"), v.decode("latin-1")) for k, v in head.headers)
+    fields = tuple(decode_fields(head.headers))
     method = head.method.decode("ascii")
     return HttpRequest(method, head.target.decode("latin-1"), dict(fields), body, fields)
 
--- a/tests/test_http_relay.py
+++ b/tests/test_http_relay.py
@@ -24,7 +24,7 @@
 )
 from crankhinge.runtime import get_log, run_until_first_ends, serve_tcp
 from crankhinge_bench._procs import free_ports
-from platform_fakes import HOST, respond_bad_request
+from platform_fakes import HOST, FakeReplica, GatewayHarness, respond_bad_request, route
 from virtual_time import run_virtual
 
 ConnectionHandler = Callable[[Any], Awaitable[None]]
@@ -223,6 +223,31 @@
         curio.run(main)
 
 
+class TestFieldValues:
+    """Header fields whose values are not ASCII, which RFC 9110 allows."""
+
+    VALUE = "caf\xe9 \xff"
+
+    def test_fields_are_passed_on_unchanged(self) -> None:
+        """The response of a request that had run was lost, and requests were closed unread."""
+        harness = GatewayHarness()
+
+        async def respond(replica: FakeReplica, exchange: Exchange) -> None:
+            fields = [*replica.response_fields(exchange), ("x-note", self.VALUE)]
+            await exchange.respond_with_fields(200, fields, b"whole")
+
+        server = harness.add_replica("i-1", "plain", handler=respond)
+
+        async def scenario() -> None:
+            status, headers, body = await harness.call("q", "/once/a", x_note=self.VALUE)
+            assert (status, body) == (200, b"whole")
+            assert headers["x-note"] == self.VALUE
+            assert server.arrivals[0].headers["x-note"] == self.VALUE
+
+        once = route("r-once", "/once/", "unsafe", "plain")
+        run_virtual(harness.run, scenario, once, settle_s=0.003)
+
+
 class TestResponses:
     """How the client assigns the bytes that it receives to its requests."""
 
