Entries of servers and addresses of instances are checked for their ranges

What callers would see: an entry of another writer that can be decoded is taken for a server to use, also with a host name for its address (whose look-up holds up the whole process), with 10^30 slots, or under a name that no header field can carry, so that each request to it fails. The address of another instance, from a record or a datagram, that is none ended the task that sent to it.

Cause: decoded values were checked for their types only.

The port of an address is checked where its host is now.

--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -18,7 +18,7 @@
 from crankhinge.gateway._peer_messages import PeerMessage, decode_message
 from crankhinge.gateway._stream_origin_messages import StreamOriginMessage
 from crankhinge.gateway.placement._messages import PlacementMessage
-from crankhinge.runtime import Turns, split_host_port
+from crankhinge.runtime import Turns, parse_ip_port, split_host_port
 
 # Maximum size of a datagram in bytes, so that it fits in one packet.
 MAX_DATAGRAM_BYTES = 1200
@@ -83,7 +83,10 @@
         if self._sock is None:
             return
         try:
-            await self._sock.sendto(msgspec.msgpack.encode(message), split_host_port(address))
+            await self._sock.sendto(msgspec.msgpack.encode(message), parse_ip_port(address))
+        except Undecodable as exc:
+            # Another instance, or a datagram, named it.
+            self._log.info("notice_undelivered", peer=address[:100], why=exc.detail)
         except OSError as exc:
             self._log.info("notice_undelivered", peer=address, why=str(exc))
 
--- a/src/crankhinge/runtime/__init__.py
+++ b/src/crankhinge/runtime/__init__.py
@@ -1,7 +1,7 @@
 """Process start-up, supervised tasks, TCP, clocks, logs and metrics."""
 
 from crankhinge.runtime._clock import steady_s
-from crankhinge.runtime._fields import HostPort, Port, Seconds, split_host_port
+from crankhinge.runtime._fields import HostPort, Port, Seconds, parse_ip_port, split_host_port
 from crankhinge.runtime._files import write_json
 from crankhinge.runtime._logs import Log, get_log
 from crankhinge.runtime._metrics import Metrics
@@ -31,6 +31,7 @@
     "get_log",
     "load_settings",
     "open_tcp",
+    "parse_ip_port",
     "run_process",
     "run_until_first_ends",
     "send_all",
--- a/tests/test_born_again.py
+++ b/tests/test_born_again.py
@@ -111,9 +111,18 @@
     {"service": "nobody"},
     {"address": "127.0.0.1"},
     {"address": "127.0.0.1:port"},
+    {"address": "localhost:80"},
+    {"address": "300.1.1.1:80"},
+    {"address": "127.1:80"},
+    {"address": "127.0.0.1:0"},
+    {"address": "127.0.0.1:65536"},
     {"address": 7},
     {"slots": "many"},
     {"slots": 0},
+    {"slots": 10**30},
+    {"slots": 10**400},
+    {"sequence": 10**400},
+    {"born": 2**63},
     {"zone": []},
     {"sequence": "7"},
     {"sequence": 1.5},
@@ -134,7 +143,7 @@
     use; when the entry of a known server became unreadable, the old entry stayed in use.
     """
 
-    @pytest.mark.parametrize("overrides", INVALID_FIELDS, ids=str)
+    @pytest.mark.parametrize("overrides", INVALID_FIELDS, ids=lambda fields: str(fields)[:40])
     def test_entry_with_an_invalid_field_is_not_used(self, overrides: dict[str, Any]) -> None:
         """Other servers stay in use, and the next readable entry is used again."""
         self._check_entry_is_not_used(overrides)
@@ -171,6 +180,22 @@
 
         run_scenario(harness, scenario)
 
+    @pytest.mark.parametrize("name", ["i-\u00e9", "i s", "i\r\nx: y", "i" * 201, "\u4e2d"])
+    def test_entry_under_a_name_that_no_field_can_carry_is_not_used(self, name: str) -> None:
+        """Each request that was sent to such a server was closed without a response."""
+        harness = GatewayHarness()
+        server = harness.add_replica("i-p", "plain")
+
+        async def scenario() -> None:
+            entry = {**_entry_without("state", server.port), "state": "ready"}
+            await harness.store.put(f"servers/{name}", entry)
+            await curio.sleep(2.0)
+            for number in range(8):
+                assert (await harness.call(f"q{number}", "/once/a"))[0] == 200
+            assert harness.logs.matching("event=entry_unreadable")
+
+        run_scenario(harness, scenario)
+
     def test_undecodable_entry_is_not_used(self) -> None:
         """Neither on its own nor in place of a known entry."""
         harness = GatewayHarness()
--- a/tests/test_peer_messenger.py
+++ b/tests/test_peer_messenger.py
@@ -7,6 +7,7 @@
 import curio
 import curio.socket
 import msgspec
+import pytest
 
 from crankhinge.decisions import EngineRole
 from crankhinge.gateway._peer_messages import EngineOrdered
@@ -94,6 +95,23 @@
 
         fleet.run(scenario)
 
+    @pytest.mark.parametrize(
+        "address", ["", "x", "host.example:1", "127.0.0.1:x", "127.0.0.1:0", "1.2.3.4:65536", ":1"]
+    )
+    def test_address_of_another_instance_that_is_none_is_left_out(self, address: str) -> None:
+        """One in a record or a datagram ended the task that sent, or looked up a host name."""
+        fleet = Fleet(2)
+
+        async def scenario() -> None:
+            await curio.sleep(0.05)
+            await fleet.messengers[0].send(address, ORDER_MESSAGE)
+            await fleet.messengers[0].send_to_all(ORDER_MESSAGE)
+            await curio.sleep(0.1)
+            assert [message for _, message in fleet.received] == [ORDER_MESSAGE]
+            assert fleet.logs.matching("event=notice_undelivered")
+
+        fleet.run(scenario)
+
 
 class TestEngineUnderOrder:
     """An engine that carries out an order of another instance.
