Request bodies are read without interruption by other bodies

Since then a task that reads let others run after each 256 KB, also while it reads a caller's body, so that more bodies were in memory in part at one moment.

A caller's body is bounded, unlike what a server sends, so only the number of its parts ends a turn there.

--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -306,6 +306,8 @@
 
     async def _next_event(self) -> Any:
         while True:
+            # Only events count, not bytes: a body is bounded, and one whose task is interrupted
+            # stays in memory with those of the others.
             await self._turns.end_step()
             try:
                 event = self._h11.next_event()
@@ -324,7 +326,6 @@
         except OSError as exc:
             raise HttpClosed(str(exc)) from exc
         self._h11.receive_data(data)
-        await self._turns.end_step(len(data))
 
     async def wait_for_first_byte(self) -> None:
         """Wait until a byte of the next request has arrived or the caller has closed."""
