Soak: lost and endless responses, late copies, entries of another writer

Two verdicts were the stand-in's own: it sent the bytes of an endless body as a signed response, which is passed on, and a copy went to a new connection that had the number of an old one; both mended.

A test holds that the product decodes by crankhinge.decoding alone.

--- a/src/crankhinge/http/_server.py
+++ b/src/crankhinge/http/_server.py
@@ -146,6 +146,11 @@
         """Send one chunk of a streamed response."""
         await self._conn.send(self._conn.encode(h11.Data(data=chunk)), is_partial=True)
 
+    @property
+    def connection_key(self) -> int:
+        """Number of the caller's connection, unique among those that are open."""
+        return int(self._conn.fd)
+
     async def write_raw(self, data: bytes) -> None:
         """Send bytes as they are, without framing; the connection closes after the request."""
         self.response_started = True
@@ -204,7 +209,7 @@
         self.refused_head: HttpRequest | None = None
         self._pool = pool
         self._sock = sock
-        self._fd = sock.fileno()
+        self.fd = sock.fileno()
         self._limits = limits
         self._is_closing = is_closing
         # Whether the response in progress has neither a length nor chunks.
@@ -234,7 +239,7 @@
         """Send *data*; *is_partial* if the rest of the response is still read from a server."""
         # The kernel nearly always accepts all data at once, so this path sets no timer.
         try:
-            sent_bytes = os.write(self._fd, data)
+            sent_bytes = os.write(self.fd, data)
         except BlockingIOError:
             sent_bytes = 0
         except OSError as exc:
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -46,6 +46,22 @@
 # Factor on the durations of an engine that is emptied: its streams then take 0.8 to 4 seconds, so
 # that many would not end before the engine does, 2 to 3.5 seconds after its announcement.
 EMPTIED_SLOW = 8.0
+# Faults of servers whose responses are lost beyond the time-outs of routes, are endless, or are
+# sent a second time.
+LOST_RESPONSES = {"loses": 0.3}
+ENDLESS_RESPONSES = {"endless": 0.3}
+COPIED_RESPONSES = {"copies": 0.5}
+FOREIGN_SERVER = (
+    b'{"service":"plain-a","address":"%s","zone":"z1","slots":%s,"state":"ready","sequence":1}'
+)
+# What another writer may leave under the prefix of the servers' entries.
+FOREIGN_ENTRIES = (
+    b"bytes",
+    b'{"notes":' + b"[" * 2000 + b"]" * 2000 + b"}",
+    FOREIGN_SERVER % (b"localhost:1", b"4"),
+    FOREIGN_SERVER % (b"300.1.1.1:1", b"4"),
+    FOREIGN_SERVER % (b"127.0.0.1:1", b"1" + b"0" * 400),
+)
 # Minimum and maximum time for which streams collect on that engine before it begins to leave.
 EMPTIED_LOAD_S = (0.3, 1.0)
 # Share of responses to moves that are lost on the way from engines while one is emptied.
@@ -311,6 +327,34 @@
         await self._wait_and_end(record)
         await self._fleet.set_faults(place.port, **NO_SERVER_FAULTS)
 
+    async def _fail_responses(self, kind: str, faults: dict[str, float]) -> None:
+        """Let half of all servers harm a share of their responses."""
+        count = len(self._fleet.places) // 2
+        places = self._rng.sample(self._fleet.places, count)
+        records = [self._record_fault(kind, place.name) for place in places]
+        for place in places:
+            await self._fleet.set_faults(place.port, **faults)
+        await curio.sleep(self._rng.uniform(*FAULT_DURATION_S))
+        for place in places:
+            await self._fleet.set_faults(place.port, **dict.fromkeys(faults, 0.0))
+        for record in records:
+            record.ended = time.time()
+
+    async def _lose_responses(self) -> None:
+        await self._fail_responses("lost-responses", LOST_RESPONSES)
+
+    async def _send_endless_bytes(self) -> None:
+        await self._fail_responses("endless-bytes", ENDLESS_RESPONSES)
+
+    async def _copy_responses(self) -> None:
+        await self._fail_responses("late-copies", COPIED_RESPONSES)
+
+    async def _leave_foreign_entry(self) -> None:
+        """Write an entry that names no server; the store removes it when no heartbeats come."""
+        self._record_fault("foreign-entry", "store").ended = time.time()
+        name = self._rng.choice(["left-by-another", "caf%C3%A9", "a%0D%0Ab"])
+        await self._fleet.write_entry(name, self._rng.choice(FOREIGN_ENTRIES))
+
     async def _break_streams(self) -> None:
         """Break off a share of all streams, many of which have neither a length nor chunks."""
         engines = [place for place in self._fleet.places if place.role == "decode"]
@@ -465,6 +509,10 @@
     "pause-server": FaultInjector._pause_server,
     "empty-engine": FaultInjector._empty_engine,
     "harm-server": FaultInjector._fail_server,
+    "lose-responses": FaultInjector._lose_responses,
+    "endless-bytes": FaultInjector._send_endless_bytes,
+    "late-copies": FaultInjector._copy_responses,
+    "foreign-entry": FaultInjector._leave_foreign_entry,
     "break-streams": FaultInjector._break_streams,
     "crash-part": FaultInjector._send_crash_part,
     "limit-server": FaultInjector._limit_server,
--- a/src/crankhinge_soak/_fleet.py
+++ b/src/crankhinge_soak/_fleet.py
@@ -312,6 +312,11 @@
         """Set faults of a stand-in; return whether it has confirmed them."""
         return await self._put(port, "/faults", msgspec.json.encode(faults))
 
+    async def write_entry(self, name: str, data: bytes) -> bool:
+        """Write bytes under the prefix of the servers' entries; return whether that succeeded."""
+        target = f"/v1/kv-key?private_key=servers/{name}"
+        return await self._put(self.store_port, target, data)
+
     async def _put(self, port: int, target: str, body: bytes) -> bool:
         """Send a PUT request; return whether the response has status 200."""
         client = HttpClient(HOST, port)
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -15,6 +15,10 @@
         errors: share of runs that end with status 500.
         resets: share of runs whose connection closes before the response.
         garbles: share of responses that break off in the middle.
+        loses: share of runs that never get a response, while their connections stay open.
+        endless: share of runs that get bytes without end in place of a response or an event.
+        copies: share of responses to side calls and prompts of which a second copy comes on the
+            same connection, before the next response there.
         unframed: share of streams with neither a length nor chunks.
         cut_between_events: whether a stream with neither may break off between two events.
         refuses: share of requests that the server refuses before they run.
@@ -27,6 +31,9 @@
     errors: float = 0.0
     resets: float = 0.0
     garbles: float = 0.0
+    loses: float = 0.0
+    endless: float = 0.0
+    copies: float = 0.0
     unframed: float = 0.0
     cut_between_events: bool = False
     refuses: float = 0.0
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -37,6 +37,7 @@
 LARGE_BODY_PREFIX, LARGE_BODY_BYTES = "large-", 8_000_000
 # Maximum duration of a plain call, in seconds.
 MAX_WORK_S = 0.05
+ENDLESS_PIECE = b"x" * 65536
 # Seconds to prefill one token.
 PREFILL_TOKEN_S = 0.00003
 # Seconds between two events of a stream.
@@ -146,6 +147,8 @@
         self._memory = KvMemory()
         self._moves = RunMoves(self._memory, KV_HANDLE_TTL_S)
         self._rng = random.Random(self.ident)
+        # Copies of responses that are still to be sent, by connection.
+        self._copies: dict[int, bytes] = {}
         self._leaving = False
         self._leaves_at: float | None = None
         self._switching_role = False
@@ -225,6 +228,10 @@
         if req.path == "/held":
             await reply(exchange, {"held": self._memory.used, "running": self._running})
             return
+        copy = self._copies.pop(exchange.connection_key, b"")
+        # A new connection may have the number of one that was closed before its copy was sent.
+        if copy and exchange.connection_reused:
+            await exchange.write_raw(copy)
         if req.headers.get("x-expect-instance", self.ident) != self.ident:
             id_field = ("x-request-id", req.headers.get("x-request-id", ""))
             fields = [id_field, ("x-instance-id", self.ident)]
@@ -318,9 +325,45 @@
             status, head + self._make_signal_fields(ident, rest_s), b""
         )
 
+    async def _reply(self, exchange: Exchange, value: Any, status: int = 200) -> None:
+        """Send a response, and perhaps keep a copy that is sent before the next one."""
+        await reply(exchange, value, status)
+        request_id = exchange.req.headers.get("x-request-id", "")
+        self._keep_copy(exchange, status, msgspec.json.encode(value), request_id)
+
+    def _keep_copy(self, exchange: Exchange, status: int, body: bytes, request_id: str) -> None:
+        if self._by_chance(self.faults.copies):
+            field = f"x-request-id: {request_id}\r\n" if request_id else ""
+            head = f"HTTP/1.1 {status} X\r\n{field}content-length: {len(body)}\r\n\r\n"
+            self._copies[exchange.connection_key] = head.encode() + body
+
+    async def _send_nothing(self, exchange: Exchange) -> None:
+        """Send no response until the connection is closed."""
+        await exchange.wait_for_disconnect()
+        raise HttpClosed("response lost on purpose")
+
+    async def _send_endless(self, exchange: Exchange, ident: str) -> None:
+        """Send the beginning of a response, or none, and then bytes until the connection closes.
+
+        They come in a status line, in a header field, in the framing of a body or, in a stream, in
+        an event. None of them is a part of a body that can be passed on.
+        """
+        lines = "".join(f"{k}: {v}\r\n" for k, v in self._make_response_fields(ident))
+        head = f"HTTP/1.1 200 OK\r\n{lines}".encode()
+        beginnings = [b"", head + b"x-long: ", head + b"transfer-encoding: chunked\r\n\r\n1;"]
+        if self._role:
+            beginnings.append(head + b"content-type: text/event-stream\r\n\r\nid: 1\ndata: ")
+        await exchange.write_raw(self._rng.choice(beginnings))
+        while True:
+            await exchange.write_raw(ENDLESS_PIECE)
+
     async def _run_plain(self, exchange: Exchange) -> None:
         ident = self._record_run(exchange.req)
         await curio.sleep(MAX_WORK_S * self._rng.random() * self.faults.slow)
+        if self._by_chance(self.faults.loses):
+            await self._send_nothing(exchange)
+        if self._by_chance(self.faults.endless):
+            await self._send_endless(exchange, ident)
         if self._by_chance(self.faults.resets):
             raise HttpClosed("response lost on purpose")
         if self._by_chance(self.faults.errors):
@@ -346,6 +389,7 @@
         await exchange.respond_with_fields(
             200, [("x-request-id", ident), *self._make_signal_fields(ident)], body
         )
+        self._keep_copy(exchange, 200, body, ident)
 
     async def _expire(self, tokens_by_id: dict[str, int], name: str, after_s: float) -> None:
         await curio.sleep(after_s)
@@ -451,6 +495,10 @@
         events = make_events(begun_as, self.version)
         begin = run.made = int(exchange.req.headers.get("last-event-id") or "0")
         response = run.response
+        if self._by_chance(self.faults.loses):
+            await self._send_nothing(exchange)
+        if self._by_chance(self.faults.endless):
+            await self._send_endless(exchange, run.ident)
         await response.start_with_fields(200, self._make_response_fields(run.ident))
         if crash_part := find_crash_part(exchange.req):
             await curio.sleep(EVENT_INTERVAL_S)
@@ -478,11 +526,11 @@
             await self._reserve(exchange, msgspec.json.decode(req.body))
         elif req.path.startswith("/v1/hold-drop/"):
             self._memory.holds.pop(name, None)
-            await reply(exchange, {})
+            await self._reply(exchange, {})
         elif req.path.startswith("/v1/kv-handle/"):
             known = await self._moves.drop(self._advertised_address, name)
             known = self._memory.handles.pop(name, None) is not None or known
-            await reply(exchange, {}, 200 if known else 404)
+            await self._reply(exchange, {}, 200 if known else 404)
         elif req.path == "/v1/kv-move":
             await self._move_run(exchange, msgspec.json.decode(req.body))
         elif req.path == "/v1/report":
@@ -493,11 +541,11 @@
             }
             if self._leaves_at is not None:
                 report["leaves_ms"] = round(max(0.0, self._leaves_at - await curio.clock()) * 1000)
-            await reply(exchange, {**report, "kv_used": self._memory.used})
+            await self._reply(exchange, {**report, "kv_used": self._memory.used})
         elif req.path == "/v1/order":
             await self._handle_order(exchange, msgspec.json.decode(req.body))
         else:
-            await reply(exchange, {}, 404)
+            await self._reply(exchange, {}, 404)
 
     async def _move_run(self, exchange: Exchange, order: dict[str, Any]) -> None:
         """Copy a run to another engine, and stop it if this is the last call."""
@@ -506,7 +554,7 @@
         )
         if self._by_chance(self.faults.move_mutes):
             raise HttpClosed("response lost on purpose")
-        await reply(exchange, answer, status)
+        await self._reply(exchange, answer, status)
 
     async def _handle_engine_call(self, exchange: Exchange) -> None:
         """Respond to another engine that copies a run here, continues one there, or frees one."""
@@ -518,24 +566,24 @@
                 MAX_KV_TOKENS - self._memory.used if self._role == "decode" else 0,
                 has_slot=self._running + len(self._memory.copies) < SLOTS,
             )
-            await reply(exchange, {}, 200 if copied else NO_CAPACITY_STATUS)
+            await self._reply(exchange, {}, 200 if copied else NO_CAPACITY_STATUS)
         elif path.startswith(USE_PATH):
             may_use = self._moves.use(path.removeprefix(USE_PATH))
-            await reply(exchange, {}, 200 if may_use else NO_CAPACITY_STATUS)
+            await self._reply(exchange, {}, 200 if may_use else NO_CAPACITY_STATUS)
         else:
             self._moves.release(path.removeprefix(DROP_PATH))
-            await reply(exchange, {})
+            await self._reply(exchange, {})
 
     async def _reserve(self, exchange: Exchange, request: dict[str, Any]) -> None:
         """Reserve KV memory for a later request; the reservation expires after its TTL."""
         if self._role != "decode" or self._memory.used + request["tokens"] > MAX_KV_TOKENS:
-            await reply(exchange, {}, 503)
+            await self._reply(exchange, {}, 503)
             return
         hold = f"k{next(self._id_numbers)}"
         self._memory.holds[hold] = request["tokens"]
         ttl_s = request["ttl_ms"] / 1000
         await curio.spawn(self._expire, self._memory.holds, hold, ttl_s, daemon=True)
-        await reply(exchange, {"hold": hold})
+        await self._reply(exchange, {"hold": hold})
 
     async def _handle_order(self, exchange: Exchange, order: dict[str, Any]) -> None:
         status = self._decide_order(order)
@@ -546,7 +594,7 @@
             self._fencing_token = order["fencing_token"]
             self._switching_role = True
             await curio.spawn(self._switch_role, order["phase"], daemon=True)
-        await reply(exchange, {}, status)
+        await self._reply(exchange, {}, status)
 
     def _decide_order(self, order: dict[str, Any]) -> int:
         """Return the status for an order to switch the role; 202 means that the switch begins."""
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import base64
+import re
+from pathlib import Path
 
 import curio
 import curio.socket
@@ -20,6 +22,10 @@
 from platform_fakes import HOST, GatewayHarness, make_config, route
 from virtual_time import run_virtual
 
+ROOT = Path(__file__).parent.parent
+LIBRARY_DECODERS = re.compile(
+    r"msgspec\.(?:json|msgpack|toml|yaml)\.(?:decode|Decoder)|msgspec\.convert|tomllib|json\.loads"
+)
 PLAIN = route("r-once", "/once/", "unsafe", "plain")
 DEPTH = 2000
 NESTED_LISTS = b"[" * DEPTH + b"]" * DEPTH
@@ -61,6 +67,21 @@
             decode_toml(text, dict[str, list[int]])
 
 
+class TestUse:
+    """Where data is decoded."""
+
+    def test_product_decodes_with_these_decoders_only(self) -> None:
+        """Each other use of the libraries has its own, incomplete, list of errors."""
+        uses = [
+            f"{path.relative_to(ROOT)}: {name}"
+            for folder in ("src/crankhinge", "platform")
+            for path in sorted((ROOT / folder).rglob("*.py"))
+            for name in LIBRARY_DECODERS.findall(path.read_text())
+            if path.name != "decoding.py"
+        ]
+        assert uses == []
+
+
 class TestPeerMessages:
     """Datagrams that are nested too deeply, which anyone who reaches the port can send."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -551,6 +551,13 @@
         assert taken_up > 0
         assert report.faults["pause"] > 0
 
+    def test_short_run_of_harmed_responses_violates_no_invariant(self) -> None:
+        """Lost and endless responses, late copies of others, and entries of another writer."""
+        kinds = ("lose-responses", "endless-bytes", "late-copies", "foreign-entry", "kill-gateway")
+        report = run_seed(6, 6.0, kinds=kinds)
+        assert [verdict for verdict in report.verdicts if verdict.broken] == []
+        assert report.faults["late-copies"] + report.faults["lost-responses"] > 0
+
     def test_unknown_kind_of_fault_is_rejected(self, capsys: pytest.CaptureFixture[str]) -> None:
         """The exit status is 2, and the message lists the kinds of faults that exist."""
         with pytest.raises(SystemExit) as caught:
