What began a stream is remembered for a minute, whatever the deadline of its attempt

Cause: service and version were kept until the deadline of the attempt that began the stream. An attempt that takes it up has a deadline of its own.

The new test failed before: 8 of 8 take-ups got 503.

--- a/src/crankhinge/decisions/_stream_origins.py
+++ b/src/crankhinge/decisions/_stream_origins.py
@@ -9,10 +9,10 @@
 
 from crankhinge.decisions._servers import Server
 
-# Seconds for which the origin of a stream is remembered at the most; callers wait no longer.
-MAX_STREAM_S = 60.0
+# Seconds for which the origin of a stream is remembered; callers take it up no later.
+MAX_STREAM_S = 60
 # Streams that are remembered, some 200 bytes each. At the planned size an instance has to remember
-# 1,650 if no caller states its deadline.
+# 1,650.
 MAX_STREAMS = 20_000
 # Seconds after which a version that no listed server has any more cannot have begun a stream that a
 # caller still takes up.
--- a/src/crankhinge/gateway/_stream_origins.py
+++ b/src/crankhinge/gateway/_stream_origins.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import itertools
-import math
 from collections.abc import Sequence
 from typing import Any
 
@@ -130,15 +129,10 @@
             # The caller keeps naming the attempt that brought the first event.
             return
         now = await curio.clock()
-        # The route may allow an attempt less time than the caller has for all of them.
-        left_s = MAX_STREAM_S
-        if request.timeout_s is not None:
-            left_s = min(left_s, relay.started_at + request.timeout_s - now)
+        # The deadline of this attempt does not matter: one that takes the stream up has its own.
         key = _key(relay, request.request_id)
-        message = StreamBegan(
-            key, service_number(server.service), server.version, math.ceil(left_s)
-        )
-        self._streams.record(key, message.origin, left_s, now)
+        message = StreamBegan(key, service_number(server.service), server.version, MAX_STREAM_S)
+        self._streams.record(key, message.origin, MAX_STREAM_S, now)
         for address in self._other_addresses(key)[:HOLDERS]:
             await self._messenger.send(address, message)
 
--- a/tests/test_server_versions.py
+++ b/tests/test_server_versions.py
@@ -80,6 +80,28 @@
             frozenset({"v1.1"}),
         }
 
+    def test_stream_continues_after_the_deadline_of_its_first_attempt(self) -> None:
+        """Each attempt has a deadline of its own; the version was forgotten with the first one."""
+        fleet = VersionFleet(engines=TWO_VERSIONS)
+        streams = [CallerStream() for _ in range(8)]
+
+        async def scenario() -> None:
+            for number, stream in enumerate(streams):
+                await fleet.attempt(
+                    stream, fleet.gateways[0], f"q{number}", "/taken/cut", x_deadline_ms="7000"
+                )
+                assert (stream.status, stream.complete) == (200, False)
+            await curio.sleep(8.0)
+            for number, stream in enumerate(streams):
+                begun_as = f"q{number}"
+                await fleet.take_up(
+                    stream, fleet.gateways[1], f"r{number}", "/taken/cut", begun_as=begun_as
+                )
+
+        fleet.run(scenario)
+        assert [stream.status for stream in streams] == [200] * len(streams)
+        assert all(stream.is_whole for stream in streams)
+
     @pytest.mark.parametrize("instance", [0, 1])
     def test_stream_of_a_killed_instance_continues_at_its_version(self, instance: int) -> None:
         """It is taken up at the restarted instance or at another one."""
