--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -51,6 +51,9 @@
 LOST_RESPONSES = {"loses": 0.3}
 ENDLESS_RESPONSES = {"endless": 0.3}
 COPIED_RESPONSES = {"copies": 0.5}
+# Minimum and maximum time for which an entry of another writer stays: longer than a task that fails
+# at each read takes to reach its restart limit.
+FOREIGN_ENTRY_S = (3.0, 6.0)
 FOREIGN_SERVER = (
     b'{"service":"plain-a","address":"%s","zone":"z1","slots":%s,"state":"ready","sequence":1}'
 )
@@ -350,10 +353,13 @@
         await self._fail_responses("late-copies", COPIED_RESPONSES)
 
     async def _leave_foreign_entry(self) -> None:
-        """Write an entry that names no server; the store removes it when no heartbeats come."""
-        self._record_fault("foreign-entry", "store").ended = time.time()
+        """Write an entry that names no server, and remove it later."""
+        record = self._record_fault("foreign-entry", "entries")
         name = self._rng.choice(["left-by-another", "caf%C3%A9", "a%0D%0Ab"])
         await self._fleet.write_entry(name, self._rng.choice(FOREIGN_ENTRIES))
+        await curio.sleep(self._rng.uniform(*FOREIGN_ENTRY_S))
+        await self._fleet.write_entry(name, b"")
+        record.ended = time.time()
 
     async def _break_streams(self) -> None:
         """Break off a share of all streams, many of which have neither a length nor chunks."""
--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -243,16 +243,16 @@
             if key in self.items:
                 await self.remove(key)
             return
-        if key.startswith(SERVERS_PREFIX):
-            self._heartbeats[key] = now
         try:
             value = msgspec.json.decode(body)
         except (ValueError, RecursionError):
-            # Another writer may leave any bytes.
+            # Another writer may leave any bytes; they stay until it removes them.
             await self._put_data(key, body, 0)
             return
-        if key.startswith(SERVERS_PREFIX) and self._is_heartbeat_only(key, value):
-            return
+        if key.startswith(SERVERS_PREFIX):
+            self._heartbeats[key] = now
+            if self._is_heartbeat_only(key, value):
+                return
         await self.put(key, value)
 
     def _is_heartbeat_only(self, key: str, entry: dict[str, Any]) -> bool:
