--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -496,7 +496,8 @@
         begin = run.made = int(exchange.req.headers.get("last-event-id") or "0")
         response = run.response
         if self._by_chance(self.faults.loses):
-            await self._send_nothing(exchange)
+            # The task that waits for the caller's disconnect ends this one.
+            await curio.Event().wait()
         if self._by_chance(self.faults.endless):
             await self._send_endless(exchange, run.ident)
         await response.start_with_fields(200, self._make_response_fields(run.ident))
