An event of an engine that does not end fails its completion

It is a failure of the engine now. The new test failed before (EventTooLong). Used by agents only, not by gateways.

--- a/src/crankhinge/adapters/openai_engine.py
+++ b/src/crankhinge/adapters/openai_engine.py
@@ -161,11 +161,11 @@
         while not self._done:
             try:
                 chunk = await self._stream.next_chunk()
+                pieces = self._parse_chunk(chunk)
             except (HttpClosed, BadHttp) as exc:
                 raise EngineFailed(exc.detail) from exc
             if not chunk:
                 raise EngineFailed("response ended before its last event")
-            pieces = self._parse_chunk(chunk)
             if pieces:
                 return pieces
         return []
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -13,6 +13,7 @@
 from crankhinge.adapters.openai_engine import OpenAiEngine
 from crankhinge.errors import BadHttp, HttpClosed
 from crankhinge.http import BodyFraming, Exchange, serve_http
+from crankhinge.http._sse import MAX_EVENT_BYTES
 from crankhinge.runtime import get_log, run_until_first_ends
 from platform_fakes import (
     HOST,
@@ -150,6 +151,10 @@
         whole = body.endswith(DONE)
         assert self._read(body, framing) == (["a", "a"] if whole else None)
 
+    def test_completion_with_an_event_without_end_has_failed(self) -> None:
+        """The error of the parser was none that an agent reports to its entry."""
+        assert self._read(EVENT + b"x" * (MAX_EVENT_BYTES + 1), BodyFraming.CHUNKED) is None
+
     def _read(self, body: bytes, framing: BodyFraming) -> list[str] | None:
         """Return the texts of a completion; None if the engine is said to have failed."""
         replica = FakeReplica(FakeStore(), "e", "llm")
