--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -356,6 +356,8 @@
         """Write an entry that names no server, and remove it later."""
         record = self._record_fault("foreign-entry", "entries")
         name = self._rng.choice(["left-by-another", "caf%C3%A9", "a%0D%0Ab"])
+        # A name of its own, so that no other episode removes the entry sooner.
+        name += f"-{self._rng.getrandbits(32):08x}"
         await self._fleet.write_entry(name, self._rng.choice(FOREIGN_ENTRIES))
         await curio.sleep(self._rng.uniform(*FOREIGN_ENTRY_S))
         await self._fleet.write_entry(name, b"")
