--- a/tests/test_own_responses.py
+++ b/tests/test_own_responses.py
@@ -8,12 +8,19 @@
 import curio
 import pytest
 
+from crankhinge.adapters import OrderLease
+from crankhinge.decisions import EngineRole, Server
 from crankhinge.errors import HttpClosed
 from crankhinge.http import Exchange
+from crankhinge.runtime import get_log
+from crankhinge_platform.dialect import PlatformDialect
 from platform_fakes import (
+    HOST,
     FakeReplica,
     GatewayHarness,
+    LogCapture,
     make_events,
+    make_standalone_backends,
     respond_ok,
     respond_stream,
     route,
@@ -161,6 +168,20 @@
 
         run_virtual(harness.run, scenario, ONCE, settle_s=0.003)
 
+    def test_request_without_an_id_is_sent_on_a_new_connection(self) -> None:
+        """No id can tell its response from a copy of another one."""
+        harness = GatewayHarness()
+        server = CopyingReplica(harness, "", respond_ok)
+        server.before_requests = COPIES["reserved"]
+
+        async def scenario() -> None:
+            for _ in range(3):
+                status, _, body = await harness.call("", "/once/a")
+                assert (status, body) == (200, b"whole:i-1")
+            assert (len(server.arrivals), server.reused_connections) == (3, 0)
+
+        run_virtual(harness.run, scenario, ONCE, settle_s=0.003)
+
 
 class TestSideCalls:
     """Calls of the router itself that get a copy on their connection first."""
@@ -181,6 +202,32 @@
 
         run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
 
+    @pytest.mark.parametrize("call", ["order", "copy"])
+    def test_order_and_copy_of_a_run_do_not_share_connections(self, call: str) -> None:
+        """A copy of an earlier response would say that an order or a copy was accepted."""
+        harness = GatewayHarness()
+        engine = CopyingReplica(harness, "decode", respond_stream)
+        engine.order_status = 409
+        dialect, log = PlatformDialect(), get_log(program="t", stream=LogCapture())
+        calls = {
+            "order": dialect.role_order_call(EngineRole.PREFILL, OrderLease("g", 1, 1, 1e9), 0),
+            "copy": dialect.copy_run_call("q", HOST, 1, last=True),
+        }
+        server = Server(
+            "i-1", "llm", HOST, engine.port, "z1", EngineRole.DECODE, 64, leaving=False, heartbeat=1
+        )
+
+        async def scenario() -> None:
+            backends = make_standalone_backends(log, server)
+            assert await backends.side_call(server, dialect.engine_state_call()) is not None
+            engine.before_calls[calls[call].target] = COPIES["ordered"]
+            resp = await backends.side_call(server, calls[call])
+            assert resp is not None
+            assert resp.status == (409 if call == "order" else 200)
+            assert (engine.copies_sent, engine.reused_connections) == (0, 0)
+
+        run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
+
     def test_reservation_of_another_request_is_not_used(self) -> None:
         """A copy of the grant gave two requests the same reservation."""
         harness = GatewayHarness()
