A datagram that its handler fails on is set aside

What callers would see: as with datagrams nested too deeply, a whole process ends with the requests in progress, here for datagrams with a valid form and odd numbers, which anyone who reaches the port can send. Not seen in operation.

Cause: the failure of a handler ended the task that receives, and counted towards the restart limit, which is meant for faults of the process itself. The message is logged with its sender, kind and error now (notice_failed), and the next one is received.

The new test failed before (child_failed, ZeroDivisionError).

--- a/src/crankhinge/gateway/_peer_messenger.py
+++ b/src/crankhinge/gateway/_peer_messenger.py
@@ -23,6 +23,8 @@
 # Maximum size of a datagram in bytes, so that it fits in one packet.
 MAX_DATAGRAM_BYTES = 1200
 
+MAX_LOGGED_CHARS = 200
+
 # Called with a message and the ``host:port`` of its sender.
 MessageHandler = Callable[[Any, str], Awaitable[None]]
 
@@ -74,7 +76,26 @@
             return
         handler = self._handlers.get(type(message))
         if handler is not None:
-            await handler(message, f"{sender[0]}:{sender[1]}")
+            await self._handle(handler, message, f"{sender[0]}:{sender[1]}")
+
+    async def _handle(self, handler: MessageHandler, message: Any, sender: str) -> None:
+        """Handle a message; one that its handler fails on is set aside.
+
+        Its numbers may be of any size, and whoever reaches the port can send it, so that it must
+        not count towards the restart limit of this task.
+        """
+        try:
+            await handler(message, sender)
+        except curio.CancelledError:
+            raise
+        except Exception as exc:
+            self._log.error(
+                "notice_failed",
+                peer=sender,
+                kind=type(message).__name__,
+                error=type(exc).__name__,
+                why=str(exc)[:MAX_LOGGED_CHARS],
+            )
 
     async def send(
         self, address: str, message: PeerMessage | PlacementMessage | StreamOriginMessage
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import base64
+import itertools
 import re
 from pathlib import Path
 
@@ -14,6 +15,7 @@
 from crankhinge.adapters import CopyOutcome
 from crankhinge.decoding import JsonDecoder, MsgpackDecoder, decode_json, decode_toml
 from crankhinge.errors import BadHttp, KeyValueUnavailable, Undecodable
+from crankhinge.gateway._peer_messages import PermitRequest
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
 from crankhinge.gateway.placement._messages import PlacementWithdrawal
 from crankhinge_platform.dialect import PlatformDialect
@@ -108,6 +110,35 @@
 
         run_virtual(harness.run, scenario, PLAIN, settle_s=0.003)
 
+    def test_datagrams_with_odd_numbers_do_not_end_the_process(self) -> None:
+        """A handler that divides by one of them failed until the process ended."""
+        harness = GatewayHarness()
+        harness.add_replica("i-1", "plain")
+        odd = [1e308, -1e308, float("inf"), float("-inf"), float("nan"), 0.0, -1.0]
+
+        async def scenario() -> None:
+            sock = curio.socket.socket(curio.socket.AF_INET, curio.socket.SOCK_DGRAM)
+            for per_s, within_s in itertools.product(odd, odd):
+                message = PermitRequest(
+                    number=1,
+                    lender="x",
+                    server="i-2",
+                    per_s=per_s,
+                    ago_s=1e18,
+                    within_s=within_s,
+                    caller=False,
+                    loan=None,
+                )
+                data = msgspec.msgpack.encode(message)
+                await sock.sendto(data, (HOST, harness.peer_port))
+                await curio.sleep(0.1)
+            await sock.close()
+            assert (await harness.call("a", "/once/a"))[0] == 200
+            assert not harness.logs.matching("event=child_failed")
+            assert harness.logs.matching("event=notice_failed", "kind=PermitRequest")
+
+        run_virtual(harness.run, scenario, PLAIN, settle_s=0.003)
+
 
 class TestResponses:
     """Responses of backend servers to the router's own calls."""
