Tests: all decoders with all kinds of data that cannot be decoded

The loop that passes a response on says once, not twice, that its time is over; no change in what it does.

--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -435,19 +435,16 @@
             fields = [*fields, ("content-length", str(declared_bytes))]
         await exchange.start_with_fields(response.status, fields)
         rest.limit_pieces(PIECE_BYTES)
-        while True:
-            remaining_s = max(0.0, await relay.remaining_s())
+        while (remaining_s := await relay.remaining_s()) > 0:
             try:
                 chunk = await curio.timeout_after(remaining_s, rest.next_chunk)
             except curio.TaskTimeout as exc:
                 raise HttpSilent(f"received nothing for {remaining_s:.3f} s") from exc
             if not chunk:
-                break
+                await exchange.finish()
+                return ServerResponse(response.status, response.fields, b"", is_sent=True)
             await exchange.write(chunk)
-            if await relay.remaining_s() <= 0:
-                raise HttpClosed("the request's time ended during the response")
-        await exchange.finish()
-        return ServerResponse(response.status, response.fields, b"", is_sent=True)
+        raise HttpClosed("the request's time ended during the response")
 
 
 def _declared_length(stream: ClientStream) -> int:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -5,6 +5,9 @@
 import base64
 import itertools
 import re
+from collections.abc import Callable
+from contextlib import suppress
+from functools import partial
 from pathlib import Path
 
 import curio
@@ -12,18 +15,57 @@
 import msgspec
 import pytest
 
-from crankhinge.adapters import CopyOutcome
+from crankhinge.adapters import CopyOutcome, EngineFailed, FleetEntry, InstanceRecord, StoredValue
+from crankhinge.adapters.consul import _decode_json
+from crankhinge.adapters.openai_engine import _decode_object
+from crankhinge.agent._fence_service import _parse_record
+from crankhinge.config import parse_bundle
+from crankhinge.config._envelope import decode_envelope
 from crankhinge.decoding import JsonDecoder, MsgpackDecoder, decode_json, decode_toml
-from crankhinge.errors import BadHttp, KeyValueUnavailable, Undecodable
-from crankhinge.gateway._peer_messages import PermitRequest
+from crankhinge.entry._requests import authenticate, parse_completion
+from crankhinge.errors import (
+    BadHttp,
+    BundleError,
+    KeyValueUnavailable,
+    RequestError,
+    Undecodable,
+    WireError,
+)
+from crankhinge.gateway._peer_messages import PermitRequest, decode_message
 from crankhinge.gateway._peer_messenger import MAX_DATAGRAM_BYTES
 from crankhinge.gateway.placement._messages import PlacementWithdrawal
+from crankhinge.http import Response
+from crankhinge.wire._codec import decode as decode_frame
 from crankhinge_platform.dialect import PlatformDialect
 from crankhinge_platform.source import decode_config, decode_server
-from crankhinge_platform.store import Item, ItemResponse
+from crankhinge_platform.store import (
+    Item,
+    ItemResponse,
+    RangeResponse,
+    WatchResponse,
+    _decode,
+    _LeaseResponse,
+    _WriteResponse,
+)
 from platform_fakes import HOST, GatewayHarness, make_config, route
+from test_entry import make_req, make_view
 from virtual_time import run_virtual
 
+
+def _item(data: bytes) -> Item:
+    return Item("servers/i-1", value=base64.b64encode(data).decode())
+
+
+def _decode_store_response(data: bytes, *, model: type) -> object:
+    return _decode(Response(200, {}, data), model)
+
+
+def _parse_completion(data: bytes) -> object:
+    view = make_view()
+    req = make_req(data)
+    return parse_completion(view, req, authenticate(view, req.headers))
+
+
 ROOT = Path(__file__).parent.parent
 LIBRARY_DECODERS = re.compile(
     r"msgspec\.(?:json|msgpack|toml|yaml)\.(?:decode|Decoder)|msgspec\.convert|tomllib|json\.loads"
@@ -69,6 +111,90 @@
             decode_toml(text, dict[str, list[int]])
 
 
+# Every decoder of the product, with the one error that its callers handle.
+DECODERS: dict[str, tuple[Callable[[bytes], object], type[Exception]]] = {
+    "server": (lambda data: decode_server(_item(data)), KeyValueUnavailable),
+    "configuration": (decode_config, KeyValueUnavailable),
+    "instance record": (lambda data: decode_json(data, InstanceRecord), Undecodable),
+    "fleet entry": (lambda data: decode_json(data, FleetEntry), Undecodable),
+    **{
+        f"store {model.__name__}": (
+            partial(_decode_store_response, model=model),
+            KeyValueUnavailable,
+        )
+        for model in (ItemResponse, RangeResponse, WatchResponse, _LeaseResponse, _WriteResponse)
+    },
+    "prompt": (PlatformDialect().parse_kv_cache_handle, BadHttp),
+    "reservation": (PlatformDialect().parse_reservation_id, BadHttp),
+    "engine state": (PlatformDialect().parse_engine_state, BadHttp),
+    "datagram": (decode_message, Undecodable),
+    "frame": (decode_frame, WireError),
+    "envelope": (decode_envelope, BundleError),
+    "bundle": (lambda data: parse_bundle(data.decode("latin-1")), BundleError),
+    "completion": (lambda data: _parse_completion(data), RequestError),
+    "fence record": (lambda data: _parse_record(StoredValue(data, 1)), KeyValueUnavailable),
+    "engine's object": (_decode_object, EngineFailed),
+    "consul": (lambda data: _decode_json(Response(200, {}, data)), KeyValueUnavailable),
+}
+UNDECODABLE = {
+    "nested": NESTED_JSON,
+    "nested in a list": b"[" + NESTED_LISTS + b"]",
+    "nested msgpack": b"\x91" * DEPTH,
+    "nested in a map": b"\x81\xa1n" + b"\x91" * DEPTH,
+    "empty": b"",
+    "cut": b'{"a":',
+    "not UTF-8": b'{"service":"\xff"}',
+    "surrogate": b'{"service":"\\ud800"}',
+    "number": b"9" * 5000,
+    "real number": b"1e99999",
+    "scalar": b"7",
+    "null": b"null",
+    "msgpack lengths": b"\xdd\xff\xff\xff\xff",
+    "NUL": b"\0" * 64,
+}
+# Consul's responses are examined field by field, so that any JSON is decoded.
+ANY_JSON = ("consul",)
+
+
+class TestAll:
+    """All decoders with all kinds of data that has no value of their types."""
+
+    @pytest.mark.parametrize("data", UNDECODABLE.values(), ids=UNDECODABLE)
+    @pytest.mark.parametrize("name", DECODERS)
+    def test_undecodable_data_raises_the_error_of_its_decoder(self, name: str, data: bytes) -> None:
+        """Any other error ends the task that reads."""
+        decode, error = DECODERS[name]
+        with suppress(error):
+            decode(data)
+            assert name in ANY_JSON, "the data was taken for a value"
+
+    def test_every_module_that_decodes_is_among_them(self) -> None:
+        """A new use of the decoders has to be added to the table."""
+        users = {
+            str(path.relative_to(ROOT))
+            for folder in ("src/crankhinge", "platform")
+            for path in (ROOT / folder).rglob("*.py")
+            if path.name != "decoding.py" and "from crankhinge.decoding import" in path.read_text()
+        }
+        assert users == {
+            "platform/crankhinge_platform/dialect.py",
+            "platform/crankhinge_platform/registry.py",
+            "platform/crankhinge_platform/source.py",
+            "platform/crankhinge_platform/store.py",
+            "src/crankhinge/adapters/consul.py",
+            "src/crankhinge/adapters/openai_engine.py",
+            "src/crankhinge/agent/_adapter_loader.py",
+            "src/crankhinge/agent/_fence_service.py",
+            "src/crankhinge/config/_bundle.py",
+            "src/crankhinge/config/_envelope.py",
+            "src/crankhinge/config/_publish.py",
+            "src/crankhinge/entry/_requests.py",
+            "src/crankhinge/gateway/_peer_messages.py",
+            "src/crankhinge/runtime/_process.py",
+            "src/crankhinge/wire/_codec.py",
+        }
+
+
 class TestUse:
     """Where data is decoded."""
 
