Soak: a measurement of what bytes without end cost; one base class of decoders

crankhinge-soak --of endless measures plain callers beside streams whose engines send bytes without end, by where they come.

--- a/src/crankhinge/decoding.py
+++ b/src/crankhinge/decoding.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, Generic, TypeVar
 
@@ -19,7 +19,19 @@
 T = TypeVar("T")
 
 
-class JsonDecoder(Generic[T]):
+class _Decoder(Generic[T]):
+    """Decodes values of one type."""
+
+    def __init__(self, decode: Callable[[bytes], T]) -> None:
+        self._decode = decode
+
+    def decode(self, data: bytes) -> T:
+        """Return the value in *data*. Raises Undecodable if there is none of the type."""
+        with _undecodable():
+            return self._decode(data)
+
+
+class JsonDecoder(_Decoder[T]):
     """Decodes JSON.
 
     Args:
@@ -27,15 +39,10 @@
     """
 
     def __init__(self, model: Any) -> None:
-        self._decoder: msgspec.json.Decoder[T] = msgspec.json.Decoder(model)
+        super().__init__(msgspec.json.Decoder(model).decode)
 
-    def decode(self, data: bytes) -> T:
-        """Return the value in *data*. Raises Undecodable if there is none of the type."""
-        with _undecodable():
-            return self._decoder.decode(data)
 
-
-class MsgpackDecoder(Generic[T]):
+class MsgpackDecoder(_Decoder[T]):
     """Decodes msgpack.
 
     Args:
@@ -43,12 +50,7 @@
     """
 
     def __init__(self, model: Any) -> None:
-        self._decoder: msgspec.msgpack.Decoder[T] = msgspec.msgpack.Decoder(model)
-
-    def decode(self, data: bytes) -> T:
-        """Return the value in *data*. Raises Undecodable if there is none of the type."""
-        with _undecodable():
-            return self._decoder.decode(data)
+        super().__init__(msgspec.msgpack.Decoder(model).decode)
 
 
 def decode_json(data: bytes, model: type[T]) -> T:
--- a/src/crankhinge_soak/main.py
+++ b/src/crankhinge_soak/main.py
@@ -16,6 +16,7 @@
 from crankhinge.runtime import write_json
 from crankhinge_bench._procs import http_json
 from crankhinge_soak._check import check
+from crankhinge_soak._endless import measure_endless, render_endless
 from crankhinge_soak._entries import run_seed as run_entries
 from crankhinge_soak._faults import EPISODES, FaultInjector
 from crankhinge_soak._fleet import Fleet
@@ -125,9 +126,10 @@
     parser.add_argument("--version", action="version", version=f"{PROGRAM} {__version__}")
     parser.add_argument(
         "--of",
-        choices=("gateways", "entries"),
+        choices=("gateways", "entries", "endless"),
         default="gateways",
-        help="what is under test: gateways, or entries with their agents",
+        help="what is under test: gateways, entries with their agents, or what servers that send "
+        "bytes without end cost (a measurement of --seconds for each kind)",
     )
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0, help="duration of the faults")
@@ -154,6 +156,9 @@
         )
     # curio warns of each operation that ends just after its time-out, which is no error here.
     logging.getLogger("curio").setLevel(logging.ERROR)
+    if args.of == "endless":
+        print(render_endless(measure_endless(args.seconds, Path(args.logs) if args.logs else None)))
+        return 0
     reports = []
     for seed, seconds in select_seeds(args):
         logs = Path(args.logs) / str(seed) if args.logs else None
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -17,6 +17,7 @@
         garbles: share of responses that break off in the middle.
         loses: share of runs that never get a response, while their connections stay open.
         endless: share of runs that get bytes without end in place of a response or an event.
+        endless_in: one of ENDLESS_PLACES where these bytes come; empty for any.
         copies: share of responses to side calls and prompts of which a second copy comes on the
             same connection, before the next response there.
         unframed: share of streams with neither a length nor chunks.
@@ -33,6 +34,7 @@
     garbles: float = 0.0
     loses: float = 0.0
     endless: float = 0.0
+    endless_in: str = ""
     copies: float = 0.0
     unframed: float = 0.0
     cut_between_events: bool = False
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -38,6 +38,9 @@
 # Maximum duration of a plain call, in seconds.
 MAX_WORK_S = 0.05
 ENDLESS_PIECE = b"x" * 65536
+ENDLESS_HEADS = b"HTTP/1.1 103 Early Hints\r\n\r\n" * 2340
+# Where endless bytes come; the last one only in a stream.
+ENDLESS_PLACES = ("status-line", "field", "informational", "framing", "event")
 # Seconds to prefill one token.
 PREFILL_TOKEN_S = 0.00003
 # Seconds between two events of a stream.
@@ -345,17 +348,23 @@
     async def _send_endless(self, exchange: Exchange, ident: str) -> None:
         """Send the beginning of a response, or none, and then bytes until the connection closes.
 
-        They come in a status line, in a header field, in the framing of a body or, in a stream, in
-        an event. None of them is a part of a body that can be passed on.
+        None of them is a part of a body that can be passed on.
         """
         lines = "".join(f"{k}: {v}\r\n" for k, v in self._make_response_fields(ident))
         head = f"HTTP/1.1 200 OK\r\n{lines}".encode()
-        beginnings = [b"", head + b"x-long: ", head + b"transfer-encoding: chunked\r\n\r\n1;"]
-        if self._role:
-            beginnings.append(head + b"content-type: text/event-stream\r\n\r\nid: 1\ndata: ")
-        await exchange.write_raw(self._rng.choice(beginnings))
+        beginnings = {
+            "status-line": b"",
+            "field": head + b"x-long: ",
+            "informational": b"",
+            "framing": head + b"transfer-encoding: chunked\r\n\r\n1;",
+            "event": head + b"content-type: text/event-stream\r\n\r\nid: 1\ndata: ",
+        }
+        places = ENDLESS_PLACES if self._role else ENDLESS_PLACES[:-1]
+        place = self.faults.endless_in or self._rng.choice(places)
+        await exchange.write_raw(beginnings[place])
+        piece = ENDLESS_HEADS if place == "informational" else ENDLESS_PIECE
         while True:
-            await exchange.write_raw(ENDLESS_PIECE)
+            await exchange.write_raw(piece)
 
     async def _run_plain(self, exchange: Exchange) -> None:
         ident = self._record_run(exchange.req)
