Log what each server was sent of a failed request, and derive the promise from it

Our own last line named one server and the number of attempts, so it could not tell a lost response from a late copy of a refusal or a status that was passed on: all three end in one word, not-run or a status.

Each attempt is now one object, added before its first byte is sent and completed by the head of the response: server, prompt or run, status, whether the response said that nothing was executed, and whether the connection was reused. The last line lists them. Whether a request may have run is computed from the same objects, in place of a flag that was set, saved and restored, so the log and the promise cannot differ. No decision changes.

Two tests of the lines failed before; the fakes of two other tests follow the attributes.

--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -22,7 +22,7 @@
 from crankhinge.gateway._crashes import CrashDetector
 from crankhinge.gateway._permits import Permits
 from crankhinge.gateway._quarantine import QuarantineService
-from crankhinge.gateway._request import Relay
+from crankhinge.gateway._request import Relay, SentAttempt
 from crankhinge.http import ClientStream, ConnectFailed, ResponseMatcher
 
 # A response below this status means that the server executed the request successfully.
@@ -103,7 +103,7 @@
         if not params.prompt_only:
             relay.writing_since = None
         stream: ClientStream | None = None
-        ran_before = relay.may_have_run
+        attempt = SentAttempt(server.incarnation_id, params.prompt_only)
         completed = False
         may_have_arrived = True
         try:
@@ -112,17 +112,14 @@
                 req.target,
                 fields=dialect.attempt_fields(req, params, relay.account_name),
                 body=req.body,
-                new_connection=not request_id or server.incarnation_id in relay.sent_id_to,
+                new_connection=not request_id or relay.was_sent_to(server.incarnation_id),
                 is_own_response=_is_response_to(dialect, request_id),
-                on_sending=partial(
-                    relay.record_sending, server.incarnation_id, prompt_only=params.prompt_only
-                ),
+                on_sending=partial(relay.attempts.append, attempt),
             )
             if dialect.response_request_id(stream.headers) != request_id:
                 stream.prevent_reuse()
             signals = dialect.parse_signals(stream.status, stream.headers)
-            if signals.not_run:
-                relay.may_have_run = ran_before
+            attempt.record_response(stream.status, is_refused=signals.not_run, reused=stream.reused)
             if signals.wrong_server:
                 self._backends.record_replaced(server)
                 raise ConnectFailed(f"another server responds for {server.incarnation_id}")
--- a/src/crankhinge/gateway/_gateway.py
+++ b/src/crankhinge/gateway/_gateway.py
@@ -304,12 +304,16 @@
         )
         if "first_ms" in relay.log_fields:
             self._metrics.timing("first_event", relay.log_fields["first_ms"] / 1000)
+        # An error of a server reaches the caller as it is, so the line has to tell what that server
+        # said about the request.
+        attempts_field = relay.attempts_field if relay.log_fields["status"] != HTTP_OK else {}
         self._log.info(
             "answered",
             request=relay.request.request_id,
             route=relay.route.name,
             sent=len(relay.sent_to),
             **relay.log_fields,
+            **attempts_field,
         )
 
     async def _send_error(
@@ -339,6 +343,7 @@
             await _record_duration(relay)
             log_fields.update(relay.log_fields, route=relay.route.name, config=relay.config_version)
             log_fields["sent"] = len(relay.sent_to)
+            log_fields.update(relay.attempts_field)
         elif (config := self._discovery.config) is not None:
             log_fields["config"] = config.version
             log_fields["keys_age_s"] = round(self._discovery.keys_age_s(await curio.clock()), 2)
--- a/src/crankhinge/gateway/_request.py
+++ b/src/crankhinge/gateway/_request.py
@@ -14,6 +14,8 @@
 # A request fails when this many servers were unreachable for it. Each of them costs at most the
 # timeout of a connection.
 MAX_UNREACHABLE = 3
+# Attempts of a request in a line of the log. A stream that is moved often has more.
+MAX_LOGGED_ATTEMPTS = 8
 
 
 @dataclass(frozen=True)
@@ -44,6 +46,43 @@
     expires_at: float
 
 
+@dataclass
+class SentAttempt:
+    """What a server was sent of a request, and what the head of its response said about it.
+
+    Attributes:
+        server: incarnation id of the server.
+        prompt_only: whether only the prompt was to be processed, which is no run.
+        status: status of the response; 0 until its head has arrived.
+        is_refused: whether the response states that the server did not execute what it was sent.
+        reused: whether the connection had carried an earlier request.
+    """
+
+    server: str
+    prompt_only: bool
+    status: int = 0
+    is_refused: bool = False
+    reused: bool = False
+
+    def record_response(self, status: int, *, is_refused: bool, reused: bool) -> None:
+        """Record the head of the response."""
+        self.status, self.is_refused, self.reused = status, is_refused, reused
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether the server may have executed the request."""
+        return not self.prompt_only and not self.is_refused
+
+    def __str__(self) -> str:
+        """Return the form for logs, such as ``i-1:run:503:not-run:reused`` or ``i-1:run:none``."""
+        kind = "prompt" if self.prompt_only else "run"
+        notes = [
+            *(["not-run"] if self.is_refused else []),
+            *(["reused"] if self.reused else []),
+        ]
+        return ":".join([self.server, kind, str(self.status or "none"), *notes])
+
+
 @dataclass
 class Relay:
     """A request that the gateway relays, the rules that apply to it, and its progress so far.
@@ -67,13 +106,10 @@
         sent_to: incarnation ids of the decode engines or plain servers that were tried, including
             the current one. Prompt engines and unreachable servers are not included.
         unreachable: incarnation ids of servers that could not be reached; they received nothing.
-        sent_id_to: incarnation ids of all servers that received the request's id, with the prompt
-            alone included. The id does not tell their responses to it apart, so each further one is
-            awaited on a connection of its own.
+        attempts: what servers were sent, in order. An attempt is added before its first byte is
+            sent, so that :attr:`may_have_run` holds however the attempt ends: by an error, a
+            timeout or a cancellation.
         version: software version that the servers of the stream must have; empty for any.
-        may_have_run: whether a server may have executed the request. It is set before the request
-            is sent and taken back if the response says that it did not run, so that it holds
-            however the attempt ends: by an error, a timeout or a cancellation.
         prompt_processed: whether a prompt engine processed the prompt.
         reserved_at: when a decode engine granted the reservation; None before.
         last_event_at: when the caller was last sent an event; None before the first.
@@ -98,9 +134,8 @@
     is_retry: bool = False
     sent_to: list[str] = field(default_factory=list)
     unreachable: list[str] = field(default_factory=list)
-    sent_id_to: set[str] = field(default_factory=set)
+    attempts: list[SentAttempt] = field(default_factory=list)
     version: str = ""
-    may_have_run: bool = False
     prompt_processed: bool = False
     reserved_at: float | None = None
     last_event_at: float | None = None
@@ -142,11 +177,23 @@
         keys = (self.fingerprint, *self.part_keys)
         return prompt_only_keys(keys) if prompt_only else keys
 
-    def record_sending(self, incarnation_id: str, *, prompt_only: bool) -> None:
-        """Record that a server is now sent the request, or only its prompt."""
-        self.sent_id_to.add(incarnation_id)
-        if not prompt_only:
-            self.may_have_run = True
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a server may have executed the request."""
+        return any(attempt.may_have_run for attempt in self.attempts)
+
+    def was_sent_to(self, incarnation_id: str) -> bool:
+        """Return whether a server received the request's id, with the prompt alone included.
+
+        The id does not tell the responses of one server to several attempts apart.
+        """
+        return any(attempt.server == incarnation_id for attempt in self.attempts)
+
+    @property
+    def attempts_field(self) -> dict[str, str]:
+        """The log field with the last attempts; none if nothing was sent."""
+        attempts = self.attempts[-MAX_LOGGED_ATTEMPTS:]
+        return {"attempts": ",".join(map(str, attempts))} if attempts else {}
 
     def record_event(self, now: float) -> None:
         """Record that events are sent to the caller: when the first was, and the longest pause."""
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -64,9 +64,8 @@
         account_name=None,
         version="",
         trial_work=frozenset(),
-        may_have_run=False,
-        sent_id_to=set(),
-        record_sending=lambda server, *, prompt_only: None,
+        attempts=[],
+        was_sent_to=lambda server: False,
         work_keys=lambda *, prompt_only: ("f",),
     )
     quarantine = make_standalone_quarantine("g", log)
--- a/tests/test_permits.py
+++ b/tests/test_permits.py
@@ -108,9 +108,8 @@
                 request=SimpleNamespace(request_id="q"),
                 log_fields={},
                 version="",
-                may_have_run=False,
-                sent_id_to=set(),
-                record_sending=lambda server, *, prompt_only: None,
+                attempts=[],
+                was_sent_to=lambda server: False,
             ),
         )
 
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -240,6 +240,40 @@
         )
 
 
+class TestLogs:
+    """What the last line of a request tells about the promise that its caller was given."""
+
+    def test_failed_request_names_each_attempt(self) -> None:
+        """A promise could not be traced to the server that had run the request."""
+        harness = GatewayHarness()
+        harness.add_replica("i-p", "llm", "prefill")
+        harness.add_replica("i-1", "llm", "decode", handler=in_turn(refuse, lose_response)())
+
+        async def scenario() -> None:
+            await check_outcome(harness, "/stream/a", may_have_run=True)
+            attempts = "attempts=i-p:prompt:200,i-1:run:503:not-run:reused,i-1:run:none"
+            assert harness.logs.matching("event=request_failed", attempts, "outcome=unknown")
+
+        run_virtual(harness.run, scenario, STREAM, settle_s=0.003)
+
+    def test_error_that_is_passed_on_names_its_attempt(self) -> None:
+        """The line of an error tells whether the server said that it did not run the request."""
+        harness = GatewayHarness()
+
+        async def fail(replica: FakeReplica, exchange: Exchange) -> None:
+            await exchange.respond_with_fields(500, replica.response_fields(exchange), b"failed")
+
+        harness.add_replica("i-1", "plain", handler=fail)
+
+        async def scenario() -> None:
+            assert (await harness.call("q", "/once/a"))[0] == 500
+            await curio.sleep(0.1)
+            lines = harness.logs.matching("event=answered", "status=500")
+            assert [line.split()[-1] for line in lines] == ["attempts=i-1:run:500"]
+
+        run_virtual(harness.run, scenario, ONCE, settle_s=0.003)
+
+
 class TestPlannedStop:
     """Requests that a stopping instance ends itself."""
 
