Failing tests: statuses of servers that promise what their server did not say

The stand-in server and the soak can play the third (kind unstated-statuses), and the checker counts a promise whoever made it.

--- a/src/crankhinge_soak/_check.py
+++ b/src/crankhinge_soak/_check.py
@@ -112,13 +112,14 @@
 
 
 def _check_not_run_responses(history: History) -> tuple[int, list[str]]:
-    """Check that a request did not run if an instance reported that it had not run."""
+    """Check that a request did not run if its caller got a status that promises so.
+
+    It does not matter whether the status is the instance's own or a server's.
+    """
     denials = [
         seen
         for seen in history.seen
-        if seen.made_by_gateway
-        and seen.status in NOT_RUN_STATUSES
-        and seen.path in (ONCE_PATH, STREAM_PATH)
+        if seen.status in NOT_RUN_STATUSES and seen.path in (ONCE_PATH, STREAM_PATH)
     ]
     cases = [
         f"{seen.ident}: refused with {seen.status}, but ran"
--- a/src/crankhinge_soak/_faults.py
+++ b/src/crankhinge_soak/_faults.py
@@ -51,6 +51,8 @@
 LOST_RESPONSES = {"loses": 0.3}
 ENDLESS_RESPONSES = {"endless": 0.3}
 COPIED_RESPONSES = {"copies": 0.5}
+# Faults of servers that answer runs with 503 and do not say whether they ran.
+UNSTATED_RESPONSES = {"unstated": 0.3}
 # Minimum and maximum time for which an entry of another writer stays: longer than a task that fails
 # at each read takes to reach its restart limit.
 FOREIGN_ENTRY_S = (3.0, 6.0)
@@ -352,6 +354,9 @@
     async def _copy_responses(self) -> None:
         await self._fail_responses("late-copies", COPIED_RESPONSES)
 
+    async def _send_unstated_statuses(self) -> None:
+        await self._fail_responses("unstated-statuses", UNSTATED_RESPONSES)
+
     async def _leave_foreign_entry(self) -> None:
         """Write an entry that names no server, and remove it later."""
         record = self._record_fault("foreign-entry", "entries")
@@ -520,6 +525,7 @@
     "lose-responses": FaultInjector._lose_responses,
     "endless-bytes": FaultInjector._send_endless_bytes,
     "late-copies": FaultInjector._copy_responses,
+    "unstated-statuses": FaultInjector._send_unstated_statuses,
     "foreign-entry": FaultInjector._leave_foreign_entry,
     "break-streams": FaultInjector._break_streams,
     "crash-part": FaultInjector._send_crash_part,
--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -13,6 +13,7 @@
 
     Attributes:
         errors: share of runs that end with status 500.
+        unstated: share of runs that are answered with 503, without a word on whether they ran.
         resets: share of runs whose connection closes before the response.
         garbles: share of responses that break off in the middle.
         loses: share of runs that never get a response, while their connections stay open.
@@ -30,6 +31,7 @@
     """
 
     errors: float = 0.0
+    unstated: float = 0.0
     resets: float = 0.0
     garbles: float = 0.0
     loses: float = 0.0
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -366,6 +366,11 @@
         while True:
             await exchange.write_raw(piece)
 
+    async def _send_unstated(self, exchange: Exchange, ident: str) -> None:
+        """Answer a run with a status that promises the opposite, but without the field for it."""
+        fields = self._make_response_fields(ident)
+        await exchange.respond_with_fields(NO_CAPACITY_STATUS, fields, b"failed")
+
     async def _run_plain(self, exchange: Exchange) -> None:
         ident = self._record_run(exchange.req)
         await curio.sleep(MAX_WORK_S * self._rng.random() * self.faults.slow)
@@ -378,6 +383,9 @@
         if self._by_chance(self.faults.errors):
             await exchange.respond_with_fields(500, self._make_response_fields(ident), b"failed")
             return
+        if self._by_chance(self.faults.unstated):
+            await self._send_unstated(exchange, ident)
+            return
         body = make_body(ident)
         if self._by_chance(self.faults.garbles):
             length = ("content-length", str(len(body)))
@@ -509,6 +517,9 @@
             await curio.Event().wait()
         if self._by_chance(self.faults.endless):
             await self._send_endless(exchange, run.ident)
+        if self._by_chance(self.faults.unstated):
+            await self._send_unstated(exchange, run.ident)
+            return True
         await response.start_with_fields(200, self._make_response_fields(run.ident))
         if crash_part := find_crash_part(exchange.req):
             await curio.sleep(EVENT_INTERVAL_S)
