A server's status that promises more than the server states is not passed on

What callers saw: a server ran their request and answered 408, 429 or 503 without saying that it had not run it. The gateway passed the status on unchanged. Callers take these statuses for a promise, so they sent again what had run.

Cause: a status was believed to be the server's answer to the caller, whatever it means there. The server's word on whether it ran the request is the field of the refusal (or 421), and nothing else.

Change: the head of such a response ends the attempt as one that may have run, in the one place that all attempts pass. The caller is told 502 and "unknown", without the server's signature and without a time to come back; a route that may be repeated goes on at another server, 408 and 429 included, which were final before. The body is read for a moment to keep the connection.

Ruled out: passing the status on without the signature (still the promise), 504 (no time has passed).

--- a/src/crankhinge/adapters/_dialect.py
+++ b/src/crankhinge/adapters/_dialect.py
@@ -92,6 +92,8 @@
             or not.
         limit_per_s: requests per second that the server accepts from all instances together; None
             if the field is absent or holds no valid rate.
+        unstated: whether callers take the status for a promise that the request did not run, and
+            the server does not state that.
     """
 
     not_run: bool
@@ -101,6 +103,7 @@
     leaving: bool = False
     advertises_limit: bool = False
     limit_per_s: float | None = None
+    unstated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankhinge/errors.py
+++ b/src/crankhinge/errors.py
@@ -116,6 +116,18 @@
     code = "event-too-long"
 
 
+class UnstatedStatus(BadHttp):
+    """A server answered with a status that promises callers that it did not run the request.
+
+    It did not state so itself, so the request may have been executed, and the status must not reach
+    the caller.
+    """
+
+    code = "unstated-status"
+    status = 502
+    outcome = Outcome.UNKNOWN
+
+
 class BodyTooLarge(BadHttp):
     """The body or header block of an HTTP request is over the size limit."""
 
--- a/src/crankhinge/gateway/_attempts.py
+++ b/src/crankhinge/gateway/_attempts.py
@@ -16,6 +16,7 @@
     HttpClosed,
     ServerBarred,
     ServerReadsSlowly,
+    UnstatedStatus,
 )
 from crankhinge.gateway._authenticator import Authenticator
 from crankhinge.gateway._backends import Backends
@@ -77,6 +78,8 @@
                 address, that other server did not execute the request.
             HttpClosed: the connection ended; the request may have been executed.
             BadHttp: the response is malformed; the request may have been executed.
+            UnstatedStatus: the response has a status that promises more than the server states; the
+                request may have been executed.
         """
         dialect = self._backends.dialect
         stats = self._backends.stats(server.incarnation_id)
@@ -127,6 +130,13 @@
             await self._backends.notify_listeners(
                 server, signals, sent_at=started_at, succeeded=succeeded
             )
+            if signals.unstated and not params.prompt_only:
+                # The body is read only to keep the connection.
+                await stream.read_refusal()
+                completed = True
+                raise UnstatedStatus(
+                    f"status {stream.status} does not say whether the request was executed"
+                )
             yield stream
             completed = True
         except CallerGone:
--- a/src/crankhinge/gateway/_plain.py
+++ b/src/crankhinge/gateway/_plain.py
@@ -32,6 +32,7 @@
     NoBackend,
     Overloaded,
     ServerBarred,
+    UnstatedStatus,
 )
 from crankhinge.gateway._attempts import Attempts
 from crankhinge.gateway._backends import Backends
@@ -321,7 +322,8 @@
             relay.sent_to.pop()
             return exc
         except (HttpClosed, BadHttp) as exc:
-            self._log_failed_attempt(relay, server, "broken", exc.detail)
+            outcome = "unstated" if isinstance(exc, UnstatedStatus) else "broken"
+            self._log_failed_attempt(relay, server, outcome, exc.detail)
             if relay.exchange.response_started:
                 raise HttpClosed(f"broken off: {exc.detail}") from exc
             return BackendFailed(exc.detail)
