Entry: the refusal of a later attempt does not refuse a request that may have run

What callers saw: an engine failed while it ran a completion that may be repeated, and the next attempt found no free slot. They got 503 with a time to come back, beside the outcome "unknown".

Cause: the status was that of the last error, and a refusal of one attempt is one of the request only if no earlier attempt ran.

Change: with an attempt that may have run, 429 and 503 are sent as 502, without a time to come back.

--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -182,7 +182,13 @@
                 wasted_tokens=progress.wasted_tokens,
             )
             if not exchange.response_started:
-                await send_error(exchange, exc, outcome=progress.outcome, request_id=public_id)
+                await send_error(
+                    exchange,
+                    exc,
+                    outcome=progress.outcome,
+                    may_have_run=progress.may_have_run,
+                    request_id=public_id,
+                )
 
     async def _dispatch(
         self, exchange: Exchange, log_fields: dict[str, Any], progress: RequestProgress
--- a/src/crankhinge/entry/_responses.py
+++ b/src/crankhinge/entry/_responses.py
@@ -15,6 +15,9 @@
 # occurring in the rest of the event.
 TEXT_PLACEHOLDER = "\u2063text\u2063"
 OUTCOME_HEADER = "x-request-outcome"
+# Callers may take these statuses for a statement that the request was not executed.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+BAD_GATEWAY = 502
 SSE_HEADERS = {
     "content-type": "text/event-stream",
     "cache-control": "no-cache",
@@ -40,6 +43,7 @@
     exc: CrankhingeError,
     *,
     outcome: Outcome | None = None,
+    may_have_run: bool = False,
     request_id: str = "",
 ) -> None:
     """Send an error response.
@@ -47,6 +51,8 @@
     Args:
         exchange: the HTTP exchange with the caller.
         exc: the error. Its ``retry_after_s`` is rounded up to whole seconds for ``Retry-After``.
+        may_have_run: whether a backend server may have executed the request. The last error may be
+            a refusal that holds only for the last attempt; its status is then not sent.
         outcome: what is known about whether the request ran; by default, the outcome of *exc*.
         request_id: id of the request for the ``x-request-id`` header; empty to omit the header.
     """
@@ -54,9 +60,14 @@
     headers = {OUTCOME_HEADER: known_outcome.value}
     if request_id:
         headers["x-request-id"] = request_id
-    if exc.retry_after_s is not None:
+    is_false_refusal = may_have_run and exc.status in NOT_RUN_STATUSES
+    if exc.retry_after_s is not None and not is_false_refusal:
         headers["retry-after"] = str(max(1, math.ceil(exc.retry_after_s)))
-    await exchange.respond(exc.status, msgspec.json.encode(error_body(exc, known_outcome)), headers)
+    body = error_body(exc, known_outcome)
+    if is_false_refusal:
+        body["error"]["retry_after_s"] = None
+    status = BAD_GATEWAY if is_false_refusal else exc.status
+    await exchange.respond(status, msgspec.json.encode(body), headers)
 
 
 class CompletionWriter:
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -1,6 +1,8 @@
 """Tests of the components of an entry, and of some decisions that it relies on."""
 
+from collections.abc import Mapping
 from contextlib import nullcontext
+from typing import Any
 
 import curio
 import msgspec
@@ -8,6 +10,7 @@
 
 from crankhinge.config import BundleView, hash_credential, parse_bundle
 from crankhinge.decisions import Breaker, MemberLimits, RetryBudget, WorkQueue, WorkRequest
+from crankhinge.entry._entry import Entry
 from crankhinge.entry._mailboxes import LinkLost, Mailboxes
 from crankhinge.entry._progress import RequestIds, RequestProgress
 from crankhinge.entry._requests import (
@@ -16,9 +19,20 @@
     hash_prefix_blocks,
     parse_completion,
 )
-from crankhinge.errors import BadCredentials, LinkClosed, RequestError, SlowCaller
+from crankhinge.errors import (
+    BadCredentials,
+    CrankhingeError,
+    LimitReached,
+    LinkClosed,
+    NoBackend,
+    Overloaded,
+    RequestError,
+    SlowCaller,
+)
 from crankhinge.http import HttpRequest
+from crankhinge.runtime import Metrics, get_log
 from crankhinge.wire import Tokens
+from platform_fakes import LogCapture
 from test_config import BUNDLE_TEMPLATE
 from virtual_time import run_virtual
 
@@ -165,6 +179,55 @@
             Mailboxes(10).open(link, 1)  # type: ignore[arg-type]
 
 
+class RecordingExchange:
+    """Keeps the response that it is asked to send."""
+
+    req = HttpRequest("POST", "/v1/completions", {}, b"")
+    response_started = False
+    status = 0
+    body = b""
+    headers: Mapping[str, str] = {}
+
+    async def respond(self, status: int, body: bytes, headers: Mapping[str, str]) -> None:
+        """Keep the response."""
+        self.status, self.body, self.headers = status, body, headers
+
+
+class FailingEntry(Entry):
+    """An entry whose requests fail in one way."""
+
+    def __init__(self, error: CrankhingeError, *, may_have_run: bool) -> None:
+        self._metrics, self._log = Metrics(prefix="t"), get_log(program="t", stream=LogCapture())
+        self._error, self._may_have_run = error, may_have_run
+
+    async def _dispatch(self, exchange: Any, log_fields: Any, progress: RequestProgress) -> None:
+        progress.may_have_run = self._may_have_run
+        raise self._error
+
+
+class TestErrorResponses:
+    """What a caller is told about whether its failed request ran."""
+
+    @pytest.mark.parametrize("may_have_run", [False, True])
+    @pytest.mark.parametrize("error", [Overloaded, NoBackend, LimitReached])
+    def test_refusal_of_a_later_attempt_does_not_refuse_the_request(
+        self, error: type[CrankhingeError], may_have_run: bool
+    ) -> None:
+        """An engine failed while it ran the request, and no other one had a free slot."""
+        exchange = RecordingExchange()
+        entry = FailingEntry(error("full", retry_after_s=2.0), may_have_run=may_have_run)
+        run_virtual(entry._answer, exchange, 1, "req-1")
+        details = msgspec.json.decode(exchange.body)["error"]
+        if may_have_run:
+            assert (exchange.status, details["retry_after_s"]) == (502, None)
+            assert exchange.headers["x-request-outcome"] == "unknown"
+            assert "retry-after" not in exchange.headers
+        else:
+            assert (exchange.status, details["retry_after_s"]) == (error.status, 2.0)
+            assert exchange.headers["x-request-outcome"] == "not-run"
+            assert exchange.headers["retry-after"] == "2"
+
+
 class TestRequestIds:
     """The ids of a request and of its steps, by which log lines are found."""
 
