Entry: a plain service's own refusal has an unknown outcome

What callers saw: a service's 503 to a call that may run once came without an outcome, and looked like the entry's own refusal, which was not run.

Cause: the outcome was set on the entry's own errors alone. A service does not say whether it ran a call that it answers with 408, 421, 429 or 503.

Change: these four are passed on as they are, with the outcome "unknown". Their status stays the service's: in the product's own interface it is the outcome that promises, not the status.

Four cases of the new tests need the outcome, which was missing; three hold that other answers have none.

--- a/src/crankhinge/entry/_entry.py
+++ b/src/crankhinge/entry/_entry.py
@@ -22,7 +22,7 @@
     parse_completion,
     parse_options,
 )
-from crankhinge.entry._responses import OUTCOME_HEADER, CompletionWriter, send_error
+from crankhinge.entry._responses import CompletionWriter, call_response_headers, send_error
 from crankhinge.entry._settings import EntrySettings
 from crankhinge.errors import (
     BadHttp,
@@ -269,7 +269,5 @@
         options = parse_options(req.headers, member)
         response = await self._plain_calls.run(req, member, view, service, options, progress)
         self._metrics.count("calls_answered")
-        headers = {"content-type": "application/octet-stream", **response.headers}
-        headers["x-request-id"] = log_fields["request"]
-        headers.pop(OUTCOME_HEADER, None)
+        headers = call_response_headers(response.status, response.headers, log_fields["request"])
         await exchange.respond(response.status, response.body, headers)
--- a/src/crankhinge/entry/_responses.py
+++ b/src/crankhinge/entry/_responses.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from typing import Any
 
 import msgspec
@@ -70,6 +71,21 @@
     await exchange.respond(status, msgspec.json.encode(body), headers)
 
 
+def call_response_headers(
+    status: int, headers: Mapping[str, str], request_id: str
+) -> dict[str, str]:
+    """Return the header fields of a plain service's response as they are sent to the caller.
+
+    A service does not say whether it ran a call that it answers with one of NOT_RUN_STATUSES, so
+    the response gets the outcome "unknown".
+    """
+    sent = {"content-type": "application/octet-stream", **headers, "x-request-id": request_id}
+    sent.pop(OUTCOME_HEADER, None)
+    if status in NOT_RUN_STATUSES:
+        sent[OUTCOME_HEADER] = Outcome.UNKNOWN.value
+    return sent
+
+
 class CompletionWriter:
     """Writes one completion to the caller, as a stream of events or as one JSON body.
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -19,6 +19,7 @@
     hash_prefix_blocks,
     parse_completion,
 )
+from crankhinge.entry._responses import call_response_headers
 from crankhinge.errors import (
     BadCredentials,
     CrankhingeError,
@@ -227,6 +228,18 @@
             assert exchange.headers["x-request-outcome"] == "not-run"
             assert exchange.headers["retry-after"] == "2"
 
+    @pytest.mark.parametrize("status", [408, 421, 429, 503])
+    def test_refusal_of_a_service_has_an_unknown_outcome(self, status: int) -> None:
+        """The service does not say whether it ran the call; its caller took that for a no."""
+        headers = call_response_headers(status, {"retry-after": "1"}, "req-1")
+        assert (headers["x-request-outcome"], headers["retry-after"]) == ("unknown", "1")
+
+    @pytest.mark.parametrize("status", [200, 404, 500])
+    def test_other_response_of_a_service_has_no_outcome(self, status: int) -> None:
+        """It is the answer to the call; the field is the entry's, so a service's is dropped."""
+        headers = call_response_headers(status, {"x-request-outcome": "not-run"}, "req-1")
+        assert "x-request-outcome" not in headers
+
 
 class TestRequestIds:
     """The ids of a request and of its steps, by which log lines are found."""
