--- a/src/crankhinge_standins/store.py
+++ b/src/crankhinge_standins/store.py
@@ -66,11 +66,16 @@
             server's entry. With 0, neither entries nor leases expire; tests that set the clock
             themselves use 0.
         history_s: seconds for which changes are remembered; 0 to remember them for ever.
+
+    Attributes:
+        era: value of the header that rises each time the store comes back from an older copy; None
+            to leave the header out.
     """
 
     def __init__(self, host: str, port: int, beat_s: float = 0.0, history_s: float = 0.0) -> None:
         self.host = host
         self.port = port
+        self.era: int | None = None
         self.revision = 10
         self.items: dict[str, Item] = {}
         self.changes: list[Item] = []
@@ -203,7 +208,8 @@
         if self.faults.bytes_per_s:
             await _respond_paced(exchange, status, data, self.faults.bytes_per_s)
         else:
-            await exchange.respond(status, data)
+            headers = {} if self.era is None else {"store-era": str(self.era)}
+            await exchange.respond(status, data, headers)
 
     async def _fail_if_down(self, exchange: Exchange) -> None:
         """Fail the call as the fault ``down`` says; return if the store is not down."""
