--- a/src/crankhinge_standins/_replica_state.py
+++ b/src/crankhinge_standins/_replica_state.py
@@ -19,8 +19,8 @@
         loses: share of runs that never get a response, while their connections stay open.
         endless: share of runs that get bytes without end in place of a response or an event.
         endless_in: one of ENDLESS_PLACES where these bytes come; empty for any.
-        copies: share of responses to side calls and prompts of which a second copy comes on the
-            same connection, before the next response there.
+        copies: share of refusals and of responses to side calls and prompts of which a second copy
+            comes on the same connection, before the next response there.
         unframed: share of streams with neither a length nor chunks.
         cut_between_events: whether a stream with neither may break off between two events.
         refuses: share of requests that the server refuses before they run.
--- a/src/crankhinge_standins/replica.py
+++ b/src/crankhinge_standins/replica.py
@@ -327,6 +327,7 @@
         await exchange.respond_with_fields(
             status, head + self._make_signal_fields(ident, rest_s), b""
         )
+        self._keep_copy(exchange, status, b"", ident, not_executed=True)
 
     async def _reply(self, exchange: Exchange, value: Any, status: int = 200) -> None:
         """Send a response, and perhaps keep a copy that is sent before the next one."""
@@ -334,10 +335,19 @@
         request_id = exchange.req.headers.get("x-request-id", "")
         self._keep_copy(exchange, status, msgspec.json.encode(value), request_id)
 
-    def _keep_copy(self, exchange: Exchange, status: int, body: bytes, request_id: str) -> None:
+    def _keep_copy(
+        self,
+        exchange: Exchange,
+        status: int,
+        body: bytes,
+        request_id: str,
+        *,
+        not_executed: bool = False,
+    ) -> None:
         if self._by_chance(self.faults.copies):
-            field = f"x-request-id: {request_id}\r\n" if request_id else ""
-            head = f"HTTP/1.1 {status} X\r\n{field}content-length: {len(body)}\r\n\r\n"
+            fields = f"x-request-id: {request_id}\r\n" if request_id else ""
+            fields += "x-not-executed: 1\r\n" if not_executed else ""
+            head = f"HTTP/1.1 {status} X\r\n{fields}content-length: {len(body)}\r\n\r\n"
             self._copies[exchange.connection_key] = head.encode() + body
 
     async def _send_nothing(self, exchange: Exchange) -> None:
