Design page on the order of events

For each promise of the gateway the steps it rests on and the events that may come between them, a row each with the test that holds it. The tests of the contract page hold that the names exist and that each row has one or a reason.

--- a/tests/test_contract.py
+++ b/tests/test_contract.py
@@ -16,6 +16,7 @@
 
 ROOT = Path(__file__).parents[1]
 PAGE = (ROOT / "docs/design/contract.md").read_text()
+EVENTS_PAGE = (ROOT / "docs/design/order-of-events.md").read_text()
 TEST_REFERENCE = re.compile(r"`(test_\w+)(?:::(\w+))?`")
 
 
@@ -90,6 +91,28 @@
         ] == []
 
 
+class TestEventsPage:
+    """Contents of the page on the order of events."""
+
+    def test_page_names_only_existing_tests(self) -> None:
+        """A renamed or removed test must be changed on the page, too."""
+        references = set(TEST_REFERENCE.findall(EVENTS_PAGE))
+        assert len(references) > 15
+        assert sorted(row for row in references if not is_defined(*row)) == []
+
+    def test_each_row_names_a_test_or_a_reason(self) -> None:
+        """A row without a test says what else holds it, or that it is left."""
+        rows = [row for row in EVENTS_PAGE.splitlines() if row.startswith("| ")]
+        rows = [row for row in rows if not row.startswith("| between |")]
+        reasons = ("the soak (", "**left", "| none: ")
+        assert len(rows) > 25
+        assert [
+            row
+            for row in rows
+            if not TEST_REFERENCE.search(row) and not any(reason in row for reason in reasons)
+        ] == []
+
+
 def is_defined(module: str, name: str) -> bool:
     """Return whether a test file exists and defines a class or function of that name."""
     path = ROOT / "tests" / f"{module}.py"
