--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 
 # Programs that have to start after a plain install, without the tools of development.
-PROGRAMS := entry agent gateway ctl burn bench soak standin
+PROGRAMS := entry agent gateway ctl burn bench soak standin fuzz
 
 .PHONY: demo test lint fmt bench clean installed
 
