--- a/review/8/case.py
+++ b/review/tried-2/limits/case.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib-2"))
+sys.path.insert(0, str(FOLDER.parents[1] / "lib-2"))
 
 from harness import Answer, Case, CannotRun, free_port, log, request, route, run_case  # noqa: E402
 
